Add the workspace, the event and effect contract, and a skeleton of the reducer

Cause: the parts can only be written side by side against one fixed contract. Ruled out: shared cells between parts; each part reads the others through a view. Before: no code. Conclusion: parts can start.

--- /dev/null
+++ b/crates/cuminbank-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Command line.
+fn main() {}
--- /dev/null
+++ b/crates/cuminbank-entry/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry daemon.
+fn main() {}
--- /dev/null
+++ b/crates/cuminbank-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/cuminbank-standins/src/main.rs
@@ -0,0 +1,2 @@
+//! Stand-ins.
+fn main() {}
--- /dev/null
+++ b/crates/cuminbank/src/lib.rs
@@ -0,0 +1,17 @@
+//! Scheduler for colocated latency-critical and batch work.
+//!
+//! The library is one reducer: [`reducer::EntryReducer::apply`] takes an event with the time at
+//! which it happened and returns effects as data. It reads no clock, does no I/O and draws no
+//! randomness but from the seed it was given, so that a run can be repeated exactly.
+
+pub mod effect;
+pub mod event;
+pub mod ids;
+pub mod log;
+pub mod membership;
+pub mod message;
+pub mod profile;
+pub mod reducer;
+pub mod settings;
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/crates/cuminbank/src/log.rs
@@ -0,0 +1,82 @@
+//! Numbered log events. `docs/EVENTS.md` lists every entry of [`CATALOGUE`].
+
+/// Severity of a log event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LogLevel {
+    /// Expected and worth knowing.
+    Info,
+    /// Unexpected, handled.
+    Warn,
+    /// Needs an operator.
+    Error,
+}
+
+/// A kind of log event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LogCode {
+    /// Number, printed as `EV0101`.
+    pub number: u16,
+    /// Severity.
+    pub level: LogLevel,
+    /// What happened.
+    pub summary: &'static str,
+}
+
+/// A log event with its details.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogRecord {
+    /// Kind of event.
+    pub code: LogCode,
+    /// Names and figures of this occurrence.
+    pub detail: String,
+}
+
+macro_rules! catalogue {
+    ($($name:ident = ($number:literal, $level:ident, $summary:literal);)*) => {
+        $(
+            #[doc = $summary]
+            pub const $name: LogCode =
+                LogCode { number: $number, level: LogLevel::$level, summary: $summary };
+        )*
+        /// All kinds of log events, by number.
+        pub const CATALOGUE: &[LogCode] = &[$($name),*];
+    };
+}
+
+// Ranges: 01xx process, 02xx calls, 03xx batch tasks, 04xx groups and membership, 05xx
+// configuration, 06xx day records.
+catalogue! {
+    PROCESS_STARTED = (101, Info, "The process started.");
+    DRAIN_STARTED = (102, Info, "A planned stop began.");
+    DRAIN_ENDED = (103, Info, "The planned stop is complete.");
+    CALL_OUTCOME_UNKNOWN = (201, Warn, "A call ended with an unknown outcome.");
+    TARGET_QUARANTINED = (202, Warn, "A target was quarantined because it fails what it starts.");
+    TARGET_RELEASED = (203, Info, "A target left quarantine.");
+    CONNECTION_SILENT = (204, Warn, "A connection was silent for too long and was closed.");
+    JOURNAL_LOADED = (301, Info, "The task ledger of a group was loaded.");
+    JOURNAL_FENCED = (302, Warn, "A journal write was refused because the group has a new owner.");
+    TASK_EVICTED = (303, Info, "A task was evicted with its checkpoint.");
+    TASK_RESUMED = (304, Info, "An evicted or interrupted task was started again.");
+    TASK_FAILED = (305, Warn, "A task ended without a result.");
+    TASK_ADOPTED = (306, Info, "A running attempt was adopted from the previous owner.");
+    GROUP_TAKEN = (401, Info, "The instance became the owner of a group.");
+    GROUP_RELEASED = (402, Info, "The instance gave up a group.");
+    GROUP_LOST = (403, Warn, "The instance may no longer act for a group.");
+    STORE_UNREACHABLE = (404, Error, "The store does not answer; groups are kept by promises.");
+    STORE_REACHABLE = (405, Info, "The store answers again.");
+    TARGET_SUSPECT = (406, Warn, "A target does not answer and gets no new work.");
+    TARGET_RECOVERED = (407, Info, "A suspect target answers again.");
+    TARGET_LEAVING = (408, Info, "A target is leaving and gets no new work.");
+    CONFIG_IN_FORCE = (501, Info, "A change of configuration is in force.");
+    CONFIG_REJECTED = (502, Error, "A committed profile is not valid and is not in force.");
+    CONFIG_STARTED = (503, Info, "The first configuration was read.");
+    RECORD_SAVED = (601, Info, "A day record was saved.");
+    RECORD_DELAYED = (602, Warn, "A day record could not be saved and is kept for the next try.");
+}
+
+impl LogRecord {
+    /// Creates a log event.
+    pub fn new(code: LogCode, detail: impl Into<String>) -> Self {
+        Self { code, detail: detail.into() }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/profile.rs
@@ -0,0 +1,177 @@
+//! Work profiles: how a kind of work is to be treated, and the set that is in force.
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{CustomerName, ProfileName, StoreRevision};
+
+/// How a kind of work is to be treated.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkProfile {
+    /// Name, 1 to 64 characters.
+    pub name: ProfileName,
+    /// Urgent calls or batch tasks.
+    pub kind: WorkKind,
+    /// Time in which an answer is on time, in milliseconds (urgent: 10 to 60,000; batch: up to
+    /// 7 days).
+    pub deadline_ms: u64,
+    /// Whether a call may run again after it is known not to be running.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Longest time that a call may hold a slot, in milliseconds.
+    #[serde(default = "default_max_run_ms")]
+    pub max_run_ms: u64,
+    /// Largest body in bytes, up to 4 MiB.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: usize,
+    /// Whether an answer confirms a slot that the report counts as delivered as booked.
+    #[serde(default)]
+    pub confirms_slot: bool,
+    /// Place in the order of batch starts; 0 starts first, up to 9.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+    /// Attempts on distinct workers before a task is given up, 1 to 10.
+    #[serde(default = "default_max_attempts")]
+    pub max_attempts: u32,
+    /// Weight of each customer under contention; a customer that is not listed has weight 1.
+    #[serde(default)]
+    pub weights: BTreeMap<CustomerName, u32>,
+}
+
+fn default_max_run_ms() -> u64 {
+    30_000
+}
+
+fn default_max_body_bytes() -> usize {
+    256 * 1024
+}
+
+fn default_priority() -> u8 {
+    5
+}
+
+fn default_max_attempts() -> u32 {
+    3
+}
+
+/// Kind of work.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WorkKind {
+    /// Calls that a caller waits for.
+    Urgent,
+    /// Tasks that are accepted now and finished later.
+    Batch,
+}
+
+/// A field of a profile that is out of range.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProfileError {
+    /// Path of the field in the document.
+    pub path: String,
+    /// The value found.
+    pub value: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl fmt::Display for ProfileError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {} is not allowed: {}", self.path, self.value, self.allowed)
+    }
+}
+
+impl WorkProfile {
+    /// Returns the time in which an answer is on time.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+
+    /// Returns the longest time that a call may hold a slot.
+    pub fn max_run(&self) -> Duration {
+        Duration::from_millis(self.max_run_ms)
+    }
+
+    /// Returns the weight of a customer.
+    pub fn weight(&self, customer: &str) -> u32 {
+        self.weights.get(customer).copied().unwrap_or(1)
+    }
+
+    /// Reads a profile from JSON and checks every field.
+    pub fn from_json(text: &[u8]) -> Result<Self, ProfileError> {
+        let deserializer = &mut serde_json::Deserializer::from_slice(text);
+        let profile: Self =
+            serde_path_to_error::deserialize(deserializer).map_err(|error| ProfileError {
+                path: error.path().to_string(),
+                value: "the document".to_owned(),
+                allowed: error.inner().to_string(),
+            })?;
+        profile.check()?;
+        Ok(profile)
+    }
+
+    /// Checks that every field is in range.
+    pub fn check(&self) -> Result<(), ProfileError> {
+        let name_length = self.name.chars().count();
+        check(
+            (1..=64).contains(&name_length) && !self.name.contains(['/', '\n', '\0']),
+            "name",
+            &self.name,
+            "1 to 64 characters without '/', newline or NUL",
+        )?;
+        let longest = match self.kind {
+            WorkKind::Urgent => 60_000,
+            WorkKind::Batch => 7 * 24 * 3_600_000,
+        };
+        check(
+            (10..=longest).contains(&self.deadline_ms),
+            "deadline_ms",
+            self.deadline_ms,
+            format!("10 to {longest}"),
+        )?;
+        check(
+            (10..=600_000).contains(&self.max_run_ms),
+            "max_run_ms",
+            self.max_run_ms,
+            "10 to 600000",
+        )?;
+        check(
+            (1..=4 * 1024 * 1024).contains(&self.max_body_bytes),
+            "max_body_bytes",
+            self.max_body_bytes,
+            "1 to 4194304",
+        )?;
+        check(self.priority <= 9, "priority", self.priority, "0 to 9")?;
+        check((1..=10).contains(&self.max_attempts), "max_attempts", self.max_attempts, "1 to 10")?;
+        for (customer, weight) in &self.weights {
+            let path = format!("weights.{customer}");
+            check((1..=1_000).contains(weight), &path, weight, "1 to 1000")?;
+        }
+        Ok(())
+    }
+}
+
+fn check(
+    holds: bool,
+    path: &str,
+    value: impl fmt::Display,
+    allowed: impl Into<String>,
+) -> Result<(), ProfileError> {
+    if holds {
+        return Ok(());
+    }
+    Err(ProfileError { path: path.to_owned(), value: value.to_string(), allowed: allowed.into() })
+}
+
+/// A committed change of a profile; `profile` is absent if it was deleted.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ProfileChange {
+    /// Name of the profile.
+    pub name: ProfileName,
+    /// Revision of the store at which the change was committed.
+    pub revision: StoreRevision,
+    /// The profile as committed, in JSON.
+    pub profile: Option<String>,
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/groups.rs
@@ -0,0 +1,194 @@
+//! Groups of targets: ownership, takeover, handover, membership and planned stops.
+
+use std::net::SocketAddr;
+
+use crate::{
+    effect::EntryEffect,
+    event::{ExchangeError, ListedInstance},
+    ids::{ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, ReplyId, StartNumber, TargetName},
+    message::{PeerDatagram, PeerReply, TicketHandover},
+    settings::EntrySettings,
+    store::StoreReply,
+};
+
+use super::{
+    calls::CallPart,
+    config::ConfigPart,
+    records::RecordPart,
+    step::{StepContext, TargetObservation},
+};
+
+/// A change that the parts which dispatch work have to follow.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GroupChange {
+    /// The instance became the owner of a group.
+    Taken {
+        /// Group.
+        group: GroupIndex,
+        /// Epoch of the new term.
+        epoch: OwnerEpoch,
+        /// Earliest time for the first probe of an executor: bytes that the last owner sent have
+        /// arrived by then.
+        probe_from: MonotonicTime,
+        /// Ticket states passed on by the last owner: its epoch, next sequence and tickets.
+        handed: Option<(OwnerEpoch, u64, Vec<TicketHandover>)>,
+    },
+    /// The instance is no longer the owner of a group.
+    Lost {
+        /// Group.
+        group: GroupIndex,
+    },
+    /// A target appeared, or changed its address, size or state.
+    TargetChanged {
+        /// Target.
+        name: TargetName,
+    },
+    /// A target ended.
+    TargetEnded {
+        /// Target.
+        name: TargetName,
+        /// Group that it belonged to.
+        group: GroupIndex,
+    },
+    /// A planned stop has handed over all groups and no call is in progress.
+    Drained,
+}
+
+/// Groups and membership.
+#[derive(Debug)]
+pub struct GroupPart {
+    changes: Vec<GroupChange>,
+    targets: crate::membership::TargetTable,
+}
+
+#[allow(clippy::too_many_arguments, unused_variables, reason = "skeleton")]
+impl GroupPart {
+    /// Creates the part.
+    pub fn new(settings: &EntrySettings, start: StartNumber) -> Self {
+        Self { changes: Vec::new(), targets: crate::membership::TargetTable::default() }
+    }
+
+    /// Returns until when the instance may act for a group of its zone; `None` if not at `now`.
+    pub fn right_until(&self, group: GroupIndex, now: MonotonicTime) -> Option<MonotonicTime> {
+        None
+    }
+
+    /// Returns the epoch of a group that the instance owns.
+    pub fn epoch(&self, group: GroupIndex) -> Option<OwnerEpoch> {
+        None
+    }
+
+    /// Returns the groups that the instance may act for at `now`.
+    pub fn owned(&self, now: MonotonicTime) -> Vec<GroupIndex> {
+        Vec::new()
+    }
+
+    /// Returns the peer that announces a group, in any zone, with the wait it expects.
+    pub fn owner_of(
+        &self,
+        zone: &str,
+        group: GroupIndex,
+        now: MonotonicTime,
+    ) -> Option<(SocketAddr, std::time::Duration)> {
+        None
+    }
+
+    /// Returns the targets of the zone.
+    pub fn targets(&self) -> &crate::membership::TargetTable {
+        &self.targets
+    }
+
+    /// Notes what another part saw of a target.
+    pub fn observe_target(&mut self, step: &mut StepContext, observation: &TargetObservation) {}
+
+    /// Notes the outcome of any exchange with the store.
+    pub fn observe_store(&mut self, step: &mut StepContext, error: Option<ExchangeError>) {}
+
+    /// Returns the peers heard of, with the time since each was last heard.
+    pub fn peers_heard(&self, now: MonotonicTime) -> Vec<(String, std::time::Duration)> {
+        Vec::new()
+    }
+
+    /// Returns the addresses of live peers.
+    pub fn peer_addresses(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        Vec::new()
+    }
+
+    /// Handles the platform's list.
+    pub fn on_list_fetched(
+        &mut self,
+        step: &mut StepContext,
+        result: Result<Vec<ListedInstance>, ExchangeError>,
+    ) {
+    }
+
+    /// Handles a datagram of a peer.
+    pub fn on_datagram(
+        &mut self,
+        step: &mut StepContext,
+        config: &ConfigPart,
+        from: SocketAddr,
+        datagram: PeerDatagram,
+    ) {
+    }
+
+    /// Stores the ticket states of a group that a peer gives up, and claims the group.
+    pub fn on_hand_over(
+        &mut self,
+        step: &mut StepContext,
+        reply: ReplyId,
+        group: GroupIndex,
+        epoch: OwnerEpoch,
+        next_sequence: u64,
+        tickets: Vec<TicketHandover>,
+    ) {
+        step.push(EntryEffect::AnswerPeer { reply, answer: PeerReply::NotOwner });
+    }
+
+    /// Handles the end of an exchange with the store.
+    pub fn on_store_ended(
+        &mut self,
+        step: &mut StepContext,
+        exchange: ExchangeId,
+        result: Result<StoreReply, ExchangeError>,
+    ) {
+    }
+
+    /// Handles the end of an exchange with a peer.
+    pub fn on_peer_ended(
+        &mut self,
+        step: &mut StepContext,
+        exchange: ExchangeId,
+        result: Result<PeerReply, ExchangeError>,
+    ) {
+    }
+
+    /// Begins a planned stop.
+    pub fn on_drain_wanted(&mut self, step: &mut StepContext) {}
+
+    /// Tells whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        false
+    }
+
+    /// Renews leases and promises, takes over free groups, and goes on with a planned stop.
+    pub fn on_tick(
+        &mut self,
+        step: &mut StepContext,
+        config: &ConfigPart,
+        calls: &CallPart,
+        records: &mut RecordPart,
+    ) {
+        step.push(EntryEffect::FetchList);
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<GroupChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns the state shown to operators.
+    pub fn status(&self, now: MonotonicTime) -> serde_json::Value {
+        serde_json::json!({})
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -0,0 +1,308 @@
+//! The reducer: hands each event to the part that owns the state it concerns.
+
+pub mod calls;
+pub mod config;
+pub mod groups;
+pub mod records;
+pub mod step;
+pub mod tasks;
+
+use std::time::Duration;
+
+use crate::{
+    effect::{CallerAnswer, EntryEffect},
+    event::{EntryEvent, StateQuery},
+    ids::{ExchangeId, MonotonicTime, ReplyId, StartNumber},
+    message::{PeerReply, PeerRequest},
+    settings::EntrySettings,
+};
+
+use self::{
+    calls::CallPart,
+    config::ConfigPart,
+    groups::{GroupChange, GroupPart},
+    records::RecordPart,
+    step::{ReducerPart, StepContext},
+    tasks::TaskPart,
+};
+
+/// Other parts that urgent calls read.
+#[derive(Clone, Copy, Debug)]
+pub struct CallView<'a> {
+    /// Groups and membership.
+    pub groups: &'a GroupPart,
+    /// Configuration in force.
+    pub config: &'a ConfigPart,
+    /// Batch tasks, for their slowdown of calls.
+    pub tasks: &'a TaskPart,
+}
+
+/// Other parts that batch tasks read.
+#[derive(Clone, Copy, Debug)]
+pub struct TaskView<'a> {
+    /// Groups and membership.
+    pub groups: &'a GroupPart,
+    /// Configuration in force.
+    pub config: &'a ConfigPart,
+    /// Urgent calls, for the classes that run on a machine.
+    pub calls: &'a CallPart,
+}
+
+// Macros and not methods: a method would borrow the whole reducer, and the part itself is
+// borrowed mutably at the same time.
+macro_rules! call_view {
+    ($reducer:ident) => {
+        CallView { groups: &$reducer.groups, config: &$reducer.config, tasks: &$reducer.tasks }
+    };
+}
+
+macro_rules! task_view {
+    ($reducer:ident) => {
+        TaskView { groups: &$reducer.groups, config: &$reducer.config, calls: &$reducer.calls }
+    };
+}
+
+/// Time between two [`EntryEvent::Tick`] events.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// State of an entry instance.
+///
+/// ```
+/// use std::time::{Duration, SystemTime};
+///
+/// use cuminbank::{event::EntryEvent, reducer::EntryReducer, settings::EntrySettings};
+///
+/// let text = br#"{"instance":"d1","zone":"dublin","http_address":"127.0.0.1:8080",
+///     "peer_address":"127.0.0.1:8081","store_addresses":["127.0.0.1:2379"],
+///     "list_address":"127.0.0.1:8500"}"#;
+/// let settings = EntrySettings::from_json(text).expect("the settings are valid");
+/// let mut reducer = EntryReducer::new(settings, 7);
+/// let tick = EntryEvent::Tick { wall: SystemTime::UNIX_EPOCH };
+/// let effects = reducer.apply(Duration::ZERO, tick);
+/// assert!(!effects.is_empty());
+/// ```
+#[derive(Debug)]
+pub struct EntryReducer {
+    step: StepContext,
+    calls: CallPart,
+    tasks: TaskPart,
+    groups: GroupPart,
+    config: ConfigPart,
+    records: RecordPart,
+}
+
+impl EntryReducer {
+    /// Creates the state of an instance that has just started. `start` has to differ between two
+    /// starts of the same instance; it also seeds all draws.
+    pub fn new(settings: EntrySettings, start: StartNumber) -> Self {
+        Self {
+            calls: CallPart::new(&settings),
+            tasks: TaskPart::new(&settings),
+            groups: GroupPart::new(&settings, start),
+            config: ConfigPart::new(&settings),
+            records: RecordPart::new(&settings, start),
+            step: StepContext::new(settings, start),
+        }
+    }
+
+    /// Applies an event that happened at `now` and returns what has to be done.
+    pub fn apply(&mut self, now: MonotonicTime, event: EntryEvent) -> Vec<EntryEffect> {
+        self.step.begin(now);
+        self.route(event);
+        for observation in self.step.take_observations() {
+            self.groups.observe_target(&mut self.step, &observation);
+        }
+        self.pass_group_changes();
+        self.step.take_effects()
+    }
+
+    fn route(&mut self, event: EntryEvent) {
+        match event {
+            EntryEvent::Tick { wall } => self.on_tick(wall),
+            EntryEvent::CallArrived { reply, call } => {
+                self.calls.on_call(&mut self.step, call_view!(self), &mut self.records, reply, call)
+            }
+            EntryEvent::TaskArrived { reply, submission } => self.tasks.on_submission(
+                &mut self.step,
+                task_view!(self),
+                &mut self.records,
+                reply,
+                submission,
+            ),
+            EntryEvent::TaskQueried { reply, ticket, query } => {
+                self.tasks.on_query(&mut self.step, task_view!(self), reply, ticket, query);
+            }
+            EntryEvent::TicketsWanted { reply, count } => {
+                self.calls.on_tickets_wanted(&mut self.step, call_view!(self), reply, count);
+            }
+            EntryEvent::CallerGone { reply } => self.calls.on_caller_gone(&mut self.step, reply),
+            EntryEvent::DispatchEnded { exchange, result } => self.calls.on_dispatch_ended(
+                &mut self.step,
+                call_view!(self),
+                &mut self.records,
+                exchange,
+                result,
+            ),
+            EntryEvent::ProbeEnded { exchange, result } => self.calls.on_probe_ended(
+                &mut self.step,
+                call_view!(self),
+                &mut self.records,
+                exchange,
+                result,
+            ),
+            EntryEvent::WorkerEnded { exchange, result } => self.tasks.on_worker_ended(
+                &mut self.step,
+                task_view!(self),
+                &mut self.records,
+                exchange,
+                result,
+            ),
+            EntryEvent::StoreEnded { exchange, result } => {
+                self.on_store_ended(exchange, result);
+            }
+            EntryEvent::WatchChanged { revision, changes } => {
+                self.config.on_watch_changed(&mut self.step, revision, changes);
+            }
+            EntryEvent::WatchLost => self.config.on_watch_lost(&mut self.step),
+            EntryEvent::ListFetched { result } => {
+                self.groups.on_list_fetched(&mut self.step, result);
+            }
+            EntryEvent::DatagramReceived { from, datagram } => {
+                self.groups.on_datagram(&mut self.step, &self.config, from, datagram);
+            }
+            EntryEvent::PeerAsked { reply, request } => self.on_peer_asked(reply, request),
+            EntryEvent::PeerEnded { exchange, result } => self.on_peer_ended(exchange, result),
+            EntryEvent::ConfigOffered { reply, changes } => {
+                self.config.on_offered(&mut self.step, reply, changes);
+            }
+            EntryEvent::StateWanted { reply, query } => self.on_state_wanted(reply, query),
+            EntryEvent::DrainWanted => self.groups.on_drain_wanted(&mut self.step),
+        }
+    }
+
+    fn on_tick(&mut self, wall: std::time::SystemTime) {
+        self.step.set_wall(wall);
+        self.config.on_tick(&mut self.step, &self.groups);
+        self.groups.on_tick(&mut self.step, &self.config, &self.calls, &mut self.records);
+        self.calls.on_tick(&mut self.step, call_view!(self), &mut self.records);
+        self.tasks.on_tick(&mut self.step, task_view!(self), &mut self.records);
+        self.records.on_tick(&mut self.step, &self.groups);
+    }
+
+    fn on_store_ended(
+        &mut self,
+        exchange: ExchangeId,
+        result: Result<crate::store::StoreReply, crate::event::ExchangeError>,
+    ) {
+        self.groups.observe_store(&mut self.step, result.as_ref().err().copied());
+        let step = &mut self.step;
+        match ReducerPart::of(exchange) {
+            ReducerPart::Groups => self.groups.on_store_ended(step, exchange, result),
+            ReducerPart::Tasks => self.tasks.on_store_ended(
+                step,
+                task_view!(self),
+                &mut self.records,
+                exchange,
+                result,
+            ),
+            ReducerPart::Config => self.config.on_store_ended(step, exchange, result),
+            ReducerPart::Records => self.records.on_store_ended(step, exchange, result),
+            ReducerPart::Calls => {}
+        }
+    }
+
+    fn on_peer_asked(&mut self, reply: ReplyId, request: PeerRequest) {
+        let step = &mut self.step;
+        match request {
+            PeerRequest::ForwardCall { group, call, waited_ms } => self.calls.on_forwarded_call(
+                step,
+                call_view!(self),
+                &mut self.records,
+                reply,
+                group,
+                call,
+                Duration::from_millis(waited_ms),
+            ),
+            PeerRequest::ForwardTask(submission) => self.tasks.on_forwarded_submission(
+                step,
+                task_view!(self),
+                &mut self.records,
+                reply,
+                submission,
+            ),
+            PeerRequest::ForwardQuery(ticket, query) => {
+                self.tasks.on_forwarded_query(step, task_view!(self), reply, ticket, query);
+            }
+            PeerRequest::IssueTickets { count } => {
+                self.calls.on_peer_tickets(step, call_view!(self), reply, count);
+            }
+            PeerRequest::FetchConfig => {
+                let answer = PeerReply::Config(self.config.changes());
+                step.push(EntryEffect::AnswerPeer { reply, answer });
+            }
+            PeerRequest::HandOver { group, epoch, next_sequence, tickets } => {
+                self.groups.on_hand_over(step, reply, group, epoch, next_sequence, tickets);
+            }
+        }
+    }
+
+    fn on_peer_ended(
+        &mut self,
+        exchange: ExchangeId,
+        result: Result<PeerReply, crate::event::ExchangeError>,
+    ) {
+        let step = &mut self.step;
+        match ReducerPart::of(exchange) {
+            ReducerPart::Groups => self.groups.on_peer_ended(step, exchange, result),
+            ReducerPart::Calls => {
+                self.calls.on_peer_ended(step, &mut self.records, exchange, result);
+            }
+            ReducerPart::Tasks => {
+                self.tasks.on_peer_ended(step, &mut self.records, exchange, result);
+            }
+            ReducerPart::Config => self.config.on_peer_ended(step, exchange, result),
+            ReducerPart::Records => {}
+        }
+    }
+
+    fn on_state_wanted(&mut self, reply: ReplyId, query: StateQuery) {
+        let answer = match query {
+            StateQuery::Ready => self.readiness(),
+            StateQuery::Config => json_answer(&serde_json::json!(self.config.changes())),
+            StateQuery::Status => {
+                let now = self.step.now();
+                json_answer(&serde_json::json!({
+                    "groups": self.groups.status(now),
+                    "calls": self.calls.status(now),
+                    "tasks": self.tasks.status(now),
+                    "config": self.config.status(),
+                    "records": self.records.status(),
+                }))
+            }
+        };
+        self.step.push(EntryEffect::Answer { reply, answer });
+    }
+
+    fn readiness(&self) -> CallerAnswer {
+        if self.config.is_ready() && !self.groups.is_draining() {
+            return json_answer(&serde_json::json!({ "ready": true }));
+        }
+        CallerAnswer::new_not_run(503, "the instance is starting or stopping")
+    }
+
+    /// Passes changes of ownership and of targets to the parts that dispatch work.
+    fn pass_group_changes(&mut self) {
+        for change in self.groups.take_changes() {
+            let step = &mut self.step;
+            self.calls.on_group_change(step, call_view!(self), &mut self.records, &change);
+            self.tasks.on_group_change(step, task_view!(self), &change);
+            if matches!(change, GroupChange::Drained) {
+                self.records.finish(step, &self.groups);
+            }
+        }
+    }
+}
+
+fn json_answer(value: &serde_json::Value) -> CallerAnswer {
+    CallerAnswer::new_done(200, bytes::Bytes::from(value.to_string()))
+}
--- /dev/null
+++ b/crates/cuminbank/src/settings.rs
@@ -0,0 +1,121 @@
+//! Settings of an entry instance, read from JSON and checked whole.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{GroupIndex, InstanceName, ZoneName},
+    profile::ProfileError,
+};
+
+/// Settings of an entry instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Name of the instance, unique among the entry instances.
+    pub instance: InstanceName,
+    /// Availability zone of the instance.
+    pub zone: ZoneName,
+    /// Address for callers and operators (HTTP).
+    pub http_address: SocketAddr,
+    /// Address for other entry instances; TCP and UDP use the same port.
+    pub peer_address: SocketAddr,
+    /// Addresses of the platform's store, tried in turn.
+    pub store_addresses: Vec<SocketAddr>,
+    /// Address of the platform's list of instances.
+    pub list_address: SocketAddr,
+    /// Peer addresses of the entry instances that are known ahead, for each zone.
+    #[serde(default)]
+    pub peers: BTreeMap<ZoneName, Vec<SocketAddr>>,
+    /// Address that metrics are sent to over UDP (statsd); none are sent without it.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Number of target groups in the zone, 1 to 64; the same on all instances of the zone.
+    #[serde(default = "default_groups")]
+    pub groups_per_zone: GroupIndex,
+    /// Slots of an executor that long calls may hold, 1 to 64.
+    #[serde(default = "default_long_slots")]
+    pub long_slots: u32,
+    /// Policy of placement; the baselines exist for measurements.
+    #[serde(default)]
+    pub policy: PlacementPolicy,
+    /// Longest time for a planned stop, in milliseconds, 1,000 to 600,000.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
+}
+
+fn default_groups() -> GroupIndex {
+    4
+}
+
+fn default_long_slots() -> u32 {
+    2
+}
+
+fn default_drain_ms() -> u64 {
+    30_000
+}
+
+/// Policy of placement.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementPolicy {
+    /// Learned slowdown, bounded long work, admission by feasible deadline.
+    #[default]
+    Learned,
+    /// Baseline: the target with the fewest calls, no learning, first come first served.
+    LeastLoaded,
+    /// Baseline: a random target with a queue of its own, first come first served.
+    RandomQueue,
+}
+
+impl EntrySettings {
+    /// Reads settings from JSON and checks every field.
+    pub fn from_json(text: &[u8]) -> Result<Self, ProfileError> {
+        let deserializer = &mut serde_json::Deserializer::from_slice(text);
+        let settings: Self =
+            serde_path_to_error::deserialize(deserializer).map_err(|error| ProfileError {
+                path: error.path().to_string(),
+                value: "the document".to_owned(),
+                allowed: error.inner().to_string(),
+            })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Returns the longest time for a planned stop.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
+    fn check(&self) -> Result<(), ProfileError> {
+        check_name("instance", &self.instance)?;
+        check_name("zone", &self.zone)?;
+        if self.store_addresses.is_empty() {
+            return Err(range_error("store_addresses", "[]", "at least one address"));
+        }
+        if !(1..=64).contains(&self.groups_per_zone) {
+            return Err(range_error("groups_per_zone", self.groups_per_zone, "1 to 64"));
+        }
+        if !(1..=64).contains(&self.long_slots) {
+            return Err(range_error("long_slots", self.long_slots, "1 to 64"));
+        }
+        if !(1_000..=600_000).contains(&self.drain_ms) {
+            return Err(range_error("drain_ms", self.drain_ms, "1000 to 600000"));
+        }
+        Ok(())
+    }
+}
+
+fn check_name(path: &str, name: &str) -> Result<(), ProfileError> {
+    let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+    if (1..=64).contains(&name.len()) && name.chars().all(allowed) {
+        return Ok(());
+    }
+    Err(range_error(path, name, "1 to 64 letters, digits, '-', '_' or '.'"))
+}
+
+fn range_error(path: &str, value: impl ToString, allowed: &str) -> ProfileError {
+    ProfileError { path: path.to_owned(), value: value.to_string(), allowed: allowed.to_owned() }
+}
