Add the cores of the store, executor and worker stand-ins

Cause: history tests drive the outside systems in virtual time and need them without clock and I/O.

Ruled out: a mock of the library's requests only. It could not be served over HTTP, so the tests in virtual time and those with processes would meet different behaviour. Each core takes the time with each call.

Before: the crate was a placeholder.

--- /dev/null
+++ b/crates/cuminbank-standins/src/worker/usage.rs
@@ -0,0 +1,77 @@
+//! Usage windows of one machine, reported late.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use cuminbank::{
+    ids::{ClassName, MonotonicTime},
+    worker::UsageWindow,
+};
+
+use crate::machine::MachineLoad;
+
+/// Windows kept when nobody asks for them.
+const KEPT_WINDOWS: usize = 60;
+
+/// Collects usage and closes a window at a fixed interval.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UsageCollector {
+    window_start: MonotonicTime,
+    used: BTreeMap<ClassName, f64>,
+    slowdowns: BTreeMap<ClassName, (f64, u32)>,
+    closed: VecDeque<(MonotonicTime, UsageWindow)>,
+}
+
+impl UsageCollector {
+    pub(super) fn window_end(&self, length: Duration) -> MonotonicTime {
+        self.window_start + length
+    }
+
+    /// Adds `load` over `elapsed`.
+    pub(super) fn add_usage(&mut self, load: &MachineLoad, elapsed: Duration) {
+        for (class, cores) in &load.cores {
+            *self.used.entry(class.clone()).or_default() += cores * elapsed.as_secs_f64();
+        }
+    }
+
+    pub(super) fn add_slowdown(&mut self, class: &str, slowdown: f64) {
+        let (sum, count) = self.slowdowns.entry(class.to_owned()).or_default();
+        *sum += slowdown;
+        *count += 1;
+    }
+
+    /// Closes the window that ends at `end`; a window in which nothing ran is not kept.
+    pub(super) fn close_window(&mut self, end: MonotonicTime, length: Duration) {
+        self.window_start = end;
+        let used = std::mem::take(&mut self.used);
+        let slowdowns = std::mem::take(&mut self.slowdowns);
+        if used.is_empty() && slowdowns.is_empty() {
+            return;
+        }
+        let mean = |(class, total): (ClassName, f64)| (class, total / length.as_secs_f64());
+        let mean_slowdown =
+            |(class, (sum, count)): (ClassName, (f64, u32))| (class, sum / f64::from(count));
+        let window = UsageWindow {
+            length_ms: u64::try_from(length.as_millis()).unwrap_or(u64::MAX),
+            age_ms: 0,
+            neighbours: used.into_iter().map(mean).collect(),
+            slowdowns: slowdowns.into_iter().map(mean_slowdown).collect(),
+        };
+        self.closed.push_back((end, window));
+        if self.closed.len() > KEPT_WINDOWS {
+            self.closed.pop_front();
+        }
+    }
+
+    /// Takes the windows that ended at least `lag` ago.
+    pub(super) fn take_reports(&mut self, now: MonotonicTime, lag: Duration) -> Vec<UsageWindow> {
+        let due = self.closed.partition_point(|(end, _)| *end + lag <= now);
+        let aged = |(end, mut window): (MonotonicTime, UsageWindow)| {
+            window.age_ms = u64::try_from((now - end).as_millis()).unwrap_or(u64::MAX);
+            window
+        };
+        self.closed.drain(..due).map(aged).collect()
+    }
+}
