Add cuminbank-net

Cause: all daemons need one runtime constructor, HTTP, peer transport and a store client. Ruled out: the fusion driver (picks io_uring where the kernel has it); reuse of a connection after any error (a late answer could be taken for another request's). Before: nothing. Conclusion: stand-ins, the entry daemon and the command line can build on it.

--- /dev/null
+++ b/crates/cuminbank-net/src/client.rs
@@ -0,0 +1,223 @@
+//! HTTP client with a pool of connections for each address.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use cuminbank::event::ExchangeError;
+use http::{header, HeaderMap, Method, Request};
+use monoio::{
+    io::{sink::SinkExt, stream::Stream},
+    net::TcpStream,
+    time,
+};
+use monoio_http::{
+    common::body::BodyExt,
+    h1::{
+        codec::{
+            decoder::{FillPayload, ResponseDecoder},
+            encoder::GenericEncoder,
+        },
+        payload::{FixedPayload, Payload},
+    },
+};
+
+use crate::http_limit::{ByteAllowance, LimitedReader};
+
+/// Longest time for a connection to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Idle connections are closed before the other side's idle timeout can race with a request.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+/// Idle connections kept for each address.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Largest answer.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub struct ClientRequest {
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub path: String,
+    /// Headers besides host and length.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl ClientRequest {
+    /// Creates a GET request.
+    pub fn new_get(path: impl Into<String>) -> Self {
+        Self { method: Method::GET, path: path.into(), headers: Vec::new(), body: Bytes::new() }
+    }
+
+    /// Creates a POST request with a JSON body.
+    pub fn new_post(path: impl Into<String>, body: impl Into<Bytes>) -> Self {
+        let headers = vec![("content-type", "application/json".to_owned())];
+        Self { method: Method::POST, path: path.into(), headers, body: body.into() }
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    fn into_message(self, address: SocketAddr) -> Option<Request<Payload>> {
+        let mut builder = Request::builder()
+            .method(self.method)
+            .uri(self.path)
+            .header(header::HOST, address.to_string());
+        for (name, value) in &self.headers {
+            builder = builder.header(*name, value);
+        }
+        builder.body(Payload::Fixed(FixedPayload::new(self.body))).ok()
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct ClientAnswer {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl ClientAnswer {
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// Pool of connections; one exchange at a time on each.
+#[derive(Debug, Default)]
+pub struct HttpPool {
+    idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    stream: TcpStream,
+    since: Instant,
+}
+
+impl HttpPool {
+    /// Creates an empty pool.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends a request and waits for the whole answer.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: ClientRequest,
+        timeout: Duration,
+    ) -> Result<ClientAnswer, ExchangeError> {
+        self.exchange_if(address, request, timeout, || true).await
+    }
+
+    /// Sends a request if `may_send` holds at the last step before the write.
+    pub async fn exchange_if(
+        &self,
+        address: SocketAddr,
+        request: ClientRequest,
+        timeout: Duration,
+        may_send: impl FnOnce() -> bool,
+    ) -> Result<ClientAnswer, ExchangeError> {
+        let started = Instant::now();
+        let message = request.into_message(address).ok_or(ExchangeError::NotSent)?;
+        let mut stream = match self.take_idle(address).await {
+            Some(stream) => stream,
+            None => connect(address, timeout.min(CONNECT_TIMEOUT)).await?,
+        };
+        if !may_send() {
+            self.put_idle(address, stream);
+            return Err(ExchangeError::NotSent);
+        }
+        let left = timeout.saturating_sub(started.elapsed());
+        let outcome = time::timeout(left, send_and_read(&mut stream, message)).await;
+        // Dropping the stream on any error closes the connection: a late answer on it can then
+        // never be taken for the answer to another request.
+        let (answer, reusable) = outcome.map_err(|_| ExchangeError::Lost)??;
+        if reusable {
+            self.put_idle(address, stream);
+        }
+        Ok(answer)
+    }
+
+    /// Returns an idle connection that the other side has not closed.
+    async fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
+        loop {
+            let connection = self.idle.borrow_mut().get_mut(&address)?.pop()?;
+            if connection.since.elapsed() > MAX_IDLE {
+                continue;
+            }
+            // Bytes or an end of stream on an idle connection mean that it is of no more use.
+            let readable = connection.stream.readable(false);
+            if time::timeout(Duration::ZERO, readable).await.is_err() {
+                return Some(connection.stream);
+            }
+        }
+    }
+
+    fn put_idle(&self, address: SocketAddr, stream: TcpStream) {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE_CONNECTIONS {
+            connections.push(IdleConnection { stream, since: Instant::now() });
+        }
+    }
+
+    /// Closes connections that were idle for long.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|connection| connection.since.elapsed() <= MAX_IDLE);
+            !connections.is_empty()
+        });
+    }
+}
+
+async fn connect(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ExchangeError> {
+    let Ok(Ok(stream)) = time::timeout(timeout, TcpStream::connect_addr(address)).await else {
+        return Err(ExchangeError::NotSent);
+    };
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+async fn send_and_read(
+    stream: &mut TcpStream,
+    message: Request<Payload>,
+) -> Result<(ClientAnswer, bool), ExchangeError> {
+    let lost = |_| ExchangeError::Lost;
+    GenericEncoder::new(&mut *stream).send_and_flush(message).await.map_err(lost)?;
+    let allowance = ByteAllowance::default();
+    allowance.set(MAX_ANSWER_BYTES);
+    let mut decoder = ResponseDecoder::new(LimitedReader::new(&mut *stream, allowance));
+    let response = decoder.next().await.ok_or(ExchangeError::Lost)?.map_err(lost)?;
+    let (head, payload) = response.into_parts();
+    decoder.fill_payload().await.map_err(lost)?;
+    let body = payload.bytes().await.map_err(|_| ExchangeError::Lost)?;
+    let closes = head
+        .headers
+        .get(header::CONNECTION)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    // Without a length the end of the body cannot be told from a connection that broke.
+    if !framed && head.status.as_u16() != 204 {
+        return Err(ExchangeError::Lost);
+    }
+    let answer = ClientAnswer { status: head.status.as_u16(), headers: head.headers, body };
+    Ok((answer, !closes))
+}
--- /dev/null
+++ b/crates/cuminbank-net/src/etcd.rs
@@ -0,0 +1,209 @@
+//! Client of the store: the subset of etcd's v3 JSON gateway that cuminbank uses.
+
+use std::{cell::Cell, net::SocketAddr, time::Duration};
+
+use base64::{engine::general_purpose::STANDARD, Engine};
+use bytes::Bytes;
+use cuminbank::{
+    event::ExchangeError,
+    store::{StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
+};
+use serde_json::{json, Value};
+
+use crate::client::{ClientRequest, HttpPool};
+
+/// Client of the store.
+#[derive(Debug)]
+pub struct StoreClient {
+    addresses: Vec<SocketAddr>,
+    current: Cell<usize>,
+    pool: HttpPool,
+}
+
+impl StoreClient {
+    /// Creates a client that tries the addresses in turn.
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self { addresses, current: Cell::new(0), pool: HttpPool::new() }
+    }
+
+    /// Returns the address that answered last.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.addresses.get(self.current.get()).copied()
+    }
+
+    /// Calls the store. Another address is tried only if no byte of the request left: a request
+    /// that may have taken effect is the caller's to settle.
+    pub async fn call(
+        &self,
+        request: &StoreRequest,
+        timeout: Duration,
+    ) -> Result<StoreReply, ExchangeError> {
+        let (path, body) = encode_request(request);
+        for _ in 0..self.addresses.len() {
+            let Some(address) = self.address() else { break };
+            let message = ClientRequest::new_post(path, body.to_string());
+            match self.pool.exchange(address, message, timeout).await {
+                Err(ExchangeError::NotSent) => self.advance(),
+                Err(error) => {
+                    self.advance();
+                    return Err(error);
+                }
+                Ok(answer) if answer.status == 200 => {
+                    let value: Value =
+                        serde_json::from_slice(&answer.body).map_err(|_| ExchangeError::Lost)?;
+                    return decode_reply(request, &value).ok_or(ExchangeError::Lost);
+                }
+                Ok(answer) => return Err(ExchangeError::Refused(answer.status)),
+            }
+        }
+        Err(ExchangeError::NotSent)
+    }
+
+    fn advance(&self) {
+        self.current.set((self.current.get() + 1) % self.addresses.len().max(1));
+    }
+}
+
+/// Encodes bytes as the gateway does.
+pub fn to_base64(bytes: &[u8]) -> String {
+    STANDARD.encode(bytes)
+}
+
+/// Decodes bytes as the gateway does.
+pub fn from_base64(text: &str) -> Option<Bytes> {
+    STANDARD.decode(text).ok().map(Bytes::from)
+}
+
+/// Returns the end of the range of all keys that start with `prefix`.
+pub fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < 0xff {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    vec![0]
+}
+
+fn range_body(key: &str, prefix: bool) -> Value {
+    let mut body = json!({ "key": to_base64(key.as_bytes()) });
+    if prefix {
+        body["range_end"] = json!(to_base64(&prefix_end(key)));
+    }
+    body
+}
+
+fn encode_request(request: &StoreRequest) -> (&'static str, Value) {
+    match request {
+        StoreRequest::Range { key, prefix } => ("/v3/kv/range", range_body(key, *prefix)),
+        StoreRequest::Txn { compares, then, otherwise } => {
+            let compare: Vec<Value> = compares.iter().map(encode_compare).collect();
+            let success: Vec<Value> = then.iter().map(encode_write).collect();
+            let failure: Vec<Value> = otherwise
+                .iter()
+                .map(|key| json!({ "requestRange": range_body(key, false) }))
+                .collect();
+            let body = json!({ "compare": compare, "success": success, "failure": failure });
+            ("/v3/kv/txn", body)
+        }
+        StoreRequest::GrantLease { ttl_seconds } => {
+            ("/v3/lease/grant", json!({ "TTL": ttl_seconds.to_string() }))
+        }
+        StoreRequest::RenewLease { lease } => {
+            ("/v3/lease/keepalive", json!({ "ID": lease.to_string() }))
+        }
+        StoreRequest::RevokeLease { lease } => {
+            ("/v3/lease/revoke", json!({ "ID": lease.to_string() }))
+        }
+    }
+}
+
+fn encode_compare(compare: &StoreCompare) -> Value {
+    match compare {
+        StoreCompare::ModRevision(key, revision) => json!({
+            "key": to_base64(key.as_bytes()),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": revision.to_string(),
+        }),
+        StoreCompare::Value(key, value) => json!({
+            "key": to_base64(key.as_bytes()),
+            "target": "VALUE",
+            "result": "EQUAL",
+            "value": to_base64(value),
+        }),
+    }
+}
+
+fn encode_write(write: &StoreWrite) -> Value {
+    match write {
+        StoreWrite::Put { key, value, lease } => {
+            let mut put = json!({
+                "key": to_base64(key.as_bytes()),
+                "value": to_base64(value),
+            });
+            if let Some(lease) = lease {
+                put["lease"] = json!(lease.to_string());
+            }
+            json!({ "requestPut": put })
+        }
+        StoreWrite::Delete(key) => json!({ "requestDeleteRange": range_body(key, false) }),
+        StoreWrite::DeletePrefix(prefix) => {
+            json!({ "requestDeleteRange": range_body(prefix, true) })
+        }
+    }
+}
+
+/// Reads a 64-bit number, which the gateway writes as text and leaves out when it is zero.
+pub fn number(value: &Value) -> Option<i64> {
+    match value {
+        Value::Null => Some(0),
+        Value::String(text) => text.parse().ok(),
+        Value::Number(number) => number.as_i64(),
+        _ => None,
+    }
+}
+
+/// Reads a key with its value.
+pub fn decode_value(value: &Value) -> Option<StoreValue> {
+    let key = from_base64(value["key"].as_str()?)?;
+    let bytes = from_base64(value["value"].as_str().unwrap_or_default())?;
+    Some(StoreValue {
+        key: String::from_utf8(key.to_vec()).ok()?,
+        value: bytes,
+        mod_revision: number(&value["mod_revision"])?,
+    })
+}
+
+fn decode_values(value: &Value) -> Option<Vec<StoreValue>> {
+    match value.as_array() {
+        None => Some(Vec::new()),
+        Some(values) => values.iter().map(decode_value).collect(),
+    }
+}
+
+fn decode_reply(request: &StoreRequest, value: &Value) -> Option<StoreReply> {
+    let revision = number(&value["header"]["revision"])?;
+    match request {
+        StoreRequest::Range { .. } => {
+            Some(StoreReply::Range { revision, values: decode_values(&value["kvs"])? })
+        }
+        StoreRequest::Txn { .. } => {
+            let succeeded = value["succeeded"].as_bool().unwrap_or(false);
+            let mut values = Vec::new();
+            for response in value["responses"].as_array().into_iter().flatten() {
+                values.extend(decode_values(&response["response_range"]["kvs"])?);
+            }
+            Some(StoreReply::Txn { revision, succeeded, values })
+        }
+        StoreRequest::GrantLease { .. } => {
+            Some(StoreReply::Granted { lease: number(&value["ID"])? })
+        }
+        StoreRequest::RenewLease { .. } => {
+            let alive = number(&value["result"]["TTL"])? > 0;
+            Some(StoreReply::Renewed { alive })
+        }
+        StoreRequest::RevokeLease { .. } => Some(StoreReply::Revoked),
+    }
+}
--- /dev/null
+++ b/crates/cuminbank-net/src/logging.rs
@@ -0,0 +1,27 @@
+//! Logs as JSON lines on standard error.
+
+use cuminbank::log::{LogLevel, LogRecord};
+use tracing_subscriber::EnvFilter;
+
+/// Starts logging; `RUST_LOG` sets the filter, `info` without it.
+pub fn start() {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    // A second start in one process, as tests do it, keeps the first.
+    let _ = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .try_init();
+}
+
+/// Writes a numbered event.
+pub fn write(instance: &str, record: &LogRecord) {
+    let event = format!("EV{:04}", record.code.number);
+    let (summary, detail) = (record.code.summary, record.detail.as_str());
+    match record.code.level {
+        LogLevel::Info => tracing::info!(event, instance, detail, "{summary}"),
+        LogLevel::Warn => tracing::warn!(event, instance, detail, "{summary}"),
+        LogLevel::Error => tracing::error!(event, instance, detail, "{summary}"),
+    }
+}
--- /dev/null
+++ b/crates/cuminbank-net/src/peer.rs
@@ -0,0 +1,134 @@
+//! Exchanges between entry instances: length-prefixed postcard over TCP.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    future::Future,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use cuminbank::{
+    event::ExchangeError,
+    message::{decode, encode, PeerReply, PeerRequest},
+};
+use monoio::{
+    io::{AsyncReadRentExt, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+/// Longest time for a connection to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest message; a handover of tickets with their answers is the largest.
+const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+/// Idle connections are closed after this time.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+
+/// Pool of connections to peers; one exchange at a time on each.
+#[derive(Debug, Default)]
+pub struct PeerPool {
+    idle: RefCell<HashMap<SocketAddr, Vec<(TcpStream, Instant)>>>,
+}
+
+impl PeerPool {
+    /// Creates an empty pool.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends a request and waits for the reply.
+    pub async fn exchange(
+        &self,
+        to: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, ExchangeError> {
+        let mut stream = match self.take_idle(to).await {
+            Some(stream) => stream,
+            None => connect(to, timeout.min(CONNECT_TIMEOUT)).await?,
+        };
+        let exchange = async {
+            write_message(&mut stream, &encode(request)).await?;
+            read_message(&mut stream).await
+        };
+        let bytes =
+            time::timeout(timeout, exchange).await.ok().flatten().ok_or(ExchangeError::Lost)?;
+        let reply = decode(&bytes).ok_or(ExchangeError::Lost)?;
+        self.idle.borrow_mut().entry(to).or_default().push((stream, Instant::now()));
+        Ok(reply)
+    }
+
+    async fn take_idle(&self, to: SocketAddr) -> Option<TcpStream> {
+        loop {
+            let (stream, since) = self.idle.borrow_mut().get_mut(&to)?.pop()?;
+            if since.elapsed() > MAX_IDLE {
+                continue;
+            }
+            let readable = stream.readable(false);
+            if time::timeout(Duration::ZERO, readable).await.is_err() {
+                return Some(stream);
+            }
+        }
+    }
+}
+
+async fn connect(to: SocketAddr, timeout: Duration) -> Result<TcpStream, ExchangeError> {
+    let Ok(Ok(stream)) = time::timeout(timeout, TcpStream::connect_addr(to)).await else {
+        return Err(ExchangeError::NotSent);
+    };
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+/// Accepts connections of peers and answers their requests with `handler`.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(PeerRequest) -> F + Clone + 'static,
+    F: Future<Output = Option<PeerReply>> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: the pause lets connections end.
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        monoio::spawn(serve_connection(stream, handler.clone()));
+    }
+}
+
+async fn serve_connection<H, F>(mut stream: TcpStream, handler: H)
+where
+    H: Fn(PeerRequest) -> F,
+    F: Future<Output = Option<PeerReply>>,
+{
+    while let Some(bytes) = read_message(&mut stream).await {
+        let Some(request) = decode::<PeerRequest>(&bytes) else { return };
+        let Some(reply) = handler(request).await else { return };
+        if write_message(&mut stream, &encode(&reply)).await.is_none() {
+            return;
+        }
+    }
+}
+
+async fn write_message(stream: &mut TcpStream, bytes: &[u8]) -> Option<()> {
+    let length = u32::try_from(bytes.len()).ok().filter(|length| *length <= MAX_MESSAGE_BYTES)?;
+    let mut message = Vec::with_capacity(bytes.len() + 4);
+    message.extend_from_slice(&length.to_be_bytes());
+    message.extend_from_slice(bytes);
+    let (result, _) = stream.write_all(message).await;
+    result.ok().map(|_| ())
+}
+
+async fn read_message(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let (result, prefix) = stream.read_exact(vec![0; 4]).await;
+    result.ok()?;
+    let length = u32::from_be_bytes(prefix.try_into().ok()?);
+    if length > MAX_MESSAGE_BYTES {
+        return None;
+    }
+    let (result, bytes) = stream.read_exact(vec![0; length as usize]).await;
+    result.ok()?;
+    Some(bytes)
+}
--- /dev/null
+++ b/crates/cuminbank-net/src/server.rs
@@ -0,0 +1,367 @@
+//! HTTP server for callers, operators and stand-ins.
+
+use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use cuminbank::effect::CallerAnswer;
+use http::{header, HeaderMap, Method, Version};
+use monoio::{
+    io::{
+        sink::SinkExt, stream::Stream, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
+    },
+    net::{TcpListener, TcpStream},
+    time,
+};
+use monoio_http::{
+    common::{
+        body::BodyExt,
+        request::{Request, RequestHead},
+    },
+    h1::{
+        codec::{
+            decoder::{FillPayload, RequestDecoder},
+            encoder::GenericEncoder,
+        },
+        payload::{FixedPayload, Payload, StreamPayload},
+    },
+};
+
+use crate::http_limit::{ByteAllowance, LimitedReader};
+
+/// Bytes allowed for the head of a request.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Largest body.
+    pub max_body_bytes: usize,
+    /// Longest time for a head and a body to arrive once their first byte was read.
+    pub read_timeout: Duration,
+    /// Longest time that a connection may be idle between requests.
+    pub idle_timeout: Duration,
+    /// Most connections at a time; further ones are closed at once.
+    pub max_connections: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 * 1024 * 1024,
+            read_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(60),
+            max_connections: 4_096,
+        }
+    }
+}
+
+/// A whole request.
+#[derive(Clone, Debug)]
+pub struct ServerRequest {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query without the question mark.
+    pub query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl ServerRequest {
+    /// Returns a header as text, if it is present and printable.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// What the server does with a request.
+#[derive(Debug)]
+pub enum ServerAction {
+    /// Sends a response.
+    Respond(ServerResponse),
+    /// Sends a chunked response as its parts come.
+    Stream(StreamPayload),
+    /// Closes the connection without an answer.
+    Close,
+    /// Leaves the connection open and never uses it again.
+    Silence,
+}
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct ServerResponse {
+    /// Status.
+    pub status: u16,
+    /// Headers besides the length.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl ServerResponse {
+    /// Creates a response with a JSON body.
+    pub fn new_json(status: u16, body: impl Into<Bytes>) -> Self {
+        let headers = vec![("content-type", "application/json".to_owned())];
+        Self { status, headers, body: body.into() }
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Creates the response that carries an answer to a caller.
+    pub fn from_answer(answer: CallerAnswer) -> Self {
+        let mut response = Self::new_json(answer.status, answer.body)
+            .with_header("x-outcome", answer.outcome.name());
+        if let Some(delay) = answer.retry_after {
+            // The header has whole seconds; rounding up keeps a caller from coming too early.
+            let seconds = delay.as_millis().div_ceil(1_000).max(1);
+            response = response.with_header("retry-after", seconds.to_string());
+        }
+        response
+    }
+}
+
+/// Switch that makes a server stop without cutting off requests, and count of what is open.
+#[derive(Clone, Debug, Default)]
+pub struct ServerGate(Rc<GateState>);
+
+#[derive(Debug, Default)]
+struct GateState {
+    closing: Cell<bool>,
+    connections: Cell<usize>,
+    requests: Cell<usize>,
+}
+
+impl ServerGate {
+    /// Closes each connection after the request that is in progress on it.
+    pub fn close(&self) {
+        self.0.closing.set(true);
+    }
+
+    /// Tells whether the server is closing.
+    pub fn is_closing(&self) -> bool {
+        self.0.closing.get()
+    }
+
+    /// Returns how many requests are read and not yet answered.
+    pub fn requests(&self) -> usize {
+        self.0.requests.get()
+    }
+}
+
+/// Accepts connections until the gate closes and handles their requests with `handler`.
+pub async fn serve<H, F>(listener: TcpListener, limits: ServerLimits, gate: ServerGate, handler: H)
+where
+    H: Fn(ServerRequest) -> F + Clone + 'static,
+    F: Future<Output = ServerAction> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: the pause lets connections end.
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if gate.0.connections.get() >= limits.max_connections {
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        gate.0.connections.set(gate.0.connections.get() + 1);
+        let (gate, handler) = (gate.clone(), handler.clone());
+        monoio::spawn(async move {
+            ServerConnection::new(stream, limits, gate.clone()).run(handler).await;
+            gate.0.connections.set(gate.0.connections.get() - 1);
+        });
+    }
+}
+
+type ConnectionReader = LimitedReader<OwnedReadHalf<TcpStream>>;
+
+struct ServerConnection {
+    decoder: RequestDecoder<ConnectionReader>,
+    writer: OwnedWriteHalf<TcpStream>,
+    allowance: ByteAllowance,
+    limits: ServerLimits,
+    gate: ServerGate,
+}
+
+enum ReadOutcome {
+    Request(ServerRequest, bool),
+    Rejected(u16, &'static str),
+    Ended,
+}
+
+impl ServerConnection {
+    fn new(stream: TcpStream, limits: ServerLimits, gate: ServerGate) -> Self {
+        let (read, write) = stream.into_split();
+        let allowance = ByteAllowance::default();
+        Self {
+            decoder: RequestDecoder::new(LimitedReader::new(read, allowance.clone())),
+            writer: write,
+            allowance,
+            limits,
+            gate,
+        }
+    }
+
+    async fn run<H, F>(mut self, handler: H)
+    where
+        H: Fn(ServerRequest) -> F,
+        F: Future<Output = ServerAction>,
+    {
+        loop {
+            self.allowance.set(self.limits.max_body_bytes + MAX_HEAD_BYTES);
+            let (request, keep_alive) = match self.read().await {
+                ReadOutcome::Request(request, keep_alive) => (request, keep_alive),
+                ReadOutcome::Rejected(status, reason) => {
+                    let answer = CallerAnswer::new_not_run(status, reason);
+                    let response = ServerResponse::from_answer(answer);
+                    let _ = self.respond(response, false).await;
+                    return;
+                }
+                ReadOutcome::Ended => return,
+            };
+            let requests = &self.gate.clone().0.requests;
+            requests.set(requests.get() + 1);
+            let action = handler(request).await;
+            let open = self.act(action, keep_alive).await;
+            requests.set(requests.get() - 1);
+            if !open {
+                return;
+            }
+        }
+    }
+
+    /// Waits for a request in short steps, so that an idle connection sees the gate close.
+    async fn wait_for_head(&mut self) -> Option<Result<Request, ReadOutcome>> {
+        let gate = self.gate.clone();
+        let limits = self.limits;
+        let mut head = std::pin::pin!(self.decoder.next());
+        let mut idle = Duration::ZERO;
+        loop {
+            let step = Duration::from_millis(100);
+            match time::timeout(step, head.as_mut()).await {
+                Ok(None) => return None,
+                Ok(Some(Ok(request))) => return Some(Ok(request)),
+                Ok(Some(Err(_))) if self.allowance.is_spent() => {
+                    return Some(Err(ReadOutcome::Rejected(413, "the request is too large")));
+                }
+                Ok(Some(Err(_))) => {
+                    return Some(Err(ReadOutcome::Rejected(400, "malformed HTTP request")));
+                }
+                Err(_) => idle += step,
+            }
+            if idle >= limits.idle_timeout || gate.is_closing() {
+                return None;
+            }
+        }
+    }
+
+    async fn read(&mut self) -> ReadOutcome {
+        let request = match self.wait_for_head().await {
+            None => return ReadOutcome::Ended,
+            Some(Err(outcome)) => return outcome,
+            Some(Ok(request)) => request,
+        };
+        let (head, payload) = request.into_parts();
+        if declared_length(&head).is_some_and(|length| length > self.limits.max_body_bytes) {
+            return ReadOutcome::Rejected(413, "the body is too large");
+        }
+        let body = match time::timeout(self.limits.read_timeout, self.read_body(payload)).await {
+            Ok(Some(body)) => body,
+            Ok(None) if self.allowance.is_spent() => {
+                return ReadOutcome::Rejected(413, "the body is too large");
+            }
+            Ok(None) => return ReadOutcome::Rejected(400, "the body is incomplete or malformed"),
+            Err(_) => return ReadOutcome::Rejected(408, "the body did not arrive in time"),
+        };
+        if body.len() > self.limits.max_body_bytes {
+            return ReadOutcome::Rejected(413, "the body is too large");
+        }
+        let keep_alive = keeps_alive(&head);
+        let request = ServerRequest {
+            path: head.uri.path().to_owned(),
+            query: head.uri.query().unwrap_or_default().to_owned(),
+            method: head.method,
+            headers: head.headers,
+            body,
+        };
+        ReadOutcome::Request(request, keep_alive)
+    }
+
+    async fn read_body(&mut self, payload: Payload) -> Option<Bytes> {
+        self.decoder.fill_payload().await.ok()?;
+        payload.bytes().await.ok()
+    }
+
+    /// Carries out an action; returns whether the connection goes on.
+    async fn act(&mut self, action: ServerAction, keep_alive: bool) -> bool {
+        match action {
+            ServerAction::Respond(response) => {
+                let keep_alive = keep_alive && !self.gate.is_closing();
+                self.respond(response, keep_alive).await && keep_alive
+            }
+            ServerAction::Stream(parts) => {
+                self.stream(parts).await;
+                false
+            }
+            ServerAction::Close => false,
+            ServerAction::Silence => std::future::pending().await,
+        }
+    }
+
+    async fn respond(&mut self, response: ServerResponse, keep_alive: bool) -> bool {
+        let mut builder = http::Response::builder().status(response.status);
+        for (name, value) in &response.headers {
+            builder = builder.header(*name, value);
+        }
+        if !keep_alive {
+            builder = builder.header(header::CONNECTION, "close");
+        }
+        let payload: Payload = Payload::Fixed(FixedPayload::new(response.body));
+        let Ok(message) = builder.body(payload) else {
+            return false;
+        };
+        GenericEncoder::new(&mut self.writer).send_and_flush(message).await.is_ok()
+    }
+
+    /// Sends the parts of a stream as chunks; the encoder flushes only at the end of a body, so
+    /// that each part is written as a message of its own.
+    async fn stream(&mut self, mut parts: StreamPayload) {
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
+                    transfer-encoding: chunked\r\nconnection: close\r\n\r\n";
+        let writer = &mut self.writer;
+        let (result, _) = writer.write_all(head.as_bytes().to_vec()).await;
+        if result.is_err() {
+            return;
+        }
+        while let Some(Ok(part)) = parts.next().await {
+            let mut chunk = format!("{:x}\r\n", part.len()).into_bytes();
+            chunk.extend_from_slice(&part);
+            chunk.extend_from_slice(b"\r\n");
+            let (result, _) = writer.write_all(chunk).await;
+            if result.is_err() {
+                return;
+            }
+        }
+        let _ = writer.write_all(b"0\r\n\r\n".to_vec()).await;
+    }
+}
+
+fn declared_length(head: &RequestHead) -> Option<usize> {
+    head.headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+fn keeps_alive(head: &RequestHead) -> bool {
+    let connection = head.headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
+    match connection {
+        Some(value) if value.eq_ignore_ascii_case("close") => false,
+        Some(value) if value.eq_ignore_ascii_case("keep-alive") => true,
+        _ => head.version != Version::HTTP_10,
+    }
+}
--- /dev/null
+++ b/crates/cuminbank-net/src/watch.rs
@@ -0,0 +1,107 @@
+//! Watch of the store: a chunked answer of JSON lines.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cuminbank::{
+    ids::StoreRevision,
+    store::{WatchChange, CONFIG_PREFIX},
+};
+use http::{header, Request};
+use monoio::{
+    io::{sink::SinkExt, stream::Stream},
+    net::TcpStream,
+    time,
+};
+use monoio_http::{
+    common::body::Body,
+    h1::{
+        codec::ClientCodec,
+        payload::{FixedPayload, Payload},
+    },
+};
+use serde_json::{json, Value};
+
+use crate::etcd::{decode_value, number, prefix_end, to_base64};
+
+/// Longest time for the watch to be set up.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// A watch that brings nothing for this long, not even progress, is opened anew: the connection
+/// may have gone silent.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest line of the stream.
+const MAX_LINE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Watches the configuration from a revision until the watch ends, and passes on each answer.
+pub async fn watch_config(
+    address: SocketAddr,
+    from: StoreRevision,
+    mut on_changes: impl FnMut(StoreRevision, Vec<WatchChange>),
+) {
+    let request = json!({ "create_request": {
+        "key": to_base64(CONFIG_PREFIX.as_bytes()),
+        "range_end": to_base64(&prefix_end(CONFIG_PREFIX)),
+        "start_revision": from.to_string(),
+        "progress_notify": true,
+    }});
+    let opened = time::timeout(OPEN_TIMEOUT, open(address, &request)).await;
+    let Ok(Some(mut body)) = opened else { return };
+    let mut buffer = Vec::new();
+    loop {
+        let Ok(Some(Ok(chunk))) = time::timeout(SILENCE_TIMEOUT, body.next_data()).await else {
+            return;
+        };
+        buffer.extend_from_slice(&chunk);
+        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = buffer.drain(..=end).collect();
+            let Some((revision, changes)) = decode_line(&line) else { return };
+            on_changes(revision, changes);
+        }
+        if buffer.len() > MAX_LINE_BYTES {
+            return;
+        }
+    }
+}
+
+async fn open(
+    address: SocketAddr,
+    request: &Value,
+) -> Option<impl Body<Data = bytes::Bytes, Error = impl Sized>> {
+    let stream = TcpStream::connect_addr(address).await.ok()?;
+    let _ = stream.set_nodelay(true);
+    let mut codec = ClientCodec::new(stream);
+    let payload: Payload = Payload::Fixed(FixedPayload::new(request.to_string().into()));
+    let message = Request::builder()
+        .method("POST")
+        .uri("/v3/watch")
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(payload)
+        .ok()?;
+    codec.send_and_flush(message).await.ok()?;
+    let response = codec.next().await?.ok()?;
+    if response.status() != 200 {
+        return None;
+    }
+    Some(response.into_body().with_io(codec))
+}
+
+/// Reads one line; `None` ends the watch.
+fn decode_line(line: &[u8]) -> Option<(StoreRevision, Vec<WatchChange>)> {
+    let value: Value = serde_json::from_slice(line).ok()?;
+    let result = value.get("result")?;
+    if result["canceled"].as_bool() == Some(true) {
+        return None;
+    }
+    let revision = number(&result["header"]["revision"])?;
+    let events = result["events"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let changes = events.iter().map(decode_event).collect::<Option<Vec<_>>>()?;
+    Some((revision, changes))
+}
+
+fn decode_event(event: &Value) -> Option<WatchChange> {
+    let value = decode_value(&event["kv"])?;
+    match event["type"].as_str() {
+        Some("DELETE") => Some(WatchChange::Delete(value.key, value.mod_revision)),
+        _ => Some(WatchChange::Put(value)),
+    }
+}
