Add the entry daemon

Cause: the reducer needs a process that feeds it events and carries out its effects. Ruled out: probes over pooled connections, since the probe is what finds a silent one. Before: no process.

--- /dev/null
+++ b/crates/cuminbank-entry/src/list.rs
@@ -0,0 +1,62 @@
+//! Reads the platform's list of instances, which has the form of Consul's health API.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use cuminbank::{
+    event::{ListedInstance, ListedRole},
+    worker::ResourceSize,
+};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct HealthEntry {
+    service: ServiceEntry,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ServiceEntry {
+    #[serde(rename = "ID")]
+    id: String,
+    address: String,
+    port: u16,
+    #[serde(default)]
+    meta: HashMap<String, String>,
+}
+
+/// Reads the list; entries of unknown roles are left out, a malformed list gives `None`.
+pub fn parse(body: &[u8]) -> Option<Vec<ListedInstance>> {
+    let entries: Vec<HealthEntry> = serde_json::from_slice(body).ok()?;
+    Some(entries.into_iter().filter_map(|entry| read_entry(entry.service)).collect())
+}
+
+fn read_entry(entry: ServiceEntry) -> Option<ListedInstance> {
+    let text = |name: &str| entry.meta.get(name).cloned().unwrap_or_default();
+    let number = |name: &str| entry.meta.get(name).and_then(|value| value.parse::<u64>().ok());
+    let role = match text("role").as_str() {
+        "entry" => ListedRole::Entry,
+        "executor" => ListedRole::Executor {
+            slots: u32::try_from(number("slots")?).ok()?,
+            connections: u32::try_from(number("connections").unwrap_or(60)).ok()?,
+        },
+        "worker" => ListedRole::Worker {
+            size: ResourceSize {
+                millicores: number("millicores")?,
+                memory_mib: number("memory_mib")?,
+                accelerators: u32::try_from(number("accelerators").unwrap_or(0)).ok()?,
+            },
+        },
+        _ => return None,
+    };
+    let address = SocketAddr::new(entry.address.parse().ok()?, entry.port);
+    Some(ListedInstance {
+        role,
+        address,
+        zone: text("zone"),
+        rack: text("rack"),
+        machine: text("machine"),
+        leaving: text("state") == "leaving",
+        name: entry.id,
+    })
+}
--- /dev/null
+++ b/crates/cuminbank-entry/src/metrics.rs
@@ -0,0 +1,63 @@
+//! Metrics over UDP in statsd form.
+
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+};
+
+use cadence::{
+    Counted, Gauged, MetricBuilder, MetricSink, NopMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
+use cuminbank::effect::{MetricSample, MetricValue};
+
+/// Sender of metrics.
+pub struct MetricSender {
+    client: StatsdClient,
+}
+
+impl MetricSender {
+    /// Creates a sender; without an address the metrics go nowhere.
+    pub fn new(address: Option<SocketAddr>) -> io::Result<Self> {
+        let client = match address {
+            None => client(NopMetricSink),
+            Some(address) => {
+                let socket = UdpSocket::bind("0.0.0.0:0")?;
+                socket.set_nonblocking(true)?;
+                client(UdpMetricSink::from(address, socket).map_err(io::Error::other)?)
+            }
+        };
+        Ok(Self { client })
+    }
+
+    /// Sends a sample; a sample that cannot be sent is dropped.
+    pub fn send(&self, sample: &MetricSample) {
+        let client = &self.client;
+        match sample.value {
+            MetricValue::Count(value) => {
+                tagged(client.count_with_tags(sample.name, value as i64), sample).send();
+            }
+            MetricValue::Gauge(value) => {
+                tagged(client.gauge_with_tags(sample.name, value), sample).send();
+            }
+            MetricValue::Time(value) => {
+                tagged(client.time_with_tags(sample.name, value), sample).send();
+            }
+        }
+    }
+}
+
+fn client(
+    sink: impl MetricSink + Send + Sync + std::panic::RefUnwindSafe + 'static,
+) -> StatsdClient {
+    StatsdClient::builder("cuminbank", sink).with_error_handler(|_| {}).build()
+}
+
+fn tagged<'a, T>(
+    builder: MetricBuilder<'a, 'a, T>,
+    sample: &'a MetricSample,
+) -> MetricBuilder<'a, 'a, T>
+where
+    T: cadence::Metric + From<String>,
+{
+    builder.with_tag("class", &sample.class).with_tag("customer", &sample.customer)
+}
