Add guard switches for tests

Cause: each check of the invariants has to be shown to find its fault on a run without the guard. Ruled out: cargo features, since one test run compares both states. Before: no switch. After: StepContext holds GuardSwitches, all on by default; EntryReducer::with_guards sets them. No part reads them yet. Conclusion: parts can read step.guards as they land.

--- a/crates/cuminbank/src/lib.rs
+++ b/crates/cuminbank/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod effect;
 pub mod event;
+pub mod guards;
 pub mod ids;
 pub mod log;
 pub mod membership;
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -12,6 +12,7 @@
 use crate::{
     effect::{CallerAnswer, EntryEffect},
     event::{EntryEvent, StateQuery},
+    guards::GuardSwitches,
     ids::{ExchangeId, MonotonicTime, ReplyId, StartNumber},
     message::{PeerReply, PeerRequest},
     settings::EntrySettings,
@@ -105,6 +106,12 @@
         }
     }
 
+    /// Sets the guards. Only tests switch one off.
+    pub fn with_guards(mut self, guards: GuardSwitches) -> Self {
+        self.step.guards = guards;
+        self
+    }
+
     /// Applies an event that happened at `now` and returns what has to be done.
     pub fn apply(&mut self, now: MonotonicTime, event: EntryEvent) -> Vec<EntryEffect> {
         self.step.begin(now);
--- a/crates/cuminbank/src/reducer/step.rs
+++ b/crates/cuminbank/src/reducer/step.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     effect::{CallerAnswer, EntryEffect, MetricSample},
+    guards::GuardSwitches,
     ids::{ExchangeId, MonotonicTime, ReplyId, TargetName},
     log::{LogCode, LogRecord},
     settings::EntrySettings,
@@ -60,6 +61,8 @@
     pub settings: EntrySettings,
     /// Source of all draws, seeded at the start.
     pub rng: ChaCha8Rng,
+    /// Guards; tests switch one off to show that a check finds the fault.
+    pub guards: GuardSwitches,
     now: MonotonicTime,
     wall: SystemTime,
     exchanges: u64,
@@ -73,6 +76,7 @@
         Self {
             settings,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            guards: GuardSwitches::default(),
             now: MonotonicTime::ZERO,
             wall: SystemTime::UNIX_EPOCH,
             exchanges: 0,
