--- a/crates/cuminbank/src/reducer/config.rs
+++ b/crates/cuminbank/src/reducer/config.rs
@@ -1,9 +1,11 @@
 //! Configuration in force: the store's watch, spread between peers, and operators' offers.
 
+use std::collections::BTreeMap;
+
 use crate::{
     effect::CallerAnswer,
     event::ExchangeError,
-    ids::{ExchangeId, ReplyId, StoreRevision},
+    ids::{ExchangeId, ProfileName, ReplyId, StoreRevision},
     message::PeerReply,
     profile::{ProfileChange, WorkProfile},
     settings::EntrySettings,
@@ -14,18 +16,27 @@
 
 /// Configuration in force.
 #[derive(Debug)]
-pub struct ConfigPart {}
+pub struct ConfigPart {
+    profiles: BTreeMap<ProfileName, WorkProfile>,
+}
 
 #[allow(unused_variables, reason = "skeleton")]
 impl ConfigPart {
     /// Creates the part.
     pub fn new(settings: &EntrySettings) -> Self {
-        Self {}
+        Self { profiles: BTreeMap::new() }
+    }
+
+    /// Puts a profile in force, for tests of other parts.
+    #[doc(hidden)]
+    pub fn with_profile(mut self, profile: WorkProfile) -> Self {
+        self.profiles.insert(profile.name.clone(), profile);
+        self
     }
 
     /// Returns a profile in force.
     pub fn profile(&self, name: &str) -> Option<&WorkProfile> {
-        None
+        self.profiles.get(name)
     }
 
     /// Tells whether a first configuration was read, so that calls may be served.
--- a/crates/cuminbank/src/reducer/groups.rs
+++ b/crates/cuminbank/src/reducer/groups.rs
@@ -1,11 +1,12 @@
 //! Groups of targets: ownership, takeover, handover, membership and planned stops.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{
     effect::EntryEffect,
     event::{ExchangeError, ListedInstance},
     ids::{ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, ReplyId, StartNumber, TargetName},
+    membership::{TargetEntry, TargetTable},
     message::{PeerDatagram, PeerReply, TicketHandover},
     settings::EntrySettings,
     store::StoreReply,
@@ -58,29 +59,55 @@
 #[derive(Debug)]
 pub struct GroupPart {
     changes: Vec<GroupChange>,
-    targets: crate::membership::TargetTable,
+    targets: TargetTable,
+    groups_per_zone: GroupIndex,
+    fixed: BTreeMap<GroupIndex, (OwnerEpoch, MonotonicTime)>,
 }
 
 #[allow(clippy::too_many_arguments, unused_variables, reason = "skeleton")]
 impl GroupPart {
     /// Creates the part.
     pub fn new(settings: &EntrySettings, start: StartNumber) -> Self {
-        Self { changes: Vec::new(), targets: crate::membership::TargetTable::default() }
+        Self {
+            changes: Vec::new(),
+            targets: TargetTable::default(),
+            groups_per_zone: settings.groups_per_zone,
+            fixed: BTreeMap::new(),
+        }
+    }
+
+    /// Owns a group under a fixed right to act, for tests of other parts.
+    #[doc(hidden)]
+    pub fn with_group(
+        mut self,
+        group: GroupIndex,
+        epoch: OwnerEpoch,
+        right_until: MonotonicTime,
+    ) -> Self {
+        self.fixed.insert(group, (epoch, right_until));
+        self
+    }
+
+    /// Adds a target, for tests of other parts.
+    #[doc(hidden)]
+    pub fn with_target(mut self, listed: ListedInstance) -> Self {
+        self.targets.insert(TargetEntry::from_listed(listed, self.groups_per_zone));
+        self
     }
 
     /// Returns until when the instance may act for a group of its zone; `None` if not at `now`.
     pub fn right_until(&self, group: GroupIndex, now: MonotonicTime) -> Option<MonotonicTime> {
-        None
+        self.fixed.get(&group).map(|(_, until)| *until).filter(|until| now < *until)
     }
 
     /// Returns the epoch of a group that the instance owns.
     pub fn epoch(&self, group: GroupIndex) -> Option<OwnerEpoch> {
-        None
+        self.fixed.get(&group).map(|(epoch, _)| *epoch)
     }
 
     /// Returns the groups that the instance may act for at `now`.
     pub fn owned(&self, now: MonotonicTime) -> Vec<GroupIndex> {
-        Vec::new()
+        self.fixed.keys().copied().filter(|group| self.right_until(*group, now).is_some()).collect()
     }
 
     /// Returns the peer that announces a group, in any zone, with the wait it expects.
@@ -94,7 +121,7 @@
     }
 
     /// Returns the targets of the zone.
-    pub fn targets(&self) -> &crate::membership::TargetTable {
+    pub fn targets(&self) -> &TargetTable {
         &self.targets
     }
 
