Serve a plain call on one executor

Cause: other parts of the system need a call path that dispatches and answers. Ruled out: waiting for the whole call path, which would block them. Before: every call was refused with "not implemented". After: a call without a ticket is sent to a free slot of a live executor in a group that the instance may act for, and the answer is passed on; a lost answer is unknown and keeps its slot. Conclusion: a thin version without queue, tickets, forwarding or probes; no test drives it yet.

--- a/crates/cuminbank/src/reducer/calls.rs
+++ b/crates/cuminbank/src/reducer/calls.rs
@@ -1,26 +1,51 @@
 //! Urgent calls: tickets, forwarding, dispatch and answers.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
     effect::{CallerAnswer, EntryEffect},
-    event::{CallRequest, ExchangeError, ExecutorAnswer},
-    ids::{ClassName, ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, ReplyId},
+    event::{CallRequest, ExchangeError, ExecutorAnswer, ListedRole},
+    ids::{ClassName, ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, ReplyId, TargetName},
+    membership::{TargetEntry, TargetState},
     message::{PeerReply, TicketHandover},
     settings::EntrySettings,
 };
 
-use super::{groups::GroupChange, records::RecordPart, step::StepContext, CallView};
+use super::{
+    groups::GroupChange,
+    records::RecordPart,
+    step::{ReducerPart, StepContext},
+    CallView,
+};
 
 /// Urgent calls.
 #[derive(Debug)]
-pub struct CallPart {}
+pub struct CallPart {
+    running: HashMap<ExchangeId, (ReplyId, TargetName)>,
+    held: HashMap<TargetName, u32>,
+    sequence: u64,
+}
+
+impl CallPart {
+    fn free_executor<'a>(
+        &self,
+        view: CallView<'a>,
+        now: MonotonicTime,
+    ) -> Option<(&'a TargetEntry, MonotonicTime)> {
+        view.groups.targets().targets.values().find_map(|target| {
+            let ListedRole::Executor { slots, .. } = target.role else { return None };
+            let held = self.held.get(&target.name).copied().unwrap_or(0);
+            let until = view.groups.right_until(target.group, now)?;
+            (target.state == TargetState::Live && held < slots).then_some((target, until))
+        })
+    }
+}
 
 #[allow(clippy::too_many_arguments, unused_variables, reason = "skeleton")]
 impl CallPart {
     /// Creates the part.
     pub fn new(settings: &EntrySettings) -> Self {
-        Self {}
+        Self { running: HashMap::new(), held: HashMap::new(), sequence: 0 }
     }
 
     /// Handles a call of a caller.
@@ -32,7 +57,29 @@
         reply: ReplyId,
         call: CallRequest,
     ) {
-        step.answer(reply, CallerAnswer::new_not_run(503, "not implemented"));
+        let Some(profile) = view.config.profile(&call.profile) else {
+            step.answer(reply, CallerAnswer::new_not_run(404, "there is no such profile"));
+            return;
+        };
+        let Some((target, valid_until)) = self.free_executor(view, step.now()) else {
+            step.answer(reply, CallerAnswer::new_busy("no free slot", Duration::from_secs(1)));
+            return;
+        };
+        let exchange = step.begin_exchange(ReducerPart::Calls);
+        let epoch = view.groups.epoch(target.group).unwrap_or(0);
+        let zone = &step.settings.zone;
+        let call_id = format!("{zone}-{}-{epoch}-{}", target.group, self.sequence);
+        self.sequence += 1;
+        *self.held.entry(target.name.clone()).or_default() += 1;
+        self.running.insert(exchange, (reply, target.name.clone()));
+        step.push(EntryEffect::Dispatch {
+            exchange,
+            address: target.address,
+            call_id,
+            body: call.body,
+            valid_until,
+            timeout: profile.max_run(),
+        });
     }
 
     /// Handles a call that a peer forwarded; it is never forwarded again.
@@ -83,6 +130,20 @@
         exchange: ExchangeId,
         result: Result<ExecutorAnswer, ExchangeError>,
     ) {
+        let Some((reply, target)) = self.running.remove(&exchange) else { return };
+        let answer = match result {
+            Ok(answer) => CallerAnswer::new_done(answer.status, answer.body),
+            Err(ExchangeError::NotSent) => CallerAnswer::new_not_run(503, "nothing was sent"),
+            Err(_) => {
+                // The slot stays held: the executor may still run the call.
+                step.answer(reply, CallerAnswer::new_unknown("the answer was lost"));
+                return;
+            }
+        };
+        if let Some(held) = self.held.get_mut(&target) {
+            *held = held.saturating_sub(1);
+        }
+        step.answer(reply, answer);
     }
 
     /// Handles the end of a probe.
