--- a/crates/cuminbank/src/lib.rs
+++ b/crates/cuminbank/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod effect;
 pub mod event;
+pub mod histogram;
 pub mod ids;
 pub mod log;
 pub mod membership;
 pub mod message;
 pub mod profile;
+pub mod record;
 pub mod reducer;
 pub mod settings;
 pub mod store;
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -195,6 +195,7 @@
         result: Result<crate::store::StoreReply, crate::event::ExchangeError>,
     ) {
         self.groups.observe_store(&mut self.step, result.as_ref().err().copied());
+        self.records.observe_store(&self.step, result.as_ref().err().copied());
         let step = &mut self.step;
         match ReducerPart::of(exchange) {
             ReducerPart::Groups => self.groups.on_store_ended(step, exchange, result),
--- a/crates/cuminbank/src/reducer/records.rs
+++ b/crates/cuminbank/src/reducer/records.rs
@@ -1,16 +1,29 @@
 //! Day records: counters and histograms for each profile and customer, saved in batches.
 
-use std::time::Duration;
+use std::{
+    collections::VecDeque,
+    time::{Duration, SystemTime},
+};
+
+use bytes::Bytes;
 
 use crate::{
     effect::{CallOutcome, EntryEffect},
     event::ExchangeError,
-    ids::{ClassName, CustomerName, ExchangeId, ProfileName, StartNumber},
+    ids::{ClassName, CustomerName, ExchangeId, MonotonicTime, ProfileName, StartNumber},
+    log::{RECORD_DELAYED, RECORD_SAVED},
+    record::{
+        day_end, day_minute, record_key, DayMinute, DayRecord, StoreOutage, StoredRecord,
+        MAX_RECORD_BYTES,
+    },
     settings::EntrySettings,
-    store::StoreReply,
+    store::{StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
 };
 
-use super::{groups::GroupPart, step::StepContext};
+use super::{
+    groups::GroupPart,
+    step::{ReducerPart, StepContext},
+};
 
 /// A call that got its final answer at the instance its caller is connected to.
 #[derive(Clone, Debug, PartialEq)]
@@ -52,25 +65,121 @@
     Doubled,
 }
 
+/// Time between two saved records.
+pub const SAVE_INTERVAL: Duration = Duration::from_secs(30);
+/// Time from the start to the first record, so that the report knows of short-lived instances.
+pub const FIRST_SAVE: Duration = Duration::from_secs(1);
+/// Longest time to wait for the store.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two tries to save a record. Every try counts towards the limits of the store.
+const RETRY_PAUSE: Duration = Duration::from_secs(2);
+/// Time between two tries during a planned stop, which is bounded.
+const FINAL_RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Part of a planned stop that is left for the process to exit.
+const EXIT_MARGIN: Duration = Duration::from_secs(1);
+/// Shortest time that the final record gets, even late in a planned stop.
+const MIN_FINAL_WAIT: Duration = Duration::from_secs(2);
+/// Failed calls in a row that count as an outage of the store; a single one may be a lost answer.
+const OUTAGE_FAILURES: u32 = 2;
+/// Room for an operation id: an instance name of up to 64 bytes and two numbers.
+const MAX_OPERATION_BYTES: usize = 128;
+/// Length of a day; the days of the records have no leap seconds and no summer time.
+const DAY: Duration = Duration::from_secs(24 * 3_600);
+/// A step of the time of day backwards by more than this begins a new interval.
+const MAX_CLOCK_STEP: Duration = Duration::from_secs(60);
+
 /// Day records.
 #[derive(Debug)]
-pub struct RecordPart {}
+pub struct RecordPart {
+    current: DayRecord,
+    wall: Option<SystemTime>,
+    due: MonotonicTime,
+    waiting: VecDeque<DayRecord>,
+    save: Option<PendingSave>,
+    next_sequence: u64,
+    last_saved: Option<SystemTime>,
+    outage: OutageWatch,
+    drain_since: Option<MonotonicTime>,
+    finish: Option<PlannedFinish>,
+}
+
+/// A record that is being written. Its bytes and key stay the same until it is settled: a late
+/// copy of an earlier try can then only write the same record.
+#[derive(Debug)]
+struct PendingSave {
+    key: String,
+    operation: String,
+    value: Bytes,
+    to: SystemTime,
+    delayed: bool,
+    state: SaveState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum SaveState {
+    Writing(ExchangeId),
+    Reading(ExchangeId),
+    Paused { until: MonotonicTime, read_first: bool },
+}
+
+#[derive(Debug, Default)]
+struct OutageWatch {
+    failures: u32,
+    since: Option<SystemTime>,
+}
+
+#[derive(Debug)]
+struct PlannedFinish {
+    deadline: MonotonicTime,
+    exited: bool,
+}
 
-#[allow(unused_variables, reason = "skeleton")]
 impl RecordPart {
     /// Creates the part.
     pub fn new(settings: &EntrySettings, start: StartNumber) -> Self {
-        Self {}
+        let epoch = SystemTime::UNIX_EPOCH;
+        Self {
+            current: DayRecord::new(&settings.instance, &settings.zone, start, epoch),
+            wall: None,
+            due: MonotonicTime::ZERO,
+            waiting: VecDeque::new(),
+            save: None,
+            next_sequence: 0,
+            last_saved: None,
+            outage: OutageWatch::default(),
+            drain_since: None,
+            finish: None,
+        }
     }
 
     /// Counts a call.
-    pub fn count_call(&mut self, sample: &CallSample) {}
+    pub fn count_call(&mut self, sample: &CallSample) {
+        let minute = self.minute();
+        self.current.calls_mut(&sample.profile, &sample.customer).count(sample, minute);
+    }
 
     /// Counts how long a short call waited while long calls held slots that it could have used.
-    pub fn count_short_delay(&mut self, profile: &str, customer: &str, delay: Duration) {}
+    pub fn count_short_delay(&mut self, profile: &str, customer: &str, delay: Duration) {
+        self.current.calls_mut(profile, customer).short_delay.record(delay);
+    }
 
     /// Counts an event of a batch task; `elapsed` is the time since the task was accepted.
     pub fn count_task(&mut self, profile: &str, customer: &str, mark: TaskMark, elapsed: Duration) {
+        let minute = self.minute();
+        self.current.tasks_mut(profile, customer).count(mark, elapsed, minute);
+    }
+
+    /// Notes whether a call of any part to the store was answered.
+    pub fn observe_store(&mut self, step: &StepContext, error: Option<ExchangeError>) {
+        // A refusal below 500 is an answer to a request that the store did not accept.
+        let answered = matches!(error, None | Some(ExchangeError::Refused(..500)));
+        if !answered {
+            self.outage.failures += 1;
+            self.outage.since.get_or_insert(step.wall());
+            return;
+        }
+        self.note_outage(step.wall());
+        self.outage = OutageWatch::default();
     }
 
     /// Handles the end of an exchange with the store.
@@ -80,18 +189,268 @@
         exchange: ExchangeId,
         result: Result<StoreReply, ExchangeError>,
     ) {
+        match self.save.as_ref().map(|save| save.state) {
+            Some(SaveState::Writing(own)) if own == exchange => self.on_written(step, result),
+            Some(SaveState::Reading(own)) if own == exchange => self.on_read_back(step, result),
+            _ => {}
+        }
     }
 
     /// Saves a record when one is due.
-    pub fn on_tick(&mut self, step: &mut StepContext, groups: &GroupPart) {}
+    pub fn on_tick(&mut self, step: &mut StepContext, groups: &GroupPart) {
+        let now = step.now();
+        if groups.is_draining() {
+            self.drain_since.get_or_insert(now);
+        }
+        self.follow_clock(step, groups);
+        if self.finish.is_none() && now >= self.due {
+            self.close_interval(step, groups, step.wall(), step.wall());
+            self.due = now + SAVE_INTERVAL;
+        }
+        self.advance(step);
+        self.exit_when_saved(step);
+    }
 
     /// Saves the final record of a planned stop, then lets the process exit.
     pub fn finish(&mut self, step: &mut StepContext, groups: &GroupPart) {
-        step.push(EntryEffect::Exit);
+        if self.finish.is_some() {
+            return;
+        }
+        let now = step.now();
+        let bound = self.drain_since.unwrap_or(now) + step.settings.drain();
+        let deadline = bound.saturating_sub(EXIT_MARGIN).max(now + MIN_FINAL_WAIT);
+        self.finish = Some(PlannedFinish { deadline, exited: false });
+        self.current.is_final = true;
+        self.close_interval(step, groups, step.wall(), step.wall());
+        self.advance(step);
     }
 
     /// Returns the state shown to operators.
     pub fn status(&self) -> serde_json::Value {
-        serde_json::json!({})
+        let seconds = |wall: SystemTime| {
+            wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_secs()
+        };
+        serde_json::json!({
+            "saved_until": self.last_saved.map(seconds),
+            "next_sequence": self.next_sequence,
+            "unsaved_records": self.waiting.len() + usize::from(self.save.is_some()),
+            "store_failures_in_a_row": self.outage.failures,
+        })
+    }
+
+    fn minute(&self) -> DayMinute {
+        day_minute(self.wall.unwrap_or(self.current.from).max(self.current.from))
     }
+
+    /// Begins a new interval at the first tick, at the end of a day, and when the time of day was
+    /// set back.
+    fn follow_clock(&mut self, step: &mut StepContext, groups: &GroupPart) {
+        let wall = step.wall();
+        let Some(last) = self.wall.replace(wall) else {
+            self.begin_first(step.now(), wall);
+            return;
+        };
+        let end = day_end(self.current.from);
+        if wall >= end {
+            // The rest of the gap after a jump over several days belongs to no interval.
+            let next = end.max(day_end(wall) - DAY);
+            self.close_interval(step, groups, end, next);
+        } else if wall + MAX_CLOCK_STEP < self.current.from {
+            self.close_interval(step, groups, last, wall);
+        }
+    }
+
+    /// Moves what was counted before the first tick, when the time of day was not known yet.
+    fn begin_first(&mut self, now: MonotonicTime, wall: SystemTime) {
+        let minute = day_minute(wall);
+        self.current.from = wall;
+        for counters in self.current.calls.values_mut() {
+            let early = std::mem::take(&mut counters.minutes).into_values();
+            counters.minutes = early.map(|counts| (minute, counts)).collect();
+        }
+        for counters in self.current.tasks.values_mut() {
+            let early = std::mem::take(&mut counters.accepted_minutes).into_values();
+            counters.accepted_minutes = early.map(|count| (minute, count)).collect();
+        }
+        self.due = now + FIRST_SAVE;
+    }
+
+    /// Ends the current interval at `end` and begins the next at `next`.
+    fn close_interval(
+        &mut self,
+        step: &StepContext,
+        groups: &GroupPart,
+        end: SystemTime,
+        next: SystemTime,
+    ) {
+        let wall = step.wall();
+        for (peer, silent) in groups.peers_heard(step.now()) {
+            self.current.hear_peer(peer, wall.checked_sub(silent).unwrap_or(wall));
+        }
+        let end = end.max(self.current.from);
+        self.note_outage(end);
+        let fresh =
+            DayRecord::new(&self.current.instance, &self.current.zone, self.current.start, next);
+        let mut record = std::mem::replace(&mut self.current, fresh);
+        record.to = end;
+        self.keep(record);
+    }
+
+    /// Adds the outage in progress, up to `to`, to the current record.
+    fn note_outage(&mut self, to: SystemTime) {
+        let Some(since) = self.outage.since else { return };
+        let from = since.max(self.current.from);
+        if self.outage.failures >= OUTAGE_FAILURES && from <= to {
+            self.current.add_outage(StoreOutage { from, to });
+        }
+    }
+
+    /// Keeps a record until it is saved, merged with the last unsaved one if that stays small
+    /// enough for one value of the store.
+    fn keep(&mut self, record: DayRecord) {
+        if let Some(last) = self.waiting.back() {
+            if last.day() == record.day() {
+                let mut merged = last.clone();
+                merged.merge(&record);
+                if encoded_bytes(&merged) <= MAX_RECORD_BYTES {
+                    self.waiting.pop_back();
+                    self.waiting.push_back(merged);
+                    return;
+                }
+            }
+        }
+        self.keep_split(record);
+    }
+
+    fn keep_split(&mut self, record: DayRecord) {
+        if !record.can_split() || encoded_bytes(&record) <= MAX_RECORD_BYTES {
+            self.waiting.push_back(record);
+            return;
+        }
+        let (first, rest) = record.split();
+        self.keep_split(first);
+        self.keep_split(rest);
+    }
+
+    /// Begins to save the oldest unsaved record, or goes on with one whose pause is over.
+    fn advance(&mut self, step: &mut StepContext) {
+        if self.save.is_none() {
+            let Some(record) = self.waiting.pop_front() else { return };
+            self.save = Some(self.new_save(record));
+        }
+        let Some(save) = &mut self.save else { return };
+        let SaveState::Paused { until, read_first } = save.state else { return };
+        if step.now() < until {
+            return;
+        }
+        let exchange = step.begin_exchange(ReducerPart::Records);
+        let request = if read_first {
+            save.state = SaveState::Reading(exchange);
+            StoreRequest::Range { key: save.key.clone(), prefix: false }
+        } else {
+            save.state = SaveState::Writing(exchange);
+            save.write_request()
+        };
+        step.push(EntryEffect::CallStore { exchange, request, timeout: STORE_TIMEOUT });
+    }
+
+    fn new_save(&mut self, record: DayRecord) -> PendingSave {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let operation = format!("{}.{}.{sequence}", record.instance, record.start);
+        let key = record_key(&record.day(), &record.instance, record.start, sequence);
+        let to = record.to;
+        let stored = StoredRecord { operation: operation.clone(), record };
+        PendingSave {
+            key,
+            operation,
+            value: Bytes::from(stored.encode()),
+            to,
+            delayed: false,
+            state: SaveState::Paused { until: MonotonicTime::ZERO, read_first: false },
+        }
+    }
+
+    fn on_written(&mut self, step: &mut StepContext, result: Result<StoreReply, ExchangeError>) {
+        match result {
+            Ok(StoreReply::Txn { succeeded: true, .. }) => self.on_saved(step),
+            Ok(StoreReply::Txn { values, .. }) => self.settle(step, &values),
+            Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => self.pause(step, false),
+            Ok(_) | Err(ExchangeError::Lost) => self.pause(step, true),
+        }
+    }
+
+    fn on_read_back(&mut self, step: &mut StepContext, result: Result<StoreReply, ExchangeError>) {
+        match result {
+            Ok(StoreReply::Range { values, .. }) => self.settle(step, &values),
+            _ => self.pause(step, true),
+        }
+    }
+
+    /// Decides from the value found at the key whether the write took effect.
+    fn settle(&mut self, step: &mut StepContext, values: &[StoreValue]) {
+        let Some(save) = &mut self.save else { return };
+        let Some(value) = values.iter().find(|value| value.key == save.key) else {
+            save.state = SaveState::Paused { until: step.now(), read_first: false };
+            self.advance(step);
+            return;
+        };
+        let stored = StoredRecord::decode(&value.value);
+        if stored.as_ref().is_ok_and(|stored| stored.operation == save.operation) {
+            self.on_saved(step);
+            return;
+        }
+        // Another process used the same name and start number. Its record is kept; the own one
+        // goes to the next sequence.
+        let own = StoredRecord::decode(&save.value).map(|stored| stored.record);
+        step.log(RECORD_DELAYED, format!("{} holds another record", save.key));
+        self.save = own.ok().map(|record| self.new_save(record));
+        self.advance(step);
+    }
+
+    fn on_saved(&mut self, step: &mut StepContext) {
+        let Some(save) = self.save.take() else { return };
+        self.last_saved = Some(save.to);
+        step.log(RECORD_SAVED, save.key);
+        self.advance(step);
+    }
+
+    fn pause(&mut self, step: &mut StepContext, read_first: bool) {
+        let pause = if self.finish.is_some() { FINAL_RETRY_PAUSE } else { RETRY_PAUSE };
+        let Some(save) = &mut self.save else { return };
+        save.state = SaveState::Paused { until: step.now() + pause, read_first };
+        if !std::mem::replace(&mut save.delayed, true) {
+            step.log(RECORD_DELAYED, save.key.clone());
+        }
+    }
+
+    fn exit_when_saved(&mut self, step: &mut StepContext) {
+        let saved = self.save.is_none() && self.waiting.is_empty();
+        let Some(finish) = self.finish.as_mut().filter(|finish| !finish.exited) else { return };
+        if !saved && step.now() < finish.deadline {
+            return;
+        }
+        finish.exited = true;
+        if !saved {
+            step.log(RECORD_DELAYED, "the final record is not saved at the end of the stop");
+        }
+        step.push(EntryEffect::Exit);
+    }
+}
+
+impl PendingSave {
+    fn write_request(&self) -> StoreRequest {
+        let value = self.value.clone();
+        StoreRequest::Txn {
+            compares: vec![StoreCompare::ModRevision(self.key.clone(), 0)],
+            then: vec![StoreWrite::Put { key: self.key.clone(), value, lease: None }],
+            otherwise: vec![self.key.clone()],
+        }
+    }
+}
+
+/// Returns the size of a stored record, with room for its operation id.
+fn encoded_bytes(record: &DayRecord) -> usize {
+    let stored = StoredRecord { operation: String::new(), record: record.clone() };
+    stored.encode().len() + MAX_OPERATION_BYTES
 }
--- /dev/null
+++ b/crates/cuminbank/tests/records.rs
@@ -0,0 +1,526 @@
+//! Day records: counts add up, and no record is lost or counted twice whatever the store does.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime},
+};
+
+use bytes::Bytes;
+use cuminbank::{
+    effect::{CallOutcome, EntryEffect},
+    event::ExchangeError,
+    histogram::{TimeHistogram, COARSE_DIGITS, FINE_DIGITS},
+    ids::ExchangeId,
+    record::{
+        day_end, day_minute, day_name, day_prefix, day_start, ClassKey, DayRecord, StoredRecord,
+        MAX_CLASSES, MAX_RECORD_BYTES, OTHER_CUSTOMER,
+    },
+    reducer::{
+        groups::GroupPart,
+        records::{CallSample, RecordPart, TaskMark},
+        step::StepContext,
+    },
+    settings::EntrySettings,
+    store::{StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
+};
+use proptest::prelude::*;
+
+const DAY: &str = "2026-12-04";
+
+/// What the fake store does with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum StoreMode {
+    Answers,
+    Unreachable,
+    /// The request is lost on its way.
+    LosesRequest,
+    /// The request takes effect and the answer is lost.
+    LosesAnswer,
+    /// The answer is lost and the request takes effect only after the next one.
+    Delays,
+}
+
+#[derive(Debug)]
+struct FakeStore {
+    mode: StoreMode,
+    revision: i64,
+    values: BTreeMap<String, (Bytes, i64)>,
+    delayed: Vec<StoreRequest>,
+    writes: usize,
+}
+
+impl FakeStore {
+    fn new() -> Self {
+        Self {
+            mode: StoreMode::Answers,
+            revision: 1,
+            values: BTreeMap::new(),
+            delayed: Vec::new(),
+            writes: 0,
+        }
+    }
+
+    fn call(&mut self, request: &StoreRequest) -> Result<StoreReply, ExchangeError> {
+        let reply = match self.mode {
+            StoreMode::Answers => Ok(self.carry_out(request)),
+            StoreMode::Unreachable => return Err(ExchangeError::NotSent),
+            StoreMode::LosesRequest => Err(ExchangeError::Lost),
+            StoreMode::LosesAnswer => {
+                self.carry_out(request);
+                Err(ExchangeError::Lost)
+            }
+            StoreMode::Delays => {
+                self.delayed.push(request.clone());
+                return Err(ExchangeError::Lost);
+            }
+        };
+        for late in std::mem::take(&mut self.delayed) {
+            self.carry_out(&late);
+        }
+        reply
+    }
+
+    fn carry_out(&mut self, request: &StoreRequest) -> StoreReply {
+        let revision = self.revision;
+        match request {
+            StoreRequest::Range { key, .. } => {
+                StoreReply::Range { revision, values: self.read(std::slice::from_ref(key)) }
+            }
+            StoreRequest::Txn { compares, then, otherwise } => {
+                let holds = |compare: &StoreCompare| match compare {
+                    StoreCompare::ModRevision(key, revision) => {
+                        self.values.get(key).map_or(0, |value| value.1) == *revision
+                    }
+                    StoreCompare::Value(..) => panic!("records compare no values"),
+                };
+                let succeeded = compares.iter().all(holds);
+                if succeeded {
+                    self.write(then);
+                }
+                let values = if succeeded { Vec::new() } else { self.read(otherwise) };
+                StoreReply::Txn { revision: self.revision, succeeded, values }
+            }
+            other => panic!("records send no {other:?}"),
+        }
+    }
+
+    fn write(&mut self, writes: &[StoreWrite]) {
+        self.revision += 1;
+        for write in writes {
+            let StoreWrite::Put { key, value, lease: None } = write else {
+                panic!("records only put values without a lease");
+            };
+            assert!(value.len() <= MAX_RECORD_BYTES, "a value of {} bytes", value.len());
+            self.writes += 1;
+            self.values.insert(key.clone(), (value.clone(), self.revision));
+        }
+    }
+
+    fn read(&self, keys: &[String]) -> Vec<StoreValue> {
+        let found = keys.iter().filter_map(|key| self.values.get_key_value(key));
+        found
+            .map(|(key, (value, revision))| StoreValue {
+                key: key.clone(),
+                value: value.clone(),
+                mod_revision: *revision,
+            })
+            .collect()
+    }
+
+    fn records(&self, day: &str) -> Vec<DayRecord> {
+        let prefix = day_prefix(day);
+        let of_day = self.values.iter().filter(|(key, _)| key.starts_with(&prefix));
+        let decode = |value: &Bytes| StoredRecord::decode(value).expect("the value is a record");
+        of_day.map(|(_, (value, _))| decode(value).record).collect()
+    }
+}
+
+#[derive(Debug)]
+struct RecordBench {
+    part: RecordPart,
+    step: StepContext,
+    groups: GroupPart,
+    store: FakeStore,
+    begin: SystemTime,
+    now: Duration,
+    exits: usize,
+}
+
+impl RecordBench {
+    fn new(begin: SystemTime) -> Self {
+        let settings = EntrySettings::from_json(
+            br#"{"instance":"d1","zone":"dublin","http_address":"127.0.0.1:8080",
+                "peer_address":"127.0.0.1:8081","store_addresses":["127.0.0.1:2379"],
+                "list_address":"127.0.0.1:8500"}"#,
+        )
+        .expect("the settings are valid");
+        let mut bench = Self {
+            part: RecordPart::new(&settings, 7),
+            groups: GroupPart::new(&settings, 7),
+            step: StepContext::new(settings, 7),
+            store: FakeStore::new(),
+            begin,
+            now: Duration::ZERO,
+            exits: 0,
+        };
+        bench.run(Duration::ZERO);
+        bench
+    }
+
+    /// Lets time pass in ticks of 100 ms.
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        loop {
+            self.step.begin(self.now);
+            self.step.set_wall(self.begin + self.now);
+            self.part.on_tick(&mut self.step, &self.groups);
+            self.carry_out();
+            if self.now >= end {
+                return;
+            }
+            self.now += Duration::from_millis(100);
+        }
+    }
+
+    fn carry_out(&mut self) {
+        loop {
+            let effects = self.step.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                match effect {
+                    EntryEffect::CallStore { exchange, request, .. } => {
+                        self.answer(exchange, &request);
+                    }
+                    EntryEffect::Exit => self.exits += 1,
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, exchange: ExchangeId, request: &StoreRequest) {
+        let result = self.store.call(request);
+        self.part.observe_store(&self.step, result.as_ref().err().copied());
+        self.part.on_store_ended(&mut self.step, exchange, result);
+    }
+
+    fn count(&mut self, customer: &str, outcome: CallOutcome, on_time: bool) {
+        self.part.count_call(&sample(customer, outcome, on_time));
+    }
+
+    fn stop(&mut self) {
+        self.part.finish(&mut self.step, &self.groups);
+        self.carry_out();
+    }
+
+    fn merged(&self, day: &str) -> DayRecord {
+        let mut records = self.store.records(day).into_iter();
+        let mut merged = records.next().expect("there is a record");
+        records.for_each(|record| merged.merge(&record));
+        merged
+    }
+}
+
+fn sample(customer: &str, outcome: CallOutcome, on_time: bool) -> CallSample {
+    CallSample {
+        profile: "morning rush".to_owned(),
+        customer: customer.to_owned(),
+        class: "plan".to_owned(),
+        outcome,
+        on_time,
+        confirms_slot: true,
+        elapsed: Duration::from_millis(40),
+    }
+}
+
+fn noon() -> SystemTime {
+    day_start(DAY).expect("the day is valid") + Duration::from_secs(12 * 3_600)
+}
+
+// Guards against an instance that lives for a few seconds and is unknown to the report.
+#[test]
+fn the_first_record_is_saved_within_two_seconds() {
+    let mut bench = RecordBench::new(noon());
+    bench.run(Duration::from_secs(2));
+    let records = bench.store.records(DAY);
+    assert_eq!(records.len(), 1);
+    assert_eq!((records[0].from, records[0].is_final), (noon(), false));
+}
+
+// Guards against a call that is counted in no outcome or in two.
+#[test]
+fn the_four_outcomes_add_up_to_the_calls_received() {
+    let mut bench = RecordBench::new(noon());
+    bench.count("griddle", CallOutcome::Done, true);
+    bench.count("griddle", CallOutcome::Done, false);
+    bench.count("griddle", CallOutcome::NotRun, true);
+    bench.count("griddle", CallOutcome::Unknown, false);
+    bench.run(Duration::from_secs(31));
+    bench.count("griddle", CallOutcome::Done, true);
+    bench.run(Duration::from_secs(31));
+    let merged = bench.merged(DAY);
+    let counters = &merged.calls[&ClassKey::new("morning rush", "griddle")];
+    assert!(counters.adds_up());
+    let outcomes = (counters.on_time, counters.late, counters.refused, counters.unknown);
+    assert_eq!((counters.received, outcomes), (5, (2, 1, 1, 1)));
+    assert_eq!((counters.slots_on_time, counters.slots_late), (2, 1));
+    assert_eq!(counters.latency.count(), 3);
+    let in_minutes: u64 = counters.minutes.values().map(|minute| minute.received).sum();
+    assert_eq!(in_minutes, 5);
+}
+
+// Guards against a record that is counted twice after its answer was lost.
+#[test]
+fn a_lost_answer_is_settled_by_a_read() {
+    let mut bench = RecordBench::new(noon());
+    bench.count("griddle", CallOutcome::Done, true);
+    bench.store.mode = StoreMode::LosesAnswer;
+    bench.run(Duration::from_secs(2));
+    bench.store.mode = StoreMode::Answers;
+    bench.run(Duration::from_secs(5));
+    assert_eq!(bench.store.writes, 1);
+    assert_eq!(bench.merged(DAY).calls.values().next().unwrap().received, 1);
+}
+
+// Guards against a late first copy that writes the same counters under a second key.
+#[test]
+fn a_late_copy_of_a_lost_write_is_harmless() {
+    let mut bench = RecordBench::new(noon());
+    bench.count("griddle", CallOutcome::Done, true);
+    bench.store.mode = StoreMode::Delays;
+    bench.run(Duration::from_secs(2));
+    bench.store.mode = StoreMode::Answers;
+    bench.run(Duration::from_secs(40));
+    assert_eq!(bench.merged(DAY).calls.values().next().unwrap().received, 1);
+    assert_eq!(bench.store.writes, bench.store.values.len());
+}
+
+// Guards against counters dropped in a long outage, and against an outage that is not shown.
+#[test]
+fn an_outage_of_the_store_loses_no_counters_and_is_recorded() {
+    let mut bench = RecordBench::new(noon());
+    bench.run(Duration::from_secs(2));
+    bench.store.mode = StoreMode::Unreachable;
+    for _ in 0..20 {
+        bench.count("griddle", CallOutcome::Done, true);
+        bench.run(Duration::from_secs(30));
+    }
+    bench.store.mode = StoreMode::Answers;
+    bench.run(Duration::from_secs(40));
+    let merged = bench.merged(DAY);
+    assert_eq!(merged.calls.values().next().unwrap().received, 20);
+    assert_eq!(merged.outages.len(), 1);
+    let outage = merged.outages[0];
+    assert!(outage.from <= noon() + Duration::from_secs(33), "{outage:?}");
+    assert!(outage.to >= noon() + Duration::from_secs(600), "{outage:?}");
+    // The first record, the one that was frozen, the merged rest, and one after the outage.
+    assert!(bench.store.values.len() <= 4, "{} records", bench.store.values.len());
+}
+
+// Guards against intervals that overlap or leave a hole, which the report would show as a gap.
+#[test]
+fn intervals_are_contiguous_across_midnight() {
+    let midnight = day_end(noon());
+    let mut bench = RecordBench::new(midnight - Duration::from_secs(45));
+    bench.count("griddle", CallOutcome::Done, true);
+    bench.run(Duration::from_secs(50));
+    bench.count("griddle", CallOutcome::Done, true);
+    bench.stop();
+    let (before, after) = (bench.merged(DAY), bench.merged("2026-12-05"));
+    assert_eq!((before.to, before.is_final), (midnight, false));
+    assert_eq!((after.from, after.is_final), (midnight, true));
+    assert_eq!(before.calls.values().next().unwrap().received, 1);
+    assert_eq!(after.calls.values().next().unwrap().received, 1);
+}
+
+// Guards against a planned stop that exits before its final record is saved.
+#[test]
+fn the_process_exits_after_the_final_record_is_saved() {
+    let mut bench = RecordBench::new(noon());
+    bench.run(Duration::from_secs(2));
+    bench.store.mode = StoreMode::Unreachable;
+    bench.stop();
+    bench.run(Duration::from_secs(1));
+    assert_eq!(bench.exits, 0);
+    bench.store.mode = StoreMode::Answers;
+    bench.run(Duration::from_secs(1));
+    assert_eq!(bench.exits, 1);
+    assert!(bench.merged(DAY).is_final);
+}
+
+// Guards against a planned stop that never ends while the store is down.
+#[test]
+fn a_planned_stop_without_the_store_is_bounded() {
+    let mut bench = RecordBench::new(noon());
+    bench.store.mode = StoreMode::Unreachable;
+    bench.run(Duration::from_secs(2));
+    bench.stop();
+    bench.run(Duration::from_secs(30));
+    assert_eq!(bench.exits, 1);
+    assert_eq!(bench.store.values.len(), 0);
+}
+
+// Guards against values that the store refuses because they are too large.
+#[test]
+fn a_record_with_many_classes_is_split_into_small_values() {
+    let mut bench = RecordBench::new(noon());
+    bench.store.mode = StoreMode::Unreachable;
+    let calls_each = 90;
+    for round in 0..calls_each {
+        for customer in 0..250 {
+            let mut sample = sample(&format!("team {customer}"), CallOutcome::Done, true);
+            sample.elapsed = Duration::from_millis(7 * round + 3 * customer);
+            bench.part.count_call(&sample);
+        }
+        bench.run(Duration::from_secs(30));
+    }
+    bench.store.mode = StoreMode::Answers;
+    bench.run(Duration::from_secs(40));
+    assert!(bench.store.values.len() > 2, "the records did not reach the limit of a value");
+    let merged = bench.merged(DAY);
+    assert_eq!(merged.calls.len(), 250);
+    assert!(merged.calls.values().all(|counters| counters.received == calls_each));
+}
+
+// Guards against callers that fill the memory of an instance with names of customers.
+#[test]
+fn customers_beyond_the_limit_share_counters() {
+    let mut record = DayRecord::new("d1", "dublin", 7, noon());
+    for customer in 0..MAX_CLASSES + 10 {
+        record.calls_mut("morning rush", &customer.to_string()).received += 1;
+    }
+    assert_eq!(record.calls.len(), MAX_CLASSES + 1);
+    assert_eq!(record.calls[&ClassKey::new("morning rush", OTHER_CUSTOMER)].received, 10);
+}
+
+// Guards against a batch task whose events are counted in the wrong place.
+#[test]
+fn task_marks_are_counted_each() {
+    let mut bench = RecordBench::new(noon());
+    let marks = [
+        TaskMark::Accepted,
+        TaskMark::Started,
+        TaskMark::Evicted,
+        TaskMark::Resumed,
+        TaskMark::Finished,
+        TaskMark::Failed,
+        TaskMark::Cancelled,
+        TaskMark::Doubled,
+    ];
+    for (index, mark) in marks.into_iter().enumerate() {
+        for _ in 0..=index {
+            bench.part.count_task("standing orders", "griddle", mark, Duration::from_secs(90));
+        }
+    }
+    bench.run(Duration::from_secs(2));
+    let merged = bench.merged(DAY);
+    let tasks = &merged.tasks[&ClassKey::new("standing orders", "griddle")];
+    let counts = [
+        tasks.accepted,
+        tasks.started,
+        tasks.evicted,
+        tasks.resumed,
+        tasks.finished,
+        tasks.failed,
+        tasks.cancelled,
+        tasks.doubled,
+    ];
+    assert_eq!(counts, [1, 2, 3, 4, 5, 6, 7, 8]);
+    assert_eq!(tasks.accepted_minutes[&day_minute(noon())], 1);
+}
+
+// Guards against a clock that was set back, which would leave all later counts in one minute.
+#[test]
+fn a_clock_set_back_begins_a_new_interval() {
+    let mut bench = RecordBench::new(noon());
+    bench.run(Duration::from_secs(2));
+    bench.begin -= Duration::from_secs(7_200);
+    bench.run(Duration::from_secs(1));
+    bench.count("griddle", CallOutcome::Done, true);
+    bench.run(Duration::from_secs(31));
+    let merged = bench.merged(DAY);
+    let minutes = &merged.calls.values().next().unwrap().minutes;
+    assert_eq!(minutes.keys().copied().collect::<Vec<_>>(), [600]);
+}
+
+// Guards against days that differ between the instance and the report.
+#[test]
+fn days_and_minutes_are_in_utc() {
+    let wall = day_start(DAY).unwrap() + Duration::from_secs(6 * 3_600 + 59);
+    assert_eq!((day_name(wall).as_str(), day_minute(wall)), (DAY, 360));
+    assert_eq!(day_name(day_end(wall)), "2026-12-05");
+    assert_eq!(day_start("2026-13-01"), None);
+    assert_eq!(day_start("20261204"), None);
+}
+
+// Guards against bytes of another version or a damaged value that stop the whole report.
+#[test]
+fn damaged_values_are_errors() {
+    let record = DayRecord::new("d1", "dublin", 7, noon());
+    let value = StoredRecord { operation: "d1.7.0".to_owned(), record }.encode();
+    assert!(StoredRecord::decode(&value).is_ok());
+    assert!(StoredRecord::decode(&value[..value.len() - 1]).is_err());
+    assert!(StoredRecord::decode(&[9]).unwrap_err().contains("version 9"));
+    assert!(StoredRecord::decode(&[]).is_err());
+}
+
+proptest! {
+    // Guards against counts that change when a histogram is stored or merged.
+    #[test]
+    fn histograms_keep_their_counts(
+        first in prop::collection::vec(0_u64..700_000_000, 0..60),
+        second in prop::collection::vec(0_u64..700_000_000, 0..60),
+    ) {
+        let mut left = TimeHistogram::new(FINE_DIGITS);
+        let mut right = TimeHistogram::new(COARSE_DIGITS);
+        first.iter().for_each(|millis| left.record(Duration::from_millis(*millis)));
+        second.iter().for_each(|millis| right.record(Duration::from_millis(*millis)));
+        left.merge(&right);
+        let bytes = postcard::to_stdvec(&left).unwrap();
+        let decoded: TimeHistogram = postcard::from_bytes(&bytes).unwrap();
+        prop_assert_eq!(decoded.count(), (first.len() + second.len()) as u64);
+        prop_assert_eq!(decoded.buckets(), left.buckets());
+        let longest = first.iter().chain(&second).max().copied().map(Duration::from_millis);
+        if let (Some(longest), Some(shown)) = (longest, decoded.quantile(1.0)) {
+            let longest = longest.min(Duration::from_secs(7 * 24 * 3_600));
+            prop_assert!(shown.as_secs_f64() >= longest.as_secs_f64() * 0.99);
+            prop_assert!(shown.as_secs_f64() <= longest.as_secs_f64() * 1.12 + 0.001);
+        }
+    }
+
+    // Guards against counters that are lost or counted twice under any order of store faults.
+    #[test]
+    fn every_call_is_saved_once_under_any_store_faults(
+        modes in prop::collection::vec(
+            (prop::sample::select(vec![
+                StoreMode::Answers,
+                StoreMode::Unreachable,
+                StoreMode::LosesRequest,
+                StoreMode::LosesAnswer,
+                StoreMode::Delays,
+            ]), 1_u64..20),
+            1..20,
+        ),
+    ) {
+        let mut bench = RecordBench::new(noon());
+        for (mode, seconds) in &modes {
+            bench.store.mode = *mode;
+            bench.count("griddle", CallOutcome::Done, true);
+            bench.run(Duration::from_secs(*seconds));
+        }
+        bench.store.mode = StoreMode::Answers;
+        bench.stop();
+        bench.run(Duration::from_secs(5));
+        prop_assert_eq!(bench.exits, 1);
+        let merged = bench.merged(DAY);
+        prop_assert_eq!(merged.calls.values().next().unwrap().received, modes.len() as u64);
+        let mut intervals: Vec<_> =
+            bench.store.records(DAY).iter().map(|record| (record.from, record.to)).collect();
+        intervals.sort();
+        for pair in intervals.windows(2) {
+            prop_assert_eq!(pair[0].1, pair[1].0);
+        }
+    }
+}
