Add the history harness: driver, fakes, callers, faults and checks

Cause: I1 to I9 need histories of several reducers in virtual time. Ruled out: a cluster simulator and real processes, which are slow and cannot repeat a race. Before: no history. After: World drives EntryReducers over StoreCore, ExecutorCore and WorkerCore and records a History; one check function for each part of I1 to I9.

--- /dev/null
+++ b/crates/cuminbank-standins/src/harness/callers.rs
@@ -0,0 +1,432 @@
+//! Callers: tickets, calls, copies of calls, tasks and their results.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use bytes::Bytes;
+use cuminbank::{
+    effect::{CallOutcome, CallerAnswer},
+    event::{CallRequest, EntryEvent, TaskQuery, TaskSubmission},
+    ids::{RequestTicket, StartNumber},
+    worker::ResourceSize,
+};
+use rand::Rng;
+
+use super::{
+    carry::Leg,
+    history::HistoryEvent,
+    network::Party,
+    platform::{BOOKINGS, MORNING_RUSH, STANDING_ORDERS},
+    queue::{Action, Asked, EntryIndex, ReplyOrigin, RequestIndex},
+    world::World,
+};
+
+/// Longest time that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(15);
+/// Time between two questions for the result of a task.
+const POLL_INTERVAL: Duration = Duration::from_secs(2);
+/// Sends of a ticketed call before its caller accepts an unknown outcome.
+const MAX_SENDS: u32 = 6;
+
+/// Kind of a caller's request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestKind {
+    /// Idempotent call without a ticket.
+    Plan,
+    /// Call with a ticket.
+    Booking,
+    /// Batch task.
+    Task,
+}
+
+/// State of a caller's request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestState {
+    /// No final answer yet.
+    Open,
+    /// Answered "done".
+    Done,
+    /// Answered "not run".
+    Refused,
+    /// Outcome unknown to the caller for good.
+    Unknown,
+    /// Task accepted, no result yet.
+    Accepted,
+    /// Task ended with a result.
+    Finished,
+    /// Task ended without a result.
+    Failed,
+}
+
+/// A request of a caller over all its sends.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Key that the body carries.
+    pub key: String,
+    /// Kind.
+    pub kind: RequestKind,
+    /// Run time of the work.
+    pub run_ms: u64,
+    /// Whether the work fails or can never be placed.
+    pub defect: Option<WorkDefect>,
+    /// Ticket, once issued.
+    pub ticket: Option<RequestTicket>,
+    /// State.
+    pub state: RequestState,
+    sends: u32,
+    answered: BTreeSet<u32>,
+    copied: bool,
+}
+
+/// Why a task can never finish.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkDefect {
+    /// Each attempt fails.
+    Fails,
+    /// It is larger than every worker.
+    TooLarge,
+}
+
+impl World {
+    pub(super) fn plan_load(&mut self) {
+        let first = Duration::from_secs(6);
+        let load = self.plan.load.clone();
+        if let Some(every) = load.call_every {
+            for at in self.arrivals(first, every) {
+                let booking = self.rng.random_bool(0.5);
+                let kind = if booking { RequestKind::Booking } else { RequestKind::Plan };
+                let run_ms = self.rng.random_range(5..load.call_ms);
+                self.add_request(kind, run_ms, at);
+            }
+        }
+        if let Some(every) = load.task_every {
+            for at in self.arrivals(first, every) {
+                let run_ms = self.rng.random_range(100..load.task_ms);
+                self.add_request(RequestKind::Task, run_ms, at);
+            }
+        }
+        if load.change_every.is_some() {
+            self.queue.push(first, Action::Operator);
+        }
+    }
+
+    fn arrivals(&mut self, first: Duration, every: Duration) -> Vec<Duration> {
+        let mut times = Vec::new();
+        let mut at = first;
+        while at < self.plan.busy {
+            times.push(at);
+            at += every.mul_f64(self.rng.random_range(0.1..1.9));
+        }
+        times
+    }
+
+    /// Adds a request that is sent at `at`.
+    pub fn add_request(&mut self, kind: RequestKind, run_ms: u64, at: Duration) -> RequestIndex {
+        let index = self.requests.len();
+        self.requests.push(CallerRequest {
+            key: format!("key-{index}"),
+            kind,
+            run_ms,
+            defect: None,
+            ticket: None,
+            state: RequestState::Open,
+            sends: 0,
+            answered: BTreeSet::new(),
+            copied: false,
+        });
+        self.queue.push(at, Action::Caller(index));
+        index
+    }
+
+    /// Makes a task one that can never finish.
+    pub fn set_defect(&mut self, request: RequestIndex, defect: WorkDefect) {
+        self.requests[request].defect = Some(defect);
+    }
+
+    /// Returns the requests of all callers.
+    pub fn requests(&self) -> &[CallerRequest] {
+        &self.requests
+    }
+
+    /// Tells whether every request has its final state.
+    pub fn is_settled(&self) -> bool {
+        let open = |request: &CallerRequest| {
+            matches!(request.state, RequestState::Open | RequestState::Accepted)
+        };
+        !self.requests.iter().any(open)
+    }
+
+    /// Takes the next step of a request.
+    pub(super) fn caller_step(&mut self, index: RequestIndex) {
+        let request = &self.requests[index];
+        match request.state {
+            RequestState::Open if request.kind != RequestKind::Plan && request.ticket.is_none() => {
+                self.send(index, Asked::Tickets);
+            }
+            RequestState::Open => {
+                self.send(index, Asked::Work);
+                let copies = self.plan.load.copies;
+                let copied = std::mem::replace(&mut self.requests[index].copied, true);
+                let ticketed = self.requests[index].kind != RequestKind::Plan;
+                if !copied && ticketed && self.rng.random_bool(copies) {
+                    let delay = Duration::from_millis(self.rng.random_range(0..4_000));
+                    self.queue.push(self.now + delay, Action::Copy(index));
+                }
+            }
+            RequestState::Accepted => self.send(index, Asked::Result),
+            _ => {}
+        }
+    }
+
+    /// Sends a delayed copy of a request that may have its answer already.
+    pub(super) fn send_copy(&mut self, index: RequestIndex) {
+        self.send(index, Asked::Work);
+    }
+
+    fn send(&mut self, index: RequestIndex, asked: Asked) {
+        let Some(event) = self.caller_event(index, asked) else {
+            return;
+        };
+        let request = &mut self.requests[index];
+        request.sends += 1;
+        let send = request.sends;
+        let entry = self.balance();
+        let Some((entry, start)) = entry else {
+            let action = Action::Answered(index, send, asked, None);
+            self.queue.push(self.now + Duration::from_millis(200), action);
+            return;
+        };
+        let origin = ReplyOrigin::Caller { request: index, send, asked };
+        let give_up = Action::GiveUp(entry, start, index, send, asked);
+        self.queue.push(self.now + PATIENCE, give_up);
+        if asked == Asked::Work {
+            let request = &self.requests[index];
+            let sent = HistoryEvent::RequestSent {
+                request: index,
+                key: request.key.clone(),
+                ticket: request.ticket.as_ref().map(RequestTicket::to_string),
+                entry,
+            };
+            self.record(sent);
+        }
+        if let Leg::Arrives(delay) = self.leg(Party::Outside, Party::Entry(entry)) {
+            self.queue.push(self.now + delay, Action::Arrive(entry, start, origin, event));
+        }
+    }
+
+    /// Chooses an entry instance as the load balancer does: a ready one, with a few mistakes.
+    fn balance(&mut self) -> Option<(EntryIndex, StartNumber)> {
+        let stale = self.rng.random_bool(0.05);
+        let usable = |index: &EntryIndex| self.entries[*index].ready || stale;
+        let running: Vec<_> = (0..self.entries.len()).filter(usable).collect();
+        if running.is_empty() {
+            return None;
+        }
+        let entry = running[self.rng.random_range(0..running.len())];
+        self.start_of(entry).map(|start| (entry, start))
+    }
+
+    fn caller_event(&self, index: RequestIndex, asked: Asked) -> Option<EntryEvent> {
+        let request = &self.requests[index];
+        let event = match (asked, request.kind) {
+            (Asked::Tickets, _) => EntryEvent::TicketsWanted { reply: 0, count: 1 },
+            (Asked::Result, _) => EntryEvent::TaskQueried {
+                reply: 0,
+                ticket: request.ticket.clone()?,
+                query: TaskQuery::Result,
+            },
+            (Asked::Work, RequestKind::Task) => {
+                EntryEvent::TaskArrived { reply: 0, submission: submission(request)? }
+            }
+            (Asked::Work, _) => EntryEvent::CallArrived { reply: 0, call: call(request) },
+        };
+        Some(event)
+    }
+
+    /// Closes the connection of a caller that waited too long.
+    pub(super) fn give_up(
+        &mut self,
+        entry: EntryIndex,
+        start: StartNumber,
+        index: RequestIndex,
+        send: u32,
+        asked: Asked,
+    ) {
+        if self.requests[index].answered.contains(&send) {
+            return;
+        }
+        let process = self.entries[entry].process.as_ref();
+        let replies = process.filter(|process| process.start == start).map(|p| &p.replies);
+        let waiting = replies.and_then(|replies| {
+            let is_this = |origin: &ReplyOrigin| {
+                *origin == ReplyOrigin::Caller { request: index, send, asked }
+            };
+            replies.iter().find(|(_, origin)| is_this(origin)).map(|(reply, _)| *reply)
+        });
+        if let Some(reply) = waiting {
+            let event = EntryEvent::CallerGone { reply };
+            self.queue.push(self.now, Action::Event(entry, start, event));
+        }
+        self.on_answered(index, send, asked, None);
+    }
+
+    /// Handles an answer to one send of a request, or its loss.
+    pub(super) fn on_answered(
+        &mut self,
+        index: RequestIndex,
+        send: u32,
+        asked: Asked,
+        answer: Option<CallerAnswer>,
+    ) {
+        if !self.requests[index].answered.insert(send) {
+            return;
+        }
+        match asked {
+            Asked::Tickets => self.on_ticket(index, answer.as_ref()),
+            Asked::Work => self.on_work_answer(index, answer),
+            Asked::Result => self.on_result(index, answer.as_ref()),
+        }
+    }
+
+    fn on_ticket(&mut self, index: RequestIndex, answer: Option<&CallerAnswer>) {
+        let ticket = answer.and_then(|answer| first_ticket(&answer.body));
+        let delay = match ticket {
+            Some(ticket) => {
+                self.requests[index].ticket = Some(ticket);
+                Duration::from_millis(self.rng.random_range(1..300))
+            }
+            None => Duration::from_millis(self.rng.random_range(200..800)),
+        };
+        self.step_later(index, delay);
+    }
+
+    fn on_work_answer(&mut self, index: RequestIndex, answer: Option<CallerAnswer>) {
+        let key = self.requests[index].key.clone();
+        let Some(answer) = answer else {
+            self.record(HistoryEvent::RequestLost { key });
+            self.on_unknown(index);
+            return;
+        };
+        self.record(HistoryEvent::RequestAnswered {
+            request: index,
+            key,
+            outcome: answer.outcome,
+            status: answer.status,
+            body: answer.body.clone(),
+        });
+        let state = match answer.outcome {
+            CallOutcome::Done => RequestState::Done,
+            CallOutcome::Accepted => RequestState::Accepted,
+            CallOutcome::NotRun => RequestState::Refused,
+            CallOutcome::Unknown => {
+                self.on_unknown(index);
+                return;
+            }
+        };
+        if self.requests[index].state != RequestState::Open {
+            return;
+        }
+        self.requests[index].state = state;
+        match state {
+            RequestState::Accepted => self.step_later(index, POLL_INTERVAL),
+            RequestState::Refused => self.after_refusal(index),
+            _ => {}
+        }
+    }
+
+    /// Sends a late copy of some refused requests; tries a refused task again as a new request.
+    fn after_refusal(&mut self, index: RequestIndex) {
+        let request = &self.requests[index];
+        let (kind, run_ms, defect) = (request.kind, request.run_ms, request.defect);
+        if kind != RequestKind::Plan && self.rng.random_bool(0.3) {
+            let delay = Duration::from_millis(self.rng.random_range(10..4_000));
+            self.queue.push(self.now + delay, Action::Copy(index));
+        }
+        if kind == RequestKind::Task {
+            let at = self.now + Duration::from_secs(2);
+            let again = self.add_request(kind, run_ms, at);
+            self.requests[again].defect = defect;
+        }
+    }
+
+    fn on_unknown(&mut self, index: RequestIndex) {
+        let request = &mut self.requests[index];
+        if request.state != RequestState::Open {
+            return;
+        }
+        let again = match request.kind {
+            RequestKind::Plan => false,
+            RequestKind::Booking => request.sends < MAX_SENDS,
+            RequestKind::Task => true,
+        };
+        if !again {
+            request.state = RequestState::Unknown;
+            return;
+        }
+        let delay = Duration::from_millis(self.rng.random_range(500..2_000));
+        self.step_later(index, delay);
+    }
+
+    fn on_result(&mut self, index: RequestIndex, answer: Option<&CallerAnswer>) {
+        let task = self.requests[index].ticket.as_ref().map(ToString::to_string);
+        let Some((task, finished)) = task.zip(answer.and_then(task_end)) else {
+            self.step_later(index, POLL_INTERVAL);
+            return;
+        };
+        if self.requests[index].state != RequestState::Accepted {
+            return;
+        }
+        let state = if finished { RequestState::Finished } else { RequestState::Failed };
+        self.requests[index].state = state;
+        self.record(HistoryEvent::TaskResult { task, finished });
+    }
+
+    fn step_later(&mut self, index: RequestIndex, delay: Duration) {
+        self.queue.push(self.now + delay, Action::Caller(index));
+    }
+}
+
+fn call(request: &CallerRequest) -> CallRequest {
+    let profile = if request.kind == RequestKind::Plan { MORNING_RUSH } else { BOOKINGS };
+    let body = serde_json::json!({ "op": "plan", "key": request.key, "work_ms": request.run_ms });
+    CallRequest {
+        profile: profile.to_owned(),
+        customer: "griddle".to_owned(),
+        class: profile.to_owned(),
+        ticket: request.ticket.clone(),
+        body: Bytes::from(body.to_string()),
+    }
+}
+
+fn submission(request: &CallerRequest) -> Option<TaskSubmission> {
+    let millicores = match request.defect {
+        Some(WorkDefect::TooLarge) => 1_000_000,
+        _ => 1_000,
+    };
+    let fail = request.defect == Some(WorkDefect::Fails);
+    let input = serde_json::json!({ "run_ms": request.run_ms, "key": request.key, "fail": fail });
+    Some(TaskSubmission {
+        ticket: request.ticket.clone()?,
+        profile: STANDING_ORDERS.to_owned(),
+        customer: "griddle".to_owned(),
+        class: STANDING_ORDERS.to_owned(),
+        size: ResourceSize { millicores, memory_mib: 100, accelerators: 0 },
+        declared_run_ms: None,
+        input: input.to_string(),
+    })
+}
+
+fn first_ticket(body: &[u8]) -> Option<RequestTicket> {
+    let value: serde_json::Value = serde_json::from_slice(body).ok()?;
+    let ticket = value.get("tickets")?.get(0)?;
+    ticket.as_str()?.parse().ok()
+}
+
+/// Tells whether a task has ended, and whether it finished with a result.
+fn task_end(answer: &CallerAnswer) -> Option<bool> {
+    let value: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    match value.get("state")?.as_str()? {
+        "finished" => Some(true),
+        "failed" | "cancelled" => Some(false),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/cuminbank-standins/src/harness/checks/fleet.rs
@@ -0,0 +1,170 @@
+//! Checks of membership, planned stops and configuration: I7, I8 and I9.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cuminbank::ids::{ProfileName, StoreRevision, TargetName};
+
+use super::{Violation, ViolationKind};
+use crate::harness::{
+    history::{History, HistoryEvent, ProcessId},
+    queue::EntryIndex,
+};
+
+/// Longest time after the list showed a leaving target in which it may get work.
+const LEAVING_BOUND: Duration = Duration::from_secs(3);
+/// Longest time of a planned stop, with 1 % for the process's clock and 1 s for its last ticks.
+const DRAIN_BOUND: Duration = Duration::from_millis(31_300);
+/// Longest time until a committed change is in force.
+const CONFIG_BOUND: Duration = Duration::from_secs(6);
+/// Largest gap between samples of a process that counts as live all the time.
+const SAMPLE_GAP: Duration = Duration::from_millis(450);
+
+/// I7: no work goes to a target later than 3 s after the list showed it as leaving.
+pub fn check_leaving(history: &History) -> Vec<Violation> {
+    let mut shown: BTreeMap<ProcessId, BTreeMap<&TargetName, Duration>> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        match &entry.event {
+            HistoryEvent::ListShown { process, leaving } => {
+                let known = shown.entry(*process).or_default();
+                known.retain(|name, _| leaving.contains(name));
+                for name in leaving {
+                    known.entry(name).or_insert(entry.at);
+                }
+            }
+            HistoryEvent::DispatchSent { process, target, .. }
+            | HistoryEvent::StartSent { process, target, .. } => {
+                let since = shown.get(process).and_then(|known| known.get(target));
+                if since.is_some_and(|since| entry.at > *since + LEAVING_BOUND) {
+                    let kind =
+                        ViolationKind::LeavingTarget { process: *process, target: target.clone() };
+                    violations.push(Violation { at: entry.at, kind });
+                }
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+/// I8: a drained process answers every request that it has read, and exits within its bound.
+pub fn check_drains(history: &History) -> Vec<Violation> {
+    let mut draining: BTreeMap<ProcessId, Duration> = BTreeMap::new();
+    let mut paused: BTreeMap<ProcessId, Duration> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        match &entry.event {
+            HistoryEvent::DrainBegan(process) => {
+                draining.insert(*process, entry.at + DRAIN_BOUND);
+            }
+            HistoryEvent::ProcessKilled(process) => {
+                draining.remove(process);
+            }
+            HistoryEvent::ProcessPaused(process) => {
+                paused.insert(*process, entry.at);
+            }
+            HistoryEvent::ProcessResumed(process) => {
+                // A paused process cannot exit; it has to do so soon after it goes on.
+                let pause = paused.remove(process).map_or(Duration::ZERO, |from| entry.at - from);
+                if let Some(deadline) = draining.get_mut(process) {
+                    *deadline += pause;
+                }
+            }
+            HistoryEvent::ProcessExited { process, unanswered } => {
+                let deadline = draining.remove(process);
+                if *unanswered > 0 {
+                    let kind = ViolationKind::Unanswered { process: *process, count: *unanswered };
+                    violations.push(Violation { at: entry.at, kind });
+                }
+                if deadline.is_some_and(|deadline| entry.at > deadline) {
+                    let kind = ViolationKind::NoExit { process: *process };
+                    violations.push(Violation { at: entry.at, kind });
+                }
+            }
+            _ => {}
+        }
+    }
+    let overdue = draining.into_iter().filter(|(_, deadline)| *deadline < history.end);
+    violations.extend(
+        overdue.map(|(process, at)| Violation { at, kind: ViolationKind::NoExit { process } }),
+    );
+    violations
+}
+
+/// I9: revisions in force never decrease on an instance, and reach every linked live instance
+/// within 6 s.
+pub fn check_config(history: &History) -> Vec<Violation> {
+    let mut violations = check_no_revert(history);
+    violations.extend(check_spread(history));
+    violations
+}
+
+fn check_no_revert(history: &History) -> Vec<Violation> {
+    let mut in_force: BTreeMap<EntryIndex, BTreeMap<&ProfileName, StoreRevision>> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        let HistoryEvent::ConfigShown { process, ready: true, revisions, .. } = &entry.event else {
+            continue;
+        };
+        let known = in_force.entry(process.0).or_default();
+        for (name, from) in known.iter() {
+            let shown = revisions.iter().find(|(shown, _)| shown == *name);
+            let to = shown.map_or(0, |(_, revision)| *revision);
+            if to < *from {
+                let name = (*name).clone();
+                let kind = ViolationKind::Reverted { process: *process, name, from: *from, to };
+                violations.push(Violation { at: entry.at, kind });
+            }
+        }
+        known.extend(revisions.iter().map(|(name, revision)| (name, *revision)));
+    }
+    violations
+}
+
+type Sample<'a> = (Duration, bool, bool, &'a [(ProfileName, StoreRevision)]);
+
+fn check_spread(history: &History) -> Vec<Violation> {
+    let mut samples: BTreeMap<ProcessId, Vec<Sample<'_>>> = BTreeMap::new();
+    for entry in &history.entries {
+        if let HistoryEvent::ConfigShown { process, ready, linked, revisions } = &entry.event {
+            let sample = (entry.at, *ready, *linked, revisions.as_slice());
+            samples.entry(*process).or_default().push(sample);
+        }
+    }
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        let HistoryEvent::ConfigCommitted { name, revision } = &entry.event else {
+            continue;
+        };
+        for (process, samples) in &samples {
+            if is_missing(samples, entry.at, name, *revision) {
+                let (process, name, revision) = (*process, name.clone(), *revision);
+                let kind = ViolationKind::NotInForce { process, name, revision };
+                violations.push(Violation { at: entry.at + CONFIG_BOUND, kind });
+            }
+        }
+    }
+    violations
+}
+
+/// Tells whether a process that was live and linked all the time lacks a change after the bound.
+fn is_missing(
+    samples: &[Sample<'_>],
+    committed: Duration,
+    name: &str,
+    revision: StoreRevision,
+) -> bool {
+    let mut last = committed;
+    let first = samples.partition_point(|sample| sample.0 < committed);
+    for (at, ready, linked, revisions) in &samples[first..] {
+        if !linked || *at > last + SAMPLE_GAP {
+            return false;
+        }
+        last = *at;
+        if *at >= committed + CONFIG_BOUND {
+            let shown = revisions.iter().find(|(shown, _)| shown == name);
+            return *ready && shown.is_none_or(|(_, shown)| *shown < revision);
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/cuminbank-standins/src/harness/checks/tasks.rs
@@ -0,0 +1,150 @@
+//! Checks of batch tasks: I1, I2 and I3, and that accepted tasks finish once.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use cuminbank::effect::CallOutcome;
+
+use super::{Violation, ViolationKind};
+use crate::{
+    harness::history::{History, HistoryEvent},
+    worker::ExecutionEnd,
+};
+
+/// Time before a finish in which a cut may have hidden it from the owner.
+const HIDDEN_BY_CUT: Duration = Duration::from_secs(15);
+
+/// I1: a worker never gets a task that does not fit.
+pub fn check_tasks_fit(history: &History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        let HistoryEvent::TaskRefused { target, task, status: 507, .. } = &entry.event else {
+            continue;
+        };
+        let kind = ViolationKind::Overfilled { target: target.clone(), work: task.clone() };
+        violations.push(Violation { at: entry.at, kind });
+    }
+    violations
+}
+
+/// I2: a task never runs at two places at once.
+pub fn check_tasks_once(history: &History) -> Vec<Violation> {
+    let mut running: BTreeMap<&str, Vec<(&str, u32)>> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        match &entry.event {
+            HistoryEvent::TaskStarted { target, task, attempt, .. } => {
+                let places = running.entry(task).or_default();
+                if let Some((other, _)) = places.first() {
+                    let targets = ((*other).to_owned(), target.clone());
+                    let kind = ViolationKind::TwoPlaces { work: task.clone(), targets };
+                    violations.push(Violation { at: entry.at, kind });
+                }
+                places.push((target, *attempt));
+            }
+            HistoryEvent::TaskEnded { target, task, attempt, .. } => {
+                if let Some(places) = running.get_mut(task.as_str()) {
+                    places.retain(|place| *place != (target, *attempt));
+                }
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+/// I3: the next start of an evicted task goes on from the checkpoint of the eviction.
+///
+/// A worker that ends right after the stop may take the checkpoint with it; then the start may
+/// use an earlier one. That no two starts run at once is part of I2.
+pub fn check_evictions(history: &History) -> Vec<Violation> {
+    let mut evicted: BTreeMap<&str, (&str, &str)> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        match &entry.event {
+            HistoryEvent::TaskEvicted { target, task, checkpoint, .. } => {
+                evicted.insert(task, (target, checkpoint));
+            }
+            HistoryEvent::TargetDown(down) => evicted.retain(|_, (target, _)| *target != down),
+            HistoryEvent::TaskStarted { task, checkpoint: resumed_from, .. } => {
+                let Some((_, checkpoint)) = evicted.remove(task.as_str()) else {
+                    continue;
+                };
+                if resumed_from.as_deref() == Some(checkpoint) {
+                    continue;
+                }
+                let kind = ViolationKind::NotResumed {
+                    task: task.clone(),
+                    checkpoint: checkpoint.to_owned(),
+                    resumed_from: resumed_from.clone(),
+                };
+                violations.push(Violation { at: entry.at, kind });
+            }
+            _ => {}
+        }
+    }
+    violations
+}
+
+/// Accepted tasks end, and a finished task is not started again.
+///
+/// A finish that its owner could not see (the worker died, or a cut was active) may be repeated.
+pub fn check_tasks_end(history: &History) -> Vec<Violation> {
+    let mut violations = check_not_doubled(history);
+    let mut tickets: BTreeMap<&str, &str> = BTreeMap::new();
+    let mut accepted: BTreeSet<&str> = BTreeSet::new();
+    for entry in &history.entries {
+        match &entry.event {
+            HistoryEvent::RequestSent { key, ticket: Some(ticket), .. } => {
+                tickets.insert(key, ticket);
+            }
+            HistoryEvent::RequestAnswered { key, outcome: CallOutcome::Accepted, .. } => {
+                accepted.extend(tickets.get(key.as_str()));
+            }
+            HistoryEvent::TaskResult { task, .. } => {
+                accepted.remove(task.as_str());
+            }
+            _ => {}
+        }
+    }
+    violations.extend(accepted.into_iter().map(|task| Violation {
+        at: history.end,
+        kind: ViolationKind::LostTask { task: task.to_owned() },
+    }));
+    violations
+}
+
+fn check_not_doubled(history: &History) -> Vec<Violation> {
+    let mut finished: BTreeMap<&str, (Duration, &str)> = BTreeMap::new();
+    let mut reported: BTreeSet<&str> = BTreeSet::new();
+    let mut last_cut = None;
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        match &entry.event {
+            HistoryEvent::TaskEnded { target, task, end: ExecutionEnd::Finished, .. } => {
+                finished.insert(task, (entry.at, target));
+            }
+            HistoryEvent::TaskResult { task, finished: true } => {
+                reported.insert(task);
+            }
+            HistoryEvent::TargetDown(down) => finished.retain(|_, (_, target)| *target != down),
+            HistoryEvent::Fault(text) if text.starts_with("Cut(") || text.starts_with("Heal(") => {
+                last_cut = Some(entry.at);
+            }
+            HistoryEvent::TaskStarted { task, .. } => {
+                let hidden = finished
+                    .get(task.as_str())
+                    .is_some_and(|(at, _)| last_cut.is_some_and(|cut| cut + HIDDEN_BY_CUT >= *at));
+                let again = finished.contains_key(task.as_str()) && !hidden;
+                if again || reported.contains(task.as_str()) {
+                    let kind = ViolationKind::DoubledTask { task: task.clone() };
+                    violations.push(Violation { at: entry.at, kind });
+                }
+            }
+            _ => {}
+        }
+    }
+    violations
+}
--- a/crates/cuminbank-standins/src/lib.rs
+++ b/crates/cuminbank-standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`executor::ExecutorCore`], [`worker::WorkerCore`]), which history tests drive in virtual time.
 
 pub mod executor;
+pub mod harness;
 pub mod machine;
 pub mod store;
 pub mod worker;
