Add ownership of groups, membership, planned stops and configuration

Cause: the reducer had only the skeleton of these parts, so no instance owned a group or became ready.

Ruled out: keeping write decisions in the reducer part. They live in OwnershipTable, a pure state machine, so that a test can drive several tables with drifting clocks and lost messages without the rest of the reducer.

Before: the parts answered nothing. After: an instance claims free groups through the store, keeps its right by a lease or by promises, follows the platform's list, hands groups over, and reads, watches and spreads the configuration. A right is given out at most 2 s ahead, so a planned release announces its end by that time and needs no pause.

Takeover, handover and configuration between instances are not tested yet.

--- a/crates/cuminbank/src/membership.rs
+++ b/crates/cuminbank/src/membership.rs
@@ -1,14 +1,27 @@
 //! Targets and peers: own observations and the platform's list.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use slotmap::{new_key_type, SlotMap};
 
 use crate::{
     event::{ListedInstance, ListedRole},
-    ids::{GroupIndex, MachineName, TargetName},
+    ids::{
+        GroupIndex, InstanceName, MachineName, MonotonicTime, OwnerEpoch, StartNumber, TargetName,
+        ZoneName,
+    },
+    message::{PeerHeartbeat, PeerIdentity},
 };
 
+/// A peer is live if it was heard within this time.
+pub const PEER_LIVE: Duration = Duration::from_secs(2);
+/// A peer that was not heard for this time is forgotten.
+const PEER_FORGOTTEN: Duration = Duration::from_secs(600);
+
 new_key_type! {
     /// Key of a target.
     pub struct TargetKey;
@@ -126,3 +139,128 @@
 pub fn group_of_machine(machine: &str, groups: GroupIndex) -> GroupIndex {
     (crc32fast::hash(machine.as_bytes()) % u32::from(groups.max(1))) as GroupIndex
 }
+
+/// A peer as its last heartbeat shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerEntry {
+    /// Last heartbeat.
+    pub heartbeat: PeerHeartbeat,
+    /// When it arrived.
+    pub heard: MonotonicTime,
+    /// Start numbers of earlier processes of the same name, whose late heartbeats do not count.
+    replaced: Vec<StartNumber>,
+}
+
+impl PeerEntry {
+    /// Tells whether the peer is live.
+    pub fn is_live(&self, now: MonotonicTime) -> bool {
+        now < self.heard + PEER_LIVE
+    }
+
+    fn announced(&self, group: GroupIndex) -> Option<(OwnerEpoch, u32)> {
+        let mut groups = self.heartbeat.groups.iter();
+        groups.find(|(other, ..)| *other == group).map(|(_, epoch, wait)| (*epoch, *wait))
+    }
+}
+
+/// Peers by name, and the groups that they announce.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<InstanceName, PeerEntry>,
+    announcers: HashMap<ZoneName, BTreeMap<GroupIndex, Vec<InstanceName>>>,
+}
+
+impl PeerTable {
+    /// Notes a heartbeat; `false` if it comes from a process that was replaced.
+    pub fn hear(&mut self, heartbeat: PeerHeartbeat, now: MonotonicTime) -> bool {
+        let name = heartbeat.from.instance.clone();
+        let mut replaced = Vec::new();
+        if let Some(entry) = self.peers.get_mut(&name) {
+            let start = entry.heartbeat.from.start;
+            replaced = std::mem::take(&mut entry.replaced);
+            if replaced.contains(&heartbeat.from.start) {
+                entry.replaced = replaced;
+                return false;
+            }
+            if start != heartbeat.from.start {
+                replaced.push(start);
+            }
+        }
+        self.withdraw(&name);
+        let zone = self.announcers.entry(heartbeat.zone.clone()).or_default();
+        for (group, ..) in &heartbeat.groups {
+            zone.entry(*group).or_default().push(name.clone());
+        }
+        self.peers.insert(name, PeerEntry { heartbeat, heard: now, replaced });
+        true
+    }
+
+    /// Forgets peers that were not heard for long.
+    pub fn forget_old(&mut self, now: MonotonicTime) {
+        let old = |entry: &PeerEntry| now > entry.heard + PEER_FORGOTTEN;
+        let names = self.peers.iter().filter(|(_, entry)| old(entry));
+        let names: Vec<_> = names.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.withdraw(&name);
+            self.peers.remove(&name);
+        }
+    }
+
+    fn withdraw(&mut self, name: &str) {
+        let Some(entry) = self.peers.get(name) else { return };
+        let Some(zone) = self.announcers.get_mut(&entry.heartbeat.zone) else { return };
+        for (group, ..) in &entry.heartbeat.groups {
+            if let Some(names) = zone.get_mut(group) {
+                names.retain(|other| other != name);
+            }
+        }
+    }
+
+    /// Returns all peers, by name.
+    pub fn all(&self) -> impl Iterator<Item = &PeerEntry> {
+        self.peers.values()
+    }
+
+    /// Returns the live peers, by name.
+    pub fn live(&self, now: MonotonicTime) -> impl Iterator<Item = &PeerEntry> {
+        self.all().filter(move |entry| entry.is_live(now))
+    }
+
+    /// Returns the live peers of a zone that are not stopping, by name.
+    pub fn serving<'a>(
+        &'a self,
+        zone: &'a str,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = &'a PeerEntry> {
+        self.live(now)
+            .filter(move |entry| entry.heartbeat.zone == zone && !entry.heartbeat.draining)
+    }
+
+    /// Returns the live peer that announces a group with the highest epoch, and its expected wait.
+    pub fn owner_of(
+        &self,
+        zone: &str,
+        group: GroupIndex,
+        now: MonotonicTime,
+    ) -> Option<(&PeerEntry, Duration)> {
+        let names = self.announcers.get(zone)?.get(&group)?;
+        let entries = names.iter().filter_map(|name| self.peers.get(name));
+        let announced = entries
+            .filter(|entry| entry.is_live(now))
+            .filter_map(|entry| entry.announced(group).map(|(epoch, wait)| (epoch, wait, entry)));
+        let (_, wait, entry) = announced.max_by_key(|(epoch, ..)| *epoch)?;
+        Some((entry, Duration::from_millis(u64::from(wait))))
+    }
+
+    /// Tells whether another process with the name of `identity` was heard after it.
+    pub fn is_replaced(&self, identity: &PeerIdentity) -> bool {
+        let entry = self.peers.get(&identity.instance);
+        entry.is_some_and(|entry| entry.heartbeat.from.start != identity.start)
+    }
+
+    /// Tells whether this very process is live.
+    pub fn is_heard(&self, identity: &PeerIdentity, now: MonotonicTime) -> bool {
+        let entry = self.peers.get(&identity.instance);
+        entry.is_some_and(|entry| entry.heartbeat.from == *identity && entry.is_live(now))
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/ownership/mod.rs
@@ -0,0 +1,352 @@
+//! Ownership of target groups: who may act for a group, and until when.
+//!
+//! [`OwnershipTable`] is a pure state machine. It holds the store lease of the instance, the groups
+//! that it owns, the promises that it got and gave, and at most one undecided write for each group.
+
+mod promises;
+mod writes;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{GroupIndex, LeaseId, MonotonicTime, OwnerEpoch, StoreRevision, ZoneName},
+    message::PeerIdentity,
+    store::StoreValue,
+};
+
+use self::writes::{PendingWrite, WriteKind};
+pub use self::writes::{SentWrite, WriteOutcome};
+
+/// Time to live of the store lease.
+pub const LEASE_TTL: Duration = Duration::from_secs(4);
+/// Time that a promise lasts.
+pub const PROMISE_TERM: Duration = Duration::from_secs(4);
+/// Largest relative difference between two clocks over a term; rates in the fleet are within 1 %.
+pub const CLOCK_DRIFT: f64 = 0.02;
+/// Longest right that is given out at once. Dispatches that wait in the daemon are valid no
+/// longer, so a planned release has to announce its end only this long ahead.
+pub const RIGHT_HORIZON: Duration = Duration::from_secs(2);
+
+/// Guards that tests switch off to show that a check would find their absence.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GuardSwitches {
+    /// An elector does not claim a group while a promise that it gave lasts.
+    pub promises_bind: bool,
+    /// A claim compares that the owner's lease key is gone.
+    pub lease_gone: bool,
+    /// A right counts from the time its request was sent, and not from the answer.
+    pub count_from_send: bool,
+    /// An elector with an undecided claim gives no promise.
+    pub undecided_claims_bind: bool,
+}
+
+impl Default for GuardSwitches {
+    fn default() -> Self {
+        Self {
+            promises_bind: true,
+            lease_gone: true,
+            count_from_send: true,
+            undecided_claims_bind: true,
+        }
+    }
+}
+
+/// The ownership record of a group in the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnershipRecord {
+    /// Owner; absent after a release.
+    pub owner: Option<PeerIdentity>,
+    /// Number of the ownership term.
+    pub epoch: OwnerEpoch,
+    /// Instances that may take over.
+    pub electorate: Vec<PeerIdentity>,
+    /// Id of the operation that wrote the record.
+    pub operation: String,
+}
+
+/// What was read of a group in the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StoredGroup {
+    /// Value of the group key.
+    pub value: Option<StoreValue>,
+    /// Whether the owner's lease key exists.
+    pub lease_held: bool,
+    /// Value of the epoch key, 0 if it does not exist.
+    pub epoch: OwnerEpoch,
+}
+
+impl StoredGroup {
+    /// Returns the ownership record, if there is a valid one.
+    pub fn record(&self) -> Option<OwnershipRecord> {
+        self.value.as_ref().and_then(parse_record)
+    }
+
+    /// Tells whether the group never had an owner.
+    pub fn is_fresh(&self) -> bool {
+        self.value.is_none() && self.epoch == 0
+    }
+
+    fn revision(&self) -> StoreRevision {
+        self.value.as_ref().map_or(0, |value| value.mod_revision)
+    }
+}
+
+fn parse_record(value: &StoreValue) -> Option<OwnershipRecord> {
+    serde_json::from_slice(&value.value).ok()
+}
+
+#[derive(Clone, Debug)]
+struct HeldLease {
+    id: LeaseId,
+    until: MonotonicTime,
+}
+
+#[derive(Clone, Debug, Default)]
+struct GroupState {
+    holding: Option<GroupHolding>,
+    write: Option<PendingWrite>,
+    given: Option<GivenPromise>,
+    highest_epoch: OwnerEpoch,
+}
+
+#[derive(Clone, Debug)]
+struct GroupHolding {
+    epoch: OwnerEpoch,
+    revision: StoreRevision,
+    electorate: Vec<PeerIdentity>,
+    /// Lease that the owner's lease key is bound to, if that is certain.
+    bound: Option<LeaseId>,
+    promises: BTreeMap<PeerIdentity, MonotonicTime>,
+    requests: VecDeque<(u64, MonotonicTime)>,
+    /// End of the right before a planned release.
+    ends: Option<MonotonicTime>,
+}
+
+#[derive(Clone, Debug)]
+struct GivenPromise {
+    epoch: OwnerEpoch,
+    until: MonotonicTime,
+}
+
+/// Ownership of the groups of a zone as one instance knows it.
+#[derive(Clone, Debug)]
+pub struct OwnershipTable {
+    this: PeerIdentity,
+    zone: ZoneName,
+    guards: GuardSwitches,
+    lease: Option<HeldLease>,
+    groups: BTreeMap<GroupIndex, GroupState>,
+    writes: u64,
+    requests: u64,
+}
+
+impl OwnershipTable {
+    /// Creates a table without groups and lease.
+    pub fn new(this: PeerIdentity, zone: &str) -> Self {
+        Self {
+            this,
+            zone: zone.to_owned(),
+            guards: GuardSwitches::default(),
+            lease: None,
+            groups: BTreeMap::new(),
+            writes: 0,
+            requests: 0,
+        }
+    }
+
+    /// Switches guards off, for tests only.
+    #[doc(hidden)]
+    pub fn with_guards(mut self, guards: GuardSwitches) -> Self {
+        self.guards = guards;
+        self
+    }
+
+    /// Returns the lease of the instance.
+    pub fn lease(&self) -> Option<LeaseId> {
+        self.lease.as_ref().map(|lease| lease.id)
+    }
+
+    /// Notes a new lease whose request was sent at `sent`.
+    pub fn on_lease_granted(&mut self, id: LeaseId, sent: MonotonicTime, now: MonotonicTime) {
+        let until = self.counted_from(sent, now) + LEASE_TTL.mul_f64(1.0 - CLOCK_DRIFT);
+        self.lease = Some(HeldLease { id, until });
+    }
+
+    /// Notes the answer to a renewal that was sent at `sent`.
+    pub fn on_lease_renewed(
+        &mut self,
+        id: LeaseId,
+        alive: bool,
+        sent: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        let until = self.counted_from(sent, now) + LEASE_TTL.mul_f64(1.0 - CLOCK_DRIFT);
+        let Some(lease) = self.lease.as_mut().filter(|lease| lease.id == id) else { return };
+        if alive {
+            lease.until = lease.until.max(until);
+        } else {
+            self.lease = None;
+        }
+    }
+
+    fn counted_from(&self, sent: MonotonicTime, now: MonotonicTime) -> MonotonicTime {
+        if self.guards.count_from_send {
+            sent
+        } else {
+            now
+        }
+    }
+
+    /// Returns until when the instance may act for a group; `None` if it may not at `now`. The
+    /// later of the lease's and the promises' end counts, at most [`RIGHT_HORIZON`] ahead.
+    pub fn right_until(&self, group: GroupIndex, now: MonotonicTime) -> Option<MonotonicTime> {
+        let state = self.groups.get(&group)?;
+        let holding = state.holding.as_ref()?;
+        let write = state.write.as_ref();
+        if write.is_some_and(|write| write.kind == WriteKind::Release) {
+            return None;
+        }
+        let horizon = now + RIGHT_HORIZON;
+        let until = self.lease_right(holding).max(promise_right(holding, write, horizon));
+        let until = until.min(horizon).min(holding.ends.unwrap_or(horizon));
+        Some(until).filter(|until| now < *until)
+    }
+
+    fn lease_right(&self, holding: &GroupHolding) -> MonotonicTime {
+        let lease = self.lease.as_ref().filter(|lease| holding.bound == Some(lease.id));
+        lease.map_or(MonotonicTime::ZERO, |lease| lease.until)
+    }
+
+    /// Returns the epoch of a group that the instance owns.
+    pub fn epoch(&self, group: GroupIndex) -> Option<OwnerEpoch> {
+        Some(self.groups.get(&group)?.holding.as_ref()?.epoch)
+    }
+
+    /// Returns the groups that the instance owns, with or without the right to act.
+    pub fn held(&self) -> Vec<GroupIndex> {
+        let held = self.groups.iter().filter(|(_, state)| state.holding.is_some());
+        held.map(|(group, _)| *group).collect()
+    }
+
+    /// Returns the electors of a group that the instance owns.
+    pub fn electorate(&self, group: GroupIndex) -> Vec<PeerIdentity> {
+        let holding = self.groups.get(&group).and_then(|state| state.holding.as_ref());
+        holding.map_or(Vec::new(), |holding| holding.electorate.clone())
+    }
+
+    /// Returns the electors of a group, with those of an undecided change.
+    pub fn electors(&self, group: GroupIndex) -> Vec<PeerIdentity> {
+        let mut electors = self.electorate(group);
+        let write = self.groups.get(&group).and_then(|state| state.write.as_ref());
+        let changed = write.filter(|write| write.kind == WriteKind::Change);
+        electors.extend(changed.map_or(Vec::new(), |write| write.record.electorate.clone()));
+        electors
+    }
+
+    /// Tells whether a write of a group is undecided.
+    pub fn is_writing(&self, group: GroupIndex) -> bool {
+        self.groups.get(&group).is_some_and(|state| state.write.is_some())
+    }
+
+    /// Tells whether a claim of a group is undecided.
+    pub fn is_claiming(&self, group: GroupIndex) -> bool {
+        let write = self.groups.get(&group).and_then(|state| state.write.as_ref());
+        write.is_some_and(|write| write.kind == WriteKind::Claim)
+    }
+
+    /// Tells whether the owner's lease key of a group is not bound to the current lease.
+    pub fn needs_binding(&self, group: GroupIndex) -> bool {
+        let holding = self.groups.get(&group).and_then(|state| state.holding.as_ref());
+        holding.is_some_and(|holding| holding.bound != self.lease())
+    }
+
+    /// Ends the right to a group at `ends`, ahead of a release.
+    pub fn end_right_at(&mut self, group: GroupIndex, ends: MonotonicTime) {
+        if let Some(holding) = self.holding_mut(group) {
+            holding.ends = Some(ends);
+        }
+    }
+
+    /// Takes back [`Self::end_right_at`], when the release cannot be written.
+    pub fn keep_right(&mut self, group: GroupIndex) {
+        if let Some(holding) = self.holding_mut(group) {
+            holding.ends = None;
+        }
+    }
+
+    /// Notes an epoch of a group seen at a peer and tells whether that ends the own term.
+    pub fn note_epoch(&mut self, group: GroupIndex, epoch: OwnerEpoch) -> bool {
+        let state = self.groups.entry(group).or_default();
+        state.highest_epoch = state.highest_epoch.max(epoch);
+        if state.holding.as_ref().is_none_or(|holding| holding.epoch >= epoch) {
+            return false;
+        }
+        state.holding = None;
+        state.write = None;
+        true
+    }
+
+    /// Tells whether the instance may claim a group as it was read. `ended` tells whether the
+    /// platform's list reports an instance as ended.
+    pub fn may_claim(
+        &self,
+        group: GroupIndex,
+        stored: &StoredGroup,
+        ended: impl Fn(&PeerIdentity) -> bool,
+        now: MonotonicTime,
+    ) -> bool {
+        let empty = GroupState::default();
+        let state = self.groups.get(&group).unwrap_or(&empty);
+        if state.holding.is_some() || state.write.is_some() || self.lease.is_none() {
+            return false;
+        }
+        if stored.value.is_none() {
+            return !stored.lease_held && !self.is_bound(state, 0, now);
+        }
+        // A record that cannot be read may name a live owner.
+        let Some(record) = stored.record() else { return false };
+        let Some(owner) = &record.owner else {
+            // The owner gave up its right before it wrote this, so promises to it are void.
+            return !self.is_bound(state, record.epoch, now);
+        };
+        if self.is_bound(state, 0, now) {
+            return false;
+        }
+        if *owner == self.this {
+            return true;
+        }
+        let gone = !stored.lease_held || !self.guards.lease_gone;
+        let elected = record.electorate.contains(&self.this);
+        gone && (elected || (ended(owner) && record.electorate.iter().all(ended)))
+    }
+
+    /// Tells whether a promise binds the instance that is not void by a release of `released`.
+    fn is_bound(&self, state: &GroupState, released: OwnerEpoch, now: MonotonicTime) -> bool {
+        let binds = |given: &GivenPromise| now < given.until && given.epoch > released;
+        self.guards.promises_bind && state.given.as_ref().is_some_and(binds)
+    }
+
+    fn holding_mut(&mut self, group: GroupIndex) -> Option<&mut GroupHolding> {
+        self.groups.get_mut(&group)?.holding.as_mut()
+    }
+}
+
+/// Returns the end of the right by promises: every elector has to have promised, those of an
+/// undecided change of the electorate included. Without electors nobody can take over.
+fn promise_right(
+    holding: &GroupHolding,
+    write: Option<&PendingWrite>,
+    horizon: MonotonicTime,
+) -> MonotonicTime {
+    let changed = write.filter(|write| write.kind == WriteKind::Change);
+    let added = changed.map_or(&[][..], |write| &write.record.electorate);
+    let electors = holding.electorate.iter().chain(added);
+    let ends = electors
+        .map(|elector| holding.promises.get(elector).copied().unwrap_or(MonotonicTime::ZERO));
+    ends.min().unwrap_or(horizon)
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/groups/drain.rs
@@ -0,0 +1,264 @@
+//! Releases of groups, handovers in both directions, and planned stops.
+
+use std::time::Duration;
+
+use crate::{
+    effect::EntryEffect,
+    event::ExchangeError,
+    ids::{GroupIndex, MonotonicTime, OwnerEpoch},
+    log::{DRAIN_ENDED, DRAIN_STARTED, GROUP_RELEASED},
+    message::{PeerIdentity, PeerReply, PeerRequest, TicketHandover},
+    ownership::RIGHT_HORIZON,
+    reducer::{
+        calls::CallPart,
+        step::{ReducerPart, StepContext},
+    },
+};
+
+use super::{GroupChange, GroupExchange, GroupPart};
+
+/// The load balancer sees the failed readiness within this time.
+const BALANCER_DELAY: Duration = Duration::from_secs(2);
+const BALANCE_INTERVAL: Duration = Duration::from_secs(1);
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Handed states are dropped if the group could not be claimed for this time.
+const HANDED_KEPT: Duration = Duration::from_secs(10);
+
+/// A planned stop.
+#[derive(Debug)]
+pub(super) struct DrainState {
+    started: MonotonicTime,
+    drained: bool,
+}
+
+/// A group on its way to a peer.
+#[derive(Debug)]
+pub(super) struct GroupRelease {
+    ends: MonotonicTime,
+    phase: ReleasePhase,
+    tried: Vec<PeerIdentity>,
+}
+
+#[derive(Debug)]
+enum ReleasePhase {
+    /// The right is still in force and ends at a known time.
+    Ending,
+    /// The record is being written without an owner.
+    Writing,
+    /// The record names no owner; the states go to a peer.
+    Released { epoch: OwnerEpoch },
+    /// A peer was asked to take these states.
+    Asked { epoch: OwnerEpoch, states: (u64, Vec<TicketHandover>) },
+    /// The last peer that was asked did not take the states.
+    NotTaken { epoch: OwnerEpoch, states: (u64, Vec<TicketHandover>) },
+}
+
+/// Ticket states that the last owner of a group passed on.
+#[derive(Debug)]
+pub(super) struct HandedState {
+    pub(super) epoch: OwnerEpoch,
+    pub(super) next_sequence: u64,
+    pub(super) tickets: Vec<TicketHandover>,
+    received: MonotonicTime,
+}
+
+impl HandedState {
+    pub(super) fn is_kept(&self, now: MonotonicTime) -> bool {
+        now < self.received + HANDED_KEPT
+    }
+}
+
+impl GroupPart {
+    /// Begins a planned stop.
+    pub fn on_drain_wanted(&mut self, step: &mut StepContext) {
+        if self.drain.is_some() {
+            return;
+        }
+        step.log(DRAIN_STARTED, format!("{} groups owned", self.table.held().len()));
+        self.drain = Some(DrainState { started: step.now(), drained: false });
+        // Peers and the next heartbeat receivers learn of the stop at the next tick.
+        self.next_heartbeat = step.now();
+    }
+
+    /// Tells whether a planned stop has begun.
+    pub fn is_draining(&self) -> bool {
+        self.drain.is_some()
+    }
+
+    pub(super) fn tick_drain(&mut self, step: &mut StepContext, calls: &CallPart) {
+        let now = step.now();
+        let Some(drain) = self.drain.as_ref().filter(|drain| !drain.drained) else { return };
+        let started = drain.started;
+        let bound = started + step.settings.drain();
+        if now < bound && !self.may_exit(now, started, calls) {
+            return;
+        }
+        self.drain = Some(DrainState { started, drained: true });
+        let left = self.table.held().len();
+        step.log(DRAIN_ENDED, format!("{left} groups were not handed over"));
+        self.changes.push(GroupChange::Drained);
+    }
+
+    fn may_exit(&mut self, now: MonotonicTime, started: MonotonicTime, calls: &CallPart) -> bool {
+        let held = self.table.held();
+        if self.store.is_up(now) {
+            for group in &held {
+                self.begin_ending(*group, now);
+            }
+        }
+        let undecided = (0..self.groups_per_zone).any(|group| self.table.is_writing(group));
+        let released = held.is_empty() && self.releases.is_empty() && !undecided;
+        now >= started + BALANCER_DELAY && released && calls.is_idle()
+    }
+
+    /// Announces the end of the right to a group, so that no right that was given out outlasts it.
+    fn begin_ending(&mut self, group: GroupIndex, now: MonotonicTime) {
+        if self.releases.contains_key(&group) {
+            return;
+        }
+        let ends = now + RIGHT_HORIZON;
+        self.table.end_right_at(group, ends);
+        let release = GroupRelease { ends, phase: ReleasePhase::Ending, tried: Vec::new() };
+        self.releases.insert(group, release);
+    }
+
+    /// Keeps a group whose release was not written; a planned stop tries again.
+    pub(super) fn cancel_release(&mut self, group: GroupIndex) {
+        if self.table.epoch(group).is_some() && self.releases.remove(&group).is_some() {
+            self.table.keep_right(group);
+        }
+    }
+
+    pub(super) fn on_released(&mut self, group: GroupIndex, epoch: OwnerEpoch) {
+        if let Some(release) = self.releases.get_mut(&group) {
+            release.phase = ReleasePhase::Released { epoch };
+        }
+    }
+
+    pub(super) fn tick_releases(&mut self, step: &mut StepContext, calls: &CallPart) {
+        self.balance(step.now());
+        let groups: Vec<_> = self.releases.keys().copied().collect();
+        for group in groups {
+            self.tick_release(step, calls, group);
+        }
+    }
+
+    fn tick_release(&mut self, step: &mut StepContext, calls: &CallPart, group: GroupIndex) {
+        let now = step.now();
+        let Some(release) = self.releases.get_mut(&group) else { return };
+        match std::mem::replace(&mut release.phase, ReleasePhase::Writing) {
+            ReleasePhase::Ending => {
+                let ended = now >= release.ends;
+                release.phase = ReleasePhase::Ending;
+                if !self.store.is_up(now) {
+                    self.cancel_release(group);
+                } else if ended {
+                    self.write_release(step, group);
+                }
+            }
+            ReleasePhase::Released { epoch } => {
+                let states = calls.handover_state(group, epoch, now);
+                step.log(GROUP_RELEASED, format!("group {group} epoch {epoch}"));
+                self.changes.push(GroupChange::Lost { group });
+                self.hand_over(step, group, epoch, states);
+            }
+            ReleasePhase::NotTaken { epoch, states } => {
+                self.hand_over(step, group, epoch, states);
+            }
+            phase => release.phase = phase,
+        }
+    }
+
+    fn write_release(&mut self, step: &mut StepContext, group: GroupIndex) {
+        // Without a write now, a change of the record is undecided and the next tick tries again.
+        let Some(write) = self.table.begin_release(group) else { return };
+        if let Some(release) = self.releases.get_mut(&group) {
+            release.phase = ReleasePhase::Writing;
+        }
+        self.send_write(step, group, Some(write));
+    }
+
+    /// Passes the states to the live peer with the fewest groups that was not asked yet.
+    fn hand_over(
+        &mut self,
+        step: &mut StepContext,
+        group: GroupIndex,
+        epoch: OwnerEpoch,
+        states: (u64, Vec<TicketHandover>),
+    ) {
+        let Some(release) = self.releases.get_mut(&group) else { return };
+        let peers = self.peers.serving(&self.zone, step.now());
+        let untried = peers.filter(|peer| !release.tried.contains(&peer.heartbeat.from));
+        let Some(peer) = untried.min_by_key(|peer| peer.heartbeat.groups.len()) else {
+            self.releases.remove(&group);
+            return;
+        };
+        let (to, address) = (peer.heartbeat.from.clone(), peer.heartbeat.address);
+        release.tried.push(to.clone());
+        let (next_sequence, tickets) = states.clone();
+        release.phase = ReleasePhase::Asked { epoch, states };
+        let exchange = step.begin_exchange(ReducerPart::Groups);
+        self.exchanges.insert(exchange, GroupExchange::HandOver { group, to });
+        let request = PeerRequest::HandOver { group, epoch, next_sequence, tickets };
+        let timeout = HANDOVER_TIMEOUT;
+        step.push(EntryEffect::CallPeer { exchange, to: address, request, timeout });
+    }
+
+    pub(super) fn on_handed_over(
+        &mut self,
+        group: GroupIndex,
+        to: &PeerIdentity,
+        result: &Result<PeerReply, ExchangeError>,
+    ) {
+        let Some(release) = self.releases.get_mut(&group) else { return };
+        if release.tried.last() != Some(to) {
+            return;
+        }
+        if matches!(result, Ok(PeerReply::HandedOver)) {
+            self.releases.remove(&group);
+            return;
+        }
+        release.phase = match std::mem::replace(&mut release.phase, ReleasePhase::Writing) {
+            ReleasePhase::Asked { epoch, states } => ReleasePhase::NotTaken { epoch, states },
+            phase => phase,
+        };
+    }
+
+    /// Hands a group to a peer that has fewer if the instance has more than its share.
+    fn balance(&mut self, now: MonotonicTime) {
+        let ready = now >= self.next_balance && self.electors.is_stable(now);
+        if !ready || self.drain.is_some() || !self.store.is_up(now) {
+            return;
+        }
+        let leaving = self.releases.len();
+        let kept: Vec<_> = self.table.held();
+        let kept: Vec<_> =
+            kept.into_iter().filter(|group| !self.releases.contains_key(group)).collect();
+        let peers = self.peers.serving(&self.zone, now);
+        let Some(fewest) = peers.map(|peer| peer.heartbeat.groups.len()).min() else { return };
+        if kept.len() > self.share(now) && fewest + leaving + 1 < kept.len() {
+            self.next_balance = now + BALANCE_INTERVAL;
+            if let Some(group) = kept.last() {
+                self.begin_ending(*group, now);
+            }
+        }
+    }
+
+    pub(super) fn accept_handover(
+        &mut self,
+        now: MonotonicTime,
+        group: GroupIndex,
+        epoch: OwnerEpoch,
+        next_sequence: u64,
+        tickets: Vec<TicketHandover>,
+    ) -> bool {
+        let usable = group < self.groups_per_zone && !self.fixed.contains_key(&group);
+        if !usable || self.drain.is_some() || self.table.epoch(group).is_some() {
+            return false;
+        }
+        self.looks.entry(group).or_default().next = now;
+        let handed = HandedState { epoch, next_sequence, tickets, received: now };
+        self.handed.insert(group, handed);
+        true
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/groups/promises.rs
@@ -0,0 +1,159 @@
+//! Heartbeats and promises.
+
+use std::{net::SocketAddr, time::Duration};
+
+use crate::{
+    effect::EntryEffect,
+    ids::{GroupIndex, MonotonicTime, OwnerEpoch},
+    message::{PeerDatagram, PeerHeartbeat, PeerIdentity},
+    reducer::{calls::CallPart, config::ConfigPart, step::StepContext},
+};
+
+use super::GroupPart;
+
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// The electorate follows the live peers once they did not change for this time.
+const PEERS_STABLE: Duration = Duration::from_secs(2);
+/// A peer that is not in the settings gets heartbeats until it was silent for this time.
+const HEARTBEAT_PATIENCE: Duration = Duration::from_secs(60);
+
+/// Live peers of the zone, who may become electors.
+#[derive(Debug, Default)]
+pub(super) struct ElectorWatch {
+    pub(super) members: Vec<PeerIdentity>,
+    changed: MonotonicTime,
+}
+
+impl ElectorWatch {
+    pub(super) fn is_stable(&self, now: MonotonicTime) -> bool {
+        now >= self.changed + PEERS_STABLE
+    }
+}
+
+impl GroupPart {
+    pub(super) fn tick_peers(
+        &mut self,
+        step: &mut StepContext,
+        config: &ConfigPart,
+        calls: &CallPart,
+    ) {
+        let now = step.now();
+        let serving = self.peers.serving(&self.zone, now);
+        let members: Vec<_> = serving.map(|peer| peer.heartbeat.from.clone()).collect();
+        if members != self.electors.members {
+            self.electors = ElectorWatch { members, changed: now };
+        }
+        if now < self.next_heartbeat {
+            return;
+        }
+        self.next_heartbeat = now + HEARTBEAT_INTERVAL;
+        self.peers.forget_old(now);
+        self.send_heartbeats(step, config, calls);
+        for group in self.table.held() {
+            self.ask_electors(step, group);
+        }
+    }
+
+    fn send_heartbeats(&mut self, step: &mut StepContext, config: &ConfigPart, calls: &CallPart) {
+        let now = step.now();
+        let announce = |group: GroupIndex| {
+            let wait = calls.expected_wait(group, now).as_millis();
+            let wait = u32::try_from(wait).unwrap_or(u32::MAX);
+            self.epoch(group).map(|epoch| (group, epoch, wait))
+        };
+        let heartbeat = PeerHeartbeat {
+            from: self.this.clone(),
+            zone: self.zone.clone(),
+            address: self.peer_address,
+            groups: self.owned(now).into_iter().filter_map(announce).collect(),
+            config_revision: config.revision(),
+            config_checksum: config.checksum(),
+            draining: self.drain.is_some(),
+        };
+        for to in self.heartbeat_receivers(now) {
+            let datagram = PeerDatagram::Heartbeat(heartbeat.clone());
+            step.push(EntryEffect::SendDatagram { to, datagram });
+        }
+    }
+
+    fn heartbeat_receivers(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let recent = self.peers.all().filter(|peer| now < peer.heard + HEARTBEAT_PATIENCE);
+        let mut addresses: Vec<_> = recent.map(|peer| peer.heartbeat.address).collect();
+        addresses.extend(&self.known_addresses);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != self.peer_address);
+        addresses
+    }
+
+    /// Asks the electors for promises, and the peers that may become electors.
+    fn ask_electors(&mut self, step: &mut StepContext, group: GroupIndex) {
+        let mut asked = self.table.electors(group);
+        asked.extend(self.electors.members.iter().cloned());
+        asked.sort_unstable();
+        asked.dedup();
+        let peers = self.peers.all().filter(|peer| asked.contains(&peer.heartbeat.from));
+        let addresses: Vec<_> = peers.map(|peer| peer.heartbeat.address).collect();
+        if addresses.is_empty() {
+            return;
+        }
+        let Some((epoch, sequence)) = self.table.begin_request(group, step.now()) else { return };
+        for to in addresses {
+            let from = self.this.clone();
+            let datagram = PeerDatagram::PromiseRequest { from, group, epoch, sequence };
+            step.push(EntryEffect::SendDatagram { to, datagram });
+        }
+    }
+
+    /// Handles a datagram of a peer.
+    pub fn on_datagram(
+        &mut self,
+        step: &mut StepContext,
+        _config: &ConfigPart,
+        from: SocketAddr,
+        datagram: PeerDatagram,
+    ) {
+        match datagram {
+            PeerDatagram::Heartbeat(heartbeat) => self.on_heartbeat(step, heartbeat),
+            PeerDatagram::PromiseRequest { from: owner, group, epoch, sequence } => {
+                if group >= self.groups_per_zone || owner == self.this {
+                    return;
+                }
+                self.note_epoch(step, group, epoch);
+                if !self.fixed.contains_key(&group)
+                    && self.table.on_request(group, epoch, step.now())
+                {
+                    let grant = self.this.clone();
+                    let datagram =
+                        PeerDatagram::PromiseGrant { from: grant, group, epoch, sequence };
+                    step.push(EntryEffect::SendDatagram { to: from, datagram });
+                }
+            }
+            PeerDatagram::PromiseGrant { from: elector, group, epoch, sequence } => {
+                self.table.on_grant(group, &elector, epoch, sequence, step.now());
+            }
+        }
+    }
+
+    fn on_heartbeat(&mut self, step: &mut StepContext, heartbeat: PeerHeartbeat) {
+        if heartbeat.from.instance == self.this.instance {
+            return;
+        }
+        let groups = heartbeat.groups.clone();
+        let same_zone = heartbeat.zone == self.zone;
+        if !self.peers.hear(heartbeat, step.now()) || !same_zone {
+            return;
+        }
+        for (group, epoch, _) in groups {
+            if group < self.groups_per_zone {
+                self.note_epoch(step, group, epoch);
+            }
+        }
+    }
+
+    fn note_epoch(&mut self, step: &mut StepContext, group: GroupIndex, epoch: OwnerEpoch) {
+        if self.table.note_epoch(group, epoch) {
+            self.lose_group(step, group);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/groups/targets.rs
@@ -0,0 +1,170 @@
+//! Targets of the zone: the platform's list and own observations.
+
+use std::{collections::HashSet, time::Duration};
+
+use crate::{
+    effect::EntryEffect,
+    event::{ExchangeError, ListedInstance, ListedRole},
+    ids::MonotonicTime,
+    log::{TARGET_LEAVING, TARGET_RECOVERED, TARGET_SUSPECT},
+    membership::{TargetEntry, TargetState},
+    reducer::step::{StepContext, TargetObservation},
+};
+
+use super::{GroupChange, GroupPart};
+
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+const LIST_PATIENCE: Duration = Duration::from_secs(3);
+/// A target that this many successful lists in a row lack has ended.
+const ABSENT_LISTS: u32 = 3;
+/// Unanswered exchanges in a row that make a target suspect.
+const SILENT_EXCHANGES: u32 = 3;
+
+/// When the list is fetched.
+#[derive(Debug, Default)]
+pub(super) struct ListSchedule {
+    next: MonotonicTime,
+    waiting_since: Option<MonotonicTime>,
+}
+
+impl GroupPart {
+    pub(super) fn fetch_list(&mut self, step: &mut StepContext) {
+        let now = step.now();
+        let schedule = &mut self.schedule;
+        if schedule.waiting_since.is_some_and(|since| now < since + LIST_PATIENCE) {
+            return;
+        }
+        if now < schedule.next {
+            return;
+        }
+        schedule.next = now + LIST_INTERVAL;
+        schedule.waiting_since = Some(now);
+        step.push(EntryEffect::FetchList);
+    }
+
+    /// Handles the platform's list.
+    pub fn on_list_fetched(
+        &mut self,
+        step: &mut StepContext,
+        result: Result<Vec<ListedInstance>, ExchangeError>,
+    ) {
+        self.schedule.waiting_since = None;
+        let Ok(list) = result else { return };
+        let entries = list.iter().filter(|listed| listed.role == ListedRole::Entry);
+        let entries = entries.map(|listed| listed.name.clone()).collect();
+        self.listing.on_list(entries, step.now());
+        let mut seen = HashSet::new();
+        for listed in list {
+            if listed.zone == self.zone && listed.role != ListedRole::Entry {
+                seen.insert(listed.name.clone());
+                self.note_listed(step, listed);
+            }
+        }
+        self.end_absent(&seen);
+    }
+
+    fn note_listed(&mut self, step: &mut StepContext, listed: ListedInstance) {
+        let name = listed.name.clone();
+        self.absences.remove(&name);
+        let entry = TargetEntry::from_listed(listed, self.groups_per_zone);
+        let Some((_, known)) = self.targets.by_name(&name) else {
+            self.add_target(step, entry);
+            return;
+        };
+        if known.address != entry.address || known.machine != entry.machine {
+            self.end_target(&name);
+            self.add_target(step, entry);
+            return;
+        }
+        if entry.state == TargetState::Leaving {
+            self.leave_target(step, &name);
+        } else if known.state == TargetState::Leaving && !self.left.contains(&name) {
+            // The list took the departure back; only an answer makes the target live again.
+            self.set_target(&name, TargetState::Suspect);
+        }
+        if self.targets.set_listed(&name, entry.role, entry.rack) {
+            self.changes.push(GroupChange::TargetChanged { name });
+        }
+    }
+
+    fn add_target(&mut self, step: &mut StepContext, entry: TargetEntry) {
+        let name = entry.name.clone();
+        if entry.state == TargetState::Leaving {
+            step.log(TARGET_LEAVING, name.clone());
+        }
+        self.targets.insert(entry);
+        self.changes.push(GroupChange::TargetChanged { name });
+    }
+
+    fn end_target(&mut self, name: &str) {
+        self.absences.remove(name);
+        self.silences.remove(name);
+        self.left.remove(name);
+        if let Some(target) = self.targets.remove(name) {
+            let change = GroupChange::TargetEnded { name: target.name, group: target.group };
+            self.changes.push(change);
+        }
+    }
+
+    fn end_absent(&mut self, seen: &HashSet<String>) {
+        let names = self.targets.targets.values().map(|target| &target.name);
+        let absent: Vec<_> = names.filter(|name| !seen.contains(*name)).cloned().collect();
+        for name in absent {
+            let absences = self.absences.entry(name.clone()).or_default();
+            *absences += 1;
+            if *absences >= ABSENT_LISTS {
+                self.end_target(&name);
+            }
+        }
+    }
+
+    /// Notes what another part saw of a target.
+    pub fn observe_target(&mut self, step: &mut StepContext, observation: &TargetObservation) {
+        match observation {
+            TargetObservation::Answered(name) => self.on_target_answered(step, name),
+            TargetObservation::Silent(name) => self.on_target_silent(step, name),
+            TargetObservation::Leaving(name) => {
+                if self.targets.by_name(name).is_some() {
+                    self.left.insert(name.clone());
+                    self.leave_target(step, name);
+                }
+            }
+        }
+    }
+
+    fn on_target_answered(&mut self, step: &mut StepContext, name: &str) {
+        self.silences.remove(name);
+        if self.state_of(name) == Some(TargetState::Suspect) {
+            self.set_target(name, TargetState::Live);
+            step.log(TARGET_RECOVERED, name);
+        }
+    }
+
+    fn on_target_silent(&mut self, step: &mut StepContext, name: &str) {
+        let Some(state) = self.state_of(name) else { return };
+        let silences = self.silences.entry(name.to_owned()).or_default();
+        *silences += 1;
+        if *silences >= SILENT_EXCHANGES && state == TargetState::Live {
+            self.set_target(name, TargetState::Suspect);
+            step.log(TARGET_SUSPECT, name);
+        }
+    }
+
+    fn leave_target(&mut self, step: &mut StepContext, name: &str) {
+        if self.set_target(name, TargetState::Leaving) {
+            step.log(TARGET_LEAVING, name);
+        }
+    }
+
+    fn set_target(&mut self, name: &str, state: TargetState) -> bool {
+        let changed = self.targets.set_state(name, state);
+        if changed {
+            self.changes.push(GroupChange::TargetChanged { name: name.to_owned() });
+        }
+        changed
+    }
+
+    fn state_of(&self, name: &str) -> Option<TargetState> {
+        self.targets.by_name(name).map(|(_, target)| target.state)
+    }
+}
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -13,7 +13,7 @@
     effect::{CallerAnswer, EntryEffect},
     event::{EntryEvent, StateQuery},
     ids::{ExchangeId, MonotonicTime, ReplyId, StartNumber},
-    message::{PeerReply, PeerRequest},
+    message::{PeerDatagram, PeerReply, PeerRequest},
     settings::EntrySettings,
 };
 
@@ -168,6 +168,7 @@
                 self.groups.on_list_fetched(&mut self.step, result);
             }
             EntryEvent::DatagramReceived { from, datagram } => {
+                self.compare_config(&datagram);
                 self.groups.on_datagram(&mut self.step, &self.config, from, datagram);
             }
             EntryEvent::PeerAsked { reply, request } => self.on_peer_asked(reply, request),
@@ -180,6 +181,16 @@
         }
     }
 
+    /// Compares the set of profiles that a peer's heartbeat shows with the own one.
+    fn compare_config(&mut self, datagram: &PeerDatagram) {
+        let PeerDatagram::Heartbeat(heartbeat) = datagram else { return };
+        if heartbeat.from.instance == self.step.settings.instance {
+            return;
+        }
+        let (revision, checksum) = (heartbeat.config_revision, heartbeat.config_checksum);
+        self.config.on_peer_set(&mut self.step, heartbeat.address, revision, checksum);
+    }
+
     fn on_tick(&mut self, wall: std::time::SystemTime) {
         self.step.set_wall(wall);
         self.config.on_tick(&mut self.step, &self.groups);
@@ -237,7 +248,7 @@
                 self.calls.on_peer_tickets(step, call_view!(self), reply, count);
             }
             PeerRequest::FetchConfig => {
-                let answer = PeerReply::Config(self.config.changes());
+                let answer = self.config.set_for_peer();
                 step.push(EntryEffect::AnswerPeer { reply, answer });
             }
             PeerRequest::HandOver { group, epoch, next_sequence, tickets } => {
