--- a/crates/cuminbank/src/lib.rs
+++ b/crates/cuminbank/src/lib.rs
@@ -4,14 +4,18 @@
 //! which it happened and returns effects as data. It reads no clock, does no I/O and draws no
 //! randomness but from the seed it was given, so that a run can be repeated exactly.
 
+pub mod admission;
 pub mod effect;
 pub mod event;
+pub mod health;
 pub mod ids;
 pub mod log;
 pub mod membership;
 pub mod message;
+pub mod placement;
 pub mod profile;
 pub mod reducer;
+pub mod runtimes;
 pub mod settings;
 pub mod store;
 pub mod worker;
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -53,6 +53,7 @@
     TARGET_QUARANTINED = (202, Warn, "A target was quarantined because it fails what it starts.");
     TARGET_RELEASED = (203, Info, "A target left quarantine.");
     CONNECTION_SILENT = (204, Warn, "A connection was silent for too long and was closed.");
+    CALLS_INHERITED = (205, Info, "An executor runs calls of an earlier owner; they keep their slots.");
     JOURNAL_LOADED = (301, Info, "The task ledger of a group was loaded.");
     JOURNAL_FENCED = (302, Warn, "A journal write was refused because the group has a new owner.");
     TASK_EVICTED = (303, Info, "A task was evicted with its checkpoint.");
--- /dev/null
+++ b/crates/cuminbank/src/placement.rs
@@ -0,0 +1,425 @@
+//! Slots of executors: who holds them, and which executor takes the next call.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+};
+
+use rand::Rng;
+use slotmap::{new_key_type, SlotMap};
+
+use crate::ids::{ClassName, GroupIndex, MachineName, MonotonicTime, TargetName};
+
+new_key_type! {
+    /// Key of an executor.
+    pub struct ExecutorKey;
+    /// Key of a held slot.
+    pub struct HoldKey;
+}
+
+/// Executors with the fewest calls that a decision looks at; a constant, so that the cost of a
+/// decision does not depend on the number of executors.
+const LEAST_LOADED_CANDIDATES: usize = 6;
+/// Executors drawn at random in addition, so that an executor with a low slowdown is found even
+/// when others have fewer calls.
+const RANDOM_CANDIDATES: usize = 6;
+/// Weight of the share of slots in use against the predicted slowdown. An executor that is half
+/// full then equals an empty one whose neighbours slow it by a quarter.
+const LOAD_WEIGHT: f64 = 0.5;
+/// Added to the score of an executor to avoid: it is chosen only when it is the only candidate.
+const AVOIDED_PENALTY: f64 = 1e9;
+
+/// What an executor is, as the platform's list describes it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExecutorSpec {
+    /// Name.
+    pub name: TargetName,
+    /// Machine.
+    pub machine: MachineName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Group.
+    pub group: GroupIndex,
+    /// Calls that it can hold.
+    pub slots: u32,
+}
+
+/// An executor with the slots in use.
+#[derive(Debug)]
+pub struct ExecutorSlots {
+    /// What it is.
+    pub spec: ExecutorSpec,
+    accepting: bool,
+    assumed_full: bool,
+    held: u32,
+    long: u32,
+    inherited: BTreeMap<String, MonotonicTime>,
+    classes: BTreeMap<ClassName, u32>,
+    position: Option<usize>,
+}
+
+#[derive(Debug)]
+struct SlotHold {
+    executor: ExecutorKey,
+    class: ClassName,
+    long: bool,
+}
+
+/// Executors of a group, ordered by the slots in use.
+#[derive(Debug, Default)]
+struct GroupShelf {
+    open: BTreeSet<(u32, ExecutorKey)>,
+    open_long: BTreeSet<(u32, ExecutorKey)>,
+    accepting: Vec<ExecutorKey>,
+    slots: u64,
+    long: u64,
+}
+
+/// Slots held on all executors, with an index of those that have a free one.
+///
+/// A slot is only given by [`SlotLedger::hold`], which refuses when the executor is full; inherited
+/// calls and executors that were not probed yet count as held.
+#[derive(Debug)]
+pub struct SlotLedger {
+    executors: SlotMap<ExecutorKey, ExecutorSlots>,
+    holds: SlotMap<HoldKey, SlotHold>,
+    by_name: HashMap<TargetName, ExecutorKey>,
+    by_machine: HashMap<MachineName, BTreeSet<ExecutorKey>>,
+    shelves: BTreeMap<GroupIndex, GroupShelf>,
+    long_limit: u32,
+}
+
+/// Which executors suit a call.
+#[derive(Clone, Copy, Debug)]
+pub struct PickQuery {
+    /// Group.
+    pub group: GroupIndex,
+    /// Whether the call counts against the bound on long calls.
+    pub long: bool,
+    /// Executor to use only when there is no other.
+    pub avoid: Option<ExecutorKey>,
+}
+
+impl ExecutorSlots {
+    /// Returns the slots in use, inherited calls included.
+    pub fn used(&self) -> u32 {
+        if self.assumed_full {
+            return self.spec.slots.max(self.held);
+        }
+        self.held + self.inherited.len() as u32
+    }
+
+    /// Returns the slots held by own calls.
+    pub fn held(&self) -> u32 {
+        self.held
+    }
+
+    /// Returns the slots held by own long calls.
+    pub fn long(&self) -> u32 {
+        self.long
+    }
+
+    /// Returns the number of inherited calls.
+    pub fn inherited(&self) -> usize {
+        self.inherited.len()
+    }
+
+    /// Tells whether the executor counts as full because no probe has shown what it runs.
+    pub fn is_assumed_full(&self) -> bool {
+        self.assumed_full
+    }
+
+    /// Tells whether the executor takes new calls.
+    pub fn is_accepting(&self) -> bool {
+        self.accepting
+    }
+
+    fn is_open(&self) -> bool {
+        self.accepting && self.used() < self.spec.slots
+    }
+
+    fn load(&self) -> f64 {
+        f64::from(self.used()) / f64::from(self.spec.slots.max(1))
+    }
+}
+
+impl SlotLedger {
+    /// Creates an empty ledger; at most `long_limit` slots of an executor run long calls.
+    pub fn new(long_limit: u32) -> Self {
+        Self {
+            executors: SlotMap::with_key(),
+            holds: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            by_machine: HashMap::new(),
+            shelves: BTreeMap::new(),
+            long_limit,
+        }
+    }
+
+    /// Adds an executor or changes what is known of it. A new one, or one with a new address or
+    /// group, counts as full until [`SlotLedger::settle`]; a new one takes no calls until
+    /// [`SlotLedger::set_accepting`].
+    pub fn upsert(&mut self, spec: ExecutorSpec) -> ExecutorKey {
+        let Some(&key) = self.by_name.get(&spec.name) else { return self.insert(spec) };
+        if self.executors[key].spec == spec {
+            return key;
+        }
+        self.unshelve(key);
+        let known = &self.executors[key].spec;
+        let moved = known.address != spec.address || known.group != spec.group;
+        let machine = std::mem::replace(&mut self.executors[key].spec, spec).machine;
+        if let Some(keys) = self.by_machine.get_mut(&machine) {
+            keys.remove(&key);
+        }
+        let machine = self.executors[key].spec.machine.clone();
+        self.by_machine.entry(machine).or_default().insert(key);
+        self.executors[key].assumed_full |= moved;
+        self.shelve(key);
+        key
+    }
+
+    fn insert(&mut self, spec: ExecutorSpec) -> ExecutorKey {
+        let (name, machine) = (spec.name.clone(), spec.machine.clone());
+        let key = self.executors.insert(ExecutorSlots {
+            spec,
+            accepting: false,
+            assumed_full: true,
+            held: 0,
+            long: 0,
+            inherited: BTreeMap::new(),
+            classes: BTreeMap::new(),
+            position: None,
+        });
+        self.by_name.insert(name, key);
+        self.by_machine.entry(machine).or_default().insert(key);
+        self.shelve(key);
+        key
+    }
+
+    /// Removes an executor on which no slot is held; returns whether it was removed.
+    pub fn remove(&mut self, key: ExecutorKey) -> bool {
+        if self.executors.get(key).is_none_or(|executor| executor.held > 0) {
+            return false;
+        }
+        self.unshelve(key);
+        let Some(executor) = self.executors.remove(key) else { return false };
+        self.by_name.remove(&executor.spec.name);
+        if let Some(keys) = self.by_machine.get_mut(&executor.spec.machine) {
+            keys.remove(&key);
+            if keys.is_empty() {
+                self.by_machine.remove(&executor.spec.machine);
+            }
+        }
+        true
+    }
+
+    /// Returns an executor.
+    pub fn get(&self, key: ExecutorKey) -> Option<&ExecutorSlots> {
+        self.executors.get(key)
+    }
+
+    /// Returns the key of an executor.
+    pub fn key_of(&self, name: &str) -> Option<ExecutorKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns all executors.
+    pub fn iter(&self) -> impl Iterator<Item = (ExecutorKey, &ExecutorSlots)> {
+        self.executors.iter()
+    }
+
+    /// Sets whether an executor takes new calls.
+    pub fn set_accepting(&mut self, key: ExecutorKey, accepting: bool) {
+        self.change(key, |executor| executor.accepting = accepting);
+    }
+
+    /// Counts an executor as full until [`SlotLedger::settle`].
+    pub fn assume_full(&mut self, key: ExecutorKey) {
+        self.change(key, |executor| executor.assumed_full = true);
+    }
+
+    /// Notes the foreign call ids that a probe sent at `sent_at` listed at `now`. An id that was
+    /// already known keeps its slot until a probe that was sent later no longer lists it.
+    pub fn settle(
+        &mut self,
+        key: ExecutorKey,
+        foreign: impl IntoIterator<Item = String>,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        let listed: BTreeSet<String> = foreign.into_iter().collect();
+        self.change(key, |executor| {
+            executor.inherited.retain(|id, known_at| listed.contains(id) || sent_at < *known_at);
+            for id in listed {
+                executor.inherited.entry(id).or_insert(now);
+            }
+            executor.assumed_full = false;
+        });
+    }
+
+    /// Holds a slot for a call, or returns `None` if the executor is full or takes no calls.
+    pub fn hold(&mut self, key: ExecutorKey, class: &str, long: bool) -> Option<HoldKey> {
+        if !self.executors.get(key)?.is_open() {
+            return None;
+        }
+        self.change(key, |executor| {
+            executor.held += 1;
+            executor.long += u32::from(long);
+            *executor.classes.entry(class.to_owned()).or_default() += 1;
+        });
+        Some(self.holds.insert(SlotHold { executor: key, class: class.to_owned(), long }))
+    }
+
+    /// Frees a slot.
+    pub fn release(&mut self, hold: HoldKey) {
+        let Some(SlotHold { executor: key, class, long }) = self.holds.remove(hold) else { return };
+        self.change(key, |executor| {
+            executor.held -= 1;
+            executor.long -= u32::from(long);
+            if let Some(count) = executor.classes.get_mut(&class) {
+                *count -= 1;
+                if *count == 0 {
+                    executor.classes.remove(&class);
+                }
+            }
+        });
+    }
+
+    /// Counts a running call as long from now on.
+    pub fn mark_long(&mut self, hold: HoldKey) {
+        let Some(record) = self.holds.get_mut(hold).filter(|record| !record.long) else { return };
+        record.long = true;
+        let key = record.executor;
+        self.change(key, |executor| executor.long += 1);
+    }
+
+    /// Returns the best executor among a constant number of candidates. `slowdown` predicts how
+    /// much the neighbours on a machine slow the call, 1.0 being none.
+    pub fn pick(
+        &self,
+        query: PickQuery,
+        rng: &mut impl Rng,
+        mut slowdown: impl FnMut(&ExecutorSlots) -> f64,
+    ) -> Option<ExecutorKey> {
+        let shelf = self.shelves.get(&query.group)?;
+        let set = if query.long { &shelf.open_long } else { &shelf.open };
+        let mut best: Option<(f64, ExecutorKey)> = None;
+        let mut weigh = |key: ExecutorKey| {
+            let executor = &self.executors[key];
+            let penalty = if query.avoid == Some(key) { AVOIDED_PENALTY } else { 0.0 };
+            let score = slowdown(executor) + LOAD_WEIGHT * executor.load() + penalty;
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, key));
+            }
+        };
+        set.iter().take(LEAST_LOADED_CANDIDATES).for_each(|&(_, key)| weigh(key));
+        if set.len() > LEAST_LOADED_CANDIDATES {
+            for _ in 0..RANDOM_CANDIDATES {
+                let key = shelf.accepting[rng.random_range(0..shelf.accepting.len())];
+                if set.contains(&(self.executors[key].used(), key)) {
+                    weigh(key);
+                }
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Returns the executor of a group with the fewest calls and a free slot.
+    pub fn least_loaded(&self, query: PickQuery) -> Option<ExecutorKey> {
+        let open = &self.shelves.get(&query.group)?.open;
+        let other = open.iter().map(|&(_, key)| key).take(2).find(|&key| Some(key) != query.avoid);
+        other.or_else(|| open.first().map(|&(_, key)| key))
+    }
+
+    /// Returns any executor of a group that takes calls, full or not.
+    pub fn random(&self, group: GroupIndex, rng: &mut impl Rng) -> Option<ExecutorKey> {
+        let accepting = &self.shelves.get(&group)?.accepting;
+        (!accepting.is_empty()).then(|| accepting[rng.random_range(0..accepting.len())])
+    }
+
+    /// Tells whether an executor of a group has a free slot for a call.
+    pub fn has_free(&self, group: GroupIndex, long: bool) -> bool {
+        self.shelves.get(&group).is_some_and(|shelf| {
+            let set = if long { &shelf.open_long } else { &shelf.open };
+            !set.is_empty()
+        })
+    }
+
+    /// Returns the slots that own calls can use on the executors of a group that take calls.
+    pub fn usable_slots(&self, group: GroupIndex) -> u64 {
+        self.shelves.get(&group).map_or(0, |shelf| shelf.slots)
+    }
+
+    /// Returns the slots that long calls can use.
+    pub fn usable_long_slots(&self, group: GroupIndex) -> u64 {
+        let limit = u64::from(self.long_limit);
+        self.shelves
+            .get(&group)
+            .map_or(0, |shelf| shelf.slots.min(limit * shelf.accepting.len() as u64))
+    }
+
+    /// Returns the slots that long calls hold on the executors of a group that take calls.
+    pub fn long_held(&self, group: GroupIndex) -> u64 {
+        self.shelves.get(&group).map_or(0, |shelf| shelf.long)
+    }
+
+    /// Returns the classes that run on the executors of a machine, with the number of calls.
+    pub fn classes_on(&self, machine: &str) -> Vec<(ClassName, u32)> {
+        let mut classes: BTreeMap<&ClassName, u32> = BTreeMap::new();
+        let keys = self.by_machine.get(machine).into_iter().flatten();
+        for (class, count) in keys.flat_map(|&key| &self.executors[key].classes) {
+            *classes.entry(class).or_default() += count;
+        }
+        classes.into_iter().map(|(class, count)| (class.clone(), count)).collect()
+    }
+
+    fn change(&mut self, key: ExecutorKey, change: impl FnOnce(&mut ExecutorSlots)) {
+        if !self.executors.contains_key(key) {
+            return;
+        }
+        self.unshelve(key);
+        change(&mut self.executors[key]);
+        self.shelve(key);
+    }
+
+    fn unshelve(&mut self, key: ExecutorKey) {
+        let Some(executor) = self.executors.get_mut(key) else { return };
+        let Some(position) = executor.position.take() else { return };
+        let Some(shelf) = self.shelves.get_mut(&executor.spec.group) else { return };
+        let entry = (executor.used(), key);
+        shelf.open.remove(&entry);
+        shelf.open_long.remove(&entry);
+        shelf.slots -= own_slots(executor);
+        shelf.long -= u64::from(executor.long);
+        shelf.accepting.swap_remove(position);
+        if let Some(&moved) = shelf.accepting.get(position) {
+            self.executors[moved].position = Some(position);
+        }
+    }
+
+    fn shelve(&mut self, key: ExecutorKey) {
+        let executor = &mut self.executors[key];
+        if !executor.accepting {
+            return;
+        }
+        let shelf = self.shelves.entry(executor.spec.group).or_default();
+        executor.position = Some(shelf.accepting.len());
+        shelf.accepting.push(key);
+        shelf.slots += own_slots(executor);
+        shelf.long += u64::from(executor.long);
+        if executor.is_open() {
+            shelf.open.insert((executor.used(), key));
+            if executor.long < self.long_limit {
+                shelf.open_long.insert((executor.used(), key));
+            }
+        }
+    }
+}
+
+/// Returns the slots of an executor that own calls can use.
+fn own_slots(executor: &ExecutorSlots) -> u64 {
+    if executor.assumed_full {
+        return 0;
+    }
+    u64::from(executor.spec.slots).saturating_sub(executor.inherited.len() as u64)
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/answers.rs
@@ -0,0 +1,150 @@
+//! Final answers: to callers and peers, into ticket states, and into the day record.
+
+use std::time::Duration;
+
+use crate::{
+    admission::ReturnSchedule,
+    effect::{CallOutcome, CallerAnswer, EntryEffect, MetricSample, MetricValue},
+    ids::RequestTicket,
+    log,
+    message::PeerReply,
+    reducer::records::{CallSample, RecordPart},
+    reducer::step::StepContext,
+};
+
+use super::{
+    state::{CallKey, CallRecord, CallWaiter, WaiterOrigin},
+    CallContext, CallPart,
+};
+
+/// Time between two calls that are served, while no run time is known.
+const DEFAULT_STEP: Duration = Duration::from_millis(10);
+/// Time for the queue to drain, while no executor takes calls: about that of a takeover.
+const DEFAULT_DRAIN: Duration = Duration::from_secs(5);
+
+impl CallPart {
+    /// Gives a call its final answer.
+    pub(super) fn finish(
+        &mut self,
+        context: &mut CallContext<'_>,
+        key: CallKey,
+        answer: CallerAnswer,
+    ) {
+        let Some(record) = self.calls.remove(key) else { return };
+        self.settle_ticket(&record, &answer);
+        for waiter in record.waiters {
+            self.answer_waiter(context.step, context.records, waiter, answer.clone());
+        }
+    }
+
+    /// Ends a call that will not be run again: it did not run if no byte of it can have left.
+    pub(super) fn give_up(&mut self, context: &mut CallContext<'_>, key: CallKey, reason: &str) {
+        let Some(record) = self.calls.get_mut(key) else { return };
+        let fallback = record.fallback.take();
+        let (bytes_left, group) = (record.bytes_left, record.group);
+        let answer = match fallback {
+            Some(answer) => answer,
+            None if bytes_left => CallerAnswer::new_unknown(reason),
+            None => CallerAnswer::new_busy(reason, self.return_delay(context.step, group)),
+        };
+        self.finish(context, key, answer);
+    }
+
+    /// Answers a caller or peer and counts the call where its caller is connected.
+    pub(super) fn answer_waiter(
+        &mut self,
+        step: &mut StepContext,
+        records: &mut RecordPart,
+        waiter: CallWaiter,
+        answer: CallerAnswer,
+    ) {
+        let waits = self.owed.settle(waiter.reply);
+        if waiter.origin == WaiterOrigin::Peer {
+            let answer = PeerReply::Answer(answer);
+            step.push(EntryEffect::AnswerPeer { reply: waiter.reply, answer });
+            return;
+        }
+        count_answer(step, records, &waiter, &answer);
+        if waits {
+            step.answer(waiter.reply, answer);
+        }
+    }
+
+    /// Tells a peer that nothing was done, so that it may ask another owner.
+    pub(super) fn return_to_peer(&mut self, step: &mut StepContext, waiter: &CallWaiter) {
+        self.owed.settle(waiter.reply);
+        let answer = PeerReply::NotOwner;
+        step.push(EntryEffect::AnswerPeer { reply: waiter.reply, answer });
+    }
+
+    /// Draws when a refused caller should come back to a group.
+    pub(super) fn return_delay(&mut self, step: &mut StepContext, group: u16) -> Duration {
+        let slots = self.executors.usable_slots(group);
+        let now = step.now();
+        let Some(term) = self.terms.get_mut(&group).filter(|_| slots > 0) else {
+            return self.returns.draw(&mut step.rng, now, DEFAULT_DRAIN, DEFAULT_STEP);
+        };
+        let slots = slots as f64;
+        let drain = (term.queue.cost(false) + term.queue.cost(true)).div_f64(slots);
+        let mean = self.runtimes.mean_of_all();
+        let step_time = mean.map_or(DEFAULT_STEP, |mean| mean.div_f64(slots));
+        ReturnSchedule::draw(&mut term.returns, &mut step.rng, now, drain, step_time)
+    }
+
+    fn settle_ticket(&mut self, record: &CallRecord, answer: &CallerAnswer) {
+        let Some(ticket) = &record.call.ticket else { return };
+        let RequestTicket { group, .. } = ticket;
+        if let Some(term) = self.terms.get_mut(group).filter(|term| term.epoch == record.epoch) {
+            term.tickets.end(ticket, answer);
+        } else if let Some(term) =
+            self.ended.get_mut(group).filter(|term| term.epoch == record.epoch)
+        {
+            term.tickets.end(ticket, answer);
+        }
+    }
+}
+
+fn count_answer(
+    step: &mut StepContext,
+    records: &mut RecordPart,
+    waiter: &CallWaiter,
+    answer: &CallerAnswer,
+) {
+    let now = step.now();
+    let done = answer.outcome == CallOutcome::Done;
+    let elapsed = now.saturating_sub(waiter.arrived);
+    records.count_call(&CallSample {
+        profile: waiter.profile.clone(),
+        customer: waiter.customer.clone(),
+        class: waiter.class.clone(),
+        outcome: answer.outcome,
+        on_time: done && waiter.deadline.is_some_and(|deadline| now <= deadline),
+        confirms_slot: waiter.confirms_slot && done && (200..300).contains(&answer.status),
+        elapsed,
+    });
+    if answer.outcome == CallOutcome::Unknown {
+        let detail = format!(
+            "profile {}, customer {}, class {}, after {} ms",
+            waiter.profile,
+            waiter.customer,
+            waiter.class,
+            elapsed.as_millis()
+        );
+        step.log(log::CALL_OUTCOME_UNKNOWN, detail);
+    }
+    let name = match answer.outcome {
+        CallOutcome::Done => "calls.done",
+        CallOutcome::Accepted => "calls.accepted",
+        CallOutcome::NotRun => "calls.not_run",
+        CallOutcome::Unknown => "calls.unknown",
+    };
+    for (name, value) in [(name, MetricValue::Count(1)), ("calls.time", MetricValue::Time(elapsed))]
+    {
+        step.metric(MetricSample {
+            name,
+            class: waiter.class.clone(),
+            customer: waiter.customer.clone(),
+            value,
+        });
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/arrival.rs
@@ -0,0 +1,282 @@
+//! Arrival of calls: checks, tickets, and the choice of the group.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::{
+    effect::CallerAnswer,
+    event::CallRequest,
+    ids::{GroupIndex, MonotonicTime, RequestTicket},
+    profile::{WorkKind, WorkProfile},
+    reducer::CallView,
+};
+
+use super::{
+    queueing::UNKNOWN_WAIT,
+    state::{digest_of, CallRecord, CallStage, CallWaiter, WaiterOrigin},
+    tickets::TicketVerdict,
+    CallContext, CallPart,
+};
+
+/// How long a call without a known profile waits for the owner of its ticket.
+const HOME_WAIT: Duration = Duration::from_secs(5);
+
+impl CallPart {
+    /// Sends a caller's call to its home, to an owned group or to a peer.
+    pub(super) fn route(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        call: CallRequest,
+    ) {
+        if let Some(ticket) = call.ticket.clone() {
+            self.route_to_home(context, waiter, call, &ticket);
+            return;
+        }
+        let profile = match check_call(context.view, &call) {
+            Ok(profile) => profile,
+            Err(answer) => {
+                self.answer_waiter(context.step, context.records, waiter, answer);
+                return;
+            }
+        };
+        let local = self.best_local(context, &call, profile);
+        let local_wait = local.map(|(_, wait)| wait);
+        if local_wait.is_none_or(|wait| wait > Duration::ZERO) {
+            if let Some((address, group)) = self.better_peer(context, local_wait) {
+                self.forward(context, waiter, call, address, group);
+                return;
+            }
+        }
+        let Some((group, _)) = local else {
+            self.wait_for_owner(context, waiter, call);
+            return;
+        };
+        let profile = profile.clone();
+        self.admit(context, waiter, group, call, &profile);
+    }
+
+    /// Takes a call that a peer forwarded for a group.
+    pub(super) fn accept_forwarded(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        group: GroupIndex,
+        call: CallRequest,
+    ) {
+        let now = context.now();
+        if !self.terms.contains_key(&group) || context.view.groups.right_until(group, now).is_none()
+        {
+            self.return_to_peer(context.step, &waiter);
+            return;
+        }
+        if let Some(ticket) = call.ticket.clone() {
+            if ticket.zone != self.zone || ticket.group != group {
+                self.return_to_peer(context.step, &waiter);
+                return;
+            }
+            self.accept_at_home(context, waiter, call, &ticket);
+            return;
+        }
+        match check_call(context.view, &call) {
+            Ok(profile) => {
+                let profile = profile.clone();
+                self.admit(context, waiter, group, call, &profile);
+            }
+            Err(answer) => self.answer_waiter(context.step, context.records, waiter, answer),
+        }
+    }
+
+    /// Sends a call with a ticket to the group that issued it. Only the home knows whether the
+    /// request ran before, so no other instance may refuse it.
+    fn route_to_home(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        call: CallRequest,
+        ticket: &RequestTicket,
+    ) {
+        if ticket.zone == self.zone && self.terms.contains_key(&ticket.group) {
+            self.accept_at_home(context, waiter, call, ticket);
+            return;
+        }
+        let now = context.now();
+        let owner = context.view.groups.owner_of(&ticket.zone, ticket.group, now);
+        match owner {
+            Some((address, _)) => self.forward(context, waiter, call, address, ticket.group),
+            None => self.wait_for_owner(context, waiter, call),
+        }
+    }
+
+    fn accept_at_home(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        call: CallRequest,
+        ticket: &RequestTicket,
+    ) {
+        let (now, digest) = (context.now(), digest_of(&call));
+        let Some(term) = self.terms.get_mut(&ticket.group) else { return };
+        let answer = match term.tickets.look_up(ticket, digest, now) {
+            TicketVerdict::New => {
+                self.begin_ticketed(context, waiter, call, ticket, digest);
+                return;
+            }
+            TicketVerdict::Join(key) => {
+                if let Some(record) = self.calls.get_mut(key) {
+                    record.waiters.push(waiter);
+                    return;
+                }
+                CallerAnswer::new_unknown("the state of the ticket is incomplete")
+            }
+            TicketVerdict::Later
+                if context.view.groups.right_until(ticket.group, now).is_none() =>
+            {
+                // A later owner may exist that this instance has not heard of.
+                self.return_or_wait(context, waiter, call);
+                return;
+            }
+            TicketVerdict::Ended(answer) => answer,
+            TicketVerdict::Conflict => {
+                CallerAnswer::new_not_run(409, "the ticket was used for a different request")
+            }
+            TicketVerdict::NeverIssued | TicketVerdict::Later => {
+                CallerAnswer::new_not_run(400, "the ticket was never issued")
+            }
+            TicketVerdict::Forgotten => CallerAnswer::new_unknown(
+                "the state of the ticket has expired or was lost with an earlier owner",
+            ),
+        };
+        self.answer_waiter(context.step, context.records, waiter, answer);
+    }
+
+    /// Runs the request of a ticket for the first time. A refusal is stored with the ticket, so
+    /// that a delayed copy of the request is refused too.
+    fn begin_ticketed(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        call: CallRequest,
+        ticket: &RequestTicket,
+        digest: u64,
+    ) {
+        let now = context.now();
+        let checked = check_call(context.view, &call).cloned();
+        let refused = checked.as_ref().err().cloned();
+        let record = self.new_record(&waiter, ticket.group, call, checked.as_ref().ok());
+        let key = self.calls.insert(record);
+        if let Some(term) = self.terms.get_mut(&ticket.group) {
+            term.tickets.begin(ticket.clone(), digest, key, now);
+        }
+        self.calls[key].waiters.push(waiter);
+        match refused {
+            Some(answer) => self.finish(context, key, answer),
+            None => self.admit_record(context, key),
+        }
+    }
+
+    fn admit(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        group: GroupIndex,
+        call: CallRequest,
+        profile: &WorkProfile,
+    ) {
+        let mut record = self.new_record(&waiter, group, call, Some(profile));
+        record.waiters.push(waiter);
+        let key = self.calls.insert(record);
+        self.admit_record(context, key);
+    }
+
+    fn new_record(
+        &self,
+        waiter: &CallWaiter,
+        group: GroupIndex,
+        call: CallRequest,
+        profile: Option<&WorkProfile>,
+    ) -> CallRecord {
+        let (arrived, customer) = (waiter.arrived, &call.customer);
+        CallRecord {
+            group,
+            epoch: self.terms.get(&group).map_or(0, |term| term.epoch),
+            waiters: Vec::new(),
+            stage: CallStage::Queued,
+            arrived,
+            deadline: profile.map_or(arrived, |profile| arrived + profile.deadline()),
+            max_run: profile.map_or(Duration::ZERO, WorkProfile::max_run),
+            idempotent: profile.is_some_and(|profile| profile.idempotent),
+            weight: profile.map_or(1, |profile| profile.weight(customer)),
+            bytes_left: false,
+            fallback: None,
+            avoid: None,
+            call,
+        }
+    }
+
+    /// Returns the owned group with the least expected wait. Groups with the same wait are taken in
+    /// turn by a draw, so that they fill evenly.
+    fn best_local(
+        &self,
+        context: &mut CallContext<'_>,
+        call: &CallRequest,
+        profile: &WorkProfile,
+    ) -> Option<(GroupIndex, Duration)> {
+        let mut groups = context.view.groups.owned(context.now());
+        groups.retain(|group| self.terms.contains_key(group));
+        if groups.is_empty() {
+            return None;
+        }
+        let first = context.step.rng.random_range(0..groups.len());
+        groups.rotate_left(first);
+        let weight = profile.weight(&call.customer);
+        let wait = |group| self.wait_for(group, Some((call, weight))).unwrap_or(UNKNOWN_WAIT);
+        groups.into_iter().map(|group| (group, wait(group))).min_by_key(|&(_, wait)| wait)
+    }
+
+    /// Answers `NotOwner` to a peer; a caller's call waits until an owner is known.
+    pub(super) fn return_or_wait(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        call: CallRequest,
+    ) {
+        match waiter.origin {
+            WaiterOrigin::Peer => self.return_to_peer(context.step, &waiter),
+            WaiterOrigin::Caller => self.wait_for_owner(context, waiter, call),
+        }
+    }
+
+    /// Returns until when a call that has no owner waits for one.
+    pub(super) fn owner_wait_end(&self, waiter: &CallWaiter) -> MonotonicTime {
+        match waiter.deadline {
+            Some(deadline) => self.latest_start(&waiter.class, waiter.arrived, deadline),
+            None => waiter.arrived + HOME_WAIT,
+        }
+    }
+}
+
+/// Checks a call against the configuration in force.
+fn check_call<'a>(view: CallView<'a>, call: &CallRequest) -> Result<&'a WorkProfile, CallerAnswer> {
+    let refuse = |status, reason: &str| Err(CallerAnswer::new_not_run(status, reason));
+    if !view.config.is_ready() {
+        return refuse(503, "the instance has not read its configuration yet");
+    }
+    let Some(profile) = view.config.profile(&call.profile) else {
+        return refuse(404, "there is no such profile");
+    };
+    if profile.kind != WorkKind::Urgent {
+        return refuse(400, "the profile is for batch tasks; submit the work as a task");
+    }
+    if call.body.len() > profile.max_body_bytes {
+        return refuse(413, &format!("the body is over {} bytes", profile.max_body_bytes));
+    }
+    if call.ticket.is_none() && !profile.idempotent {
+        return refuse(
+            400,
+            "the profile is not idempotent: a ticket in Idempotency-Key is required",
+        );
+    }
+    Ok(profile)
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/dispatch.rs
@@ -0,0 +1,259 @@
+//! Dispatches to executors and their ends.
+
+use std::time::Duration;
+
+use crate::{
+    effect::{CallerAnswer, EntryEffect, MetricSample, MetricValue},
+    event::{ExchangeError, ExecutorAnswer},
+    ids::{ExchangeId, MonotonicTime},
+    placement::ExecutorKey,
+    reducer::step::ReducerPart,
+};
+
+use super::{
+    state::{CallKey, CallStage, DispatchFlight, LostCall},
+    CallContext, CallPart, TRANSIT_BOUND,
+};
+
+/// Status with which an executor refuses a call without running it.
+const REFUSED_STATUS: u16 = 503;
+
+impl CallPart {
+    /// Sends a call to an executor with a free slot.
+    pub(super) fn start(
+        &mut self,
+        context: &mut CallContext<'_>,
+        key: CallKey,
+        executor: ExecutorKey,
+        valid_until: MonotonicTime,
+    ) {
+        let now = context.now();
+        let Some(record) = self.calls.get_mut(key) else { return };
+        let (group, class) = (record.group, record.call.class.clone());
+        let long = self.runtimes.is_long(&class) == Some(true);
+        let Some(hold) = self.executors.hold(executor, &class, long) else {
+            self.requeue(context, key);
+            return;
+        };
+        let Some(term) = self.terms.get_mut(&group) else { return };
+        let call_id = format!("{}-{group}-{}-{}", self.zone, term.epoch, term.next_call);
+        term.next_call += 1;
+        record.stage = CallStage::Running;
+        let exchange = context.step.begin_exchange(ReducerPart::Calls);
+        let spec = &self.executors.get(executor).expect("a slot of it is held").spec;
+        context.step.push(EntryEffect::Dispatch {
+            exchange,
+            address: spec.address,
+            call_id: call_id.clone(),
+            body: record.call.body.clone(),
+            valid_until,
+            timeout: record.max_run,
+        });
+        self.health.note_start(&spec.name);
+        if let Some(watch) = self.watches.get_mut(executor) {
+            watch.flights.insert(call_id.clone(), exchange);
+        }
+        let flight = DispatchFlight {
+            call: key,
+            executor,
+            hold,
+            call_id,
+            started: now,
+            valid_until,
+            aborting: false,
+        };
+        self.flights.insert(exchange, flight);
+        self.unlabelled.push_back((now, exchange));
+        self.count_wait(context, key, long);
+        self.refresh(executor, now);
+        self.schedule_probe(executor, now + super::probes::BUSY_INTERVAL);
+    }
+
+    fn count_wait(&mut self, context: &mut CallContext<'_>, key: CallKey, long: bool) {
+        let Some(record) = self.calls.get(key) else { return };
+        let waited = context.now().saturating_sub(record.arrived);
+        let (profile, customer) = (&record.call.profile, &record.call.customer);
+        let behind_long = self.executors.long_held(record.group) > 0;
+        if !long && behind_long && waited > Duration::ZERO {
+            context.records.count_short_delay(profile, customer, waited);
+        }
+        context.step.metric(MetricSample {
+            name: "calls.wait",
+            class: record.call.class.clone(),
+            customer: customer.clone(),
+            value: MetricValue::Time(waited),
+        });
+    }
+
+    /// Handles the end of a dispatch.
+    pub(super) fn end_dispatch(
+        &mut self,
+        context: &mut CallContext<'_>,
+        exchange: ExchangeId,
+        result: Result<ExecutorAnswer, ExchangeError>,
+    ) {
+        let Some(flight) = self.flights.remove(&exchange) else { return };
+        if let Some(watch) = self.watches.get_mut(flight.executor) {
+            watch.flights.remove(&flight.call_id);
+        }
+        let executor = flight.executor;
+        let group = self.executors.get(executor).map(|slots| slots.spec.group);
+        match result {
+            Ok(answer) => self.end_answered(context, &flight, answer),
+            Err(ExchangeError::NotSent) => self.end_not_sent(context, &flight),
+            Err(ExchangeError::Refused(_)) => {
+                self.executors.release(flight.hold);
+                self.judge(context, &flight, false);
+                self.retry_refused(context, flight.call);
+            }
+            Err(ExchangeError::Lost) => self.end_lost(context, flight),
+        }
+        self.refresh(executor, context.now());
+        self.remove_if_ended(executor);
+        if let Some(group) = group {
+            self.pump(context, group);
+        }
+    }
+
+    fn end_answered(
+        &mut self,
+        context: &mut CallContext<'_>,
+        flight: &DispatchFlight,
+        answer: ExecutorAnswer,
+    ) {
+        self.executors.release(flight.hold);
+        let failed = answer.status >= 500;
+        self.judge(context, flight, !failed);
+        let key = flight.call;
+        let Some(record) = self.calls.get_mut(key) else { return };
+        record.bytes_left = true;
+        record.avoid = failed.then_some(flight.executor);
+        if answer.status == REFUSED_STATUS {
+            self.retry_refused(context, key);
+            return;
+        }
+        let idempotent = record.idempotent;
+        if !failed {
+            self.runtimes.record(&record.call.class, answer.elapsed);
+        }
+        let answer = CallerAnswer::new_done(answer.status, answer.body);
+        if failed && idempotent && self.take_retry(context, key) {
+            self.calls[key].fallback = Some(answer);
+            self.requeue(context, key);
+            return;
+        }
+        self.finish(context, key, answer);
+    }
+
+    fn end_not_sent(&mut self, context: &mut CallContext<'_>, flight: &DispatchFlight) {
+        let now = context.now();
+        self.executors.release(flight.hold);
+        if now < flight.valid_until {
+            // No connection: the executor gets no further calls until a probe succeeds.
+            self.judge(context, flight, false);
+            self.set_silent(flight.executor, now);
+        } else if let Some(slots) = self.executors.get(flight.executor) {
+            // The right to act had ended, which says nothing about the executor.
+            self.health.note_unjudged(&slots.spec.name);
+        }
+        if let Some(record) = self.calls.get_mut(flight.call) {
+            record.avoid = Some(flight.executor);
+        }
+        self.requeue(context, flight.call);
+    }
+
+    /// Handles a lost answer. The slot stays held until a probe shows that the call does not run.
+    fn end_lost(&mut self, context: &mut CallContext<'_>, flight: DispatchFlight) {
+        let now = context.now();
+        self.judge(context, &flight, false);
+        self.set_silent(flight.executor, now);
+        let DispatchFlight { call: key, executor, hold, call_id, started, valid_until, .. } =
+            flight;
+        let Some(record) = self.calls.get_mut(key) else { return };
+        record.bytes_left = true;
+        record.fallback = None;
+        record.avoid = Some(executor);
+        if now.saturating_sub(started) >= record.max_run {
+            self.runtimes.record(&record.call.class, now - started);
+        }
+        let ended = self.watches.get(executor).is_none_or(|watch| watch.ended);
+        let may_retry = record.idempotent && !ended;
+        // The bytes left at the latest when the right to act or the exchange ended; a probe that
+        // arrives before them would not list the call.
+        let settle_from = now.max(now.min(valid_until) + TRANSIT_BOUND);
+        if let Some(watch) = self.watches.get_mut(executor) {
+            let retry = may_retry.then_some(key);
+            watch.lost.push(LostCall { call_id, hold, settle_from, retry });
+        }
+        if !may_retry {
+            let answer = CallerAnswer::new_unknown("the answer of the executor was lost");
+            self.finish(context, key, answer);
+            return;
+        }
+        record.stage = CallStage::Settling;
+        let class = &self.calls[key].call.class;
+        let (arrived, deadline) = (self.calls[key].arrived, self.calls[key].deadline);
+        let give_up_at = self.latest_start(class, arrived, deadline);
+        self.settling.insert((give_up_at, key));
+    }
+
+    /// Runs a lost call again once a probe has shown that it does not run.
+    pub(super) fn retry_lost(&mut self, context: &mut CallContext<'_>, key: CallKey) {
+        // The call may have been given up before.
+        if self.calls.get(key).is_none_or(|record| record.stage != CallStage::Settling) {
+            return;
+        }
+        if self.take_retry(context, key) {
+            self.requeue(context, key);
+        } else {
+            self.give_up(context, key, "the answer of the executor was lost");
+        }
+    }
+
+    /// Ends calls that were not shown to have ended in time for another run.
+    pub(super) fn end_unsettled(&mut self, context: &mut CallContext<'_>) {
+        let now = context.now();
+        while let Some(&(give_up_at, key)) = self.settling.first() {
+            if now <= give_up_at {
+                return;
+            }
+            self.settling.pop_first();
+            if self.calls.get(key).is_some_and(|record| record.stage == CallStage::Settling) {
+                self.give_up(context, key, "the answer of the executor was lost");
+            }
+        }
+    }
+
+    /// Runs a call elsewhere that an executor refused without running it.
+    fn retry_refused(&mut self, context: &mut CallContext<'_>, key: CallKey) {
+        if let Some(record) = self.calls.get_mut(key) {
+            record.bytes_left = true;
+        }
+        if self.take_retry(context, key) {
+            self.requeue(context, key);
+        } else {
+            self.give_up(context, key, "the executor refused the call");
+        }
+    }
+
+    fn take_retry(&mut self, context: &CallContext<'_>, key: CallKey) -> bool {
+        let Some(record) = self.calls.get(key) else { return false };
+        self.budget.take_retry(&record.call.customer, context.now())
+    }
+
+    /// Counts running calls as long once they have run for longer than a short call does.
+    pub(super) fn label_long_calls(&mut self, now: MonotonicTime) {
+        let Some(limit) = self.runtimes.long_limit() else { return };
+        while let Some(&(started, exchange)) = self.unlabelled.front() {
+            let Some(flight) = self.flights.get(&exchange) else {
+                self.unlabelled.pop_front();
+                continue;
+            };
+            if now.saturating_sub(started) <= limit {
+                return;
+            }
+            self.executors.mark_long(flight.hold);
+            self.unlabelled.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/forwarding.rs
@@ -0,0 +1,245 @@
+//! Calls and ticket requests that a peer serves.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+
+use crate::{
+    effect::{CallerAnswer, EntryEffect},
+    event::{CallRequest, ExchangeError},
+    ids::{GroupIndex, ReplyId, RequestTicket, ZoneName},
+    message::{PeerReply, PeerRequest},
+    reducer::records::RecordPart,
+    reducer::step::{ReducerPart, StepContext},
+    reducer::CallView,
+};
+
+use super::{
+    state::{CallWaiter, ForwardFlight, PendingCall},
+    CallContext, CallPart,
+};
+
+/// Time by which a peer's wait has to be shorter than the own one. It covers the two ways of 1 ms
+/// and the age of the peer's figure, which comes with a heartbeat each 500 ms.
+const FORWARD_GAIN: Duration = Duration::from_millis(20);
+/// Assumed growth of a peer's wait with each call that was forwarded and is not answered yet.
+const FORWARD_LOAD: Duration = Duration::from_millis(2);
+/// Time between two tries to find the owner of a call.
+const OWNER_RETRY: Duration = Duration::from_millis(100);
+/// Time beyond deadline and run time for the answer of a peer: a lost answer takes a probe.
+const FORWARD_SLACK: Duration = Duration::from_secs(5);
+/// Longest deadline and run time, for a call whose profile is not known here.
+const LONGEST_FORWARD: Duration = Duration::from_secs(660);
+/// Longest time for a peer to issue tickets.
+const TICKET_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most tickets in one answer.
+const MAX_TICKETS: u32 = 100;
+
+impl CallPart {
+    /// Returns the owner of a group whose expected wait is clearly below the own one. Other zones
+    /// are asked only when no owner in this zone is known.
+    pub(super) fn better_peer(
+        &self,
+        context: &CallContext<'_>,
+        local_wait: Option<Duration>,
+    ) -> Option<(SocketAddr, GroupIndex)> {
+        let own_zone = self.peer_in_zone(context, &self.zone);
+        let best = match (own_zone, local_wait) {
+            (None, None) => {
+                let zones = context.step.settings.peers.keys();
+                let others = zones.filter(|zone| **zone != self.zone);
+                others.filter_map(|zone| self.peer_in_zone(context, zone)).min_by_key(|peer| peer.2)
+            }
+            (own_zone, _) => own_zone,
+        };
+        let (address, group, wait) = best?;
+        local_wait
+            .is_none_or(|local_wait| wait + FORWARD_GAIN < local_wait)
+            .then_some((address, group))
+    }
+
+    fn peer_in_zone(
+        &self,
+        context: &CallContext<'_>,
+        zone: &ZoneName,
+    ) -> Option<(SocketAddr, GroupIndex, Duration)> {
+        let groups = 0..context.step.settings.groups_per_zone;
+        let foreign = groups.filter(|group| *zone != self.zone || !self.terms.contains_key(group));
+        let owners = foreign.filter_map(|group| {
+            let (address, wait) = context.view.groups.owner_of(zone, group, context.step.now())?;
+            let underway = self.underway.get(&group).copied().unwrap_or(0);
+            Some((address, group, wait + FORWARD_LOAD * underway))
+        });
+        owners.min_by_key(|&(_, _, wait)| wait)
+    }
+
+    /// Passes a call to the owner of a group.
+    pub(super) fn forward(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        call: CallRequest,
+        address: SocketAddr,
+        group: GroupIndex,
+    ) {
+        let now = context.now();
+        let profile = context.view.config.profile(&call.profile);
+        let time_left = waiter.deadline.map(|deadline| deadline.saturating_sub(now));
+        let timeout = match (time_left, profile) {
+            (Some(left), Some(profile)) => left + profile.max_run(),
+            _ => LONGEST_FORWARD,
+        };
+        let waited_ms = now.saturating_sub(waiter.arrived).as_millis() as u64;
+        let exchange = context.step.begin_exchange(ReducerPart::Calls);
+        context.step.push(EntryEffect::CallPeer {
+            exchange,
+            to: address,
+            request: PeerRequest::ForwardCall { group, call: call.clone(), waited_ms },
+            timeout: timeout + FORWARD_SLACK,
+        });
+        *self.underway.entry(group).or_default() += 1;
+        self.forwards.insert(exchange, ForwardFlight { waiter, call, group });
+    }
+
+    /// Keeps a caller's call until an owner is known or its deadline can no longer be met.
+    pub(super) fn wait_for_owner(
+        &mut self,
+        context: &mut CallContext<'_>,
+        waiter: CallWaiter,
+        call: CallRequest,
+    ) {
+        let give_up_at = self.owner_wait_end(&waiter);
+        let retry_at = context.now() + OWNER_RETRY;
+        self.pending.push(PendingCall { waiter, call, retry_at, give_up_at });
+    }
+
+    /// Handles the end of a forwarded call.
+    pub(super) fn end_forward(
+        &mut self,
+        step: &mut StepContext,
+        records: &mut RecordPart,
+        flight: ForwardFlight,
+        result: Result<PeerReply, ExchangeError>,
+    ) {
+        let ForwardFlight { waiter, call, group } = flight;
+        if let Some(count) = self.underway.get_mut(&group) {
+            *count = count.saturating_sub(1);
+        }
+        let answer = match result {
+            Ok(PeerReply::Answer(answer)) => answer,
+            Ok(PeerReply::NotOwner) | Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => {
+                let give_up_at = self.owner_wait_end(&waiter);
+                let retry_at = step.now() + OWNER_RETRY;
+                self.pending.push(PendingCall { waiter, call, retry_at, give_up_at });
+                return;
+            }
+            Ok(_) | Err(ExchangeError::Lost) => {
+                CallerAnswer::new_unknown("the answer of the owner of the group was lost")
+            }
+        };
+        self.answer_waiter(step, records, waiter, answer);
+    }
+
+    /// Routes calls again whose owner was not known.
+    pub(super) fn route_pending(&mut self, context: &mut CallContext<'_>) {
+        let now = context.now();
+        for pending in std::mem::take(&mut self.pending) {
+            let gone = self.owed.is_gone(pending.waiter.reply);
+            if gone || pending.give_up_at < now {
+                self.give_up_pending(context, pending);
+            } else if pending.retry_at <= now {
+                self.route(context, pending.waiter, pending.call);
+            } else {
+                self.pending.push(pending);
+            }
+        }
+    }
+
+    fn give_up_pending(&mut self, context: &mut CallContext<'_>, pending: PendingCall) {
+        let now = context.now();
+        let answer = match pending.call.ticket {
+            // An earlier copy of the request may have run at the home of its ticket.
+            Some(_) => CallerAnswer::new_unknown("the home of the ticket could not be reached"),
+            None => {
+                let (drain, step) = (OWNER_RETRY * 10, OWNER_RETRY / 10);
+                let delay = self.returns.draw(&mut context.step.rng, now, drain, step);
+                CallerAnswer::new_busy("no owner of a group could be reached in time", delay)
+            }
+        };
+        self.answer_waiter(context.step, context.records, pending.waiter, answer);
+    }
+
+    /// Issues tickets to a caller, from an owned group or through a peer.
+    pub(super) fn issue_to_caller(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        reply: ReplyId,
+        count: u32,
+    ) {
+        if count == 0 {
+            step.answer(reply, CallerAnswer::new_not_run(400, "count has to be 1 to 100"));
+            return;
+        }
+        if let Some(tickets) = self.issue_tickets(step, view, count) {
+            step.answer(reply, ticket_answer(&tickets));
+            return;
+        }
+        let now = step.now();
+        let groups = 0..step.settings.groups_per_zone;
+        let owners = groups.filter_map(|group| view.groups.owner_of(&self.zone, group, now));
+        let Some((address, _)) = owners.min_by_key(|&(_, wait)| wait) else {
+            self.refuse_tickets(step, reply, "no owner of a group is known");
+            return;
+        };
+        let exchange = step.begin_exchange(ReducerPart::Calls);
+        let request = PeerRequest::IssueTickets { count: count.min(MAX_TICKETS) };
+        step.push(EntryEffect::CallPeer {
+            exchange,
+            to: address,
+            request,
+            timeout: TICKET_TIMEOUT,
+        });
+        self.ticket_forwards.insert(exchange, reply);
+    }
+
+    /// Issues tickets from the owned group with the least expected wait.
+    pub(super) fn issue_tickets(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        count: u32,
+    ) -> Option<Vec<RequestTicket>> {
+        let now = step.now();
+        let owned = view.groups.owned(now);
+        let usable = owned.into_iter().filter(|group| self.terms.contains_key(group));
+        let group = usable.min_by_key(|group| self.expected_wait(*group, now))?;
+        let term = self.terms.get_mut(&group)?;
+        Some(term.tickets.issue(u64::from(count.clamp(1, MAX_TICKETS)), now))
+    }
+
+    /// Handles the end of a request for tickets to a peer.
+    pub(super) fn end_ticket_forward(
+        &mut self,
+        step: &mut StepContext,
+        reply: ReplyId,
+        result: Result<PeerReply, ExchangeError>,
+    ) {
+        match result {
+            Ok(PeerReply::Tickets(tickets)) => step.answer(reply, ticket_answer(&tickets)),
+            _ => self.refuse_tickets(step, reply, "the owner of a group issued no tickets"),
+        }
+    }
+
+    fn refuse_tickets(&mut self, step: &mut StepContext, reply: ReplyId, reason: &str) {
+        let (now, drain) = (step.now(), OWNER_RETRY * 10);
+        let delay = self.returns.draw(&mut step.rng, now, drain, OWNER_RETRY / 10);
+        step.answer(reply, CallerAnswer::new_busy(reason, delay));
+    }
+}
+
+fn ticket_answer(tickets: &[RequestTicket]) -> CallerAnswer {
+    let tickets: Vec<String> = tickets.iter().map(RequestTicket::to_string).collect();
+    let body = serde_json::json!({ "tickets": tickets });
+    CallerAnswer::new_done(200, Bytes::from(body.to_string()))
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/mod.rs
@@ -0,0 +1,321 @@
+//! Urgent calls: tickets, forwarding, dispatch and answers.
+
+mod answers;
+mod arrival;
+mod dispatch;
+mod executors;
+mod forwarding;
+mod ownership;
+mod probes;
+mod queueing;
+mod state;
+mod status;
+pub mod tickets;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+use slotmap::{SecondaryMap, SlotMap};
+
+use crate::{
+    admission::{QueueOrder, RetryBudget, ReturnSchedule},
+    effect::EntryEffect,
+    event::{CallRequest, ExchangeError, ExecutorAnswer},
+    health::TargetHealth,
+    ids::{ClassName, ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, ReplyId, ZoneName},
+    message::{PeerReply, TicketHandover},
+    placement::{ExecutorKey, SlotLedger},
+    runtimes::RuntimeEstimate,
+    settings::{EntrySettings, PlacementPolicy},
+};
+
+use super::{groups::GroupChange, records::RecordPart, step::StepContext, CallView};
+
+use self::{
+    state::{
+        CallRecord, CallWaiter, DispatchFlight, ExecutorWatch, ForwardFlight, GroupTerm,
+        OwedReplies, PendingCall, ProbeFlight, WaiterOrigin,
+    },
+    tickets::TicketTable,
+};
+
+pub use self::state::CallKey;
+
+/// Longest time for which bytes that were sent may be on their way.
+pub const TRANSIT_BOUND: Duration = Duration::from_secs(1);
+
+/// What a step of this part reads and writes outside it.
+struct CallContext<'a> {
+    step: &'a mut StepContext,
+    view: CallView<'a>,
+    records: &'a mut RecordPart,
+}
+
+impl CallContext<'_> {
+    fn now(&self) -> MonotonicTime {
+        self.step.now()
+    }
+}
+
+/// Tickets of a term that has ended, for its next owner.
+#[derive(Debug)]
+struct EndedTerm {
+    epoch: OwnerEpoch,
+    tickets: TicketTable,
+}
+
+/// Urgent calls.
+#[derive(Debug)]
+pub struct CallPart {
+    zone: ZoneName,
+    policy: PlacementPolicy,
+    calls: SlotMap<CallKey, CallRecord>,
+    owed: OwedReplies,
+    terms: BTreeMap<GroupIndex, GroupTerm>,
+    ended: BTreeMap<GroupIndex, EndedTerm>,
+    executors: SlotLedger,
+    watches: SecondaryMap<ExecutorKey, ExecutorWatch>,
+    probe_times: BTreeSet<(MonotonicTime, ExecutorKey)>,
+    probes: HashMap<ExchangeId, ProbeFlight>,
+    gate_times: BTreeSet<(MonotonicTime, ExecutorKey)>,
+    flights: HashMap<ExchangeId, DispatchFlight>,
+    /// Dispatches in the order of their start, to find those that have become long.
+    unlabelled: VecDeque<(MonotonicTime, ExchangeId)>,
+    /// Dispatches to abort at a time, unless their answer arrives before.
+    aborts: BTreeSet<(MonotonicTime, ExchangeId)>,
+    /// Calls whose lost answer has to be settled by a time.
+    settling: BTreeSet<(MonotonicTime, CallKey)>,
+    forwards: HashMap<ExchangeId, ForwardFlight>,
+    /// Number of calls that peers serve, for each group.
+    underway: HashMap<GroupIndex, u32>,
+    ticket_forwards: HashMap<ExchangeId, ReplyId>,
+    pending: Vec<PendingCall>,
+    returns: ReturnSchedule,
+    runtimes: RuntimeEstimate,
+    health: TargetHealth,
+    budget: RetryBudget,
+}
+
+#[allow(clippy::too_many_arguments, reason = "one argument for each part that is involved")]
+impl CallPart {
+    /// Creates the part.
+    pub fn new(settings: &EntrySettings) -> Self {
+        let long_limit = match settings.policy {
+            PlacementPolicy::Learned => settings.long_slots,
+            PlacementPolicy::LeastLoaded | PlacementPolicy::RandomQueue => u32::MAX,
+        };
+        Self {
+            zone: settings.zone.clone(),
+            policy: settings.policy,
+            calls: SlotMap::with_key(),
+            owed: OwedReplies::default(),
+            terms: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            executors: SlotLedger::new(long_limit),
+            watches: SecondaryMap::new(),
+            probe_times: BTreeSet::new(),
+            probes: HashMap::new(),
+            gate_times: BTreeSet::new(),
+            flights: HashMap::new(),
+            unlabelled: VecDeque::new(),
+            aborts: BTreeSet::new(),
+            settling: BTreeSet::new(),
+            forwards: HashMap::new(),
+            underway: HashMap::new(),
+            ticket_forwards: HashMap::new(),
+            pending: Vec::new(),
+            returns: ReturnSchedule::default(),
+            runtimes: RuntimeEstimate::default(),
+            health: TargetHealth::default(),
+            budget: RetryBudget::default(),
+        }
+    }
+
+    /// Handles a call of a caller.
+    pub fn on_call(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        records: &mut RecordPart,
+        reply: ReplyId,
+        call: CallRequest,
+    ) {
+        let waiter = CallWaiter::new(WaiterOrigin::Caller, reply, &call, step.now())
+            .with_profile(view.config.profile(&call.profile));
+        self.owed.add(reply);
+        self.route(&mut CallContext { step, view, records }, waiter, call);
+    }
+
+    /// Handles a call that a peer forwarded; it is never forwarded again.
+    pub fn on_forwarded_call(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        records: &mut RecordPart,
+        reply: ReplyId,
+        group: GroupIndex,
+        call: CallRequest,
+        waited: Duration,
+    ) {
+        let arrived = step.now().saturating_sub(waited);
+        let waiter = CallWaiter::new(WaiterOrigin::Peer, reply, &call, arrived)
+            .with_profile(view.config.profile(&call.profile));
+        self.owed.add(reply);
+        self.accept_forwarded(&mut CallContext { step, view, records }, waiter, group, call);
+    }
+
+    /// Issues tickets to a caller.
+    pub fn on_tickets_wanted(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        reply: ReplyId,
+        count: u32,
+    ) {
+        self.issue_to_caller(step, view, reply, count);
+    }
+
+    /// Issues tickets to a peer.
+    pub fn on_peer_tickets(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        reply: ReplyId,
+        count: u32,
+    ) {
+        let answer = match self.issue_tickets(step, view, count) {
+            Some(tickets) => PeerReply::Tickets(tickets),
+            None => PeerReply::NotOwner,
+        };
+        step.push(EntryEffect::AnswerPeer { reply, answer });
+    }
+
+    /// Forgets a caller that closed its connection.
+    pub fn on_caller_gone(&mut self, _step: &mut StepContext, reply: ReplyId) {
+        self.owed.set_gone(reply);
+    }
+
+    /// Handles the end of a dispatch.
+    pub fn on_dispatch_ended(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        records: &mut RecordPart,
+        exchange: ExchangeId,
+        result: Result<ExecutorAnswer, ExchangeError>,
+    ) {
+        self.end_dispatch(&mut CallContext { step, view, records }, exchange, result);
+    }
+
+    /// Handles the end of a probe.
+    pub fn on_probe_ended(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        records: &mut RecordPart,
+        exchange: ExchangeId,
+        result: Result<Vec<String>, ExchangeError>,
+    ) {
+        self.end_probe(&mut CallContext { step, view, records }, exchange, result);
+    }
+
+    /// Handles the end of an exchange with a peer.
+    pub fn on_peer_ended(
+        &mut self,
+        step: &mut StepContext,
+        records: &mut RecordPart,
+        exchange: ExchangeId,
+        result: Result<PeerReply, ExchangeError>,
+    ) {
+        if let Some(reply) = self.ticket_forwards.remove(&exchange) {
+            self.end_ticket_forward(step, reply, result);
+        } else if let Some(flight) = self.forwards.remove(&exchange) {
+            self.end_forward(step, records, flight, result);
+        }
+    }
+
+    /// Handles a change of ownership or of a target.
+    pub fn on_group_change(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        records: &mut RecordPart,
+        change: &GroupChange,
+    ) {
+        let context = &mut CallContext { step, view, records };
+        match change {
+            GroupChange::Taken { group, epoch, probe_from, handed } => {
+                self.begin_term(context, *group, *epoch, *probe_from, handed.clone());
+            }
+            GroupChange::Lost { group } => self.end_term(context, *group),
+            GroupChange::TargetChanged { name } => self.update_target(context, name),
+            GroupChange::TargetEnded { name, .. } => self.end_target(context, name),
+            GroupChange::Drained => {}
+        }
+    }
+
+    /// Refuses calls whose deadline can no longer be met, and starts what can start.
+    pub fn on_tick(
+        &mut self,
+        step: &mut StepContext,
+        view: CallView<'_>,
+        records: &mut RecordPart,
+    ) {
+        let context = &mut CallContext { step, view, records };
+        self.route_pending(context);
+        self.label_long_calls(context.now());
+        self.open_gates(context);
+        self.send_due_probes(context);
+        self.send_due_aborts(context);
+        self.end_unsettled(context);
+        let groups: Vec<GroupIndex> = self.terms.keys().copied().collect();
+        for group in groups {
+            self.pump(context, group);
+            self.refuse_expired(context, group);
+        }
+    }
+
+    /// Returns the state of a group's tickets for its next owner. To be called once the term has
+    /// ended, which [`GroupChange::Lost`] tells this part: a ticket that is first used afterwards
+    /// would be missing.
+    pub fn handover_state(
+        &self,
+        group: GroupIndex,
+        epoch: OwnerEpoch,
+        now: MonotonicTime,
+    ) -> (u64, Vec<TicketHandover>) {
+        let active = self.terms.get(&group).filter(|term| term.epoch == epoch);
+        if let Some(term) = active {
+            return term.tickets.hand_over(now);
+        }
+        let ended = self.ended.get(&group).filter(|term| term.epoch == epoch);
+        ended.map_or((0, Vec::new()), |term| term.tickets.hand_over(now))
+    }
+
+    /// Returns the expected wait of a short call in a group.
+    pub fn expected_wait(&self, group: GroupIndex, _now: MonotonicTime) -> Duration {
+        self.wait_for(group, None).unwrap_or(queueing::UNKNOWN_WAIT)
+    }
+
+    /// Tells whether no call waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.calls.is_empty()
+            && self.forwards.is_empty()
+            && self.ticket_forwards.is_empty()
+            && self.pending.is_empty()
+    }
+
+    /// Returns the classes that run on the executors of a machine, with the number of calls.
+    pub fn classes_on(&self, machine: &str) -> Vec<(ClassName, u32)> {
+        self.executors.classes_on(machine)
+    }
+
+    fn queue_order(&self) -> QueueOrder {
+        match self.policy {
+            PlacementPolicy::Learned => QueueOrder::Deadline,
+            PlacementPolicy::LeastLoaded | PlacementPolicy::RandomQueue => QueueOrder::Arrival,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/ownership.rs
@@ -0,0 +1,63 @@
+//! Begin and end of terms in which this instance owns a group.
+
+use crate::{
+    ids::{GroupIndex, MonotonicTime, OwnerEpoch},
+    message::TicketHandover,
+    placement::ExecutorKey,
+};
+
+use super::{state::GroupTerm, tickets::TicketTable, CallContext, CallPart, EndedTerm};
+
+impl CallPart {
+    /// Begins a term. Each executor of the group counts as full until a probe shows what earlier
+    /// owners left running on it.
+    pub(super) fn begin_term(
+        &mut self,
+        context: &mut CallContext<'_>,
+        group: GroupIndex,
+        epoch: OwnerEpoch,
+        probe_from: MonotonicTime,
+        handed: Option<(OwnerEpoch, u64, Vec<TicketHandover>)>,
+    ) {
+        let now = context.now();
+        if self.terms.contains_key(&group) {
+            self.end_term(context, group);
+        }
+        self.ended.remove(&group);
+        let mut tickets = TicketTable::new(&self.zone, group, epoch);
+        if let Some((epoch, next_sequence, states)) = handed {
+            tickets = tickets.with_handed(epoch, next_sequence, states, now);
+        }
+        let term = GroupTerm::new(epoch, probe_from, tickets, self.queue_order());
+        self.terms.insert(group, term);
+        for (_, entry) in context.view.groups.targets().in_group(group) {
+            self.watch(context, entry);
+            if let Some(key) = self.executors.key_of(&entry.name) {
+                self.watches[key].first_call = 0;
+                self.expect_probe(key, now);
+            }
+        }
+    }
+
+    /// Ends a term: waiting calls go elsewhere, running ones are answered when they end.
+    pub(super) fn end_term(&mut self, context: &mut CallContext<'_>, group: GroupIndex) {
+        let Some(mut term) = self.terms.remove(&group) else { return };
+        let mut waiting = term.queue.drain();
+        waiting.extend(term.lines.values_mut().flat_map(|line| line.drain()));
+        let ended = EndedTerm { epoch: term.epoch, tickets: term.tickets };
+        self.ended.insert(group, ended);
+        let executors: Vec<ExecutorKey> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| executor.spec.group == group)
+            .map(|(key, _)| key)
+            .collect();
+        for key in executors {
+            self.refresh(key, context.now());
+            self.remove_if_ended(key);
+        }
+        for key in waiting {
+            self.leave_group(context, key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/probes.rs
@@ -0,0 +1,224 @@
+//! Probes of executors: inherited calls, lost answers and silent connections.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::{
+    effect::EntryEffect,
+    event::ExchangeError,
+    ids::{ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, RequestTicket},
+    log,
+    placement::ExecutorKey,
+    reducer::step::{ReducerPart, TargetObservation},
+};
+
+use super::{
+    state::{ExecutorWatch, ProbeFlight},
+    CallContext, CallPart,
+};
+
+/// Time between two probes of an executor on which calls run or may run.
+pub(super) const BUSY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two probes of an idle executor.
+const IDLE_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest time for a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without an answer after which a probe decides whether a call still runs.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Time left to an answer that was on its way while a probe found the call ended.
+const ABORT_GRACE: Duration = Duration::from_millis(200);
+
+impl CallPart {
+    /// Makes sure that an executor is probed at `at` or earlier.
+    pub(super) fn schedule_probe(&mut self, key: ExecutorKey, at: MonotonicTime) {
+        let Some(watch) = self.watches.get_mut(key) else { return };
+        if watch.next_probe.is_some_and(|planned| planned <= at) {
+            return;
+        }
+        if let Some(planned) = watch.next_probe.replace(at) {
+            self.probe_times.remove(&(planned, key));
+        }
+        self.probe_times.insert((at, key));
+    }
+
+    /// Sends the probes that are due.
+    pub(super) fn send_due_probes(&mut self, context: &mut CallContext<'_>) {
+        let now = context.now();
+        while let Some(&(at, key)) = self.probe_times.first() {
+            if now < at {
+                return;
+            }
+            self.probe_times.pop_first();
+            self.send_probe(context, key);
+        }
+    }
+
+    fn send_probe(&mut self, context: &mut CallContext<'_>, key: ExecutorKey) {
+        let Some(watch) = self.watches.get_mut(key) else { return };
+        watch.next_probe = None;
+        // One probe at a time: its end plans the next one.
+        if watch.probing {
+            return;
+        }
+        let Some(executor) = self.executors.get(key) else { return };
+        watch.probing = true;
+        let exchange = context.step.begin_exchange(ReducerPart::Calls);
+        context.step.push(EntryEffect::Probe {
+            exchange,
+            address: executor.spec.address,
+            timeout: PROBE_TIMEOUT,
+        });
+        self.probes.insert(exchange, ProbeFlight { executor: key, sent_at: context.now() });
+    }
+
+    /// Handles the end of a probe.
+    pub(super) fn end_probe(
+        &mut self,
+        context: &mut CallContext<'_>,
+        exchange: ExchangeId,
+        result: Result<Vec<String>, ExchangeError>,
+    ) {
+        let Some(ProbeFlight { executor: key, sent_at }) = self.probes.remove(&exchange) else {
+            return;
+        };
+        let Some(watch) = self.watches.get_mut(key) else { return };
+        let Some(executor) = self.executors.get(key) else { return };
+        let (name, group) = (executor.spec.name.clone(), executor.spec.group);
+        watch.probing = false;
+        watch.probe_failed = result.is_err();
+        match result {
+            Ok(ids) => {
+                if watch.silent_since.is_some_and(|since| since <= sent_at) {
+                    watch.silent_since = None;
+                }
+                context.step.observe(TargetObservation::Answered(name));
+                let ids: BTreeSet<String> = ids.into_iter().collect();
+                self.settle_inherited(context, key, &ids, sent_at);
+                self.settle_lost(context, key, &ids, sent_at);
+                self.find_silent(context, key, &ids, sent_at);
+            }
+            Err(_) => context.step.observe(TargetObservation::Silent(name)),
+        }
+        self.refresh(key, context.now());
+        self.remove_if_ended(key);
+        self.plan_probe(key, sent_at, context.now());
+        self.pump(context, group);
+    }
+
+    /// Counts the calls of earlier owners. Own calls are known exactly: one that the probe lists
+    /// may have ended since, and one that it does not list may have been sent since.
+    fn settle_inherited(
+        &mut self,
+        context: &mut CallContext<'_>,
+        key: ExecutorKey,
+        ids: &BTreeSet<String>,
+        sent_at: MonotonicTime,
+    ) {
+        let (Some(watch), Some(executor)) = (self.watches.get(key), self.executors.get(key)) else {
+            return;
+        };
+        let (group, before) = (executor.spec.group, executor.inherited());
+        let Some(term) = self.terms.get(&group).filter(|_| watch.settle_from <= sent_at) else {
+            return;
+        };
+        let epoch = term.epoch;
+        let foreign: Vec<String> =
+            ids.iter().filter(|id| !is_own(watch, id, &self.zone, group, epoch)).cloned().collect();
+        if before == 0 && !foreign.is_empty() {
+            let detail = format!("executor {}, {} calls", executor.spec.name, foreign.len());
+            context.step.log(log::CALLS_INHERITED, detail);
+        }
+        self.executors.settle(key, foreign, sent_at, context.now());
+    }
+
+    /// Frees the slots of lost calls that have ended, and runs them again if that is allowed.
+    fn settle_lost(
+        &mut self,
+        context: &mut CallContext<'_>,
+        key: ExecutorKey,
+        ids: &BTreeSet<String>,
+        sent_at: MonotonicTime,
+    ) {
+        let Some(watch) = self.watches.get_mut(key) else { return };
+        let (ended, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut watch.lost)
+            .into_iter()
+            .partition(|call| call.settle_from <= sent_at && !ids.contains(&call.call_id));
+        watch.lost = kept;
+        for call in ended {
+            self.executors.release(call.hold);
+            if let Some(retry) = call.retry {
+                self.retry_lost(context, retry);
+            }
+        }
+    }
+
+    /// Finds dispatches that have been silent while the executor does not run their call.
+    fn find_silent(
+        &mut self,
+        context: &CallContext<'_>,
+        key: ExecutorKey,
+        ids: &BTreeSet<String>,
+        sent_at: MonotonicTime,
+    ) {
+        let Some(watch) = self.watches.get(key) else { return };
+        for (call_id, exchange) in &watch.flights {
+            let Some(flight) = self.flights.get_mut(exchange) else { continue };
+            let silent = flight.started + SILENCE <= sent_at;
+            if silent && !flight.aborting && !ids.contains(call_id) {
+                flight.aborting = true;
+                self.aborts.insert((context.step.now() + ABORT_GRACE, *exchange));
+            }
+        }
+    }
+
+    /// Closes the connections of dispatches whose answer did not arrive after all.
+    pub(super) fn send_due_aborts(&mut self, context: &mut CallContext<'_>) {
+        while let Some(&(at, exchange)) = self.aborts.first() {
+            if context.now() < at {
+                return;
+            }
+            self.aborts.pop_first();
+            let Some(flight) = self.flights.get(&exchange) else { continue };
+            let name = self.executors.get(flight.executor).map(|slots| slots.spec.name.as_str());
+            let detail = format!("executor {}, call {}", name.unwrap_or("?"), flight.call_id);
+            context.step.log(log::CONNECTION_SILENT, detail);
+            context.step.push(EntryEffect::AbortDispatch { exchange });
+        }
+    }
+
+    fn plan_probe(&mut self, key: ExecutorKey, sent_at: MonotonicTime, now: MonotonicTime) {
+        let (Some(watch), Some(executor)) = (self.watches.get(key), self.executors.get(key)) else {
+            return;
+        };
+        let busy = executor.used() > 0
+            || executor.is_assumed_full()
+            || watch.probe_failed
+            || watch.silent_since.is_some()
+            || !watch.lost.is_empty();
+        let interval = if busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
+        let mut at = (sent_at + interval).max(now);
+        // A probe that was sent too early to decide is followed by one that does.
+        let waits = watch.lost.iter().map(|call| call.settle_from).chain(watch.silent_since);
+        let waits = waits.chain(executor.is_assumed_full().then_some(watch.settle_from));
+        if let Some(decisive) = waits.filter(|&from| from > sent_at).min() {
+            at = at.min(decisive.max(now));
+        }
+        self.schedule_probe(key, at);
+    }
+}
+
+/// Tells whether this instance knows a call exactly, because it sent it in this term or still
+/// holds its slot.
+fn is_own(
+    watch: &ExecutorWatch,
+    id: &str,
+    zone: &str,
+    group: GroupIndex,
+    epoch: OwnerEpoch,
+) -> bool {
+    if watch.flights.contains_key(id) || watch.lost.iter().any(|call| call.call_id == id) {
+        return true;
+    }
+    id.parse::<RequestTicket>().is_ok_and(|id| {
+        id.zone == zone && id.group == group && id.epoch == epoch && id.sequence >= watch.first_call
+    })
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/queueing.rs
@@ -0,0 +1,298 @@
+//! Admission of calls, their wait, and the start of those that wait.
+
+use std::time::Duration;
+
+use crate::{
+    admission::{CallQueue, QueueItem},
+    event::CallRequest,
+    ids::{GroupIndex, MonotonicTime},
+    placement::{ExecutorKey, PickQuery},
+    settings::PlacementPolicy,
+};
+
+use super::{
+    state::{CallKey, CallStage, GroupTerm},
+    CallContext, CallPart,
+};
+
+/// Wait announced for a group in which no executor takes calls: about that of a takeover.
+pub(super) const UNKNOWN_WAIT: Duration = Duration::from_secs(5);
+
+const TOO_LATE: &str = "the deadline can no longer be met";
+
+impl CallPart {
+    /// Admits a call to its group, or refuses it at once if its deadline cannot be met.
+    pub(super) fn admit_record(&mut self, context: &mut CallContext<'_>, key: CallKey) {
+        let Some(record) = self.calls.get(key) else { return };
+        let (group, now) = (record.group, context.now());
+        self.budget.note_call(&record.call.customer, now);
+        let wait = match self.policy {
+            PlacementPolicy::Learned => {
+                self.wait_for(group, Some((&record.call, record.weight))).unwrap_or(Duration::ZERO)
+            }
+            PlacementPolicy::LeastLoaded | PlacementPolicy::RandomQueue => Duration::ZERO,
+        };
+        // A call that can start at once is always admitted: otherwise a class whose learned run
+        // time passes its deadline would never be measured again.
+        let latest_start = self.latest_start(&record.call.class, record.arrived, record.deadline);
+        if wait > Duration::ZERO && now + wait > latest_start {
+            let reason = format!(
+                "overload: the expected wait of {} ms does not fit the deadline",
+                wait.as_millis()
+            );
+            self.give_up(context, key, &reason);
+            return;
+        }
+        self.enqueue(context, key);
+        self.pump(context, group);
+    }
+
+    /// Returns the expected wait of a call in a group, or of any short call; `None` if no executor
+    /// takes calls at present.
+    pub(super) fn wait_for(
+        &self,
+        group: GroupIndex,
+        call: Option<(&CallRequest, u32)>,
+    ) -> Option<Duration> {
+        let term = self.terms.get(&group)?;
+        let long = call.is_some_and(|(call, _)| self.is_long(&call.class));
+        let slots = self.executors.usable_slots(group);
+        if slots == 0 {
+            return None;
+        }
+        if self.executors.has_free(group, long) && term.queue.first(long).is_none() {
+            return Some(Duration::ZERO);
+        }
+        let queue = &term.queue;
+        let backlog = |long| match call {
+            Some((call, weight)) => queue.backlog(long, &call.customer, weight),
+            None => queue.cost(long),
+        };
+        let mean = self.runtimes.mean_of_all().unwrap_or_default();
+        let short_wait = (backlog(false) + mean).div_f64(slots as f64);
+        if !long {
+            return Some(short_wait);
+        }
+        let long_slots = self.executors.usable_long_slots(group).max(1);
+        let class = call.map_or("", |(call, _)| call.class.as_str());
+        let own = self.runtimes.mean(class).unwrap_or_default();
+        Some(short_wait + (backlog(true) + own).div_f64(long_slots as f64))
+    }
+
+    /// Returns the time after which a start no longer meets the deadline.
+    pub(super) fn latest_start(
+        &self,
+        class: &str,
+        arrived: MonotonicTime,
+        deadline: MonotonicTime,
+    ) -> MonotonicTime {
+        if self.policy != PlacementPolicy::Learned {
+            return deadline;
+        }
+        let run_time = self.runtimes.p90(class).unwrap_or_default();
+        deadline.saturating_sub(run_time).max(arrived)
+    }
+
+    /// Tells whether a class is known to be long.
+    pub(super) fn is_long(&self, class: &str) -> bool {
+        self.runtimes.is_long(class).unwrap_or(false)
+    }
+
+    /// Puts a call into the queue of its group.
+    pub(super) fn enqueue(&mut self, context: &mut CallContext<'_>, key: CallKey) {
+        let Some(record) = self.calls.get(key) else { return };
+        let class = &record.call.class;
+        let item = QueueItem {
+            key,
+            customer: record.call.customer.clone(),
+            weight: record.weight,
+            cost: self.runtimes.mean(class).unwrap_or_default(),
+            deadline: record.deadline,
+            latest_start: self.latest_start(class, record.arrived, record.deadline),
+            long: self.is_long(class),
+        };
+        let (group, order) = (record.group, self.queue_order());
+        let line = match self.policy {
+            PlacementPolicy::RandomQueue => self.executors.random(group, &mut context.step.rng),
+            PlacementPolicy::Learned | PlacementPolicy::LeastLoaded => None,
+        };
+        self.calls[key].stage = CallStage::Queued;
+        let Some(term) = self.terms.get_mut(&group) else { return };
+        match line {
+            Some(executor) => {
+                let queue = term.lines.entry(executor).or_insert_with(|| CallQueue::new(order));
+                queue.push(item);
+            }
+            None => {
+                term.queue.push(item);
+            }
+        }
+    }
+
+    /// Starts the calls of a group that can start.
+    pub(super) fn pump(&mut self, context: &mut CallContext<'_>, group: GroupIndex) {
+        let Some(term) = self.terms.get(&group).filter(|term| term.waiting() > 0) else { return };
+        // Ownership may have changed in this step, before this part was told.
+        if context.view.groups.epoch(group) != Some(term.epoch) {
+            return;
+        }
+        let Some(valid_until) = context.view.groups.right_until(group, context.now()) else {
+            return;
+        };
+        if self.policy == PlacementPolicy::RandomQueue {
+            self.pump_lines(context, group, valid_until);
+            return;
+        }
+        while let Some((id, key, executor)) = self.next_start(context, group) {
+            if let Some(term) = self.terms.get_mut(&group) {
+                term.queue.start(id);
+            }
+            self.start_or_drop(context, key, executor, valid_until);
+        }
+    }
+
+    /// Returns the next call to start and its executor: a short call first, then a long one within
+    /// the bound on long calls.
+    fn next_start(
+        &self,
+        context: &mut CallContext<'_>,
+        group: GroupIndex,
+    ) -> Option<(u64, CallKey, ExecutorKey)> {
+        let queue = &self.terms.get(&group)?.queue;
+        let long = queue.first(false).is_none();
+        let (id, key) = queue.first(long)?;
+        let record = self.calls.get(key)?;
+        let query = PickQuery { group, long, avoid: record.avoid };
+        let executor = match self.policy {
+            PlacementPolicy::Learned => {
+                let (tasks, class) = (context.view.tasks, &record.call.class);
+                self.executors.pick(query, &mut context.step.rng, |executor| {
+                    tasks.slowdown(&executor.spec.machine, class)
+                })
+            }
+            PlacementPolicy::LeastLoaded | PlacementPolicy::RandomQueue => {
+                self.executors.least_loaded(query)
+            }
+        };
+        Some((id, key, executor?))
+    }
+
+    fn start_or_drop(
+        &mut self,
+        context: &mut CallContext<'_>,
+        key: CallKey,
+        executor: ExecutorKey,
+        valid_until: MonotonicTime,
+    ) {
+        let Some(record) = self.calls.get(key) else { return };
+        let abandoned = record.call.ticket.is_none()
+            && record.waiters.iter().all(|waiter| self.owed.is_gone(waiter.reply));
+        if abandoned {
+            self.give_up(context, key, "the caller closed its connection before the start");
+            return;
+        }
+        self.start(context, key, executor, valid_until);
+    }
+
+    fn pump_lines(
+        &mut self,
+        context: &mut CallContext<'_>,
+        group: GroupIndex,
+        valid_until: MonotonicTime,
+    ) {
+        self.redistribute(context, group);
+        let Some(term) = self.terms.get(&group) else { return };
+        let mut executors: Vec<ExecutorKey> = term.lines.keys().copied().collect();
+        executors.sort_unstable();
+        for executor in executors {
+            while let Some((id, key)) = self.first_in_line(group, executor) {
+                if let Some(line) = self.line_of(group, executor) {
+                    line.start(id);
+                }
+                self.start_or_drop(context, key, executor, valid_until);
+            }
+        }
+    }
+
+    fn first_in_line(&self, group: GroupIndex, executor: ExecutorKey) -> Option<(u64, CallKey)> {
+        let slots = self.executors.get(executor)?;
+        if !slots.is_accepting() || slots.used() >= slots.spec.slots {
+            return None;
+        }
+        self.terms.get(&group)?.lines.get(&executor)?.first(false)
+    }
+
+    fn line_of(
+        &mut self,
+        group: GroupIndex,
+        executor: ExecutorKey,
+    ) -> Option<&mut CallQueue<CallKey>> {
+        self.terms.get_mut(&group)?.lines.get_mut(&executor)
+    }
+
+    /// Gives calls of executors that take no calls, and calls without one, to other executors.
+    fn redistribute(&mut self, context: &mut CallContext<'_>, group: GroupIndex) {
+        if self.executors.random(group, &mut context.step.rng).is_none() {
+            return;
+        }
+        let executors = &self.executors;
+        let Some(term) = self.terms.get_mut(&group) else { return };
+        let mut keys = term.queue.drain();
+        term.lines.retain(|&executor, line| {
+            let accepting = executors.get(executor).is_some_and(|slots| slots.is_accepting());
+            if !accepting {
+                keys.extend(line.drain());
+            }
+            accepting && !line.is_empty()
+        });
+        for key in keys {
+            self.enqueue(context, key);
+        }
+    }
+
+    /// Refuses the calls of a group whose deadline can no longer be met.
+    pub(super) fn refuse_expired(&mut self, context: &mut CallContext<'_>, group: GroupIndex) {
+        let now = context.now();
+        while let Some(key) = self.terms.get_mut(&group).and_then(|term| expire(term, now)) {
+            self.give_up(context, key, TOO_LATE);
+        }
+    }
+
+    /// Puts a call into the queue again after an attempt that did not run or has ended, if its
+    /// deadline can still be met.
+    pub(super) fn requeue(&mut self, context: &mut CallContext<'_>, key: CallKey) {
+        let Some(record) = self.calls.get(key) else { return };
+        let (group, epoch) = (record.group, record.epoch);
+        if self.terms.get(&group).is_none_or(|term| term.epoch != epoch) {
+            self.leave_group(context, key);
+            return;
+        }
+        let latest_start = self.latest_start(&record.call.class, record.arrived, record.deadline);
+        if latest_start < context.now() {
+            self.give_up(context, key, TOO_LATE);
+            return;
+        }
+        self.enqueue(context, key);
+    }
+
+    /// Ends or passes on a call whose group this instance no longer owns and that does not run.
+    pub(super) fn leave_group(&mut self, context: &mut CallContext<'_>, key: CallKey) {
+        let Some(record) = self.calls.get(key) else { return };
+        // A call that was never sent may run elsewhere. A ticket stays with its home: its next
+        // owner does not run it, so the refusal is final.
+        if record.bytes_left || record.call.ticket.is_some() {
+            self.give_up(context, key, "the instance gave up the group of the call");
+            return;
+        }
+        let Some(record) = self.calls.remove(key) else { return };
+        for waiter in record.waiters {
+            self.return_or_wait(context, waiter, record.call.clone());
+        }
+    }
+}
+
+fn expire(term: &mut GroupTerm, now: MonotonicTime) -> Option<CallKey> {
+    let expired = term.queue.expire(now);
+    let expired = expired.or_else(|| term.lines.values_mut().find_map(|line| line.expire(now)));
+    expired.map(|item| item.key)
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/calls/tickets.rs
@@ -0,0 +1,261 @@
+//! States of the tickets of a group.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use crate::{
+    effect::CallerAnswer,
+    ids::{GroupIndex, MonotonicTime, OwnerEpoch, RequestTicket, ZoneName},
+    message::TicketHandover,
+};
+
+use super::state::CallKey;
+
+/// Time for which the state of a ticket is kept, counted from its issue and from its first use.
+pub const TICKET_LIFETIME: Duration = Duration::from_secs(600);
+/// Issues within this time share one entry in the list of issue times.
+const ISSUE_RESOLUTION: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+enum TicketState {
+    Active(CallKey),
+    Ended(CallerAnswer),
+}
+
+#[derive(Debug)]
+struct TicketEntry {
+    first_seen: MonotonicTime,
+    digest: Option<u64>,
+    state: TicketState,
+}
+
+/// Tickets of the term before, as its owner passed them on.
+#[derive(Debug)]
+struct HandedTerm {
+    epoch: OwnerEpoch,
+    next_sequence: u64,
+    expired_below: u64,
+    until: MonotonicTime,
+}
+
+/// What a ticket says about a request.
+#[derive(Debug, PartialEq)]
+pub enum TicketVerdict {
+    /// The request is new and may run once.
+    New,
+    /// The same request is in progress.
+    Join(CallKey),
+    /// The request has its final answer.
+    Ended(CallerAnswer),
+    /// The ticket belongs to a different request.
+    Conflict,
+    /// No owner has issued the ticket.
+    NeverIssued,
+    /// The request may have run under an earlier owner, or its state has expired.
+    Forgotten,
+    /// The ticket is of a later epoch than the table.
+    Later,
+}
+
+/// Tickets of a group for one epoch, with those handed over by the epoch before.
+#[derive(Debug)]
+pub struct TicketTable {
+    zone: ZoneName,
+    group: GroupIndex,
+    epoch: OwnerEpoch,
+    next_sequence: u64,
+    expired_below: u64,
+    issued: VecDeque<(MonotonicTime, u64)>,
+    entries: HashMap<RequestTicket, TicketEntry>,
+    ages: VecDeque<(MonotonicTime, RequestTicket)>,
+    handed: Option<HandedTerm>,
+}
+
+impl TicketTable {
+    /// Creates the table of a new term.
+    pub fn new(zone: &str, group: GroupIndex, epoch: OwnerEpoch) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            group,
+            epoch,
+            next_sequence: 0,
+            expired_below: 0,
+            issued: VecDeque::new(),
+            entries: HashMap::new(),
+            ages: VecDeque::new(),
+            handed: None,
+        }
+    }
+
+    /// Adds the states that the owner of the epoch before passed on.
+    pub fn with_handed(
+        mut self,
+        epoch: OwnerEpoch,
+        next_sequence: u64,
+        mut tickets: Vec<TicketHandover>,
+        now: MonotonicTime,
+    ) -> Self {
+        let mut expired_below = 0;
+        tickets.sort_by_key(|ticket| std::cmp::Reverse(ticket.age_ms));
+        for TicketHandover { ticket, answer, age_ms } in tickets {
+            let age = Duration::from_millis(age_ms);
+            if age >= TICKET_LIFETIME && answer.is_none() {
+                if ticket.epoch == epoch {
+                    expired_below = expired_below.max(ticket.sequence + 1);
+                }
+                continue;
+            }
+            let lost = || CallerAnswer::new_unknown("the owner changed while the call ran");
+            let answer = answer.unwrap_or_else(lost);
+            // The clock of this process may have started after the ticket was first seen; its state
+            // is then kept a little longer.
+            let first_seen = now.saturating_sub(age);
+            let state = TicketState::Ended(answer);
+            self.ages.push_back((first_seen, ticket.clone()));
+            self.entries.insert(ticket, TicketEntry { first_seen, digest: None, state });
+        }
+        let until = now + TICKET_LIFETIME;
+        self.handed = Some(HandedTerm { epoch, next_sequence, expired_below, until });
+        self
+    }
+
+    /// Issues tickets.
+    pub fn issue(&mut self, count: u64, now: MonotonicTime) -> Vec<RequestTicket> {
+        let first = self.next_sequence;
+        self.next_sequence += count;
+        match self.issued.back_mut() {
+            Some((at, below)) if now < *at + ISSUE_RESOLUTION => *below = self.next_sequence,
+            _ => self.issued.push_back((now, self.next_sequence)),
+        }
+        (first..self.next_sequence).map(|sequence| self.ticket(sequence)).collect()
+    }
+
+    /// Returns what a ticket of this group says about a request with this digest.
+    pub fn look_up(
+        &mut self,
+        ticket: &RequestTicket,
+        digest: u64,
+        now: MonotonicTime,
+    ) -> TicketVerdict {
+        self.expire(now);
+        if let Some(entry) = self.entries.get(ticket) {
+            if entry.digest.is_some_and(|known| known != digest) {
+                return TicketVerdict::Conflict;
+            }
+            return match &entry.state {
+                TicketState::Active(call) => TicketVerdict::Join(*call),
+                TicketState::Ended(answer) => TicketVerdict::Ended(answer.clone()),
+            };
+        }
+        if ticket.epoch > self.epoch {
+            return TicketVerdict::Later;
+        }
+        let handed = self.handed.as_ref().filter(|handed| handed.epoch == ticket.epoch);
+        let (next_sequence, expired_below) = match handed {
+            Some(handed) => (handed.next_sequence, handed.expired_below),
+            None if ticket.epoch == self.epoch => (self.next_sequence, self.expired_below),
+            None => return TicketVerdict::Forgotten,
+        };
+        if ticket.sequence >= next_sequence {
+            return TicketVerdict::NeverIssued;
+        }
+        if ticket.sequence < expired_below {
+            return TicketVerdict::Forgotten;
+        }
+        TicketVerdict::New
+    }
+
+    /// Notes that the request of a ticket is in progress.
+    pub fn begin(&mut self, ticket: RequestTicket, digest: u64, call: CallKey, now: MonotonicTime) {
+        self.ages.push_back((now, ticket.clone()));
+        let state = TicketState::Active(call);
+        self.entries.insert(ticket, TicketEntry { first_seen: now, digest: Some(digest), state });
+    }
+
+    /// Stores the final answer of a ticket.
+    pub fn end(&mut self, ticket: &RequestTicket, answer: &CallerAnswer) {
+        if let Some(entry) = self.entries.get_mut(ticket) {
+            entry.state = TicketState::Ended(answer.clone());
+        }
+    }
+
+    /// Returns the number of tickets with a state.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no ticket has a state.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the next sequence number and all states for the next owner.
+    ///
+    /// A state without an answer and of full age says that all tickets up to it have expired: the
+    /// next owner must not take one of them for a ticket that was never used.
+    pub fn hand_over(&self, now: MonotonicTime) -> (u64, Vec<TicketHandover>) {
+        let mut tickets: Vec<TicketHandover> = self
+            .entries
+            .iter()
+            .map(|(ticket, entry)| TicketHandover {
+                ticket: ticket.clone(),
+                answer: match &entry.state {
+                    TicketState::Active(_) => None,
+                    TicketState::Ended(answer) => Some(answer.clone()),
+                },
+                age_ms: now
+                    .saturating_sub(entry.first_seen)
+                    .min(TICKET_LIFETIME - Duration::from_millis(1))
+                    .as_millis() as u64,
+            })
+            .collect();
+        tickets.sort_by(|a, b| a.ticket.cmp(&b.ticket));
+        if let Some(last_expired) = self.expired_below.checked_sub(1) {
+            tickets.push(TicketHandover {
+                ticket: self.ticket(last_expired),
+                answer: None,
+                age_ms: TICKET_LIFETIME.as_millis() as u64,
+            });
+        }
+        (self.next_sequence, tickets)
+    }
+
+    /// Drops states that are older than the lifetime of a ticket.
+    pub fn expire(&mut self, now: MonotonicTime) {
+        while self.issued.front().is_some_and(|(at, _)| *at + TICKET_LIFETIME < now) {
+            let below = self.issued.pop_front().map_or(0, |(_, below)| below);
+            self.expired_below = self.expired_below.max(below);
+        }
+        while self.ages.front().is_some_and(|(seen, _)| *seen + TICKET_LIFETIME < now) {
+            let Some((_, ticket)) = self.ages.pop_front() else { return };
+            self.expire_entry(ticket, now);
+        }
+        if self.handed.as_ref().is_some_and(|handed| handed.until < now) {
+            self.handed = None;
+        }
+    }
+
+    fn expire_entry(&mut self, ticket: RequestTicket, now: MonotonicTime) {
+        let Some(entry) = self.entries.get(&ticket) else { return };
+        if matches!(entry.state, TicketState::Active(_)) {
+            self.ages.push_back((now, ticket));
+            return;
+        }
+        self.entries.remove(&ticket);
+        // Tickets with a lower number were issued no later, so they have expired too. Without this
+        // a late copy of the request would pass for one that was never used and run again.
+        if ticket.epoch == self.epoch {
+            self.expired_below = self.expired_below.max(ticket.sequence + 1);
+        }
+        if let Some(handed) = self.handed.as_mut().filter(|handed| handed.epoch == ticket.epoch) {
+            handed.expired_below = handed.expired_below.max(ticket.sequence + 1);
+        }
+    }
+
+    fn ticket(&self, sequence: u64) -> RequestTicket {
+        let (zone, group, epoch) = (self.zone.clone(), self.group, self.epoch);
+        RequestTicket { zone, group, epoch, sequence }
+    }
+}
--- a/crates/cuminbank/src/reducer/config.rs
+++ b/crates/cuminbank/src/reducer/config.rs
@@ -14,23 +14,25 @@
 
 /// Configuration in force.
 #[derive(Debug)]
-pub struct ConfigPart {}
+pub struct ConfigPart {
+    fixed: Option<Vec<WorkProfile>>,
+}
 
 #[allow(unused_variables, reason = "skeleton")]
 impl ConfigPart {
     /// Creates the part.
     pub fn new(settings: &EntrySettings) -> Self {
-        Self {}
+        Self { fixed: None }
     }
 
     /// Returns a profile in force.
     pub fn profile(&self, name: &str) -> Option<&WorkProfile> {
-        None
+        self.fixed.iter().flatten().find(|profile| profile.name == name)
     }
 
     /// Tells whether a first configuration was read, so that calls may be served.
     pub fn is_ready(&self) -> bool {
-        false
+        self.fixed.is_some()
     }
 
     /// Returns the highest revision in force.
@@ -106,3 +108,13 @@
         serde_json::json!({})
     }
 }
+
+// For tests of other parts, which need profiles without the protocol behind them.
+impl ConfigPart {
+    /// Puts profiles into force.
+    #[doc(hidden)]
+    pub fn with_profiles(mut self, profiles: Vec<WorkProfile>) -> Self {
+        self.fixed = Some(profiles);
+        self
+    }
+}
--- a/crates/cuminbank/src/reducer/groups.rs
+++ b/crates/cuminbank/src/reducer/groups.rs
@@ -1,11 +1,15 @@
 //! Groups of targets: ownership, takeover, handover, membership and planned stops.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{
     effect::EntryEffect,
     event::{ExchangeError, ListedInstance},
-    ids::{ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, ReplyId, StartNumber, TargetName},
+    ids::{
+        ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, ReplyId, StartNumber, TargetName,
+        ZoneName,
+    },
+    membership::TargetEntry,
     message::{PeerDatagram, PeerReply, TicketHandover},
     settings::EntrySettings,
     store::StoreReply,
@@ -59,28 +63,34 @@
 pub struct GroupPart {
     changes: Vec<GroupChange>,
     targets: crate::membership::TargetTable,
+    fixed: Option<FixedGroups>,
 }
 
 #[allow(clippy::too_many_arguments, unused_variables, reason = "skeleton")]
 impl GroupPart {
     /// Creates the part.
     pub fn new(settings: &EntrySettings, start: StartNumber) -> Self {
-        Self { changes: Vec::new(), targets: crate::membership::TargetTable::default() }
+        Self {
+            changes: Vec::new(),
+            targets: crate::membership::TargetTable::default(),
+            fixed: None,
+        }
     }
 
     /// Returns until when the instance may act for a group of its zone; `None` if not at `now`.
     pub fn right_until(&self, group: GroupIndex, now: MonotonicTime) -> Option<MonotonicTime> {
-        None
+        self.fixed.as_ref()?.owned.get(&group).map(|&(_, until)| until).filter(|&until| now < until)
     }
 
     /// Returns the epoch of a group that the instance owns.
     pub fn epoch(&self, group: GroupIndex) -> Option<OwnerEpoch> {
-        None
+        self.fixed.as_ref()?.owned.get(&group).map(|&(epoch, _)| epoch)
     }
 
     /// Returns the groups that the instance may act for at `now`.
     pub fn owned(&self, now: MonotonicTime) -> Vec<GroupIndex> {
-        Vec::new()
+        let groups = self.fixed.iter().flat_map(|fixed| fixed.owned.keys().copied());
+        groups.filter(|&group| self.right_until(group, now).is_some()).collect()
     }
 
     /// Returns the peer that announces a group, in any zone, with the wait it expects.
@@ -90,7 +100,7 @@
         group: GroupIndex,
         now: MonotonicTime,
     ) -> Option<(SocketAddr, std::time::Duration)> {
-        None
+        self.fixed.as_ref()?.owners.get(&(zone.to_owned(), group)).copied()
     }
 
     /// Returns the targets of the zone.
@@ -192,3 +202,29 @@
         serde_json::json!({})
     }
 }
+
+/// Ownership as a test sets it.
+#[derive(Clone, Debug, Default)]
+#[doc(hidden)]
+pub struct FixedGroups {
+    /// Epoch and end of the right to act, for each group that the instance owns.
+    pub owned: BTreeMap<GroupIndex, (OwnerEpoch, MonotonicTime)>,
+    /// Address and expected wait of the peer that owns a group.
+    pub owners: BTreeMap<(ZoneName, GroupIndex), (SocketAddr, std::time::Duration)>,
+    /// Targets of the zone.
+    pub targets: Vec<TargetEntry>,
+}
+
+// For tests of other parts, which need a view of groups without the protocol behind it.
+impl GroupPart {
+    /// Sets ownership and targets.
+    #[doc(hidden)]
+    pub fn with_fixed(mut self, mut fixed: FixedGroups) -> Self {
+        self.targets = crate::membership::TargetTable::default();
+        for target in fixed.targets.drain(..) {
+            self.targets.targets.insert(target);
+        }
+        self.fixed = Some(fixed);
+        self
+    }
+}
