--- a/crates/cuminbank/src/lib.rs
+++ b/crates/cuminbank/src/lib.rs
@@ -7,10 +7,13 @@
 pub mod effect;
 pub mod event;
 pub mod ids;
+pub mod interference;
+pub mod ledger;
 pub mod log;
 pub mod membership;
 pub mod message;
 pub mod profile;
+pub mod quota;
 pub mod reducer;
 pub mod settings;
 pub mod store;
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -59,6 +59,10 @@
     TASK_RESUMED = (304, Info, "An evicted or interrupted task was started again.");
     TASK_FAILED = (305, Warn, "A task ended without a result.");
     TASK_ADOPTED = (306, Info, "A running attempt was adopted from the previous owner.");
+    JOURNAL_UNREADABLE = (307, Error, "The task ledger of a group cannot be read.");
+    TASK_THROTTLED = (308, Info, "A task was throttled or got its full share again.");
+    WORKER_QUARANTINED = (309, Warn, "A worker was quarantined because it fails what it starts.");
+    TASK_DOUBLED = (310, Error, "A second result was reported for a finished task.");
     GROUP_TAKEN = (401, Info, "The instance became the owner of a group.");
     GROUP_RELEASED = (402, Info, "The instance gave up a group.");
     GROUP_LOST = (403, Warn, "The instance may no longer act for a group.");
--- /dev/null
+++ b/crates/cuminbank/src/reducer/tasks/eviction.rs
@@ -0,0 +1,298 @@
+//! Stops, throttles and evictions, and the slowdown that calls for them.
+
+use crate::{
+    event::ExchangeError,
+    ids::{AttemptNumber, ClassName, MonotonicTime},
+    interference::RelievingStep,
+    ledger::{JournalEntry, TaskId},
+    log::TASK_THROTTLED,
+    reducer::step::StepContext,
+    settings::PlacementPolicy,
+    worker::{UsageWindow, WorkerReply, WorkerReport, WorkerRequest},
+};
+
+use super::group::{
+    GroupExchange, GroupScene, RunPhase, StopReason, TaskGroup, TaskModels, AVOID_MACHINE,
+    TRANSIT_BOUND,
+};
+
+const THROTTLED_PERCENT: u8 = 50;
+
+impl TaskGroup {
+    /// Returns the cores that each class is expected to use on a worker.
+    fn class_cores(&self, name: &str) -> Vec<(&str, f64)> {
+        let Some(worker) = self.workers.get(name) else { return Vec::new() };
+        let runs = worker.runs.iter().filter_map(|task| self.runs.get(task));
+        runs.map(|run| (run.class.as_str(), run.cores())).collect()
+    }
+
+    /// Returns the predicted slowdown of a latency-critical class on a machine.
+    pub fn slowdown_on(&self, models: &TaskModels, machine: &str, class: &str) -> f64 {
+        let workers = self.workers.on_machine(machine);
+        let runs = workers.flat_map(|worker| &worker.runs).filter_map(|task| self.runs.get(task));
+        models.pairs.predict(class, runs.map(|run| (run.class.as_str(), run.cores())))
+    }
+
+    /// Returns the worst predicted slowdown of the latency-critical classes on a worker's machine,
+    /// with a further task if one is given.
+    pub(super) fn worst_slowdown(
+        &self,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+        name: &str,
+        added: Option<(&str, f64)>,
+    ) -> f64 {
+        let Some(worker) = self.workers.get(name) else { return 1.0 };
+        let victims = (scene.classes_on)(&worker.machine);
+        if victims.is_empty() {
+            return 1.0;
+        }
+        let cores = self.class_cores(name);
+        let predict = |(class, _): &(ClassName, u32)| {
+            models.pairs.predict(class, cores.iter().copied().chain(added))
+        };
+        victims.iter().map(predict).fold(1.0, f64::max)
+    }
+
+    /// Learns from the usage that a worker reported and acts on slowdowns.
+    pub(super) fn take_usage(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &mut TaskModels,
+        name: &str,
+        report: &WorkerReport,
+    ) {
+        for window in &report.usage {
+            models.pairs.learn(window);
+            self.learn_sizes(step.now(), models, name, window);
+            if step.settings.policy != PlacementPolicy::Learned {
+                continue;
+            }
+            let reported = window.slowdowns.iter().map(|(_, value)| *value).fold(1.0, f64::max);
+            let slowdown = reported.max(self.worst_slowdown(scene, models, name, None));
+            let Some(worker) = self.workers.get_mut(name) else { return };
+            match worker.relief.on_report(step.now(), slowdown) {
+                RelievingStep::Keep => {}
+                RelievingStep::Throttle => self.throttle_worst(step, scene, models, name),
+                RelievingStep::Unthrottle => self.unthrottle(step, scene, name),
+                RelievingStep::Evict => self.evict_worst(step, scene, models, name),
+            }
+        }
+    }
+
+    /// Notes the cores that a task of each class used, if the tasks of the class were the same
+    /// during the whole window; otherwise the sum cannot be divided among them.
+    fn learn_sizes(
+        &self,
+        now: MonotonicTime,
+        models: &mut TaskModels,
+        name: &str,
+        window: &UsageWindow,
+    ) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let length = std::time::Duration::from_millis(window.length_ms);
+        let Some(began) = now.checked_sub(window.age() + length) else { return };
+        for (class, cores) in &window.neighbours {
+            let unchanged = worker.class_changed.get(class).is_some_and(|at| *at <= began);
+            let runs = worker.runs.iter().filter_map(|task| self.runs.get(task));
+            let same: Vec<_> = runs.filter(|run| run.class == *class).collect();
+            let whole = same.iter().all(|run| run.percent == 100);
+            if unchanged && whole && !same.is_empty() && cores.is_finite() && *cores >= 0.0 {
+                models.sizes.observe(class, (cores * 1_000.0) as u64 / same.len() as u64);
+            }
+        }
+    }
+
+    /// Returns the running task of a worker that slows the urgent classes there most.
+    fn worst_task(
+        &self,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+        name: &str,
+    ) -> Option<TaskId> {
+        let worker = self.workers.get(name)?;
+        let victims = (scene.classes_on)(&worker.machine);
+        let harm = |task: &TaskId| {
+            let run = self.runs.get(task)?;
+            if run.phase != RunPhase::Running || run.stop.is_some() {
+                return None;
+            }
+            let per_core = victims
+                .iter()
+                .map(|(victim, _)| models.pairs.coefficient(victim, &run.class))
+                .fold(0.0, f64::max);
+            Some((per_core * run.cores(), run.cores(), *task))
+        };
+        let tasks = worker.runs.iter().filter_map(harm);
+        let worst = tasks.max_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)))?;
+        Some(worst.2)
+    }
+
+    fn throttle_worst(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+        name: &str,
+    ) {
+        let task = self.worst_task(scene, models, name);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(task) = task else { return worker.relief.forget_throttle() };
+        worker.throttled = Some(task);
+        self.set_share(step, scene, name, task, THROTTLED_PERCENT);
+    }
+
+    fn unthrottle(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
+        let throttled = self.workers.get_mut(name).and_then(|worker| worker.throttled.take());
+        if let Some(task) = throttled {
+            self.set_share(step, scene, name, task, 100);
+        }
+    }
+
+    pub(super) fn set_share(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        name: &str,
+        task: TaskId,
+        percent: u8,
+    ) {
+        let Some(run) = self.runs.get_mut(&task) else { return };
+        run.percent = percent;
+        let attempt = run.placement.attempt;
+        let wire_id = self.wire_id(task);
+        step.log(TASK_THROTTLED, format!("{wire_id} on {name}: {percent} %"));
+        let request = WorkerRequest::Throttle { task: wire_id, attempt, percent };
+        let exchange = GroupExchange::Throttle(name.to_owned());
+        self.call_worker(step, scene, name, request, exchange);
+    }
+
+    fn evict_worst(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+        name: &str,
+    ) {
+        let throttled = self.workers.get_mut(name).and_then(|worker| worker.throttled.take());
+        let Some(task) = throttled.or_else(|| self.worst_task(scene, models, name)) else { return };
+        self.want_stop(task, StopReason::Evict);
+        self.try_stop(step, scene, task);
+    }
+
+    /// Checkpoints and stops all tasks of a leaving worker.
+    pub(super) fn move_tasks_away(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        name: &str,
+    ) {
+        let Some(worker) = self.workers.get(name) else { return };
+        for task in worker.runs.iter().copied().collect::<Vec<_>>() {
+            self.want_stop(task, StopReason::Leave);
+            self.try_stop(step, scene, task);
+        }
+    }
+
+    fn want_stop(&mut self, task: TaskId, reason: StopReason) {
+        if let Some(run) = self.runs.get_mut(&task) {
+            run.stop.get_or_insert(reason);
+        }
+    }
+
+    /// Stops the attempts of a worker that are to be stopped and whose stop had no effect so far.
+    pub(super) fn retry_stops(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        name: &str,
+    ) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let wanted = |task: &TaskId| self.runs.get(task).is_some_and(|run| run.stop.is_some());
+        for task in worker.runs.iter().copied().filter(wanted).collect::<Vec<_>>() {
+            self.try_stop(step, scene, task);
+        }
+    }
+
+    /// Sends the stop of a running attempt that is to be stopped. An eviction waits while the
+    /// store does not confirm, since its checkpoint could not be committed; a cancellation or an
+    /// end that is not committed yet waits for the commit.
+    pub(super) fn try_stop(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        task: TaskId,
+    ) {
+        let Some(run) = self.runs.get(&task) else { return };
+        let Some(reason) = run.stop.filter(|_| run.phase == RunPhase::Running && !run.stopping)
+        else {
+            return;
+        };
+        let uncommitted =
+            self.journal.segment().is_some_and(|segment| segment.before.contains_key(&task));
+        if uncommitted || (reason != StopReason::Cancel && self.journal.is_stalled(step.now())) {
+            return;
+        }
+        let (attempt, name) = (run.placement.attempt, run.placement.worker.clone());
+        let checkpoint = reason != StopReason::Cancel;
+        let request = WorkerRequest::Stop { task: self.wire_id(task), attempt, checkpoint };
+        let exchange = GroupExchange::Stop(task, attempt, name.clone());
+        if self.call_worker(step, scene, &name, request, exchange).is_some() {
+            if let Some(run) = self.runs.get_mut(&task) {
+                run.stopping = true;
+            }
+        }
+    }
+
+    pub(super) fn on_stop_ended(
+        &mut self,
+        step: &mut StepContext,
+        task: TaskId,
+        attempt: AttemptNumber,
+        result: &Result<WorkerReply, ExchangeError>,
+    ) {
+        let now = step.now();
+        let Some(run) = self.runs.get_mut(&task) else { return };
+        if run.placement.attempt != attempt || !run.stopping {
+            return;
+        }
+        run.stopping = false;
+        if run.phase == RunPhase::Ended {
+            return;
+        }
+        let name = run.placement.worker.clone();
+        match result {
+            Ok(WorkerReply::Stopped { ended: Some(end), .. }) => {
+                self.take_end(step, &name, task, attempt, end);
+            }
+            Ok(WorkerReply::Stopped { checkpoint, .. }) => {
+                self.take_stop(now, task, attempt, checkpoint.clone());
+            }
+            Err(ExchangeError::NotSent) => {}
+            Ok(_) | Err(ExchangeError::Refused(_)) => self.doubt(now, &name, task, attempt),
+            Err(ExchangeError::Lost) => self.doubt(now + TRANSIT_BOUND, &name, task, attempt),
+        }
+    }
+
+    /// Takes the stop of an attempt that was still running.
+    fn take_stop(
+        &mut self,
+        now: MonotonicTime,
+        task: TaskId,
+        attempt: AttemptNumber,
+        checkpoint: Option<String>,
+    ) {
+        let Some(run) = self.runs.get(&task) else { return };
+        let checkpoint = checkpoint.or_else(|| run.checkpoint.clone());
+        if run.stop == Some(StopReason::Cancel) {
+            return self.stage_end(JournalEntry::Interrupted(task, attempt, None), None);
+        }
+        if run.stop == Some(StopReason::Evict) {
+            if let Some(worker) = self.workers.get(&run.placement.worker) {
+                self.avoid.insert(task, (worker.machine.clone(), now + AVOID_MACHINE));
+            }
+        }
+        self.stage_end(JournalEntry::Evicted(task, attempt, checkpoint), None);
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/tasks/journal.rs
@@ -0,0 +1,408 @@
+//! Journal writing: one write in flight for each group, read back when its answer was lost.
+
+use std::{
+    collections::{BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+use bytes::Bytes;
+
+use crate::{
+    effect::{CallerAnswer, EntryEffect},
+    event::ExchangeError,
+    ids::{AttemptNumber, ExchangeId, MonotonicTime, TargetName},
+    ledger::{JournalEntry, JournalSegment, OperationId, SnapshotHead, TaskBody, TaskId},
+    log::JOURNAL_FENCED,
+    message::decode,
+    reducer::step::{ReducerPart, StepContext},
+    store::{
+        batch_prefix, epoch_key, StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite,
+    },
+};
+
+use super::{
+    group::{GroupExchange, GroupScene, TaskGroup, TaskModels, TaskSample, Waiter},
+    snapshot::SnapshotPlan,
+};
+
+/// Time between two segments.
+pub const JOURNAL_INTERVAL: Duration = Duration::from_millis(300);
+/// Size at which a segment is written without waiting, and closed.
+pub const SEGMENT_BYTES: usize = 256 * 1024;
+/// Age of an unconfirmed write from which new submissions are refused.
+pub const STORE_PATIENCE: Duration = Duration::from_secs(2);
+/// Longest wait of a caller for a change that is not written yet; it is withdrawn then.
+pub const STAGED_PATIENCE: Duration = Duration::from_secs(3);
+/// Longest wait of a caller for a write in flight; its outcome is unknown then.
+pub const WRITE_PATIENCE: Duration = Duration::from_secs(5);
+
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+const REOPEN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A submission that is not written yet.
+#[derive(Debug)]
+pub struct StagedSubmission {
+    pub(super) body: TaskBody,
+    pub(super) oversized: bool,
+    pub(super) waiters: Vec<Waiter>,
+    pub(super) since: MonotonicTime,
+}
+
+/// Changes for the next segment.
+#[derive(Debug, Default)]
+pub struct StagedChanges {
+    pub(super) entries: VecDeque<(JournalEntry, Option<TargetName>)>,
+    pub(super) bytes: usize,
+    pub(super) submissions: HashMap<TaskId, StagedSubmission>,
+    pub(super) order: VecDeque<TaskId>,
+    pub(super) cancels: HashMap<TaskId, (MonotonicTime, Vec<Waiter>)>,
+    pub(super) cancel_order: VecDeque<TaskId>,
+}
+
+impl StagedChanges {
+    /// Adds the end of an attempt, reported by a worker if one is named.
+    pub fn push(&mut self, entry: JournalEntry, worker: Option<TargetName>) {
+        self.bytes += entry.weight();
+        self.entries.push_back((entry, worker));
+    }
+
+    /// Adds a submission.
+    pub fn submit(&mut self, task: TaskId, submission: StagedSubmission) {
+        self.bytes += submission.body.input.len();
+        self.order.push_back(task);
+        self.submissions.insert(task, submission);
+    }
+
+    /// Adds a cancellation.
+    pub fn cancel(&mut self, now: MonotonicTime, task: TaskId, waiter: Waiter) {
+        let cancel = self.cancels.entry(task).or_insert_with(|| {
+            self.cancel_order.push_back(task);
+            (now, Vec::new())
+        });
+        cancel.1.push(waiter);
+    }
+
+    pub(super) fn take_submission(&mut self) -> Option<(TaskId, StagedSubmission)> {
+        let task = self.order.pop_front()?;
+        let submission = self.submissions.remove(&task)?;
+        self.bytes = self.bytes.saturating_sub(submission.body.input.len());
+        Some((task, submission))
+    }
+
+    pub(super) fn take_cancel(&mut self) -> Option<(TaskId, Vec<Waiter>)> {
+        let task = self.cancel_order.pop_front()?;
+        let (_, waiters) = self.cancels.remove(&task)?;
+        Some((task, waiters))
+    }
+}
+
+/// A segment that is being written.
+#[derive(Debug, Default)]
+pub(super) struct SegmentWrite {
+    pub(super) entries: Vec<JournalEntry>,
+    pub(super) bytes: usize,
+    pub(super) workers: Vec<TargetName>,
+    pub(super) samples: Vec<TaskSample>,
+    pub(super) starts: Vec<(TaskId, AttemptNumber)>,
+    pub(super) accepted: HashMap<TaskId, Vec<Waiter>>,
+    pub(super) cancelled: HashMap<TaskId, Vec<Waiter>>,
+    /// State shown for a task until its change is committed; empty for a new task.
+    pub(super) before: HashMap<TaskId, &'static str>,
+}
+
+#[derive(Debug)]
+pub(super) enum WriteKind {
+    Segment(Box<SegmentWrite>),
+    Chunk,
+    Head,
+}
+
+#[derive(Debug)]
+pub(super) struct JournalWrite {
+    pub(super) kind: WriteKind,
+    operation: OperationId,
+    key: String,
+    value: Bytes,
+    pub(super) since: MonotonicTime,
+    /// When to go on after an answer that did not settle the write.
+    retry_at: Option<MonotonicTime>,
+    /// Whether the answer was lost, so that the key has to be read first.
+    doubtful: bool,
+}
+
+/// State of a group's journal.
+#[derive(Debug, Default)]
+pub struct GroupJournal {
+    pub(super) loaded: bool,
+    pub(super) loading: bool,
+    pub(super) retry_at: MonotonicTime,
+    pub(super) fenced: bool,
+    pub(super) next: u64,
+    pub(super) segments: BTreeSet<u64>,
+    pub(super) head: Option<SnapshotHead>,
+    pub(super) write: Option<JournalWrite>,
+    pub(super) last_flush: Option<MonotonicTime>,
+    pub(super) plan: Option<SnapshotPlan>,
+}
+
+impl GroupJournal {
+    /// Tells whether the store has not confirmed a write for long.
+    pub fn is_stalled(&self, now: MonotonicTime) -> bool {
+        self.write.as_ref().is_some_and(|write| now >= write.since + STORE_PATIENCE)
+    }
+
+    /// Returns the segment in flight.
+    pub(super) fn segment(&self) -> Option<&SegmentWrite> {
+        match &self.write.as_ref()?.kind {
+            WriteKind::Segment(segment) => Some(segment),
+            WriteKind::Chunk | WriteKind::Head => None,
+        }
+    }
+
+    pub(super) fn segment_mut(&mut self) -> Option<(&mut SegmentWrite, MonotonicTime)> {
+        let write = self.write.as_mut()?;
+        match &mut write.kind {
+            WriteKind::Segment(segment) => Some((segment, write.since)),
+            WriteKind::Chunk | WriteKind::Head => None,
+        }
+    }
+}
+
+impl TaskGroup {
+    /// Goes on with the write in flight, or begins the next one.
+    pub(super) fn go_on_writing(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &mut TaskModels,
+    ) {
+        let now = step.now();
+        if let Some(write) = &mut self.journal.write {
+            if write.retry_at.is_some_and(|at| now >= at) {
+                write.retry_at = None;
+                if write.doubtful {
+                    self.check_write(step);
+                } else {
+                    self.send_write(step);
+                }
+            }
+            return;
+        }
+        let rested = self.journal.last_flush.is_none_or(|at| now >= at + JOURNAL_INTERVAL);
+        if rested || self.staged.bytes >= SEGMENT_BYTES {
+            self.flush(step, scene, models);
+        }
+        if self.journal.write.is_none() {
+            self.go_on_with_snapshot(step);
+        }
+    }
+
+    pub(super) fn begin_write(
+        &mut self,
+        step: &mut StepContext,
+        kind: WriteKind,
+        operation: OperationId,
+        key: String,
+        value: Bytes,
+    ) {
+        let since = step.now();
+        self.journal.write = Some(JournalWrite {
+            kind,
+            operation,
+            key,
+            value,
+            since,
+            retry_at: None,
+            doubtful: false,
+        });
+        self.send_write(step);
+    }
+
+    fn send_write(&mut self, step: &mut StepContext) {
+        let Some(write) = &self.journal.write else { return };
+        let epoch_key = epoch_key(&self.zone, self.group);
+        let epoch = Bytes::from(self.epoch.to_string());
+        let mut compares = vec![StoreCompare::Value(epoch_key.clone(), epoch)];
+        if matches!(write.kind, WriteKind::Segment(_)) {
+            compares.push(StoreCompare::ModRevision(write.key.clone(), 0));
+        }
+        let put =
+            StoreWrite::Put { key: write.key.clone(), value: write.value.clone(), lease: None };
+        let mut then = vec![put];
+        if matches!(write.kind, WriteKind::Head) {
+            then.extend(self.snapshot_deletes());
+        }
+        let otherwise = vec![epoch_key, write.key.clone()];
+        let request = StoreRequest::Txn { compares, then, otherwise };
+        self.call_store(step, request, GroupExchange::Write);
+    }
+
+    fn check_write(&mut self, step: &mut StepContext) {
+        let Some(write) = &self.journal.write else { return };
+        let request = StoreRequest::Range { key: write.key.clone(), prefix: false };
+        self.call_store(step, request, GroupExchange::Check);
+    }
+
+    pub(super) fn call_store(
+        &mut self,
+        step: &mut StepContext,
+        request: StoreRequest,
+        kind: GroupExchange,
+    ) -> ExchangeId {
+        let exchange = step.begin_exchange(ReducerPart::Tasks);
+        self.exchanges.insert(exchange, kind);
+        step.push(EntryEffect::CallStore { exchange, request, timeout: STORE_TIMEOUT });
+        exchange
+    }
+
+    pub(super) fn on_written(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        result: &Result<StoreReply, ExchangeError>,
+    ) {
+        match result {
+            Ok(StoreReply::Txn { succeeded: true, .. }) => self.on_committed(step, scene),
+            Ok(StoreReply::Txn { values, .. }) => {
+                if self.is_written(values) {
+                    return self.on_committed(step, scene);
+                }
+                self.fence(step);
+            }
+            Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => {
+                self.retry_write(step, false)
+            }
+            Ok(_) | Err(ExchangeError::Lost) => self.retry_write(step, true),
+        }
+    }
+
+    pub(super) fn on_checked(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        result: &Result<StoreReply, ExchangeError>,
+    ) {
+        let Ok(StoreReply::Range { values, .. }) = result else {
+            return self.retry_write(step, true);
+        };
+        if self.is_written(values) {
+            return self.on_committed(step, scene);
+        }
+        // The key is absent, or still holds an older value of a snapshot. Sending the same bytes
+        // again is safe even if the first write is still under way: the comparison lets only one
+        // of them take effect.
+        if let Some(write) = &mut self.journal.write {
+            write.doubtful = false;
+        }
+        self.send_write(step);
+    }
+
+    /// Tells whether the key of the write holds what was written. Chunks and heads are compared
+    /// whole; a segment is recognized by its operation id.
+    fn is_written(&self, values: &[StoreValue]) -> bool {
+        let Some(write) = &self.journal.write else { return false };
+        let Some(value) = values.iter().find(|value| value.key == write.key) else { return false };
+        match write.kind {
+            WriteKind::Segment(_) => decode::<JournalSegment>(&value.value)
+                .is_some_and(|segment| segment.operation == write.operation),
+            WriteKind::Chunk | WriteKind::Head => value.value == write.value,
+        }
+    }
+
+    fn retry_write(&mut self, step: &mut StepContext, doubtful: bool) {
+        let Some(write) = &mut self.journal.write else { return };
+        write.doubtful |= doubtful;
+        write.retry_at = Some(step.now() + RETRY_INTERVAL);
+    }
+
+    fn on_committed(&mut self, step: &mut StepContext, scene: &GroupScene<'_>) {
+        let Some(write) = self.journal.write.take() else { return };
+        match write.kind {
+            WriteKind::Segment(segment) => {
+                self.journal.segments.insert(self.journal.next);
+                self.journal.next += 1;
+                self.on_segment_committed(step, scene, *segment);
+            }
+            WriteKind::Chunk => {
+                if let Some(plan) = &mut self.journal.plan {
+                    plan.chunks.pop_front();
+                }
+            }
+            WriteKind::Head => self.on_snapshot_committed(),
+        }
+    }
+
+    /// Drops everything that only an owner may hold. The segment in flight was refused or may
+    /// belong to the next owner, so its submitters are told that the outcome is unknown.
+    fn fence(&mut self, step: &mut StepContext) {
+        step.log(JOURNAL_FENCED, format!("{}/{} epoch {}", self.zone, self.group, self.epoch));
+        self.close(step);
+    }
+
+    /// Ends the term: answers everyone who waits and drops the ledger.
+    pub fn close(&mut self, step: &mut StepContext) {
+        self.journal.fenced = true;
+        if let Some(write) = self.journal.write.take() {
+            if let WriteKind::Segment(segment) = write.kind {
+                let waiters = segment.accepted.into_values().chain(segment.cancelled.into_values());
+                for waiter in waiters.flatten() {
+                    waiter.answer(step, CallerAnswer::new_unknown("the group changed its owner"));
+                }
+            }
+        }
+        let staged = std::mem::take(&mut self.staged);
+        let submitted = staged.submissions.into_values().map(|submission| submission.waiters);
+        let cancelled = staged.cancels.into_values().map(|(_, waiters)| waiters);
+        for waiter in submitted.chain(cancelled).flatten() {
+            let reason = "the group changed its owner";
+            waiter.answer(step, CallerAnswer::new_busy(reason, Duration::from_secs(1)));
+        }
+        self.drop_state(step.now());
+    }
+
+    fn drop_state(&mut self, now: MonotonicTime) {
+        let mut next =
+            Self::new(&self.zone, self.group, self.epoch, self.taken_at, self.probe_from);
+        next.samples = std::mem::take(&mut self.samples);
+        next.reopened = true;
+        next.journal.fenced = true;
+        next.journal.retry_at = now + REOPEN_INTERVAL;
+        *self = next;
+    }
+
+    /// Gives callers their final answer who have waited too long for the store.
+    pub(super) fn expire_waiters(&mut self, step: &mut StepContext) {
+        let now = step.now();
+        if let Some((segment, since)) = self.journal.segment_mut() {
+            if now >= since + WRITE_PATIENCE {
+                let accepted = std::mem::take(&mut segment.accepted);
+                let cancelled = std::mem::take(&mut segment.cancelled);
+                for waiter in accepted.into_values().chain(cancelled.into_values()).flatten() {
+                    waiter.answer(step, CallerAnswer::new_unknown("the store does not answer"));
+                }
+            }
+        }
+        let busy = || CallerAnswer::new_busy("the store does not answer", Duration::from_secs(2));
+        let patient = |since: MonotonicTime| now < since + STAGED_PATIENCE;
+        while let Some(task) = self.staged.order.front() {
+            if self.staged.submissions.get(task).is_some_and(|staged| patient(staged.since)) {
+                break;
+            }
+            let Some((task, submission)) = self.staged.take_submission() else { break };
+            self.refused.insert(now, task);
+            submission.waiters.into_iter().for_each(|waiter| waiter.answer(step, busy()));
+        }
+        while let Some(task) = self.staged.cancel_order.front() {
+            if self.staged.cancels.get(task).is_some_and(|(since, _)| patient(*since)) {
+                break;
+            }
+            let Some((_, waiters)) = self.staged.take_cancel() else { break };
+            waiters.into_iter().for_each(|waiter| waiter.answer(step, busy()));
+        }
+    }
+
+    pub(super) fn prefix(&self) -> String {
+        batch_prefix(&self.zone, self.group)
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/tasks/loading.rs
@@ -0,0 +1,101 @@
+//! Reading the ledger after a takeover.
+
+use std::time::Duration;
+
+use crate::{
+    event::ExchangeError,
+    ids::MonotonicTime,
+    ledger::{StoredLedger, TaskState},
+    log::{JOURNAL_LOADED, JOURNAL_UNREADABLE},
+    reducer::step::StepContext,
+    store::{StoreReply, StoreRequest},
+};
+
+use super::group::{GroupExchange, GroupScene, RunPhase, TaskGroup, LEASE_LAPSED};
+
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+impl TaskGroup {
+    /// Reads the ledger unless a read is in progress.
+    pub(super) fn load(&mut self, step: &mut StepContext) {
+        if self.journal.loading || step.now() < self.journal.retry_at {
+            return;
+        }
+        self.journal.loading = true;
+        let request = StoreRequest::Range { key: self.prefix(), prefix: true };
+        self.call_store(step, request, GroupExchange::Load);
+    }
+
+    pub(super) fn on_loaded(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        result: &Result<StoreReply, ExchangeError>,
+    ) {
+        self.journal.loading = false;
+        self.journal.retry_at = step.now() + RETRY_INTERVAL;
+        let Ok(StoreReply::Range { values, .. }) = result else { return };
+        match StoredLedger::read(&self.prefix(), values) {
+            Ok(stored) => self.adopt_ledger(step, scene, stored),
+            Err(error) => {
+                let detail = format!("{}/{}: {error:?}", self.zone, self.group);
+                step.log(JOURNAL_UNREADABLE, detail);
+            }
+        }
+    }
+
+    fn adopt_ledger(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        stored: StoredLedger,
+    ) {
+        let now = step.now();
+        self.journal.loaded = true;
+        self.journal.next = stored.next_segment();
+        self.journal.head = stored.head;
+        self.journal.segments = stored.segments;
+        self.ledger = stored.ledger;
+        let mut ids: Vec<_> = self.ledger.tasks().map(|(task, _)| task).collect();
+        ids.sort_unstable();
+        for task in ids {
+            self.index_task(now, scene, task);
+        }
+        self.retired.extend(self.ledger.retired().map(|task| (now, task)));
+        self.start_wanted = true;
+        let detail = format!(
+            "{}/{} epoch {}: {} tasks",
+            self.zone,
+            self.group,
+            self.epoch,
+            self.ledger.len()
+        );
+        step.log(JOURNAL_LOADED, detail);
+    }
+
+    /// Adds a task that was read to everything derived from the ledger. An attempt that the last
+    /// owner started may still run: the worker's list tells, or the lapse of the lease that the
+    /// last owner gave before the takeover.
+    fn index_task(
+        &mut self,
+        now: MonotonicTime,
+        scene: &GroupScene<'_>,
+        task: crate::ledger::TaskId,
+    ) {
+        let Some(record) = self.ledger.get(task) else { return };
+        let (is_queued, is_final) = (record.state == TaskState::Queued, record.state.is_final());
+        if let Some(placement) = record.placement.clone() {
+            let lapse_at = self.taken_at + LEASE_LAPSED;
+            let phase = RunPhase::Unsure(self.probe_from);
+            self.add_run(scene, task, &placement, phase, lapse_at);
+        }
+        if is_queued {
+            self.requeue(now, scene, task);
+        }
+        if is_final {
+            // Ends are not ordered by a common clock; counting from the takeover keeps them
+            // longer than needed at most.
+            self.ended.push_back((now, task));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/tasks/mod.rs
@@ -0,0 +1,392 @@
+//! Batch tasks: journal, attempts, worker leases and evictions.
+
+pub mod group;
+pub mod journal;
+pub mod queue;
+pub mod renewing;
+pub mod sizes;
+pub mod trials;
+pub mod workers;
+
+mod eviction;
+mod loading;
+mod queries;
+mod refused;
+mod segment;
+mod snapshot;
+mod starting;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use crate::{
+    effect::{CallerAnswer, EntryEffect},
+    event::{ExchangeError, ListedRole, TaskQuery, TaskSubmission},
+    ids::{ExchangeId, GroupIndex, MonotonicTime, ReplyId, RequestTicket, ZoneName},
+    ledger::TaskId,
+    message::{PeerReply, PeerRequest},
+    settings::EntrySettings,
+    store::StoreReply,
+    worker::{ResourceSize, WorkerReply},
+};
+
+use self::group::{GroupScene, TaskGroup, TaskModels, Waiter, TRANSIT_BOUND};
+
+use super::{
+    groups::{GroupChange, GroupPart},
+    records::RecordPart,
+    step::{ReducerPart, StepContext},
+    TaskView,
+};
+
+// Longer than the home may hold a submission before it answers.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(10);
+const RETRY_UNOWNED: Duration = Duration::from_secs(1);
+
+/// A request that was forwarded to its home.
+#[derive(Clone, Copy, Debug)]
+struct ForwardedRequest {
+    reply: ReplyId,
+    /// Whether a lost answer leaves open what happened.
+    changes: bool,
+}
+
+/// Batch tasks.
+#[derive(Debug)]
+pub struct TaskPart {
+    zone: ZoneName,
+    groups: BTreeMap<GroupIndex, TaskGroup>,
+    models: TaskModels,
+    forwards: HashMap<ExchangeId, ForwardedRequest>,
+}
+
+/// Calls a function with what a group reads from the other parts.
+fn with_scene<R>(
+    view: TaskView<'_>,
+    now: MonotonicTime,
+    group: GroupIndex,
+    run: impl FnOnce(&GroupScene<'_>) -> R,
+) -> R {
+    run(&GroupScene {
+        right_until: view.groups.right_until(group, now),
+        profile: &|name| view.config.profile(name),
+        classes_on: &|machine| view.calls.classes_on(machine),
+        could_hold: &|size| could_hold(view.groups, size),
+    })
+}
+
+fn could_hold(groups: &GroupPart, size: &ResourceSize) -> Option<bool> {
+    let mut known = None;
+    for target in groups.targets().targets.values() {
+        let ListedRole::Worker { size: held } = &target.role else { continue };
+        if size.fits(held) {
+            return Some(true);
+        }
+        known = Some(false);
+    }
+    known
+}
+
+impl TaskPart {
+    /// Creates the part.
+    pub fn new(settings: &EntrySettings) -> Self {
+        Self {
+            zone: settings.zone.clone(),
+            groups: BTreeMap::new(),
+            models: TaskModels::default(),
+            forwards: HashMap::new(),
+        }
+    }
+
+    /// Handles a submission of a caller.
+    pub fn on_submission(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        records: &mut RecordPart,
+        reply: ReplyId,
+        submission: TaskSubmission,
+    ) {
+        let waiter = Waiter { reply, peer: false };
+        if self.may_act(step, view, &submission.ticket) {
+            return self.submit(step, view, records, waiter, submission);
+        }
+        let ticket = submission.ticket.clone();
+        let request = PeerRequest::ForwardTask(submission);
+        self.forward(step, view, &ticket, request, ForwardedRequest { reply, changes: true });
+    }
+
+    /// Handles a submission that a peer forwarded.
+    pub fn on_forwarded_submission(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        records: &mut RecordPart,
+        reply: ReplyId,
+        submission: TaskSubmission,
+    ) {
+        if !self.may_act(step, view, &submission.ticket) {
+            return step.push(EntryEffect::AnswerPeer { reply, answer: PeerReply::NotOwner });
+        }
+        self.submit(step, view, records, Waiter { reply, peer: true }, submission);
+    }
+
+    fn submit(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        records: &mut RecordPart,
+        waiter: Waiter,
+        submission: TaskSubmission,
+    ) {
+        let index = submission.ticket.group;
+        let Some(group) = self.groups.get_mut(&index) else { return };
+        with_scene(view, step.now(), index, |scene| group.submit(step, scene, waiter, submission));
+        self.count_samples(records);
+    }
+
+    /// Handles a caller's question about a task.
+    pub fn on_query(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        reply: ReplyId,
+        ticket: RequestTicket,
+        query: TaskQuery,
+    ) {
+        if self.may_act(step, view, &ticket) {
+            return self.ask(step, Waiter { reply, peer: false }, &ticket, query);
+        }
+        let changes = query == TaskQuery::Cancel;
+        let request = PeerRequest::ForwardQuery(ticket.clone(), query);
+        self.forward(step, view, &ticket, request, ForwardedRequest { reply, changes });
+    }
+
+    /// Handles a question that a peer forwarded.
+    pub fn on_forwarded_query(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        reply: ReplyId,
+        ticket: RequestTicket,
+        query: TaskQuery,
+    ) {
+        if !self.may_act(step, view, &ticket) {
+            return step.push(EntryEffect::AnswerPeer { reply, answer: PeerReply::NotOwner });
+        }
+        self.ask(step, Waiter { reply, peer: true }, &ticket, query);
+    }
+
+    fn ask(
+        &mut self,
+        step: &mut StepContext,
+        waiter: Waiter,
+        ticket: &RequestTicket,
+        query: TaskQuery,
+    ) {
+        let Some(group) = self.groups.get_mut(&ticket.group) else { return };
+        group.query(step, waiter, TaskId::of(ticket), query);
+    }
+
+    /// Tells whether this instance is the home of a ticket and may act for it.
+    fn may_act(&self, step: &StepContext, view: TaskView<'_>, ticket: &RequestTicket) -> bool {
+        ticket.zone == self.zone
+            && self.groups.contains_key(&ticket.group)
+            && view.groups.right_until(ticket.group, step.now()).is_some()
+    }
+
+    fn forward(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        ticket: &RequestTicket,
+        request: PeerRequest,
+        forwarded: ForwardedRequest,
+    ) {
+        let Some((to, _)) = view.groups.owner_of(&ticket.zone, ticket.group, step.now()) else {
+            let refusal =
+                CallerAnswer::new_busy("the home of the task is not known", RETRY_UNOWNED);
+            return step.answer(forwarded.reply, refusal);
+        };
+        let exchange = step.begin_exchange(ReducerPart::Tasks);
+        self.forwards.insert(exchange, forwarded);
+        step.push(EntryEffect::CallPeer { exchange, to, request, timeout: FORWARD_TIMEOUT });
+    }
+
+    /// Handles the end of an exchange with a peer.
+    pub fn on_peer_ended(
+        &mut self,
+        step: &mut StepContext,
+        _records: &mut RecordPart,
+        exchange: ExchangeId,
+        result: Result<PeerReply, ExchangeError>,
+    ) {
+        let Some(forwarded) = self.forwards.remove(&exchange) else { return };
+        let busy = || CallerAnswer::new_busy("the home of the task did not answer", RETRY_UNOWNED);
+        let answer = match result {
+            Ok(PeerReply::Answer(answer)) => answer,
+            Err(ExchangeError::Lost) if forwarded.changes => {
+                CallerAnswer::new_unknown("the home of the task did not answer")
+            }
+            Ok(_) | Err(_) => busy(),
+        };
+        step.answer(forwarded.reply, answer);
+    }
+
+    /// Handles the end of an exchange with a worker.
+    pub fn on_worker_ended(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        records: &mut RecordPart,
+        exchange: ExchangeId,
+        result: Result<WorkerReply, ExchangeError>,
+    ) {
+        let models = &mut self.models;
+        for (index, group) in &mut self.groups {
+            let taken = with_scene(view, step.now(), *index, |scene| {
+                group.on_worker_ended(step, scene, models, exchange, &result)
+            });
+            if taken {
+                break;
+            }
+        }
+        self.count_samples(records);
+    }
+
+    /// Handles the end of an exchange with the store.
+    pub fn on_store_ended(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        records: &mut RecordPart,
+        exchange: ExchangeId,
+        result: Result<StoreReply, ExchangeError>,
+    ) {
+        for (index, group) in &mut self.groups {
+            let taken = with_scene(view, step.now(), *index, |scene| {
+                group.on_store_ended(step, scene, exchange, &result)
+            });
+            if taken {
+                break;
+            }
+        }
+        self.count_samples(records);
+    }
+
+    /// Handles a change of ownership or of a target.
+    pub fn on_group_change(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        change: &GroupChange,
+    ) {
+        match change {
+            GroupChange::Taken { group, epoch, probe_from, .. } => {
+                self.close_group(step, *group);
+                let (now, zone) = (step.now(), self.zone.clone());
+                let state = TaskGroup::new(&zone, *group, *epoch, now, *probe_from);
+                self.open_group(step, view, *group, state);
+            }
+            GroupChange::Lost { group } => self.close_group(step, *group),
+            GroupChange::TargetChanged { name } => self.change_target(step, view, name),
+            GroupChange::TargetEnded { name, group } => {
+                if let Some(group) = self.groups.get_mut(group) {
+                    group.on_target_ended(name);
+                }
+            }
+            GroupChange::Drained => {}
+        }
+    }
+
+    fn open_group(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        index: GroupIndex,
+        mut group: TaskGroup,
+    ) {
+        with_scene(view, step.now(), index, |scene| {
+            for (_, target) in view.groups.targets().in_group(index) {
+                if matches!(target.role, ListedRole::Worker { .. }) {
+                    group.on_target(step, scene, target);
+                }
+            }
+        });
+        self.groups.insert(index, group);
+    }
+
+    fn close_group(&mut self, step: &mut StepContext, index: GroupIndex) {
+        if let Some(mut group) = self.groups.remove(&index) {
+            group.close(step);
+        }
+    }
+
+    fn change_target(&mut self, step: &mut StepContext, view: TaskView<'_>, name: &str) {
+        let Some((_, target)) = view.groups.targets().by_name(name) else { return };
+        let ListedRole::Worker { .. } = target.role else { return };
+        let Some(group) = self.groups.get_mut(&target.group) else { return };
+        with_scene(view, step.now(), target.group, |scene| group.on_target(step, scene, target));
+    }
+
+    /// Writes the journal, renews leases, starts, throttles and evicts tasks.
+    pub fn on_tick(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        records: &mut RecordPart,
+    ) {
+        self.reopen_fenced(step, view);
+        let models = &mut self.models;
+        for (index, group) in &mut self.groups {
+            with_scene(view, step.now(), *index, |scene| group.on_tick(step, scene, models));
+        }
+        self.count_samples(records);
+    }
+
+    /// Reads the ledger again of a group that was fenced, if this instance still is its owner
+    /// under the same epoch. Everything it started before counts as a last owner's work; what it
+    /// sent just before has arrived after a worker's window and the transit.
+    fn reopen_fenced(&mut self, step: &mut StepContext, view: TaskView<'_>) {
+        let now = step.now();
+        let fenced: Vec<_> = self
+            .groups
+            .iter()
+            .filter(|(index, group)| {
+                group.may_reopen(now)
+                    && view.groups.epoch(**index) == Some(group.epoch())
+                    && view.groups.right_until(**index, now).is_some()
+            })
+            .map(|(index, group)| (*index, group.epoch()))
+            .collect();
+        for (index, epoch) in fenced {
+            let state = TaskGroup::new(&self.zone, index, epoch, now, now + 2 * TRANSIT_BOUND)
+                .with_reopened();
+            self.open_group(step, view, index, state);
+        }
+    }
+
+    fn count_samples(&mut self, records: &mut RecordPart) {
+        for group in self.groups.values_mut() {
+            for sample in group.take_samples() {
+                let (profile, customer) = (&sample.profile, &sample.customer);
+                records.count_task(profile, customer, sample.mark, sample.elapsed);
+            }
+        }
+    }
+
+    /// Returns the predicted slowdown of a latency-critical class by the tasks that run on a
+    /// machine now, 1.0 being none.
+    pub fn slowdown(&self, machine: &str, class: &str) -> f64 {
+        let groups = self.groups.values();
+        groups.map(|group| group.slowdown_on(&self.models, machine, class)).fold(1.0, f64::max)
+    }
+
+    /// Returns the state shown to operators.
+    pub fn status(&self, now: MonotonicTime) -> serde_json::Value {
+        let groups: Vec<_> = self.groups.values().map(|group| group.status(now)).collect();
+        serde_json::json!({ "groups": groups, "forwarded": self.forwards.len() })
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -0,0 +1,408 @@
+//! Leases and reports of workers: renewals, lists, ends and adoption.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{
+    event::ExchangeError,
+    ids::{AttemptNumber, MonotonicTime},
+    ledger::{JournalEntry, TaskId, MAX_TEXT_BYTES},
+    log::TASK_ADOPTED,
+    membership::TargetState,
+    reducer::step::{StepContext, TargetObservation},
+    worker::{
+        AttemptEnd, EndedTask, ResourceSize, RunningTask, WorkerReply, WorkerReport, WorkerRequest,
+    },
+};
+
+use super::group::{
+    GroupExchange, GroupScene, RunPhase, TaskGroup, TaskModels, LEASE_LAPSED, TRANSIT_BOUND,
+    WORKER_LEASE,
+};
+
+/// Time between two renewals, and two lists, of a worker.
+pub const VISIT_INTERVAL: Duration = Duration::from_secs(1);
+/// Silence after which a worker's leases are no longer renewed, so that they lapse for sure.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// How a reported attempt fits the ledger.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RunMatch {
+    /// The ledger places it on the worker.
+    Known,
+    /// The ledger places it on the worker, and this report is the first to show it there.
+    Adopted,
+    /// The ledger does not place it on the worker.
+    Foreign,
+}
+
+impl TaskGroup {
+    /// Renews, lists and checks the workers that are due.
+    pub(super) fn visit_due_workers(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+    ) {
+        let now = step.now();
+        while let Some(name) = self.workers.take_due(now, now + VISIT_INTERVAL) {
+            self.lapse_leases(now, &name);
+            self.place_worker(now, scene, Some(models), &name);
+            if self.workers.get(&name).is_none_or(|worker| worker.ended) || now < self.probe_from {
+                continue;
+            }
+            self.renew(step, scene, &name);
+            self.list(step, scene, &name);
+            self.retry_stops(step, scene, &name);
+        }
+    }
+
+    /// Ends the attempts of a worker whose leases have surely lapsed.
+    fn lapse_leases(&mut self, now: MonotonicTime, name: &str) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let mut lapsed = Vec::new();
+        for task in &worker.runs {
+            let Some(run) = self.runs.get(task) else { continue };
+            let held = matches!(run.phase, RunPhase::Running | RunPhase::Unsure(_));
+            if held && now >= run.lapse_at {
+                lapsed.push((*task, run.placement.attempt, run.checkpoint.clone()));
+            }
+        }
+        for (task, attempt, checkpoint) in lapsed {
+            self.stage_end(JournalEntry::Interrupted(task, attempt, checkpoint), None);
+        }
+    }
+
+    fn renew(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
+        let now = step.now();
+        let Some(worker) = self.workers.get(name) else { return };
+        let silent = worker.answered_at.is_none_or(|at| now >= at + SILENCE);
+        if worker.renewing || silent {
+            return;
+        }
+        let running = |task: &TaskId| {
+            let run = self.runs.get(task)?;
+            (run.phase == RunPhase::Running).then_some((*task, run.placement.attempt))
+        };
+        let tasks: Vec<_> = worker.runs.iter().filter_map(running).collect();
+        if tasks.is_empty() {
+            return;
+        }
+        let request = WorkerRequest::Renew {
+            lease_ms: WORKER_LEASE.as_millis() as u64,
+            tasks: tasks.iter().map(|(task, attempt)| (self.wire_id(*task), *attempt)).collect(),
+        };
+        let exchange = GroupExchange::Renew(name.to_owned(), tasks.clone());
+        let Some(valid_until) = self.call_worker(step, scene, name, request, exchange) else {
+            return;
+        };
+        for (task, _) in tasks {
+            if let Some(run) = self.runs.get_mut(&task) {
+                run.lapse_at = run.lapse_at.max(valid_until + LEASE_LAPSED);
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.renewing = true;
+        }
+    }
+
+    fn list(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
+        let Some(worker) = self.workers.get(name) else { return };
+        if worker.listing {
+            return;
+        }
+        // A worker that restarted under its name numbers its ends anew. An attempt in doubt is
+        // therefore looked up among all ends that the worker still has.
+        let in_doubt = |task: &TaskId| {
+            self.runs.get(task).is_some_and(|run| matches!(run.phase, RunPhase::Unsure(_)))
+        };
+        let since = if worker.runs.iter().any(in_doubt) { 0 } else { worker.durable_end };
+        let exchange = GroupExchange::List(name.to_owned(), step.now());
+        let request = WorkerRequest::List { since };
+        if self.call_worker(step, scene, name, request, exchange).is_none() {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.listing = true;
+        }
+    }
+
+    /// Notes what an exchange tells about the worker itself.
+    pub(super) fn note_answer(
+        &mut self,
+        step: &mut StepContext,
+        name: &str,
+        result: &Result<WorkerReply, ExchangeError>,
+    ) {
+        let answered = matches!(result, Ok(_) | Err(ExchangeError::Refused(_)));
+        if !answered {
+            return step.observe(TargetObservation::Silent(name.to_owned()));
+        }
+        step.observe(TargetObservation::Answered(name.to_owned()));
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.answered_at = Some(step.now());
+        }
+    }
+
+    pub(super) fn on_renewed(
+        &mut self,
+        step: &mut StepContext,
+        name: &str,
+        tasks: &[(TaskId, AttemptNumber)],
+        result: &Result<WorkerReply, ExchangeError>,
+    ) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.renewing = false;
+        }
+        let Ok(WorkerReply::Renewed { missing }) = result else { return };
+        for text in missing {
+            let Some(task) = self.task_of_wire_id(text) else { continue };
+            let Some((_, attempt)) = tasks.iter().find(|(renewed, _)| *renewed == task) else {
+                continue;
+            };
+            self.doubt(step.now(), name, task, *attempt);
+        }
+    }
+
+    /// Lets the next list decide about an attempt that the worker seems not to run.
+    pub(super) fn doubt(
+        &mut self,
+        at: MonotonicTime,
+        name: &str,
+        task: TaskId,
+        attempt: AttemptNumber,
+    ) {
+        let Some(run) = self.runs.get_mut(&task) else { return };
+        if run.placement.attempt == attempt && run.phase == RunPhase::Running {
+            run.phase = RunPhase::Unsure(at);
+            self.workers.hurry(name, at);
+        }
+    }
+
+    pub(super) fn on_listed(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &mut TaskModels,
+        name: &str,
+        sent_at: MonotonicTime,
+        result: &Result<WorkerReply, ExchangeError>,
+    ) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.listing = false;
+        let Ok(WorkerReply::Listed(report)) = result else { return };
+        self.start_wanted |= !worker.listed;
+        worker.listed = true;
+        if report.leaving && worker.state != TargetState::Leaving {
+            worker.state = TargetState::Leaving;
+            step.observe(TargetObservation::Leaving(name.to_owned()));
+        }
+        self.take_ends(step, name, &report.ended);
+        self.take_running(step, scene, name, sent_at, report);
+        self.settle_missing(name, sent_at, report);
+        self.take_usage(step, scene, models, name, report);
+        let state = self.workers.get(name).map(|worker| worker.state);
+        if state == Some(TargetState::Leaving) {
+            self.move_tasks_away(step, scene, name);
+        }
+        self.place_worker(step.now(), scene, Some(models), name);
+    }
+
+    fn take_ends(&mut self, step: &mut StepContext, name: &str, ends: &[EndedTask]) {
+        let seen = self.workers.get(name).map_or(0, |worker| worker.seen_end);
+        for ended in ends {
+            let Some(task) = self.task_of_wire_id(&ended.task) else { continue };
+            let is_open = self.runs.get(&task).is_some_and(|run| {
+                run.placement.attempt == ended.attempt
+                    && run.placement.worker == name
+                    && run.phase != RunPhase::Ended
+            });
+            if is_open {
+                self.take_end(step, name, task, ended.attempt, &ended.end);
+            } else if ended.sequence > seen {
+                self.take_late_end(name, task, ended.attempt, &ended.end);
+            }
+        }
+        let highest = ends.iter().map(|ended| ended.sequence).max().unwrap_or(0);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.seen_end = worker.seen_end.max(highest);
+            if worker.open_ends == 0 {
+                worker.durable_end = worker.seen_end;
+            }
+        }
+    }
+
+    /// Takes the end of an attempt that was not known to have ended.
+    pub(super) fn take_end(
+        &mut self,
+        step: &mut StepContext,
+        name: &str,
+        task: TaskId,
+        attempt: AttemptNumber,
+        end: &AttemptEnd,
+    ) {
+        match end {
+            AttemptEnd::Finished { .. } => {
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.health.on_success();
+                }
+            }
+            AttemptEnd::Failed { .. } => self.note_failure(step, task, name),
+            AttemptEnd::LeaseLapsed { .. } => {}
+        }
+        let entry = end_entry(task, attempt, end, self.run_checkpoint(task));
+        self.stage_end(entry, Some(name));
+    }
+
+    /// Takes the end of an attempt that was given up before. A result still counts: the task is
+    /// complete, and a later attempt of it is stopped.
+    fn take_late_end(
+        &mut self,
+        name: &str,
+        task: TaskId,
+        attempt: AttemptNumber,
+        end: &AttemptEnd,
+    ) {
+        let AttemptEnd::Finished { .. } = end else { return };
+        let Some(record) = self.ledger.get(task) else { return };
+        let again = record.finished_by == Some(attempt);
+        if again || attempt > record.last_attempt {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.open_ends += 1;
+        }
+        self.staged.push(end_entry(task, attempt, end, None), Some(name.to_owned()));
+    }
+
+    fn take_running(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        name: &str,
+        sent_at: MonotonicTime,
+        report: &WorkerReport,
+    ) {
+        let mut foreign = ResourceSize::default();
+        for running in &report.running {
+            let Some(task) = self.task_of_wire_id(&running.task) else { continue };
+            let confirmed = self.confirm_run(step, name, task, sent_at, running);
+            if confirmed == RunMatch::Adopted {
+                // The last owner may have throttled it.
+                self.set_share(step, scene, name, task, 100);
+            }
+            if confirmed == RunMatch::Foreign {
+                let size = self.ledger.get(task).map(|record| record.body.size);
+                foreign = foreign.plus(&size.unwrap_or_default());
+                self.stop_foreign(step, scene, name, task, running.attempt);
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.foreign = foreign;
+        }
+        self.retry_stops(step, scene, name);
+    }
+
+    /// Notes that a worker runs an attempt.
+    fn confirm_run(
+        &mut self,
+        step: &mut StepContext,
+        name: &str,
+        task: TaskId,
+        sent_at: MonotonicTime,
+        running: &RunningTask,
+    ) -> RunMatch {
+        let Some(run) = self.runs.get_mut(&task) else { return RunMatch::Foreign };
+        let placement = &run.placement;
+        if placement.attempt != running.attempt || placement.worker != name {
+            return RunMatch::Foreign;
+        }
+        if running.checkpoint.is_some() {
+            run.checkpoint.clone_from(&running.checkpoint);
+        }
+        let RunPhase::Unsure(from) = run.phase else { return RunMatch::Known };
+        if sent_at < from {
+            return RunMatch::Known;
+        }
+        run.phase = RunPhase::Running;
+        if run.confirmed_at.is_some() {
+            return RunMatch::Known;
+        }
+        run.confirmed_at = Some(step.now());
+        step.log(TASK_ADOPTED, format!("{} on {name}", running.task));
+        RunMatch::Adopted
+    }
+
+    /// Stops an attempt that the ledger does not place on the worker: it ended here by lapse of
+    /// its lease, or its task is placed elsewhere.
+    fn stop_foreign(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        name: &str,
+        task: TaskId,
+        attempt: AttemptNumber,
+    ) {
+        let request = WorkerRequest::Stop { task: self.wire_id(task), attempt, checkpoint: false };
+        let exchange = GroupExchange::Stop(task, attempt, name.to_owned());
+        self.call_worker(step, scene, name, request, exchange);
+    }
+
+    /// Settles the attempts that the worker neither runs nor reported as ended.
+    fn settle_missing(&mut self, name: &str, sent_at: MonotonicTime, report: &WorkerReport) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let listed: HashMap<&str, AttemptNumber> =
+            report.running.iter().map(|run| (run.task.as_str(), run.attempt)).collect();
+        let mut missing = Vec::new();
+        for task in &worker.runs {
+            let Some(run) = self.runs.get(task) else { continue };
+            let attempt = run.placement.attempt;
+            if listed.get(self.wire_id(*task).as_str()) != Some(&attempt) {
+                missing.push((*task, attempt, run.phase, run.confirmed_at));
+            }
+        }
+        for (task, attempt, phase, confirmed_at) in missing {
+            match phase {
+                RunPhase::Unsure(from) if sent_at >= from => {
+                    let checkpoint = self.run_checkpoint(task);
+                    self.stage_end(JournalEntry::Interrupted(task, attempt, checkpoint), None);
+                }
+                // The list may have been answered before the start arrived.
+                RunPhase::Running if confirmed_at.is_some_and(|at| sent_at >= at) => {
+                    self.doubt(sent_at + TRANSIT_BOUND, name, task, attempt);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub(super) fn run_checkpoint(&self, task: TaskId) -> Option<String> {
+        self.runs.get(&task).and_then(|run| run.checkpoint.clone())
+    }
+}
+
+/// Returns the journal entry for the end of an attempt.
+pub(super) fn end_entry(
+    task: TaskId,
+    attempt: AttemptNumber,
+    end: &AttemptEnd,
+    last_checkpoint: Option<String>,
+) -> JournalEntry {
+    match end {
+        AttemptEnd::Finished { result } => {
+            let text = result.to_string();
+            if text.len() > MAX_TEXT_BYTES {
+                let reason = format!("cannot run: the result is over {MAX_TEXT_BYTES} bytes");
+                return JournalEntry::AttemptFailed(task, attempt, reason);
+            }
+            JournalEntry::Finished(task, attempt, text)
+        }
+        AttemptEnd::Failed { reason } => {
+            let reason = reason.chars().take(1_000).collect();
+            JournalEntry::AttemptFailed(task, attempt, reason)
+        }
+        AttemptEnd::LeaseLapsed { checkpoint } => {
+            let checkpoint = checkpoint.clone().or(last_checkpoint);
+            JournalEntry::Interrupted(task, attempt, checkpoint)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/tasks/segment.rs
@@ -0,0 +1,214 @@
+//! Segments: what goes into one, and what follows from its commit.
+
+use std::time::SystemTime;
+
+use rand::Rng;
+
+use crate::{
+    effect::CallerAnswer,
+    ids::TargetName,
+    ledger::{segment_key, JournalEntry, JournalSegment},
+    log::{TASK_DOUBLED, TASK_EVICTED, TASK_FAILED, TASK_RESUMED},
+    message::encode,
+    reducer::{records::TaskMark, step::StepContext},
+};
+
+use super::{
+    group::{GroupScene, TaskGroup, TaskModels},
+    journal::{SegmentWrite, WriteKind, SEGMENT_BYTES},
+};
+
+impl TaskGroup {
+    pub(super) fn flush(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+    ) {
+        let at_ms = wall_ms(step);
+        let mut segment = SegmentWrite::default();
+        self.add_ends(step, scene, &mut segment, at_ms);
+        self.add_submissions(step, scene, &mut segment, at_ms);
+        self.add_cancels(step, scene, &mut segment, at_ms);
+        self.add_starts(step, scene, models, &mut segment, at_ms);
+        if segment.entries.is_empty() {
+            self.settle_ends(&segment.workers);
+            return;
+        }
+        let operation = (self.epoch, step.rng.random());
+        let entries = segment.entries.clone();
+        let value = encode(&JournalSegment { operation, at_ms, entries });
+        let key = segment_key(&self.prefix(), self.journal.next);
+        self.journal.last_flush = Some(step.now());
+        self.begin_write(step, WriteKind::Segment(Box::new(segment)), operation, key, value);
+    }
+
+    fn add_ends(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        segment: &mut SegmentWrite,
+        at_ms: u64,
+    ) {
+        while segment.bytes < SEGMENT_BYTES {
+            let Some((entry, worker)) = self.staged.entries.pop_front() else { return };
+            self.staged.bytes = self.staged.bytes.saturating_sub(entry.weight());
+            segment.workers.extend(worker);
+            self.note_doubled(step, &entry, at_ms);
+            let task = entry.task();
+            self.add_entry(step, scene, segment, entry, at_ms);
+            if let Some(reason) = self.give_up_reason(scene, task) {
+                self.add_entry(step, scene, segment, JournalEntry::Failed(task, reason), at_ms);
+            }
+        }
+    }
+
+    fn add_submissions(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        segment: &mut SegmentWrite,
+        at_ms: u64,
+    ) {
+        while segment.bytes < SEGMENT_BYTES {
+            let Some((task, submission)) = self.staged.take_submission() else { return };
+            let entry = JournalEntry::Accepted(task, submission.body);
+            self.add_entry(step, scene, segment, entry, at_ms);
+            segment.accepted.insert(task, submission.waiters);
+            if submission.oversized {
+                let reason = "cannot run: larger than every worker".to_owned();
+                self.add_entry(step, scene, segment, JournalEntry::Failed(task, reason), at_ms);
+            }
+        }
+    }
+
+    fn add_cancels(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        segment: &mut SegmentWrite,
+        at_ms: u64,
+    ) {
+        while segment.bytes < SEGMENT_BYTES {
+            let Some((task, waiters)) = self.staged.take_cancel() else { return };
+            let changed =
+                self.add_entry(step, scene, segment, JournalEntry::Cancelled(task), at_ms);
+            if changed || segment.before.contains_key(&task) {
+                segment.cancelled.insert(task, waiters);
+            } else {
+                for waiter in waiters {
+                    waiter.answer(step, self.status_answer(task));
+                }
+            }
+        }
+    }
+
+    /// Applies an entry and adds it to the segment if it had an effect.
+    pub(super) fn add_entry(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        segment: &mut SegmentWrite,
+        entry: JournalEntry,
+        at_ms: u64,
+    ) -> bool {
+        let task = entry.task();
+        let before = self.ledger.get(task);
+        let resumes = before.is_some_and(|record| record.interrupted);
+        let was_final = before.is_some_and(|record| record.state.is_final());
+        let name = before.map_or("", |record| record.state.name());
+        if !self.apply(step, scene, &entry, at_ms) {
+            return false;
+        }
+        segment.before.entry(task).or_insert(name);
+        for mark in marks(&entry, resumes, was_final) {
+            segment.samples.extend(self.sample(task, mark, at_ms));
+        }
+        if let JournalEntry::Started(_, placement) = &entry {
+            segment.starts.push((task, placement.attempt));
+        }
+        segment.bytes += entry.weight();
+        segment.entries.push(entry);
+        true
+    }
+
+    fn note_doubled(&mut self, step: &mut StepContext, entry: &JournalEntry, at_ms: u64) {
+        let JournalEntry::Finished(task, attempt, _) = entry else { return };
+        let finished_by = self.ledger.get(*task).and_then(|record| record.finished_by);
+        if finished_by.is_some_and(|by| by != *attempt) {
+            step.log(TASK_DOUBLED, self.wire_id(*task));
+            let sample = self.sample(*task, TaskMark::Doubled, at_ms);
+            self.samples.extend(sample);
+        }
+    }
+
+    pub(super) fn on_segment_committed(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        segment: SegmentWrite,
+    ) {
+        self.settle_ends(&segment.workers);
+        self.samples.extend(segment.samples);
+        for (task, waiters) in segment.accepted {
+            for waiter in waiters {
+                waiter.answer(step, CallerAnswer::new_accepted(&self.wire_id(task)));
+            }
+        }
+        for (task, waiters) in segment.cancelled {
+            for waiter in waiters {
+                waiter.answer(step, self.status_answer(task));
+            }
+        }
+        for entry in &segment.entries {
+            self.log_entry(step, entry);
+            self.try_stop(step, scene, entry.task());
+        }
+        self.to_send.extend(segment.starts);
+        self.send_starts(step, scene);
+    }
+
+    fn log_entry(&self, step: &mut StepContext, entry: &JournalEntry) {
+        let task = self.wire_id(entry.task());
+        match entry {
+            JournalEntry::Evicted(..) => step.log(TASK_EVICTED, task),
+            JournalEntry::Failed(_, reason) => step.log(TASK_FAILED, format!("{task}: {reason}")),
+            JournalEntry::Started(_, placement) if placement.attempt > 1 => {
+                let (attempt, worker) = (placement.attempt, &placement.worker);
+                step.log(TASK_RESUMED, format!("{task}: attempt {attempt} on {worker}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes that ends reported by these workers are committed.
+    fn settle_ends(&mut self, workers: &[TargetName]) {
+        for name in workers {
+            let Some(worker) = self.workers.get_mut(name) else { continue };
+            worker.open_ends = worker.open_ends.saturating_sub(1);
+            if worker.open_ends == 0 {
+                worker.durable_end = worker.seen_end;
+            }
+        }
+    }
+}
+
+/// Returns what an entry that took effect means for the day records.
+fn marks(entry: &JournalEntry, resumes: bool, was_final: bool) -> Vec<TaskMark> {
+    match entry {
+        JournalEntry::Accepted(..) => vec![TaskMark::Accepted],
+        JournalEntry::Started(..) if resumes => vec![TaskMark::Started, TaskMark::Resumed],
+        JournalEntry::Started(..) => vec![TaskMark::Started],
+        JournalEntry::Evicted(..) if !was_final => vec![TaskMark::Evicted],
+        JournalEntry::Finished(..) if !was_final => vec![TaskMark::Finished],
+        JournalEntry::Failed(..) => vec![TaskMark::Failed],
+        JournalEntry::Cancelled(_) => vec![TaskMark::Cancelled],
+        _ => Vec::new(),
+    }
+}
+
+/// Returns the time of day for display; nothing is decided by it.
+pub(super) fn wall_ms(step: &StepContext) -> u64 {
+    let since = step.wall().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |time| time.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/tasks/snapshot.rs
@@ -0,0 +1,100 @@
+//! Snapshots of the ledger, written in chunks between segments.
+
+use std::{collections::VecDeque, time::Duration};
+
+use bytes::Bytes;
+
+use crate::{
+    ids::MonotonicTime,
+    ledger::{chunk_key, chunk_prefix, head_key, segment_key, SnapshotHead},
+    message::encode,
+    reducer::step::StepContext,
+    store::StoreWrite,
+};
+
+use super::{group::TaskGroup, journal::WriteKind};
+
+/// Segments between two snapshots.
+pub const SEGMENTS_PER_SNAPSHOT: usize = 64;
+/// Time after the end of a task for which its record is kept, and after that its id.
+pub const ENDED_RETENTION: Duration = Duration::from_secs(600);
+
+// etcd refuses transactions with more than 128 operations.
+const DELETES_PER_WRITE: usize = 100;
+
+#[derive(Debug)]
+pub(super) struct SnapshotPlan {
+    pub(super) number: u64,
+    pub(super) count: usize,
+    pub(super) chunks: VecDeque<Bytes>,
+}
+
+impl TaskGroup {
+    /// Writes the next part of a snapshot, or plans one when enough segments have been written.
+    /// Nothing is in flight here, so the ledger holds exactly what is committed.
+    pub(super) fn go_on_with_snapshot(&mut self, step: &mut StepContext) {
+        if self.journal.plan.is_none() {
+            let head = self.journal.head.map_or(0, |head| head.number);
+            let count = self.journal.segments.range(head + 1..).count();
+            if count < SEGMENTS_PER_SNAPSHOT {
+                return;
+            }
+            self.drop_old_tasks(step.now());
+            let chunks = VecDeque::from(self.ledger.to_chunks());
+            let number = self.journal.next - 1;
+            self.journal.plan = Some(SnapshotPlan { number, count: chunks.len(), chunks });
+        }
+        let Some(plan) = &self.journal.plan else { return };
+        let (prefix, number) = (self.prefix(), plan.number);
+        let operation = (self.epoch, number);
+        if let Some(chunk) = plan.chunks.front().cloned() {
+            let key = chunk_key(&prefix, number, plan.count - plan.chunks.len());
+            return self.begin_write(step, WriteKind::Chunk, operation, key, chunk);
+        }
+        let head = SnapshotHead { number, chunks: plan.count as u32 };
+        self.begin_write(step, WriteKind::Head, operation, head_key(&prefix), encode(&head));
+    }
+
+    /// Deletes what a new head replaces.
+    pub(super) fn snapshot_deletes(&self) -> Vec<StoreWrite> {
+        let Some(plan) = &self.journal.plan else { return Vec::new() };
+        let prefix = self.prefix();
+        let old = self.journal.segments.range(..=plan.number).take(DELETES_PER_WRITE);
+        let mut deletes: Vec<_> =
+            old.map(|number| StoreWrite::Delete(segment_key(&prefix, *number))).collect();
+        if let Some(head) = self.journal.head.filter(|head| head.number != plan.number) {
+            deletes.push(StoreWrite::DeletePrefix(chunk_prefix(&prefix, head.number)));
+        }
+        deletes
+    }
+
+    pub(super) fn on_snapshot_committed(&mut self) {
+        let Some(plan) = self.journal.plan.take() else { return };
+        let old = self.journal.segments.range(..=plan.number).take(DELETES_PER_WRITE);
+        for number in old.copied().collect::<Vec<_>>() {
+            self.journal.segments.remove(&number);
+        }
+        self.journal.head = Some(SnapshotHead { number: plan.number, chunks: plan.count as u32 });
+    }
+
+    /// Drops records of tasks that ended long ago, and after the same time again their ids. A
+    /// ticket lives for 10 minutes, so a record that old cannot be asked for with a live ticket.
+    fn drop_old_tasks(&mut self, now: MonotonicTime) {
+        while self.retired.front().is_some_and(|(at, _)| now >= *at + ENDED_RETENTION) {
+            let Some((_, task)) = self.retired.pop_front() else { break };
+            self.ledger.forget(task);
+        }
+        let mut occupied = Vec::new();
+        while self.ended.front().is_some_and(|(at, _)| now >= *at + ENDED_RETENTION) {
+            let Some((at, task)) = self.ended.pop_front() else { break };
+            self.ledger.retire(task);
+            match self.ledger.get(task) {
+                Some(_) => occupied.push((at, task)),
+                None => self.retired.push_back((now, task)),
+            }
+        }
+        for entry in occupied.into_iter().rev() {
+            self.ended.push_front(entry);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -0,0 +1,360 @@
+//! Starts: which task goes to which worker, and what follows from the answer.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::{
+    event::ExchangeError,
+    ids::{AttemptNumber, MonotonicTime, TargetName},
+    interference::HIGH_SLOWDOWN,
+    ledger::{JournalEntry, Placement, TaskId, TaskRecord, TaskState},
+    log::WORKER_QUARANTINED,
+    membership::TargetState,
+    reducer::step::{StepContext, TargetObservation},
+    settings::PlacementPolicy,
+    worker::{ResourceSize, TaskStart, WorkerReply, WorkerRequest},
+};
+
+use super::{
+    group::{
+        GroupExchange, GroupScene, RunPhase, TaskGroup, TaskModels, LEASE_LAPSED, TRANSIT_BOUND,
+        WORKER_LEASE,
+    },
+    journal::SegmentWrite,
+    workers::WorkerState,
+};
+
+/// Tasks of a customer that are looked at past one that finds no room. The bound keeps the cost
+/// of a step constant and lets large tasks be overtaken by a few small ones only.
+const TASKS_LOOKED_AT: usize = 16;
+/// Workers looked at for a start; the index gives the best ones first.
+const WORKERS_LOOKED_AT: usize = 64;
+/// Suitable workers that are compared for a start.
+const WORKERS_COMPARED: usize = 8;
+/// Wait after which a task starts even where it is predicted to slow urgent work too much.
+/// Without it a prediction that is too high would never be corrected by a report.
+const SLOWDOWN_PATIENCE: Duration = Duration::from_secs(30);
+/// Time after which blocked starts are tried again without any change of the workers: a
+/// slowdown, a quarantine or an avoided machine may have passed.
+const START_INTERVAL: Duration = Duration::from_secs(1);
+const UNPARK_INTERVAL: Duration = Duration::from_secs(5);
+const AVOID_UNREACHED: Duration = Duration::from_secs(1);
+const AVOID_FULL: Duration = Duration::from_secs(2);
+
+impl TaskGroup {
+    /// Adds the starts that are possible now to a segment.
+    pub(super) fn add_starts(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+        segment: &mut SegmentWrite,
+        at_ms: u64,
+    ) {
+        let now = step.now();
+        if self.queue.has_parked() && now >= self.unpark_at {
+            self.unpark_at = now + UNPARK_INTERVAL;
+            self.queue.unpark();
+            self.start_wanted = true;
+        }
+        if now >= self.starts_at {
+            self.starts_at = now + START_INTERVAL;
+            self.start_wanted = true;
+        }
+        if !self.start_wanted || scene.right_until.is_none_or(|until| until <= now) {
+            return;
+        }
+        let mut blocked: Vec<String> = Vec::new();
+        loop {
+            if segment.bytes >= super::journal::SEGMENT_BYTES {
+                return;
+            }
+            let open = self.queue.customers().filter(|name| !blocked.iter().any(|b| b == name));
+            let Some(customer) = self.quota.least_used(open).map(str::to_owned) else { break };
+            match self.next_start(step, scene, models, &customer) {
+                Some((task, placement)) => {
+                    let entry = JournalEntry::Started(task, placement);
+                    if !self.add_entry(step, scene, segment, entry, at_ms) {
+                        blocked.push(customer);
+                    }
+                }
+                None => blocked.push(customer),
+            }
+        }
+        self.start_wanted = false;
+    }
+
+    fn next_start(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+        customer: &str,
+    ) -> Option<(TaskId, Placement)> {
+        for task in self.queue.first(customer, TASKS_LOOKED_AT) {
+            let record = self.ledger.get(task)?;
+            if !self.workers.could_hold(&record.body.size) {
+                self.queue.park(task);
+                continue;
+            }
+            if let Some(placement) = self.choose_worker(step, scene, models, task, record) {
+                return Some((task, placement));
+            }
+        }
+        None
+    }
+
+    fn choose_worker(
+        &self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+        task: TaskId,
+        record: &TaskRecord,
+    ) -> Option<Placement> {
+        let declared = record.body.size;
+        let learned = models.sizes.reservation(&record.body.class, &declared);
+        let retry_anywhere = !self.has_untried_worker(record);
+        let suits = |name: &TargetName, worker: &WorkerState| {
+            worker.can_start(step.now())
+                && declared.fits(&worker.size)
+                && reserved_on(&learned, worker).fits(&worker.free())
+                && (retry_anywhere || !record.failed_on.contains(name))
+                && !self.is_avoided(step.now(), task, worker)
+        };
+        let at_least = learned.millicores.min(declared.millicores);
+        // The baselines have no index of their own and look at every worker.
+        let looked_at = match step.settings.policy {
+            PlacementPolicy::Learned => WORKERS_LOOKED_AT,
+            PlacementPolicy::LeastLoaded | PlacementPolicy::RandomQueue => usize::MAX,
+        };
+        let suitable: Vec<&TargetName> = self
+            .workers
+            .with_room(at_least)
+            .take(looked_at)
+            .filter(|name| self.workers.get(name).is_some_and(|worker| suits(name, worker)))
+            .collect();
+        let name = match step.settings.policy {
+            PlacementPolicy::Learned => {
+                self.least_slowed(step.now(), scene, models, task, record, &suitable)?
+            }
+            PlacementPolicy::LeastLoaded => *suitable
+                .iter()
+                .max_by_key(|name| self.workers.get(name).map(|worker| worker.free().millicores))?,
+            PlacementPolicy::RandomQueue if suitable.is_empty() => return None,
+            PlacementPolicy::RandomQueue => suitable[step.rng.random_range(0..suitable.len())],
+        };
+        let worker = self.workers.get(name)?;
+        let reserved = reserved_on(&learned, worker);
+        Some(Placement { attempt: record.last_attempt + 1, worker: name.clone(), reserved })
+    }
+
+    /// Returns the worker on which urgent work is slowed least, and of equal ones the fullest.
+    fn least_slowed<'a>(
+        &self,
+        now: MonotonicTime,
+        scene: &GroupScene<'_>,
+        models: &TaskModels,
+        task: TaskId,
+        record: &TaskRecord,
+        suitable: &[&'a TargetName],
+    ) -> Option<&'a TargetName> {
+        let added = (record.body.class.as_str(), record.body.size.millicores as f64 / 1_000.0);
+        let patient = self.queue.since(task).is_none_or(|since| now < since + SLOWDOWN_PATIENCE);
+        let mut best: Option<(f64, u64, &TargetName)> = None;
+        for name in suitable.iter().take(WORKERS_COMPARED) {
+            let slowdown = self.worst_slowdown(scene, models, name, Some(added));
+            if patient && slowdown > HIGH_SLOWDOWN {
+                continue;
+            }
+            let free = self.workers.get(name)?.free().millicores;
+            if best.is_none_or(|(least, room, _)| (slowdown, free) < (least, room)) {
+                best = Some((slowdown, free, name));
+            }
+        }
+        best.map(|(_, _, name)| name)
+    }
+
+    /// Tells whether a live worker is large enough for the task and has not failed it yet.
+    fn has_untried_worker(&self, record: &TaskRecord) -> bool {
+        if record.failed_on.is_empty() {
+            return true;
+        }
+        self.workers.iter().any(|(name, worker)| {
+            worker.state == TargetState::Live
+                && !worker.ended
+                && record.body.size.fits(&worker.size)
+                && !record.failed_on.contains(name)
+        })
+    }
+
+    fn is_avoided(&self, now: MonotonicTime, task: TaskId, worker: &WorkerState) -> bool {
+        let avoided = self.avoid.get(&task);
+        avoided.is_some_and(|(machine, until)| *machine == worker.machine && now < *until)
+    }
+
+    /// Returns why a task that waits again after a failure is given up, if it is.
+    pub(super) fn give_up_reason(&self, scene: &GroupScene<'_>, task: TaskId) -> Option<String> {
+        let record = self.ledger.get(task)?;
+        if record.state != TaskState::Queued || record.failures == 0 {
+            return None;
+        }
+        let profile = (scene.profile)(&record.body.profile);
+        let allowed = profile.map_or(3, |profile| profile.max_attempts);
+        let distinct = record.failed_on.len() as u32;
+        // In a group with fewer workers than attempts the workers run out first; the number of
+        // attempts still counts then, so that one transient failure does not end the task.
+        let exhausted = record.failures >= allowed && !self.has_untried_worker(record);
+        (distinct >= allowed || exhausted)
+            .then(|| format!("cannot run: failed on {distinct} workers"))
+    }
+
+    /// Sends the starts that are committed.
+    pub(super) fn send_starts(&mut self, step: &mut StepContext, scene: &GroupScene<'_>) {
+        if scene.right_until.is_none_or(|until| until <= step.now()) {
+            return;
+        }
+        for (task, attempt) in std::mem::take(&mut self.to_send) {
+            self.send_start(step, scene, task, attempt);
+        }
+    }
+
+    fn send_start(
+        &mut self,
+        step: &mut StepContext,
+        scene: &GroupScene<'_>,
+        task: TaskId,
+        attempt: AttemptNumber,
+    ) {
+        let Some(run) = self.runs.get(&task) else { return };
+        if run.placement.attempt != attempt || run.phase != RunPhase::Committing {
+            return;
+        }
+        let worker = run.placement.worker.clone();
+        let gone = |state: &WorkerState| state.ended || state.state != TargetState::Live;
+        let Some(record) = self.ledger.get(task) else { return };
+        if run.stop.is_some() || self.workers.get(&worker).is_none_or(gone) {
+            return self.stage_end(JournalEntry::NotRun(task, attempt), None);
+        }
+        let request = WorkerRequest::Start(TaskStart {
+            task: self.wire_id(task),
+            attempt,
+            class: record.body.class.clone(),
+            size: run.placement.reserved,
+            lease_ms: WORKER_LEASE.as_millis() as u64,
+            checkpoint: record.checkpoint.clone(),
+            input: serde_json::from_str(&record.body.input).unwrap_or_default(),
+        });
+        let exchange = GroupExchange::Start(task, attempt, worker.clone());
+        let Some(valid_until) = self.call_worker(step, scene, &worker, request, exchange) else {
+            return self.to_send.push((task, attempt));
+        };
+        if let Some(run) = self.runs.get_mut(&task) {
+            run.phase = RunPhase::Starting;
+            run.lapse_at = valid_until + LEASE_LAPSED;
+        }
+        let class = self.runs[&task].class.clone();
+        if let Some(state) = self.workers.get_mut(&worker) {
+            state.class_changed.insert(class, step.now());
+        }
+    }
+
+    pub(super) fn on_start_ended(
+        &mut self,
+        step: &mut StepContext,
+        task: TaskId,
+        attempt: AttemptNumber,
+        worker: &str,
+        result: &Result<WorkerReply, ExchangeError>,
+    ) {
+        let now = step.now();
+        let Some(run) = self.runs.get_mut(&task) else { return };
+        if run.placement.attempt != attempt || run.phase != RunPhase::Starting {
+            return;
+        }
+        match result {
+            Ok(WorkerReply::Accepted) => {
+                run.phase = RunPhase::Running;
+                run.confirmed_at = Some(now);
+            }
+            Ok(WorkerReply::Refused { status }) | Err(ExchangeError::Refused(status)) => {
+                self.on_start_refused(step, task, attempt, worker, *status);
+            }
+            Err(ExchangeError::NotSent) => {
+                self.avoid_worker(worker, now + AVOID_UNREACHED);
+                self.stage_end(JournalEntry::NotRun(task, attempt), None);
+            }
+            Ok(_) | Err(ExchangeError::Lost) => {
+                run.phase = RunPhase::Unsure(now + TRANSIT_BOUND);
+                self.workers.hurry(worker, now + TRANSIT_BOUND);
+            }
+        }
+    }
+
+    fn on_start_refused(
+        &mut self,
+        step: &mut StepContext,
+        task: TaskId,
+        attempt: AttemptNumber,
+        worker: &str,
+        status: u16,
+    ) {
+        let now = step.now();
+        match status {
+            // The worker has seen this attempt number or a later one; its list tells which.
+            409 => {
+                if let Some(run) = self.runs.get_mut(&task) {
+                    run.phase = RunPhase::Unsure(now);
+                }
+                self.workers.hurry(worker, now);
+            }
+            503 => {
+                step.observe(TargetObservation::Leaving(worker.to_owned()));
+                self.avoid_worker(worker, now + AVOID_UNREACHED);
+                self.stage_end(JournalEntry::NotRun(task, attempt), None);
+            }
+            507 => {
+                self.avoid_worker(worker, now + AVOID_FULL);
+                self.stage_end(JournalEntry::NotRun(task, attempt), None);
+            }
+            _ => {
+                self.note_failure(step, task, worker);
+                let reason = format!("the worker refused the start with status {status}");
+                self.stage_end(JournalEntry::AttemptFailed(task, attempt, reason), None);
+            }
+        }
+    }
+
+    /// Counts a failed attempt against its worker. A task that already failed elsewhere says
+    /// nothing about a worker without failures of its own.
+    pub(super) fn note_failure(&mut self, step: &mut StepContext, task: TaskId, worker: &str) {
+        let failed_before =
+            self.ledger.get(task).is_some_and(|record| !record.failed_on.is_empty());
+        let Some(state) = self.workers.get_mut(worker) else { return };
+        if failed_before && !state.health.is_failing() {
+            return;
+        }
+        if state.health.on_failure(step.now(), task) {
+            step.log(WORKER_QUARANTINED, worker);
+        }
+    }
+
+    fn avoid_worker(&mut self, worker: &str, until: MonotonicTime) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.avoid_until = until;
+        }
+    }
+
+    /// Queues a task that was read from the store.
+    pub(super) fn requeue(&mut self, now: MonotonicTime, scene: &GroupScene<'_>, task: TaskId) {
+        let Some(record) = self.ledger.get(task) else { return };
+        let priority = super::group::priority_of(scene, record);
+        self.queue.push(now, task, &record.body.customer, priority);
+    }
+}
+
+/// Returns the learned size within the size of a worker.
+fn reserved_on(learned: &ResourceSize, worker: &WorkerState) -> ResourceSize {
+    ResourceSize { millicores: learned.millicores.min(worker.size.millicores), ..*learned }
+}
