Add the evening report

Ruled out: taking a missing record as an idle instance (a gap is always shown with its bound); deciding lost tasks from the batch ledger, whose format is not settled yet. The report gives a lower bound of tasks past their deadline without a recorded end and says what that leaves out.

Before: nothing read the records.

--- /dev/null
+++ b/crates/cuminbank-cli/src/lib.rs
@@ -0,0 +1,3 @@
+//! Operators' command line and evening report of cuminbank.
+
+pub mod report;
--- /dev/null
+++ b/crates/cuminbank-cli/src/report/gaps.rs
@@ -0,0 +1,193 @@
+//! Gaps: intervals in which an instance may have counted something that was not saved.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    time::{Duration, SystemTime},
+};
+
+use cuminbank::{
+    ids::{InstanceName, StartNumber, ZoneName},
+    record::DayRecord,
+};
+
+use super::{clock_text, ReportInput};
+
+/// Time after which a silent instance is taken as dead by its peers.
+const SILENCE_BOUND: Duration = Duration::from_secs(5);
+/// Largest distance of two intervals that still counts as contiguous.
+const MAX_HOLE: Duration = Duration::from_secs(1);
+
+/// An interval without records.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordGap {
+    /// Instance.
+    pub instance: InstanceName,
+    /// Its zone, unless it never saved a record.
+    pub zone: Option<ZoneName>,
+    /// Last saved moment.
+    pub from: SystemTime,
+    /// Latest end of the gap.
+    pub until: SystemTime,
+    /// How the end is known.
+    pub bound: GapBound,
+}
+
+/// How the end of a gap is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GapBound {
+    /// A peer last heard from the instance at this time.
+    Heard(SystemTime),
+    /// No peer tells more; the instance ended before its next start or the time of the report.
+    AtMost,
+    /// A later record of the same process exists.
+    NextRecord,
+}
+
+impl fmt::Display for RecordGap {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "the counts of {}", self.instance)?;
+        if let Some(zone) = &self.zone {
+            write!(formatter, " in zone {zone}")?;
+        }
+        let (from, until) = (clock_text(self.from), clock_text(self.until));
+        write!(formatter, " are missing from {from} until ")?;
+        match self.bound {
+            GapBound::Heard(heard) => {
+                write!(formatter, "{until} (a peer last heard it at {})", clock_text(heard))
+            }
+            GapBound::AtMost => write!(formatter, "at most {until} (no peer tells more)"),
+            GapBound::NextRecord => write!(formatter, "{until} (its next record)"),
+        }
+    }
+}
+
+/// Records of one process, in order of their intervals.
+#[derive(Debug)]
+struct ProcessRun<'a> {
+    records: Vec<&'a DayRecord>,
+}
+
+impl ProcessRun<'_> {
+    fn from(&self) -> SystemTime {
+        self.records[0].from
+    }
+
+    fn to(&self) -> SystemTime {
+        self.records.iter().map(|record| record.to).max().unwrap_or(SystemTime::UNIX_EPOCH)
+    }
+
+    fn is_final(&self) -> bool {
+        self.records.iter().any(|record| record.is_final)
+    }
+}
+
+/// Finds the gaps of a day, in order of their begin.
+pub fn find_gaps(input: &ReportInput) -> Vec<RecordGap> {
+    let mut gaps = Vec::new();
+    for (name, runs) in group_runs(&input.records) {
+        for (index, run) in runs.iter().enumerate() {
+            gaps.extend(inner_gaps(run));
+            let successor = runs.get(index + 1).map(ProcessRun::from);
+            gaps.extend(gap_after(input, name, run, successor));
+        }
+    }
+    gaps.extend(silent_instances(input));
+    gaps.sort_by(|left, right| (left.from, &left.instance).cmp(&(right.from, &right.instance)));
+    gaps
+}
+
+fn group_runs(records: &[DayRecord]) -> BTreeMap<&str, Vec<ProcessRun<'_>>> {
+    let mut processes: BTreeMap<(&str, StartNumber), Vec<&DayRecord>> = BTreeMap::new();
+    for record in records {
+        processes.entry((&record.instance, record.start)).or_default().push(record);
+    }
+    let mut runs: BTreeMap<&str, Vec<ProcessRun<'_>>> = BTreeMap::new();
+    for ((name, _), mut records) in processes {
+        records.sort_by_key(|record| (record.from, record.to));
+        runs.entry(name).or_default().push(ProcessRun { records });
+    }
+    for runs in runs.values_mut() {
+        runs.sort_by_key(ProcessRun::from);
+    }
+    runs
+}
+
+fn inner_gaps(run: &ProcessRun<'_>) -> Vec<RecordGap> {
+    let mut gaps = Vec::new();
+    let mut saved = run.from();
+    for record in &run.records {
+        if record.from > saved + MAX_HOLE {
+            gaps.push(RecordGap {
+                instance: record.instance.clone(),
+                zone: Some(record.zone.clone()),
+                from: saved,
+                until: record.from,
+                bound: GapBound::NextRecord,
+            });
+        }
+        saved = saved.max(record.to);
+    }
+    gaps
+}
+
+/// Returns the gap after the last record of a process that did not end with a final one.
+fn gap_after(
+    input: &ReportInput,
+    name: &str,
+    run: &ProcessRun<'_>,
+    successor: Option<SystemTime>,
+) -> Option<RecordGap> {
+    let from = run.to();
+    if run.is_final() || (successor.is_none() && from >= input.saved_until()) {
+        return None;
+    }
+    // A process that was started again under the same name ended before that.
+    let latest = successor.unwrap_or(input.covered_until()).max(from);
+    let last_heard = last_heard(input, name, from, latest);
+    let (until, bound) = match last_heard {
+        Some(heard) => ((heard.max(from) + SILENCE_BOUND).min(latest), GapBound::Heard(heard)),
+        None => (latest, GapBound::AtMost),
+    };
+    let zone = run.records.first().map(|record| record.zone.clone());
+    Some(RecordGap { instance: name.to_owned(), zone, from, until, bound })
+}
+
+/// Returns when a peer last heard from a process that saved until `from` and ended before
+/// `latest`. Only records that cover time after its last save tell that it was silent then.
+fn last_heard(
+    input: &ReportInput,
+    name: &str,
+    from: SystemTime,
+    latest: SystemTime,
+) -> Option<SystemTime> {
+    let witnesses = input.records.iter().filter(|record| record.to >= from + SILENCE_BOUND);
+    let heard = witnesses.filter_map(|record| record.peers.get(name).copied());
+    heard.filter(|heard| *heard < latest).max()
+}
+
+/// Returns a gap for each instance that peers heard on the day and that saved no record.
+fn silent_instances(input: &ReportInput) -> Vec<RecordGap> {
+    let mut heard: BTreeMap<&str, (SystemTime, SystemTime)> = BTreeMap::new();
+    for record in &input.records {
+        for (peer, time) in &record.peers {
+            let (first, last) = heard.entry(peer).or_insert((*time, *time));
+            *first = (*first).min(*time);
+            *last = (*last).max(*time);
+        }
+    }
+    let saved = |name: &str| input.records.iter().any(|record| record.instance == name);
+    let begin = input.day_start();
+    let silent = heard.into_iter().filter(|(name, (first, last))| {
+        !saved(name) && *last >= begin && *first < input.saved_until()
+    });
+    silent
+        .map(|(name, (_, last))| RecordGap {
+            instance: name.to_owned(),
+            zone: None,
+            from: begin,
+            until: (last + SILENCE_BOUND).min(input.covered_until()).max(begin),
+            bound: GapBound::Heard(last),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/cuminbank-cli/src/report/verdict.rs
@@ -0,0 +1,275 @@
+//! The verdict: promises and measures that failed, with where and when.
+
+use std::{collections::BTreeMap, fmt};
+
+use cuminbank::{
+    ids::ProfileName,
+    record::{ClassCounters, ClassKey, DayMinute, MinuteCounters, TaskCounters},
+};
+
+use super::{clock_text, minute_text, DayReport, ReportInput};
+
+/// Largest share of late urgent calls of a profile, in percent.
+pub const MAX_LATE_PERCENT: f64 = 1.0;
+/// Largest share of refused calls of a profile at the crest, in percent.
+pub const MAX_REFUSED_PERCENT: f64 = 1.0;
+
+/// A promise or measure that failed; its text ends with a full stop.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DayFault {
+    /// What failed.
+    pub kind: FaultKind,
+    /// Figures, and where and when.
+    pub detail: String,
+}
+
+/// Kind of fault, in order of severity.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum FaultKind {
+    /// There are no records.
+    NoRecords,
+    /// Accepted tasks have no end after their deadline.
+    Overdue,
+    /// A task has two results.
+    Doubled,
+    /// The outcome of calls is unknown.
+    Unknown,
+    /// Counts are missing.
+    Gap,
+    /// A record cannot be read or does not add up.
+    Damaged,
+    /// Confirmed slots were late at the crest.
+    SlotsLate,
+    /// Too many calls were late.
+    Late,
+    /// Too many calls were refused at the crest.
+    Refused,
+}
+
+impl fmt::Display for DayFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.detail)
+    }
+}
+
+/// Finds what failed, the most serious first.
+pub fn find_faults(input: &ReportInput, report: &DayReport) -> Vec<DayFault> {
+    let mut faults = Vec::new();
+    if input.records.is_empty() {
+        let detail = format!("there are no records of {}, so nothing is known.", input.day);
+        faults.push(DayFault { kind: FaultKind::NoRecords, detail });
+    }
+    faults.extend(overdue_faults(report));
+    faults.extend(doubled_faults(input, report));
+    faults.extend(unknown_faults(input, report));
+    let gaps = report.gaps.iter();
+    faults.extend(gaps.map(|gap| DayFault { kind: FaultKind::Gap, detail: format!("{gap}.") }));
+    faults.extend(damaged_faults(report));
+    faults.extend(slot_faults(input, report));
+    faults.extend(late_faults(input, report));
+    faults.extend(refused_faults(input, report));
+    faults
+}
+
+fn overdue_faults(report: &DayReport) -> Vec<DayFault> {
+    let describe = |(key, overdue): (&ClassKey, &u64)| DayFault {
+        kind: FaultKind::Overdue,
+        detail: format!(
+            "at least {overdue} accepted task(s) of {} passed their deadline without an end.",
+            class_text(key)
+        ),
+    };
+    report.overdue.iter().map(describe).collect()
+}
+
+fn doubled_faults(input: &ReportInput, report: &DayReport) -> Vec<DayFault> {
+    let doubled = report.tasks.iter().filter(|(_, tasks)| tasks.doubled > 0);
+    let describe = |(key, tasks): (&ClassKey, &TaskCounters)| DayFault {
+        kind: FaultKind::Doubled,
+        detail: format!(
+            "{} task(s) of {} have two results{}.",
+            tasks.doubled,
+            class_text(key),
+            task_place(input, key, |tasks| tasks.doubled)
+        ),
+    };
+    doubled.map(describe).collect()
+}
+
+fn unknown_faults(input: &ReportInput, report: &DayReport) -> Vec<DayFault> {
+    let unknown = report.calls.iter().filter(|(_, calls)| calls.unknown > 0);
+    let describe = |(key, calls): (&ClassKey, &ClassCounters)| DayFault {
+        kind: FaultKind::Unknown,
+        detail: format!(
+            "the outcome of {} call(s) of {} is unknown{}.",
+            calls.unknown,
+            class_text(key),
+            call_place(input, |own, _| own == key, |counts| counts.unknown)
+        ),
+    };
+    unknown.map(describe).collect()
+}
+
+fn damaged_faults(report: &DayReport) -> Vec<DayFault> {
+    let unreadable = report.unreadable.iter().map(|text| DayFault {
+        kind: FaultKind::Damaged,
+        detail: format!("a record cannot be read: {text}."),
+    });
+    let wrong = report.calls.iter().filter(|(_, calls)| !calls.adds_up());
+    let wrong = wrong.map(|(key, calls)| DayFault {
+        kind: FaultKind::Damaged,
+        detail: format!(
+            "the outcomes of {} do not add up to the {} calls received.",
+            class_text(key),
+            calls.received
+        ),
+    });
+    unreadable.chain(wrong).collect()
+}
+
+fn slot_faults(input: &ReportInput, report: &DayReport) -> Vec<DayFault> {
+    let at_crest = |minute: DayMinute| report.crest.contains(&minute);
+    let mut faults = Vec::new();
+    for (key, calls) in &report.calls {
+        let late = sum_minutes(calls, at_crest, |counts| counts.slots_late);
+        if late == 0 {
+            continue;
+        }
+        let place = call_place(
+            input,
+            |own, minute| own == key && at_crest(minute),
+            |counts| counts.slots_late,
+        );
+        faults.push(DayFault {
+            kind: FaultKind::SlotsLate,
+            detail: format!(
+                "{late} confirmed slot(s) of {} were late at the crest{place}.",
+                class_text(key)
+            ),
+        });
+    }
+    faults
+}
+
+fn late_faults(input: &ReportInput, report: &DayReport) -> Vec<DayFault> {
+    let mut faults = Vec::new();
+    for (profile, (late, received)) in by_profile(report, |_| true, |counts| counts.late) {
+        let percent = percent(late, received);
+        if percent <= MAX_LATE_PERCENT {
+            continue;
+        }
+        let place = call_place(input, |own, _| own.profile == profile, |counts| counts.late);
+        faults.push(DayFault {
+            kind: FaultKind::Late,
+            detail: format!(
+                "{percent:.1} % of the urgent calls of profile \"{profile}\" were late \
+                 (limit {MAX_LATE_PERCENT} %){place}."
+            ),
+        });
+    }
+    faults
+}
+
+fn refused_faults(input: &ReportInput, report: &DayReport) -> Vec<DayFault> {
+    let at_crest = |minute: DayMinute| report.crest.contains(&minute);
+    let mut faults = Vec::new();
+    for (profile, (refused, received)) in by_profile(report, at_crest, |counts| counts.refused) {
+        let percent = percent(refused, received);
+        if percent <= MAX_REFUSED_PERCENT {
+            continue;
+        }
+        let place = call_place(
+            input,
+            |own, minute| own.profile == profile && at_crest(minute),
+            |counts| counts.refused,
+        );
+        faults.push(DayFault {
+            kind: FaultKind::Refused,
+            detail: format!(
+                "{percent:.1} % of the calls of profile \"{profile}\" were refused at the crest \
+                 (limit {MAX_REFUSED_PERCENT} %){place}."
+            ),
+        });
+    }
+    faults
+}
+
+/// Returns the counted and the received calls of each profile in some minutes.
+fn by_profile(
+    report: &DayReport,
+    in_minute: impl Fn(DayMinute) -> bool,
+    count: impl Fn(&MinuteCounters) -> u64,
+) -> BTreeMap<ProfileName, (u64, u64)> {
+    let mut profiles: BTreeMap<ProfileName, (u64, u64)> = BTreeMap::new();
+    for (key, calls) in &report.calls {
+        let (counted, received) = profiles.entry(key.profile.clone()).or_default();
+        *counted += sum_minutes(calls, &in_minute, &count);
+        *received += sum_minutes(calls, &in_minute, |counts| counts.received);
+    }
+    profiles
+}
+
+fn sum_minutes(
+    calls: &ClassCounters,
+    in_minute: impl Fn(DayMinute) -> bool,
+    count: impl Fn(&MinuteCounters) -> u64,
+) -> u64 {
+    let minutes = calls.minutes.iter().filter(|(minute, _)| in_minute(**minute));
+    minutes.map(|(_, counts)| count(counts)).sum()
+}
+
+/// Returns the customer, instance and minute with the most counted calls, as the end of a
+/// sentence.
+fn call_place(
+    input: &ReportInput,
+    concerns: impl Fn(&ClassKey, DayMinute) -> bool,
+    count: impl Fn(&MinuteCounters) -> u64,
+) -> String {
+    let mut places: BTreeMap<(DayMinute, &str, &str, &str), u64> = BTreeMap::new();
+    for record in &input.records {
+        for (key, calls) in &record.calls {
+            for (minute, counts) in &calls.minutes {
+                if !concerns(key, *minute) || count(counts) == 0 {
+                    continue;
+                }
+                let place = (*minute, &*record.zone, &*record.instance, &*key.customer);
+                *places.entry(place).or_default() += count(counts);
+            }
+        }
+    }
+    // The earliest of several places with the same count.
+    let worst = places.into_iter().rev().max_by_key(|(_, calls)| *calls);
+    worst.map_or_else(String::new, |((minute, zone, instance, customer), calls)| {
+        let minute = minute_text(minute);
+        format!(", most ({calls}) for {customer} at {instance} in zone {zone} at {minute}")
+    })
+}
+
+fn task_place(input: &ReportInput, key: &ClassKey, count: impl Fn(&TaskCounters) -> u64) -> String {
+    let concerned = input
+        .records
+        .iter()
+        .filter(|record| record.tasks.get(key).is_some_and(|tasks| count(tasks) > 0));
+    let first = concerned.min_by_key(|record| (record.from, &record.instance));
+    first.map_or_else(String::new, |record| {
+        format!(
+            ", first at {} in zone {} between {} and {}",
+            record.instance,
+            record.zone,
+            clock_text(record.from),
+            clock_text(record.to)
+        )
+    })
+}
+
+fn class_text(key: &ClassKey) -> String {
+    format!("profile \"{}\" for {}", key.profile, key.customer)
+}
+
+/// Returns a share in percent, 0 of nothing.
+pub fn percent(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    part as f64 * 100.0 / whole as f64
+}
--- /dev/null
+++ b/crates/cuminbank-cli/tests/report.rs
@@ -0,0 +1,274 @@
+//! The evening report: its first line, its gaps, and its text and page.
+
+use std::time::{Duration, SystemTime};
+
+use cuminbank::{
+    effect::CallOutcome,
+    profile::WorkProfile,
+    record::{day_start, DayRecord, StoreOutage},
+    reducer::records::{CallSample, TaskMark},
+};
+use cuminbank_cli::report::{
+    gaps::GapBound, html::to_html, text::to_text, verdict::FaultKind, DayReport, ReportInput,
+};
+
+const DAY: &str = "2026-12-04";
+
+fn at(hour: u64, minute: u64, second: u64) -> SystemTime {
+    day_start(DAY).expect("the day is valid")
+        + Duration::from_secs(hour * 3_600 + minute * 60 + second)
+}
+
+fn record(instance: &str, start: u64, from: SystemTime, to: SystemTime) -> DayRecord {
+    let mut record = DayRecord::new(instance, "dublin", start, from);
+    record.to = to;
+    record
+}
+
+fn input(now: SystemTime, records: Vec<DayRecord>) -> ReportInput {
+    let profile = WorkProfile::from_json(
+        br#"{"name":"standing orders","kind":"batch","deadline_ms":3600000}"#,
+    )
+    .expect("the profile is valid");
+    ReportInput {
+        day: DAY.to_owned(),
+        now,
+        records,
+        unreadable: Vec::new(),
+        profiles: [(profile.name.clone(), profile)].into(),
+    }
+}
+
+fn count(record: &mut DayRecord, minute: u16, calls: u64, outcome: CallOutcome, on_time: bool) {
+    for call in 0..calls {
+        let sample = CallSample {
+            profile: "morning rush".to_owned(),
+            customer: "griddle".to_owned(),
+            class: "plan".to_owned(),
+            outcome,
+            on_time,
+            confirms_slot: false,
+            elapsed: Duration::from_millis(20 + call % 50),
+        };
+        record.calls_mut("morning rush", "griddle").count(&sample, minute);
+    }
+}
+
+/// Two instances that were stopped as planned after a quiet day with a crest at 05:42.
+fn good_day() -> Vec<DayRecord> {
+    let mut first = record("d1", 1, at(5, 0, 0), at(18, 0, 0));
+    let mut second = record("d2", 2, at(5, 0, 0), at(18, 0, 0));
+    first.is_final = true;
+    second.is_final = true;
+    first.peers.insert("d2".to_owned(), at(18, 0, 0));
+    for minute in 330..350 {
+        count(&mut first, minute, 10, CallOutcome::Done, true);
+        count(&mut second, minute, 10, CallOutcome::Done, true);
+    }
+    count(&mut first, 342, 200, CallOutcome::Done, true);
+    for mark in [TaskMark::Accepted, TaskMark::Started, TaskMark::Finished] {
+        let tasks = second.tasks_mut("standing orders", "griddle");
+        tasks.count(mark, Duration::from_secs(60), 400);
+    }
+    vec![first, second]
+}
+
+fn first_fault(records: Vec<DayRecord>) -> (FaultKind, String) {
+    let report = DayReport::new(&input(at(18, 5, 0), records));
+    let fault = report.faults.first().expect("the day did not go well");
+    (fault.kind, report.headline())
+}
+
+// Guards against a good day that is reported as a bad one, and shows the form of the text.
+#[test]
+fn a_good_day_went_well() {
+    let report = DayReport::new(&input(at(18, 5, 0), good_day()));
+    insta::assert_snapshot!(to_text(&report));
+}
+
+// Guards against faults without figures, place and time, and shows the form of the text.
+#[test]
+fn a_bad_day_names_each_fault_with_place_and_time() {
+    let mut records = good_day();
+    records[0].is_final = false;
+    records[0].to = at(17, 0, 0);
+    records[1].peers.insert("d1".to_owned(), at(17, 0, 12));
+    records[1].outages.push(StoreOutage { from: at(9, 0, 0), to: at(9, 4, 30) });
+    count(&mut records[0], 342, 9, CallOutcome::Done, false);
+    count(&mut records[1], 342, 8, CallOutcome::NotRun, false);
+    count(&mut records[1], 345, 2, CallOutcome::Unknown, false);
+    let tasks = records[1].tasks_mut("standing orders", "griddle");
+    tasks.count(TaskMark::Doubled, Duration::ZERO, 400);
+    let report = DayReport::new(&input(at(18, 5, 0), records));
+    insta::assert_snapshot!(to_text(&report));
+}
+
+// Guards against an instance that died without a final record and counts as idle.
+#[test]
+fn a_gap_ends_five_seconds_after_a_peer_last_heard_the_instance() {
+    let dead = record("d1", 1, at(10, 0, 0), at(12, 0, 0));
+    let mut peer = record("d2", 2, at(10, 0, 0), at(18, 4, 50));
+    peer.peers.insert("d1".to_owned(), at(12, 0, 20));
+    let report = DayReport::new(&input(at(18, 5, 0), vec![dead, peer]));
+    assert_eq!(report.gaps.len(), 1);
+    let gap = &report.gaps[0];
+    assert_eq!((gap.from, gap.until), (at(12, 0, 0), at(12, 0, 25)));
+    assert_eq!(gap.bound, GapBound::Heard(at(12, 0, 20)));
+    assert!(report.headline().starts_with("Today did not go well: the counts of d1"));
+}
+
+// Guards against a gap of no length when the last record and the last heartbeat coincide.
+#[test]
+fn a_gap_is_never_empty() {
+    let dead = record("d1", 1, at(10, 0, 0), at(12, 0, 0));
+    let mut peer = record("d2", 2, at(10, 0, 0), at(18, 4, 50));
+    peer.peers.insert("d1".to_owned(), at(11, 59, 59));
+    let report = DayReport::new(&input(at(18, 5, 0), vec![dead, peer]));
+    assert_eq!((report.gaps[0].from, report.gaps[0].until), (at(12, 0, 0), at(12, 0, 5)));
+}
+
+// Guards against a short gap when all instances ended together and nobody can tell when.
+#[test]
+fn a_gap_without_witnesses_lasts_until_the_report() {
+    let dead = record("d1", 1, at(10, 0, 0), at(12, 0, 0));
+    let mut peer = record("d2", 2, at(10, 0, 0), at(12, 0, 2));
+    peer.peers.insert("d1".to_owned(), at(11, 59, 59));
+    let report = DayReport::new(&input(at(18, 5, 0), vec![dead, peer]));
+    assert_eq!(report.gaps.len(), 2);
+    for gap in &report.gaps {
+        assert_eq!((gap.until, gap.bound), (at(18, 5, 0), GapBound::AtMost));
+    }
+}
+
+// Guards against heartbeats of a restarted instance that prolong the gap of its predecessor.
+#[test]
+fn a_gap_ends_at_the_next_start_of_the_instance() {
+    let dead = record("d1", 1, at(10, 0, 0), at(12, 0, 0));
+    let next = record("d1", 9, at(12, 3, 0), at(18, 4, 50));
+    let mut peer = record("d2", 2, at(10, 0, 0), at(18, 4, 50));
+    peer.peers.insert("d1".to_owned(), at(18, 4, 49));
+    let report = DayReport::new(&input(at(18, 5, 0), vec![dead, next, peer]));
+    assert_eq!(report.gaps.len(), 1);
+    let gap = &report.gaps[0];
+    assert_eq!((gap.from, gap.until), (at(12, 0, 0), at(12, 3, 0)));
+    assert_eq!(gap.bound, GapBound::AtMost);
+}
+
+// Guards against live instances that are shown as gaps because they save every 30 s.
+#[test]
+fn a_live_instance_has_no_gap() {
+    let mut live = record("d1", 1, at(10, 0, 0), at(18, 4, 31));
+    live.peers.insert("d2".to_owned(), at(18, 4, 31));
+    let mut peer = record("d2", 2, at(10, 0, 0), at(18, 4, 10));
+    peer.peers.insert("d1".to_owned(), at(18, 4, 9));
+    let report = DayReport::new(&input(at(18, 5, 0), vec![live, peer]));
+    assert_eq!(report.gaps, []);
+}
+
+// Guards against an instance that peers heard and that never saved a record.
+#[test]
+fn an_instance_that_never_saved_is_a_gap() {
+    let mut peer = record("d2", 2, at(10, 0, 0), at(18, 4, 50));
+    peer.peers.insert("d3".to_owned(), at(15, 0, 0));
+    peer.peers.insert("d0".to_owned(), at(0, 0, 0) - Duration::from_secs(60));
+    let report = DayReport::new(&input(at(18, 5, 0), vec![peer]));
+    assert_eq!(report.gaps.len(), 1);
+    let gap = &report.gaps[0];
+    assert_eq!((gap.instance.as_str(), gap.from, gap.until), ("d3", at(0, 0, 0), at(15, 0, 5)));
+}
+
+// Guards against a record in the middle of a day that was lost unnoticed.
+#[test]
+fn a_hole_between_two_records_is_a_gap() {
+    let before = record("d1", 1, at(10, 0, 0), at(12, 0, 0));
+    let mut after = record("d1", 1, at(12, 0, 30), at(18, 0, 0));
+    after.is_final = true;
+    let report = DayReport::new(&input(at(18, 5, 0), vec![after, before]));
+    assert_eq!(report.gaps.len(), 1);
+    assert_eq!((report.gaps[0].from, report.gaps[0].until), (at(12, 0, 0), at(12, 0, 30)));
+}
+
+// Guards against a past day that is judged by the time of the report.
+#[test]
+fn a_past_day_ends_at_midnight() {
+    let whole = record("d1", 1, at(0, 0, 0), at(24, 0, 0));
+    let report = DayReport::new(&input(at(60, 0, 0), vec![whole]));
+    assert_eq!(report.headline(), "Today went well.");
+}
+
+// Guards against a day without any record that counts as a good one.
+#[test]
+fn a_day_without_records_did_not_go_well() {
+    assert_eq!(first_fault(Vec::new()).0, FaultKind::NoRecords);
+}
+
+// Guards against lost tasks that nobody notices, and against tasks shown as lost too early.
+#[test]
+fn tasks_past_their_deadline_without_an_end_are_overdue() {
+    let mut records = good_day();
+    let tasks = records[1].tasks_mut("standing orders", "griddle");
+    tasks.count(TaskMark::Accepted, Duration::ZERO, 500);
+    tasks.count(TaskMark::Accepted, Duration::ZERO, 17 * 60 + 30);
+    let (kind, headline) = first_fault(records);
+    assert_eq!(kind, FaultKind::Overdue);
+    assert!(headline.contains("at least 1 accepted task(s)"), "{headline}");
+}
+
+// Guards against limits that are applied to the wrong share of calls.
+#[test]
+fn late_calls_fail_the_day_above_one_percent() {
+    let mut records = good_day();
+    count(&mut records[0], 331, 6, CallOutcome::Done, false);
+    let report = DayReport::new(&input(at(18, 5, 0), records.clone()));
+    assert_eq!(report.headline(), "Today went well.");
+    count(&mut records[0], 331, 1, CallOutcome::Done, false);
+    let (kind, headline) = first_fault(records);
+    assert_eq!(kind, FaultKind::Late);
+    assert!(
+        headline.ends_with("most (7) for griddle at d1 in zone dublin at 05:31."),
+        "{headline}"
+    );
+}
+
+// Guards against refusals outside of the crest that fail the day.
+#[test]
+fn refusals_count_at_the_crest_only() {
+    let mut records = good_day();
+    count(&mut records[0], 331, 5, CallOutcome::NotRun, false);
+    let report = DayReport::new(&input(at(18, 5, 0), records.clone()));
+    assert_eq!(report.headline(), "Today went well.");
+    count(&mut records[0], 342, 5, CallOutcome::NotRun, false);
+    assert_eq!(first_fault(records).0, FaultKind::Refused);
+}
+
+// Guards against a store outage that fails the day although every promise was kept.
+#[test]
+fn a_store_outage_is_a_warning() {
+    let mut records = good_day();
+    records[0].outages.push(StoreOutage { from: at(9, 0, 0), to: at(9, 4, 30) });
+    let report = DayReport::new(&input(at(18, 5, 0), records));
+    assert_eq!(report.headline(), "Today went well.");
+    assert!(to_text(&report).contains("had no answer of the store from 09:00:00 to 09:04:30"));
+}
+
+// Guards against records that cannot be read and are left out silently.
+#[test]
+fn an_unreadable_record_fails_the_day() {
+    let mut input = input(at(18, 5, 0), good_day());
+    input.unreadable.push("/cuminbank/days/2026-12-04/d3.1/00000000: version 9".to_owned());
+    assert_eq!(DayReport::new(&input).faults[0].kind, FaultKind::Damaged);
+}
+
+// Guards against a page that depends on other files or runs text of callers as markup.
+#[test]
+fn the_page_is_self_contained_and_escapes_names() {
+    let mut records = good_day();
+    let name = "<script>alert(1)</script>";
+    records[0].calls_mut("morning rush", name).received = 1;
+    let page = to_html(&DayReport::new(&input(at(18, 5, 0), records))).unwrap();
+    assert_eq!(page.matches("<svg").count(), 2);
+    assert!(!page.contains(name));
+    for reference in ["<link", "src=", "@import", "href=\"http"] {
+        assert!(!page.contains(reference), "{reference}");
+    }
+}
