Serve the stand-ins over HTTP, with fault control and a fleet command

Cause: the entry daemon and the local platform need the store, the list, executors and workers as processes that can be made to fail on demand.

Ruled out: one process for each machine. A platform of 65 machines would take 130 processes; one process with a port for each instance does not. Also ruled out: a connection hook in cuminbank-net for silent connections. Its server clones the handler once for each connection, which is enough to number them.

Before: only the cores. After: commands store, list, executor, worker and fleet, each with GET and POST /control.

Conclusion: a local platform is `store` and `fleet`; the load command is not written yet.

--- /dev/null
+++ b/crates/cuminbank-standins/src/fleet.rs
@@ -0,0 +1,216 @@
+//! Many machines in one process: an executor and a worker each, and the list that names them.
+
+use std::{
+    cell::RefCell,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
+
+use cuminbank::{
+    event::{ListedInstance, ListedRole},
+    worker::ResourceSize,
+};
+use cuminbank_net::runtime;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    executor::{ExecutorCore, ExecutorServer, SlotTable},
+    list::{ListServer, ListSettings},
+    machine::PairFactors,
+    worker::{WorkerServer, WorkerSettings},
+};
+
+/// Most machines in one process; each takes two ports.
+const MAX_MACHINES: usize = 2_000;
+
+/// Settings of a fleet.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Machines in each zone.
+    pub machines_per_zone: usize,
+    /// Machines in a rack.
+    #[serde(default = "default_rack")]
+    pub machines_per_rack: usize,
+    /// Slots of each executor.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Connections that each executor declares.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
+    /// Size of each worker.
+    #[serde(default = "default_size")]
+    pub size: ResourceSize,
+    /// Port of the list. Machine `n`, counted from 0, has its executor on `first_port + 1 + 2n`
+    /// and its worker on the next port.
+    pub first_port: u16,
+    /// Seed of the pair factors and of lost answers.
+    #[serde(default)]
+    pub seed: u64,
+    /// Time until a change shows in the list, in milliseconds.
+    #[serde(default = "default_lag_ms")]
+    pub list_lag_ms: u64,
+    /// Age at which a usage window is reported, in milliseconds.
+    #[serde(default = "default_lag_ms")]
+    pub usage_lag_ms: u64,
+    /// Slowdown per neighbour core of single pairs, in place of the seeded one.
+    #[serde(default)]
+    pub factors: Vec<PairFactor>,
+    /// Instances listed besides the machines, such as the entry instances.
+    #[serde(default)]
+    pub instances: Vec<ListedInstance>,
+}
+
+/// Slowdown of a pair of classes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PairFactor {
+    /// Urgent class.
+    pub victim: String,
+    /// Batch class.
+    pub neighbour: String,
+    /// Slowdown for each core of the neighbour.
+    pub factor: f64,
+}
+
+fn default_rack() -> usize {
+    10
+}
+
+fn default_slots() -> u32 {
+    8
+}
+
+fn default_connections() -> u32 {
+    60
+}
+
+fn default_size() -> ResourceSize {
+    ResourceSize { millicores: 30_000, memory_mib: 125 * 1024, accelerators: 0 }
+}
+
+fn default_lag_ms() -> u64 {
+    2_000
+}
+
+impl FleetSettings {
+    /// Checks that the fleet fits on its ports.
+    pub fn check(&self) -> Result<(), String> {
+        let machines = self.zones.len().saturating_mul(self.machines_per_zone);
+        if !(1..=MAX_MACHINES).contains(&machines) {
+            return Err(format!("{machines} machines are not allowed: 1 to {MAX_MACHINES}"));
+        }
+        if self.machines_per_rack == 0 {
+            return Err("machines_per_rack: 0 is not allowed: at least 1".to_owned());
+        }
+        if usize::from(self.first_port) + 2 * machines > usize::from(u16::MAX) {
+            return Err(format!("first_port: {} leaves too few ports", self.first_port));
+        }
+        Ok(())
+    }
+
+    fn pair_factors(&self) -> PairFactors {
+        let fixed = self.factors.iter();
+        fixed.fold(PairFactors::new(self.seed), |factors, pair| {
+            factors.with_factor(&pair.victim, &pair.neighbour, pair.factor)
+        })
+    }
+
+    fn address(&self, offset: usize) -> SocketAddr {
+        let port = self.first_port + u16::try_from(offset).unwrap_or(0);
+        SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+    }
+}
+
+/// One machine of a fleet.
+#[derive(Clone)]
+pub struct FleetMachine {
+    /// The executor.
+    pub executor: ExecutorServer,
+    /// The worker.
+    pub worker: WorkerServer,
+    /// Both as they are listed.
+    pub listed: [ListedInstance; 2],
+}
+
+/// A fleet before it serves.
+pub struct Fleet {
+    /// The machines.
+    pub machines: Vec<FleetMachine>,
+    /// The list.
+    pub list: ListServer,
+    list_address: SocketAddr,
+}
+
+impl Fleet {
+    /// Creates a fleet; `settings` must have passed its check.
+    pub fn new(settings: &FleetSettings) -> Self {
+        let table = Rc::new(RefCell::new(SlotTable::default()));
+        let mut machines = Vec::new();
+        for zone in &settings.zones {
+            for index in 0..settings.machines_per_zone {
+                machines.push(new_machine(settings, zone, index, machines.len(), &table));
+            }
+        }
+        let listed = machines.iter().flat_map(|machine| machine.listed.clone());
+        let instances = settings.instances.iter().cloned().chain(listed).collect();
+        let list = ListSettings { lag_ms: settings.list_lag_ms, instances };
+        let list = ListServer::new(list, settings.seed);
+        Self { machines, list, list_address: settings.address(0) }
+    }
+
+    /// Opens all ports and serves on the current runtime.
+    pub fn spawn(&self) -> io::Result<()> {
+        let listener = runtime::listen(self.list_address)?;
+        monoio::spawn(self.list.clone().serve(listener));
+        for machine in &self.machines {
+            let [executor, worker] = &machine.listed;
+            let listener = runtime::listen(executor.address)?;
+            monoio::spawn(machine.executor.clone().serve(listener));
+            let listener = runtime::listen(worker.address)?;
+            monoio::spawn(machine.worker.clone().serve(listener));
+        }
+        Ok(())
+    }
+
+    /// Returns the address of the list.
+    pub fn list_address(&self) -> SocketAddr {
+        self.list_address
+    }
+}
+
+fn new_machine(
+    settings: &FleetSettings,
+    zone: &str,
+    index: usize,
+    number: usize,
+    table: &Rc<RefCell<SlotTable>>,
+) -> FleetMachine {
+    let machine = format!("{zone}-m{index:03}");
+    let listed = |name: String, role, offset| ListedInstance {
+        name,
+        role,
+        address: settings.address(offset),
+        zone: zone.to_owned(),
+        rack: format!("{zone}-r{:02}", index / settings.machines_per_rack),
+        machine: machine.clone(),
+        leaving: false,
+    };
+    let executor_role =
+        ListedRole::Executor { slots: settings.slots, connections: settings.connections };
+    let executor_listed = listed(format!("{machine}-executor"), executor_role, 1 + 2 * number);
+    let worker_role = ListedRole::Worker { size: settings.size };
+    let worker_listed = listed(format!("{machine}-worker"), worker_role, 2 + 2 * number);
+    let mut worker_settings = WorkerSettings::new(worker_listed.name.clone(), settings.size);
+    worker_settings.lag = std::time::Duration::from_millis(settings.usage_lag_ms);
+    let seed = settings.seed.wrapping_add(2 * number as u64 + 1);
+    let worker = WorkerServer::new(worker_settings, seed);
+    let core = ExecutorCore::new(executor_listed.name.clone(), settings.slots as usize);
+    let factors = settings.pair_factors();
+    let table = Rc::clone(table);
+    let executor = ExecutorServer::new(core, table, Some(worker.clone()), factors, seed + 1);
+    FleetMachine { executor, worker, listed: [executor_listed, worker_listed] }
+}
--- a/crates/cuminbank-standins/src/store/mod.rs
+++ b/crates/cuminbank-standins/src/store/mod.rs
@@ -1,11 +1,14 @@
-//! Stand-in for the platform's store: a subset of etcd's key-value model.
+//! Stand-in for the platform's store: a subset of etcd's key-value model and JSON gateway.
 
 mod contract;
 mod core;
+mod json;
+mod server;
 mod types;
 
 pub use self::{
     core::StoreCore,
+    server::StoreServer,
     types::{
         Compare, CompareResult, CompareTarget, KeyRange, KeyValue, OpAnswer, RangeAnswer,
         StoreChange, StoreCounters, StoreError, StoreLimits, Txn, TxnAnswer, TxnOp, WatchCursor,
--- a/crates/cuminbank-standins/src/worker/mod.rs
+++ b/crates/cuminbank-standins/src/worker/mod.rs
@@ -2,11 +2,13 @@
 
 mod checkpoint;
 mod core;
+mod server;
 mod types;
 mod usage;
 
 pub use self::{
     checkpoint::TaskCheckpoint,
     core::WorkerCore,
+    server::WorkerServer,
     types::{ExecutionEnd, TaskExecution, WorkerCounters, WorkerSettings},
 };
--- /dev/null
+++ b/crates/cuminbank-standins/src/worker/server.rs
@@ -0,0 +1,171 @@
+//! HTTP server of a worker.
+
+use std::{cell::RefCell, rc::Rc};
+
+use cuminbank::worker::{TaskStart, WorkerReply, WorkerRequest};
+use cuminbank_net::server::{ServerAction, ServerRequest, ServerResponse};
+use http::Method;
+use monoio::net::TcpListener;
+use serde::Deserialize;
+use serde_json::{json, Value};
+
+use super::{core::WorkerCore, types::WorkerSettings};
+use crate::{
+    clock::StandinClock,
+    control::{self, error_response, json_response, FaultControl},
+    machine::MachineLoad,
+};
+
+/// A worker as a server.
+#[derive(Clone)]
+pub struct WorkerServer(Rc<WorkerState>);
+
+struct WorkerState {
+    core: RefCell<WorkerCore>,
+    clock: StandinClock,
+    control: Rc<FaultControl>,
+}
+
+#[derive(Deserialize)]
+struct RenewBody {
+    lease_ms: u64,
+    tasks: Vec<(String, u32)>,
+}
+
+#[derive(Deserialize)]
+struct StopBody {
+    task: String,
+    attempt: u32,
+    checkpoint: bool,
+}
+
+#[derive(Deserialize)]
+struct ThrottleBody {
+    task: String,
+    attempt: u32,
+    percent: u8,
+}
+
+#[derive(Deserialize)]
+struct LeavingBody {
+    leaving: bool,
+}
+
+impl WorkerServer {
+    /// Creates an idle worker.
+    pub fn new(settings: WorkerSettings, seed: u64) -> Self {
+        Self(Rc::new(WorkerState {
+            core: RefCell::new(WorkerCore::new(settings)),
+            clock: StandinClock::new(),
+            control: FaultControl::new(seed),
+        }))
+    }
+
+    /// Returns the fault control.
+    pub fn control(&self) -> Rc<FaultControl> {
+        Rc::clone(&self.0.control)
+    }
+
+    /// Returns the cores that batch classes use now.
+    pub fn load(&self) -> MachineLoad {
+        let mut core = self.0.core.borrow_mut();
+        core.advance(self.0.clock.now());
+        core.load()
+    }
+
+    /// Notes the slowdown of an urgent call on this machine, for the usage report.
+    pub fn note_slowdown(&self, class: &str, slowdown: f64) {
+        self.0.core.borrow_mut().note_slowdown(self.0.clock.now(), class, slowdown);
+    }
+
+    /// Returns the state for `GET /control`.
+    pub fn counters(&self) -> Value {
+        let mut core = self.0.core.borrow_mut();
+        core.advance(self.0.clock.now());
+        let mut counters = json!(core.counters());
+        counters["free"] = json!(core.free());
+        counters
+    }
+
+    /// Serves until the process ends.
+    pub async fn serve(self, listener: TcpListener) {
+        let counting = self.clone();
+        let control = self.control();
+        let handler = move |request, _| {
+            let server = self.clone();
+            async move { ServerAction::Respond(server.handle(&request)) }
+        };
+        control::serve(listener, control, move || counting.counters(), handler).await;
+    }
+
+    fn handle(&self, request: &ServerRequest) -> ServerResponse {
+        let body = &request.body;
+        match (&request.method, request.path.as_str()) {
+            (&Method::POST, "/v1/tasks") => {
+                self.apply_read(body, |start: TaskStart| WorkerRequest::Start(start))
+            }
+            (&Method::POST, "/v1/renew") => self.apply_read(body, |renew: RenewBody| {
+                WorkerRequest::Renew { lease_ms: renew.lease_ms, tasks: renew.tasks }
+            }),
+            (&Method::POST, "/v1/stop") => self.apply_read(body, |stop: StopBody| {
+                let StopBody { task, attempt, checkpoint } = stop;
+                WorkerRequest::Stop { task, attempt, checkpoint }
+            }),
+            (&Method::POST, "/v1/throttle") => self.apply_read(body, |throttle: ThrottleBody| {
+                let ThrottleBody { task, attempt, percent } = throttle;
+                WorkerRequest::Throttle { task, attempt, percent }
+            }),
+            (&Method::GET, "/v1/tasks") => match read_since(&request.query) {
+                Some(since) => self.apply(WorkerRequest::List { since }),
+                None => error_response(400, "since is not a number"),
+            },
+            (&Method::GET, "/v1/executions") => {
+                let mut core = self.0.core.borrow_mut();
+                core.advance(self.0.clock.now());
+                json_response(200, &core.executions().collect::<Vec<_>>())
+            }
+            (&Method::POST, "/v1/leaving") => match serde_json::from_slice::<LeavingBody>(body) {
+                Ok(body) => {
+                    self.0.core.borrow_mut().set_leaving(body.leaving);
+                    json_response(200, &json!({"leaving": body.leaving}))
+                }
+                Err(error) => error_response(400, &error.to_string()),
+            },
+            _ => error_response(404, "no such path"),
+        }
+    }
+
+    fn apply_read<T: for<'a> Deserialize<'a>>(
+        &self,
+        body: &[u8],
+        request: impl Fn(T) -> WorkerRequest,
+    ) -> ServerResponse {
+        match serde_json::from_slice(body) {
+            Ok(body) => self.apply(request(body)),
+            Err(error) => error_response(400, &error.to_string()),
+        }
+    }
+
+    fn apply(&self, request: WorkerRequest) -> ServerResponse {
+        let mut core = self.0.core.borrow_mut();
+        core.set_fail_all(self.0.control.fails_all());
+        let reply = core.apply(self.0.clock.now(), request);
+        match reply {
+            WorkerReply::Accepted => json_response(200, &json!({})),
+            WorkerReply::Refused { status } => error_response(status, "refused"),
+            WorkerReply::Renewed { missing } => json_response(200, &json!({"missing": missing})),
+            WorkerReply::Stopped { checkpoint, ended } => {
+                json_response(200, &json!({"checkpoint": checkpoint, "ended": ended}))
+            }
+            WorkerReply::Listed(report) => json_response(200, &report),
+        }
+    }
+}
+
+fn read_since(query: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    match pairs.find(|(name, _)| *name == "since") {
+        Some((_, since)) => since.parse().ok(),
+        None => Some(0),
+    }
+}
