--- a/crates/cuminbank/src/lib.rs
+++ b/crates/cuminbank/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod histogram;
 pub mod health;
+pub mod guards;
 pub mod ids;
 pub mod interference;
 pub mod ledger;
