--- a/crates/cuminbank-standins/src/harness/callers.rs
+++ b/crates/cuminbank-standins/src/harness/callers.rs
@@ -254,19 +254,19 @@
         if self.requests[index].answered.contains(&send) {
             return;
         }
-        let process = self.entries[entry].process.as_ref();
-        let replies = process.filter(|process| process.start == start).map(|p| &p.replies);
-        let waiting = replies.and_then(|replies| {
-            let is_this = |origin: &ReplyOrigin| {
-                *origin == ReplyOrigin::Caller { request: index, send, asked }
-            };
-            replies.iter().find(|(_, origin)| is_this(origin)).map(|(reply, _)| *reply)
-        });
-        if let Some(reply) = waiting {
+        self.on_answered(index, send, asked, None);
+        let process = self.entries[entry].process.as_mut();
+        let Some(process) = process.filter(|process| process.start == start) else {
+            return;
+        };
+        let origin = ReplyOrigin::Caller { request: index, send, asked };
+        let waiting = process.replies.iter().find(|(_, waiting)| **waiting == origin);
+        if let Some(reply) = waiting.map(|(reply, _)| *reply) {
+            // Nobody is left to answer, so a planned stop need not wait for this reply.
+            process.replies.remove(&reply);
             let event = EntryEvent::CallerGone { reply };
             self.queue.push(self.now, Action::Event(entry, start, event));
         }
-        self.on_answered(index, send, asked, None);
     }
 
     /// Handles an answer to one send of a request, or its loss.
--- a/crates/cuminbank-standins/src/harness/history.rs
+++ b/crates/cuminbank-standins/src/harness/history.rs
@@ -197,6 +197,13 @@
     Fault(String),
 }
 
+impl HistoryEvent {
+    /// Tells whether the event repeats in every run, so that failure messages leave it out.
+    fn is_periodic(&self) -> bool {
+        matches!(self, Self::ConfigShown { .. } | Self::ListShown { .. })
+    }
+}
+
 /// An event with its virtual time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HistoryEntry {
@@ -227,8 +234,7 @@
     pub fn around(&self, at: Duration, count: usize) -> String {
         let mut text = String::new();
         let shown = |entry: &&HistoryEntry| {
-            entry.at <= at + Duration::from_millis(500)
-                && !matches!(entry.event, HistoryEvent::ConfigShown { .. })
+            entry.at <= at + Duration::from_millis(500) && !entry.event.is_periodic()
         };
         let entries: Vec<_> = self.entries.iter().filter(shown).collect();
         for entry in entries.iter().skip(entries.len().saturating_sub(count)) {
@@ -240,7 +246,7 @@
     /// Returns the events that mention `word`, for a failure message.
     pub fn about(&self, word: &str) -> String {
         let mut text = String::new();
-        for entry in &self.entries {
+        for entry in self.entries.iter().filter(|entry| !entry.event.is_periodic()) {
             let line = format!("{:?}", entry.event);
             if line.contains(word) {
                 let _ = writeln!(text, "  {:>9.3} s {line}", entry.at.as_secs_f64());
--- /dev/null
+++ b/crates/cuminbank-standins/tests/history_calls.rs
@@ -0,0 +1,71 @@
+//! Urgent calls under random faults: I1, I2, I4, I5, I6, I7 and I8.
+
+use cuminbank_standins::harness::{seeds::assert_seeds, FaultKind, HarnessPlan};
+
+/// Guards against a harness whose checks look at nothing: without faults nearly every call has to
+/// be done.
+#[test]
+fn calls_without_faults() {
+    let counts = assert_seeds(4, |seed| HarnessPlan::new(seed).with_calls(100));
+    assert!(counts.done > 1_000, "{counts:?}");
+}
+
+/// Guards against calls that run twice, at two places, or after "not run", when entry instances
+/// die, pause and lose each other.
+#[test]
+fn calls_with_entry_faults() {
+    let kinds = [
+        FaultKind::KillEntry,
+        FaultKind::PauseEntry,
+        FaultKind::CutInstance,
+        FaultKind::CutPeers,
+        FaultKind::CutZones,
+        FaultKind::CutMachine,
+    ];
+    let counts =
+        assert_seeds(20, |seed| HarnessPlan::new(seed).with_calls(80).with_faults(&kinds, 0.005));
+    assert!(counts.done > 3_000, "{counts:?}");
+}
+
+/// Guards against two owners of one group, or none for good, when the store is down, slow, cut
+/// off or loses its answers.
+#[test]
+fn calls_with_store_faults() {
+    let kinds = [
+        FaultKind::StoreDown,
+        FaultKind::StoreSlow,
+        FaultKind::LoseStoreAnswers,
+        FaultKind::CutZoneFromStore,
+        FaultKind::KillEntry,
+        FaultKind::PauseEntry,
+    ];
+    let counts =
+        assert_seeds(20, |seed| HarnessPlan::new(seed).with_calls(80).with_faults(&kinds, 0.005));
+    assert!(counts.done > 3_000, "{counts:?}");
+}
+
+/// Guards against work for targets that are leaving, dead or silent, and against slots that are
+/// counted free while a call still runs.
+#[test]
+fn calls_with_target_faults() {
+    let kinds = [
+        FaultKind::KillMachine,
+        FaultKind::LeaveMachine,
+        FaultKind::ListLag,
+        FaultKind::SilentExecutor,
+        FaultKind::CutMachine,
+        FaultKind::KillEntry,
+    ];
+    let counts =
+        assert_seeds(20, |seed| HarnessPlan::new(seed).with_calls(80).with_faults(&kinds, 0.005));
+    assert!(counts.done > 3_000, "{counts:?}");
+}
+
+/// Guards against a planned stop that cuts off requests or does not end.
+#[test]
+fn calls_with_drains() {
+    let kinds = [FaultKind::DrainEntry, FaultKind::LoseStoreAnswers, FaultKind::CutPeers];
+    let counts =
+        assert_seeds(20, |seed| HarnessPlan::new(seed).with_calls(80).with_faults(&kinds, 0.002));
+    assert!(counts.exits > 20, "{counts:?}");
+}
