--- a/crates/cuminbank/src/membership.rs
+++ b/crates/cuminbank/src/membership.rs
@@ -136,8 +136,13 @@
 }
 
 /// Returns the group of a machine, so that all targets of a machine share an owner.
+///
+/// CRC-32 is linear: names that differ in one digit fall into few groups by its low bits alone.
+/// The multiplication by an odd constant mixes all bits into the upper half.
 pub fn group_of_machine(machine: &str, groups: GroupIndex) -> GroupIndex {
-    (crc32fast::hash(machine.as_bytes()) % u32::from(groups.max(1))) as GroupIndex
+    const MIXER: u32 = 0x9e37_79b1;
+    let mixed = crc32fast::hash(machine.as_bytes()).wrapping_mul(MIXER) >> 16;
+    (mixed % u32::from(groups.max(1))) as GroupIndex
 }
 
 /// A peer as its last heartbeat shows it.
