Add the open-loop load command and the comparison of its results

Ruled out: sending a confirmation only after its reservation succeeded. The offered load would then depend on the answers, so the policies would not be compared under the same arrivals. Also ruled out: asking for the state of tasks during the run, which loads the entry instances.

Before: no load command. After: `load` with the plans steady, crest, mixed-lengths, confirm and starts, and `compare`.

Conclusion: it has not been run against the real entry daemon yet.

--- a/crates/cuminbank-standins/src/lib.rs
+++ b/crates/cuminbank-standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod executor;
 pub mod fleet;
 pub mod list;
+pub mod load;
 pub mod machine;
 pub mod store;
 pub mod worker;
--- /dev/null
+++ b/crates/cuminbank-standins/src/load/client.rs
@@ -0,0 +1,225 @@
+//! Sends calls and tasks to the entry instances.
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cuminbank::event::ExchangeError;
+use cuminbank_net::client::{ClientAnswer, ClientRequest, HttpPool};
+use serde_json::{json, Value};
+
+use super::arrivals::{CallArrival, TaskArrival};
+
+/// Tickets fetched at a time, and the stock below which more are fetched.
+const TICKET_BATCH: u32 = 100;
+const LOW_STOCK: usize = 50;
+/// Age at which a ticket is thrown away. A takeover spoils tickets, so old stock would show as
+/// unknown outcomes that a caller with fresh tickets does not see.
+const MAX_TICKET_AGE: Duration = Duration::from_secs(20);
+
+/// How an exchange ended for the caller.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum CallerResult {
+    /// The work ran; the body is JSON.
+    Done(Value),
+    /// The task was accepted under this id.
+    Accepted(String),
+    /// The work did not run, with the reason.
+    Refused(String),
+    /// The entry instance does not know.
+    Unknown(String),
+    /// No answer, or one that makes no sense.
+    Error(String),
+}
+
+/// State of an accepted task.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct TaskState {
+    pub(super) state: String,
+    pub(super) evictions: u64,
+}
+
+/// Client of the entry instances.
+pub(super) struct LoadClient {
+    entries: Vec<SocketAddr>,
+    pool: HttpPool,
+    timeout: Duration,
+    tickets: RefCell<HashMap<SocketAddr, VecDeque<(Instant, String)>>>,
+    refilling: RefCell<HashSet<SocketAddr>>,
+}
+
+impl LoadClient {
+    pub(super) fn new(entries: Vec<SocketAddr>, timeout: Duration) -> Rc<Self> {
+        Rc::new(Self {
+            entries,
+            pool: HttpPool::new(),
+            timeout,
+            tickets: RefCell::default(),
+            refilling: RefCell::default(),
+        })
+    }
+
+    /// Fetches tickets from every entry instance ahead of the run.
+    pub(super) async fn warm_up(&self) {
+        for entry in &self.entries {
+            let _ = self.fetch_tickets(*entry).await;
+        }
+    }
+
+    pub(super) async fn call(
+        self: &Rc<Self>,
+        turn: usize,
+        customer: &str,
+        call: &CallArrival,
+    ) -> CallerResult {
+        let mut request = ClientRequest::new_post("/v1/calls", call.body.to_string())
+            .with_header("x-profile", call.profile.as_str())
+            .with_header("x-customer", customer)
+            .with_header("x-class", call.class.as_str());
+        if call.ticketed {
+            match self.take_ticket(turn).await {
+                Ok(ticket) => request = request.with_header("idempotency-key", ticket),
+                Err(reason) => return CallerResult::Refused(reason),
+            }
+        }
+        self.send(turn, request).await.map_or_else(CallerResult::Error, classify)
+    }
+
+    pub(super) async fn submit(
+        self: &Rc<Self>,
+        turn: usize,
+        customer: &str,
+        task: &TaskArrival,
+    ) -> CallerResult {
+        let ticket = match self.take_ticket(turn).await {
+            Ok(ticket) => ticket,
+            Err(reason) => return CallerResult::Refused(reason),
+        };
+        let request = ClientRequest::new_post("/v1/tasks", task.body.to_string())
+            .with_header("x-profile", task.profile.as_str())
+            .with_header("x-customer", customer)
+            .with_header("x-class", task.class.as_str())
+            .with_header("idempotency-key", ticket.as_str());
+        match self.send(turn, request).await.map_or_else(CallerResult::Error, classify) {
+            CallerResult::Accepted(_) => CallerResult::Accepted(ticket),
+            other => other,
+        }
+    }
+
+    /// Asks for the state of a task; `None` without a usable answer.
+    pub(super) async fn task_state(&self, turn: usize, task: &str) -> Option<TaskState> {
+        let request = ClientRequest::new_get(format!("/v1/tasks/{task}"));
+        let answer = self.send(turn, request).await.ok()?;
+        let value: Value = serde_json::from_slice(&answer.body).ok()?;
+        let state = find(&value, "state")?.as_str()?.to_lowercase();
+        let evictions = find(&value, "evictions").and_then(Value::as_u64).unwrap_or(0);
+        Some(TaskState { state, evictions })
+    }
+
+    /// Sends to the entry instance whose turn it is, or to the next if no byte left: the
+    /// platform's load balancer does not route to an instance that accepts no connections.
+    async fn send(&self, turn: usize, request: ClientRequest) -> Result<ClientAnswer, String> {
+        for step in 0..self.entries.len() {
+            let entry = self.entries[(turn + step) % self.entries.len()];
+            match self.pool.exchange(entry, request.clone(), self.timeout).await {
+                Err(ExchangeError::NotSent) => continue,
+                Ok(answer) => return Ok(answer),
+                Err(error) => return Err(format!("no answer: {error:?}")),
+            }
+        }
+        Err("no entry instance accepts connections".to_owned())
+    }
+
+    async fn take_ticket(self: &Rc<Self>, turn: usize) -> Result<String, String> {
+        let entry = self.entries[turn % self.entries.len()];
+        if let Some(ticket) = self.stocked_ticket(entry) {
+            return Ok(ticket);
+        }
+        let mut reason = String::new();
+        for step in 0..self.entries.len() {
+            let entry = self.entries[(turn + step) % self.entries.len()];
+            match self.fetch_tickets(entry).await {
+                Ok(()) => {}
+                Err(error) => reason = error,
+            }
+            if let Some(ticket) = self.stocked_ticket(entry) {
+                return Ok(ticket);
+            }
+        }
+        Err(format!("no ticket: {reason}"))
+    }
+
+    fn stocked_ticket(self: &Rc<Self>, entry: SocketAddr) -> Option<String> {
+        let mut tickets = self.tickets.borrow_mut();
+        let stock = tickets.entry(entry).or_default();
+        while stock.front().is_some_and(|(since, _)| since.elapsed() > MAX_TICKET_AGE) {
+            stock.pop_front();
+        }
+        let ticket = stock.pop_front().map(|(_, ticket)| ticket);
+        if stock.len() < LOW_STOCK && self.refilling.borrow_mut().insert(entry) {
+            let client = Rc::clone(self);
+            monoio::spawn(async move {
+                let _ = client.fetch_tickets(entry).await;
+                client.refilling.borrow_mut().remove(&entry);
+            });
+        }
+        ticket
+    }
+
+    async fn fetch_tickets(&self, entry: SocketAddr) -> Result<(), String> {
+        let body = json!({ "count": TICKET_BATCH }).to_string();
+        let request = ClientRequest::new_post("/v1/tickets", body);
+        let answer = self.pool.exchange(entry, request, self.timeout).await;
+        let answer = answer.map_err(|error| format!("{error:?}"))?;
+        if answer.status != 200 {
+            return Err(format!("status {}", answer.status));
+        }
+        let fetched = read_tickets(&answer.body).ok_or("the answer holds no tickets")?;
+        let now = Instant::now();
+        let mut tickets = self.tickets.borrow_mut();
+        tickets.entry(entry).or_default().extend(fetched.into_iter().map(|ticket| (now, ticket)));
+        Ok(())
+    }
+}
+
+/// Reads `["...", ...]` or `{"tickets": ["...", ...]}`.
+fn read_tickets(body: &[u8]) -> Option<Vec<String>> {
+    let value: Value = serde_json::from_slice(body).ok()?;
+    let list = value.as_array().or_else(|| value["tickets"].as_array())?;
+    list.iter().map(|ticket| ticket.as_str().map(str::to_owned)).collect()
+}
+
+fn classify(answer: ClientAnswer) -> CallerResult {
+    let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    let reason = || {
+        let text = body["reason"].as_str().unwrap_or("no reason given");
+        format!("{}: {text}", answer.status)
+    };
+    let outcome = answer.header("x-outcome").or_else(|| body["outcome"].as_str());
+    match (outcome, answer.status) {
+        (Some("done") | None, 200..=299) => CallerResult::Done(body),
+        (Some("accepted"), _) => {
+            CallerResult::Accepted(body["task"].as_str().unwrap_or_default().to_owned())
+        }
+        (Some("not_run"), _) => CallerResult::Refused(reason()),
+        (Some("unknown"), _) => CallerResult::Unknown(reason()),
+        (Some("done"), status) => CallerResult::Error(format!("the call failed with {status}")),
+        (_, status) => CallerResult::Error(format!("status {status} without an outcome")),
+    }
+}
+
+/// Finds a field at any depth; the form of a task's state is not fixed by the design page.
+fn find<'a>(value: &'a Value, name: &str) -> Option<&'a Value> {
+    match value {
+        Value::Object(fields) => match fields.get(name) {
+            Some(found) => Some(found),
+            None => fields.values().find_map(|field| find(field, name)),
+        },
+        Value::Array(items) => items.iter().find_map(|item| find(item, name)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/cuminbank-standins/src/load/runner.rs
@@ -0,0 +1,263 @@
+//! Sends the arrivals at their time and collects the results.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use monoio::time;
+use serde_json::Value;
+
+use super::{
+    arrivals::{plan_arrivals, Arrival, CallArrival, LoadWork, TaskArrival},
+    client::{CallerResult, LoadClient, TaskState},
+    result::{CountedOutcome, LoadResult, ResultCollector},
+    LoadSettings,
+};
+
+/// Requests in progress at a time; an arrival beyond it counts as an error.
+const MAX_IN_PROGRESS: usize = 8_000;
+/// Status requests in progress at a time after the last arrival.
+const STATUS_STREAMS: usize = 32;
+
+struct LoadRun {
+    client: Rc<LoadClient>,
+    collector: RefCell<ResultCollector>,
+    accepted: RefCell<Vec<AcceptedTask>>,
+    in_progress: Cell<usize>,
+    deadline: Duration,
+    started: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct AcceptedTask {
+    id: String,
+    run_ms: u64,
+}
+
+/// Runs a load on the current runtime.
+pub async fn run_load(settings: &LoadSettings) -> LoadResult {
+    let arrivals = plan_arrivals(settings);
+    let client = LoadClient::new(settings.entries.clone(), settings.timeout);
+    if arrivals.iter().any(needs_ticket) {
+        client.warm_up().await;
+    }
+    let mut collector = ResultCollector::default();
+    collector.result.plan = settings.plan.name().to_owned();
+    collector.result.seed = settings.seed;
+    collector.result.seconds = settings.seconds;
+    let run = Rc::new(LoadRun {
+        client,
+        collector: RefCell::new(collector),
+        accepted: RefCell::default(),
+        in_progress: Cell::new(0),
+        deadline: settings.deadline,
+        started: Instant::now(),
+    });
+    for (turn, arrival) in arrivals.into_iter().enumerate() {
+        time::sleep(arrival.at.saturating_sub(run.started.elapsed())).await;
+        run.note_send(arrival.at);
+        run.send(turn, arrival);
+    }
+    let length = Duration::from_secs(settings.seconds);
+    time::sleep(length.saturating_sub(run.started.elapsed())).await;
+    settle_tasks(&run, settings.settle).await;
+    wait_for_answers(&run, settings.timeout).await;
+    let result = run.collector.borrow_mut().finish();
+    result
+}
+
+fn needs_ticket(arrival: &Arrival) -> bool {
+    match &arrival.work {
+        LoadWork::Call(call) => call.ticketed,
+        LoadWork::Task(_) => true,
+    }
+}
+
+impl LoadRun {
+    fn note_send(&self, at: Duration) {
+        let lag = self.started.elapsed().saturating_sub(at).as_secs_f64() * 1_000.0;
+        let result = &mut self.collector.borrow_mut().result;
+        result.max_send_lag_ms = result.max_send_lag_ms.max(lag);
+    }
+
+    fn send(self: &Rc<Self>, turn: usize, arrival: Arrival) {
+        let run = Rc::clone(self);
+        if run.in_progress.get() >= MAX_IN_PROGRESS {
+            run.count_unsent(&arrival);
+            return;
+        }
+        run.in_progress.set(run.in_progress.get() + 1);
+        monoio::spawn(async move {
+            match &arrival.work {
+                LoadWork::Call(call) => {
+                    let result = run.client.call(turn, &arrival.customer, call).await;
+                    run.count_call(&arrival, call, result);
+                }
+                LoadWork::Task(task) => {
+                    let result = run.client.submit(turn, &arrival.customer, task).await;
+                    run.count_task(task, result);
+                }
+            }
+            run.in_progress.set(run.in_progress.get() - 1);
+        });
+    }
+
+    fn count_unsent(&self, arrival: &Arrival) {
+        let reason = format!("not sent: {MAX_IN_PROGRESS} requests are in progress");
+        match &arrival.work {
+            LoadWork::Call(call) => self.count_call(arrival, call, CallerResult::Error(reason)),
+            LoadWork::Task(task) => self.count_task(task, CallerResult::Refused(reason)),
+        }
+    }
+
+    fn count_call(&self, arrival: &Arrival, call: &CallArrival, result: CallerResult) {
+        let latency = self.started.elapsed().saturating_sub(arrival.at);
+        let collector = &mut *self.collector.borrow_mut();
+        let outcome = match result {
+            CallerResult::Done(body) => {
+                count_slot(collector, call, &body);
+                let wrong = body["key"].as_str() != Some(&call.key);
+                CountedOutcome::Done { late: latency > self.deadline, wrong }
+            }
+            CallerResult::Refused(reason) => {
+                collector.count_reason(format!("refused, {reason}"));
+                CountedOutcome::Refused
+            }
+            CallerResult::Unknown(reason) => {
+                collector.count_reason(format!("unknown, {reason}"));
+                CountedOutcome::Unknown
+            }
+            CallerResult::Error(reason) => {
+                collector.count_reason(format!("error, {reason}"));
+                CountedOutcome::Error
+            }
+            CallerResult::Accepted(_) => {
+                collector.count_reason("error, a call was accepted as a task".to_owned());
+                CountedOutcome::Error
+            }
+        };
+        collector.count(&call.counted_as, outcome, latency);
+        if arrival.in_crest {
+            collector.count(&format!("{} at crest", call.counted_as), outcome, latency);
+        }
+    }
+
+    fn count_task(&self, task: &TaskArrival, result: CallerResult) {
+        let collector = &mut *self.collector.borrow_mut();
+        let tasks = &mut collector.result.tasks;
+        tasks.sent += 1;
+        match result {
+            CallerResult::Accepted(id) => {
+                tasks.accepted += 1;
+                self.accepted.borrow_mut().push(AcceptedTask { id, run_ms: task.run_ms });
+            }
+            CallerResult::Refused(reason) => {
+                tasks.refused += 1;
+                collector.count_reason(format!("task refused, {reason}"));
+            }
+            CallerResult::Unknown(reason) | CallerResult::Error(reason) => {
+                tasks.unknown += 1;
+                collector.count_reason(format!("task unknown, {reason}"));
+            }
+            CallerResult::Done(_) => {
+                tasks.unknown += 1;
+                collector.count_reason("task unknown, answered as done".to_owned());
+            }
+        }
+    }
+
+    /// Counts a task that has ended; false if it has not.
+    fn count_end(&self, task: &AcceptedTask, state: &TaskState, in_run: bool) -> bool {
+        let result = &mut self.collector.borrow_mut().result;
+        let seconds = result.seconds.max(1) as f64;
+        let tasks = &mut result.tasks;
+        match state.state.as_str() {
+            "finished" => {
+                tasks.finished += 1;
+                if in_run {
+                    tasks.finished_in_run += 1;
+                    tasks.work_per_second += task.run_ms as f64 / 1_000.0 / seconds;
+                }
+            }
+            "failed" | "cancelled" => tasks.failed += 1,
+            _ => return false,
+        }
+        tasks.evictions += state.evictions;
+        true
+    }
+}
+
+/// Counts the answer to a confirmation by the slot that it names.
+fn count_slot(collector: &mut ResultCollector, call: &CallArrival, body: &Value) {
+    let (Some(slot), "confirm") = (&call.slot, call.counted_as.as_str()) else {
+        return;
+    };
+    let slots = &mut collector.result.slots;
+    if body["confirmed"].as_bool() != Some(true) {
+        slots.not_reserved += 1;
+    } else if body["slot"].as_str() == Some(slot) {
+        slots.confirmed_as_booked += 1;
+    } else {
+        slots.confirmed_wrong += 1;
+    }
+}
+
+/// Looks at the accepted tasks until all have ended or the wait is over.
+async fn settle_tasks(run: &Rc<LoadRun>, wait: Duration) {
+    let end = Instant::now() + wait;
+    let mut open = run.accepted.take();
+    let mut first = true;
+    loop {
+        open = look_at_tasks(run, open, first).await;
+        first = false;
+        open.append(&mut run.accepted.borrow_mut());
+        let idle = open.is_empty() && run.in_progress.get() == 0;
+        if idle || Instant::now() >= end {
+            break;
+        }
+        time::sleep(Duration::from_secs(1)).await;
+    }
+    run.collector.borrow_mut().result.tasks.unfinished = open.len() as u64;
+}
+
+/// Asks for the state of each task and returns those that have not ended.
+async fn look_at_tasks(
+    run: &Rc<LoadRun>,
+    tasks: Vec<AcceptedTask>,
+    in_run: bool,
+) -> Vec<AcceptedTask> {
+    let queue = Rc::new(RefCell::new(VecDeque::from(tasks)));
+    let stream = |turn| {
+        let (run, queue) = (Rc::clone(run), Rc::clone(&queue));
+        monoio::spawn(async move {
+            let mut open = Vec::new();
+            while let Some(task) = pop_task(&queue) {
+                let state = run.client.task_state(turn, &task.id).await.unwrap_or_default();
+                if !run.count_end(&task, &state, in_run) {
+                    open.push(task);
+                }
+            }
+            open
+        })
+    };
+    let streams: Vec<_> = (0..STATUS_STREAMS).map(stream).collect();
+    let mut open = Vec::new();
+    for stream in streams {
+        open.append(&mut stream.await);
+    }
+    open
+}
+
+fn pop_task(queue: &RefCell<VecDeque<AcceptedTask>>) -> Option<AcceptedTask> {
+    queue.borrow_mut().pop_front()
+}
+
+async fn wait_for_answers(run: &Rc<LoadRun>, timeout: Duration) {
+    let end = Instant::now() + timeout + Duration::from_secs(1);
+    while run.in_progress.get() > 0 && Instant::now() < end {
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/cuminbank-standins/src/main.rs
+++ b/crates/cuminbank-standins/src/main.rs
@@ -9,6 +9,7 @@
     path::Path,
     process::ExitCode,
     rc::Rc,
+    time::Duration,
 };
 
 use cuminbank::worker::ResourceSize;
@@ -17,6 +18,7 @@
     executor::{ExecutorCore, ExecutorServer, SlotTable},
     fleet::{Fleet, FleetSettings},
     list::{ListServer, ListSettings},
+    load::{compare, run_load, LoadProfiles, LoadResult, LoadSettings},
     machine::PairFactors,
     store::{StoreLimits, StoreServer},
     worker::{WorkerServer, WorkerSettings},
@@ -28,6 +30,8 @@
 
     use std::{net::SocketAddr, path::PathBuf};
 
+    use cuminbank_standins::load::LoadPlan;
+
     xflags::xflags! {
         /// Stand-ins for the platform's services, and the open-loop load command.
         cmd cuminbank-standins {
@@ -77,6 +81,58 @@
                 /// Seed of lost answers.
                 optional --seed seed: u64
             }
+            /// Sends an open-loop load to entry instances and prints the results.
+            cmd load {
+                /// Entry instance; can be given several times.
+                repeated --entry address: SocketAddr
+                /// steady, crest, mixed-lengths, confirm or starts.
+                required --plan name: LoadPlan
+                /// Calls, bookings or, for starts, tasks in each second; 50 without it.
+                optional --rate count: f64
+                /// Factor on the rate in the middle third; 5 for crest, else 1 without it.
+                optional --crest factor: f64
+                /// Batch tasks beside the calls in each second; none without it.
+                optional --task-rate count: f64
+                /// Batch tasks in each of the six waves of a crest; 20 without it.
+                optional --wave-tasks count: u32
+                /// Length of the arrivals; 30 without it, at most 900.
+                optional --seconds count: u64
+                /// Seed of the arrivals; 1 without it.
+                optional --seed seed: u64
+                /// Mean work of a call; 20 without it.
+                optional --work-ms time: u64
+                /// Mean run time of a batch task; 4000 without it.
+                optional --run-ms time: u64
+                /// Latency up to which a call is on time; 1000 without it.
+                optional --deadline-ms time: u64
+                /// Longest wait for an answer; 15000 without it.
+                optional --timeout-ms time: u64
+                /// Longest wait for accepted tasks after the last arrival; 30 without it.
+                optional --settle-seconds count: u64
+                /// Customer; can be given several times, "griddle" without it.
+                repeated --customer name: String
+                /// Sends long calls under the class of short ones.
+                optional --hide-lengths
+                /// Profile of plans; "morning rush" without it.
+                optional --urgent-profile name: String
+                /// Profile of reservations; "booking" without it.
+                optional --reserve-profile name: String
+                /// Profile of confirmations; "booking" without it.
+                optional --booking-profile name: String
+                /// Profile of batch tasks at a rate; "standing orders" without it.
+                optional --batch-profile name: String
+                /// Profile of batch tasks in waves; "proving watch" without it.
+                optional --noise-profile name: String
+                /// Name of the run in comparisons.
+                optional --label name: String
+                /// Prints JSON in place of a table.
+                optional --json
+            }
+            /// Prints the results of the first run and their ratios to the others.
+            cmd compare {
+                /// Results of `load --json`.
+                repeated files: PathBuf
+            }
             /// Many machines, an executor and a worker each, and the list that names them.
             cmd fleet {
                 /// Settings file.
@@ -97,6 +153,8 @@
         flags::CuminbankStandinsCmd::Executor(flags) => run_executor(flags),
         flags::CuminbankStandinsCmd::Worker(flags) => run_worker(flags),
         flags::CuminbankStandinsCmd::Fleet(flags) => run_fleet(flags),
+        flags::CuminbankStandinsCmd::Load(flags) => run_load_command(flags),
+        flags::CuminbankStandinsCmd::Compare(flags) => run_compare(flags),
     }
 }
 
@@ -159,6 +217,65 @@
     report(outcome)
 }
 
+fn run_load_command(flags: flags::Load) -> ExitCode {
+    let (json, label) = (flags.json, flags.label.clone().unwrap_or_else(|| "run".to_owned()));
+    let settings = load_settings(flags);
+    if let Err(error) = settings.check() {
+        return fail(EXIT_INVALID, &error);
+    }
+    let mut result = runtime::run(run_load(&settings));
+    result.label = label;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&result).unwrap_or_default());
+    } else {
+        print!("{}", result.to_table());
+    }
+    ExitCode::SUCCESS
+}
+
+fn load_settings(flags: flags::Load) -> LoadSettings {
+    let defaults = LoadSettings::new(flags.plan, flags.entry);
+    let profiles = LoadProfiles::default();
+    let millis = |time: Option<u64>, default| time.map_or(default, Duration::from_millis);
+    let customers = if flags.customer.is_empty() { defaults.customers } else { flags.customer };
+    LoadSettings {
+        seed: flags.seed.unwrap_or(defaults.seed),
+        rate: flags.rate.unwrap_or(defaults.rate),
+        crest: flags.crest.unwrap_or(defaults.crest),
+        task_rate: flags.task_rate.unwrap_or(defaults.task_rate),
+        wave_tasks: flags.wave_tasks.unwrap_or(defaults.wave_tasks),
+        seconds: flags.seconds.unwrap_or(defaults.seconds),
+        work_ms: flags.work_ms.unwrap_or(defaults.work_ms),
+        run_ms: flags.run_ms.unwrap_or(defaults.run_ms),
+        deadline: millis(flags.deadline_ms, defaults.deadline),
+        timeout: millis(flags.timeout_ms, defaults.timeout),
+        settle: flags.settle_seconds.map_or(defaults.settle, Duration::from_secs),
+        customers,
+        hide_lengths: flags.hide_lengths,
+        profiles: LoadProfiles {
+            urgent: flags.urgent_profile.unwrap_or(profiles.urgent),
+            reserve: flags.reserve_profile.unwrap_or(profiles.reserve),
+            booking: flags.booking_profile.unwrap_or(profiles.booking),
+            batch: flags.batch_profile.unwrap_or(profiles.batch),
+            noise: flags.noise_profile.unwrap_or(profiles.noise),
+        },
+        ..LoadSettings::new(flags.plan, defaults.entries)
+    }
+}
+
+fn run_compare(flags: flags::Compare) -> ExitCode {
+    let results: Result<Vec<LoadResult>, _> =
+        flags.files.iter().map(|path| read_settings(path)).collect();
+    match results {
+        Ok(results) if results.len() > 1 => {
+            print!("{}", compare(&results));
+            ExitCode::SUCCESS
+        }
+        Ok(_) => fail(EXIT_INVALID, "at least two results are needed"),
+        Err(error) => fail(EXIT_INVALID, &error),
+    }
+}
+
 /// Listens, says so in one line, and serves until the process ends.
 fn serve<F: Future<Output = ()>>(
     name: &str,
--- /dev/null
+++ b/crates/cuminbank-standins/tests/load.rs
@@ -0,0 +1,111 @@
+//! Tests of the load command against an entry instance that the test plays itself.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use cuminbank_net::{
+    runtime,
+    server::{self, ServerAction, ServerGate, ServerLimits, ServerRequest, ServerResponse},
+};
+use cuminbank_standins::load::{plan_arrivals, run_load, LoadPlan, LoadSettings, LoadWork};
+use serde_json::{json, Value};
+
+/// Plays an entry instance in which every task finishes and every reservation holds. No call is
+/// answered between `stall` and `stall` plus 1 s since the start.
+fn spawn_entry(stall: Duration) -> SocketAddr {
+    let listener = runtime::listen(([127, 0, 0, 1], 0).into()).expect("loopback has a free port");
+    let address = listener.local_addr().expect("the socket is bound");
+    let next_ticket = Rc::new(Cell::new(0));
+    let started = std::time::Instant::now();
+    let handler = move |request: ServerRequest| {
+        let next_ticket = Rc::clone(&next_ticket);
+        async move {
+            let since = started.elapsed().checked_sub(stall);
+            if let Some(left) = since.and_then(|since| Duration::from_secs(1).checked_sub(since)) {
+                monoio::time::sleep(left).await;
+            }
+            ServerAction::Respond(answer(&request, &next_ticket))
+        }
+    };
+    monoio::spawn(server::serve(listener, ServerLimits::default(), ServerGate::default(), handler));
+    address
+}
+
+fn answer(request: &ServerRequest, next_ticket: &Cell<u64>) -> ServerResponse {
+    let respond = |status, body: Value, outcome| {
+        ServerResponse::new_json(status, body.to_string()).with_header("x-outcome", outcome)
+    };
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    match request.path.as_str() {
+        "/v1/tickets" => {
+            let first = next_ticket.get();
+            next_ticket.set(first + body["count"].as_u64().unwrap_or(1));
+            let tickets: Vec<_> =
+                (first..next_ticket.get()).map(|n| format!("z-0-1-{n}")).collect();
+            respond(200, json!({ "tickets": tickets }), "done")
+        }
+        "/v1/tasks" => respond(202, json!({"task": request.header("idempotency-key")}), "accepted"),
+        "/v1/calls" if body["op"] == "confirm" && request.header("idempotency-key").is_none() => {
+            respond(400, json!({"reason": "no ticket"}), "not_run")
+        }
+        "/v1/calls" => {
+            let slot = &body["slot"];
+            respond(200, json!({"key": body["key"], "slot": slot, "confirmed": true}), "done")
+        }
+        _ => respond(200, json!({"state": "Finished", "evictions": 1}), "done"),
+    }
+}
+
+fn settings(plan: LoadPlan, entries: Vec<SocketAddr>) -> LoadSettings {
+    LoadSettings { rate: 60.0, seconds: 3, seed: 5, ..LoadSettings::new(plan, entries) }
+}
+
+/// Guards against arrivals that differ between two policies under comparison, and against a crest
+/// that is not in the middle third.
+#[test]
+fn arrivals_depend_on_the_seed_alone() {
+    let crest = LoadSettings { seconds: 30, ..settings(LoadPlan::Crest, vec![]) };
+    let arrivals = plan_arrivals(&crest);
+    assert_eq!(arrivals, plan_arrivals(&crest));
+    assert_ne!(arrivals, plan_arrivals(&LoadSettings { seed: 6, ..crest.clone() }));
+    assert!(arrivals.windows(2).all(|pair| pair[0].at <= pair[1].at));
+    let calls = arrivals.iter().filter(|arrival| matches!(arrival.work, LoadWork::Call(_)));
+    let (inside, outside): (Vec<_>, Vec<_>) = calls.partition(|arrival| arrival.in_crest);
+    let ratio = 2.0 * inside.len() as f64 / outside.len() as f64;
+    assert!((4.0..6.0).contains(&ratio), "the crest is {ratio} times the base");
+    let tasks = arrivals.iter().filter(|arrival| matches!(arrival.work, LoadWork::Task(_)));
+    assert_eq!(tasks.count(), 6 * 20);
+}
+
+/// Guards against coordinated omission: a stall of the server has to show in the latency of every
+/// call that was due during it, not in one call only.
+#[test]
+fn stall_shows_in_the_latency_of_every_call_due() {
+    runtime::run(async {
+        let entry = spawn_entry(Duration::from_secs(1));
+        let result = run_load(&settings(LoadPlan::Steady, vec![entry])).await;
+        let class = &result.classes["plan"];
+        assert_eq!(class.on_time + class.late, class.count, "{result:?}");
+        assert!((700.0..1_100.0).contains(&class.p90_ms), "{result:?}");
+        assert!(class.p50_ms < 600.0, "{result:?}");
+        assert_eq!(class.wrong_answers, 0);
+    });
+}
+
+/// Guards against tasks and bookings that are sent without a ticket or counted wrongly.
+#[test]
+fn bookings_and_tasks_are_counted_once() {
+    runtime::run(async {
+        let entry = spawn_entry(Duration::from_secs(3_600));
+        let bookings = LoadSettings { task_rate: 10.0, ..settings(LoadPlan::Confirm, vec![entry]) };
+        let arrivals = plan_arrivals(&bookings);
+        let tasks = arrivals.iter().filter(|arrival| matches!(arrival.work, LoadWork::Task(_)));
+        let tasks = tasks.count() as u64;
+        let booked = (arrivals.len() as u64 - tasks) / 2;
+        let result = run_load(&bookings).await;
+        assert_eq!(result.slots.confirmed_as_booked, booked, "{result:?}");
+        assert_eq!(result.classes["reserve"].on_time, booked);
+        let counted = (result.tasks.accepted, result.tasks.finished, result.tasks.evictions);
+        assert_eq!(counted, (tasks, tasks, tasks));
+        assert!(result.reasons.is_empty(), "{result:?}");
+    });
+}
