--- a/crates/cuminbank-cli/src/report/mod.rs
+++ b/crates/cuminbank-cli/src/report/mod.rs
@@ -13,7 +13,7 @@
 
 use cuminbank::{
     histogram::{TimeHistogram, COARSE_DIGITS},
-    ids::{InstanceName, ProfileName, ZoneName},
+    ids::{InstanceName, ProfileName, StartNumber, ZoneName},
     profile::WorkProfile,
     record::{
         day_end, day_start, ClassCounters, ClassKey, DayMinute, DayRecord, StoreOutage,
@@ -45,9 +45,42 @@
     pub unreadable: Vec<String>,
     /// Profiles in the store, for the deadlines of tasks.
     pub profiles: BTreeMap<ProfileName, WorkProfile>,
+    /// Index of the first record of each process.
+    processes: BTreeMap<(InstanceName, StartNumber), usize>,
 }
 
 impl ReportInput {
+    /// Creates the input of a day without records.
+    pub fn new(day: &str, now: SystemTime) -> Self {
+        Self {
+            day: day.to_owned(),
+            now,
+            records: Vec::new(),
+            unreadable: Vec::new(),
+            profiles: BTreeMap::new(),
+            processes: BTreeMap::new(),
+        }
+    }
+
+    /// Adds a record. All counters of a process move to its first record, since the counters of
+    /// a whole day of records would fill the memory; intervals, peers and outages stay.
+    pub fn push_record(&mut self, mut record: DayRecord) {
+        let process = (record.instance.clone(), record.start);
+        let Some(index) = self.processes.get(&process) else {
+            self.processes.insert(process, self.records.len());
+            self.records.push(record);
+            return;
+        };
+        let first = &mut self.records[*index];
+        for (key, counters) in std::mem::take(&mut record.calls) {
+            first.calls.entry(key).or_default().merge(&counters);
+        }
+        for (key, counters) in std::mem::take(&mut record.tasks) {
+            first.tasks.entry(key).or_default().merge(&counters);
+        }
+        self.records.push(record);
+    }
+
     /// Returns the begin of the day.
     pub fn day_start(&self) -> SystemTime {
         day_start(&self.day).unwrap_or(SystemTime::UNIX_EPOCH)
--- a/crates/cuminbank-cli/src/report/verdict.rs
+++ b/crates/cuminbank-cli/src/report/verdict.rs
@@ -7,7 +7,7 @@
     record::{ClassCounters, ClassKey, DayMinute, MinuteCounters, TaskCounters},
 };
 
-use super::{clock_text, minute_text, DayReport, ReportInput};
+use super::{minute_text, DayReport, ReportInput};
 
 /// Largest share of late urgent calls of a profile, in percent.
 pub const MAX_LATE_PERCENT: f64 = 1.0;
@@ -90,7 +90,7 @@
             "{} task(s) of {} have two results{}.",
             tasks.doubled,
             class_text(key),
-            task_place(input, key, |tasks| tasks.doubled)
+            doubled_place(input, key)
         ),
     };
     doubled.map(describe).collect()
@@ -245,20 +245,14 @@
     })
 }
 
-fn task_place(input: &ReportInput, key: &ClassKey, count: impl Fn(&TaskCounters) -> u64) -> String {
-    let concerned = input
-        .records
-        .iter()
-        .filter(|record| record.tasks.get(key).is_some_and(|tasks| count(tasks) > 0));
-    let first = concerned.min_by_key(|record| (record.from, &record.instance));
-    first.map_or_else(String::new, |record| {
-        format!(
-            ", first at {} in zone {} between {} and {}",
-            record.instance,
-            record.zone,
-            clock_text(record.from),
-            clock_text(record.to)
-        )
+/// Returns the instance and minute of the first second result, as the end of a sentence.
+fn doubled_place(input: &ReportInput, key: &ClassKey) -> String {
+    let places = input.records.iter().filter_map(|record| {
+        let minute = *record.tasks.get(key)?.doubled_minutes.keys().next()?;
+        Some((minute, &record.zone, &record.instance))
+    });
+    places.min().map_or_else(String::new, |(minute, zone, instance)| {
+        format!(", first at {instance} in zone {zone} at {}", minute_text(minute))
     })
 }
 
--- a/crates/cuminbank-cli/tests/report.rs
+++ b/crates/cuminbank-cli/tests/report.rs
@@ -30,13 +30,10 @@
         br#"{"name":"standing orders","kind":"batch","deadline_ms":3600000}"#,
     )
     .expect("the profile is valid");
-    ReportInput {
-        day: DAY.to_owned(),
-        now,
-        records,
-        unreadable: Vec::new(),
-        profiles: [(profile.name.clone(), profile)].into(),
-    }
+    let mut input = ReportInput::new(DAY, now);
+    input.profiles.insert(profile.name.clone(), profile);
+    records.into_iter().for_each(|record| input.push_record(record));
+    input
 }
 
 fn count(record: &mut DayRecord, minute: u16, calls: u64, outcome: CallOutcome, on_time: bool) {
@@ -214,6 +211,23 @@
     assert!(headline.contains("at least 1 accepted task(s)"), "{headline}");
 }
 
+// Guards against counters that are lost when the records of a process are gathered.
+#[test]
+fn records_of_a_process_share_counters() {
+    let mut input = ReportInput::new(DAY, at(18, 5, 0));
+    for index in 0..4 {
+        let from = at(10, index, 0);
+        let mut part = record("d1", 1 + index / 2, from, from + Duration::from_secs(60));
+        count(&mut part, 600, 3, CallOutcome::Done, true);
+        part.tasks_mut("standing orders", "griddle").count(TaskMark::Started, Duration::ZERO, 600);
+        input.push_record(part);
+    }
+    assert_eq!(input.records.iter().filter(|record| !record.calls.is_empty()).count(), 2);
+    let report = DayReport::new(&input);
+    assert_eq!(report.calls.values().map(|calls| calls.received).sum::<u64>(), 12);
+    assert_eq!(report.tasks.values().map(|tasks| tasks.started).sum::<u64>(), 4);
+}
+
 // Guards against limits that are applied to the wrong share of calls.
 #[test]
 fn late_calls_fail_the_day_above_one_percent() {
--- a/crates/cuminbank-net/src/etcd.rs
+++ b/crates/cuminbank-net/src/etcd.rs
@@ -39,6 +39,36 @@
         timeout: Duration,
     ) -> Result<StoreReply, ExchangeError> {
         let (path, body) = encode_request(request);
+        let value = self.post(path, &body, timeout).await?;
+        decode_reply(request, &value).ok_or(ExchangeError::Lost)
+    }
+
+    /// Reads at most `limit` keys below `prefix` that follow `after`, in key order. Everything
+    /// below a large prefix does not fit into one answer.
+    pub async fn read_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        limit: u32,
+        timeout: Duration,
+    ) -> Result<Vec<StoreValue>, ExchangeError> {
+        // The least key that follows a key is that key with a zero byte appended.
+        let from = after.map_or_else(|| prefix.to_owned(), |key| format!("{key}\0"));
+        let body = json!({
+            "key": to_base64(from.as_bytes()),
+            "range_end": to_base64(&prefix_end(prefix)),
+            "limit": limit.to_string(),
+        });
+        let value = self.post("/v3/kv/range", &body, timeout).await?;
+        decode_values(&value["kvs"]).ok_or(ExchangeError::Lost)
+    }
+
+    async fn post(
+        &self,
+        path: &str,
+        body: &Value,
+        timeout: Duration,
+    ) -> Result<Value, ExchangeError> {
         for _ in 0..self.addresses.len() {
             let Some(address) = self.address() else { break };
             let message = ClientRequest::new_post(path, body.to_string());
@@ -49,9 +79,7 @@
                     return Err(error);
                 }
                 Ok(answer) if answer.status == 200 => {
-                    let value: Value =
-                        serde_json::from_slice(&answer.body).map_err(|_| ExchangeError::Lost)?;
-                    return decode_reply(request, &value).ok_or(ExchangeError::Lost);
+                    return serde_json::from_slice(&answer.body).map_err(|_| ExchangeError::Lost);
                 }
                 Ok(answer) => return Err(ExchangeError::Refused(answer.status)),
             }
--- a/crates/cuminbank/src/record.rs
+++ b/crates/cuminbank/src/record.rs
@@ -203,6 +203,8 @@
     pub elapsed: TimeHistogram,
     /// Tasks accepted in each minute, to find those past their deadline.
     pub accepted_minutes: BTreeMap<DayMinute, u64>,
+    /// Second results reported in each minute.
+    pub doubled_minutes: BTreeMap<DayMinute, u64>,
 }
 
 impl Default for TaskCounters {
@@ -218,6 +220,7 @@
             doubled: 0,
             elapsed: TimeHistogram::new(FINE_DIGITS),
             accepted_minutes: BTreeMap::new(),
+            doubled_minutes: BTreeMap::new(),
         }
     }
 }
@@ -239,7 +242,10 @@
             TaskMark::Cancelled => self.cancelled += 1,
             TaskMark::Evicted => self.evicted += 1,
             TaskMark::Resumed => self.resumed += 1,
-            TaskMark::Doubled => self.doubled += 1,
+            TaskMark::Doubled => {
+                self.doubled += 1;
+                *self.doubled_minutes.entry(minute).or_default() += 1;
+            }
         }
     }
 
@@ -257,6 +263,9 @@
         for (minute, accepted) in &other.accepted_minutes {
             *self.accepted_minutes.entry(*minute).or_default() += accepted;
         }
+        for (minute, doubled) in &other.doubled_minutes {
+            *self.doubled_minutes.entry(*minute).or_default() += doubled;
+        }
     }
 
     /// Returns how many tasks ended.
--- a/crates/cuminbank/src/reducer/records.rs
+++ b/crates/cuminbank/src/reducer/records.rs
@@ -271,6 +271,8 @@
         for counters in self.current.tasks.values_mut() {
             let early = std::mem::take(&mut counters.accepted_minutes).into_values();
             counters.accepted_minutes = early.map(|count| (minute, count)).collect();
+            let early = std::mem::take(&mut counters.doubled_minutes).into_values();
+            counters.doubled_minutes = early.map(|count| (minute, count)).collect();
         }
         self.due = now + FIRST_SAVE;
     }
