--- a/crates/cuminbank-standins/src/lib.rs
+++ b/crates/cuminbank-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod control;
 pub mod executor;
+pub mod harness;
 pub mod fleet;
 pub mod list;
 pub mod load;
