--- a/crates/cuminbank-standins/src/lib.rs
+++ b/crates/cuminbank-standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod harness;
 pub mod list;
+pub mod load;
 pub mod machine;
 pub mod store;
 pub mod worker;
