--- a/crates/cuminbank-standins/src/harness/callers.rs
+++ b/crates/cuminbank-standins/src/harness/callers.rs
@@ -338,7 +338,7 @@
         let request = &self.requests[index];
         let (kind, run_ms, defect) = (request.kind, request.run_ms, request.defect);
         if kind != RequestKind::Plan && self.rng.random_bool(0.3) {
-            let delay = Duration::from_millis(self.rng.random_range(10..4_000));
+            let delay = Duration::from_millis(self.rng.random_range(10..12_000));
             self.queue.push(self.now + delay, Action::Copy(index));
         }
         if kind == RequestKind::Task {
--- a/crates/cuminbank-standins/src/harness/carry.rs
+++ b/crates/cuminbank-standins/src/harness/carry.rs
@@ -56,7 +56,11 @@
             EntryEffect::WatchConfig { from } => self.open_watch(entry, start, from),
             EntryEffect::FetchList => self.fetch_list(entry, start),
             EntryEffect::Exit => self.exit(entry, start),
-            EntryEffect::Log(_) | EntryEffect::Metric(_) => {}
+            EntryEffect::Log(log) => {
+                let text = format!("EV{:04} {}", log.code.number, log.detail);
+                self.record(HistoryEvent::Logged { process: (entry, start), text });
+            }
+            EntryEffect::Metric(_) => {}
             effect => self.begin_exchange(entry, start, effect),
         }
     }
--- a/crates/cuminbank-standins/src/harness/checks/tasks.rs
+++ b/crates/cuminbank-standins/src/harness/checks/tasks.rs
@@ -95,6 +95,7 @@
     let mut violations = check_not_doubled(history);
     let mut tickets: BTreeMap<&str, &str> = BTreeMap::new();
     let mut accepted: BTreeSet<&str> = BTreeSet::new();
+    let mut ended: BTreeSet<&str> = BTreeSet::new();
     for entry in &history.entries {
         match &entry.event {
             HistoryEvent::RequestSent { key, ticket: Some(ticket), .. } => {
@@ -104,14 +105,14 @@
                 accepted.extend(tickets.get(key.as_str()));
             }
             HistoryEvent::TaskResult { task, .. } => {
-                accepted.remove(task.as_str());
+                ended.insert(task);
             }
             _ => {}
         }
     }
-    violations.extend(accepted.into_iter().map(|task| Violation {
+    violations.extend(accepted.difference(&ended).map(|task| Violation {
         at: history.end,
-        kind: ViolationKind::LostTask { task: task.to_owned() },
+        kind: ViolationKind::LostTask { task: (*task).to_owned() },
     }));
     violations
 }
--- a/crates/cuminbank-standins/src/harness/faults.rs
+++ b/crates/cuminbank-standins/src/harness/faults.rs
@@ -153,14 +153,16 @@
 
     /// Begins or ends a fault now.
     pub fn carry_out_fault(&mut self, step: FaultStep) {
-        let starts = matches!(
-            step,
+        let ends = match &step {
             FaultStep::Start(_)
-                | FaultStep::Resume(..)
-                | FaultStep::Heal(_)
-                | FaultStep::MachineUp(_)
-        );
-        if self.quiet && !starts {
+            | FaultStep::Resume(..)
+            | FaultStep::Heal(_)
+            | FaultStep::MachineUp(_) => true,
+            // A departure that has begun goes on to its end.
+            FaultStep::MachineDown(target) => self.targets[*target].leaving,
+            _ => false,
+        };
+        if self.quiet && !ends {
             return;
         }
         self.record(HistoryEvent::Fault(format!("{step:?}")));
@@ -200,7 +202,10 @@
         self.store_delay = Duration::ZERO;
         self.list_lag = LIST_LAG;
         for target in 0..self.targets.len() {
-            self.start_target(target);
+            // A machine that leaves ends first, and comes back once the list has dropped it.
+            if !self.targets[target].leaving {
+                self.start_target(target);
+            }
             self.targets[target].worker.set_fail_all(false);
             self.targets[target].executor.set_fail_all(false);
         }
--- a/crates/cuminbank-standins/src/harness/history.rs
+++ b/crates/cuminbank-standins/src/harness/history.rs
@@ -193,6 +193,13 @@
     TargetDown(TargetName),
     /// An entry instance was cut off from everything.
     CutOff(EntryIndex),
+    /// A process wrote a log event.
+    Logged {
+        /// Process.
+        process: ProcessId,
+        /// Number and details.
+        text: String,
+    },
     /// Another fault began or ended.
     Fault(String),
 }
--- /dev/null
+++ b/crates/cuminbank-standins/tests/history_config.rs
@@ -0,0 +1,37 @@
+//! Configuration under random faults: I9.
+
+use cuminbank_standins::harness::{seeds::assert_seeds, FaultKind, HarnessPlan};
+
+/// Guards against changes that do not reach an instance in 6 s, or that go back after it lost the
+/// store, its watch, its peers or itself.
+#[test]
+fn config_with_all_faults() {
+    let kinds = [
+        FaultKind::KillEntry,
+        FaultKind::PauseEntry,
+        FaultKind::CutInstance,
+        FaultKind::CutPeers,
+        FaultKind::CutZones,
+        FaultKind::CutZoneFromStore,
+        FaultKind::StoreDown,
+        FaultKind::StoreSlow,
+        FaultKind::LoseStoreAnswers,
+        FaultKind::DrainEntry,
+    ];
+    let plan =
+        |seed| HarnessPlan::new(seed).with_changes(700).with_calls(500).with_faults(&kinds, 0.01);
+    let counts = assert_seeds(20, plan);
+    assert!(counts.changes > 500, "{counts:?}");
+}
+
+/// Guards against three instances in each zone of which two agree on an old set.
+#[test]
+fn config_with_three_instances() {
+    let kinds = [FaultKind::KillEntry, FaultKind::CutZoneFromStore, FaultKind::CutZones];
+    let plan = |seed| {
+        let plan = HarnessPlan::new(seed).with_changes(400).with_faults(&kinds, 0.01);
+        HarnessPlan { entries: 3, ..plan }
+    };
+    let counts = assert_seeds(10, plan);
+    assert!(counts.changes > 500, "{counts:?}");
+}
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -90,6 +90,8 @@
     groups: GroupPart,
     config: ConfigPart,
     records: RecordPart,
+    /// Whether the planned stop is complete but for requests that were read since.
+    exiting: bool,
 }
 
 impl EntryReducer {
@@ -103,6 +105,7 @@
             config: ConfigPart::new(&settings),
             records: RecordPart::new(&settings, start),
             step: StepContext::new(settings, start),
+            exiting: false,
         }
     }
 
@@ -120,7 +123,26 @@
             self.groups.observe_target(&mut self.step, &observation);
         }
         self.pass_group_changes();
-        self.step.take_effects()
+        let effects = self.step.take_effects();
+        self.hold_exit(effects)
+    }
+
+    /// Holds the exit back until requests that were read after the end of the planned stop have
+    /// their answers, at most until the bound of the stop.
+    fn hold_exit(&mut self, mut effects: Vec<EntryEffect>) -> Vec<EntryEffect> {
+        if !self.groups.is_draining() {
+            return effects;
+        }
+        let count = effects.len();
+        effects.retain(|effect| *effect != EntryEffect::Exit);
+        self.exiting |= effects.len() < count;
+        let idle = self.calls.is_idle() && self.tasks.is_idle();
+        let overdue = self.step.now() >= self.records.exit_bound(&self.step);
+        if self.exiting && (idle || overdue) {
+            self.exiting = false;
+            effects.push(EntryEffect::Exit);
+        }
+        effects
     }
 
     fn route(&mut self, event: EntryEvent) {
--- a/crates/cuminbank/src/reducer/records.rs
+++ b/crates/cuminbank/src/reducer/records.rs
@@ -225,6 +225,11 @@
         self.advance(step);
     }
 
+    /// Returns when a planned stop has to be over.
+    pub fn exit_bound(&self, step: &StepContext) -> MonotonicTime {
+        self.drain_since.unwrap_or(step.now()) + step.settings.drain()
+    }
+
     /// Returns the state shown to operators.
     pub fn status(&self) -> serde_json::Value {
         let seconds = |wall: SystemTime| {
--- a/crates/cuminbank/src/reducer/tasks/mod.rs
+++ b/crates/cuminbank/src/reducer/tasks/mod.rs
@@ -51,6 +51,9 @@
     reply: ReplyId,
     /// Whether a lost answer leaves open what happened.
     changes: bool,
+    /// Whether it submits a task. Only the home can make a refusal final for its ticket, so a
+    /// submission that the home did not answer has an unknown outcome: another copy may run.
+    submits: bool,
 }
 
 /// Batch tasks.
@@ -115,7 +118,13 @@
         }
         let ticket = submission.ticket.clone();
         let request = PeerRequest::ForwardTask(submission);
-        self.forward(step, view, &ticket, request, ForwardedRequest { reply, changes: true });
+        self.forward(
+            step,
+            view,
+            &ticket,
+            request,
+            ForwardedRequest { reply, changes: true, submits: true },
+        );
     }
 
     /// Handles a submission that a peer forwarded.
@@ -161,7 +170,13 @@
         }
         let changes = query == TaskQuery::Cancel;
         let request = PeerRequest::ForwardQuery(ticket.clone(), query);
-        self.forward(step, view, &ticket, request, ForwardedRequest { reply, changes });
+        self.forward(
+            step,
+            view,
+            &ticket,
+            request,
+            ForwardedRequest { reply, changes, submits: false },
+        );
     }
 
     /// Handles a question that a peer forwarded.
@@ -206,9 +221,12 @@
         forwarded: ForwardedRequest,
     ) {
         let Some((to, _)) = view.groups.owner_of(&ticket.zone, ticket.group, step.now()) else {
-            let refusal =
-                CallerAnswer::new_busy("the home of the task is not known", RETRY_UNOWNED);
-            return step.answer(forwarded.reply, refusal);
+            let reason = "the home of the task is not known";
+            let answer = match forwarded.submits {
+                true => CallerAnswer::new_unknown(reason),
+                false => CallerAnswer::new_busy(reason, RETRY_UNOWNED),
+            };
+            return step.answer(forwarded.reply, answer);
         };
         let exchange = step.begin_exchange(ReducerPart::Tasks);
         self.forwards.insert(exchange, forwarded);
@@ -230,6 +248,9 @@
             Err(ExchangeError::Lost) if forwarded.changes => {
                 CallerAnswer::new_unknown("the home of the task did not answer")
             }
+            Ok(_) | Err(_) if forwarded.submits => {
+                CallerAnswer::new_unknown("the home of the task could not be reached")
+            }
             Ok(_) | Err(_) => busy(),
         };
         step.answer(forwarded.reply, answer);
@@ -301,6 +322,11 @@
         }
     }
 
+    /// Tells whether no caller and no peer waits for an answer.
+    pub fn is_idle(&self) -> bool {
+        self.forwards.is_empty() && !self.groups.values().any(TaskGroup::has_waiters)
+    }
+
     fn open_group(
         &mut self,
         step: &mut StepContext,
