Show each check of the histories to find its fault

Cause: a check that was never seen to fail proves nothing. Ruled out: guards behind a cargo feature; one run has to compare both states. Before: GuardSwitches was read by nobody.

--- a/crates/cuminbank-standins/src/harness/faults.rs
+++ b/crates/cuminbank-standins/src/harness/faults.rs
@@ -27,6 +27,10 @@
     CutZones,
     /// An entry instance is cut off from everything.
     CutInstance,
+    /// An entry instance is cut off from the store.
+    CutInstanceFromStore,
+    /// An entry instance is cut off from the store, and 5 s later from its peers too.
+    LoseStoreThenPeers,
     /// An entry instance is cut off from one machine.
     CutMachine,
     /// Two entry instances are cut off from each other.
@@ -104,6 +108,9 @@
             FaultKind::CutZoneFromStore => cut_for(Cut::ZoneFromStore(zone), short),
             FaultKind::CutZones => cut_for(Cut::Zones(zone, (zone + 1) % self.plan.zones), short),
             FaultKind::CutInstance => cut_for(Cut::Instance(entry), short),
+            FaultKind::CutInstanceFromStore => {
+                cut_for(Cut::Pair(Party::Entry(entry), Party::Store), short)
+            }
             FaultKind::CutMachine => {
                 cut_for(Cut::Pair(Party::Entry(entry), Party::Target(target)), short)
             }
@@ -123,10 +130,8 @@
                 let length = short + Duration::from_secs(2);
                 (FaultStep::MachineDown(target), length, FaultStep::MachineUp(target))
             }
-            FaultKind::LeaveMachine => {
-                self.leave_for(target);
-                return;
-            }
+            FaultKind::LeaveMachine => return self.leave_for(target),
+            FaultKind::LoseStoreThenPeers => return self.lose_store_then_peers(entry),
             FaultKind::ListLag => {
                 (FaultStep::ListLag(Duration::from_secs(10)), short, FaultStep::ListLag(LIST_LAG))
             }
@@ -143,6 +148,19 @@
         self.queue.push(self.now + length, Action::Fault(FaultStep::Resume(entry, start)));
     }
 
+    fn lose_store_then_peers(&mut self, entry: EntryIndex) {
+        let after = |seconds| self.now + Duration::from_secs(seconds);
+        let (lost, back) = (after(5), after(11));
+        let store = Cut::Pair(Party::Entry(entry), Party::Store);
+        self.queue.push(self.now, Action::Fault(FaultStep::Cut(store)));
+        self.queue.push(back, Action::Fault(FaultStep::Heal(store)));
+        for peer in (0..self.entries.len()).filter(|peer| *peer != entry) {
+            let cut = Cut::Pair(Party::Entry(entry), Party::Entry(peer));
+            self.queue.push(lost, Action::Fault(FaultStep::Cut(cut)));
+            self.queue.push(back, Action::Fault(FaultStep::Heal(cut)));
+        }
+    }
+
     fn leave_for(&mut self, target: TargetIndex) {
         let after = |seconds| self.now + Duration::from_secs(seconds);
         let (down, up) = (after(12), after(18));
@@ -196,8 +214,7 @@
     pub fn end_faults(&mut self) {
         self.quiet = true;
         self.history.quiet_from = self.now;
-        self.network.heal_all();
-        self.network.set_loss(0.0);
+        self.network.recover();
         self.store_answer_loss = 0.0;
         self.store_delay = Duration::ZERO;
         self.list_lag = LIST_LAG;
--- a/crates/cuminbank-standins/src/harness/machines.rs
+++ b/crates/cuminbank-standins/src/harness/machines.rs
@@ -68,7 +68,8 @@
     }
 
     fn answer_run(&mut self, exchange: ExchangeRef, target: TargetIndex, status: u16, body: Bytes) {
-        if self.network.is_silent(exchange.entry, target) {
+        let silent = self.network.is_silent(exchange.entry, target);
+        if silent && !self.mixed_answers {
             return;
         }
         // The reducer learns from the elapsed time; the checks do not depend on it.
@@ -77,6 +78,11 @@
             exchange: exchange.exchange,
             result: Ok(ExecutorAnswer { status, body, elapsed }),
         };
+        if silent {
+            // The connection comes back when the call may have been given up.
+            self.queue.push(self.now + Duration::from_secs(6), Action::End(exchange, event));
+            return;
+        }
         self.send_back(Party::Target(target), exchange, event);
     }
 
--- a/crates/cuminbank-standins/src/harness/network.rs
+++ b/crates/cuminbank-standins/src/harness/network.rs
@@ -45,17 +45,20 @@
     cuts: Vec<Cut>,
     zones: usize,
     loss: f64,
+    slow_connects: f64,
 }
 
 impl NetworkState {
     /// Creates a network without cuts.
-    pub fn new(zones: usize, loss: f64) -> Self {
-        Self { cuts: Vec::new(), zones, loss }
+    pub fn new(zones: usize, loss: f64, slow_connects: f64) -> Self {
+        Self { cuts: Vec::new(), zones, loss, slow_connects }
     }
 
-    /// Sets the share of messages that are lost.
-    pub fn set_loss(&mut self, loss: f64) {
-        self.loss = loss;
+    /// Ends all cuts, losses and slow connects.
+    pub fn recover(&mut self) {
+        self.cuts.clear();
+        self.loss = 0.0;
+        self.slow_connects = 0.0;
     }
 
     /// Begins a cut.
@@ -70,11 +73,6 @@
         }
     }
 
-    /// Ends all cuts.
-    pub fn heal_all(&mut self) {
-        self.cuts.clear();
-    }
-
     /// Tells whether two parties reach each other.
     pub fn reaches(&self, a: Party, b: Party) -> bool {
         !self.cuts.iter().any(|cut| self.severs(*cut, a, b) || self.severs(*cut, b, a))
@@ -100,7 +98,7 @@
 
     /// Draws the time from an effect to the write of its bytes.
     pub fn write_delay(&self, rng: &mut ChaCha8Rng) -> Duration {
-        if self.loss > 0.0 && rng.random_bool(0.01) {
+        if self.slow_connects > 0.0 && rng.random_bool(self.slow_connects) {
             // A lost SYN is repeated after one second.
             return Duration::from_millis(rng.random_range(1_000..1_010));
         }
--- a/crates/cuminbank-standins/src/harness/plan.rs
+++ b/crates/cuminbank-standins/src/harness/plan.rs
@@ -61,6 +61,8 @@
     pub every: Duration,
     /// Share of exchanges whose request or answer is lost.
     pub loss: f64,
+    /// Share of writes that wait 1 s for their connection, since its first packet was lost.
+    pub slow_connects: f64,
 }
 
 impl HarnessPlan {
@@ -105,6 +107,7 @@
     pub fn with_faults(mut self, kinds: &[FaultKind], loss: f64) -> Self {
         self.faults.kinds = kinds.to_vec();
         self.faults.loss = loss;
+        self.faults.slow_connects = 0.01;
         self
     }
 
--- a/crates/cuminbank-standins/src/harness/world.rs
+++ b/crates/cuminbank-standins/src/harness/world.rs
@@ -63,7 +63,7 @@
             now: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
             queue: EventQueue::default(),
-            network: NetworkState::new(plan.zones, plan.faults.loss),
+            network: NetworkState::new(plan.zones, plan.faults.loss, plan.faults.slow_connects),
             store: StoreCore::new(StoreLimits::default()),
             store_answer_loss: 0.0,
             store_delay: Duration::ZERO,
--- /dev/null
+++ b/crates/cuminbank-standins/tests/history_guards.rs
@@ -0,0 +1,146 @@
+//! Each check is shown to find its fault: with one guard switched off, some of the fixed seeds
+//! have to show a violation, and with the guard on none may.
+
+use std::time::Duration;
+
+use cuminbank::guards::GuardSwitches;
+use cuminbank_standins::harness::{seeds::count_violating, FaultKind, HarnessPlan, World};
+
+const SEEDS: u64 = 8;
+
+/// Every invariant, for the runs with all guards on.
+const ALL: [&str; 11] = [
+    "I1",
+    "I2",
+    "I3",
+    "I4",
+    "I5",
+    "I6",
+    "I7",
+    "I8",
+    "I9",
+    "accepted tasks finish",
+    "finished tasks stay finished",
+];
+
+/// Runs a plan with the guards on and off. The first has to be clean and the second has to violate
+/// one of the invariants.
+fn check_guard(
+    invariants: &[&str],
+    guards: GuardSwitches,
+    plan: impl Fn(u64) -> HarnessPlan + Sync,
+    world: impl Fn(HarnessPlan) -> World + Sync,
+) {
+    assert_ne!(guards, GuardSwitches::default(), "a guard is off");
+    let violating = count_violating(SEEDS, &ALL, |seed| world(plan(seed)));
+    assert_eq!(violating, 0, "seeds that violate an invariant with all guards on");
+    // Without the guard the run need not wait for all tasks.
+    let unguarded =
+        |seed| HarnessPlan { settle: Duration::from_secs(10), ..plan(seed).with_guards(guards) };
+    let found = count_violating(SEEDS, invariants, |seed| world(unguarded(seed)));
+    assert!(found > 0, "no seed shows {invariants:?} without the guard");
+    println!("{found} of {SEEDS} seeds show {invariants:?} without the guard");
+}
+
+fn guards(switch_off: impl Fn(&mut GuardSwitches)) -> GuardSwitches {
+    let mut guards = GuardSwitches::default();
+    switch_off(&mut guards);
+    guards
+}
+
+fn busy_calls(seed: u64, kinds: &[FaultKind]) -> HarnessPlan {
+    let plan = HarnessPlan::new(seed).with_calls(40).with_faults(kinds, 0.005);
+    HarnessPlan { slots: 2, ..plan }
+}
+
+/// Guards against two owners at once: a cut-off owner serves on while an elector takes over.
+#[test]
+fn checker_finds_takeover_against_a_promise() {
+    let kinds = [FaultKind::LoseStoreThenPeers];
+    let off = guards(|guards| guards.ownership.promises_bind = false);
+    check_guard(&["I1", "I2"], off, |seed| busy_calls(seed, &kinds), World::new);
+}
+
+/// Guards against slots counted as free while calls of a dead owner still run in them.
+#[test]
+fn checker_finds_uncounted_inherited_slots() {
+    let kinds = [FaultKind::KillEntry];
+    let plan = |seed| {
+        let mut plan = busy_calls(seed, &kinds);
+        plan.load.call_ms = 12_000;
+        plan
+    };
+    let off = guards(|guards| guards.inherited_slots = false);
+    check_guard(&["I1"], off, plan, World::new);
+}
+
+/// Guards against a second attempt that starts while the lease of the first still lasts.
+#[test]
+fn checker_finds_an_attempt_within_the_lease() {
+    let kinds = [FaultKind::CutMachine, FaultKind::KillEntry];
+    let plan = |seed| {
+        let mut plan = HarnessPlan::new(seed).with_tasks(1_000).with_faults(&kinds, 0.005);
+        plan.load.task_ms = 8_000;
+        HarnessPlan { machines: 3, ..plan }
+    };
+    let off = guards(|guards| guards.lease_wait = false);
+    check_guard(&["I2"], off, plan, World::new);
+}
+
+/// Guards against a ticket that runs again at an owner which does not know that it ran.
+#[test]
+fn checker_finds_a_ticket_of_an_earlier_epoch() {
+    let kinds = [FaultKind::KillEntry];
+    let off = guards(|guards| guards.earlier_epoch_refused = false);
+    check_guard(&["I5", "I6"], off, |seed| busy_calls(seed, &kinds), World::new);
+}
+
+/// Guards against a late copy that runs after its caller was told "not run".
+#[test]
+fn checker_finds_a_copy_after_a_refusal() {
+    let off = guards(|guards| guards.refusal_burns_ticket = false);
+    let plan = |seed| {
+        let mut plan = busy_calls(seed, &[FaultKind::KillMachine]);
+        plan.load.call_ms = 4_000;
+        plan
+    };
+    check_guard(&["I5"], off, plan, World::new);
+}
+
+/// Guards against work that is sent after the right to act has ended.
+#[test]
+fn checker_finds_a_send_without_the_right() {
+    let plan = |seed| {
+        let mut plan = busy_calls(seed, &[FaultKind::PauseEntry]);
+        plan.faults.slow_connects = 0.2;
+        HarnessPlan { slots: 1, ..plan }
+    };
+    let off = guards(|guards| guards.right_checked_at_send = false);
+    check_guard(&["I1", "I2", "I6"], off, plan, World::new);
+}
+
+/// Guards against work for a target that the list shows as leaving.
+#[test]
+fn checker_finds_work_for_a_leaving_target() {
+    let kinds = [FaultKind::LeaveMachine];
+    let off = guards(|guards| guards.leaving_excluded = false);
+    check_guard(&["I7"], off, |seed| busy_calls(seed, &kinds), World::new);
+}
+
+/// Guards against an old profile that comes back from a peer or a late offer.
+#[test]
+fn checker_finds_a_reverted_profile() {
+    let kinds = [FaultKind::CutZoneFromStore, FaultKind::PauseEntry, FaultKind::CutPeers];
+    let plan = |seed| HarnessPlan::new(seed).with_changes(300).with_faults(&kinds, 0.01);
+    let off = guards(|guards| guards.revision_merge = false);
+    check_guard(&["I9"], off, plan, World::new);
+}
+
+/// Guards against an answer that arrives late, on a connection that another call uses by then.
+#[test]
+fn checker_finds_an_answer_to_another_call() {
+    let kinds = [FaultKind::SilentExecutor, FaultKind::CutMachine];
+    let off = guards(|guards| guards.answers_matched = false);
+    let world = |plan| World::new(plan).with_mixed_answers();
+    check_guard(&["I4"], off, |seed| busy_calls(seed, &kinds), world);
+}
--- a/crates/cuminbank/src/guards.rs
+++ b/crates/cuminbank/src/guards.rs
@@ -1,10 +1,12 @@
 //! Guards that tests switch off to show that a check finds the fault which the guard prevents.
 
+use crate::ownership;
+
 /// Guards of the reducer; all are on except in tests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct GuardSwitches {
-    /// An elector with an unexpired promise does not take over.
-    pub promises_before_takeover: bool,
+    /// Guards of takeovers; an elector with an unexpired promise does not take over.
+    pub ownership: ownership::GuardSwitches,
     /// Work that a former owner left on an executor counts as occupying its slots.
     pub inherited_slots: bool,
     /// The next attempt of a task waits until the lease of a lost attempt has lapsed.
@@ -26,7 +28,7 @@
 impl Default for GuardSwitches {
     fn default() -> Self {
         Self {
-            promises_before_takeover: true,
+            ownership: ownership::GuardSwitches::default(),
             inherited_slots: true,
             lease_wait: true,
             earlier_epoch_refused: true,
--- a/crates/cuminbank/src/profile_set.rs
+++ b/crates/cuminbank/src/profile_set.rs
@@ -66,6 +66,13 @@
         if known.is_some_and(|entry| change.revision <= entry.revision) {
             return MergeOutcome::Known;
         }
+        self.put(change)
+    }
+
+    /// Puts a change into force whatever its revision is; only [`Self::merge`] may do so outside of
+    /// tests.
+    pub(crate) fn put(&mut self, change: ProfileChange) -> MergeOutcome {
+        let known = self.entries.get(&change.name);
         let parsed = change.profile.as_ref().map(|text| parse_named(&change.name, text));
         let (in_force, outcome) = match parsed {
             None => (None, MergeOutcome::InForce),
--- a/crates/cuminbank/src/reducer/calls/arrival.rs
+++ b/crates/cuminbank/src/reducer/calls/arrival.rs
@@ -5,8 +5,9 @@
 use rand::Rng;
 
 use crate::{
-    effect::CallerAnswer,
+    effect::{CallOutcome, CallerAnswer},
     event::CallRequest,
+    guards::GuardSwitches,
     ids::{GroupIndex, MonotonicTime, RequestTicket},
     profile::{WorkKind, WorkProfile},
     reducer::CallView,
@@ -118,7 +119,8 @@
     ) {
         let (now, digest) = (context.now(), digest_of(&call));
         let Some(term) = self.terms.get_mut(&ticket.group) else { return };
-        let answer = match term.tickets.look_up(ticket, digest, now) {
+        let verdict = term.tickets.look_up(ticket, digest, now);
+        let answer = match unguarded(context.step.guards, verdict, ticket.epoch < term.epoch) {
             TicketVerdict::New => {
                 self.begin_ticketed(context, waiter, call, ticket, digest);
                 return;
@@ -280,3 +282,19 @@
     }
     Ok(profile)
 }
+
+/// Returns the verdict on a ticket without the guards that a test has switched off.
+fn unguarded(guards: GuardSwitches, verdict: TicketVerdict, is_earlier: bool) -> TicketVerdict {
+    let runs_again = match &verdict {
+        TicketVerdict::Forgotten => is_earlier && !guards.earlier_epoch_refused,
+        TicketVerdict::Ended(answer) => {
+            answer.outcome == CallOutcome::NotRun && !guards.refusal_burns_ticket
+        }
+        _ => false,
+    };
+    if runs_again {
+        TicketVerdict::New
+    } else {
+        verdict
+    }
+}
--- a/crates/cuminbank/src/reducer/calls/probes.rs
+++ b/crates/cuminbank/src/reducer/calls/probes.rs
@@ -121,8 +121,11 @@
             return;
         };
         let epoch = term.epoch;
-        let foreign: Vec<String> =
+        let mut foreign: Vec<String> =
             ids.iter().filter(|id| !is_own(watch, id, &self.zone, group, epoch)).cloned().collect();
+        if !context.step.guards.inherited_slots {
+            foreign.clear();
+        }
         if before == 0 && !foreign.is_empty() {
             let detail = format!("executor {}, {} calls", executor.spec.name, foreign.len());
             context.step.log(log::CALLS_INHERITED, detail);
--- a/crates/cuminbank/src/reducer/config.rs
+++ b/crates/cuminbank/src/reducer/config.rs
@@ -296,7 +296,11 @@
     /// Merges a change and tells whether it was news.
     fn merge(&mut self, step: &mut StepContext, change: ProfileChange) -> bool {
         let (name, revision) = (change.name.clone(), change.revision);
-        match self.set.merge(change) {
+        let outcome = match step.guards.revision_merge {
+            true => self.set.merge(change),
+            false => self.set.put(change),
+        };
+        match outcome {
             MergeOutcome::Known => false,
             MergeOutcome::InForce => {
                 step.log(CONFIG_IN_FORCE, format!("profile {name} revision {revision}"));
--- a/crates/cuminbank/src/reducer/groups/mod.rs
+++ b/crates/cuminbank/src/reducer/groups/mod.rs
@@ -22,7 +22,7 @@
     },
     membership::{PeerTable, TargetEntry, TargetTable},
     message::{PeerIdentity, PeerReply, TicketHandover},
-    ownership::OwnershipTable,
+    ownership::{self, OwnershipTable},
     settings::EntrySettings,
     store::{StoreReply, StoreRequest},
 };
@@ -128,6 +128,12 @@
 }
 
 impl GroupPart {
+    /// Switches guards of takeovers off, for tests only.
+    pub fn with_guards(mut self, guards: ownership::GuardSwitches) -> Self {
+        self.table = self.table.with_guards(guards);
+        self
+    }
+
     /// Creates the part.
     pub fn new(settings: &EntrySettings, start: StartNumber) -> Self {
         let this = PeerIdentity { instance: settings.instance.clone(), start };
--- a/crates/cuminbank/src/reducer/groups/targets.rs
+++ b/crates/cuminbank/src/reducer/groups/targets.rs
@@ -63,7 +63,8 @@
         self.end_absent(&seen);
     }
 
-    fn note_listed(&mut self, step: &mut StepContext, listed: ListedInstance) {
+    fn note_listed(&mut self, step: &mut StepContext, mut listed: ListedInstance) {
+        listed.leaving &= step.guards.leaving_excluded;
         let name = listed.name.clone();
         self.absences.remove(&name);
         let entry = TargetEntry::from_listed(listed, self.groups_per_zone);
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -112,6 +112,7 @@
     /// Sets the guards. Only tests switch one off.
     pub fn with_guards(mut self, guards: GuardSwitches) -> Self {
         self.step.guards = guards;
+        self.groups = self.groups.with_guards(guards.ownership);
         self
     }
 
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -45,7 +45,7 @@
     ) {
         let now = step.now();
         while let Some(name) = self.workers.take_due(now, now + VISIT_INTERVAL) {
-            self.lapse_leases(now, &name);
+            self.lapse_leases(now, &name, step.guards.lease_wait);
             self.place_worker(now, scene, Some(models), &name);
             if self.workers.get(&name).is_none_or(|worker| worker.ended) || now < self.probe_from {
                 continue;
@@ -57,13 +57,15 @@
     }
 
     /// Ends the attempts of a worker whose leases have surely lapsed.
-    fn lapse_leases(&mut self, now: MonotonicTime, name: &str) {
+    fn lapse_leases(&mut self, now: MonotonicTime, name: &str, wait: bool) {
         let Some(worker) = self.workers.get(name) else { return };
         let mut lapsed = Vec::new();
         for task in &worker.runs {
             let Some(run) = self.runs.get(task) else { continue };
             let held = matches!(run.phase, RunPhase::Running | RunPhase::Unsure(_));
-            if held && now >= run.lapse_at {
+            let lapsed_by =
+                if wait { run.lapse_at } else { run.lapse_at.saturating_sub(LEASE_LAPSED) };
+            if held && now >= lapsed_by {
                 lapsed.push((*task, run.placement.attempt, run.checkpoint.clone()));
             }
         }
