Add the command line

Cause: operators had no way to change profiles, look at the system, send work, begin a planned stop or make the report.

Ruled out: an upsert without comparison (the last of two operators would win unseen); a key for each operation beside the history (the history entry is written in the same transaction and tells a lost commit as well); sending a call without a ticket (a lost answer could then not be asked for again). A refusal after a lost try is given as unknown, since it speaks only for its own copy of the request.

--- /dev/null
+++ b/crates/cuminbank-cli/src/apply.rs
@@ -0,0 +1,199 @@
+//! The commit of a profile: compare-and-swap, with the operation id in the same transaction.
+
+use bytes::Bytes;
+use cuminbank::{
+    event::ExchangeError,
+    ids::{ProfileName, StoreRevision},
+    store::{StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite, PROFILE_PREFIX},
+};
+use serde::{Deserialize, Serialize};
+
+/// Prefix of the history of profiles.
+pub const HISTORY_PREFIX: &str = "/cuminbank/history/";
+/// Tries after an answer was lost, before the outcome is given as unknown.
+const MAX_TRIES: u32 = 6;
+
+/// Returns the key of a profile.
+pub fn profile_key(name: &str) -> String {
+    format!("{PROFILE_PREFIX}{name}")
+}
+
+/// Returns the prefix of the history of a profile.
+pub fn history_prefix(name: &str) -> String {
+    format!("{HISTORY_PREFIX}{name}/")
+}
+
+/// A change in the history of a profile.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HistoryEntry {
+    /// Seconds since 1970, by the clock of the operator's machine.
+    pub at: u64,
+    /// Operation id.
+    pub operation: String,
+    /// Operator.
+    pub by: String,
+    /// The document as applied.
+    pub document: String,
+}
+
+/// How a commit ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ApplyEnd {
+    /// Committed at this revision.
+    Committed(StoreRevision),
+    /// The stored document is the same already.
+    Unchanged(StoreRevision),
+    /// Another change came first: its revision and document, none if the profile is gone.
+    Conflict(StoreRevision, Option<String>),
+    /// The store refused.
+    Refused(u16),
+    /// The commit may or may not have happened.
+    Unknown,
+    /// The store could not be reached and nothing was changed.
+    Unreachable,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ApplyPhase {
+    Reading,
+    Writing,
+    Settling,
+}
+
+/// A commit in progress: it says what to ask of the store and takes the answers.
+#[derive(Debug)]
+pub struct ProfileApply {
+    name: ProfileName,
+    entry: HistoryEntry,
+    expected: Option<StoreRevision>,
+    base: StoreRevision,
+    phase: ApplyPhase,
+    may_have_written: bool,
+    tries: u32,
+}
+
+impl ProfileApply {
+    /// Creates a commit. With `expected` the profile has to be at this revision, 0 if it must not
+    /// exist; without it the revision that is read first is the one compared.
+    pub fn new(name: &str, entry: HistoryEntry, expected: Option<StoreRevision>) -> Self {
+        Self {
+            name: name.to_owned(),
+            entry,
+            expected,
+            base: 0,
+            phase: ApplyPhase::Reading,
+            may_have_written: false,
+            tries: 0,
+        }
+    }
+
+    /// Returns the next request for the store.
+    pub fn request(&self) -> StoreRequest {
+        match self.phase {
+            ApplyPhase::Reading => {
+                StoreRequest::Range { key: profile_key(&self.name), prefix: false }
+            }
+            ApplyPhase::Writing => self.write_request(),
+            ApplyPhase::Settling => StoreRequest::Range { key: self.history_key(), prefix: false },
+        }
+    }
+
+    /// Takes the answer to the last request; returns the end of the commit, if it has ended.
+    pub fn on_reply(&mut self, result: Result<StoreReply, ExchangeError>) -> Option<ApplyEnd> {
+        match (self.phase, result) {
+            (ApplyPhase::Reading, Ok(StoreReply::Range { values, .. })) => self.on_read(&values),
+            (ApplyPhase::Writing, Ok(StoreReply::Txn { revision, succeeded, values })) => {
+                if succeeded {
+                    return Some(ApplyEnd::Committed(revision));
+                }
+                Some(self.judge_failed(&values))
+            }
+            (ApplyPhase::Settling, Ok(StoreReply::Range { values, .. })) => {
+                if let Some(own) = find(&values, &self.history_key()) {
+                    return Some(ApplyEnd::Committed(own.mod_revision));
+                }
+                // The same transaction again: its compares make a late first copy harmless.
+                self.phase = ApplyPhase::Writing;
+                self.count_try()
+            }
+            (_, Err(error)) => self.on_error(error),
+            (_, Ok(_)) => self.on_error(ExchangeError::Lost),
+        }
+    }
+
+    fn on_read(&mut self, values: &[StoreValue]) -> Option<ApplyEnd> {
+        let stored = find(values, &profile_key(&self.name));
+        let revision = stored.map_or(0, |value| value.mod_revision);
+        if self.expected.is_some_and(|expected| expected != revision) {
+            return Some(ApplyEnd::Conflict(revision, stored.map(text_of)));
+        }
+        if stored.is_some_and(|value| value.value == self.entry.document.as_bytes()) {
+            return Some(ApplyEnd::Unchanged(revision));
+        }
+        self.base = revision;
+        self.phase = ApplyPhase::Writing;
+        None
+    }
+
+    /// Decides what a failed comparison means: an earlier copy of the own write, or another's.
+    fn judge_failed(&self, values: &[StoreValue]) -> ApplyEnd {
+        if let Some(own) = find(values, &self.history_key()) {
+            return ApplyEnd::Committed(own.mod_revision);
+        }
+        let stored = find(values, &profile_key(&self.name));
+        ApplyEnd::Conflict(stored.map_or(0, |value| value.mod_revision), stored.map(text_of))
+    }
+
+    fn on_error(&mut self, error: ExchangeError) -> Option<ApplyEnd> {
+        if self.phase == ApplyPhase::Writing && error == ExchangeError::Lost {
+            self.may_have_written = true;
+        }
+        match error {
+            _ if self.may_have_written => self.phase = ApplyPhase::Settling,
+            ExchangeError::NotSent => return Some(ApplyEnd::Unreachable),
+            ExchangeError::Refused(status) => return Some(ApplyEnd::Refused(status)),
+            ExchangeError::Lost => {}
+        }
+        self.count_try()
+    }
+
+    fn count_try(&mut self) -> Option<ApplyEnd> {
+        self.tries += 1;
+        if self.tries < MAX_TRIES {
+            return None;
+        }
+        Some(if self.may_have_written { ApplyEnd::Unknown } else { ApplyEnd::Unreachable })
+    }
+
+    fn history_key(&self) -> String {
+        format!("{}{}", history_prefix(&self.name), self.entry.operation)
+    }
+
+    fn write_request(&self) -> StoreRequest {
+        let history = serde_json::json!(self.entry).to_string();
+        let put = |key: String, value: String| StoreWrite::Put {
+            key,
+            value: Bytes::from(value),
+            lease: None,
+        };
+        StoreRequest::Txn {
+            compares: vec![
+                StoreCompare::ModRevision(profile_key(&self.name), self.base),
+                StoreCompare::ModRevision(self.history_key(), 0),
+            ],
+            then: vec![
+                put(profile_key(&self.name), self.entry.document.clone()),
+                put(self.history_key(), history),
+            ],
+            otherwise: vec![profile_key(&self.name), self.history_key()],
+        }
+    }
+}
+
+fn find<'a>(values: &'a [StoreValue], key: &str) -> Option<&'a StoreValue> {
+    values.iter().find(|value| value.key == key)
+}
+
+fn text_of(value: &StoreValue) -> String {
+    String::from_utf8_lossy(&value.value).into_owned()
+}
--- a/crates/cuminbank-cli/src/lib.rs
+++ b/crates/cuminbank-cli/src/lib.rs
@@ -1,3 +1,12 @@
 //! Operators' command line and evening report of cuminbank.
 
+pub mod apply;
+pub mod exit;
+pub mod flags;
+pub mod operate_commands;
+pub mod profile_commands;
+pub mod profile_file;
 pub mod report;
+pub mod run;
+pub mod session;
+pub mod work_commands;
--- /dev/null
+++ b/crates/cuminbank-cli/src/operate_commands.rs
@@ -0,0 +1,149 @@
+//! The commands `status`, `drain` and `report`.
+
+use std::{net::SocketAddr, path::Path, time::SystemTime};
+
+use cuminbank::{
+    event::ExchangeError,
+    profile::WorkProfile,
+    record::{day_name, day_prefix, day_start, StoredRecord},
+    store::{StoreValue, PROFILE_PREFIX},
+};
+use cuminbank_net::client::ClientRequest;
+use serde_json::{json, Value};
+
+use crate::{
+    exit::{CommandEnd, ExitStatus},
+    report::{html::to_html, text::to_text, DayReport, ReportInput},
+    session::{CliSession, STATE_TIMEOUT},
+};
+
+/// Records in one read; a record is up to 1 MB and the client takes answers up to 64 MiB.
+const PAGE_RECORDS: u32 = 40;
+
+/// Shows the state of every entry instance.
+pub async fn status(session: &CliSession) -> Result<CommandEnd, CommandEnd> {
+    session.require_entry()?;
+    let mut end = CommandEnd::new_done(String::new(), Value::Null);
+    let mut lines = Vec::new();
+    let mut data = Vec::new();
+    for address in &session.settings.entry {
+        match ask_status(session, *address).await {
+            Ok(status) => {
+                lines.push(format!("{address}:"));
+                lines.extend(status_lines(&status));
+                data.push(json!({ "entry": address, "status": status }));
+            }
+            Err(error) => {
+                end.status = ExitStatus::Unreachable;
+                lines.push(format!("{address}: {error}"));
+                data.push(json!({ "entry": address, "error": error }));
+            }
+        }
+    }
+    end.text = lines.join("\n");
+    end.data = json!(data);
+    Ok(end)
+}
+
+async fn ask_status(session: &CliSession, address: SocketAddr) -> Result<Value, String> {
+    let request = ClientRequest::new_get("/v1/status");
+    let answer = session.ask(address, request, STATE_TIMEOUT).await;
+    let answer = answer.map_err(|error| CommandEnd::from_error("it", error).text)?;
+    serde_json::from_slice(&answer.body).map_err(|error| format!("its answer: {error}"))
+}
+
+fn status_lines(status: &Value) -> Vec<String> {
+    let parts = status.as_object().into_iter().flatten();
+    parts.map(|(name, state)| format!("  {name}: {state}")).collect()
+}
+
+/// Begins a planned stop. A second request has the same effect as one, so it is sent again after
+/// a lost answer.
+pub async fn drain(session: &CliSession, address: SocketAddr) -> CommandEnd {
+    let request = ClientRequest::new_post("/v1/drain", "");
+    let mut result = session.ask(address, request.clone(), STATE_TIMEOUT).await;
+    let lost = result.as_ref().err() == Some(&ExchangeError::Lost);
+    if lost {
+        result = session.ask(address, request, STATE_TIMEOUT).await;
+    }
+    match result {
+        Ok(answer) if answer.status == 200 => {
+            let data = json!({ "entry": address, "draining": true });
+            CommandEnd::new_done(format!("{address}: the planned stop has begun"), data)
+        }
+        Ok(answer) => {
+            let text = format!("{address}: refused with status {}", answer.status);
+            CommandEnd::new_failed(ExitStatus::NotRun, text)
+        }
+        // It may have stopped between the two requests.
+        Err(_) if lost => {
+            let text = format!("{address}: the answer was lost; the stop may have begun");
+            CommandEnd::new_failed(ExitStatus::Unknown, text)
+        }
+        Err(error) => CommandEnd::from_error(&address.to_string(), error),
+    }
+}
+
+/// Makes the report of a day.
+pub async fn report(
+    session: &CliSession,
+    day: Option<&str>,
+    html: Option<&Path>,
+) -> Result<CommandEnd, CommandEnd> {
+    let now = SystemTime::now();
+    let day = day.map_or_else(|| day_name(now), str::to_owned);
+    if day_start(&day).is_none() {
+        let text = format!("--day: \"{day}\" is not allowed: YYYY-MM-DD");
+        return Err(CommandEnd::new_failed(ExitStatus::Usage, text));
+    }
+    let input = read_input(session, &day, now).await?;
+    let report = DayReport::new(&input);
+    if let Some(path) = html {
+        write_page(&report, path)?;
+    }
+    let faults: Vec<String> = report.faults.iter().map(ToString::to_string).collect();
+    let data = json!({
+        "day": report.day,
+        "headline": report.headline(),
+        "went_well": faults.is_empty(),
+        "faults": faults,
+        "gaps": report.gaps.iter().map(ToString::to_string).collect::<Vec<_>>(),
+    });
+    Ok(CommandEnd::new_done(to_text(&report).trim_end(), data))
+}
+
+fn write_page(report: &DayReport, path: &Path) -> Result<(), CommandEnd> {
+    let page = to_html(report).map_err(|error| format!("the plots could not be drawn: {error}"));
+    let written = page.and_then(|page| {
+        std::fs::write(path, page).map_err(|error| format!("{}: {error}", path.display()))
+    });
+    written.map_err(|text| CommandEnd::new_failed(ExitStatus::NotRun, text))
+}
+
+async fn read_input(
+    session: &CliSession,
+    day: &str,
+    now: SystemTime,
+) -> Result<ReportInput, CommandEnd> {
+    let mut input = ReportInput::new(day, now);
+    for value in session.read(PROFILE_PREFIX, true).await? {
+        if let Ok(profile) = WorkProfile::from_json(&value.value) {
+            input.profiles.insert(profile.name.clone(), profile);
+        }
+    }
+    let prefix = day_prefix(day);
+    let mut after: Option<String> = None;
+    loop {
+        let values = session.read_page(&prefix, after.as_deref(), PAGE_RECORDS).await?;
+        let Some(last) = values.last() else { return Ok(input) };
+        after = Some(last.key.clone());
+        values.iter().for_each(|value| add_value(&mut input, value));
+    }
+}
+
+fn add_value(input: &mut ReportInput, value: &StoreValue) {
+    match StoredRecord::decode(&value.value) {
+        Ok(stored) => input.push_record(stored.record),
+        Err(error) => input.unreadable.push(format!("{}: {error}", value.key)),
+    }
+}
--- /dev/null
+++ b/crates/cuminbank-cli/src/profile_commands.rs
@@ -0,0 +1,317 @@
+//! The commands `profile check`, `apply`, `show`, `history` and `diff`.
+
+use std::{
+    hash::{BuildHasher, Hasher, RandomState},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+
+use cuminbank::{
+    profile::ProfileChange,
+    store::{StoreValue, PROFILE_PREFIX},
+};
+use cuminbank_net::client::ClientRequest;
+use monoio::time::sleep;
+use serde_json::{json, Value};
+
+use crate::{
+    apply::{history_prefix, profile_key, ApplyEnd, HistoryEntry, ProfileApply},
+    exit::{CommandEnd, ExitStatus},
+    flags::Apply,
+    profile_file::{check_document, difference, ProfileDocument},
+    session::{unix_seconds, CliSession, STATE_TIMEOUT},
+};
+
+/// Longest time to wait until a profile is in force everywhere; the limit of the system is 6 s.
+const IN_FORCE_WAIT: Duration = Duration::from_secs(10);
+/// Time between two looks at the entry instances.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two progress lines.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Checks documents and names every one that is not valid.
+pub fn check(files: &[PathBuf]) -> CommandEnd {
+    if files.is_empty() {
+        return CommandEnd::new_failed(ExitStatus::Usage, "name at least one file to check");
+    }
+    let results: Vec<Result<String, String>> = files
+        .iter()
+        .map(|file| {
+            let document = read_document(file)?;
+            Ok(format!("{}: profile \"{}\" is valid", file.display(), document.profile.name))
+        })
+        .collect();
+    let status =
+        if results.iter().all(Result::is_ok) { ExitStatus::Done } else { ExitStatus::Usage };
+    let lines: Vec<String> =
+        results.into_iter().map(|result| result.unwrap_or_else(|error| error)).collect();
+    CommandEnd { status, text: lines.join("\n"), data: Value::Null }
+}
+
+/// Checks a document, commits it, and offers the change to every entry instance.
+pub async fn apply(session: &CliSession, flags: &Apply) -> Result<CommandEnd, CommandEnd> {
+    let document = read_document(&flags.file).map_err(usage)?;
+    session.require_store()?;
+    if flags.wait {
+        session.require_entry()?;
+    }
+    let name = document.profile.name.clone();
+    let by = flags.by.clone().or_else(|| session.settings.by.clone());
+    let entry = HistoryEntry {
+        at: unix_seconds(),
+        operation: new_operation(),
+        by: by.unwrap_or_else(|| "not named".to_owned()),
+        document: document.text.clone(),
+    };
+    let operation = entry.operation.clone();
+    let end = commit(session, ProfileApply::new(&name, entry, flags.expect_revision)).await;
+    let (revision, what) = match end {
+        ApplyEnd::Committed(revision) => (revision, "committed"),
+        ApplyEnd::Unchanged(revision) => (revision, "already stored"),
+        failed => return Err(failed_apply(&name, &operation, &flags.file, &document, failed)),
+    };
+    let change = ProfileChange { name, revision, profile: Some(document.text) };
+    let offered = offer(session, &change).await;
+    let mut lines = vec![format!("profile \"{}\": {what} at revision {revision}", change.name)];
+    lines.extend(offered);
+    let mut status = ExitStatus::Done;
+    if flags.wait {
+        let (waited, all) = wait_in_force(session, &change).await;
+        lines.extend(waited);
+        status = if all { ExitStatus::Done } else { ExitStatus::Unknown };
+    }
+    let data = json!({ "name": change.name, "revision": revision, "operation": operation });
+    Ok(CommandEnd { status, text: lines.join("\n"), data })
+}
+
+async fn commit(session: &CliSession, mut apply: ProfileApply) -> ApplyEnd {
+    loop {
+        let result = session.call_store(&apply.request()).await;
+        let failed = result.is_err();
+        if let Some(end) = apply.on_reply(result) {
+            return end;
+        }
+        if failed {
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Describes a commit that did not happen, or that may not have happened.
+pub fn failed_apply(
+    name: &str,
+    operation: &str,
+    file: &Path,
+    document: &ProfileDocument,
+    end: ApplyEnd,
+) -> CommandEnd {
+    match end {
+        ApplyEnd::Conflict(revision, stored) => {
+            let found = match &stored {
+                Some(_) => format!("the stored one is at revision {revision}"),
+                None => "it is not stored".to_owned(),
+            };
+            let stored = stored.unwrap_or_default();
+            let old = (&*format!("stored at revision {revision}"), &*stored);
+            let own = file.display().to_string();
+            let diff = difference(old, (&own, &document.text));
+            let text = format!(
+                "profile \"{name}\": another change came first, {found}; nothing was changed\n{diff}"
+            );
+            CommandEnd::new_failed(ExitStatus::Conflict, text.trim_end())
+                .with_data(json!({ "name": name, "revision": revision, "difference": diff }))
+        }
+        ApplyEnd::Refused(status) => CommandEnd::new_failed(
+            ExitStatus::NotRun,
+            format!(
+                "profile \"{name}\": the store refused with status {status}; nothing was changed"
+            ),
+        ),
+        ApplyEnd::Unreachable => CommandEnd::new_failed(
+            ExitStatus::Unreachable,
+            format!("profile \"{name}\": the store cannot be reached; nothing was changed"),
+        ),
+        ApplyEnd::Committed(_) | ApplyEnd::Unchanged(_) | ApplyEnd::Unknown => {
+            CommandEnd::new_failed(
+                ExitStatus::Unknown,
+                format!(
+                    "profile \"{name}\": the answer of the store was lost; the change may be in \
+                     force. `cuminbank profile history \"{name}\"` lists operation {operation} if \
+                     it is"
+                ),
+            )
+        }
+    }
+}
+
+/// Offers a change to every entry instance; returns a line for each that did not take it.
+async fn offer(session: &CliSession, change: &ProfileChange) -> Vec<String> {
+    let body = json!([change]).to_string();
+    let mut lines = Vec::new();
+    for address in &session.settings.entry {
+        let request = ClientRequest::new_post("/v1/config", body.clone());
+        match session.ask(*address, request, STATE_TIMEOUT).await {
+            Ok(answer) if answer.status == 200 => {}
+            Ok(answer) => lines.push(format!(
+                "{address}: the offer was answered with status {}; the store's watch tells it",
+                answer.status
+            )),
+            Err(_) => {
+                lines
+                    .push(format!("{address}: no answer to the offer; the store's watch tells it"));
+            }
+        }
+    }
+    lines
+}
+
+/// Waits until all entry instances have a change; returns a line for each and whether all have it.
+async fn wait_in_force(session: &CliSession, change: &ProfileChange) -> (Vec<String>, bool) {
+    let started = Instant::now();
+    let entries = &session.settings.entry;
+    let mut since: Vec<Option<Duration>> = vec![None; entries.len()];
+    let mut next_progress = PROGRESS_INTERVAL;
+    loop {
+        for (address, found) in entries.iter().zip(&mut since) {
+            if found.is_none() && has_change(session, *address, change).await {
+                *found = Some(started.elapsed());
+            }
+        }
+        let missing = since.iter().filter(|found| found.is_none()).count();
+        if missing == 0 || started.elapsed() >= IN_FORCE_WAIT {
+            break;
+        }
+        if started.elapsed() >= next_progress {
+            next_progress = started.elapsed() + PROGRESS_INTERVAL;
+            eprintln!(
+                "waiting for {missing} of {} entry instances ({:.0} s)",
+                entries.len(),
+                started.elapsed().as_secs_f64()
+            );
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    let lines = entries.iter().zip(&since).map(|(address, found)| match found {
+        Some(time) => format!("{address}: in force after {:.1} s", time.as_secs_f64()),
+        None => format!("{address}: not known to be in force after 10 s"),
+    });
+    (lines.collect(), since.iter().all(Option::is_some))
+}
+
+async fn has_change(session: &CliSession, address: SocketAddr, change: &ProfileChange) -> bool {
+    let request = ClientRequest::new_get("/v1/config");
+    let Ok(answer) = session.ask(address, request, STATE_TIMEOUT).await else { return false };
+    let changes: Vec<ProfileChange> = serde_json::from_slice(&answer.body).unwrap_or_default();
+    changes.iter().any(|own| own.name == change.name && own.revision >= change.revision)
+}
+
+/// Prints one stored profile, or lists all.
+pub async fn show(session: &CliSession, name: Option<&str>) -> Result<CommandEnd, CommandEnd> {
+    let Some(name) = name else {
+        let values = session.read(PROFILE_PREFIX, true).await?;
+        let lines: Vec<String> = values.iter().map(list_line).collect();
+        let data: Vec<Value> = values.iter().map(profile_data).collect();
+        return Ok(CommandEnd::new_done(lines.join("\n"), json!(data)));
+    };
+    let value = stored(session, name).await?;
+    Ok(CommandEnd::new_done(text_of(&value).trim_end(), profile_data(&value)))
+}
+
+fn list_line(value: &StoreValue) -> String {
+    let name = value.key.trim_start_matches(PROFILE_PREFIX);
+    format!("{name} (revision {})", value.mod_revision)
+}
+
+fn profile_data(value: &StoreValue) -> Value {
+    json!({
+        "name": value.key.trim_start_matches(PROFILE_PREFIX),
+        "revision": value.mod_revision,
+        "document": text_of(value),
+    })
+}
+
+/// Lists the changes of a profile in the order of their commits.
+pub async fn history(session: &CliSession, name: &str) -> Result<CommandEnd, CommandEnd> {
+    let mut values = session.read(&history_prefix(name), true).await?;
+    values.sort_by_key(|value| value.mod_revision);
+    if values.is_empty() {
+        let text = format!("profile \"{name}\" has no history");
+        return Err(CommandEnd::new_failed(ExitStatus::NotRun, text));
+    }
+    let mut lines = Vec::new();
+    let mut data = Vec::new();
+    let mut last = (String::from("nothing"), String::new());
+    for value in &values {
+        let Ok(entry) = serde_json::from_slice::<HistoryEntry>(&value.value) else {
+            lines.push(format!("revision {}: the entry cannot be read", value.mod_revision));
+            continue;
+        };
+        let title = format!("revision {}", value.mod_revision);
+        lines.push(format!(
+            "{title} at {} by {}, operation {}",
+            time_text(entry.at),
+            entry.by,
+            entry.operation
+        ));
+        let diff = difference((&last.0, &last.1), (&title, &entry.document));
+        lines.push(diff.trim_end().to_owned());
+        data.push(json!({ "revision": value.mod_revision, "entry": entry }));
+        last = (title, entry.document);
+    }
+    Ok(CommandEnd::new_done(lines.join("\n"), json!(data)))
+}
+
+fn time_text(seconds: u64) -> String {
+    let time = std::time::SystemTime::UNIX_EPOCH + Duration::from_secs(seconds);
+    format!("{} {} UTC", cuminbank::record::day_name(time), crate::report::clock_text(time))
+}
+
+/// Compares a stored profile with a file.
+pub async fn diff(session: &CliSession, name: &str, file: &Path) -> Result<CommandEnd, CommandEnd> {
+    let document = read_document(file).map_err(usage)?;
+    if document.profile.name != name {
+        let found = &document.profile.name;
+        let text = format!("{}: name: \"{found}\" is not allowed: \"{name}\"", file.display());
+        return Err(usage(text));
+    }
+    let value = stored(session, name).await?;
+    let old = format!("stored at revision {}", value.mod_revision);
+    let own = file.display().to_string();
+    let diff = difference((&old, &text_of(&value)), (&own, &document.text));
+    let data = json!({ "revision": value.mod_revision, "difference": diff });
+    if diff.is_empty() {
+        return Ok(CommandEnd::new_done("no difference", data));
+    }
+    Ok(CommandEnd::new_done(diff.trim_end(), data))
+}
+
+async fn stored(session: &CliSession, name: &str) -> Result<StoreValue, CommandEnd> {
+    let values = session.read(&profile_key(name), false).await?;
+    values.into_iter().next().ok_or_else(|| {
+        let text = format!("profile \"{name}\" is not stored");
+        CommandEnd::new_failed(ExitStatus::NotRun, text)
+    })
+}
+
+fn read_document(file: &Path) -> Result<ProfileDocument, String> {
+    let name = file.display().to_string();
+    let bytes = std::fs::read(file).map_err(|error| format!("{name}: {error}"))?;
+    check_document(&name, &bytes)
+}
+
+fn usage(text: impl Into<String>) -> CommandEnd {
+    CommandEnd::new_failed(ExitStatus::Usage, text)
+}
+
+fn text_of(value: &StoreValue) -> String {
+    String::from_utf8_lossy(&value.value).into_owned()
+}
+
+/// Returns an id that sorts by time and that two operators do not draw at the same moment.
+fn new_operation() -> String {
+    let random = RandomState::new().build_hasher().finish();
+    format!("{}-{random:016x}", unix_seconds())
+}
--- /dev/null
+++ b/crates/cuminbank-cli/src/profile_file.rs
@@ -0,0 +1,51 @@
+//! Profile documents: the check of a whole file, and differences between two documents.
+
+use cuminbank::profile::WorkProfile;
+use serde_json::Value;
+use similar::TextDiff;
+
+/// Lines shown around a difference.
+const CONTEXT_LINES: usize = 3;
+
+/// A profile document that passed the check.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProfileDocument {
+    /// The text as read.
+    pub text: String,
+    /// The profile.
+    pub profile: WorkProfile,
+}
+
+/// Checks a whole document; the error names the file, the path, the value and what is allowed.
+pub fn check_document(file: &str, bytes: &[u8]) -> Result<ProfileDocument, String> {
+    let text = std::str::from_utf8(bytes).map_err(|error| format!("{file}: {error}"))?;
+    let tree: Value = serde_json::from_str(text).map_err(|error| format!("{file}: {error}"))?;
+    let profile = WorkProfile::from_json(bytes).map_err(|mut error| {
+        // A value of the wrong type is not in the profile, so it is looked up in the document.
+        let found = if error.value == "the document" { value_at(&tree, &error.path) } else { None };
+        if let Some(value) = found {
+            error.value = value.to_string();
+        }
+        format!("{file}: {error}")
+    })?;
+    Ok(ProfileDocument { text: text.to_owned(), profile })
+}
+
+/// Returns the value at a path such as `weights.griddle`; the last name may contain dots.
+fn value_at<'a>(tree: &'a Value, path: &str) -> Option<&'a Value> {
+    match path.split_once('.') {
+        _ if path.is_empty() || path == "." => None,
+        Some((name, rest)) => tree.get(name).and_then(|value| value.get(rest)),
+        None => tree.get(path),
+    }
+}
+
+/// Returns the unified difference of two documents, empty if they are equal.
+pub fn difference(old: (&str, &str), new: (&str, &str)) -> String {
+    let ((old_name, old_text), (new_name, new_text)) = (old, new);
+    if old_text == new_text {
+        return String::new();
+    }
+    let diff = TextDiff::from_lines(old_text, new_text);
+    diff.unified_diff().context_radius(CONTEXT_LINES).header(old_name, new_name).to_string()
+}
--- /dev/null
+++ b/crates/cuminbank-cli/src/run.rs
@@ -0,0 +1,76 @@
+//! Runs a command.
+
+use std::ffi::OsString;
+
+use crate::{
+    exit::{CommandEnd, ExitStatus},
+    flags::{Cuminbank, CuminbankCmd, ProfileCmd},
+    operate_commands, profile_commands,
+    session::{CliSession, CliSettings},
+    work_commands,
+};
+
+/// A command line that was parsed.
+#[derive(Debug)]
+pub enum ParsedLine {
+    /// A command to run.
+    Command(Box<Cuminbank>),
+    /// Help, or an error, to print.
+    Printed(CommandEnd),
+}
+
+/// Parses the arguments after the name of the program.
+pub fn parse(args: Vec<OsString>) -> ParsedLine {
+    match Cuminbank::from_vec(args) {
+        Ok(flags) => ParsedLine::Command(Box::new(flags)),
+        Err(error) if error.is_help() => {
+            let text = error.to_string();
+            ParsedLine::Printed(CommandEnd::new_done(text.trim_end(), serde_json::Value::Null))
+        }
+        Err(error) => {
+            let text = format!("{error}; `cuminbank --help` lists the commands");
+            ParsedLine::Printed(CommandEnd::new_failed(ExitStatus::Usage, text))
+        }
+    }
+}
+
+/// Runs a command to its end.
+pub async fn run(flags: &Cuminbank) -> CommandEnd {
+    let mut settings = match CliSettings::from_file(flags.settings.as_deref()) {
+        Ok(settings) => settings,
+        Err(error) => return CommandEnd::new_failed(ExitStatus::Usage, error),
+    };
+    if !flags.store.is_empty() {
+        settings.store.clone_from(&flags.store);
+    }
+    if !flags.entry.is_empty() {
+        settings.entry.clone_from(&flags.entry);
+    }
+    let session = CliSession::new(settings);
+    run_command(&session, &flags.subcommand).await.unwrap_or_else(|end| end)
+}
+
+async fn run_command(
+    session: &CliSession,
+    command: &CuminbankCmd,
+) -> Result<CommandEnd, CommandEnd> {
+    match command {
+        CuminbankCmd::Profile(profile) => match &profile.subcommand {
+            ProfileCmd::Check(check) => Ok(profile_commands::check(&check.file)),
+            ProfileCmd::Apply(apply) => profile_commands::apply(session, apply).await,
+            ProfileCmd::Show(show) => profile_commands::show(session, show.name.as_deref()).await,
+            ProfileCmd::History(history) => profile_commands::history(session, &history.name).await,
+            ProfileCmd::Diff(diff) => profile_commands::diff(session, &diff.name, &diff.file).await,
+        },
+        CuminbankCmd::Status(_) => operate_commands::status(session).await,
+        CuminbankCmd::Call(call) => work_commands::call(session, call).await,
+        CuminbankCmd::Submit(submit) => work_commands::submit(session, submit).await,
+        CuminbankCmd::Follow(follow) => work_commands::follow(session, &follow.task).await,
+        CuminbankCmd::Cancel(cancel) => work_commands::cancel(session, &cancel.task).await,
+        CuminbankCmd::Drain(drain) => Ok(operate_commands::drain(session, drain.addr).await),
+        CuminbankCmd::Report(report) => {
+            let (day, html) = (report.day.as_deref(), report.html.as_deref());
+            operate_commands::report(session, day, html).await
+        }
+    }
+}
