Label the axis of the latency plots

Cause: the labels of the library's logarithmic axis are powers of ten; a trial page with times of 19 to 76 ms showed none.

Ruled out: widening the range to the next powers of ten, which squeezes the bars of a class with little spread into a corner.

Before: no label on the axis. After: the axis counts bars and is labelled with their edges in ms; counts are whole numbers.

Conclusion: tests/report.rs checks labels and the colour of the crest. The plots were checked by their SVG text only; no renderer is installed here.

--- a/crates/cuminbank-cli/src/report/plots.rs
+++ b/crates/cuminbank-cli/src/report/plots.rs
@@ -11,6 +11,8 @@
 const LATENCY_SIZE: (u32, u32) = (470, 220);
 /// Bars for each doubling of the time.
 const BARS_PER_DOUBLING: f64 = 4.0;
+/// Most labels on the axis of a latency plot.
+const MAX_LABELS: usize = 8;
 const CALL_COLOR: RGBColor = RGBColor(70, 110, 160);
 const CREST_COLOR: RGBColor = RGBColor(200, 80, 40);
 
@@ -37,6 +39,7 @@
             .x_desc("minute (UTC)")
             .y_desc("calls per minute")
             .x_label_formatter(&|minute| minute_text(*minute as DayMinute))
+            .y_label_formatter(&whole_number)
             .draw()
             .map_err(|error| error.to_string())?;
         let bars = report.rate.iter().map(|(minute, calls)| {
@@ -53,7 +56,9 @@
 /// Returns the times of a profile and customer on a logarithmic axis.
 pub fn latency_plot(latency: &TimeHistogram) -> Result<String, PlotError> {
     let bars = latency_bars(latency);
-    let edge = |bar: i32| 2_f64.powf(f64::from(bar) / BARS_PER_DOUBLING);
+    // The axis counts bars and is labelled with their edges: the labels of the library's own
+    // logarithmic axis are powers of ten, of which a narrow plot shows none.
+    let edge = |bar: &f64| format!("{:.1}", 2_f64.powf(bar / BARS_PER_DOUBLING));
     let first = bars.keys().next().copied().unwrap_or(0);
     let last = bars.keys().next_back().copied().unwrap_or(first) + 1;
     let highest = bars.values().max().copied().unwrap_or(1).max(1);
@@ -62,17 +67,21 @@
             .margin(8)
             .x_label_area_size(36)
             .y_label_area_size(56)
-            .build_cartesian_2d((edge(first)..edge(last)).log_scale(), 0_f64..highest as f64 * 1.05)
+            .build_cartesian_2d(f64::from(first)..f64::from(last), 0_f64..highest as f64 * 1.05)
             .map_err(|error| error.to_string())?;
         chart
             .configure_mesh()
             .disable_x_mesh()
+            .x_labels(MAX_LABELS.min((last - first) as usize + 1))
             .x_desc("time in ms (logarithmic)")
             .y_desc("calls")
+            .x_label_formatter(&edge)
+            .y_label_formatter(&whole_number)
             .draw()
             .map_err(|error| error.to_string())?;
         let bars = bars.iter().map(|(bar, calls)| {
-            let corners = [(edge(*bar), 0.0), (edge(*bar + 1), *calls as f64)];
+            let left = f64::from(*bar);
+            let corners = [(left, 0.0), (left + 1.0, *calls as f64)];
             Rectangle::new(corners, CALL_COLOR.filled())
         });
         chart.draw_series(bars).map_err(|error| error.to_string())?;
@@ -80,6 +89,10 @@
     })
 }
 
+fn whole_number(value: &f64) -> String {
+    format!("{value:.0}")
+}
+
 /// Groups the buckets into bars of equal width on a logarithmic axis.
 fn latency_bars(latency: &TimeHistogram) -> BTreeMap<i32, u64> {
     let mut bars = BTreeMap::new();
--- a/crates/cuminbank-cli/tests/report.rs
+++ b/crates/cuminbank-cli/tests/report.rs
@@ -9,7 +9,12 @@
     reducer::records::{CallSample, TaskMark},
 };
 use cuminbank_cli::report::{
-    gaps::GapBound, html::to_html, text::to_text, verdict::FaultKind, DayReport, ReportInput,
+    gaps::GapBound,
+    html::to_html,
+    plots::{latency_plot, rate_plot},
+    text::to_text,
+    verdict::FaultKind,
+    DayReport, ReportInput,
 };
 
 const DAY: &str = "2026-12-04";
@@ -286,3 +291,19 @@
         assert!(!page.contains(reference), "{reference}");
     }
 }
+
+// Guards against a plot of times without labels, or a crest that is not marked.
+#[test]
+fn plots_are_labelled_and_mark_the_crest() {
+    let report = DayReport::new(&input(at(18, 5, 0), good_day()));
+    let rate = rate_plot(&report).unwrap();
+    assert!(rate.contains("calls per minute"));
+    assert_eq!(rate.matches("#C85028").count(), report.crest.len());
+    let calls = report.calls.values().next().unwrap();
+    let latency = latency_plot(&calls.latency).unwrap();
+    let labels = latency.lines().filter(|line| line.trim().parse::<f64>().is_ok());
+    assert!(labels.count() >= 10, "{latency}");
+    for edge in ["22.6", "32.0", "64.0"] {
+        assert!(latency.lines().any(|line| line.trim() == edge), "{edge}: {latency}");
+    }
+}
