--- a/crates/cuminbank/tests/records.rs
+++ b/crates/cuminbank/tests/records.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use cuminbank::{
     effect::{CallOutcome, EntryEffect},
-    event::ExchangeError,
+    event::{EntryEvent, ExchangeError},
     histogram::{TimeHistogram, COARSE_DIGITS, FINE_DIGITS},
     ids::ExchangeId,
+    message::{PeerDatagram, PeerHeartbeat, PeerIdentity},
     record::{
         day_end, day_minute, day_name, day_prefix, day_start, ClassKey, DayRecord, StoredRecord,
         MAX_CLASSES, MAX_RECORD_BYTES, OTHER_CUSTOMER,
@@ -19,6 +20,7 @@
         groups::GroupPart,
         records::{CallSample, RecordPart, TaskMark},
         step::StepContext,
+        EntryReducer,
     },
     settings::EntrySettings,
     store::{StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
@@ -148,12 +150,7 @@
 
 impl RecordBench {
     fn new(begin: SystemTime) -> Self {
-        let settings = EntrySettings::from_json(
-            br#"{"instance":"d1","zone":"dublin","http_address":"127.0.0.1:8080",
-                "peer_address":"127.0.0.1:8081","store_addresses":["127.0.0.1:2379"],
-                "list_address":"127.0.0.1:8500"}"#,
-        )
-        .expect("the settings are valid");
+        let settings = settings();
         let mut bench = Self {
             part: RecordPart::new(&settings, 7),
             groups: GroupPart::new(&settings, 7),
@@ -223,6 +220,15 @@
     }
 }
 
+fn settings() -> EntrySettings {
+    EntrySettings::from_json(
+        br#"{"instance":"d1","zone":"dublin","http_address":"127.0.0.1:8080",
+            "peer_address":"127.0.0.1:8081","store_addresses":["127.0.0.1:2379"],
+            "list_address":"127.0.0.1:8500"}"#,
+    )
+    .expect("the settings are valid")
+}
+
 fn sample(customer: &str, outcome: CallOutcome, on_time: bool) -> CallSample {
     CallSample {
         profile: "morning rush".to_owned(),
@@ -466,6 +472,51 @@
     assert!(StoredRecord::decode(&[]).is_err());
 }
 
+fn heartbeat(instance: &str) -> EntryEvent {
+    let address = "127.0.0.1:9001".parse().expect("the address is valid");
+    let heartbeat = PeerHeartbeat {
+        from: PeerIdentity { instance: instance.to_owned(), start: 3 },
+        zone: "dublin".to_owned(),
+        address,
+        groups: Vec::new(),
+        config_revision: 0,
+        config_checksum: 0,
+        draining: false,
+    };
+    EntryEvent::DatagramReceived { from: address, datagram: PeerDatagram::Heartbeat(heartbeat) }
+}
+
+/// Returns the record among the writes of some effects.
+fn written_record(effects: &[EntryEffect]) -> Option<DayRecord> {
+    effects.iter().find_map(|effect| {
+        let EntryEffect::CallStore { request: StoreRequest::Txn { then, .. }, .. } = effect else {
+            return None;
+        };
+        let Some(StoreWrite::Put { key, value, .. }) = then.first() else { return None };
+        let is_record = key.starts_with(&day_prefix(DAY));
+        is_record.then(|| StoredRecord::decode(value).expect("the value is a record").record)
+    })
+}
+
+// Guards against records that do not tell when a peer was last heard, so that the gap of a dead
+// peer has no bound.
+#[test]
+fn a_record_tells_when_each_peer_was_last_heard() {
+    let mut reducer = EntryReducer::new(settings(), 7);
+    let mut found = None;
+    for tick in 0..20 {
+        let now = Duration::from_millis(100 * tick);
+        let wall = noon() + now;
+        let effects = reducer.apply(now, EntryEvent::Tick { wall });
+        found = found.or_else(|| written_record(&effects));
+        if tick == 4 {
+            reducer.apply(now, heartbeat("d2"));
+        }
+    }
+    let record = found.expect("a record is written within 2 s");
+    assert_eq!(record.peers["d2"], noon() + Duration::from_millis(400));
+}
+
 proptest! {
     // Guards against counts that change when a histogram is stored or merged.
     #[test]
