Test the invariants of calls in seeded histories with a takeover

Cause: single-fault tests do not cover combinations of late, lost and refused exchanges. Ruled out: histories with one owner only; the takeover is where slots are miscounted. Before: no check of I1, I2, I4, I5 and I6 over whole histories.

--- /dev/null
+++ b/crates/cuminbank/tests/calls_random.rs
@@ -0,0 +1,313 @@
+//! Seeded histories of two owners of a group with executors that lose, refuse, fail and delay.
+
+mod calls_support;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use calls_support::{book, done, executor, ms, plan, CallBench, TICK};
+use cuminbank::{
+    effect::{CallOutcome, EntryEffect},
+    event::{CallRequest, ExchangeError, ExecutorAnswer},
+    ids::{ExchangeId, ReplyId, RequestTicket},
+    reducer::groups::GroupChange,
+    settings::PlacementPolicy,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SLOTS: u32 = 3;
+const EXECUTORS: [&str; 4] = ["e1", "e2", "e3", "e4"];
+const TAKEOVER: Duration = Duration::from_secs(12);
+const END: Duration = Duration::from_secs(60);
+
+enum WorldEvent {
+    Arrive {
+        owner: usize,
+        exchange: ExchangeId,
+        address: SocketAddr,
+        call_id: String,
+        body: Bytes,
+    },
+    Finish {
+        owner: usize,
+        exchange: ExchangeId,
+        address: SocketAddr,
+        call_id: String,
+    },
+    EndDispatch {
+        owner: usize,
+        exchange: ExchangeId,
+        result: Result<ExecutorAnswer, ExchangeError>,
+    },
+    AskRunning {
+        owner: usize,
+        exchange: ExchangeId,
+        address: SocketAddr,
+    },
+    EndProbe {
+        owner: usize,
+        exchange: ExchangeId,
+        result: Result<Vec<String>, ExchangeError>,
+    },
+}
+
+/// Two owners, executors and what callers were told.
+struct CallWorld {
+    rng: ChaCha8Rng,
+    now: Duration,
+    owners: Vec<CallBench>,
+    events: BTreeMap<(Duration, u64), WorldEvent>,
+    sequence: u64,
+    open: HashSet<(usize, ExchangeId)>,
+    running: HashMap<SocketAddr, BTreeMap<String, Bytes>>,
+    runs: HashMap<Bytes, u32>,
+    asked: HashMap<(usize, ReplyId), CallRequest>,
+    told: HashMap<(usize, ReplyId), CallOutcome>,
+    tickets: Vec<RequestTicket>,
+    reruns: u32,
+}
+
+impl CallWorld {
+    fn new(seed: u64, policy: PlacementPolicy) -> Self {
+        let owners = vec![CallBench::new(policy), CallBench::new(policy)];
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::from_secs(1),
+            owners,
+            events: BTreeMap::new(),
+            sequence: 0,
+            open: HashSet::new(),
+            running: HashMap::new(),
+            runs: HashMap::new(),
+            asked: HashMap::new(),
+            told: HashMap::new(),
+            tickets: Vec::new(),
+            reruns: 0,
+        };
+        for owner in &mut world.owners {
+            owner.fixed.targets = EXECUTORS.map(|name| executor(name, 0, SLOTS)).into();
+        }
+        world.owners[0].take_group(0, 1, Duration::ZERO, None);
+        world.tickets = world.owners[0].tickets(100);
+        world
+    }
+
+    fn plan_event(&mut self, delay_ms: u64, event: WorldEvent) {
+        self.sequence += 1;
+        self.events.insert((self.now + ms(delay_ms), self.sequence), event);
+    }
+
+    fn run(&mut self) {
+        let mut taken = false;
+        while self.now < END {
+            self.now += TICK;
+            if !taken && self.now >= TAKEOVER {
+                taken = true;
+                self.change_owner();
+            }
+            while let Some((&(at, _), _)) = self.events.first_key_value() {
+                if at > self.now {
+                    break;
+                }
+                let Some((_, event)) = self.events.pop_first() else { break };
+                self.happen(event);
+            }
+            for owner in 0..self.owners.len() {
+                let effects = {
+                    let bench = &mut self.owners[owner];
+                    bench.now = self.now - TICK;
+                    bench.run_for(TICK)
+                };
+                self.carry_out(owner, effects);
+            }
+            if self.now < Duration::from_secs(30) {
+                self.send_calls(usize::from(taken));
+            }
+        }
+    }
+
+    fn change_owner(&mut self) {
+        let old = &mut self.owners[0];
+        old.fixed.owned.clear();
+        old.now = self.now;
+        old.change(&GroupChange::Lost { group: 0 });
+        let effects = old.effects();
+        let (next, states) = old.calls.handover_state(0, 1, self.now);
+        self.carry_out(0, effects);
+        let handed = self.rng.random_bool(0.5).then_some((1, next, states));
+        self.owners[1].now = self.now;
+        self.owners[1].take_group(0, 2, self.now + ms(1_000), handed);
+    }
+
+    fn send_calls(&mut self, owner: usize) {
+        for _ in 0..self.rng.random_range(0..3) {
+            let reply = self.asked.len() as u64 + 1_000;
+            let call = if self.rng.random_bool(0.3) {
+                // Copies of a ticketed request arrive at random times and at both owners.
+                let ticket = self.tickets[self.rng.random_range(0..self.tickets.len())].clone();
+                CallRequest { body: Bytes::from(ticket.to_string()), ..book(Some(ticket)) }
+            } else {
+                CallRequest { body: Bytes::from(format!("plan {reply}")), ..plan("a") }
+            };
+            self.asked.insert((owner, reply), call.clone());
+            self.owners[owner].now = self.now;
+            let effects = self.owners[owner].call(reply, call);
+            self.carry_out(owner, effects);
+        }
+    }
+
+    fn carry_out(&mut self, owner: usize, effects: Vec<EntryEffect>) {
+        for effect in effects {
+            match effect {
+                EntryEffect::Dispatch { exchange, address, call_id, body, timeout, .. } => {
+                    self.open.insert((owner, exchange));
+                    self.send(owner, exchange, address, call_id, body);
+                    let result = Err(ExchangeError::Lost);
+                    let event = WorldEvent::EndDispatch { owner, exchange, result };
+                    self.plan_event(timeout.as_millis() as u64, event);
+                }
+                EntryEffect::AbortDispatch { exchange } => {
+                    let result = Err(ExchangeError::Lost);
+                    self.plan_event(0, WorldEvent::EndDispatch { owner, exchange, result });
+                }
+                EntryEffect::Answer { reply, answer } if reply >= 1_000 => {
+                    assert!(self.asked.contains_key(&(owner, reply)));
+                    let earlier = self.told.insert((owner, reply), answer.outcome);
+                    assert!(earlier.is_none(), "I4: reply {reply} was answered twice");
+                }
+                _ => {}
+            }
+        }
+        for (exchange, address) in self.owners[owner].take_probes() {
+            let delay = self.rng.random_range(0..400);
+            if self.rng.random_bool(0.05) {
+                let result = Err(ExchangeError::Lost);
+                self.plan_event(1_000, WorldEvent::EndProbe { owner, exchange, result });
+            } else {
+                self.plan_event(delay, WorldEvent::AskRunning { owner, exchange, address });
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        owner: usize,
+        exchange: ExchangeId,
+        address: SocketAddr,
+        call_id: String,
+        body: Bytes,
+    ) {
+        let delay = self.rng.random_range(0..950);
+        let arrive = WorldEvent::Arrive { owner, exchange, address, call_id, body };
+        match self.rng.random_range(0..100) {
+            0..3 => {
+                let result = Err(ExchangeError::NotSent);
+                self.plan_event(5, WorldEvent::EndDispatch { owner, exchange, result });
+            }
+            3..8 => {
+                // The connection breaks at once, but the bytes arrive.
+                self.plan_event(delay, arrive);
+                let result = Err(ExchangeError::Lost);
+                self.plan_event(1, WorldEvent::EndDispatch { owner, exchange, result });
+            }
+            8..10 => {
+                // Nothing arrives and the connection stays silent.
+            }
+            10..14 => self
+                .plan_event(delay, WorldEvent::EndDispatch { owner, exchange, result: done(503) }),
+            _ => self.plan_event(delay / 20, arrive),
+        }
+    }
+
+    fn happen(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::Arrive { owner, exchange, address, call_id, body } => {
+                self.begin_run(address, &call_id, &body);
+                let slow = self.rng.random_bool(0.05);
+                let time = self.rng.random_range(5..if slow { 6_000 } else { 200 });
+                self.plan_event(time, WorldEvent::Finish { owner, exchange, address, call_id });
+            }
+            WorldEvent::Finish { owner, exchange, address, call_id } => {
+                let running = self.running.get_mut(&address).expect("the executor runs the call");
+                running.remove(&call_id).expect("the executor runs the call");
+                let result = match self.rng.random_range(0..100) {
+                    0..3 => return,
+                    3..6 => Err(ExchangeError::Lost),
+                    6..10 => done(500),
+                    _ => done(200),
+                };
+                self.plan_event(1, WorldEvent::EndDispatch { owner, exchange, result });
+            }
+            WorldEvent::EndDispatch { owner, exchange, result } => {
+                if self.open.remove(&(owner, exchange)) {
+                    self.owners[owner].now = self.now;
+                    let effects = self.owners[owner].end_dispatch(exchange, result);
+                    self.carry_out(owner, effects);
+                }
+            }
+            WorldEvent::AskRunning { owner, exchange, address } => {
+                let ids = self.running.entry(address).or_default().keys().cloned().collect();
+                let delay = self.rng.random_range(0..400);
+                self.plan_event(delay, WorldEvent::EndProbe { owner, exchange, result: Ok(ids) });
+            }
+            WorldEvent::EndProbe { owner, exchange, result } => {
+                self.owners[owner].now = self.now;
+                let effects = self.owners[owner].end_probe(exchange, result);
+                self.carry_out(owner, effects);
+            }
+        }
+    }
+
+    fn begin_run(&mut self, address: SocketAddr, call_id: &str, body: &Bytes) {
+        let elsewhere = self.running.values().any(|calls| calls.values().any(|run| run == body));
+        assert!(!elsewhere, "I2: {body:?} runs in two places");
+        let calls = self.running.entry(address).or_default();
+        calls.insert(call_id.to_owned(), body.clone());
+        assert!(calls.len() <= SLOTS as usize, "I1: {address} runs {calls:?}");
+        let runs = self.runs.entry(body.clone()).or_default();
+        *runs += 1;
+        self.reruns += u32::from(*runs > 1);
+        assert!(*runs == 1 || body.starts_with(b"plan"), "I6: {body:?} ran twice");
+    }
+
+    fn check_answers(&self) {
+        let unanswered: BTreeSet<_> =
+            self.asked.keys().filter(|key| !self.told.contains_key(key)).collect();
+        assert!(unanswered.is_empty(), "without an answer: {unanswered:?}");
+        for (key, outcome) in &self.told {
+            let body = &self.asked[key].body;
+            let ran = self.runs.contains_key(body);
+            assert!(*outcome != CallOutcome::NotRun || !ran, "I5: {body:?} ran");
+        }
+        assert!(self.owners.iter().all(|owner| owner.calls.is_idle()));
+    }
+}
+
+/// Guards I1, I2, I4, I5 and I6 against combinations of lost, delayed and refused exchanges with a
+/// change of the owner, and against calls that never get an answer.
+#[test]
+fn invariants_hold_through_faults_and_a_takeover() {
+    let policies =
+        [PlacementPolicy::Learned, PlacementPolicy::LeastLoaded, PlacementPolicy::RandomQueue];
+    let mut reruns = 0;
+    let mut outcomes: BTreeMap<CallOutcome, u32> = BTreeMap::new();
+    for seed in 0..24 {
+        let mut world = CallWorld::new(seed, policies[seed as usize % policies.len()]);
+        world.run();
+        world.check_answers();
+        reruns += world.reruns;
+        for outcome in world.told.into_values() {
+            *outcomes.entry(outcome).or_default() += 1;
+        }
+    }
+    println!("second runs: {reruns}, outcomes: {outcomes:?}");
+    assert!(reruns > 0, "no history had a retry");
+    for outcome in [CallOutcome::Done, CallOutcome::NotRun, CallOutcome::Unknown] {
+        assert!(outcomes.contains_key(&outcome), "no history had {outcome:?}");
+    }
+}
