Move waiting calls between short and long when their class becomes known

Cause: calls that began to wait before their class was known as long started through the short queue and passed the bound on long calls together. Ruled out: sorting the whole queue at each change of a class; only its heads matter. Before: after 20 ends of a class of 400 ms calls, all slots of an executor went to it again. After: two slots (a_waiting_call_becomes_long_with_its_class). A caller of tickets that is gone gets no answer.

--- a/crates/cuminbank/src/reducer/calls/forwarding.rs
+++ b/crates/cuminbank/src/reducer/calls/forwarding.rs
@@ -200,6 +200,7 @@
             request,
             timeout: TICKET_TIMEOUT,
         });
+        self.owed.add(reply);
         self.ticket_forwards.insert(exchange, reply);
     }
 
@@ -225,6 +226,9 @@
         reply: ReplyId,
         result: Result<PeerReply, ExchangeError>,
     ) {
+        if !self.owed.settle(reply) {
+            return;
+        }
         match result {
             Ok(PeerReply::Tickets(tickets)) => step.answer(reply, ticket_answer(&tickets)),
             _ => self.refuse_tickets(step, reply, "the owner of a group issued no tickets"),
--- a/crates/cuminbank/src/reducer/calls/queueing.rs
+++ b/crates/cuminbank/src/reducer/calls/queueing.rs
@@ -143,14 +143,37 @@
             self.pump_lines(context, group, valid_until);
             return;
         }
+        self.sort_heads(context, group);
         while let Some((id, key, executor)) = self.next_start(context, group) {
             if let Some(term) = self.terms.get_mut(&group) {
                 term.queue.start(id);
             }
             self.start_or_drop(context, key, executor, valid_until);
+            self.sort_heads(context, group);
         }
     }
 
+    /// Moves first calls whose class became known as long, or as short, while they waited. Without
+    /// this, calls that began to wait as short would pass the bound on long calls.
+    fn sort_heads(&mut self, context: &mut CallContext<'_>, group: GroupIndex) {
+        if self.policy != PlacementPolicy::Learned {
+            return;
+        }
+        for long in [false, true] {
+            while let Some((id, key)) = self.misplaced_head(group, long) {
+                if let Some(term) = self.terms.get_mut(&group) {
+                    term.queue.remove(id);
+                }
+                self.enqueue(context, key);
+            }
+        }
+    }
+
+    fn misplaced_head(&self, group: GroupIndex, long: bool) -> Option<(u64, CallKey)> {
+        let (id, key) = self.terms.get(&group)?.queue.first(long)?;
+        (self.is_long(&self.calls.get(key)?.call.class) != long).then_some((id, key))
+    }
+
     /// Returns the next call to start and its executor: a short call first, then a long one within
     /// the bound on long calls.
     fn next_start(
--- a/crates/cuminbank/tests/calls_path.rs
+++ b/crates/cuminbank/tests/calls_path.rs
@@ -132,6 +132,22 @@
     assert!(dispatches(&bench.call(3, plan("long"))).is_empty());
 }
 
+/// Guards against calls that began to wait before their class was known as long and then pass the
+/// bound together.
+#[test]
+fn a_waiting_call_becomes_long_with_its_class() {
+    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 8)]);
+    learn(&mut bench, "short", ms(10), 100);
+    let calls = (1..=38).flat_map(|reply| dispatches(&bench.call(reply, plan("late"))));
+    let mut running: Vec<_> = calls.collect();
+    // The class is known after 20 ends; the 8 calls that run by then end after 28.
+    for _ in 0..28 {
+        let sent = running.remove(0);
+        running.extend(dispatches(&bench.end_dispatch(sent.exchange, done_after(200, ms(400)))));
+    }
+    assert_eq!(running.len(), 2);
+}
+
 /// Guards against calls that wait here while a peer has free slots, and against a second hop.
 #[test]
 fn a_call_is_forwarded_once_to_an_owner_with_less_wait() {
