--- a/crates/cuminbank/src/reducer/tasks/group.rs
+++ b/crates/cuminbank/src/reducer/tasks/group.rs
@@ -378,7 +378,7 @@
         if !self.journal.loaded {
             return self.load(step);
         }
-        self.expire_waiters(step);
+        self.expire_waiters(step, scene);
         self.go_on_writing(step, scene, models);
         self.send_starts(step, scene);
         self.visit_due_workers(step, scene, models);
--- a/crates/cuminbank/src/reducer/tasks/journal.rs
+++ b/crates/cuminbank/src/reducer/tasks/journal.rs
@@ -355,8 +355,8 @@
         let submitted = staged.submissions.into_values().map(|submission| submission.waiters);
         let cancelled = staged.cancels.into_values().map(|(_, waiters)| waiters);
         for waiter in submitted.chain(cancelled).flatten() {
-            let reason = "the group changed its owner";
-            waiter.answer(step, CallerAnswer::new_busy(reason, Duration::from_secs(1)));
+            // Nothing of these was written here, but a copy may reach the next owner.
+            waiter.answer(step, CallerAnswer::new_unknown("the group changed its owner"));
         }
         self.drop_state(step.now());
     }
@@ -372,7 +372,7 @@
     }
 
     /// Gives callers their final answer who have waited too long for the store.
-    pub(super) fn expire_waiters(&mut self, step: &mut StepContext) {
+    pub(super) fn expire_waiters(&mut self, step: &mut StepContext, scene: &GroupScene<'_>) {
         let now = step.now();
         if let Some((segment, since)) = self.journal.segment_mut() {
             if now >= since + WRITE_PATIENCE {
@@ -383,7 +383,14 @@
                 }
             }
         }
-        let busy = || CallerAnswer::new_busy("the store does not answer", Duration::from_secs(2));
+        // Only with the right to act is a refusal final: without it the next owner may accept a
+        // copy of the request.
+        let has_right = scene.right_until.is_some_and(|until| until > now);
+        let reason = "the store does not answer";
+        let refusal = || match has_right {
+            true => CallerAnswer::new_busy(reason, STORE_PATIENCE),
+            false => CallerAnswer::new_unknown(reason),
+        };
         let patient = |since: MonotonicTime| now < since + STAGED_PATIENCE;
         while let Some(task) = self.staged.order.front() {
             if self.staged.submissions.get(task).is_some_and(|staged| patient(staged.since)) {
@@ -391,14 +398,14 @@
             }
             let Some((task, submission)) = self.staged.take_submission() else { break };
             self.refused.insert(now, task);
-            submission.waiters.into_iter().for_each(|waiter| waiter.answer(step, busy()));
+            submission.waiters.into_iter().for_each(|waiter| waiter.answer(step, refusal()));
         }
         while let Some(task) = self.staged.cancel_order.front() {
             if self.staged.cancels.get(task).is_some_and(|(since, _)| patient(*since)) {
                 break;
             }
             let Some((_, waiters)) = self.staged.take_cancel() else { break };
-            waiters.into_iter().for_each(|waiter| waiter.answer(step, busy()));
+            waiters.into_iter().for_each(|waiter| waiter.answer(step, refusal()));
         }
     }
 
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -15,14 +15,12 @@
 };
 
 use super::group::{
-    GroupExchange, GroupScene, RunPhase, TaskGroup, TaskModels, LEASE_LAPSED, TRANSIT_BOUND,
-    WORKER_LEASE,
+    GroupExchange, GroupScene, RunPhase, StopReason, TaskGroup, TaskModels, TaskRun, LEASE_LAPSED,
+    TRANSIT_BOUND, WORKER_LEASE,
 };
 
 /// Time between two renewals, and two lists, of a worker.
 pub const VISIT_INTERVAL: Duration = Duration::from_secs(1);
-/// Silence after which a worker's leases are no longer renewed, so that they lapse for sure.
-const SILENCE: Duration = Duration::from_secs(3);
 
 /// How a reported attempt fits the ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -75,8 +73,7 @@
     fn renew(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
         let now = step.now();
         let Some(worker) = self.workers.get(name) else { return };
-        let silent = worker.answered_at.is_none_or(|at| now >= at + SILENCE);
-        if worker.renewing || silent {
+        if worker.renewing || worker.is_silent(now) {
             return;
         }
         let running = |task: &TaskId| {
@@ -271,6 +268,11 @@
         if let Some(worker) = self.workers.get_mut(name) {
             worker.open_ends += 1;
         }
+        // A later attempt that was not sent yet need not begin.
+        let unsent = |run: &&mut TaskRun| run.phase == RunPhase::Committing;
+        if let Some(run) = self.runs.get_mut(&task).filter(unsent) {
+            run.stop = Some(StopReason::Cancel);
+        }
         self.staged.push(end_entry(task, attempt, end, None), Some(name.to_owned()));
     }
 
--- a/crates/cuminbank/src/reducer/tasks/workers.rs
+++ b/crates/cuminbank/src/reducer/tasks/workers.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
+    time::Duration,
 };
 
 use crate::{
@@ -16,6 +17,8 @@
 
 use super::trials::WorkerHealth;
 
+const SILENCE: Duration = Duration::from_secs(3);
+
 /// State of a worker.
 #[derive(Debug)]
 pub struct WorkerState {
@@ -96,11 +99,18 @@
         self.size.minus(&self.held).minus(&self.foreign)
     }
 
+    /// Tells whether the worker has not answered for several lists. Its leases are not renewed
+    /// then, so that they lapse for sure, and it gets no task.
+    pub fn is_silent(&self, now: MonotonicTime) -> bool {
+        self.answered_at.is_none_or(|at| now >= at + SILENCE)
+    }
+
     /// Tells whether the worker may get a task now.
     pub fn can_start(&self, now: MonotonicTime) -> bool {
         self.state == TargetState::Live
             && !self.ended
             && self.listed
+            && !self.is_silent(now)
             && now >= self.avoid_until
             && self.health.allows(now)
     }
--- /dev/null
+++ b/crates/cuminbank/tests/interference.rs
@@ -0,0 +1,166 @@
+//! Learned slowdowns, the steps against them, quotas and learned sizes.
+
+use std::time::Duration;
+
+use cuminbank::{
+    interference::{MachineRelief, PairLearner, RelievingStep},
+    ledger::TaskId,
+    quota::QuotaTable,
+    reducer::tasks::{queue::StartQueue, sizes::SizeLearner, trials::WorkerHealth},
+    worker::{ResourceSize, UsageWindow},
+};
+
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn window(neighbours: &[(&str, f64)], slowdown: f64) -> UsageWindow {
+    let own = |(class, cores): &(&str, f64)| ((*class).to_owned(), *cores);
+    UsageWindow {
+        length_ms: 1_000,
+        age_ms: 1_000,
+        neighbours: neighbours.iter().map(own).collect(),
+        slowdowns: vec![("reserve".to_owned(), slowdown)],
+    }
+}
+
+/// Guards against attributing a slowdown to the wrong neighbour: two classes that run together
+/// and apart have to be told apart.
+#[test]
+fn learner_tells_neighbours_apart() {
+    let mut learner = PairLearner::default();
+    let truth = |noisy: f64, quiet: f64| 1.0 + 0.5 * noisy + 0.02 * quiet;
+    for round in 0..200 {
+        let (noisy, quiet) = (f64::from(round % 3), f64::from(round % 5));
+        learner.learn(&window(&[("noisy", noisy), ("quiet", quiet)], truth(noisy, quiet)));
+    }
+    let predicted = learner.predict("reserve", [("noisy", 2.0), ("quiet", 4.0)].into_iter());
+    assert!((predicted - truth(2.0, 4.0)).abs() < 0.05, "{predicted}");
+    assert!(learner.coefficient("reserve", "quiet") < 0.05);
+    assert_eq!(learner.predict("other", [("noisy", 2.0)].into_iter()), 1.0);
+}
+
+/// Guards against reports with impossible values, which must not spoil what was learned.
+#[test]
+fn learner_survives_impossible_reports() {
+    let mut learner = PairLearner::default();
+    for value in [f64::NAN, f64::INFINITY, -3.0, 0.0, 1e300] {
+        learner.learn(&window(&[("noisy", value)], 2.0));
+        learner.learn(&window(&[("noisy", 1.0)], value));
+    }
+    let predicted = learner.predict("reserve", [("noisy", 8.0)].into_iter());
+    assert!((1.0..=100.0).contains(&predicted), "{predicted}");
+}
+
+/// Guards against acting on a single report, and against swinging between throttle and release.
+#[test]
+fn relief_follows_the_hysteresis() {
+    use RelievingStep::{Evict, Keep, Throttle, Unthrottle};
+    let cases: [(&[f64], &[RelievingStep]); 5] = [
+        (&[2.0, 1.0, 2.0, 1.0], &[Keep, Keep, Keep, Keep]),
+        (&[2.0, 2.0, 2.0, 2.0, 2.0], &[Keep, Throttle, Keep, Keep, Evict]),
+        (&[2.0, 2.0, 2.0, 1.4, 2.0, 2.0], &[Keep, Throttle, Keep, Keep, Keep, Keep]),
+        (&[2.0, 2.0, 1.1, 1.1, 1.1, 1.1], &[Keep, Throttle, Keep, Keep, Keep, Unthrottle]),
+        (&[2.0, 2.0, 1.1, 1.1, 1.3, 1.1, 1.1], &[Keep, Throttle, Keep, Keep, Keep, Keep, Keep]),
+    ];
+    for (reports, expected) in cases {
+        let mut relief = MachineRelief::default();
+        let steps: Vec<_> = reports
+            .iter()
+            .enumerate()
+            .map(|(second, slowdown)| relief.on_report(secs(second as u64), *slowdown))
+            .collect();
+        assert_eq!(steps, expected, "{reports:?}");
+    }
+}
+
+/// Guards against evicting a whole machine at once.
+#[test]
+fn evictions_of_a_machine_are_apart() {
+    let mut relief = MachineRelief::default();
+    let mut evictions = Vec::new();
+    for report in 0..200u64 {
+        let now = Duration::from_millis(report * 100);
+        if relief.on_report(now, 9.0) == RelievingStep::Evict {
+            evictions.push(now);
+        }
+    }
+    assert!(evictions.len() >= 3);
+    assert!(evictions.windows(2).all(|pair| pair[1] >= pair[0] + secs(5)), "{evictions:?}");
+}
+
+/// Guards against shares that do not follow the weights, and against a share that is kept from
+/// others while its customer has no work.
+#[test]
+fn quota_follows_the_weights_and_lends() {
+    let mut quota = QuotaTable::default();
+    let weights = [("a", 3), ("b", 1)];
+    let mut starts = [0, 0];
+    let mut charges = Vec::new();
+    for _ in 0..40 {
+        let names = weights.iter().map(|(name, _)| *name);
+        let name = quota.least_used(names).expect("there is a customer");
+        let index = usize::from(name == "b");
+        starts[index] += 1;
+        charges.push((name, quota.charge(name, 1_000, weights[index].1)));
+    }
+    assert_eq!(starts, [30, 10]);
+    assert_eq!(quota.least_used(["b"].into_iter()), Some("b"), "the share of a is lent");
+    for (name, charge) in charges {
+        quota.release(name, charge);
+    }
+    assert_eq!(quota.used("a") + quota.used("b"), 0);
+}
+
+/// Guards against replacing a declared size on too little evidence, and against giving a task
+/// less memory than declared.
+#[test]
+fn sizes_are_learned_from_twenty_observations() {
+    let mut sizes = SizeLearner::default();
+    let declared = ResourceSize { millicores: 8_000, memory_mib: 64, accelerators: 1 };
+    for _ in 0..19 {
+        sizes.observe("plan", 1_000);
+    }
+    assert_eq!(sizes.reservation("plan", &declared), declared);
+    sizes.observe("plan", 1_000);
+    let expected = ResourceSize { millicores: 1_100, ..declared };
+    assert_eq!(sizes.reservation("plan", &declared), expected);
+}
+
+/// Guards against a quarantine that never ends, never grows, or counts one burst many times.
+#[test]
+fn quarantine_doubles_and_tries_one_task() {
+    let task = |sequence| TaskId { epoch: 1, sequence };
+    let mut health = WorkerHealth::default();
+    for failure in 0..30 {
+        health.on_failure(secs(1), task(failure));
+    }
+    assert!(!health.allows(secs(10)));
+    assert!(health.allows(secs(11)));
+    health.on_start(secs(11), task(40));
+    assert!(!health.allows(secs(12)), "one trial at a time");
+    health.on_failure(secs(12), task(40));
+    assert!(!health.allows(secs(31)));
+    assert!(health.allows(secs(32)));
+    health.on_success();
+    assert!(health.allows(secs(32)) && !health.is_failing());
+}
+
+/// Guards against an order of starts that ignores the priority, and against parked tasks that
+/// are looked at again too early or lost.
+#[test]
+fn queue_orders_by_priority_and_parks() {
+    let task = |sequence| TaskId { epoch: 1, sequence };
+    let mut queue = StartQueue::default();
+    for (sequence, priority) in [(1, 5), (2, 0), (3, 5)] {
+        queue.push(secs(0), task(sequence), "a", priority);
+    }
+    assert_eq!(queue.first("a", 9), [task(2), task(1), task(3)]);
+    queue.park(task(2));
+    queue.park(task(3));
+    assert_eq!(queue.first("a", 9), [task(1)]);
+    queue.remove(task(3));
+    queue.unpark();
+    assert_eq!(queue.first("a", 9), [task(2), task(1)]);
+    assert_eq!(queue.len(), 2);
+}
--- /dev/null
+++ b/crates/cuminbank/tests/tasks_history.rs
@@ -0,0 +1,176 @@
+//! Seeded histories with lost messages, silent workers, evictions and takeovers.
+
+mod tasks_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cuminbank::{
+    effect::CallOutcome,
+    event::TaskQuery,
+    ids::{ReplyId, RequestTicket},
+    reducer::records::TaskMark,
+    worker::{AttemptEnd, UsageWindow},
+};
+use rand::Rng;
+use tasks_support::{millis, secs, Fault, World};
+
+struct History {
+    world: World,
+    sent: Vec<(RequestTicket, u64, ReplyId)>,
+    cancelled: BTreeSet<RequestTicket>,
+}
+
+impl History {
+    fn submit(&mut self) {
+        let run_ms = self.world.rng.random_range(50..8_000);
+        let (ticket, reply) = self.world.submit(run_ms);
+        self.sent.push((ticket, run_ms, reply));
+    }
+
+    fn submit_again(&mut self) {
+        if self.sent.is_empty() {
+            return;
+        }
+        let index = self.world.rng.random_range(0..self.sent.len());
+        let (ticket, run_ms, _) = self.sent[index].clone();
+        // A refusal is final for its ticket, so callers take a new one; other copies may be
+        // under way when it comes.
+        let mut copies = self.sent.iter().filter(|(sent, ..)| *sent == ticket);
+        if copies.any(|(.., reply)| self.world.outcome(*reply) == Some(CallOutcome::NotRun)) {
+            return;
+        }
+        let reply = self.world.send_submission(self.world.submission(&ticket, run_ms));
+        self.sent.push((ticket, run_ms, reply));
+    }
+
+    fn cancel(&mut self) {
+        if self.sent.is_empty() {
+            return;
+        }
+        let index = self.world.rng.random_range(0..self.sent.len());
+        let ticket = self.sent[index].0.clone();
+        self.world.ask(&ticket, TaskQuery::Cancel);
+        self.cancelled.insert(ticket);
+    }
+
+    fn disturb_worker(&mut self) {
+        let name = format!("w{}", self.world.rng.random_range(0..4));
+        let choice = self.world.rng.random_range(0..5);
+        let worker = self.world.workers.get_mut(&name).expect("the worker exists");
+        match choice {
+            0 => worker.fault = Fault::RequestLost,
+            1 => worker.fault = Fault::AnswerLost,
+            2 | 3 => worker.fault = Fault::None,
+            _ => worker.usage.extend((0..6).map(|_| UsageWindow {
+                length_ms: 1_000,
+                age_ms: 1_000,
+                neighbours: vec![("plan".to_owned(), 2.0)],
+                slowdowns: vec![("reserve".to_owned(), 2.5)],
+            })),
+        }
+    }
+
+    fn take_over(&mut self) {
+        // The right to act of the last owner ends before the next one takes over.
+        self.world.owners.iter_mut().for_each(|owner| owner.has_right = false);
+        self.world.run(millis(500));
+        self.world.take_over();
+    }
+
+    fn step(&mut self) {
+        match self.world.rng.random_range(0..100) {
+            0..45 => self.submit(),
+            45..55 => self.submit_again(),
+            55..60 => self.cancel(),
+            60..75 => self.disturb_worker(),
+            75..79 => self.take_over(),
+            79..82 => self.world.store_fault = Fault::RequestLost,
+            82..84 => self.world.store_fault = Fault::AnswerLost,
+            84..92 => self.world.store_fault = Fault::None,
+            _ => {}
+        }
+        let pause = self.world.rng.random_range(20..600);
+        self.world.run(millis(pause));
+    }
+
+    fn heal(&mut self) {
+        self.world.fault_percent = 0;
+        self.world.store_fault = Fault::None;
+        for worker in self.world.workers.values_mut() {
+            worker.fault = Fault::None;
+        }
+        // The last owner may still have to read the ledger.
+        self.world.run(secs(3));
+        self.world.run_until("the end of all work", |world| {
+            let tasks = world.group().ledger().tasks();
+            world.group().runs().is_empty()
+                && tasks.fold(true, |all, (_, r)| all && r.state.is_final())
+        });
+        self.world.run(secs(12));
+    }
+
+    /// No accepted task is lost, none that was refused ran, and each began once for each attempt
+    /// number with a checkpoint that is no older than one it began from before.
+    fn check_end(&self, seed: u64) {
+        let world = &self.world;
+        for (ticket, _, reply) in &self.sent {
+            let state = world.state(ticket);
+            match world.outcome(*reply) {
+                Some(CallOutcome::Accepted) => {
+                    let ended = state == "finished"
+                        || (state == "cancelled" && self.cancelled.contains(ticket));
+                    assert!(ended, "seed {seed}: accepted {ticket} is {state}");
+                }
+                Some(CallOutcome::NotRun) => {
+                    assert_eq!(state, "absent", "seed {seed}: refused {ticket}");
+                    assert!(world.starts_of(ticket).is_empty(), "seed {seed}: {ticket} ran");
+                }
+                Some(CallOutcome::Unknown) => {}
+                other => panic!("seed {seed}: {ticket} has the outcome {other:?}"),
+            }
+            let starts = world.starts_of(ticket);
+            let left = |text: &Option<String>| {
+                text.as_ref().map_or(u64::MAX, |t| t.parse().expect("a number"))
+            };
+            for pair in starts.windows(2) {
+                assert!(pair[0].2.attempt < pair[1].2.attempt, "seed {seed}: {ticket}");
+                let (earlier, later) = (left(&pair[0].2.checkpoint), left(&pair[1].2.checkpoint));
+                assert!(later <= earlier, "seed {seed}: {ticket} resumed from an older checkpoint");
+            }
+        }
+        // A worker that was cut off after it finished a task cannot be told from a dead one, so
+        // its task runs again; every such second result has to be counted.
+        let mut results = BTreeMap::<&str, usize>::new();
+        let ended = world.workers.values().flat_map(|worker| &worker.ended);
+        for ended in ended.filter(|ended| matches!(ended.end, AttemptEnd::Finished { .. })) {
+            *results.entry(&ended.task).or_default() += 1;
+        }
+        let finished = |task: &str| world.state(&task.parse().expect("a ticket")) == "finished";
+        let second = results.iter().filter(|(task, n)| **n > 1 && finished(task)).count();
+        let marks = world.samples.iter().filter(|sample| sample.mark == TaskMark::Doubled).count();
+        assert!(marks >= second, "seed {seed}: {marks} marks of {second} doubled tasks");
+        assert!(second > 0 || marks == 0, "seed {seed}: {marks} marks without a doubled task");
+    }
+}
+
+/// Guards I1, I2, I3 and I5 for batch work, and against lost or doubled tasks, under any mix of
+/// lost messages, silent workers, store outages, evictions and takeovers.
+#[test]
+fn seeded_histories_keep_every_task_once() {
+    let seeds = std::env::var("CUMINBANK_SEEDS").ok().and_then(|text| text.parse().ok());
+    let mut accepted = 0;
+    for seed in 0..seeds.unwrap_or(40u64) {
+        let mut world = World::new(4, seed);
+        world.fault_percent = (seed % 4) as u32 * 4;
+        world.victims = vec![("reserve".to_owned(), 3)];
+        let mut history = History { world, sent: Vec::new(), cancelled: BTreeSet::new() };
+        for _ in 0..120 {
+            history.step();
+        }
+        history.heal();
+        history.check_end(seed);
+        let outcomes = history.sent.iter().map(|(_, _, reply)| history.world.outcome(*reply));
+        accepted += outcomes.filter(|outcome| *outcome == Some(CallOutcome::Accepted)).count();
+    }
+    assert!(accepted > 200, "only {accepted} tasks were accepted");
+}
--- /dev/null
+++ b/crates/cuminbank/tests/tasks_support/mod.rs
@@ -0,0 +1,637 @@
+//! Owners of one group in virtual time, with a store and workers that lose messages.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, SystemTime},
+};
+
+use bytes::Bytes;
+use cuminbank::{
+    effect::{CallOutcome, CallerAnswer, EntryEffect},
+    event::{ExchangeError, ListedRole, TaskQuery, TaskSubmission},
+    ids::{ExchangeId, MonotonicTime, ReplyId, RequestTicket},
+    ledger::TaskId,
+    log::LogRecord,
+    membership::{TargetEntry, TargetState},
+    message::PeerReply,
+    profile::WorkProfile,
+    reducer::{
+        step::StepContext,
+        tasks::group::{GroupScene, TaskGroup, TaskModels, TaskSample, Waiter},
+    },
+    settings::EntrySettings,
+    store::{epoch_key, StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
+    worker::{
+        AttemptEnd, EndedTask, ResourceSize, RunningTask, TaskStart, UsageWindow, WorkerReply,
+        WorkerReport, WorkerRequest,
+    },
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const TICK: Duration = Duration::from_millis(20);
+pub const ZONE: &str = "dublin";
+
+pub fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+pub fn millis(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+pub fn cores(count: u64) -> ResourceSize {
+    ResourceSize { millicores: count * 1_000, memory_mib: count * 100, accelerators: 0 }
+}
+
+/// What happens to a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    None,
+    /// It cannot be sent.
+    Unsent,
+    /// It is lost on the way.
+    RequestLost,
+    /// It takes effect and its answer is lost.
+    AnswerLost,
+}
+
+/// The store: keys with revisions, and a fault for each call.
+#[derive(Default)]
+pub struct FakeStore {
+    pub keys: BTreeMap<String, (Bytes, i64)>,
+    pub revision: i64,
+    pub writes: usize,
+}
+
+impl FakeStore {
+    pub fn put(&mut self, key: &str, value: impl Into<Bytes>) {
+        self.revision += 1;
+        self.keys.insert(key.to_owned(), (value.into(), self.revision));
+    }
+
+    fn holds(&self, compare: &StoreCompare) -> bool {
+        match compare {
+            StoreCompare::ModRevision(key, revision) => {
+                self.keys.get(key).map_or(0, |(_, at)| *at) == *revision
+            }
+            StoreCompare::Value(key, value) => {
+                self.keys.get(key).is_some_and(|(held, _)| held == value)
+            }
+        }
+    }
+
+    fn values(&self, wanted: impl Fn(&str) -> bool) -> Vec<StoreValue> {
+        let found = self.keys.iter().filter(|(key, _)| wanted(key));
+        found
+            .map(|(key, (value, at))| StoreValue {
+                key: key.clone(),
+                value: value.clone(),
+                mod_revision: *at,
+            })
+            .collect()
+    }
+
+    fn call(&mut self, request: &StoreRequest) -> StoreReply {
+        match request {
+            StoreRequest::Range { key, prefix } => {
+                let values =
+                    self.values(|held| held == key || (*prefix && held.starts_with(key.as_str())));
+                StoreReply::Range { revision: self.revision, values }
+            }
+            StoreRequest::Txn { compares, then, otherwise } => {
+                if !compares.iter().all(|compare| self.holds(compare)) {
+                    let values = self.values(|held| otherwise.iter().any(|key| key == held));
+                    let revision = self.revision;
+                    return StoreReply::Txn { revision, succeeded: false, values };
+                }
+                self.writes += 1;
+                for write in then {
+                    match write {
+                        StoreWrite::Put { key, value, .. } => self.put(key, value.clone()),
+                        StoreWrite::Delete(key) => drop(self.keys.remove(key)),
+                        StoreWrite::DeletePrefix(prefix) => {
+                            self.keys.retain(|key, _| !key.starts_with(prefix.as_str()));
+                        }
+                    }
+                }
+                StoreReply::Txn { revision: self.revision, succeeded: true, values: Vec::new() }
+            }
+            other => panic!("unexpected request {other:?}"),
+        }
+    }
+}
+
+pub struct FakeRun {
+    pub attempt: u32,
+    pub size: ResourceSize,
+    pub class: String,
+    pub left: Duration,
+    pub lease_until: MonotonicTime,
+}
+
+/// A worker. A checkpoint is the work that is left, in milliseconds.
+pub struct FakeWorker {
+    pub size: ResourceSize,
+    pub running: BTreeMap<String, FakeRun>,
+    pub last_attempt: BTreeMap<String, u32>,
+    pub ended: Vec<EndedTask>,
+    pub leaving: bool,
+    pub fails_all: bool,
+    pub fault: Fault,
+    pub usage: Vec<UsageWindow>,
+    pub starts: Vec<(MonotonicTime, TaskStart)>,
+    pub stops: usize,
+    pub throttles: Vec<(String, u8)>,
+}
+
+impl FakeWorker {
+    fn new(size: ResourceSize) -> Self {
+        Self {
+            size,
+            running: BTreeMap::new(),
+            last_attempt: BTreeMap::new(),
+            ended: Vec::new(),
+            leaving: false,
+            fails_all: false,
+            fault: Fault::None,
+            usage: Vec::new(),
+            starts: Vec::new(),
+            stops: 0,
+            throttles: Vec::new(),
+        }
+    }
+
+    pub fn held(&self) -> ResourceSize {
+        self.running.values().fold(ResourceSize::default(), |sum, run| sum.plus(&run.size))
+    }
+
+    fn end(&mut self, task: &str, attempt: u32, end: AttemptEnd) {
+        let sequence = self.ended.last().map_or(1, |ended| ended.sequence + 1);
+        self.ended.push(EndedTask { sequence, task: task.to_owned(), attempt, end });
+    }
+
+    fn advance(&mut self, now: MonotonicTime) {
+        let mut ends = Vec::new();
+        for (task, run) in &mut self.running {
+            run.left = run.left.saturating_sub(TICK);
+            if self.fails_all {
+                let end = AttemptEnd::Failed { reason: "broken".to_owned() };
+                ends.push((task.clone(), run.attempt, end));
+            } else if run.left.is_zero() {
+                let end = AttemptEnd::Finished { result: serde_json::json!(task) };
+                ends.push((task.clone(), run.attempt, end));
+            } else if now >= run.lease_until {
+                let checkpoint = Some(run.left.as_millis().to_string());
+                ends.push((task.clone(), run.attempt, AttemptEnd::LeaseLapsed { checkpoint }));
+            }
+        }
+        for (task, attempt, end) in ends {
+            self.running.remove(&task);
+            self.end(&task, attempt, end);
+        }
+    }
+
+    fn call(&mut self, now: MonotonicTime, request: &WorkerRequest) -> WorkerReply {
+        match request {
+            WorkerRequest::Start(start) => self.start(now, start),
+            WorkerRequest::Renew { lease_ms, tasks } => {
+                let mut missing = Vec::new();
+                for (task, attempt) in tasks {
+                    match self.running.get_mut(task).filter(|run| run.attempt == *attempt) {
+                        Some(run) => run.lease_until = now + millis(*lease_ms),
+                        None => missing.push(task.clone()),
+                    }
+                }
+                WorkerReply::Renewed { missing }
+            }
+            WorkerRequest::Stop { task, attempt, checkpoint } => {
+                self.stops += 1;
+                let running = self.running.get(task).filter(|run| run.attempt == *attempt);
+                let text = running.map(|run| run.left.as_millis().to_string());
+                if text.is_some() {
+                    self.running.remove(task);
+                }
+                let same = |ended: &&EndedTask| ended.task == *task && ended.attempt == *attempt;
+                let ended = self.ended.iter().find(same).map(|ended| ended.end.clone());
+                WorkerReply::Stopped { checkpoint: text.filter(|_| *checkpoint), ended }
+            }
+            WorkerRequest::Throttle { task, percent, .. } => {
+                self.throttles.push((task.clone(), *percent));
+                WorkerReply::Accepted
+            }
+            WorkerRequest::List { since } => {
+                let running = self.running.iter().map(|(task, run)| RunningTask {
+                    task: task.clone(),
+                    attempt: run.attempt,
+                    checkpoint: Some(run.left.as_millis().to_string()),
+                });
+                WorkerReply::Listed(WorkerReport {
+                    leaving: self.leaving,
+                    running: running.collect(),
+                    ended: self.ended.iter().filter(|e| e.sequence > *since).cloned().collect(),
+                    usage: std::mem::take(&mut self.usage),
+                })
+            }
+        }
+    }
+
+    fn start(&mut self, now: MonotonicTime, start: &TaskStart) -> WorkerReply {
+        let last = self.last_attempt.entry(start.task.clone()).or_default();
+        if start.attempt <= *last {
+            return WorkerReply::Refused { status: 409 };
+        }
+        if self.leaving {
+            return WorkerReply::Refused { status: 503 };
+        }
+        *last = start.attempt;
+        if !self.held().plus(&start.size).fits(&self.size) {
+            return WorkerReply::Refused { status: 507 };
+        }
+        let left = match &start.checkpoint {
+            Some(text) => text.parse().expect("the checkpoint is one of a worker"),
+            None => start.input["run_ms"].as_u64().expect("the input names the run time"),
+        };
+        let run = FakeRun {
+            attempt: start.attempt,
+            size: start.size,
+            class: start.class.clone(),
+            left: millis(left),
+            lease_until: now + millis(start.lease_ms),
+        };
+        self.running.insert(start.task.clone(), run);
+        self.starts.push((now, start.clone()));
+        WorkerReply::Accepted
+    }
+}
+
+/// An entry instance that owns, or owned, the group.
+pub struct Owner {
+    pub group: TaskGroup,
+    pub step: StepContext,
+    pub models: TaskModels,
+    pub has_right: bool,
+}
+
+enum Message {
+    Store(StoreRequest, Fault),
+    Worker(String, WorkerRequest, Fault),
+    StoreEnd(Result<StoreReply, ExchangeError>),
+    WorkerEnd(Result<WorkerReply, ExchangeError>),
+}
+
+/// Everything.
+pub struct World {
+    pub now: MonotonicTime,
+    pub owners: Vec<Owner>,
+    pub store: FakeStore,
+    pub store_fault: Fault,
+    pub workers: BTreeMap<String, FakeWorker>,
+    pub victims: Vec<(String, u32)>,
+    pub profiles: BTreeMap<String, WorkProfile>,
+    pub answers: BTreeMap<ReplyId, CallerAnswer>,
+    pub samples: Vec<TaskSample>,
+    pub logs: Vec<LogRecord>,
+    /// Chance in percent of a fault for each message.
+    pub fault_percent: u32,
+    pub rng: ChaCha8Rng,
+    pub tickets: u64,
+    /// When a result of a task was first reported to an owner.
+    reported: BTreeMap<(usize, String), MonotonicTime>,
+    replies: ReplyId,
+    queue: Vec<(MonotonicTime, usize, ExchangeId, Message)>,
+}
+
+pub fn profile(name: &str, attempts: u32) -> WorkProfile {
+    let text = format!(
+        r#"{{"name":"{name}","kind":"batch","deadline_ms":60000,"max_attempts":{attempts}}}"#
+    );
+    WorkProfile::from_json(text.as_bytes()).expect("the profile is valid")
+}
+
+fn settings() -> EntrySettings {
+    EntrySettings::from_json(
+        br#"{"instance":"d1","zone":"dublin","http_address":"127.0.0.1:8080",
+        "peer_address":"127.0.0.1:8081","store_addresses":["127.0.0.1:2379"],
+        "list_address":"127.0.0.1:8500"}"#,
+    )
+    .expect("the settings are valid")
+}
+
+impl World {
+    /// Workers `w0`, `w1` and so on of 4 cores, and an owner that has read the empty ledger.
+    pub fn new(workers: usize, seed: u64) -> Self {
+        let worker = |index| (format!("w{index}"), FakeWorker::new(cores(4)));
+        let mut world = Self {
+            now: secs(1),
+            owners: Vec::new(),
+            store: FakeStore::default(),
+            store_fault: Fault::None,
+            workers: (0..workers).map(worker).collect(),
+            victims: Vec::new(),
+            profiles: BTreeMap::from([("orders".to_owned(), profile("orders", 3))]),
+            answers: BTreeMap::new(),
+            samples: Vec::new(),
+            logs: Vec::new(),
+            fault_percent: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            tickets: 0,
+            reported: BTreeMap::new(),
+            replies: 0,
+            queue: Vec::new(),
+        };
+        world.take_over();
+        world.run(millis(500));
+        world
+    }
+
+    /// A new owner takes the group over; the last one has lost its right to act by now.
+    pub fn take_over(&mut self) {
+        self.owners.iter_mut().for_each(|owner| owner.has_right = false);
+        let epoch = self.owners.len() as u64 + 1;
+        self.store.put(&epoch_key(ZONE, 0), epoch.to_string());
+        let mut step = StepContext::new(settings(), epoch);
+        step.begin(self.now);
+        let probe_from = if epoch == 1 { self.now } else { self.now + secs(1) };
+        let group = TaskGroup::new(ZONE, 0, epoch, self.now, probe_from);
+        let models = TaskModels::default();
+        self.owners.push(Owner { group, step, models, has_right: true });
+        for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+            self.set_state(&name, TargetState::Live);
+        }
+    }
+
+    pub fn set_state(&mut self, name: &str, state: TargetState) {
+        let target = TargetEntry {
+            name: name.to_owned(),
+            role: ListedRole::Worker { size: self.workers[name].size },
+            address: format!("10.0.0.1:{}", name[1..].parse::<u16>().expect("a number"))
+                .parse()
+                .expect("an address"),
+            rack: "r".to_owned(),
+            machine: format!("machine-{name}"),
+            group: 0,
+            state,
+        };
+        let owner = self.owners.len() - 1;
+        self.with_owner(owner, |group, step, _, scene| group.on_target(step, scene, &target));
+    }
+
+    pub fn with_owner(
+        &mut self,
+        index: usize,
+        run: impl FnOnce(&mut TaskGroup, &mut StepContext, &mut TaskModels, &GroupScene<'_>),
+    ) {
+        let (now, profiles, victims, workers) =
+            (self.now, &self.profiles, &self.victims, &self.workers);
+        let owner = &mut self.owners[index];
+        let scene = GroupScene {
+            right_until: owner.has_right.then_some(now + secs(2)),
+            profile: &|name| profiles.get(name),
+            classes_on: &|_| victims.clone(),
+            could_hold: &|size| Some(workers.values().any(|worker| size.fits(&worker.size))),
+        };
+        owner.step.begin(now);
+        owner.step.set_wall(SystemTime::UNIX_EPOCH + now);
+        run(&mut owner.group, &mut owner.step, &mut owner.models, &scene);
+        self.samples.extend(owner.group.take_samples());
+        owner.step.take_observations();
+        for effect in owner.step.take_effects() {
+            self.carry_out(index, effect);
+        }
+    }
+
+    fn draw_fault(&mut self, forced: Fault) -> Fault {
+        if forced != Fault::None || !self.rng.random_ratio(self.fault_percent, 100) {
+            return forced;
+        }
+        [Fault::Unsent, Fault::RequestLost, Fault::AnswerLost][self.rng.random_range(0..3)]
+    }
+
+    fn carry_out(&mut self, owner: usize, effect: EntryEffect) {
+        // A few messages are slow, within the transit bound.
+        let slow = self.fault_percent > 0 && self.rng.random_ratio(1, 20);
+        let delay = if slow { millis(self.rng.random_range(20..900)) } else { TICK };
+        match effect {
+            EntryEffect::Answer { reply, answer }
+            | EntryEffect::AnswerPeer { reply, answer: PeerReply::Answer(answer) } => {
+                let earlier = self.answers.insert(reply, answer);
+                assert!(earlier.is_none(), "reply {reply} was answered twice");
+            }
+            EntryEffect::CallStore { exchange, request, .. } => {
+                let fault = self.draw_fault(self.store_fault);
+                self.send(owner, exchange, delay, fault, Message::Store(request, fault));
+            }
+            EntryEffect::CallWorker { exchange, address, request, .. } => {
+                let name = format!("w{}", address.port());
+                let fault = self.draw_fault(self.workers[&name].fault);
+                let message = Message::Worker(name, request, fault);
+                self.send(owner, exchange, delay, fault, message);
+            }
+            EntryEffect::Log(record) => self.logs.push(record),
+            other => panic!("unexpected effect {other:?}"),
+        }
+    }
+
+    fn send(&mut self, owner: usize, id: ExchangeId, delay: Duration, fault: Fault, sent: Message) {
+        let is_store = matches!(sent, Message::Store(..));
+        let failed = |error| {
+            if is_store {
+                Message::StoreEnd(Err(error))
+            } else {
+                Message::WorkerEnd(Err(error))
+            }
+        };
+        match fault {
+            Fault::None => self.queue.push((self.now + delay, owner, id, sent)),
+            Fault::Unsent => {
+                let end = failed(ExchangeError::NotSent);
+                self.queue.push((self.now + TICK, owner, id, end));
+            }
+            Fault::RequestLost => {
+                self.queue.push((self.now + secs(1), owner, id, failed(ExchangeError::Lost)));
+            }
+            Fault::AnswerLost => {
+                self.queue.push((self.now + delay, owner, id, sent));
+                self.queue.push((self.now + secs(1), owner, id, failed(ExchangeError::Lost)));
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let (due, later) =
+            std::mem::take(&mut self.queue).into_iter().partition(|(at, ..)| *at <= self.now);
+        self.queue = later;
+        let due: Vec<(MonotonicTime, usize, ExchangeId, Message)> = due;
+        for (_, owner, id, message) in due {
+            match message {
+                Message::Store(request, fault) => {
+                    let reply = self.store.call(&request);
+                    if fault == Fault::None {
+                        let end = Message::StoreEnd(Ok(reply));
+                        self.queue.push((self.now + TICK, owner, id, end));
+                    }
+                }
+                Message::Worker(name, request, fault) => {
+                    self.check_start(owner, &request);
+                    let worker = self.workers.get_mut(&name).expect("the worker exists");
+                    let reply = worker.call(self.now, &request);
+                    if fault == Fault::None {
+                        let end = Message::WorkerEnd(Ok(reply));
+                        self.queue.push((self.now + TICK, owner, id, end));
+                    }
+                }
+                Message::StoreEnd(result) => self.with_owner(owner, |group, step, _, scene| {
+                    group.on_store_ended(step, scene, id, &result);
+                }),
+                Message::WorkerEnd(result) => {
+                    self.note_results(owner, &result);
+                    self.with_owner(owner, |group, step, models, scene| {
+                        group.on_worker_ended(step, scene, models, id, &result);
+                    });
+                }
+            }
+        }
+    }
+
+    fn note_results(&mut self, owner: usize, result: &Result<WorkerReply, ExchangeError>) {
+        let Ok(WorkerReply::Listed(report)) = result else { return };
+        for ended in &report.ended {
+            if matches!(ended.end, AttemptEnd::Finished { .. }) {
+                self.reported.entry((owner, ended.task.clone())).or_insert(self.now);
+            }
+        }
+    }
+
+    /// No task begins again once its result was reported; a start may be under way for a second.
+    fn check_start(&self, owner: usize, request: &WorkerRequest) {
+        let WorkerRequest::Start(start) = request else { return };
+        if let Some(at) = self.reported.get(&(owner, start.task.clone())) {
+            assert!(self.now <= *at + secs(1), "{} begins after its result", start.task);
+        }
+    }
+
+    /// Runs for a time and checks after each tick what must always hold.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            let now = self.now;
+            self.workers.values_mut().for_each(|worker| worker.advance(now));
+            self.deliver();
+            for owner in 0..self.owners.len() {
+                self.with_owner(owner, |group, step, models, scene| {
+                    group.on_tick(step, scene, models);
+                });
+            }
+            self.check();
+        }
+    }
+
+    /// Runs until a condition holds, for a minute at most.
+    pub fn run_until(&mut self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let end = self.now + secs(60);
+        while !condition(self) {
+            assert!(self.now < end, "{what} did not happen within a minute");
+            self.run(TICK);
+        }
+    }
+
+    /// I1 and I2: no worker holds more than its size, no task runs in two places.
+    fn check(&self) {
+        let mut seen = BTreeMap::new();
+        for (name, worker) in &self.workers {
+            assert!(worker.held().fits(&worker.size), "{name} holds more than its size");
+            for task in worker.running.keys() {
+                if let Some(other) = seen.insert(task, name) {
+                    panic!("task {task} runs on {other} and {name} at {:?}", self.now);
+                }
+            }
+        }
+    }
+
+    pub fn next_ticket(&mut self) -> RequestTicket {
+        self.tickets += 1;
+        let epoch = self.owners.len() as u64;
+        RequestTicket { zone: ZONE.to_owned(), group: 0, epoch, sequence: self.tickets }
+    }
+
+    pub fn submission(&self, ticket: &RequestTicket, run_ms: u64) -> TaskSubmission {
+        TaskSubmission {
+            ticket: ticket.clone(),
+            profile: "orders".to_owned(),
+            customer: "griddle".to_owned(),
+            class: "plan".to_owned(),
+            size: cores(1),
+            declared_run_ms: None,
+            input: format!(r#"{{"run_ms":{run_ms}}}"#),
+        }
+    }
+
+    pub fn send_submission(&mut self, submission: TaskSubmission) -> ReplyId {
+        self.replies += 1;
+        let waiter = Waiter { reply: self.replies, peer: false };
+        let owner = self.owners.len() - 1;
+        self.with_owner(owner, |group, step, _, scene| {
+            group.submit(step, scene, waiter, submission);
+        });
+        self.replies
+    }
+
+    /// Submits a task and returns its ticket and the reply.
+    pub fn submit(&mut self, run_ms: u64) -> (RequestTicket, ReplyId) {
+        let ticket = self.next_ticket();
+        let reply = self.send_submission(self.submission(&ticket, run_ms));
+        (ticket, reply)
+    }
+
+    pub fn ask(&mut self, ticket: &RequestTicket, query: TaskQuery) -> ReplyId {
+        self.replies += 1;
+        let waiter = Waiter { reply: self.replies, peer: false };
+        let (owner, task) = (self.owners.len() - 1, TaskId::of(ticket));
+        self.with_owner(owner, |group, step, _, _| group.query(step, waiter, task, query));
+        self.replies
+    }
+
+    pub fn answer(&self, reply: ReplyId) -> &CallerAnswer {
+        self.answers.get(&reply).expect("the reply has its answer")
+    }
+
+    pub fn outcome(&self, reply: ReplyId) -> Option<CallOutcome> {
+        self.answers.get(&reply).map(|answer| answer.outcome)
+    }
+
+    pub fn group(&self) -> &TaskGroup {
+        &self.owners.last().expect("there is an owner").group
+    }
+
+    /// Returns the state of a task in the ledger of the owner.
+    pub fn state(&self, ticket: &RequestTicket) -> &'static str {
+        let record = self.group().ledger().get(TaskId::of(ticket));
+        record.map_or("absent", |record| record.state.name())
+    }
+
+    /// Returns the worker that runs a task.
+    pub fn worker_of(&self, ticket: &RequestTicket) -> Option<String> {
+        let id = ticket.to_string();
+        let found = self.workers.iter().find(|(_, worker)| worker.running.contains_key(&id));
+        found.map(|(name, _)| name.clone())
+    }
+
+    /// Returns all starts of a task that a worker took, in order.
+    pub fn starts_of(&self, ticket: &RequestTicket) -> Vec<(MonotonicTime, String, TaskStart)> {
+        let id = ticket.to_string();
+        let mut starts: Vec<_> = self
+            .workers
+            .iter()
+            .flat_map(|(name, worker)| {
+                worker.starts.iter().map(move |(at, start)| (*at, name.clone(), start.clone()))
+            })
+            .filter(|(_, _, start)| start.task == id)
+            .collect();
+        starts.sort_by_key(|(at, ..)| *at);
+        starts
+    }
+}
--- /dev/null
+++ b/crates/cuminbank/tests/tasks_workers.rs
@@ -0,0 +1,308 @@
+//! Starts, leases, takeovers, evictions and faulty workers.
+
+mod tasks_support;
+
+use std::time::Duration;
+
+use cuminbank::{
+    event::TaskQuery,
+    ids::RequestTicket,
+    ledger::TaskId,
+    membership::TargetState,
+    reducer::records::TaskMark,
+    settings::PlacementPolicy,
+    worker::{AttemptEnd, EndedTask, UsageWindow},
+};
+use tasks_support::{millis, secs, Fault, World};
+
+fn marks(world: &World, mark: TaskMark) -> usize {
+    world.samples.iter().filter(|sample| sample.mark == mark).count()
+}
+
+/// Returns the checkpoint of the last start.
+fn last_checkpoint(world: &World, ticket: &RequestTicket) -> Option<u64> {
+    let starts = world.starts_of(ticket);
+    starts.last()?.2.checkpoint.as_ref().map(|text| text.parse().expect("a number"))
+}
+
+/// Guards against a second attempt beside one whose start had its answer lost.
+#[test]
+fn lost_start_is_looked_up() {
+    for fault in [Fault::AnswerLost, Fault::RequestLost, Fault::Unsent] {
+        let mut world = World::new(2, 1);
+        let faulty = |world: &mut World, fault| {
+            world.workers.values_mut().for_each(|worker| worker.fault = fault);
+        };
+        let (ticket, _) = world.submit(3_000);
+        world.run(millis(60));
+        faulty(&mut world, fault);
+        world.run_until("the start", |world| !world.group().runs().is_empty());
+        world.run(millis(100));
+        faulty(&mut world, Fault::None);
+        world.run_until("the end", |world| world.state(&ticket) == "finished");
+        assert_eq!(world.starts_of(&ticket).len(), 1, "{fault:?}");
+    }
+}
+
+/// Guards against running a task twice, or losing it, when its worker is cut off: the next
+/// attempt begins after the lease has lapsed there, and late news of the first changes nothing.
+#[test]
+fn silent_worker_loses_its_tasks_after_the_lease() {
+    let mut world = World::new(2, 1);
+    let (ticket, _) = world.submit(20_000);
+    world.run(secs(3));
+    let first = world.worker_of(&ticket).expect("the task runs");
+    world.workers.get_mut(&first).unwrap().fault = Fault::RequestLost;
+    let cut_at = world.now;
+    world.run_until("the second start", |world| world.starts_of(&ticket).len() == 2);
+    let (at, second, _) = world.starts_of(&ticket)[1].clone();
+    assert!(at >= cut_at + secs(5), "the lease has not lapsed: {at:?} after {cut_at:?}");
+    assert!(at <= cut_at + secs(13), "{at:?} after {cut_at:?}");
+    assert_ne!(first, second);
+    assert!(last_checkpoint(&world, &ticket).is_some(), "it resumes from the last checkpoint");
+    world.workers.get_mut(&first).unwrap().fault = Fault::None;
+    world.run_until("the end", |world| world.state(&ticket) == "finished");
+    world.run(secs(3));
+    assert_eq!(marks(&world, TaskMark::Finished), 1);
+    assert_eq!(marks(&world, TaskMark::Resumed), 1);
+    assert_eq!(marks(&world, TaskMark::Doubled), 0);
+}
+
+/// Guards against starting an inherited attempt again, once or after a second takeover.
+#[test]
+fn takeover_adopts_running_attempts() {
+    let mut world = World::new(2, 1);
+    let (ticket, _) = world.submit(30_000);
+    world.run(secs(1));
+    for _ in 0..3 {
+        world.take_over();
+        world.run(millis(700));
+    }
+    world.run_until("the end", |world| world.state(&ticket) == "finished");
+    assert_eq!(world.starts_of(&ticket).len(), 1);
+}
+
+/// Guards against a next attempt before an unreachable worker of the last owner has stopped.
+#[test]
+fn takeover_waits_for_unreachable_workers() {
+    let mut world = World::new(2, 1);
+    let (ticket, _) = world.submit(30_000);
+    world.run(secs(1));
+    let first = world.worker_of(&ticket).expect("the task runs");
+    world.workers.get_mut(&first).unwrap().fault = Fault::RequestLost;
+    world.take_over();
+    let taken_at = world.now;
+    world.run_until("the second start", |world| world.starts_of(&ticket).len() == 2);
+    let (at, second, _) = world.starts_of(&ticket)[1].clone();
+    assert!(at >= taken_at + secs(7), "{at:?} after {taken_at:?}");
+    assert_ne!(first, second);
+}
+
+/// Guards against a start that goes out although its segment is not committed, and against a
+/// committed start that is forgotten by the next owner.
+#[test]
+fn committed_start_of_a_dead_owner_is_settled() {
+    let mut world = World::new(1, 1);
+    world.workers.get_mut("w0").unwrap().fault = Fault::RequestLost;
+    let (ticket, _) = world.submit(1_000);
+    world.run(millis(400));
+    assert_eq!(world.group().runs().len(), 1);
+    world.take_over();
+    world.workers.get_mut("w0").unwrap().fault = Fault::None;
+    world.run_until("the end", |world| world.state(&ticket) == "finished");
+    let starts = world.starts_of(&ticket);
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].2.attempt, 2, "the first attempt never reached the worker");
+}
+
+/// Guards against a restarted worker whose numbering of ends begins anew: its ends must not be
+/// taken for old ones.
+#[test]
+fn restarted_worker_loses_no_end() {
+    let mut world = World::new(1, 1);
+    for _ in 0..5 {
+        world.submit(100);
+    }
+    world.run(secs(4));
+    let (ticket, _) = world.submit(1_500);
+    world.run(secs(1));
+    let worker = world.workers.get_mut("w0").unwrap();
+    worker.ended.clear();
+    world.run_until("the end", |world| world.state(&ticket) == "finished");
+    assert_eq!(world.starts_of(&ticket).len(), 1);
+}
+
+/// Guards against an eviction that loses its checkpoint, resumes twice, returns to the same
+/// machine, or leaves the task uncommitted.
+#[test]
+fn evicted_task_resumes_once_from_its_checkpoint_elsewhere() {
+    for fault in [Fault::None, Fault::AnswerLost] {
+        let mut world = World::new(2, 1);
+        let (ticket, _) = world.submit(30_000);
+        world.run(secs(2));
+        let first = world.worker_of(&ticket).expect("the task runs");
+        let mut reports = 0;
+        while world.workers[&first].running.contains_key(&ticket.to_string()) {
+            let worker = world.workers.get_mut(&first).unwrap();
+            reports += 1;
+            // The answer of the stop is lost, not those of the reports that lead to it.
+            worker.fault = if reports > 5 { fault } else { Fault::None };
+            worker.usage.push(UsageWindow {
+                length_ms: 1_000,
+                age_ms: 500,
+                neighbours: vec![("plan".to_owned(), 1.0)],
+                slowdowns: vec![("reserve".to_owned(), 3.0)],
+            });
+            world.run(secs(1));
+            assert!(reports < 10, "no eviction after {reports} reports");
+        }
+        world.workers.get_mut(&first).unwrap().fault = Fault::None;
+        assert_eq!(world.workers[&first].throttles[0].1, 50, "it is throttled first");
+        world.run_until("the resume", |world| world.starts_of(&ticket).len() == 2);
+        let (_, second, start) = world.starts_of(&ticket)[1].clone();
+        assert_ne!(first, second);
+        assert_eq!(start.attempt, 2);
+        assert!(last_checkpoint(&world, &ticket).is_some());
+        world.run_until("the end", |world| world.state(&ticket) == "finished");
+        assert_eq!(world.starts_of(&ticket).len(), 2);
+        assert_eq!(marks(&world, TaskMark::Resumed), 1);
+        let record = world.group().ledger().get(TaskId::of(&ticket)).expect("it is kept");
+        assert!(record.evictions <= 1);
+    }
+}
+
+/// Guards against a stop whose checkpoint cannot be committed while the store is down.
+#[test]
+fn evictions_wait_for_the_store() {
+    let mut world = World::new(2, 1);
+    let (ticket, _) = world.submit(60_000);
+    world.run(secs(2));
+    let first = world.worker_of(&ticket).expect("the task runs");
+    world.store_fault = Fault::RequestLost;
+    world.submit(10);
+    world.run(secs(3));
+    world.workers.get_mut(&first).unwrap().leaving = true;
+    world.run(secs(3));
+    assert_eq!(world.worker_of(&ticket), Some(first.clone()));
+    world.store_fault = Fault::None;
+    world.run_until("the move", |world| world.starts_of(&ticket).len() == 2);
+    assert_ne!(world.worker_of(&ticket), Some(first));
+}
+
+/// Guards against new work for a leaving or suspect worker, and against tasks left on the
+/// leaving one.
+#[test]
+fn leaving_workers_are_emptied() {
+    for own_report in [true, false] {
+        let mut world = World::new(2, 1);
+        let tickets: Vec<_> = (0..3).map(|_| world.submit(30_000).0).collect();
+        world.run(secs(2));
+        let first = world.worker_of(&tickets[0]).expect("the task runs");
+        if own_report {
+            world.workers.get_mut(&first).unwrap().leaving = true;
+        } else {
+            world.set_state(&first, TargetState::Leaving);
+        }
+        let left_at = world.now;
+        world.run(secs(3));
+        assert!(world.workers[&first].running.is_empty());
+        let late = world.workers[&first].starts.iter().filter(|(at, _)| *at > left_at);
+        assert_eq!(late.count(), 0);
+        for ticket in &tickets {
+            assert!(world.worker_of(ticket).is_some(), "{ticket} runs elsewhere");
+        }
+    }
+    let mut world = World::new(1, 1);
+    world.set_state("w0", TargetState::Suspect);
+    world.submit(10);
+    world.run(secs(3));
+    assert!(world.workers["w0"].starts.is_empty());
+}
+
+/// Guards against a job that fails everywhere and is tried for ever, or on one worker only.
+#[test]
+fn failing_job_ends_after_distinct_workers() {
+    let mut world = World::new(4, 1);
+    world.workers.values_mut().for_each(|worker| worker.fails_all = true);
+    let (ticket, _) = world.submit(1_000);
+    world.run_until("the end", |world| world.state(&ticket) == "failed");
+    let mut names: Vec<_> = world.starts_of(&ticket).into_iter().map(|(_, name, _)| name).collect();
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), 3);
+    world.run(secs(1));
+    let result = world.ask(&ticket, TaskQuery::Result);
+    let body = String::from_utf8_lossy(&world.answer(result).body).into_owned();
+    assert!(body.contains("cannot run"), "{body}");
+}
+
+/// Guards against a worker that fails everything and draws the work of the others: it gets under
+/// 2 % of the starts in the minute after its first failures.
+#[test]
+fn worker_that_fails_everything_gets_few_starts() {
+    let mut world = World::new(8, 1);
+    world.workers.get_mut("w3").unwrap().fails_all = true;
+    let began = world.now;
+    while world.now < began + secs(70) {
+        world.submit(100);
+        world.submit(100);
+        world.run(millis(80));
+    }
+    let first = world.workers["w3"].starts.first().expect("it got some work").0;
+    // Results are known a second after the first starts at the latest.
+    let counted = |at: Duration| at > first + millis(1_500) && at <= first + millis(61_500);
+    let starts = |worker: &tasks_support::FakeWorker| {
+        worker.starts.iter().filter(|(at, _)| counted(*at)).count()
+    };
+    let all: usize = world.workers.values().map(starts).sum();
+    let faulty = starts(&world.workers["w3"]);
+    assert!(all > 500, "{all} starts");
+    assert!(faulty * 50 < all, "{faulty} of {all} starts");
+}
+
+/// Guards against counting a repeated report as a second result, and against missing a real one.
+#[test]
+fn second_result_is_counted_and_changes_nothing() {
+    let mut world = World::new(2, 1);
+    let (ticket, _) = world.submit(500);
+    world.run_until("the end", |world| world.state(&ticket) == "finished");
+    world.run(secs(2));
+    world.take_over();
+    world.run(secs(4));
+    assert_eq!(marks(&world, TaskMark::Doubled), 0, "the same end was reported again");
+    let before = world.group().ledger().get(TaskId::of(&ticket)).cloned();
+    world.workers.get_mut("w1").unwrap().ended.push(EndedTask {
+        sequence: 77,
+        task: ticket.to_string(),
+        attempt: 0,
+        end: AttemptEnd::Finished { result: serde_json::json!("other") },
+    });
+    world.run(secs(3));
+    assert_eq!(marks(&world, TaskMark::Doubled), 1);
+    assert_eq!(world.group().ledger().get(TaskId::of(&ticket)).cloned(), before);
+}
+
+/// Guards against urgent batch work that waits for more than the commit and the call.
+#[test]
+fn first_start_follows_acceptance_at_once() {
+    let mut world = World::new(2, 1);
+    let submitted_at = world.now;
+    let (ticket, _) = world.submit(1_000);
+    world.run_until("the start", |world| !world.starts_of(&ticket).is_empty());
+    assert!(world.now <= submitted_at + millis(1_300), "{:?}", world.now - submitted_at);
+}
+
+/// Guards against placing work where it is known to slow urgent calls while there is a better
+/// machine, and against a baseline that cannot place at all.
+#[test]
+fn policies_place() {
+    for policy in
+        [PlacementPolicy::Learned, PlacementPolicy::LeastLoaded, PlacementPolicy::RandomQueue]
+    {
+        let mut world = World::new(3, 1);
+        world.owners[0].step.settings.policy = policy;
+        let tickets: Vec<_> = (0..6).map(|_| world.submit(20_000).0).collect();
+        world.run(secs(2));
+        assert!(tickets.iter().all(|ticket| world.worker_of(ticket).is_some()), "{policy:?}");
+    }
+}
