Start batch tasks by shape, keep room for large ones, adopt only inherited attempts

Cause: the start queue looked at the first 16 tasks of a customer only, so 16 tasks that wait for accelerators, or that no worker of the group can hold, held up all others of that customer; and a task that needs a whole worker could be overtaken for ever. Ruled out: looking at every queued task, whose cost grows with the queue. Before: tasks behind such a head waited. After: a few tasks of each shape are looked at, tasks too large for the group are set aside until a worker of a new size comes, and after 60 s a worker is kept free for the task that has waited longest. Conclusion: the cost of a step stays bounded, and every task that fits a worker starts.

--- a/crates/cuminbank/src/reducer/tasks/group.rs
+++ b/crates/cuminbank/src/reducer/tasks/group.rs
@@ -13,7 +13,7 @@
         OwnerEpoch, ProfileName, ReplyId, TargetName, ZoneName,
     },
     interference::PairLearner,
-    ledger::{JournalEntry, Placement, TaskId, TaskLedger, TaskRecord, TaskState},
+    ledger::{JournalEntry, Placement, TaskId, TaskLedger, TaskState},
     membership::TargetEntry,
     message::PeerReply,
     profile::WorkProfile,
@@ -46,7 +46,6 @@
 
 const WORKER_WINDOW: Duration = Duration::from_millis(500);
 const WORKER_TIMEOUT: Duration = Duration::from_secs(2);
-const DEFAULT_PRIORITY: u8 = 5;
 
 /// What a group reads from the rest of the reducer in one step.
 #[derive(Clone, Copy)]
@@ -141,6 +140,8 @@
     pub phase: RunPhase,
     /// Time at which the lease has surely lapsed.
     pub lapse_at: MonotonicTime,
+    /// Whether the last owner started it.
+    pub inherited: bool,
     /// When the attempt was first known to run.
     pub confirmed_at: Option<MonotonicTime>,
     /// Last checkpoint that the worker reported.
@@ -209,7 +210,8 @@
     pub(super) refused: RefusedTickets,
     pub(super) start_wanted: bool,
     pub(super) starts_at: MonotonicTime,
-    pub(super) unpark_at: MonotonicTime,
+    /// Task that has waited long for room, and the worker that is kept free for it.
+    pub(super) room_kept: Option<(TaskId, TargetName)>,
 }
 
 impl TaskGroup {
@@ -244,7 +246,7 @@
             refused: RefusedTickets::default(),
             start_wanted: false,
             starts_at: MonotonicTime::ZERO,
-            unpark_at: MonotonicTime::ZERO,
+            room_kept: None,
         }
     }
 
@@ -301,8 +303,9 @@
         let first = self.probe_from.max(step.now());
         let known = self.workers.get(&target.name).is_some_and(|worker| worker.listed);
         let due = if known { first + Duration::from_millis(spread) } else { first };
-        self.workers.update(target, due);
-        self.unpark_at = step.now();
+        if self.workers.update(target, due) {
+            self.queue.unpark();
+        }
         self.start_wanted = true;
         self.place_worker(step.now(), scene, None, &target.name);
         if target.state == crate::membership::TargetState::Leaving {
@@ -470,8 +473,7 @@
         let Some(record) = self.ledger.get(task) else { return };
         match record.state {
             TaskState::Queued => {
-                let priority = priority_of(scene, record);
-                self.queue.push(now, task, &record.body.customer, priority);
+                self.requeue(now, scene, task);
                 self.start_wanted = true;
             }
             TaskState::Placed => self.queue.remove(task),
@@ -523,6 +525,7 @@
             class: body.class.clone(),
             phase,
             lapse_at,
+            inherited: matches!(phase, RunPhase::Unsure(_)),
             confirmed_at: None,
             checkpoint: record.checkpoint.clone(),
             percent: 100,
@@ -580,8 +583,3 @@
         })
     }
 }
-
-/// Returns the place of a task in the order of starts.
-pub(super) fn priority_of(scene: &GroupScene<'_>, record: &TaskRecord) -> u8 {
-    (scene.profile)(&record.body.profile).map_or(DEFAULT_PRIORITY, |profile| profile.priority)
-}
--- a/crates/cuminbank/src/reducer/tasks/queue.rs
+++ b/crates/cuminbank/src/reducer/tasks/queue.rs
@@ -1,15 +1,26 @@
-//! Tasks that wait for a start, by customer and priority.
+//! Tasks that wait for a start, by customer, shape and priority.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::{
     ids::{CustomerName, MonotonicTime},
     ledger::TaskId,
+    worker::ResourceSize,
 };
 
+/// Tasks of one shape that are looked at past one that finds no room.
+const TASKS_PER_SHAPE: usize = 4;
+/// Tasks of a customer that are looked at in a step, so that its cost is bounded.
+const TASKS_LOOKED_AT: usize = 64;
+
+/// Sizes by powers of two. Tasks of one shape wait for each other, those of different shapes do
+/// not: a queue for the few accelerators must not hold up tasks that need none.
+type TaskShape = (u32, u32, u32);
+
 #[derive(Debug)]
 struct QueuedTask {
     customer: CustomerName,
+    shape: TaskShape,
     priority: u8,
     since: MonotonicTime,
 }
@@ -18,17 +29,26 @@
 #[derive(Debug, Default)]
 pub struct StartQueue {
     tasks: HashMap<TaskId, QueuedTask>,
-    customers: BTreeMap<CustomerName, BTreeSet<(u8, TaskId)>>,
+    customers: BTreeMap<CustomerName, BTreeMap<TaskShape, BTreeSet<(u8, TaskId)>>>,
     parked: BTreeSet<TaskId>,
 }
 
 impl StartQueue {
     /// Adds a task.
-    pub fn push(&mut self, now: MonotonicTime, task: TaskId, customer: &str, priority: u8) {
+    pub fn push(
+        &mut self,
+        now: MonotonicTime,
+        task: TaskId,
+        customer: &str,
+        size: &ResourceSize,
+        priority: u8,
+    ) {
         self.remove(task);
-        let queued = QueuedTask { customer: customer.to_owned(), priority, since: now };
-        self.customers.entry(queued.customer.clone()).or_default().insert((priority, task));
-        self.tasks.insert(task, queued);
+        let shape =
+            (size.accelerators, size.millicores.max(1).ilog2(), size.memory_mib.max(1).ilog2());
+        let customer = customer.to_owned();
+        self.tasks.insert(task, QueuedTask { customer, shape, priority, since: now });
+        self.add_to_customer(task);
     }
 
     /// Removes a task.
@@ -48,26 +68,22 @@
     /// Brings all parked tasks back.
     pub fn unpark(&mut self) {
         for task in std::mem::take(&mut self.parked) {
-            let Some(queued) = self.tasks.get(&task) else { continue };
-            let entry = (queued.priority, task);
-            self.customers.entry(queued.customer.clone()).or_default().insert(entry);
+            self.add_to_customer(task);
         }
     }
 
-    /// Tells whether a task is parked.
-    pub fn has_parked(&self) -> bool {
-        !self.parked.is_empty()
-    }
-
     /// Returns the customers with tasks to start.
     pub fn customers(&self) -> impl Iterator<Item = &str> {
         self.customers.keys().map(String::as_str)
     }
 
-    /// Returns the first tasks of a customer in the order of starts.
-    pub fn first(&self, customer: &str, count: usize) -> Vec<TaskId> {
-        let tasks = self.customers.get(customer);
-        tasks.into_iter().flatten().take(count).map(|(_, task)| *task).collect()
+    /// Returns the first tasks of a customer in the order of starts, a few of each shape.
+    pub fn first(&self, customer: &str) -> Vec<TaskId> {
+        let shapes = self.customers.get(customer).into_iter().flatten();
+        let mut tasks: Vec<_> =
+            shapes.flat_map(|(_, tasks)| tasks.iter().take(TASKS_PER_SHAPE)).copied().collect();
+        tasks.sort_unstable();
+        tasks.into_iter().take(TASKS_LOOKED_AT).map(|(_, task)| task).collect()
     }
 
     /// Returns since when a task waits.
@@ -85,11 +101,21 @@
         self.tasks.is_empty()
     }
 
+    fn add_to_customer(&mut self, task: TaskId) {
+        let Some(queued) = self.tasks.get(&task) else { return };
+        let shapes = self.customers.entry(queued.customer.clone()).or_default();
+        shapes.entry(queued.shape).or_default().insert((queued.priority, task));
+    }
+
     fn take_from_customer(&mut self, task: TaskId) {
         let Some(queued) = self.tasks.get(&task) else { return };
-        let Some(tasks) = self.customers.get_mut(&queued.customer) else { return };
+        let Some(shapes) = self.customers.get_mut(&queued.customer) else { return };
+        let Some(tasks) = shapes.get_mut(&queued.shape) else { return };
         tasks.remove(&(queued.priority, task));
         if tasks.is_empty() {
+            shapes.remove(&queued.shape);
+        }
+        if shapes.is_empty() {
             self.customers.remove(&queued.customer);
         }
     }
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -326,10 +326,11 @@
             return RunMatch::Known;
         }
         run.phase = RunPhase::Running;
-        if run.confirmed_at.is_some() {
+        let is_new = run.confirmed_at.is_none();
+        run.confirmed_at.get_or_insert(step.now());
+        if !(is_new && run.inherited) {
             return RunMatch::Known;
         }
-        run.confirmed_at = Some(step.now());
         step.log(TASK_ADOPTED, format!("{} on {name}", running.task));
         RunMatch::Adopted
     }
--- a/crates/cuminbank/src/reducer/tasks/starting.rs
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -25,9 +25,8 @@
     workers::WorkerState,
 };
 
-/// Tasks of a customer that are looked at past one that finds no room. The bound keeps the cost
-/// of a step constant and lets large tasks be overtaken by a few small ones only.
-const TASKS_LOOKED_AT: usize = 16;
+/// Place of a task whose profile was deleted, the default of profiles.
+const DEFAULT_PRIORITY: u8 = 5;
 /// Workers looked at for a start; the index gives the best ones first.
 const WORKERS_LOOKED_AT: usize = 64;
 /// Suitable workers that are compared for a start.
@@ -38,7 +37,9 @@
 /// Time after which blocked starts are tried again without any change of the workers: a
 /// slowdown, a quarantine or an avoided machine may have passed.
 const START_INTERVAL: Duration = Duration::from_secs(1);
-const UNPARK_INTERVAL: Duration = Duration::from_secs(5);
+/// Wait after which a worker is kept free for a task. Without it small tasks that arrive all the
+/// time would fill every gap, and a large task would never start.
+const ROOM_PATIENCE: Duration = Duration::from_secs(60);
 const AVOID_UNREACHED: Duration = Duration::from_secs(1);
 const AVOID_FULL: Duration = Duration::from_secs(2);
 
@@ -53,14 +54,10 @@
         at_ms: u64,
     ) {
         let now = step.now();
-        if self.queue.has_parked() && now >= self.unpark_at {
-            self.unpark_at = now + UNPARK_INTERVAL;
-            self.queue.unpark();
-            self.start_wanted = true;
-        }
         if now >= self.starts_at {
             self.starts_at = now + START_INTERVAL;
             self.start_wanted = true;
+            self.keep_room(now);
         }
         if !self.start_wanted || scene.right_until.is_none_or(|until| until <= now) {
             return;
@@ -92,7 +89,7 @@
         models: &TaskModels,
         customer: &str,
     ) -> Option<(TaskId, Placement)> {
-        for task in self.queue.first(customer, TASKS_LOOKED_AT) {
+        for task in self.queue.first(customer) {
             let record = self.ledger.get(task)?;
             if !self.workers.could_hold(&record.body.size) {
                 self.queue.park(task);
@@ -122,6 +119,7 @@
                 && reserved_on(&learned, worker).fits(&worker.free())
                 && (retry_anywhere || !record.failed_on.contains(name))
                 && !self.is_avoided(step.now(), task, worker)
+                && !self.is_kept_from(task, name)
         };
         let at_least = learned.millicores.min(declared.millicores);
         // The baselines have no index of their own and look at every worker.
@@ -194,6 +192,37 @@
         avoided.is_some_and(|(machine, until)| *machine == worker.machine && now < *until)
     }
 
+    fn is_kept_from(&self, task: TaskId, name: &str) -> bool {
+        self.room_kept.as_ref().is_some_and(|(kept, worker)| worker == name && *kept != task)
+    }
+
+    /// Keeps the worker with the most room free for the task that has waited longest, until it
+    /// starts there or elsewhere.
+    fn keep_room(&mut self, now: MonotonicTime) {
+        if let Some((task, name)) = &self.room_kept {
+            let usable = self.workers.get(name).is_some_and(|worker| worker.can_start(now));
+            if usable && self.queue.since(*task).is_some() {
+                return;
+            }
+        }
+        self.room_kept = None;
+        let heads = self.queue.customers().flat_map(|customer| self.queue.first(customer));
+        let waiting = heads.filter_map(|task| Some((self.queue.since(task)?, task)));
+        let Some((since, task)) = waiting.min() else { return };
+        let Some(record) = self.ledger.get(task) else { return };
+        if now < since + ROOM_PATIENCE {
+            return;
+        }
+        let suits = |name: &str, worker: &WorkerState| {
+            worker.can_start(now)
+                && record.body.size.fits(&worker.size)
+                && !record.failed_on.iter().any(|failed| failed == name)
+        };
+        let workers = self.workers.iter().filter(|(name, worker)| suits(name, worker));
+        let most = workers.max_by_key(|(name, worker)| (worker.free().millicores, *name));
+        self.room_kept = most.map(|(name, _)| (task, name.clone()));
+    }
+
     /// Returns why a task that waits again after a failure is given up, if it is.
     pub(super) fn give_up_reason(&self, scene: &GroupScene<'_>, task: TaskId) -> Option<String> {
         let record = self.ledger.get(task)?;
@@ -346,11 +375,16 @@
         }
     }
 
-    /// Queues a task that was read from the store.
+    /// Queues a task that waits for a start; aside if no worker of the group can hold it.
     pub(super) fn requeue(&mut self, now: MonotonicTime, scene: &GroupScene<'_>, task: TaskId) {
         let Some(record) = self.ledger.get(task) else { return };
-        let priority = super::group::priority_of(scene, record);
-        self.queue.push(now, task, &record.body.customer, priority);
+        let body = &record.body;
+        let profile = (scene.profile)(&body.profile);
+        let priority = profile.map_or(DEFAULT_PRIORITY, |profile| profile.priority);
+        self.queue.push(now, task, &body.customer, &body.size, priority);
+        if !self.workers.could_hold(&body.size) {
+            self.queue.park(task);
+        }
     }
 }
 
--- a/crates/cuminbank/src/reducer/tasks/workers.rs
+++ b/crates/cuminbank/src/reducer/tasks/workers.rs
@@ -148,9 +148,11 @@
         names.into_iter().flatten().filter_map(|name| self.workers.get(name))
     }
 
-    /// Adds a worker or takes over its changed fields.
-    pub fn update(&mut self, entry: &TargetEntry, due: MonotonicTime) {
-        let ListedRole::Worker { size } = entry.role else { return };
+    /// Adds a worker or takes over its changed fields. Returns whether its size is new in the
+    /// group, so that tasks may fit that did not before.
+    pub fn update(&mut self, entry: &TargetEntry, due: MonotonicTime) -> bool {
+        let ListedRole::Worker { size } = entry.role else { return false };
+        let is_new = !self.sizes.iter().any(|(known, _)| *known == size);
         self.forget_size(&entry.name);
         let worker = self
             .workers
@@ -165,6 +167,7 @@
         self.due.insert((worker.due, entry.name.clone()));
         self.machines.entry(entry.machine.clone()).or_default().insert(entry.name.clone());
         self.add_size(size);
+        is_new
     }
 
     /// Notes that the platform no longer lists a worker. It is kept until its attempts have ended.
--- a/crates/cuminbank/tests/interference.rs
+++ b/crates/cuminbank/tests/interference.rs
@@ -146,21 +146,27 @@
     assert!(health.allows(secs(32)) && !health.is_failing());
 }
 
-/// Guards against an order of starts that ignores the priority, and against parked tasks that
-/// are looked at again too early or lost.
+/// Guards against an order of starts that ignores the priority, against tasks without
+/// accelerators that wait behind those with, and against parked tasks that are lost.
 #[test]
 fn queue_orders_by_priority_and_parks() {
     let task = |sequence| TaskId { epoch: 1, sequence };
+    let size = |accelerators| ResourceSize { millicores: 1_000, memory_mib: 10, accelerators };
     let mut queue = StartQueue::default();
     for (sequence, priority) in [(1, 5), (2, 0), (3, 5)] {
-        queue.push(secs(0), task(sequence), "a", priority);
+        queue.push(secs(0), task(sequence), "a", &size(0), priority);
     }
-    assert_eq!(queue.first("a", 9), [task(2), task(1), task(3)]);
+    assert_eq!(queue.first("a"), [task(2), task(1), task(3)]);
     queue.park(task(2));
     queue.park(task(3));
-    assert_eq!(queue.first("a", 9), [task(1)]);
+    assert_eq!(queue.first("a"), [task(1)]);
     queue.remove(task(3));
     queue.unpark();
-    assert_eq!(queue.first("a", 9), [task(2), task(1)]);
-    assert_eq!(queue.len(), 2);
+    assert_eq!(queue.first("a"), [task(2), task(1)]);
+    for sequence in 10..1_000 {
+        queue.push(secs(0), task(sequence), "a", &size(1), 0);
+    }
+    assert!(queue.first("a").contains(&task(1)));
+    assert!(queue.first("a").len() < 10, "the cost of a step is bounded");
+    assert_eq!(queue.len(), 992);
 }
--- a/crates/cuminbank/tests/tasks_journal.rs
+++ b/crates/cuminbank/tests/tasks_journal.rs
@@ -238,3 +238,27 @@
     let body = String::from_utf8_lossy(&world.answer(result).body).into_owned();
     assert!(body.contains("cannot run: larger than every worker"), "{body}");
 }
+
+/// Guards against a ledger that grows without end, and against a second run of a ticket whose
+/// record was dropped.
+#[test]
+fn old_tasks_are_dropped_and_their_tickets_stay_used() {
+    let mut world = World::new(2, 1);
+    let (ticket, first) = world.submit(50);
+    world.run(secs(605));
+    for _ in 0..70 {
+        world.submit(50);
+        world.run(millis(320));
+    }
+    world.run(secs(2));
+    assert_eq!(world.state(&ticket), "absent");
+    for _ in 0..2 {
+        let again = world.send_submission(world.submission(&ticket, 50));
+        assert_eq!(world.answer(again), world.answer(first));
+        let status = world.ask(&ticket, TaskQuery::Status);
+        assert!(String::from_utf8_lossy(&world.answer(status).body).contains("expired"));
+        world.take_over();
+        world.run(secs(3));
+    }
+    assert_eq!(world.starts_of(&ticket).len(), 1);
+}
--- a/crates/cuminbank/tests/tasks_workers.rs
+++ b/crates/cuminbank/tests/tasks_workers.rs
@@ -13,7 +13,7 @@
     settings::PlacementPolicy,
     worker::{AttemptEnd, EndedTask, UsageWindow},
 };
-use tasks_support::{millis, secs, Fault, World};
+use tasks_support::{cores, millis, secs, Fault, World};
 
 fn marks(world: &World, mark: TaskMark) -> usize {
     world.samples.iter().filter(|sample| sample.mark == mark).count()
@@ -306,3 +306,44 @@
         assert!(tickets.iter().all(|ticket| world.worker_of(ticket).is_some()), "{policy:?}");
     }
 }
+
+/// Guards against a large task that never starts because small ones fill every gap.
+#[test]
+fn large_task_gets_room() {
+    let mut world = World::new(1, 1);
+    let ticket = world.next_ticket();
+    let mut submission = world.submission(&ticket, 500);
+    submission.size = cores(4);
+    for _ in 0..4 {
+        world.submit(1_000);
+    }
+    world.run(secs(1));
+    world.send_submission(submission);
+    let began = world.now;
+    while world.starts_of(&ticket).is_empty() {
+        world.submit(1_000);
+        world.run(millis(230));
+        assert!(world.now < began + secs(80), "it has no room");
+    }
+}
+
+/// Guards against tasks that fit behind tasks that no worker of the group can hold, and against
+/// forgetting the latter when a larger worker comes.
+#[test]
+fn tasks_too_large_for_the_group_wait_aside() {
+    let mut world = World::new(2, 1);
+    world.workers.get_mut("w1").expect("it exists").size = cores(9);
+    let large: Vec<_> = (0..100).map(|_| world.next_ticket()).collect();
+    for ticket in &large {
+        let mut submission = world.submission(ticket, 50);
+        submission.size = cores(9);
+        world.send_submission(submission);
+    }
+    let (small, _) = world.submit(50);
+    world.run(secs(3));
+    assert_eq!(world.state(&small), "finished");
+    assert_eq!(world.state(&large[0]), "queued");
+    world.set_state("w1", TargetState::Live);
+    world.run(secs(3));
+    assert_eq!(world.state(&large[0]), "finished");
+}
