--- a/crates/cuminbank/src/reducer/tasks/workers.rs
+++ b/crates/cuminbank/src/reducer/tasks/workers.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
+    time::Duration,
 };
 
 use crate::{
@@ -16,6 +17,8 @@
 
 use super::trials::WorkerHealth;
 
+const SILENCE: Duration = Duration::from_secs(3);
+
 /// State of a worker.
 #[derive(Debug)]
 pub struct WorkerState {
@@ -96,11 +99,18 @@
         self.size.minus(&self.held).minus(&self.foreign)
     }
 
+    /// Tells whether the worker has not answered for several lists. Its leases are not renewed
+    /// then, so that they lapse for sure, and it gets no task.
+    pub fn is_silent(&self, now: MonotonicTime) -> bool {
+        self.answered_at.is_none_or(|at| now >= at + SILENCE)
+    }
+
     /// Tells whether the worker may get a task now.
     pub fn can_start(&self, now: MonotonicTime) -> bool {
         self.state == TargetState::Live
             && !self.ended
             && self.listed
+            && !self.is_silent(now)
             && now >= self.avoid_until
             && self.health.allows(now)
     }
@@ -138,9 +148,11 @@
         names.into_iter().flatten().filter_map(|name| self.workers.get(name))
     }
 
-    /// Adds a worker or takes over its changed fields.
-    pub fn update(&mut self, entry: &TargetEntry, due: MonotonicTime) {
-        let ListedRole::Worker { size } = entry.role else { return };
+    /// Adds a worker or takes over its changed fields. Returns whether its size is new in the
+    /// group, so that tasks may fit that did not before.
+    pub fn update(&mut self, entry: &TargetEntry, due: MonotonicTime) -> bool {
+        let ListedRole::Worker { size } = entry.role else { return false };
+        let is_new = !self.sizes.iter().any(|(known, _)| *known == size);
         self.forget_size(&entry.name);
         let worker = self
             .workers
@@ -155,6 +167,7 @@
         self.due.insert((worker.due, entry.name.clone()));
         self.machines.entry(entry.machine.clone()).or_default().insert(entry.name.clone());
         self.add_size(size);
+        is_new
     }
 
     /// Notes that the platform no longer lists a worker. It is kept until its attempts have ended.
