Test takeovers, balance, outages and planned stops between instances

Cause: the table alone does not show that whole instances find, take, keep and hand over groups.

Ruled out: tests with real time; a world in virtual time repeats exactly.

Before: one test of a single instance. After: tests cover balance, the death, pause and cut-off of an owner, a store outage of 60 s, lost answers of claims and releases, a restart of a single instance, planned stops with and without the store, and handed ticket states.

Groups of a dead instance are owned again within 7 s, and a planned stop of an idle instance takes under 4 s.

--- /dev/null
+++ b/crates/cuminbank/tests/groups_drain.rs
@@ -0,0 +1,207 @@
+//! Planned stops and handovers.
+
+mod groups_support;
+
+use std::time::Duration;
+
+use cuminbank::{
+    effect::EntryEffect,
+    event::{EntryEvent, StateQuery},
+    ids::RequestTicket,
+    message::{PeerReply, TicketHandover},
+    reducer::{
+        calls::CallPart,
+        config::ConfigPart,
+        groups::{GroupChange, GroupPart},
+        records::RecordPart,
+        step::StepContext,
+    },
+};
+
+use self::groups_support::{settings, FakeStore, GroupWorld};
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn total(world: &mut GroupWorld) -> usize {
+    (0..world.nodes.len()).map(|node| world.owned(node).len()).sum()
+}
+
+/// Guards against a planned stop that leaves groups to the lease's end, or ends readiness late.
+#[test]
+fn planned_stop_hands_all_groups_over() {
+    let mut world = GroupWorld::new(2);
+    world.run(seconds(12));
+    let began = world.now;
+    world.deliver(0, EntryEvent::DrainWanted);
+    assert_eq!(world.ask(0, StateQuery::Ready).0, 503);
+    world.run(Duration::from_millis(1_900));
+    assert_eq!(world.owned(0).len(), 2, "the balancer needs 2 s to see the failed readiness");
+    assert!(world.run_until(seconds(2), |world| world.owned(1).len() == 4));
+    assert!(world.run_until(seconds(2), |world| world.nodes[0].exited.is_some()));
+    assert!(world.now - began < seconds(4), "the stop took {:?}", world.now - began);
+    assert!(world.logged(0, 402) && world.logged(0, 103) && !world.logged(0, 403));
+}
+
+/// Guards against a planned stop that drops its groups while the store is down: it serves until
+/// its bound.
+#[test]
+fn planned_stop_without_the_store_serves_until_its_bound() {
+    let mut world = GroupWorld::new(2);
+    world.run(seconds(12));
+    for node in 0..2 {
+        world.nodes[node].store_up = false;
+    }
+    world.run(seconds(8));
+    let began = world.now;
+    world.deliver(0, EntryEvent::DrainWanted);
+    world.run(Duration::from_millis(11_900));
+    assert_eq!(total(&mut world), 4);
+    world.run(seconds(1));
+    let exited = world.nodes[0].exited.expect("the bound is 12 s");
+    assert!(exited - began <= Duration::from_millis(12_020));
+}
+
+/// Guards against a planned stop that stays stuck when the answer to its release is lost.
+#[test]
+fn release_with_a_lost_answer_is_found_by_a_read() {
+    let mut world = GroupWorld::new(2);
+    world.run(seconds(12));
+    world.deliver(0, EntryEvent::DrainWanted);
+    world.lost_answers = 2;
+    world.run(seconds(8));
+    assert!(world.nodes[0].exited.is_some());
+    assert_eq!(world.owned(1).len(), 4);
+}
+
+/// Guards against groups that stay with nobody when the last instance of a zone stops and a new
+/// one starts.
+#[test]
+fn released_groups_are_claimed_by_a_new_instance() {
+    let mut world = GroupWorld::new(1);
+    world.run(seconds(3));
+    world.deliver(0, EntryEvent::DrainWanted);
+    world.run(seconds(4));
+    assert!(world.nodes[0].exited.is_some());
+    world.restart(0, 50);
+    world.run(seconds(5));
+    assert_eq!(world.owned(0).len(), 4);
+}
+
+/// One instance's part with a store, for looking at its changes.
+struct PartBench {
+    part: GroupPart,
+    step: StepContext,
+    store: FakeStore,
+    config: ConfigPart,
+    now: Duration,
+}
+
+impl PartBench {
+    fn new() -> Self {
+        let settings = settings("d0", 7_000, &[7_000]);
+        Self {
+            part: GroupPart::new(&settings, 1),
+            config: ConfigPart::new(&settings),
+            step: StepContext::new(settings, 1),
+            store: FakeStore::default(),
+            now: Duration::ZERO,
+        }
+    }
+
+    fn run(&mut self, time: Duration) -> Vec<GroupChange> {
+        let end = self.now + time;
+        let settings = self.step.settings.clone();
+        let (calls, mut records) = (CallPart::new(&settings), RecordPart::new(&settings, 1));
+        while self.now < end {
+            self.now += Duration::from_millis(20);
+            self.step.begin(self.now);
+            self.part.on_tick(&mut self.step, &self.config, &calls, &mut records);
+            for effect in self.step.take_effects() {
+                let EntryEffect::CallStore { exchange, request, .. } = effect else { continue };
+                let result = self.store.apply(self.now, &request);
+                self.part.on_store_ended(&mut self.step, exchange, result);
+            }
+        }
+        self.part.take_changes()
+    }
+
+    fn hand_over(&mut self, epoch: u64) -> Option<EntryEffect> {
+        let ticket = RequestTicket { zone: "dublin".to_owned(), group: 0, epoch, sequence: 3 };
+        let tickets = vec![TicketHandover { ticket, answer: None, age_ms: 10 }];
+        self.part.on_hand_over(&mut self.step, 9, 0, epoch, 4, tickets);
+        self.step.take_effects().pop()
+    }
+
+    fn release(&mut self, group: u16, epoch: u64) {
+        let record = serde_json::json!({
+            "owner": null, "epoch": epoch, "electorate": [], "operation": "d1-1-9",
+        });
+        let key = cuminbank::store::group_key("dublin", group);
+        self.store.put(&key, &record.to_string());
+        let key = cuminbank::store::epoch_key("dublin", group);
+        self.store.put(&key, &epoch.to_string());
+    }
+}
+
+fn taken(changes: &[GroupChange], wanted: u16) -> Option<(u64, Duration, Option<u64>)> {
+    changes.iter().find_map(|change| match change {
+        GroupChange::Taken { group, epoch, probe_from, handed } if *group == wanted => {
+            Some((*epoch, *probe_from, handed.as_ref().map(|(epoch, ..)| *epoch)))
+        }
+        _ => None,
+    })
+}
+
+/// Guards against ticket states that are lost in a handover, and against a probe that is sent
+/// before the last owner's bytes have arrived.
+#[test]
+fn handed_states_arrive_with_the_group() {
+    let mut bench = PartBench::new();
+    bench.release(0, 7);
+    let answer = bench.hand_over(7);
+    assert!(matches!(answer, Some(EntryEffect::AnswerPeer { answer: PeerReply::HandedOver, .. })));
+    let changes = bench.run(Duration::from_millis(100));
+    let (epoch, probe_from, handed) = taken(&changes, 0).expect("a handed group is claimed");
+    assert_eq!((epoch, handed), (8, Some(7)));
+    assert!(probe_from >= seconds(1));
+    let (epoch, probe_from, _) = taken(&changes, 1).expect("a fresh group is claimed");
+    assert_eq!(epoch, 1);
+    assert!(probe_from < seconds(1), "a group without an earlier owner has nothing in transit");
+}
+
+/// Guards against states of an older term that are used after another owner's term.
+#[test]
+fn states_of_an_older_term_are_dropped() {
+    let mut bench = PartBench::new();
+    bench.release(0, 8);
+    bench.hand_over(7);
+    let (epoch, _, handed) = taken(&bench.run(seconds(5)), 0).expect("the group is claimed");
+    assert_eq!((epoch, handed), (9, None));
+}
+
+/// Guards against an owner that goes on after a peer announced a later term.
+#[test]
+fn later_term_in_a_heartbeat_ends_the_own_term() {
+    let mut bench = PartBench::new();
+    bench.run(seconds(1));
+    assert_eq!(bench.part.owned(bench.now), [0, 1, 2, 3]);
+    let from = cuminbank::message::PeerIdentity { instance: "d1".to_owned(), start: 5 };
+    let heartbeat = cuminbank::message::PeerHeartbeat {
+        from,
+        zone: "dublin".to_owned(),
+        address: "127.0.0.1:7001".parse().expect("the address is valid"),
+        groups: vec![(2, 2, 40)],
+        config_revision: 0,
+        config_checksum: 0,
+        draining: false,
+    };
+    let address = heartbeat.address;
+    let datagram = cuminbank::message::PeerDatagram::Heartbeat(heartbeat);
+    bench.part.on_datagram(&mut bench.step, &bench.config, address, datagram);
+    assert_eq!(bench.part.owned(bench.now), [0, 1, 3]);
+    assert_eq!(bench.part.take_changes(), [GroupChange::Lost { group: 2 }]);
+    let owner = bench.part.owner_of("dublin", 2, bench.now);
+    assert_eq!(owner, Some((address, Duration::from_millis(40))));
+}
--- a/crates/cuminbank/tests/groups_takeover.rs
+++ b/crates/cuminbank/tests/groups_takeover.rs
@@ -25,3 +25,139 @@
     assert_eq!(status["groups"]["targets"][0]["name"], "x1");
     assert_eq!(world.stored_epoch(0).as_deref(), Some("1"));
 }
+
+/// Runs and checks at each 100 ms that no group has two owners.
+fn run_checked(world: &mut GroupWorld, time: Duration) {
+    for _ in 0..time.as_millis() / 100 {
+        world.run(Duration::from_millis(100));
+        let mut owned: Vec<_> = (0..world.nodes.len()).flat_map(|node| world.owned(node)).collect();
+        let count = owned.len();
+        owned.sort_unstable();
+        owned.dedup();
+        assert_eq!(owned.len(), count, "a group has two owners at {:?}", world.now);
+    }
+}
+
+fn all_owned(world: &mut GroupWorld) -> bool {
+    (0..world.nodes.len()).map(|node| world.owned(node).len()).sum::<usize>() == 4
+}
+
+/// Guards against one instance that keeps the groups of the whole zone, and against groups that
+/// wander without end.
+#[test]
+fn groups_are_balanced_and_then_stay() {
+    let mut world = GroupWorld::new(1);
+    run_checked(&mut world, seconds(3));
+    world.add_node(2, 2);
+    run_checked(&mut world, seconds(15));
+    assert_eq!((world.owned(0).len(), world.owned(1).len()), (2, 2));
+    let epochs: Vec<_> = (0..4).map(|group| world.stored_epoch(group)).collect();
+    run_checked(&mut world, seconds(20));
+    let later: Vec<_> = (0..4).map(|group| world.stored_epoch(group)).collect();
+    assert_eq!(epochs, later);
+}
+
+/// Guards against groups that stay without an owner after an instance died.
+#[test]
+fn groups_of_a_dead_instance_are_taken_over() {
+    let mut world = GroupWorld::new(3);
+    run_checked(&mut world, seconds(12));
+    assert!(all_owned(&mut world));
+    world.nodes[0].up = false;
+    let killed = world.now;
+    assert!(world.run_until(seconds(12), all_owned));
+    assert!(world.now - killed < seconds(7), "taken over after {:?}", world.now - killed);
+    run_checked(&mut world, seconds(10));
+    assert!(all_owned(&mut world));
+}
+
+/// Guards against an owner that stops in a long outage of the store, and against a takeover then.
+#[test]
+fn owners_go_on_by_promises_without_the_store() {
+    let mut world = GroupWorld::new(2);
+    run_checked(&mut world, seconds(12));
+    let owned = (world.owned(0), world.owned(1));
+    for node in 0..2 {
+        world.nodes[node].store_up = false;
+    }
+    for _ in 0..60 {
+        run_checked(&mut world, seconds(1));
+        assert_eq!((world.owned(0), world.owned(1)), owned, "at {:?}", world.now);
+    }
+    assert!(world.logged(0, 404));
+    world.nodes[0].store_up = true;
+    world.nodes[1].store_up = true;
+    run_checked(&mut world, seconds(10));
+    assert!(world.logged(0, 405));
+    assert_eq!((world.owned(0), world.owned(1)), owned);
+}
+
+/// Guards against an owner without lease and promises that goes on.
+#[test]
+fn owner_cut_off_from_store_and_peers_stops_and_is_replaced() {
+    let mut world = GroupWorld::new(2);
+    run_checked(&mut world, seconds(12));
+    world.nodes[0].store_up = false;
+    world.cut.push((0, 1));
+    run_checked(&mut world, seconds(12));
+    assert_eq!((world.owned(0).len(), world.owned(1).len()), (0, 4));
+    world.nodes[0].store_up = true;
+    world.cut.clear();
+    run_checked(&mut world, seconds(20));
+    assert!(world.logged(0, 403), "the first owner learns of the later one");
+    assert_eq!((world.owned(0).len(), world.owned(1).len()), (2, 2));
+}
+
+/// Guards against a paused owner that acts after its groups were taken over.
+#[test]
+fn paused_owner_finds_its_groups_taken() {
+    let mut world = GroupWorld::new(2);
+    run_checked(&mut world, seconds(12));
+    world.nodes[0].paused = true;
+    world.run(seconds(12));
+    assert_eq!(world.owned(1).len(), 4);
+    world.nodes[0].paused = false;
+    run_checked(&mut world, seconds(15));
+    assert!(all_owned(&mut world));
+}
+
+/// Guards against a group that nobody claims because the answer to the claim was lost, and
+/// against a second claim of the same term.
+#[test]
+fn claim_with_a_lost_answer_is_found_by_a_read() {
+    let mut world = GroupWorld::new(1);
+    world.lost_answers = 4;
+    run_checked(&mut world, seconds(5));
+    assert_eq!(world.owned(0).len(), 4);
+    assert_eq!(world.stored_epoch(3).as_deref(), Some("1"));
+}
+
+/// Guards against a zone of one instance that waits for its own earlier process for ever.
+#[test]
+fn restarted_single_instance_takes_its_groups_again() {
+    let mut world = GroupWorld::new(1);
+    run_checked(&mut world, seconds(3));
+    world.restart(0, 99);
+    run_checked(&mut world, seconds(8));
+    assert_eq!(world.owned(0).len(), 4);
+    assert_eq!(world.stored_epoch(0).as_deref(), Some("2"));
+}
+
+/// Guards against a takeover from a single owner that lives but lost the store: only the list may
+/// report it as ended.
+#[test]
+fn instance_outside_the_electorate_waits_for_the_list() {
+    let mut world = GroupWorld::new(1);
+    run_checked(&mut world, seconds(3));
+    world.nodes[0].store_up = false;
+    world.cut.push((0, 1));
+    world.add_node(2, 2);
+    run_checked(&mut world, seconds(15));
+    assert_eq!((world.owned(0).len(), world.owned(1).len()), (4, 0));
+    world.nodes[0].up = false;
+    world.list.as_mut().expect("the list is up").retain(|listed| listed.name != "d0");
+    run_checked(&mut world, seconds(4));
+    assert_eq!(world.owned(1).len(), 0, "the list has to lack the owner for 5 s");
+    run_checked(&mut world, seconds(4));
+    assert_eq!(world.owned(1).len(), 4);
+}
