--- /dev/null
+++ b/crates/cuminbank/tests/config_spread.rs
@@ -0,0 +1,218 @@
+//! Configuration: first read, watch, spread between peers, offers, and no revert.
+
+mod groups_support;
+
+use std::time::Duration;
+
+use cuminbank::{
+    effect::EntryEffect,
+    event::{EntryEvent, StateQuery},
+    ids::StoreRevision,
+    profile::ProfileChange,
+    profile_set::{MergeOutcome, ProfileSet},
+    store::{StoreReply, StoreValue, PROFILE_PREFIX},
+};
+use proptest::prelude::*;
+
+use self::groups_support::GroupWorld;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn text(name: &str, deadline_ms: u64) -> String {
+    serde_json::json!({ "name": name, "kind": "urgent", "deadline_ms": deadline_ms }).to_string()
+}
+
+fn change(name: &str, revision: StoreRevision, profile: Option<String>) -> ProfileChange {
+    ProfileChange { name: name.to_owned(), revision, profile }
+}
+
+fn key(name: &str) -> String {
+    format!("{PROFILE_PREFIX}{name}")
+}
+
+/// Returns name, revision and whether it is deleted, of each profile of an instance.
+fn known(world: &mut GroupWorld, node: usize) -> Vec<(String, i64, bool)> {
+    let (_, changes) = world.ask(node, StateQuery::Config);
+    let changes: Vec<ProfileChange> = serde_json::from_value(changes).expect("changes are shown");
+    let shown = |change: ProfileChange| (change.name, change.revision, change.profile.is_none());
+    changes.into_iter().map(shown).collect()
+}
+
+/// Guards against a change that reaches only instances which see the store (I9).
+#[test]
+fn change_spreads_to_an_instance_without_the_store() {
+    let mut world = GroupWorld::new(3);
+    world.run(seconds(3));
+    world.nodes[2].store_up = false;
+    let revision = world.store.put(&key("rush"), &text("rush", 500));
+    let expected = vec![("rush".to_owned(), revision, false)];
+    let spread = |world: &mut GroupWorld| (0..3).all(|node| known(world, node) == expected);
+    assert!(world.run_until(seconds(3), spread));
+    world.store.remove(&key("rush"));
+    let deleted = |world: &mut GroupWorld| (0..3).all(|node| known(world, node)[0].2);
+    assert!(world.run_until(seconds(3), deleted));
+}
+
+/// Guards against a change that is lost because the store failed right after the commit.
+#[test]
+fn offered_change_is_in_force_and_older_ones_are_ignored() {
+    let mut world = GroupWorld::new(2);
+    world.run(seconds(2));
+    world.nodes[0].store_up = false;
+    world.nodes[1].store_up = false;
+    for revision in [90, 80] {
+        let changes = vec![change("rush", revision, Some(text("rush", 500)))];
+        world.deliver(0, EntryEvent::ConfigOffered { reply: 1, changes });
+        assert_eq!(known(&mut world, 0), [("rush".to_owned(), 90, false)]);
+    }
+    world.run(seconds(2));
+    assert_eq!(known(&mut world, 1), [("rush".to_owned(), 90, false)]);
+}
+
+/// Guards against an instance that serves without configuration, or that waits for the store for
+/// ever although a peer has the set.
+#[test]
+fn new_instance_starts_from_peers_without_the_store() {
+    let mut world = GroupWorld::new(2);
+    world.nodes[1].up = false;
+    world.store.put(&key("rush"), &text("rush", 500));
+    world.run(seconds(2));
+    world.nodes[0].store_up = false;
+    world.nodes[1].store_up = false;
+    world.restart(1, 77);
+    world.run(Duration::from_millis(1_900));
+    assert_eq!(world.ask(1, StateQuery::Ready).0, 503);
+    assert!(world.run_until(seconds(2), |world| world.ask(1, StateQuery::Ready).0 == 200));
+    assert_eq!(known(&mut world, 1).len(), 1);
+}
+
+/// Guards against a fleet that restarts without the store and takes its own empty sets for the
+/// configuration.
+#[test]
+fn instances_without_any_set_are_not_ready() {
+    let mut world = GroupWorld::new(2);
+    world.nodes[0].store_up = false;
+    world.nodes[1].store_up = false;
+    world.run(seconds(10));
+    assert_eq!(world.ask(0, StateQuery::Ready).0, 503);
+    assert_eq!(world.ask(1, StateQuery::Ready).0, 503);
+    world.nodes[0].store_up = true;
+    world.run(seconds(6));
+    assert_eq!(world.ask(0, StateQuery::Ready).0, 200);
+    assert_eq!(world.ask(1, StateQuery::Ready).0, 200);
+}
+
+/// Guards against changes that are missed while the watch is lost.
+#[test]
+fn lost_watch_is_followed_by_a_full_read() {
+    let mut world = GroupWorld::new(1);
+    world.store.put(&key("gone"), &text("gone", 500));
+    world.run(seconds(2));
+    world.lose_watch(0);
+    world.nodes[0].store_up = false;
+    world.store.remove(&key("gone"));
+    let revision = world.store.put(&key("rush"), &text("rush", 500));
+    world.run(seconds(1));
+    assert_eq!(known(&mut world, 0).len(), 1);
+    world.nodes[0].store_up = true;
+    world.run(seconds(3));
+    let expected = [("gone".to_owned(), revision, true), ("rush".to_owned(), revision, false)];
+    assert_eq!(known(&mut world, 0), expected);
+}
+
+/// Guards against a profile that is not valid and takes the last valid one out of force.
+#[test]
+fn profile_that_does_not_parse_is_logged_and_not_in_force() {
+    let mut set = ProfileSet::default();
+    assert_eq!(set.merge(change("rush", 3, Some(text("rush", 500)))), MergeOutcome::InForce);
+    let wrong = [(4, "{".to_owned()), (5, text("other", 500)), (6, text("rush", 1))];
+    for (revision, text) in wrong {
+        let outcome = set.merge(change("rush", revision, Some(text)));
+        assert!(matches!(outcome, MergeOutcome::Rejected(_)));
+        assert_eq!(set.profile("rush").map(|profile| profile.deadline_ms), Some(500));
+    }
+    assert_eq!(set.merge(change("rush", 3, None)), MergeOutcome::Known);
+    assert_eq!(set.merge(change("rush", 7, None)), MergeOutcome::InForce);
+    assert_eq!(set.profile("rush"), None);
+
+    let mut world = GroupWorld::new(1);
+    world.run(seconds(1));
+    world.store.put(&key("rush"), "{");
+    world.run(seconds(1));
+    assert!(world.logged(0, 502));
+}
+
+/// Guards against several reads or watches at once, which count towards the store's limits.
+#[test]
+fn there_is_one_read_at_a_time_and_one_watch() {
+    let settings = groups_support::settings("d0", 7_000, &[]);
+    let mut reducer = cuminbank::reducer::EntryReducer::new(settings, 1);
+    let (mut reads, mut watches, mut pending) = (0, Vec::new(), None);
+    for tick in 0..1_000_u64 {
+        let now = Duration::from_millis(tick * 20);
+        let wall = std::time::SystemTime::UNIX_EPOCH;
+        let mut effects = reducer.apply(now, EntryEvent::Tick { wall });
+        // The first read gets its answer after 3 s.
+        if let Some(exchange) = pending.filter(|_| tick == 150) {
+            let value =
+                StoreValue { key: key("rush"), value: text("rush", 500).into(), mod_revision: 4 };
+            let result = Ok(StoreReply::Range { revision: 9, values: vec![value] });
+            effects.extend(reducer.apply(now, EntryEvent::StoreEnded { exchange, result }));
+        }
+        for effect in effects {
+            match effect {
+                EntryEffect::CallStore { exchange, request, .. } => {
+                    if matches!(request, cuminbank::store::StoreRequest::Range { prefix: true, .. })
+                    {
+                        reads += 1;
+                        pending = Some(exchange);
+                    }
+                }
+                EntryEffect::WatchConfig { from } => watches.push(from),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!((reads, watches), (1, vec![10]));
+}
+
+fn changes() -> impl Strategy<Value = Vec<ProfileChange>> {
+    let change = (0..3_u8, 1..20_i64).prop_map(|(name, revision)| {
+        // One revision of a name has one content.
+        let name = format!("p{name}");
+        let profile = (revision % 3 != 0).then(|| text(&name, 100 + revision as u64));
+        ProfileChange { name, revision, profile }
+    });
+    prop::collection::vec(change, 0..40)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against sets that differ by the order of changes, and against a revert (I9).
+    #[test]
+    fn merge_does_not_depend_on_the_order(changes in changes(), seed in any::<u64>()) {
+        let mut shuffled = changes.clone();
+        for index in (1..shuffled.len()).rev() {
+            shuffled.swap(index, (seed.rotate_left(index as u32) % (index as u64 + 1)) as usize);
+        }
+        let mut sets = [ProfileSet::default(), ProfileSet::default()];
+        for (set, changes) in sets.iter_mut().zip([changes, shuffled]) {
+            let mut highest = 0;
+            for change in changes {
+                let (name, before) = (change.name.clone(), set.changes());
+                set.merge(change);
+                let revision = |changes: &[ProfileChange]| {
+                    changes.iter().find(|change| change.name == name).map_or(0, |found| found.revision)
+                };
+                prop_assert!(revision(&set.changes()) >= revision(&before));
+                prop_assert!(set.revision() >= highest);
+                highest = set.revision();
+            }
+        }
+        prop_assert_eq!(sets[0].changes(), sets[1].changes());
+        prop_assert_eq!(sets[0].checksum(), sets[1].checksum());
+    }
+}
--- a/crates/cuminbank/tests/groups_support/mod.rs
+++ b/crates/cuminbank/tests/groups_support/mod.rs
@@ -242,6 +242,12 @@
         node.watch_from = None;
     }
 
+    /// Ends the watch of an instance and tells it.
+    pub fn lose_watch(&mut self, node: usize) {
+        self.nodes[node].watch_from = None;
+        self.deliver(node, EntryEvent::WatchLost);
+    }
+
     pub fn send(&mut self, node: usize, after: Duration, event: EntryEvent) {
         self.sent += 1;
         self.queue.insert((self.now + after, self.sent), (node, event));
