Keep silent connections open, and count connections above the limit

Cause: in silent mode the old connections were closed instead of kept. ServerAction::Silence of cuminbank-net waits on a future that nothing can wake; the runtime frees such a task, and with it the connection. The test did not see it, because a closed connection and a timeout are both Lost.

Ruled out: a fault of the client.

Before: the test with the added time check failed. After: a silent connection waits on a timer; the test passes. Executors of a fleet count connections above the declared number as over_connections.

Conclusion: the stand-ins no longer use ServerAction::Silence; it has the fault still and is the concern of cuminbank-net.

--- a/crates/cuminbank-standins/src/control.rs
+++ b/crates/cuminbank-standins/src/control.rs
@@ -18,6 +18,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
+/// Step of the wait of a silent connection.
+const SILENT_STEP: Duration = Duration::from_secs(60);
+
 /// Number of a connection of one stand-in, in the order of their opening.
 pub type ConnectionId = u64;
 
@@ -61,6 +64,8 @@
     next_connection: Cell<ConnectionId>,
     open: RefCell<BTreeSet<ConnectionId>>,
     peak_connections: Cell<usize>,
+    connection_limit: Cell<usize>,
+    over_connections: Cell<u64>,
     requests: Cell<u64>,
     lost_answers: Cell<u64>,
     rng: RefCell<ChaCha8Rng>,
@@ -76,12 +81,19 @@
             next_connection: Cell::default(),
             open: RefCell::default(),
             peak_connections: Cell::default(),
+            connection_limit: Cell::new(usize::MAX),
+            over_connections: Cell::default(),
             requests: Cell::default(),
             lost_answers: Cell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         })
     }
 
+    /// Sets the number of connections above which a further one counts as `over_connections`.
+    pub fn set_connection_limit(&self, limit: usize) {
+        self.connection_limit.set(limit);
+    }
+
     /// Sets the mode.
     pub fn set_mode(&self, mode: FaultMode) {
         match mode {
@@ -126,6 +138,7 @@
         report["requests"] = json!(self.requests.get());
         report["lost_answers"] = json!(self.lost_answers.get());
         report["open_connections"] = json!(self.open.borrow().len());
+        report["over_connections"] = json!(self.over_connections.get());
         report["peak_connections"] = json!(self.peak_connections.get());
         report["counters"] = counters;
         report
@@ -143,18 +156,14 @@
         if let FaultMode::Slow { delay_ms } = self.mode.get() {
             time::sleep(Duration::from_millis(delay_ms)).await;
         }
-        if self.is_silent(connection) {
-            return Some(ServerAction::Silence);
-        }
+        self.stay_silent(connection).await;
         (self.mode.get() == FaultMode::Down).then_some(ServerAction::Close)
     }
 
     /// Applies the mode to an answer that is about to be sent.
     async fn after(&self, connection: ConnectionId, action: ServerAction) -> ServerAction {
         self.wait_for_pause().await;
-        if self.is_silent(connection) {
-            return ServerAction::Silence;
-        }
+        self.stay_silent(connection).await;
         match self.mode.get() {
             FaultMode::Down => ServerAction::Close,
             FaultMode::LoseAnswers { percent } if self.loses(percent) => ServerAction::Close,
@@ -162,6 +171,14 @@
         }
     }
 
+    /// Never ends for a silent connection. A timer keeps the task of the connection alive: the
+    /// runtime frees a task that nothing can wake, which would close the connection.
+    async fn stay_silent(&self, connection: ConnectionId) {
+        while self.is_silent(connection) {
+            time::sleep(SILENT_STEP).await;
+        }
+    }
+
     fn loses(&self, percent: u8) -> bool {
         let lost = self.rng.borrow_mut().random_range(0..100) < percent;
         if lost {
@@ -197,6 +214,9 @@
         let mut open = control.open.borrow_mut();
         open.insert(connection);
         control.peak_connections.set(control.peak_connections.get().max(open.len()));
+        if open.len() > control.connection_limit.get() {
+            control.over_connections.set(control.over_connections.get() + 1);
+        }
         drop(open);
         Self { control, connection: Some(connection) }
     }
--- a/crates/cuminbank-standins/src/fleet.rs
+++ b/crates/cuminbank-standins/src/fleet.rs
@@ -38,7 +38,7 @@
     /// Slots of each executor.
     #[serde(default = "default_slots")]
     pub slots: u32,
-    /// Connections that each executor declares.
+    /// Connections that each executor declares; those above count as `over_connections`.
     #[serde(default = "default_connections")]
     pub connections: u32,
     /// Size of each worker.
@@ -212,5 +212,6 @@
     let factors = settings.pair_factors();
     let table = Rc::clone(table);
     let executor = ExecutorServer::new(core, table, Some(worker.clone()), factors, seed + 1);
+    executor.control().set_connection_limit(settings.connections as usize);
     FleetMachine { executor, worker, listed: [executor_listed, worker_listed] }
 }
--- a/crates/cuminbank-standins/tests/servers.rs
+++ b/crates/cuminbank-standins/tests/servers.rs
@@ -1,6 +1,6 @@
 //! Tests of the servers with the clients of `cuminbank-net`, in one process.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cuminbank::{
     event::ExchangeError,
@@ -57,7 +57,8 @@
     });
 }
 
-/// Guards against a silent mode that also stops new connections, or that lets an old one answer.
+/// Guards against a silent mode that also stops new connections, or that lets an old one
+/// answer or closes it.
 #[test]
 fn silent_connection_stays_silent_while_new_ones_work() {
     runtime::run(async {
@@ -70,8 +71,10 @@
         let pool = HttpPool::new();
         pool.exchange(address, get(), TIMEOUT).await.unwrap();
         control.set_mode(FaultMode::Silent);
+        let sent = Instant::now();
         let old = pool.exchange(address, get(), TIMEOUT).await;
         assert_eq!(old.unwrap_err(), ExchangeError::Lost, "the old connection answered");
+        assert!(sent.elapsed() >= TIMEOUT, "the old connection was closed");
         let new = HttpPool::new().exchange(address, get(), TIMEOUT).await.unwrap();
         assert_eq!((new.status, &new.body[..]), (200, &b"[]"[..]));
     });
