--- a/crates/cuminbank/src/reducer/groups/mod.rs
+++ b/crates/cuminbank/src/reducer/groups/mod.rs
@@ -21,7 +21,7 @@
         TargetName, ZoneName,
     },
     membership::{PeerTable, TargetEntry, TargetTable},
-    message::{PeerIdentity, PeerReply, TicketHandover},
+    message::{PeerHeartbeat, PeerIdentity, PeerReply, TicketHandover},
     ownership::OwnershipTable,
     settings::EntrySettings,
     store::{StoreReply, StoreRequest},
@@ -185,6 +185,20 @@
         self
     }
 
+    /// Adds a target as it is, for tests of other parts.
+    #[doc(hidden)]
+    pub fn with_target_entry(mut self, entry: TargetEntry) -> Self {
+        self.targets.insert(entry);
+        self
+    }
+
+    /// Hears a peer's heartbeat at `now`, for tests of other parts.
+    #[doc(hidden)]
+    pub fn with_heartbeat(mut self, heartbeat: PeerHeartbeat, now: MonotonicTime) -> Self {
+        self.peers.hear(heartbeat, now);
+        self
+    }
+
     /// Returns until when the instance may act for a group of its zone; `None` if not at `now`.
     pub fn right_until(&self, group: GroupIndex, now: MonotonicTime) -> Option<MonotonicTime> {
         if let Some((_, until)) = self.fixed.get(&group) {
--- a/crates/cuminbank/tests/calls_support/mod.rs
+++ b/crates/cuminbank/tests/calls_support/mod.rs
@@ -8,14 +8,14 @@
 use cuminbank::{
     effect::{CallOutcome, CallerAnswer, EntryEffect},
     event::{CallRequest, ExchangeError, ExecutorAnswer, ListedRole},
-    ids::{ExchangeId, GroupIndex, OwnerEpoch, ReplyId, RequestTicket},
+    ids::{ExchangeId, GroupIndex, MonotonicTime, OwnerEpoch, ReplyId, RequestTicket, ZoneName},
     membership::{TargetEntry, TargetState},
-    message::{PeerReply, PeerRequest, TicketHandover},
+    message::{PeerHeartbeat, PeerIdentity, PeerReply, PeerRequest, TicketHandover},
     profile::WorkProfile,
     reducer::{
         calls::CallPart,
         config::ConfigPart,
-        groups::{FixedGroups, GroupChange, GroupPart},
+        groups::{GroupChange, GroupPart},
         records::RecordPart,
         step::StepContext,
         tasks::TaskPart,
@@ -64,6 +64,42 @@
     CallRequest { profile: "book".to_owned(), ticket, ..plan("book") }
 }
 
+/// Ownership as a test sets it.
+#[derive(Clone, Debug, Default)]
+pub struct FixedGroups {
+    /// Epoch and end of the right to act, for each group that the instance owns.
+    pub owned: BTreeMap<GroupIndex, (OwnerEpoch, MonotonicTime)>,
+    /// Address and expected wait of the peer that owns a group.
+    pub owners: BTreeMap<(ZoneName, GroupIndex), (SocketAddr, Duration)>,
+    /// Targets of the zone.
+    pub targets: Vec<TargetEntry>,
+}
+
+impl FixedGroups {
+    fn part(&self, settings: &EntrySettings, now: Duration) -> GroupPart {
+        let mut part = GroupPart::new(settings, 1);
+        for (group, (epoch, until)) in &self.owned {
+            part = part.with_group(*group, *epoch, *until);
+        }
+        for ((zone, group), (address, wait)) in &self.owners {
+            part = part.with_heartbeat(heartbeat(zone, *group, *address, *wait), now);
+        }
+        self.targets.iter().cloned().fold(part, GroupPart::with_target_entry)
+    }
+}
+
+fn heartbeat(zone: &str, group: GroupIndex, address: SocketAddr, wait: Duration) -> PeerHeartbeat {
+    PeerHeartbeat {
+        from: PeerIdentity { instance: format!("peer-{zone}-{group}"), start: 1 },
+        zone: zone.to_owned(),
+        address,
+        groups: vec![(group, 1, wait.as_millis() as u32)],
+        config_revision: 0,
+        config_checksum: 0,
+        draining: false,
+    }
+}
+
 pub struct CallBench {
     pub now: Duration,
     pub step: StepContext,
@@ -97,7 +133,7 @@
             calls: CallPart::new(&settings),
             records: RecordPart::new(&settings, 1),
             fixed: FixedGroups::default(),
-            config: ConfigPart::new(&settings).with_profiles(profiles),
+            config: profiles.into_iter().fold(ConfigPart::new(&settings), ConfigPart::with_profile),
             tasks: TaskPart::new(&settings),
             probes: Vec::new(),
             settings,
@@ -120,7 +156,7 @@
         &mut self,
         action: impl FnOnce(&mut CallPart, &mut StepContext, CallView<'_>, &mut RecordPart) -> R,
     ) -> R {
-        let groups = GroupPart::new(&self.settings, 1).with_fixed(self.fixed.clone());
+        let groups = self.fixed.part(&self.settings, self.now);
         let view = CallView { groups: &groups, config: &self.config, tasks: &self.tasks };
         self.step.begin(self.now);
         action(&mut self.calls, &mut self.step, view, &mut self.records)
