Let more dispatches be slow in the seeded histories of calls

Cause: with the first probe sent too early (a trial), the rewritten histories still passed, because too few dispatches of the old owner were on their way at the takeover. Ruled out: more seeds, which take longer. Before: probe_from could be ignored unnoticed by this test; calls_safety.rs noticed it. Conclusion: each of the seven guards that this file covers makes it fail when switched off.

--- a/crates/cuminbank/tests/calls_random.rs
+++ b/crates/cuminbank/tests/calls_random.rs
@@ -185,6 +185,7 @@
                 // Nothing arrives and the connection stays silent.
             }
             10..14 => self.end_later(delay, flight, done(503)),
+            14..40 => self.later(delay, run),
             _ => self.later(delay / 20, run),
         }
     }
