Read all ends of a worker again after a failed exchange; test restarts, late writes and confirms

Cause: a stand-in worker that drops the ends its owner has confirmed showed that a worker which restarts under its name, and so numbers its ends anew, had its new ends taken for old ones: its next task ran again and again. Ruled out: a start number in the worker's report, which would change the contract. Conclusion: after a failed exchange, or an attempt missing without an end, the next list starts from the first end. A restart between two lists without any failed exchange remains open.

--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -107,8 +107,7 @@
         if worker.listing {
             return;
         }
-        // A worker that restarted under its name numbers its ends anew. An attempt in doubt is
-        // therefore looked up among all ends that the worker still has.
+        // An attempt in doubt is looked up among all ends that the worker still has.
         let in_doubt = |task: &TaskId| {
             self.runs.get(task).is_some_and(|run| matches!(run.phase, RunPhase::Unsure(_)))
         };
@@ -132,6 +131,7 @@
     ) {
         let answered = matches!(result, Ok(_) | Err(ExchangeError::Refused(_)));
         if !answered {
+            self.forget_ends(name);
             return step.observe(TargetObservation::Silent(name.to_owned()));
         }
         step.observe(TargetObservation::Answered(name.to_owned()));
@@ -140,6 +140,14 @@
         }
     }
 
+    /// Makes the next list start from the first end. A worker that restarted under its name
+    /// numbers its ends anew, and the old numbers would hide them.
+    fn forget_ends(&mut self, name: &str) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            (worker.seen_end, worker.durable_end) = (0, 0);
+        }
+    }
+
     pub(super) fn on_renewed(
         &mut self,
         step: &mut StepContext,
@@ -367,6 +375,7 @@
             match phase {
                 RunPhase::Unsure(from) if sent_at >= from => {
                     let checkpoint = self.run_checkpoint(task);
+                    self.forget_ends(name);
                     self.stage_end(JournalEntry::Interrupted(task, attempt, checkpoint), None);
                 }
                 // The list may have been answered before the start arrived.
--- a/crates/cuminbank/tests/tasks_history.rs
+++ b/crates/cuminbank/tests/tasks_history.rs
@@ -9,7 +9,7 @@
     event::TaskQuery,
     ids::{ReplyId, RequestTicket},
     reducer::records::TaskMark,
-    worker::{AttemptEnd, UsageWindow},
+    worker::UsageWindow,
 };
 use rand::Rng;
 use tasks_support::{millis, secs, Fault, World};
@@ -55,12 +55,18 @@
 
     fn disturb_worker(&mut self) {
         let name = format!("w{}", self.world.rng.random_range(0..4));
-        let choice = self.world.rng.random_range(0..5);
+        let choice = self.world.rng.random_range(0..6);
         let worker = self.world.workers.get_mut(&name).expect("the worker exists");
         match choice {
             0 => worker.fault = Fault::RequestLost,
             1 => worker.fault = Fault::AnswerLost,
             2 | 3 => worker.fault = Fault::None,
+            // A restart takes longer than a second, so at least one list fails.
+            4 => {
+                worker.restart();
+                worker.fault = Fault::Unsent;
+                self.world.run(millis(1_500));
+            }
             _ => worker.usage.extend((0..6).map(|_| UsageWindow {
                 length_ms: 1_000,
                 age_ms: 1_000,
@@ -140,16 +146,20 @@
         }
         // A worker that was cut off after it finished a task cannot be told from a dead one, so
         // its task runs again; every such second result has to be counted.
-        let mut results = BTreeMap::<&str, usize>::new();
-        let ended = world.workers.values().flat_map(|worker| &worker.ended);
-        for ended in ended.filter(|ended| matches!(ended.end, AttemptEnd::Finished { .. })) {
-            *results.entry(&ended.task).or_default() += 1;
-        }
-        let finished = |task: &str| world.state(&task.parse().expect("a ticket")) == "finished";
-        let second = results.iter().filter(|(task, n)| **n > 1 && finished(task)).count();
+        let count = |with_lost: bool| {
+            let mut counts = BTreeMap::<&str, usize>::new();
+            let results = world.workers.values().flat_map(|worker| &worker.results);
+            for (task, ..) in results.filter(|(.., is_lost)| with_lost || !is_lost) {
+                *counts.entry(task).or_default() += 1;
+            }
+            let finished = |task: &str| world.state(&task.parse().expect("a ticket")) == "finished";
+            counts.iter().filter(|(task, n)| **n > 1 && finished(task)).count()
+        };
+        // A result that a restart lost may have been reported before.
+        let (least, most) = (count(false), count(true));
         let marks = world.samples.iter().filter(|sample| sample.mark == TaskMark::Doubled).count();
-        assert!(marks >= second, "seed {seed}: {marks} marks of {second} doubled tasks");
-        assert!(second > 0 || marks == 0, "seed {seed}: {marks} marks without a doubled task");
+        assert!(marks >= least, "seed {seed}: {marks} marks of {least} doubled tasks");
+        assert!(most > 0 || marks == 0, "seed {seed}: {marks} marks without a doubled task");
     }
 }
 
--- a/crates/cuminbank/tests/tasks_journal.rs
+++ b/crates/cuminbank/tests/tasks_journal.rs
@@ -7,7 +7,7 @@
     event::TaskQuery,
     ledger::{head_key, StoredLedger},
     reducer::records::TaskMark,
-    store::{batch_prefix, epoch_key, StoreValue},
+    store::{batch_prefix, epoch_key, StoreRequest, StoreValue},
 };
 use tasks_support::{cores, millis, secs, Fault, World, ZONE};
 
@@ -40,9 +40,31 @@
     assert_eq!(world.outcome(reply), Some(CallOutcome::Accepted));
     world.run(secs(1));
     assert_eq!(world.store.writes, writes + 1, "acceptance and start take one write");
+    let requests = &world.store.requests;
+    let first = requests.iter().position(|request| matches!(request, StoreRequest::Txn { .. }));
+    let next = &requests[first.expect("there was a write") + 1];
+    assert!(matches!(next, StoreRequest::Range { prefix: false, .. }), "{next:?}");
     assert_eq!(world.starts_of(&ticket).len(), 1);
 }
 
+/// Guards against taking the own write for another owner's when its first copy arrives between
+/// the read and the second copy.
+#[test]
+fn late_copy_of_a_write_is_recognized() {
+    for late in (1_020..1_400).step_by(20) {
+        let mut world = World::new(1, 1);
+        let writes = world.store.writes;
+        world.store_fault = Fault::Late(late);
+        let (ticket, reply) = world.submit(30_000);
+        world.run(millis(200));
+        world.store_fault = Fault::None;
+        world.run(secs(3));
+        assert_eq!(world.outcome(reply), Some(CallOutcome::Accepted), "{late} ms");
+        assert_eq!(world.store.writes, writes + 1, "{late} ms");
+        assert_eq!(world.starts_of(&ticket).len(), 1, "{late} ms");
+    }
+}
+
 /// Guards against a former owner that goes on after its write was refused.
 #[test]
 fn refused_write_drops_the_ledger_and_answers_unknown() {
--- a/crates/cuminbank/tests/tasks_support/mod.rs
+++ b/crates/cuminbank/tests/tasks_support/mod.rs
@@ -56,6 +56,8 @@
     RequestLost,
     /// It takes effect and its answer is lost.
     AnswerLost,
+    /// It takes effect after so many milliseconds, when its sender has given up.
+    Late(u64),
 }
 
 /// The store: keys with revisions, and a fault for each call.
@@ -64,6 +66,7 @@
     pub keys: BTreeMap<String, (Bytes, i64)>,
     pub revision: i64,
     pub writes: usize,
+    pub requests: Vec<StoreRequest>,
 }
 
 impl FakeStore {
@@ -95,6 +98,7 @@
     }
 
     fn call(&mut self, request: &StoreRequest) -> StoreReply {
+        self.requests.push(request.clone());
         match request {
             StoreRequest::Range { key, prefix } => {
                 let values =
@@ -137,11 +141,15 @@
     pub size: ResourceSize,
     pub running: BTreeMap<String, FakeRun>,
     pub last_attempt: BTreeMap<String, u32>,
+    /// Ends that the owner has not confirmed.
     pub ended: Vec<EndedTask>,
+    /// All results: task, attempt, and whether a restart lost it unconfirmed.
+    pub results: Vec<(String, u32, bool)>,
     pub leaving: bool,
     pub fails_all: bool,
     pub fault: Fault,
     pub usage: Vec<UsageWindow>,
+    pub sequence: u64,
     pub starts: Vec<(MonotonicTime, TaskStart)>,
     pub stops: usize,
     pub throttles: Vec<(String, u8)>,
@@ -154,6 +162,8 @@
             running: BTreeMap::new(),
             last_attempt: BTreeMap::new(),
             ended: Vec::new(),
+            results: Vec::new(),
+            sequence: 0,
             leaving: false,
             fails_all: false,
             fault: Fault::None,
@@ -164,12 +174,27 @@
         }
     }
 
+    /// Loses everything but its name, as a process that starts again does.
+    pub fn restart(&mut self) {
+        self.running.clear();
+        self.last_attempt.clear();
+        let lost = std::mem::take(&mut self.ended);
+        for (task, attempt, is_lost) in &mut self.results {
+            *is_lost |= lost.iter().any(|end| end.task == *task && end.attempt == *attempt);
+        }
+        self.sequence = 0;
+    }
+
     pub fn held(&self) -> ResourceSize {
         self.running.values().fold(ResourceSize::default(), |sum, run| sum.plus(&run.size))
     }
 
     fn end(&mut self, task: &str, attempt: u32, end: AttemptEnd) {
-        let sequence = self.ended.last().map_or(1, |ended| ended.sequence + 1);
+        self.sequence += 1;
+        let sequence = self.sequence;
+        if matches!(end, AttemptEnd::Finished { .. }) {
+            self.results.push((task.to_owned(), attempt, false));
+        }
         self.ended.push(EndedTask { sequence, task: task.to_owned(), attempt, end });
     }
 
@@ -223,6 +248,8 @@
                 WorkerReply::Accepted
             }
             WorkerRequest::List { since } => {
+                // A worker keeps no end that its owner has confirmed.
+                self.ended.retain(|ended| ended.sequence > *since);
                 let running = self.running.iter().map(|(task, run)| RunningTask {
                     task: task.clone(),
                     attempt: run.attempt,
@@ -231,7 +258,7 @@
                 WorkerReply::Listed(WorkerReport {
                     leaving: self.leaving,
                     running: running.collect(),
-                    ended: self.ended.iter().filter(|e| e.sequence > *since).cloned().collect(),
+                    ended: self.ended.clone(),
                     usage: std::mem::take(&mut self.usage),
                 })
             }
@@ -453,7 +480,8 @@
             Fault::RequestLost => {
                 self.queue.push((self.now + secs(1), owner, id, failed(ExchangeError::Lost)));
             }
-            Fault::AnswerLost => {
+            Fault::AnswerLost | Fault::Late(_) => {
+                let delay = if let Fault::Late(late) = fault { millis(late) } else { delay };
                 self.queue.push((self.now + delay, owner, id, sent));
                 self.queue.push((self.now + secs(1), owner, id, failed(ExchangeError::Lost)));
             }
--- a/crates/cuminbank/tests/tasks_workers.rs
+++ b/crates/cuminbank/tests/tasks_workers.rs
@@ -13,7 +13,7 @@
     settings::PlacementPolicy,
     worker::{AttemptEnd, EndedTask, UsageWindow},
 };
-use tasks_support::{cores, millis, secs, Fault, World};
+use tasks_support::{cores, millis, secs, FakeRun, Fault, World};
 
 fn marks(world: &World, mark: TaskMark) -> usize {
     world.samples.iter().filter(|sample| sample.mark == mark).count()
@@ -115,21 +115,29 @@
     assert_eq!(starts[0].2.attempt, 2, "the first attempt never reached the worker");
 }
 
-/// Guards against a restarted worker whose numbering of ends begins anew: its ends must not be
-/// taken for old ones.
+/// Guards against a worker that restarts and numbers its ends anew: they must not be taken for
+/// old ones, which would run the tasks again.
 #[test]
 fn restarted_worker_loses_no_end() {
-    let mut world = World::new(1, 1);
-    for _ in 0..5 {
-        world.submit(100);
+    for busy in [false, true] {
+        let mut world = World::new(1, 1);
+        for _ in 0..5 {
+            world.submit(100);
+        }
+        world.run(secs(4));
+        let (lost, _) = world.submit(if busy { 20_000 } else { 100 });
+        world.run(secs(3));
+        let worker = world.workers.get_mut("w0").expect("it exists");
+        worker.restart();
+        worker.fault = Fault::Unsent;
+        world.run(secs(2));
+        world.workers.get_mut("w0").expect("it exists").fault = Fault::None;
+        let (ticket, _) = world.submit(1_500);
+        world.run_until("the end", |world| world.state(&ticket) == "finished");
+        assert_eq!(world.starts_of(&ticket).len(), 1);
+        world.run_until("the end", |world| world.state(&lost) == "finished");
+        assert_eq!(world.starts_of(&lost).len(), if busy { 2 } else { 1 });
     }
-    world.run(secs(4));
-    let (ticket, _) = world.submit(1_500);
-    world.run(secs(1));
-    let worker = world.workers.get_mut("w0").unwrap();
-    worker.ended.clear();
-    world.run_until("the end", |world| world.state(&ticket) == "finished");
-    assert_eq!(world.starts_of(&ticket).len(), 1);
 }
 
 /// Guards against an eviction that loses its checkpoint, resumes twice, returns to the same
@@ -320,8 +328,11 @@
     world.run(secs(1));
     world.send_submission(submission);
     let began = world.now;
+    let mut count = 0;
     while world.starts_of(&ticket).is_empty() {
-        world.submit(1_000);
+        // Run times that differ keep the ends from coming all at once.
+        count += 1;
+        world.submit(1_000 + count * 1_700 % 6_000);
         world.run(millis(230));
         assert!(world.now < began + secs(80), "it has no room");
     }
@@ -347,3 +358,40 @@
     world.run(secs(3));
     assert_eq!(world.state(&large[0]), "finished");
 }
+
+/// Guards against confirming an end to a worker before it is committed: the next owner would
+/// never hear of it and run the task again.
+#[test]
+fn ends_are_confirmed_after_their_commit() {
+    let mut world = World::new(1, 1);
+    let (ticket, _) = world.submit(1_000);
+    world.run(millis(500));
+    world.store_fault = Fault::RequestLost;
+    world.submit(10);
+    world.run(secs(6));
+    assert!(world.workers["w0"].results.len() == 1 && world.state(&ticket) != "finished");
+    world.take_over();
+    world.store_fault = Fault::None;
+    world.run_until("the end", |world| world.state(&ticket) == "finished");
+    assert_eq!(world.starts_of(&ticket).len(), 1);
+}
+
+/// Guards against an attempt that the ledger does not place on a worker and that runs on there,
+/// beside another attempt of its task.
+#[test]
+fn attempts_of_no_placement_are_stopped() {
+    let mut world = World::new(1, 1);
+    let (ticket, _) = world.submit(100);
+    world.run_until("the end", |world| world.state(&ticket) == "finished");
+    let run = FakeRun {
+        attempt: 9,
+        size: cores(1),
+        class: "plan".to_owned(),
+        left: secs(60),
+        lease_until: world.now + secs(60),
+    };
+    let worker = world.workers.get_mut("w0").expect("it exists");
+    worker.running.insert(ticket.to_string(), run);
+    world.run(secs(2));
+    assert!(world.workers["w0"].running.is_empty());
+}
