Tell earlier processes of a name from later ones, and test random faults

Cause: an instance counted a record's identity as ended when it knew another process of that name. The other one may be the earlier process whose last heartbeat was heard before the restart, so a live elector could be passed over.

Ruled out: ordering start numbers, since they are only distinct, not growing.

Before: any other start number of the name counted as a later process. After: it counts only if heard more than the transit bound after the record was first read; for the own name the record has to be older than the store's revision 5 s after the start. An instance claims groups only once it has a configuration. A declined change no longer cancels a planned release.

--- a/crates/cuminbank/src/membership.rs
+++ b/crates/cuminbank/src/membership.rs
@@ -252,10 +252,10 @@
         Some((entry, Duration::from_millis(u64::from(wait))))
     }
 
-    /// Tells whether another process with the name of `identity` was heard after it.
-    pub fn is_replaced(&self, identity: &PeerIdentity) -> bool {
-        let entry = self.peers.get(&identity.instance);
-        entry.is_some_and(|entry| entry.heartbeat.from.start != identity.start)
+    /// Returns when another process with the name of `identity` was last heard.
+    pub fn other_heard(&self, identity: &PeerIdentity) -> Option<MonotonicTime> {
+        let entry = self.peers.get(&identity.instance)?;
+        Some(entry.heard).filter(|_| entry.heartbeat.from.start != identity.start)
     }
 
     /// Tells whether this very process is live.
--- a/crates/cuminbank/src/reducer/groups/claims.rs
+++ b/crates/cuminbank/src/reducer/groups/claims.rs
@@ -4,11 +4,11 @@
 
 use crate::{
     event::ExchangeError,
-    ids::{GroupIndex, LeaseId, MonotonicTime},
+    ids::{GroupIndex, LeaseId, MonotonicTime, StoreRevision},
     log::{GROUP_LOST, GROUP_TAKEN, STORE_REACHABLE, STORE_UNREACHABLE},
     message::PeerIdentity,
     ownership::{SentWrite, StoredGroup, WriteOutcome, LEASE_TTL},
-    reducer::step::StepContext,
+    reducer::{config::ConfigPart, step::StepContext},
     store::{epoch_key, group_key, owner_lease_key, StoreReply, StoreRequest, StoreValue},
 };
 
@@ -19,7 +19,7 @@
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 const GRANT_RETRY: Duration = Duration::from_millis(500);
 /// Time between two looks at a group that has no known owner.
-const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 const WRITE_RETRY: Duration = Duration::from_millis(500);
 const READ_BACK_INTERVAL: Duration = Duration::from_millis(300);
 /// After the start heartbeats of peers arrive within this time, so their groups are known.
@@ -30,9 +30,8 @@
 const STORE_FAILURES: u32 = 3;
 /// The store counts as answering if it answered within this time; the lease is renewed each second.
 const STORE_RECENT: Duration = Duration::from_millis(2_500);
-/// An own name with another start number in a record is an earlier process. Only then does its
-/// lease have to have ended, which takes this long.
-const OWN_RESTART: Duration = LEASE_TTL;
+/// After this time no write of an earlier process of the same name is on its way any more.
+const EARLIER_WRITES: Duration = Duration::from_secs(5);
 
 /// What is known of a group that the instance may claim.
 #[derive(Debug, Default)]
@@ -44,6 +43,8 @@
     reading_back: bool,
     pub(super) next: MonotonicTime,
     unowned_since: Option<MonotonicTime>,
+    /// Revision of the record and when it was first read.
+    seen: (StoreRevision, MonotonicTime),
 }
 
 /// Whether the store answers.
@@ -146,8 +147,14 @@
         }
     }
 
-    pub(super) fn tick_claims(&mut self, step: &mut StepContext, started: MonotonicTime) {
+    pub(super) fn tick_claims(
+        &mut self,
+        step: &mut StepContext,
+        config: &ConfigPart,
+        started: MonotonicTime,
+    ) {
         let now = step.now();
+        self.settle_revision(step, started);
         self.handed.retain(|_, handed| handed.is_kept(now));
         for group in self.claim_order(now) {
             if self.fixed.contains_key(&group) {
@@ -159,12 +166,30 @@
                 continue;
             } else if self.table.epoch(group).is_some() {
                 self.tick_held(step, group);
-            } else if self.wants_group(group, now, started) {
+            } else if self.wants_group(group, now, started) && config.is_ready() {
                 self.begin_look(step, group);
             }
         }
     }
 
+    /// Reads the revision of the store once, to tell records of earlier processes of the same name
+    /// from records of later ones.
+    fn settle_revision(&mut self, step: &mut StepContext, started: MonotonicTime) {
+        if self.settled.is_some() || self.settling || step.now() < started + EARLIER_WRITES {
+            return;
+        }
+        self.settling = true;
+        let request = StoreRequest::Range { key: group_key(&self.zone, 0), prefix: false };
+        self.call_store(step, request, GroupExchange::Settle);
+    }
+
+    pub(super) fn on_settled(&mut self, result: &Result<StoreReply, ExchangeError>) {
+        self.settling = false;
+        if let Ok(StoreReply::Range { revision, .. }) = result {
+            self.settled = Some(*revision);
+        }
+    }
+
     /// Instances of a zone begin with different groups, so that their claims seldom collide.
     fn claim_order(&self, now: MonotonicTime) -> Vec<GroupIndex> {
         let earlier = |name: &str| name < self.this.instance.as_str();
@@ -259,6 +284,11 @@
         if look.stored.lease_held {
             look.unowned_since = None;
         }
+        let revision = look.stored.value.as_ref().map_or(0, |value| value.mod_revision);
+        if look.seen.0 != revision {
+            look.seen = (revision, now);
+        }
+        let seen = look.seen;
         let (stored, unowned_since) = (look.stored.clone(), look.unowned_since);
         let record = stored.record();
         let handed = self.handed.get(&group).map(|handed| handed.epoch);
@@ -272,23 +302,32 @@
         if released && !matches && !waited {
             return;
         }
-        if self.table.may_claim(group, &stored, |peer| self.is_ended(peer, now), now) {
+        if self.table.may_claim(group, &stored, |peer| self.is_ended(peer, seen, now), now) {
             let electorate = self.electors.members.clone();
             let write = self.table.begin_claim(group, &stored, electorate);
             self.send_write(step, group, write);
         }
     }
 
-    /// Tells whether an instance has ended: the list says so, or its name has a new process.
-    fn is_ended(&self, peer: &PeerIdentity, now: MonotonicTime) -> bool {
+    /// Tells whether an instance that a record names has ended: the list says so, or its name has a
+    /// later process. `seen` is the revision of the record and when it was first read.
+    fn is_ended(
+        &self,
+        peer: &PeerIdentity,
+        seen: (StoreRevision, MonotonicTime),
+        now: MonotonicTime,
+    ) -> bool {
         if peer.instance == self.this.instance {
-            let started = self.started.unwrap_or(now);
-            return peer.start != self.this.start && now >= started + OWN_RESTART;
+            let earlier = self.settled.is_some_and(|settled| seen.0 <= settled);
+            return earlier && peer.start != self.this.start;
         }
         if self.peers.is_heard(peer, now) {
             return false;
         }
-        self.peers.is_replaced(peer) || self.listing.is_ended(&peer.instance, now)
+        // A process that sends heartbeats after the record was read started after the one in it.
+        let later = self.peers.other_heard(peer);
+        let replaced = later.is_some_and(|heard| heard > seen.1 + TRANSIT_BOUND);
+        replaced || self.listing.is_ended(&peer.instance, now)
     }
 
     /// Keeps the owner's lease key bound to the lease and the electorate equal to the live peers.
@@ -365,7 +404,7 @@
             WriteOutcome::Superseded => self.lose_group(step, group),
             WriteOutcome::Declined => {
                 look.next = now + WRITE_RETRY;
-                self.cancel_release(group);
+                self.on_release_declined(group);
             }
             WriteOutcome::Unsure => look.next = now + READ_BACK_INTERVAL,
             WriteOutcome::Resend(write) => self.send_write(step, group, Some(write)),
--- a/crates/cuminbank/src/reducer/groups/drain.rs
+++ b/crates/cuminbank/src/reducer/groups/drain.rs
@@ -76,7 +76,7 @@
         }
         step.log(DRAIN_STARTED, format!("{} groups owned", self.table.held().len()));
         self.drain = Some(DrainState { started: step.now(), drained: false });
-        // Peers and the next heartbeat receivers learn of the stop at the next tick.
+        // Peers learn of the stop at the next tick.
         self.next_heartbeat = step.now();
     }
 
@@ -122,8 +122,15 @@
         self.releases.insert(group, release);
     }
 
-    /// Keeps a group whose release was not written; a planned stop tries again.
-    pub(super) fn cancel_release(&mut self, group: GroupIndex) {
+    /// Keeps a group after its release was declined; a planned stop tries again.
+    pub(super) fn on_release_declined(&mut self, group: GroupIndex) {
+        let release = self.releases.get(&group);
+        if release.is_some_and(|release| matches!(release.phase, ReleasePhase::Writing)) {
+            self.cancel_release(group);
+        }
+    }
+
+    fn cancel_release(&mut self, group: GroupIndex) {
         if self.table.epoch(group).is_some() && self.releases.remove(&group).is_some() {
             self.table.keep_right(group);
         }
--- a/crates/cuminbank/src/reducer/groups/mod.rs
+++ b/crates/cuminbank/src/reducer/groups/mod.rs
@@ -18,7 +18,7 @@
     event::{ExchangeError, ListedInstance},
     ids::{
         ExchangeId, GroupIndex, LeaseId, MonotonicTime, OwnerEpoch, ReplyId, StartNumber,
-        TargetName, ZoneName,
+        StoreRevision, TargetName, ZoneName,
     },
     membership::{PeerTable, TargetEntry, TargetTable},
     message::{PeerIdentity, PeerReply, TicketHandover},
@@ -91,6 +91,7 @@
     Write { group: GroupIndex, number: u64 },
     ReadBack { group: GroupIndex },
     HandOver { group: GroupIndex, to: PeerIdentity },
+    Settle,
 }
 
 /// Groups and membership.
@@ -120,6 +121,9 @@
     exchanges: HashMap<ExchangeId, GroupExchange>,
     store: StoreHealth,
     granting: bool,
+    /// Revision of the store shortly after the start.
+    settled: Option<StoreRevision>,
+    settling: bool,
     next_renewal: MonotonicTime,
     next_heartbeat: MonotonicTime,
     next_balance: MonotonicTime,
@@ -158,6 +162,8 @@
             exchanges: HashMap::new(),
             store: StoreHealth::default(),
             granting: false,
+            settled: None,
+            settling: false,
             next_renewal: MonotonicTime::ZERO,
             next_heartbeat: MonotonicTime::ZERO,
             next_balance: MonotonicTime::ZERO,
@@ -266,6 +272,7 @@
                 self.on_write_ended(step, group, number, &result);
             }
             GroupExchange::ReadBack { group } => self.on_read_back(step, group, &result),
+            GroupExchange::Settle => self.on_settled(&result),
             GroupExchange::HandOver { .. } => {}
         }
     }
@@ -295,7 +302,7 @@
         self.fetch_list(step);
         self.tick_lease(step);
         self.tick_peers(step, config, calls);
-        self.tick_claims(step, started);
+        self.tick_claims(step, config, started);
         self.tick_releases(step, calls);
         self.tick_drain(step, calls);
     }
--- a/crates/cuminbank/tests/groups_drain.rs
+++ b/crates/cuminbank/tests/groups_drain.rs
@@ -9,6 +9,7 @@
     event::{EntryEvent, StateQuery},
     ids::RequestTicket,
     message::{PeerReply, TicketHandover},
+    profile::WorkProfile,
     reducer::{
         calls::CallPart,
         config::ConfigPart,
@@ -89,6 +90,11 @@
     assert_eq!(world.owned(0).len(), 4);
 }
 
+fn rush() -> WorkProfile {
+    let text = br#"{"name":"rush","kind":"urgent","deadline_ms":500}"#;
+    WorkProfile::from_json(text).expect("the profile is valid")
+}
+
 /// One instance's part with a store, for looking at its changes.
 struct PartBench {
     part: GroupPart,
@@ -103,7 +109,7 @@
         let settings = settings("d0", 7_000, &[7_000]);
         Self {
             part: GroupPart::new(&settings, 1),
-            config: ConfigPart::new(&settings),
+            config: ConfigPart::new(&settings).with_profile(rush()),
             step: StepContext::new(settings, 1),
             store: FakeStore::default(),
             now: Duration::ZERO,
--- a/crates/cuminbank/tests/groups_takeover.rs
+++ b/crates/cuminbank/tests/groups_takeover.rs
@@ -6,6 +6,9 @@
 
 use cuminbank::event::{ListedRole, StateQuery};
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 use self::groups_support::{listed, GroupWorld};
 
 fn seconds(count: u64) -> Duration {
@@ -161,3 +164,53 @@
     run_checked(&mut world, seconds(4));
     assert_eq!(world.owned(1).len(), 4);
 }
+
+/// Guards against groups that wait for processes whose names are in use again.
+#[test]
+fn restarted_instances_do_not_wait_for_their_earlier_processes() {
+    let mut world = GroupWorld::new(2);
+    run_checked(&mut world, seconds(12));
+    world.restart(0, 90);
+    world.restart(1, 91);
+    run_checked(&mut world, seconds(12));
+    assert!(all_owned(&mut world));
+    world.nodes[0].up = false;
+    world.list.as_mut().expect("the list is up").retain(|listed| listed.name != "d0");
+    world.restart(1, 92);
+    run_checked(&mut world, seconds(12));
+    assert_eq!(world.owned(1).len(), 4);
+}
+
+/// Guards against combinations of faults that leave two owners, or groups without an owner once
+/// all faults have ended.
+#[test]
+fn groups_recover_from_random_faults() {
+    for seed in 0..6 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut world = GroupWorld::new(3);
+        run_checked(&mut world, seconds(5));
+        for start in 0..15 {
+            let node = rng.random_range(0..3);
+            match rng.random_range(0..7) {
+                0 => world.restart(node, 1_000 + start),
+                1 => world.nodes[node].paused ^= true,
+                2 => world.nodes[node].store_up ^= true,
+                3 => world.cut.push((rng.random_range(0..2), 2)),
+                4 => world.cut.push((0, 1)),
+                5 => world.lost_answers += 3,
+                _ => world.list = world.list.take().filter(|_| rng.random()),
+            }
+            run_checked(&mut world, Duration::from_millis(rng.random_range(200..6_000)));
+        }
+        let names = ["d0", "d1", "d2"].map(|name| listed(name, ListedRole::Entry));
+        world.list = Some(names.to_vec());
+        world.cut.clear();
+        for node in &mut world.nodes {
+            (node.paused, node.store_up) = (false, true);
+        }
+        run_checked(&mut world, seconds(25));
+        assert!(all_owned(&mut world), "seed {seed}");
+        let share = (0..3).all(|node| world.owned(node).len() <= 2);
+        assert!(share, "an instance owns more than its share, seed {seed}");
+    }
+}
