Check the execution logs of a fleet and measure the delay of starts

Cause: a load run shows what callers see, not whether work ran twice, ran in two places at once, or started in time.

Ruled out: a fault for every checkpoint that is resumed twice. A worker that dies before its next checkpoint rightly leads to that.

Before: the logs of each executor and worker had to be fetched and joined. After: GET /control on the list of a fleet gives sums of the counters, faults found in the logs and the delay of first starts. A fleet's servers share a clock so that log times compare.

--- a/crates/cuminbank-standins/src/clock.rs
+++ b/crates/cuminbank-standins/src/clock.rs
@@ -1,6 +1,6 @@
 //! Clock of a stand-in process.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use cuminbank::ids::MonotonicTime;
 use monoio::time;
@@ -31,3 +31,9 @@
         Self::new()
     }
 }
+
+/// Returns the time of day in milliseconds since 1970.
+pub(crate) fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/cuminbank-standins/src/executor/server.rs
+++ b/crates/cuminbank-standins/src/executor/server.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 
 use super::{
-    core::{CallStart, ExecutorCore},
+    core::{CallExecution, CallStart, ExecutorCore},
     slots::SlotTable,
 };
 use crate::{
@@ -39,6 +39,7 @@
         table: Rc<RefCell<SlotTable>>,
         worker: Option<WorkerServer>,
         factors: PairFactors,
+        clock: StandinClock,
         seed: u64,
     ) -> Self {
         Self(Rc::new(ExecutorState {
@@ -46,7 +47,7 @@
             table,
             worker,
             factors,
-            clock: StandinClock::new(),
+            clock,
             control: FaultControl::new(seed),
         }))
     }
@@ -64,6 +65,11 @@
         counters
     }
 
+    /// Returns the log of executions.
+    pub fn executions(&self) -> Vec<CallExecution> {
+        self.0.core.borrow().executions().cloned().collect()
+    }
+
     /// Serves until the process ends.
     pub async fn serve(self, listener: TcpListener) {
         let counting = self.clone();
@@ -82,10 +88,7 @@
                 None => error_response(400, "the header x-call-id is missing"),
             },
             (&Method::GET, "/v1/running") => json_response(200, &self.0.core.borrow().running()),
-            (&Method::GET, "/v1/executions") => {
-                let core = self.0.core.borrow();
-                json_response(200, &core.executions().collect::<Vec<_>>())
-            }
+            (&Method::GET, "/v1/executions") => json_response(200, &self.executions()),
             (&Method::GET, "/v1/slots") => {
                 let table = self.0.table.borrow();
                 let slots: std::collections::BTreeMap<_, _> = table.confirmations().collect();
--- a/crates/cuminbank-standins/src/fleet.rs
+++ b/crates/cuminbank-standins/src/fleet.rs
@@ -15,7 +15,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    clock::StandinClock,
     executor::{ExecutorCore, ExecutorServer, SlotTable},
+    history::summarize,
     list::{ListServer, ListSettings},
     machine::PairFactors,
     worker::{WorkerServer, WorkerSettings},
@@ -139,34 +141,39 @@
 /// A fleet before it serves.
 pub struct Fleet {
     /// The machines.
-    pub machines: Vec<FleetMachine>,
+    pub machines: Rc<[FleetMachine]>,
     /// The list.
     pub list: ListServer,
     list_address: SocketAddr,
+    table: Rc<RefCell<SlotTable>>,
 }
 
 impl Fleet {
     /// Creates a fleet; `settings` must have passed its check.
     pub fn new(settings: &FleetSettings) -> Self {
         let table = Rc::new(RefCell::new(SlotTable::default()));
+        let clock = StandinClock::new();
         let mut machines = Vec::new();
         for zone in &settings.zones {
             for index in 0..settings.machines_per_zone {
-                machines.push(new_machine(settings, zone, index, machines.len(), &table));
+                let number = machines.len();
+                machines.push(new_machine(settings, zone, [index, number], clock, &table));
             }
         }
         let listed = machines.iter().flat_map(|machine| machine.listed.clone());
         let instances = settings.instances.iter().cloned().chain(listed).collect();
         let list = ListSettings { lag_ms: settings.list_lag_ms, instances };
         let list = ListServer::new(list, settings.seed);
-        Self { machines, list, list_address: settings.address(0) }
+        Self { machines: machines.into(), list, list_address: settings.address(0), table }
     }
 
     /// Opens all ports and serves on the current runtime.
     pub fn spawn(&self) -> io::Result<()> {
         let listener = runtime::listen(self.list_address)?;
-        monoio::spawn(self.list.clone().serve(listener));
-        for machine in &self.machines {
+        let (machines, table) = (Rc::clone(&self.machines), Rc::clone(&self.table));
+        let counters = move || summarize(&machines, &table.borrow());
+        monoio::spawn(self.list.clone().serve(listener, counters));
+        for machine in self.machines.iter() {
             let [executor, worker] = &machine.listed;
             let listener = runtime::listen(executor.address)?;
             monoio::spawn(machine.executor.clone().serve(listener));
@@ -185,8 +192,8 @@
 fn new_machine(
     settings: &FleetSettings,
     zone: &str,
-    index: usize,
-    number: usize,
+    [index, number]: [usize; 2],
+    clock: StandinClock,
     table: &Rc<RefCell<SlotTable>>,
 ) -> FleetMachine {
     let machine = format!("{zone}-m{index:03}");
@@ -207,11 +214,11 @@
     let mut worker_settings = WorkerSettings::new(worker_listed.name.clone(), settings.size);
     worker_settings.lag = std::time::Duration::from_millis(settings.usage_lag_ms);
     let seed = settings.seed.wrapping_add(2 * number as u64 + 1);
-    let worker = WorkerServer::new(worker_settings, seed);
+    let worker = WorkerServer::new(worker_settings, clock, seed);
     let core = ExecutorCore::new(executor_listed.name.clone(), settings.slots as usize);
     let factors = settings.pair_factors();
     let table = Rc::clone(table);
-    let executor = ExecutorServer::new(core, table, Some(worker.clone()), factors, seed + 1);
+    let executor = ExecutorServer::new(core, table, Some(worker.clone()), factors, clock, seed + 1);
     executor.control().set_connection_limit(settings.connections as usize);
     FleetMachine { executor, worker, listed: [executor_listed, worker_listed] }
 }
--- /dev/null
+++ b/crates/cuminbank-standins/src/history.rs
@@ -0,0 +1,116 @@
+//! Checks of the execution logs of a whole fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use crate::{
+    executor::{CallExecution, SlotTable},
+    fleet::FleetMachine,
+    worker::{new_delays, ExecutionEnd, TaskExecution},
+};
+
+/// Faults found in the logs; every number has to be 0.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HistoryFaults {
+    /// Keys of calls that ran in two places at once.
+    pub calls_at_once: BTreeSet<String>,
+    /// Keys of reservations and confirmations that ran more than once.
+    pub calls_repeated: BTreeSet<String>,
+    /// Tasks that ran in two places at once.
+    pub tasks_at_once: BTreeSet<String>,
+    /// Tasks that were started again after they had finished.
+    pub tasks_doubled: BTreeSet<String>,
+}
+
+/// Checks the logs of all executors, whose times must come from one clock.
+pub fn check_calls<'a>(
+    executions: impl Iterator<Item = &'a CallExecution>,
+    faults: &mut HistoryFaults,
+) {
+    let mut runs: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+    for execution in executions.filter(|execution| !execution.key.is_empty()) {
+        let spans = runs.entry(&execution.key).or_default();
+        spans.push((execution.start_ms, execution.end_ms.unwrap_or(u64::MAX)));
+        let once = matches!(execution.op.as_str(), "reserve" | "confirm");
+        if once && spans.len() > 1 {
+            faults.calls_repeated.insert(execution.key.clone());
+        }
+    }
+    faults.calls_at_once.extend(find_overlaps(runs));
+}
+
+/// Checks the logs of all workers, whose times must come from one clock.
+pub fn check_tasks<'a>(
+    executions: impl Iterator<Item = &'a TaskExecution>,
+    faults: &mut HistoryFaults,
+) {
+    let mut runs: BTreeMap<&str, Vec<(u64, u64)>> = BTreeMap::new();
+    let mut finished: BTreeMap<&str, u64> = BTreeMap::new();
+    for execution in executions {
+        let task = execution.task.as_str();
+        let end_ms = execution.end_ms.unwrap_or(u64::MAX);
+        runs.entry(task).or_default().push((execution.start_ms, end_ms));
+        if execution.end == Some(ExecutionEnd::Finished) {
+            let first = finished.entry(task).or_insert(end_ms);
+            *first = end_ms.min(*first);
+        }
+    }
+    let again = |(task, spans): (&&str, &Vec<(u64, u64)>)| {
+        let end = finished.get(task)?;
+        spans.iter().any(|(start, _)| start >= end).then(|| (*task).to_owned())
+    };
+    faults.tasks_doubled.extend(runs.iter().filter_map(again));
+    faults.tasks_at_once.extend(find_overlaps(runs));
+}
+
+fn find_overlaps(runs: BTreeMap<&str, Vec<(u64, u64)>>) -> Vec<String> {
+    let overlaps = |spans: &mut Vec<(u64, u64)>| {
+        spans.sort_unstable();
+        spans.windows(2).any(|pair| pair[1].0 < pair[0].1)
+    };
+    let found = runs.into_iter().filter_map(|(key, mut spans)| overlaps(&mut spans).then_some(key));
+    found.map(str::to_owned).collect()
+}
+
+/// Returns the sums of the counters of a fleet and the faults in its logs.
+pub fn summarize(machines: &[FleetMachine], table: &SlotTable) -> Value {
+    let (mut executors, mut workers) = (json!({}), json!({}));
+    let mut delays = new_delays();
+    for machine in machines {
+        add_counters(&mut executors, &machine.executor.counters());
+        add_counters(&mut workers, &machine.worker.counters());
+        machine.worker.add_start_delays(&mut delays);
+        let over = machine.executor.control().report(Value::Null)["over_connections"].clone();
+        add_counters(&mut executors, &json!({ "over_connections": over }));
+    }
+    let mut faults = HistoryFaults::default();
+    let calls: Vec<_> = machines.iter().flat_map(|machine| machine.executor.executions()).collect();
+    check_calls(calls.iter(), &mut faults);
+    let tasks: Vec<_> = machines.iter().flat_map(|machine| machine.worker.executions()).collect();
+    check_tasks(tasks.iter(), &mut faults);
+    let confirmed = table.confirmations().filter(|(_, count)| *count > 0).count();
+    let doubled = table.confirmations().filter(|(_, count)| *count > 1).count();
+    json!({
+        "executors": executors, "workers": workers, "faults": faults,
+        "slots": {"confirmed": confirmed, "confirmed_twice": doubled},
+        "start_delay_ms": write_delays(&delays),
+    })
+}
+
+fn add_counters(sum: &mut Value, counters: &Value) {
+    for (name, value) in counters.as_object().into_iter().flatten() {
+        if let Some(value) = value.as_u64() {
+            sum[name] = json!(sum[name].as_u64().unwrap_or(0) + value);
+        }
+    }
+}
+
+fn write_delays(delays: &Histogram<u64>) -> Value {
+    json!({
+        "count": delays.len(), "p50": delays.value_at_quantile(0.5),
+        "p99": delays.value_at_quantile(0.99), "max": delays.max(),
+    })
+}
--- a/crates/cuminbank-standins/src/lib.rs
+++ b/crates/cuminbank-standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod executor;
 pub mod fleet;
+pub mod history;
 pub mod list;
 pub mod load;
 pub mod machine;
--- a/crates/cuminbank-standins/src/list.rs
+++ b/crates/cuminbank-standins/src/list.rs
@@ -127,12 +127,17 @@
         self.0.core.borrow_mut().change(self.0.clock.now(), change);
     }
 
-    /// Serves until the process ends.
-    pub async fn serve(self, listener: TcpListener) {
+    /// Serves until the process ends; `counters` adds to the state for `GET /control`.
+    pub async fn serve<C>(self, listener: TcpListener, counters: C)
+    where
+        C: Fn() -> Value + Clone + 'static,
+    {
         let counting = self.clone();
         let counters = move || {
+            let mut counters = counters();
             let now = counting.0.clock.now();
-            json!({"instances": counting.0.core.borrow_mut().instances(now).count()})
+            counters["instances"] = json!(counting.0.core.borrow_mut().instances(now).count());
+            counters
         };
         let control = self.control();
         let handler = move |request, _| {
--- a/crates/cuminbank-standins/src/load/client.rs
+++ b/crates/cuminbank-standins/src/load/client.rs
@@ -94,12 +94,16 @@
         turn: usize,
         customer: &str,
         task: &TaskArrival,
+        due_unix_ms: u64,
     ) -> CallerResult {
         let ticket = match self.take_ticket(turn).await {
             Ok(ticket) => ticket,
             Err(reason) => return CallerResult::Refused(reason),
         };
-        let request = ClientRequest::new_post("/v1/tasks", task.body.to_string())
+        let mut body = task.body.clone();
+        // A worker stand-in takes the delay of the start from this field.
+        body["input"]["sent_unix_ms"] = json!(due_unix_ms);
+        let request = ClientRequest::new_post("/v1/tasks", body.to_string())
             .with_header("x-profile", task.profile.as_str())
             .with_header("x-customer", customer)
             .with_header("x-class", task.class.as_str())
--- a/crates/cuminbank-standins/src/load/runner.rs
+++ b/crates/cuminbank-standins/src/load/runner.rs
@@ -16,6 +16,7 @@
     result::{CountedOutcome, LoadResult, ResultCollector},
     LoadSettings,
 };
+use crate::clock::unix_millis;
 
 /// Requests in progress at a time; an arrival beyond it counts as an error.
 const MAX_IN_PROGRESS: usize = 8_000;
@@ -77,8 +78,12 @@
 }
 
 impl LoadRun {
+    fn send_lag(&self, at: Duration) -> Duration {
+        self.started.elapsed().saturating_sub(at)
+    }
+
     fn note_send(&self, at: Duration) {
-        let lag = self.started.elapsed().saturating_sub(at).as_secs_f64() * 1_000.0;
+        let lag = self.send_lag(at).as_secs_f64() * 1_000.0;
         let result = &mut self.collector.borrow_mut().result;
         result.max_send_lag_ms = result.max_send_lag_ms.max(lag);
     }
@@ -90,6 +95,7 @@
             return;
         }
         run.in_progress.set(run.in_progress.get() + 1);
+        let due = unix_millis().saturating_sub(run.send_lag(arrival.at).as_millis() as u64);
         monoio::spawn(async move {
             match &arrival.work {
                 LoadWork::Call(call) => {
@@ -97,7 +103,7 @@
                     run.count_call(&arrival, call, result);
                 }
                 LoadWork::Task(task) => {
-                    let result = run.client.submit(turn, &arrival.customer, task).await;
+                    let result = run.client.submit(turn, &arrival.customer, task, due).await;
                     run.count_task(task, result);
                 }
             }
--- a/crates/cuminbank-standins/src/main.rs
+++ b/crates/cuminbank-standins/src/main.rs
@@ -15,6 +15,7 @@
 use cuminbank::worker::ResourceSize;
 use cuminbank_net::{logging, runtime};
 use cuminbank_standins::{
+    clock::StandinClock,
     executor::{ExecutorCore, ExecutorServer, SlotTable},
     fleet::{Fleet, FleetSettings},
     list::{ListServer, ListSettings},
@@ -177,7 +178,7 @@
     };
     let address = flags.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 8500)));
     let server = ListServer::new(settings, flags.seed.unwrap_or(0));
-    serve("list", address, |listener| server.serve(listener))
+    serve("list", address, |listener| server.serve(listener, || serde_json::json!({})))
 }
 
 fn run_executor(flags: flags::Executor) -> ExitCode {
@@ -185,7 +186,8 @@
     let core = ExecutorCore::new(name, flags.slots.unwrap_or(8));
     let table = Rc::new(RefCell::new(SlotTable::default()));
     let seed = flags.seed.unwrap_or(0);
-    let server = ExecutorServer::new(core, table, None, PairFactors::new(seed), seed);
+    let server =
+        ExecutorServer::new(core, table, None, PairFactors::new(seed), StandinClock::new(), seed);
     serve("executor", flags.listen, |listener| server.serve(listener))
 }
 
@@ -196,7 +198,7 @@
         accelerators: flags.accelerators.unwrap_or(0),
     };
     let settings = WorkerSettings::new(flags.name.unwrap_or_else(|| "worker".to_owned()), size);
-    let server = WorkerServer::new(settings, flags.seed.unwrap_or(0));
+    let server = WorkerServer::new(settings, StandinClock::new(), flags.seed.unwrap_or(0));
     serve("worker", flags.listen, |listener| server.serve(listener))
 }
 
--- a/crates/cuminbank-standins/src/worker/mod.rs
+++ b/crates/cuminbank-standins/src/worker/mod.rs
@@ -6,6 +6,8 @@
 mod types;
 mod usage;
 
+pub(crate) use self::server::new_delays;
+
 pub use self::{
     checkpoint::TaskCheckpoint,
     core::WorkerCore,
--- a/crates/cuminbank-standins/src/worker/server.rs
+++ b/crates/cuminbank-standins/src/worker/server.rs
@@ -4,14 +4,18 @@
 
 use cuminbank::worker::{TaskStart, WorkerReply, WorkerRequest};
 use cuminbank_net::server::{ServerAction, ServerRequest, ServerResponse};
+use hdrhistogram::Histogram;
 use http::Method;
 use monoio::net::TcpListener;
 use serde::Deserialize;
 use serde_json::{json, Value};
 
-use super::{core::WorkerCore, types::WorkerSettings};
+use super::{
+    core::WorkerCore,
+    types::{TaskExecution, WorkerSettings},
+};
 use crate::{
-    clock::StandinClock,
+    clock::{unix_millis, StandinClock},
     control::{self, error_response, json_response, FaultControl},
     machine::MachineLoad,
 };
@@ -23,6 +27,7 @@
 struct WorkerState {
     core: RefCell<WorkerCore>,
     clock: StandinClock,
+    start_delays: RefCell<Histogram<u64>>,
     control: Rc<FaultControl>,
 }
 
@@ -52,11 +57,12 @@
 }
 
 impl WorkerServer {
-    /// Creates an idle worker.
-    pub fn new(settings: WorkerSettings, seed: u64) -> Self {
+    /// Creates an idle worker; the log times of servers with the same clock can be compared.
+    pub fn new(settings: WorkerSettings, clock: StandinClock, seed: u64) -> Self {
         Self(Rc::new(WorkerState {
             core: RefCell::new(WorkerCore::new(settings)),
-            clock: StandinClock::new(),
+            clock,
+            start_delays: RefCell::new(new_delays()),
             control: FaultControl::new(seed),
         }))
     }
@@ -87,6 +93,19 @@
         counters
     }
 
+    /// Adds the start delays seen so far, in milliseconds, to `delays`.
+    pub fn add_start_delays(&self, delays: &mut Histogram<u64>) {
+        // Both have the same bounds, so that the sum cannot fail.
+        let _ = delays.add(&*self.0.start_delays.borrow());
+    }
+
+    /// Returns the log of executions.
+    pub fn executions(&self) -> Vec<TaskExecution> {
+        let mut core = self.0.core.borrow_mut();
+        core.advance(self.0.clock.now());
+        core.executions().cloned().collect()
+    }
+
     /// Serves until the process ends.
     pub async fn serve(self, listener: TcpListener) {
         let counting = self.clone();
@@ -101,9 +120,7 @@
     fn handle(&self, request: &ServerRequest) -> ServerResponse {
         let body = &request.body;
         match (&request.method, request.path.as_str()) {
-            (&Method::POST, "/v1/tasks") => {
-                self.apply_read(body, |start: TaskStart| WorkerRequest::Start(start))
-            }
+            (&Method::POST, "/v1/tasks") => self.start(body),
             (&Method::POST, "/v1/renew") => self.apply_read(body, |renew: RenewBody| {
                 WorkerRequest::Renew { lease_ms: renew.lease_ms, tasks: renew.tasks }
             }),
@@ -119,11 +136,7 @@
                 Some(since) => self.apply(WorkerRequest::List { since }),
                 None => error_response(400, "since is not a number"),
             },
-            (&Method::GET, "/v1/executions") => {
-                let mut core = self.0.core.borrow_mut();
-                core.advance(self.0.clock.now());
-                json_response(200, &core.executions().collect::<Vec<_>>())
-            }
+            (&Method::GET, "/v1/executions") => json_response(200, &self.executions()),
             (&Method::POST, "/v1/leaving") => match serde_json::from_slice::<LeavingBody>(body) {
                 Ok(body) => {
                     self.0.core.borrow_mut().set_leaving(body.leaving);
@@ -135,6 +148,20 @@
         }
     }
 
+    fn start(&self, body: &[u8]) -> ServerResponse {
+        let start: TaskStart = match serde_json::from_slice(body) {
+            Ok(start) => start,
+            Err(error) => return error_response(400, &error.to_string()),
+        };
+        let sent = start.input["sent_unix_ms"].as_u64().filter(|_| start.attempt == 1);
+        let response = self.apply(WorkerRequest::Start(start));
+        if let Some(sent) = sent.filter(|_| response.status == 200) {
+            let delay = unix_millis().saturating_sub(sent);
+            self.0.start_delays.borrow_mut().saturating_record(delay);
+        }
+        response
+    }
+
     fn apply_read<T: for<'a> Deserialize<'a>>(
         &self,
         body: &[u8],
@@ -162,6 +189,11 @@
     }
 }
 
+/// Creates a histogram for start delays in milliseconds, up to an hour.
+pub(crate) fn new_delays() -> Histogram<u64> {
+    Histogram::new_with_max(3_600_000, 3).expect("the bounds are valid")
+}
+
 fn read_since(query: &str) -> Option<u64> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     match pairs.find(|(name, _)| *name == "since") {
--- a/crates/cuminbank-standins/tests/servers.rs
+++ b/crates/cuminbank-standins/tests/servers.rs
@@ -16,6 +16,7 @@
     list::{ListServer, ListSettings},
     store::{StoreLimits, StoreServer},
 };
+use serde_json::json;
 
 const TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -66,7 +67,7 @@
         let address = listener.local_addr().unwrap();
         let server = ListServer::new(ListSettings::default(), 1);
         let control = server.control();
-        monoio::spawn(server.serve(listener));
+        monoio::spawn(server.serve(listener, || json!({})));
         let get = || ClientRequest::new_get("/v1/health/service/cuminbank");
         let pool = HttpPool::new();
         pool.exchange(address, get(), TIMEOUT).await.unwrap();
