--- a/crates/cuminbank-standins/src/lib.rs
+++ b/crates/cuminbank-standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod executor;
 pub mod fleet;
 pub mod harness;
+pub mod history;
 pub mod list;
 pub mod load;
 pub mod machine;
--- a/crates/cuminbank/src/reducer/records.rs
+++ b/crates/cuminbank/src/reducer/records.rs
@@ -292,7 +292,7 @@
     ) {
         let wall = step.wall();
         for (peer, silent) in groups.peers_heard(step.now()) {
-            self.current.hear_peer(peer, wall.checked_sub(silent).unwrap_or(wall));
+            self.current.hear_peer(peer, heard_at(wall, silent));
         }
         let end = end.max(self.current.from);
         self.note_outage(end);
@@ -461,3 +461,9 @@
     let stored = StoredRecord { operation: String::new(), record: record.clone() };
     stored.encode().len() + MAX_OPERATION_BYTES
 }
+
+/// Returns the time of day at which a peer was last heard. A clock that stands before 1970 has no
+/// encoding, so the result is never earlier than that.
+fn heard_at(wall: SystemTime, silent: Duration) -> SystemTime {
+    wall.checked_sub(silent).unwrap_or(wall).max(SystemTime::UNIX_EPOCH)
+}
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -15,14 +15,12 @@
 };
 
 use super::group::{
-    GroupExchange, GroupScene, RunPhase, TaskGroup, TaskModels, LEASE_LAPSED, TRANSIT_BOUND,
-    WORKER_LEASE,
+    GroupExchange, GroupScene, RunPhase, StopReason, TaskGroup, TaskModels, TaskRun, LEASE_LAPSED,
+    TRANSIT_BOUND, WORKER_LEASE,
 };
 
 /// Time between two renewals, and two lists, of a worker.
 pub const VISIT_INTERVAL: Duration = Duration::from_secs(1);
-/// Silence after which a worker's leases are no longer renewed, so that they lapse for sure.
-const SILENCE: Duration = Duration::from_secs(3);
 
 /// How a reported attempt fits the ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -77,8 +75,7 @@
     fn renew(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
         let now = step.now();
         let Some(worker) = self.workers.get(name) else { return };
-        let silent = worker.answered_at.is_none_or(|at| now >= at + SILENCE);
-        if worker.renewing || silent {
+        if worker.renewing || worker.is_silent(now) {
             return;
         }
         let running = |task: &TaskId| {
@@ -112,8 +109,7 @@
         if worker.listing {
             return;
         }
-        // A worker that restarted under its name numbers its ends anew. An attempt in doubt is
-        // therefore looked up among all ends that the worker still has.
+        // An attempt in doubt is looked up among all ends that the worker still has.
         let in_doubt = |task: &TaskId| {
             self.runs.get(task).is_some_and(|run| matches!(run.phase, RunPhase::Unsure(_)))
         };
@@ -137,6 +133,7 @@
     ) {
         let answered = matches!(result, Ok(_) | Err(ExchangeError::Refused(_)));
         if !answered {
+            self.forget_ends(name);
             return step.observe(TargetObservation::Silent(name.to_owned()));
         }
         step.observe(TargetObservation::Answered(name.to_owned()));
@@ -145,6 +142,14 @@
         }
     }
 
+    /// Makes the next list start from the first end. A worker that restarted under its name
+    /// numbers its ends anew, and the old numbers would hide them.
+    fn forget_ends(&mut self, name: &str) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            (worker.seen_end, worker.durable_end) = (0, 0);
+        }
+    }
+
     pub(super) fn on_renewed(
         &mut self,
         step: &mut StepContext,
@@ -275,6 +280,11 @@
         if let Some(worker) = self.workers.get_mut(name) {
             worker.open_ends += 1;
         }
+        // A later attempt that was not sent yet need not begin.
+        let unsent = |run: &&mut TaskRun| run.phase == RunPhase::Committing;
+        if let Some(run) = self.runs.get_mut(&task).filter(unsent) {
+            run.stop = Some(StopReason::Cancel);
+        }
         self.staged.push(end_entry(task, attempt, end, None), Some(name.to_owned()));
     }
 
@@ -328,10 +338,11 @@
             return RunMatch::Known;
         }
         run.phase = RunPhase::Running;
-        if run.confirmed_at.is_some() {
+        let is_new = run.confirmed_at.is_none();
+        run.confirmed_at.get_or_insert(step.now());
+        if !(is_new && run.inherited) {
             return RunMatch::Known;
         }
-        run.confirmed_at = Some(step.now());
         step.log(TASK_ADOPTED, format!("{} on {name}", running.task));
         RunMatch::Adopted
     }
@@ -368,6 +379,7 @@
             match phase {
                 RunPhase::Unsure(from) if sent_at >= from => {
                     let checkpoint = self.run_checkpoint(task);
+                    self.forget_ends(name);
                     self.stage_end(JournalEntry::Interrupted(task, attempt, checkpoint), None);
                 }
                 // The list may have been answered before the start arrived.
--- /dev/null
+++ b/crates/cuminbank/tests/calls_random.rs
@@ -0,0 +1,276 @@
+//! Seeded histories of two owners of a group with executors that lose, refuse, fail and delay.
+
+mod calls_support;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use calls_support::{book, done, executor, ms, plan, CallBench, TICK};
+use cuminbank::{
+    effect::{CallOutcome, EntryEffect},
+    event::{CallRequest, ExchangeError, ExecutorAnswer},
+    ids::{ExchangeId, ReplyId, RequestTicket},
+    reducer::groups::GroupChange,
+    settings::PlacementPolicy,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SLOTS: u32 = 3;
+const EXECUTORS: [&str; 4] = ["e1", "e2", "e3", "e4"];
+const TAKEOVER: Duration = Duration::from_secs(12);
+const END: Duration = Duration::from_secs(60);
+
+/// An owner and its exchange.
+type Flight = (usize, ExchangeId);
+type DispatchResult = Result<ExecutorAnswer, ExchangeError>;
+const LOST: DispatchResult = Err(ExchangeError::Lost);
+
+/// Something that happens later in the world.
+type LaterEvent = Box<dyn FnOnce(&mut CallWorld)>;
+
+/// Two owners, executors and what callers were told.
+struct CallWorld {
+    rng: ChaCha8Rng,
+    now: Duration,
+    owners: Vec<CallBench>,
+    events: BTreeMap<(Duration, u64), LaterEvent>,
+    sequence: u64,
+    open: HashSet<Flight>,
+    running: HashMap<SocketAddr, BTreeMap<String, Bytes>>,
+    runs: HashMap<Bytes, u32>,
+    asked: HashMap<(usize, ReplyId), CallRequest>,
+    told: HashMap<(usize, ReplyId), CallOutcome>,
+    tickets: Vec<RequestTicket>,
+    reruns: u32,
+}
+
+impl CallWorld {
+    fn new(seed: u64, policy: PlacementPolicy) -> Self {
+        let owners = vec![CallBench::new(policy), CallBench::new(policy)];
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::from_secs(1),
+            owners,
+            events: BTreeMap::new(),
+            sequence: 0,
+            open: HashSet::new(),
+            running: HashMap::new(),
+            runs: HashMap::new(),
+            asked: HashMap::new(),
+            told: HashMap::new(),
+            tickets: Vec::new(),
+            reruns: 0,
+        };
+        for owner in &mut world.owners {
+            owner.fixed.targets = EXECUTORS.map(|name| executor(name, 0, SLOTS)).into();
+        }
+        world.owners[0].take_group(0, 1, Duration::ZERO, None);
+        world.tickets = world.owners[0].tickets(100);
+        world
+    }
+
+    fn later(&mut self, delay_ms: u64, event: impl FnOnce(&mut Self) + 'static) {
+        self.sequence += 1;
+        self.events.insert((self.now + ms(delay_ms), self.sequence), Box::new(event));
+    }
+
+    fn run(&mut self) {
+        let mut taken = false;
+        while self.now < END {
+            self.now += TICK;
+            if !taken && self.now >= TAKEOVER {
+                taken = true;
+                self.change_owner();
+            }
+            while let Some((&(at, _), _)) = self.events.first_key_value() {
+                if at > self.now {
+                    break;
+                }
+                let Some((_, event)) = self.events.pop_first() else { break };
+                event(self);
+            }
+            for owner in 0..self.owners.len() {
+                let effects = {
+                    let bench = &mut self.owners[owner];
+                    bench.now = self.now - TICK;
+                    bench.run_for(TICK)
+                };
+                self.carry_out(owner, effects);
+            }
+            if self.now < Duration::from_secs(30) {
+                self.send_calls(usize::from(taken));
+            }
+        }
+    }
+
+    fn change_owner(&mut self) {
+        let old = &mut self.owners[0];
+        old.fixed.owned.clear();
+        old.now = self.now;
+        old.change(&GroupChange::Lost { group: 0 });
+        let effects = old.effects();
+        let (next, states) = old.calls.handover_state(0, 1, self.now);
+        self.carry_out(0, effects);
+        let handed = self.rng.random_bool(0.5).then_some((1, next, states));
+        self.owners[1].now = self.now;
+        self.owners[1].take_group(0, 2, self.now + ms(1_000), handed);
+    }
+
+    fn send_calls(&mut self, owner: usize) {
+        for _ in 0..self.rng.random_range(0..3) {
+            let reply = self.asked.len() as u64 + 1_000;
+            let call = if self.rng.random_bool(0.3) {
+                // Copies of a ticketed request arrive at random times and at both owners.
+                let ticket = self.tickets[self.rng.random_range(0..self.tickets.len())].clone();
+                CallRequest { body: Bytes::from(ticket.to_string()), ..book(Some(ticket)) }
+            } else {
+                CallRequest { body: Bytes::from(format!("plan {reply}")), ..plan("a") }
+            };
+            self.asked.insert((owner, reply), call.clone());
+            self.owners[owner].now = self.now;
+            let effects = self.owners[owner].call(reply, call);
+            self.carry_out(owner, effects);
+        }
+    }
+
+    fn carry_out(&mut self, owner: usize, effects: Vec<EntryEffect>) {
+        for effect in effects {
+            match effect {
+                EntryEffect::Dispatch { exchange, address, call_id, body, timeout, .. } => {
+                    self.open.insert((owner, exchange));
+                    self.send((owner, exchange), address, call_id, body);
+                    self.end_later(timeout.as_millis() as u64, (owner, exchange), LOST);
+                }
+                EntryEffect::AbortDispatch { exchange } => {
+                    self.end_later(0, (owner, exchange), LOST);
+                }
+                EntryEffect::Answer { reply, answer } if reply >= 1_000 => {
+                    assert!(self.asked.contains_key(&(owner, reply)));
+                    let earlier = self.told.insert((owner, reply), answer.outcome);
+                    assert!(earlier.is_none(), "I4: reply {reply} was answered twice");
+                }
+                _ => {}
+            }
+        }
+        for (exchange, address) in self.owners[owner].take_probes() {
+            let (there, back) = (self.rng.random_range(0..400), self.rng.random_range(0..400));
+            if self.rng.random_bool(0.05) {
+                let lost = Err(ExchangeError::Lost);
+                self.later(1_000, move |world| world.end_probe(owner, exchange, lost));
+                continue;
+            }
+            self.later(there, move |world| {
+                let ids = world.running.entry(address).or_default().keys().cloned().collect();
+                world.later(back, move |world| world.end_probe(owner, exchange, Ok(ids)));
+            });
+        }
+    }
+
+    fn send(&mut self, flight: Flight, address: SocketAddr, call_id: String, body: Bytes) {
+        let delay = self.rng.random_range(0..950);
+        let run = move |world: &mut Self| world.begin_run(flight, address, call_id, &body);
+        match self.rng.random_range(0..100) {
+            0..3 => self.end_later(5, flight, Err(ExchangeError::NotSent)),
+            3..8 => {
+                // The connection breaks at once, but the bytes arrive.
+                self.later(delay, run);
+                self.end_later(1, flight, LOST);
+            }
+            8..10 => {
+                // Nothing arrives and the connection stays silent.
+            }
+            10..14 => self.end_later(delay, flight, done(503)),
+            14..40 => self.later(delay, run),
+            _ => self.later(delay / 20, run),
+        }
+    }
+
+    fn end_later(&mut self, delay_ms: u64, flight: Flight, result: DispatchResult) {
+        self.later(delay_ms, move |world| {
+            if world.open.remove(&flight) {
+                world.owners[flight.0].now = world.now;
+                let effects = world.owners[flight.0].end_dispatch(flight.1, result);
+                world.carry_out(flight.0, effects);
+            }
+        });
+    }
+
+    fn end_probe(
+        &mut self,
+        owner: usize,
+        exchange: ExchangeId,
+        result: Result<Vec<String>, ExchangeError>,
+    ) {
+        self.owners[owner].now = self.now;
+        let effects = self.owners[owner].end_probe(exchange, result);
+        self.carry_out(owner, effects);
+    }
+
+    fn end_run(&mut self, flight: Flight, address: SocketAddr, call_id: &str) {
+        let ended = self.running.get_mut(&address).and_then(|calls| calls.remove(call_id));
+        assert!(ended.is_some(), "the executor runs the call");
+        let result = match self.rng.random_range(0..100) {
+            0..3 => return,
+            3..6 => LOST,
+            6..10 => done(500),
+            _ => done(200),
+        };
+        self.end_later(1, flight, result);
+    }
+
+    fn begin_run(&mut self, flight: Flight, address: SocketAddr, call_id: String, body: &Bytes) {
+        let elsewhere = self.running.values().any(|calls| calls.values().any(|run| run == body));
+        assert!(!elsewhere, "I2: {body:?} runs in two places");
+        let calls = self.running.entry(address).or_default();
+        calls.insert(call_id.clone(), body.clone());
+        assert!(calls.len() <= SLOTS as usize, "I1: {address} runs {calls:?}");
+        let runs = self.runs.entry(body.clone()).or_default();
+        *runs += 1;
+        self.reruns += u32::from(*runs > 1);
+        assert!(*runs == 1 || body.starts_with(b"plan"), "I6: {body:?} ran twice");
+        let slow = self.rng.random_bool(0.05);
+        let time = self.rng.random_range(5..if slow { 6_000 } else { 200 });
+        self.later(time, move |world| world.end_run(flight, address, &call_id));
+    }
+
+    fn check_answers(&self) {
+        let unanswered: BTreeSet<_> =
+            self.asked.keys().filter(|key| !self.told.contains_key(key)).collect();
+        assert!(unanswered.is_empty(), "without an answer: {unanswered:?}");
+        for (key, outcome) in &self.told {
+            let body = &self.asked[key].body;
+            let ran = self.runs.contains_key(body);
+            assert!(*outcome != CallOutcome::NotRun || !ran, "I5: {body:?} ran");
+        }
+        assert!(self.owners.iter().all(|owner| owner.calls.is_idle()));
+    }
+}
+
+/// Guards I1, I2, I4, I5 and I6 against combinations of lost, delayed and refused exchanges with a
+/// change of the owner, and against calls that never get an answer.
+#[test]
+fn invariants_hold_through_faults_and_a_takeover() {
+    let policies =
+        [PlacementPolicy::Learned, PlacementPolicy::LeastLoaded, PlacementPolicy::RandomQueue];
+    let mut reruns = 0;
+    let mut outcomes: BTreeMap<CallOutcome, u32> = BTreeMap::new();
+    for seed in 0..24 {
+        let mut world = CallWorld::new(seed, policies[seed as usize % policies.len()]);
+        world.run();
+        world.check_answers();
+        reruns += world.reruns;
+        for outcome in world.told.into_values() {
+            *outcomes.entry(outcome).or_default() += 1;
+        }
+    }
+    println!("second runs: {reruns}, outcomes: {outcomes:?}");
+    assert!(reruns > 0, "no history had a retry");
+    for outcome in [CallOutcome::Done, CallOutcome::NotRun, CallOutcome::Unknown] {
+        assert!(outcomes.contains_key(&outcome), "no history had {outcome:?}");
+    }
+}
