End a planned stop at its bound when the store is down

Ruled out: a shorter serving time; the groups part keeps to its bound. Before: exit 2 s late. After: exit at the bound; the test passes. Conclusion: the wait past the bound only exists while a save can succeed.

--- a/crates/cuminbank/src/reducer/records.rs
+++ b/crates/cuminbank/src/reducer/records.rs
@@ -218,7 +218,10 @@
         }
         let now = step.now();
         let bound = self.drain_since.unwrap_or(now) + step.settings.drain();
-        let deadline = bound.saturating_sub(EXIT_MARGIN).max(now + MIN_FINAL_WAIT);
+        // With the store down the last save cannot succeed, so nothing is waited for past the bound.
+        let last_wait =
+            if self.outage.failures >= OUTAGE_FAILURES { now } else { now + MIN_FINAL_WAIT };
+        let deadline = bound.saturating_sub(EXIT_MARGIN).max(last_wait);
         self.finish = Some(PlannedFinish { deadline, exited: false });
         self.current.is_final = true;
         self.close_interval(step, groups, step.wall(), step.wall());
