Test starts to leaving workers and room for large tasks; drop a redundant lookup

Cause: switching single guards off on a scratch copy showed three that no test noticed. Ruled out: keeping the list from the first end for attempts in doubt; the list after a failed exchange covers it, and a list sent together with the renewal would hide the ends anyway. Before: the room kept for a large task and the check before a committed start were untested. Conclusion: every guard switched off so far fails a test, but for the size of attempts without a placement, which counts until their stop a second later.

--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -107,11 +107,7 @@
         if worker.listing {
             return;
         }
-        // An attempt in doubt is looked up among all ends that the worker still has.
-        let in_doubt = |task: &TaskId| {
-            self.runs.get(task).is_some_and(|run| matches!(run.phase, RunPhase::Unsure(_)))
-        };
-        let since = if worker.runs.iter().any(in_doubt) { 0 } else { worker.durable_end };
+        let since = worker.durable_end;
         let exchange = GroupExchange::List(name.to_owned(), step.now());
         let request = WorkerRequest::List { since };
         if self.call_worker(step, scene, name, request, exchange).is_none() {
--- a/crates/cuminbank/tests/tasks_workers.rs
+++ b/crates/cuminbank/tests/tasks_workers.rs
@@ -322,8 +322,8 @@
     let ticket = world.next_ticket();
     let mut submission = world.submission(&ticket, 500);
     submission.size = cores(4);
-    for _ in 0..4 {
-        world.submit(1_000);
+    for run_ms in [1_000, 3_000, 5_000, 7_000] {
+        world.submit(run_ms);
     }
     world.run(secs(1));
     world.send_submission(submission);
@@ -332,7 +332,7 @@
     while world.starts_of(&ticket).is_empty() {
         // Run times that differ keep the ends from coming all at once.
         count += 1;
-        world.submit(1_000 + count * 1_700 % 6_000);
+        world.submit(4_000 + count * 1_700 % 8_000);
         world.run(millis(230));
         assert!(world.now < began + secs(80), "it has no room");
     }
@@ -395,3 +395,16 @@
     world.run(secs(2));
     assert!(world.workers["w0"].running.is_empty());
 }
+
+/// Guards against a start that was committed before its worker began to leave and is sent after.
+#[test]
+fn committed_start_is_not_sent_to_a_leaving_worker() {
+    let mut world = World::new(2, 1);
+    let (ticket, _) = world.submit(1_000);
+    world.run_until("the commit", |world| !world.group().runs().is_empty());
+    let run = world.group().runs().values().next().expect("there is an attempt");
+    let name = run.placement.worker.clone();
+    world.set_state(&name, TargetState::Leaving);
+    world.run_until("the end", |world| world.state(&ticket) == "finished");
+    assert!(world.workers[&name].starts.is_empty());
+}
