--- a/crates/cuminbank-standins/src/load/client.rs
+++ b/crates/cuminbank-standins/src/load/client.rs
@@ -83,7 +83,7 @@
         if call.ticketed {
             match self.take_ticket(turn).await {
                 Ok(ticket) => request = request.with_header("idempotency-key", ticket),
-                Err(reason) => return CallerResult::Refused(reason),
+                Err(result) => return result,
             }
         }
         self.send(turn, request).await.map_or_else(CallerResult::Error, classify)
@@ -98,7 +98,7 @@
     ) -> CallerResult {
         let ticket = match self.take_ticket(turn).await {
             Ok(ticket) => ticket,
-            Err(reason) => return CallerResult::Refused(reason),
+            Err(result) => return result,
         };
         let mut body = task.body.clone();
         // A worker stand-in takes the delay of the start from this field.
@@ -138,23 +138,22 @@
         Err("no entry instance accepts connections".to_owned())
     }
 
-    async fn take_ticket(self: &Rc<Self>, turn: usize) -> Result<String, String> {
+    async fn take_ticket(self: &Rc<Self>, turn: usize) -> Result<String, CallerResult> {
         let entry = self.entries[turn % self.entries.len()];
         if let Some(ticket) = self.stocked_ticket(entry) {
             return Ok(ticket);
         }
-        let mut reason = String::new();
+        let mut result = CallerResult::Error("no ticket".to_owned());
         for step in 0..self.entries.len() {
             let entry = self.entries[(turn + step) % self.entries.len()];
-            match self.fetch_tickets(entry).await {
-                Ok(()) => {}
-                Err(error) => reason = error,
+            if let Err(failure) = self.fetch_tickets(entry).await {
+                result = failure;
             }
             if let Some(ticket) = self.stocked_ticket(entry) {
                 return Ok(ticket);
             }
         }
-        Err(format!("no ticket: {reason}"))
+        Err(result)
     }
 
     fn stocked_ticket(self: &Rc<Self>, entry: SocketAddr) -> Option<String> {
@@ -174,15 +173,18 @@
         ticket
     }
 
-    async fn fetch_tickets(&self, entry: SocketAddr) -> Result<(), String> {
+    async fn fetch_tickets(&self, entry: SocketAddr) -> Result<(), CallerResult> {
         let body = json!({ "count": TICKET_BATCH }).to_string();
         let request = ClientRequest::new_post("/v1/tickets", body);
         let answer = self.pool.exchange(entry, request, self.timeout).await;
-        let answer = answer.map_err(|error| format!("{error:?}"))?;
-        if answer.status != 200 {
-            return Err(format!("status {}", answer.status));
-        }
-        let fetched = read_tickets(&answer.body).ok_or("the answer holds no tickets")?;
+        let failed = |error| CallerResult::Error(format!("no ticket: {error:?}"));
+        let answer = answer.map_err(failed)?;
+        let Some(fetched) = read_tickets(&answer.body) else {
+            return Err(match classify(answer) {
+                CallerResult::Done(_) => CallerResult::Error("malformed tickets".to_owned()),
+                other => other,
+            });
+        };
         let now = Instant::now();
         let mut tickets = self.tickets.borrow_mut();
         tickets.entry(entry).or_default().extend(fetched.into_iter().map(|ticket| (now, ticket)));
--- a/crates/cuminbank-standins/src/load/runner.rs
+++ b/crates/cuminbank-standins/src/load/runner.rs
@@ -3,7 +3,9 @@
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
+    future::poll_fn,
     rc::Rc,
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
@@ -58,7 +60,7 @@
         started: Instant::now(),
     });
     for (turn, arrival) in arrivals.into_iter().enumerate() {
-        time::sleep(arrival.at.saturating_sub(run.started.elapsed())).await;
+        wait_until(&run, arrival.at).await;
         run.note_send(arrival.at);
         run.send(turn, arrival);
     }
@@ -70,6 +72,31 @@
     result
 }
 
+/// Waits until an arrival is due. A timer takes at least a millisecond, so that a wait for each of
+/// the arrivals that are already due would bound the rate and add to their latency.
+async fn wait_until(run: &LoadRun, at: Duration) {
+    let wait = at.saturating_sub(run.started.elapsed());
+    if wait.is_zero() {
+        yield_now().await;
+    } else {
+        time::sleep(wait).await;
+    }
+}
+
+/// Lets the other tasks of the runtime go on.
+async fn yield_now() {
+    let mut yielded = false;
+    let step = |context: &mut Context<'_>| {
+        if yielded {
+            return Poll::Ready(());
+        }
+        yielded = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    };
+    poll_fn(step).await;
+}
+
 fn needs_ticket(arrival: &Arrival) -> bool {
     match &arrival.work {
         LoadWork::Call(call) => call.ticketed,
