--- a/crates/cuminbank-standins/src/lib.rs
+++ b/crates/cuminbank-standins/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod control;
 pub mod executor;
 pub mod fleet;
+pub mod harness;
 pub mod history;
 pub mod list;
 pub mod load;
--- a/crates/cuminbank/src/reducer/groups/mod.rs
+++ b/crates/cuminbank/src/reducer/groups/mod.rs
@@ -18,11 +18,11 @@
     event::{ExchangeError, ListedInstance},
     ids::{
         ExchangeId, GroupIndex, LeaseId, MonotonicTime, OwnerEpoch, ReplyId, StartNumber,
-        TargetName, ZoneName,
+        StoreRevision, TargetName, ZoneName,
     },
     membership::{PeerTable, TargetEntry, TargetTable},
-    message::{PeerIdentity, PeerReply, TicketHandover},
-    ownership::OwnershipTable,
+    message::{PeerHeartbeat, PeerIdentity, PeerReply, TicketHandover},
+    ownership::{self, OwnershipTable},
     settings::EntrySettings,
     store::{StoreReply, StoreRequest},
 };
@@ -91,6 +91,7 @@
     Write { group: GroupIndex, number: u64 },
     ReadBack { group: GroupIndex },
     HandOver { group: GroupIndex, to: PeerIdentity },
+    Settle,
 }
 
 /// Groups and membership.
@@ -120,6 +121,9 @@
     exchanges: HashMap<ExchangeId, GroupExchange>,
     store: StoreHealth,
     granting: bool,
+    /// Revision of the store shortly after the start.
+    settled: Option<StoreRevision>,
+    settling: bool,
     next_renewal: MonotonicTime,
     next_heartbeat: MonotonicTime,
     next_balance: MonotonicTime,
@@ -128,6 +132,12 @@
 }
 
 impl GroupPart {
+    /// Switches guards of takeovers off, for tests only.
+    pub fn with_guards(mut self, guards: ownership::GuardSwitches) -> Self {
+        self.table = self.table.with_guards(guards);
+        self
+    }
+
     /// Creates the part.
     pub fn new(settings: &EntrySettings, start: StartNumber) -> Self {
         let this = PeerIdentity { instance: settings.instance.clone(), start };
@@ -158,6 +168,8 @@
             exchanges: HashMap::new(),
             store: StoreHealth::default(),
             granting: false,
+            settled: None,
+            settling: false,
             next_renewal: MonotonicTime::ZERO,
             next_heartbeat: MonotonicTime::ZERO,
             next_balance: MonotonicTime::ZERO,
@@ -185,6 +197,20 @@
         self
     }
 
+    /// Adds a target as it is, for tests of other parts.
+    #[doc(hidden)]
+    pub fn with_target_entry(mut self, entry: TargetEntry) -> Self {
+        self.targets.insert(entry);
+        self
+    }
+
+    /// Hears a peer's heartbeat at `now`, for tests of other parts.
+    #[doc(hidden)]
+    pub fn with_heartbeat(mut self, heartbeat: PeerHeartbeat, now: MonotonicTime) -> Self {
+        self.peers.hear(heartbeat, now);
+        self
+    }
+
     /// Returns until when the instance may act for a group of its zone; `None` if not at `now`.
     pub fn right_until(&self, group: GroupIndex, now: MonotonicTime) -> Option<MonotonicTime> {
         if let Some((_, until)) = self.fixed.get(&group) {
@@ -266,6 +292,7 @@
                 self.on_write_ended(step, group, number, &result);
             }
             GroupExchange::ReadBack { group } => self.on_read_back(step, group, &result),
+            GroupExchange::Settle => self.on_settled(&result),
             GroupExchange::HandOver { .. } => {}
         }
     }
@@ -295,7 +322,7 @@
         self.fetch_list(step);
         self.tick_lease(step);
         self.tick_peers(step, config, calls);
-        self.tick_claims(step, started);
+        self.tick_claims(step, config, started);
         self.tick_releases(step, calls);
         self.tick_drain(step, calls);
     }
--- a/crates/cuminbank/src/reducer/groups/targets.rs
+++ b/crates/cuminbank/src/reducer/groups/targets.rs
@@ -63,7 +63,8 @@
         self.end_absent(&seen);
     }
 
-    fn note_listed(&mut self, step: &mut StepContext, listed: ListedInstance) {
+    fn note_listed(&mut self, step: &mut StepContext, mut listed: ListedInstance) {
+        listed.leaving &= step.guards.leaving_excluded;
         let name = listed.name.clone();
         self.absences.remove(&name);
         let entry = TargetEntry::from_listed(listed, self.groups_per_zone);
@@ -129,6 +130,11 @@
                     self.leave_target(step, name);
                 }
             }
+            // The target is used again once the list does not show it as leaving either. Without
+            // this a name that was reused while the list lagged would stay unused.
+            TargetObservation::Staying(name) => {
+                self.left.remove(name);
+            }
         }
     }
 
--- a/crates/cuminbank/src/reducer/records.rs
+++ b/crates/cuminbank/src/reducer/records.rs
@@ -218,13 +218,21 @@
         }
         let now = step.now();
         let bound = self.drain_since.unwrap_or(now) + step.settings.drain();
-        let deadline = bound.saturating_sub(EXIT_MARGIN).max(now + MIN_FINAL_WAIT);
+        // With the store down the last save cannot succeed, so nothing is waited for past the bound.
+        let last_wait =
+            if self.outage.failures >= OUTAGE_FAILURES { now } else { now + MIN_FINAL_WAIT };
+        let deadline = bound.saturating_sub(EXIT_MARGIN).max(last_wait);
         self.finish = Some(PlannedFinish { deadline, exited: false });
         self.current.is_final = true;
         self.close_interval(step, groups, step.wall(), step.wall());
         self.advance(step);
     }
 
+    /// Returns when a planned stop has to be over.
+    pub fn exit_bound(&self, step: &StepContext) -> MonotonicTime {
+        self.drain_since.unwrap_or(step.now()) + step.settings.drain()
+    }
+
     /// Returns the state shown to operators.
     pub fn status(&self) -> serde_json::Value {
         let seconds = |wall: SystemTime| {
@@ -271,6 +279,8 @@
         for counters in self.current.tasks.values_mut() {
             let early = std::mem::take(&mut counters.accepted_minutes).into_values();
             counters.accepted_minutes = early.map(|count| (minute, count)).collect();
+            let early = std::mem::take(&mut counters.doubled_minutes).into_values();
+            counters.doubled_minutes = early.map(|count| (minute, count)).collect();
         }
         self.due = now + FIRST_SAVE;
     }
@@ -285,7 +295,7 @@
     ) {
         let wall = step.wall();
         for (peer, silent) in groups.peers_heard(step.now()) {
-            self.current.hear_peer(peer, wall.checked_sub(silent).unwrap_or(wall));
+            self.current.hear_peer(peer, heard_at(wall, silent));
         }
         let end = end.max(self.current.from);
         self.note_outage(end);
@@ -454,3 +464,9 @@
     let stored = StoredRecord { operation: String::new(), record: record.clone() };
     stored.encode().len() + MAX_OPERATION_BYTES
 }
+
+/// Returns the time of day at which a peer was last heard. A clock that stands before 1970 has no
+/// encoding, so the result is never earlier than that.
+fn heard_at(wall: SystemTime, silent: Duration) -> SystemTime {
+    wall.checked_sub(silent).unwrap_or(wall).max(SystemTime::UNIX_EPOCH)
+}
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -15,14 +15,12 @@
 };
 
 use super::group::{
-    GroupExchange, GroupScene, RunPhase, TaskGroup, TaskModels, LEASE_LAPSED, TRANSIT_BOUND,
-    WORKER_LEASE,
+    GroupExchange, GroupScene, RunPhase, StopReason, TaskGroup, TaskModels, TaskRun, LEASE_LAPSED,
+    TRANSIT_BOUND, WORKER_LEASE,
 };
 
 /// Time between two renewals, and two lists, of a worker.
 pub const VISIT_INTERVAL: Duration = Duration::from_secs(1);
-/// Silence after which a worker's leases are no longer renewed, so that they lapse for sure.
-const SILENCE: Duration = Duration::from_secs(3);
 
 /// How a reported attempt fits the ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,7 +43,7 @@
     ) {
         let now = step.now();
         while let Some(name) = self.workers.take_due(now, now + VISIT_INTERVAL) {
-            self.lapse_leases(now, &name);
+            self.lapse_leases(now, &name, step.guards.lease_wait);
             self.place_worker(now, scene, Some(models), &name);
             if self.workers.get(&name).is_none_or(|worker| worker.ended) || now < self.probe_from {
                 continue;
@@ -57,13 +55,15 @@
     }
 
     /// Ends the attempts of a worker whose leases have surely lapsed.
-    fn lapse_leases(&mut self, now: MonotonicTime, name: &str) {
+    fn lapse_leases(&mut self, now: MonotonicTime, name: &str, wait: bool) {
         let Some(worker) = self.workers.get(name) else { return };
         let mut lapsed = Vec::new();
         for task in &worker.runs {
             let Some(run) = self.runs.get(task) else { continue };
             let held = matches!(run.phase, RunPhase::Running | RunPhase::Unsure(_));
-            if held && now >= run.lapse_at {
+            let lapsed_by =
+                if wait { run.lapse_at } else { run.lapse_at.saturating_sub(LEASE_LAPSED) };
+            if held && now >= lapsed_by {
                 lapsed.push((*task, run.placement.attempt, run.checkpoint.clone()));
             }
         }
@@ -75,8 +75,7 @@
     fn renew(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
         let now = step.now();
         let Some(worker) = self.workers.get(name) else { return };
-        let silent = worker.answered_at.is_none_or(|at| now >= at + SILENCE);
-        if worker.renewing || silent {
+        if worker.renewing || worker.is_silent(now) {
             return;
         }
         let running = |task: &TaskId| {
@@ -110,12 +109,7 @@
         if worker.listing {
             return;
         }
-        // A worker that restarted under its name numbers its ends anew. An attempt in doubt is
-        // therefore looked up among all ends that the worker still has.
-        let in_doubt = |task: &TaskId| {
-            self.runs.get(task).is_some_and(|run| matches!(run.phase, RunPhase::Unsure(_)))
-        };
-        let since = if worker.runs.iter().any(in_doubt) { 0 } else { worker.durable_end };
+        let since = worker.durable_end;
         let exchange = GroupExchange::List(name.to_owned(), step.now());
         let request = WorkerRequest::List { since };
         if self.call_worker(step, scene, name, request, exchange).is_none() {
@@ -135,6 +129,7 @@
     ) {
         let answered = matches!(result, Ok(_) | Err(ExchangeError::Refused(_)));
         if !answered {
+            self.forget_ends(name);
             return step.observe(TargetObservation::Silent(name.to_owned()));
         }
         step.observe(TargetObservation::Answered(name.to_owned()));
@@ -143,6 +138,14 @@
         }
     }
 
+    /// Makes the next list start from the first end. A worker that restarted under its name
+    /// numbers its ends anew, and the old numbers would hide them.
+    fn forget_ends(&mut self, name: &str) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            (worker.seen_end, worker.durable_end) = (0, 0);
+        }
+    }
+
     pub(super) fn on_renewed(
         &mut self,
         step: &mut StepContext,
@@ -195,6 +198,8 @@
         if report.leaving && worker.state != TargetState::Leaving {
             worker.state = TargetState::Leaving;
             step.observe(TargetObservation::Leaving(name.to_owned()));
+        } else if !report.leaving && worker.state == TargetState::Leaving {
+            step.observe(TargetObservation::Staying(name.to_owned()));
         }
         self.take_ends(step, name, &report.ended);
         self.take_running(step, scene, name, sent_at, report);
@@ -271,6 +276,11 @@
         if let Some(worker) = self.workers.get_mut(name) {
             worker.open_ends += 1;
         }
+        // A later attempt that was not sent yet need not begin.
+        let unsent = |run: &&mut TaskRun| run.phase == RunPhase::Committing;
+        if let Some(run) = self.runs.get_mut(&task).filter(unsent) {
+            run.stop = Some(StopReason::Cancel);
+        }
         self.staged.push(end_entry(task, attempt, end, None), Some(name.to_owned()));
     }
 
@@ -324,10 +334,11 @@
             return RunMatch::Known;
         }
         run.phase = RunPhase::Running;
-        if run.confirmed_at.is_some() {
+        let is_new = run.confirmed_at.is_none();
+        run.confirmed_at.get_or_insert(step.now());
+        if !(is_new && run.inherited) {
             return RunMatch::Known;
         }
-        run.confirmed_at = Some(step.now());
         step.log(TASK_ADOPTED, format!("{} on {name}", running.task));
         RunMatch::Adopted
     }
@@ -364,6 +375,7 @@
             match phase {
                 RunPhase::Unsure(from) if sent_at >= from => {
                     let checkpoint = self.run_checkpoint(task);
+                    self.forget_ends(name);
                     self.stage_end(JournalEntry::Interrupted(task, attempt, checkpoint), None);
                 }
                 // The list may have been answered before the start arrived.
--- a/crates/cuminbank/tests/groups_support/mod.rs
+++ b/crates/cuminbank/tests/groups_support/mod.rs
@@ -28,6 +28,7 @@
     pub leases: BTreeMap<LeaseId, (Duration, Duration)>,
     pub revision: StoreRevision,
     pub changes: Vec<WatchChange>,
+    granted: LeaseId,
 }
 
 impl FakeStore {
@@ -72,7 +73,7 @@
         self.changes.push(WatchChange::Put(StoreValue { key, value, mod_revision }));
     }
 
-    fn read(&self, key: &str) -> Option<StoreValue> {
+    pub fn read(&self, key: &str) -> Option<StoreValue> {
         let (value, mod_revision, _) = self.values.get(key)?;
         Some(StoreValue { key: key.to_owned(), value: value.clone(), mod_revision: *mod_revision })
     }
@@ -109,8 +110,8 @@
             }
             StoreRequest::GrantLease { ttl_seconds } => {
                 let ttl = Duration::from_secs(*ttl_seconds as u64);
-                let lease =
-                    1_000 + self.revision * 100 + self.leases.len() as i64 + now.as_millis() as i64;
+                self.granted += 1;
+                let lease = self.granted;
                 self.leases.insert(lease, (now + ttl, ttl));
                 StoreReply::Granted { lease }
             }
@@ -241,6 +242,12 @@
         node.watch_from = None;
     }
 
+    /// Ends the watch of an instance and tells it.
+    pub fn lose_watch(&mut self, node: usize) {
+        self.nodes[node].watch_from = None;
+        self.deliver(node, EntryEvent::WatchLost);
+    }
+
     pub fn send(&mut self, node: usize, after: Duration, event: EntryEvent) {
         self.sent += 1;
         self.queue.insert((self.now + after, self.sent), (node, event));
