Do not run a finished task again after a pause, and make the reducer repeatable

Ruled out: a longer lapse time, since a pause has no bound; fixed hash keys, since callers choose names. After: a lapse needs a list that was sent shortly before it and not answered, or a worker that has ended; maps that are iterated are ordered.

--- a/crates/cuminbank/src/ledger.rs
+++ b/crates/cuminbank/src/ledger.rs
@@ -3,7 +3,7 @@
 //! The ledger is the fold of its entries: every owner that applies the snapshot and the segments
 //! after it in order holds the same state.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -395,7 +395,7 @@
 /// Tasks of a group.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TaskLedger {
-    tasks: HashMap<TaskId, TaskRecord>,
+    tasks: BTreeMap<TaskId, TaskRecord>,
     retired: BTreeSet<TaskId>,
 }
 
--- a/crates/cuminbank/src/reducer/calls/state.rs
+++ b/crates/cuminbank/src/reducer/calls/state.rs
@@ -1,7 +1,7 @@
 //! Records of calls, their waiters, dispatches and executors under watch.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     hash::{DefaultHasher, Hash, Hasher},
     time::Duration,
 };
@@ -137,7 +137,7 @@
 /// An executor under watch.
 #[derive(Debug, Default)]
 pub(super) struct ExecutorWatch {
-    pub flights: HashMap<String, ExchangeId>,
+    pub flights: BTreeMap<String, ExchangeId>,
     pub lost: Vec<LostCall>,
     /// First call of the term that was sent after the watch began. A listed one with a lower
     /// number was sent to an earlier executor of this name that the platform reported as ended.
@@ -185,7 +185,7 @@
     pub tickets: TicketTable,
     pub queue: CallQueue<CallKey>,
     /// Queue of each executor, for the baseline with random placement.
-    pub lines: HashMap<ExecutorKey, CallQueue<CallKey>>,
+    pub lines: BTreeMap<ExecutorKey, CallQueue<CallKey>>,
     pub returns: ReturnSchedule,
     pub next_call: u64,
 }
@@ -202,7 +202,7 @@
             probe_from,
             tickets,
             queue: CallQueue::new(order),
-            lines: HashMap::new(),
+            lines: BTreeMap::new(),
             returns: ReturnSchedule::default(),
             next_call: 0,
         }
--- a/crates/cuminbank/src/reducer/tasks/journal.rs
+++ b/crates/cuminbank/src/reducer/tasks/journal.rs
@@ -1,7 +1,7 @@
 //! Journal writing: one write in flight for each group, read back when its answer was lost.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -54,9 +54,9 @@
 pub struct StagedChanges {
     pub(super) entries: VecDeque<(JournalEntry, Option<TargetName>)>,
     pub(super) bytes: usize,
-    pub(super) submissions: HashMap<TaskId, StagedSubmission>,
+    pub(super) submissions: BTreeMap<TaskId, StagedSubmission>,
     pub(super) order: VecDeque<TaskId>,
-    pub(super) cancels: HashMap<TaskId, (MonotonicTime, Vec<Waiter>)>,
+    pub(super) cancels: BTreeMap<TaskId, (MonotonicTime, Vec<Waiter>)>,
     pub(super) cancel_order: VecDeque<TaskId>,
 }
 
@@ -105,8 +105,8 @@
     pub(super) workers: Vec<TargetName>,
     pub(super) samples: Vec<TaskSample>,
     pub(super) starts: Vec<(TaskId, AttemptNumber)>,
-    pub(super) accepted: HashMap<TaskId, Vec<Waiter>>,
-    pub(super) cancelled: HashMap<TaskId, Vec<Waiter>>,
+    pub(super) accepted: BTreeMap<TaskId, Vec<Waiter>>,
+    pub(super) cancelled: BTreeMap<TaskId, Vec<Waiter>>,
     /// State shown for a task until its change is committed; empty for a new task.
     pub(super) before: HashMap<TaskId, &'static str>,
 }
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -21,6 +21,9 @@
 
 /// Time between two renewals, and two lists, of a worker.
 pub const VISIT_INTERVAL: Duration = Duration::from_secs(1);
+/// A list that was sent at most this long before a lapse and was not answered shows that the
+/// worker cannot be asked: the time between two lists and the timeout of one, with 1 s to spare.
+const LIST_EVIDENCE: Duration = Duration::from_secs(4);
 
 /// How a reported attempt fits the ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -63,7 +66,11 @@
             let held = matches!(run.phase, RunPhase::Running | RunPhase::Unsure(_));
             let lapsed_by =
                 if wait { run.lapse_at } else { run.lapse_at.saturating_sub(LEASE_LAPSED) };
-            if held && now >= lapsed_by {
+            // After a pause of this process the lease has lapsed as well, but the worker may have
+            // finished the attempt before; only one that does not answer is given up.
+            let unheard = worker.ended
+                || worker.unheard_at.is_some_and(|sent_at| sent_at + LIST_EVIDENCE >= lapsed_by);
+            if held && unheard && now >= lapsed_by {
                 lapsed.push((*task, run.placement.attempt, run.checkpoint.clone()));
             }
         }
@@ -192,7 +199,11 @@
     ) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.listing = false;
-        let Ok(WorkerReply::Listed(report)) = result else { return };
+        let Ok(WorkerReply::Listed(report)) = result else {
+            worker.unheard_at = Some(sent_at);
+            return;
+        };
+        worker.unheard_at = None;
         self.start_wanted |= !worker.listed;
         worker.listed = true;
         if report.leaving && worker.state != TargetState::Leaving {
--- a/crates/cuminbank/src/reducer/tasks/workers.rs
+++ b/crates/cuminbank/src/reducer/tasks/workers.rs
@@ -1,7 +1,7 @@
 //! Workers of a group: what they hold, which have room, and when each is due for a renewal.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
@@ -50,6 +50,8 @@
     pub throttled: Option<TaskId>,
     /// Last answer.
     pub answered_at: Option<MonotonicTime>,
+    /// When the last list was sent that was not answered.
+    pub unheard_at: Option<MonotonicTime>,
     /// Highest end seen.
     pub seen_end: u64,
     /// Highest end up to which all are committed.
@@ -83,6 +85,7 @@
             relief: MachineRelief::default(),
             throttled: None,
             answered_at: None,
+            unheard_at: None,
             seen_end: 0,
             durable_end: 0,
             open_ends: 0,
@@ -119,7 +122,7 @@
 /// Workers of a group.
 #[derive(Debug, Default)]
 pub struct WorkerTable {
-    workers: HashMap<TargetName, WorkerState>,
+    workers: BTreeMap<TargetName, WorkerState>,
     machines: HashMap<MachineName, BTreeSet<TargetName>>,
     free: BTreeSet<(u8, u64, TargetName)>,
     due: BTreeSet<(MonotonicTime, TargetName)>,
