--- a/crates/cuminbank-standins/src/harness/mod.rs
+++ b/crates/cuminbank-standins/src/harness/mod.rs
@@ -14,6 +14,7 @@
 mod plan;
 mod platform;
 mod queue;
+mod scenario;
 pub mod seeds;
 mod world;
 
--- /dev/null
+++ b/crates/cuminbank-standins/src/harness/scenario.rs
@@ -0,0 +1,108 @@
+//! What scripted scenarios need of a world beside its faults.
+
+use std::time::Duration;
+
+use cuminbank::{
+    effect::EntryEffect,
+    event::{EntryEvent, StateQuery},
+};
+
+use super::{
+    checks::{check_all, Violation},
+    history::HistoryEvent,
+    parties::{entry_name, ZONE_NAMES},
+    queue::EntryIndex,
+    world::World,
+};
+
+impl World {
+    /// Runs for a length of virtual time.
+    pub fn run_for(&mut self, length: Duration) {
+        self.run_until(self.now + length);
+    }
+
+    /// Returns the names of all entry instances with whether each serves callers; `None` for one
+    /// that does not run.
+    pub fn readiness(&self) -> Vec<(String, Option<bool>)> {
+        let ready = |index: usize| {
+            let host = &self.entries[index];
+            (entry_name(&self.plan, index), host.process.as_ref().map(|_| host.ready))
+        };
+        (0..self.entries.len()).map(ready).collect()
+    }
+
+    /// Lets a paused entry instance go on.
+    pub fn resume_entry(&mut self, entry: EntryIndex) {
+        if let Some(start) = self.start_of(entry) {
+            self.carry_out_fault(super::faults::FaultStep::Resume(entry, start));
+        }
+    }
+
+    /// Returns each group with the entry instances that may act for it now.
+    pub fn owners(&mut self) -> Vec<(String, Vec<String>)> {
+        let groups = self.plan.groups;
+        let zones = ZONE_NAMES.iter().take(self.plan.zones);
+        let names = zones.flat_map(|zone| (0..groups).map(move |group| format!("{zone}/{group}")));
+        let mut owners: Vec<_> = names.map(|name| (name, Vec::new())).collect();
+        for entry in 0..self.entries.len() {
+            for group in self.owned_groups(entry) {
+                let place = self.entries[entry].zone * usize::from(groups) + group;
+                owners[place].1.push(entry_name(&self.plan, entry));
+            }
+        }
+        owners
+    }
+
+    fn owned_groups(&mut self, entry: EntryIndex) -> Vec<usize> {
+        let now = self.now;
+        let running = self.entries[entry].process.as_mut().filter(|process| !process.paused);
+        let Some(process) = running else {
+            return Vec::new();
+        };
+        let (start, local) = (process.start, process.local(now));
+        let event = EntryEvent::StateWanted { reply: u64::MAX, query: StateQuery::Status };
+        let effects = process.reducer.apply(local, event);
+        let answer = effects.iter().find_map(|effect| match effect {
+            EntryEffect::Answer { answer, .. } => Some(answer.body.clone()),
+            _ => None,
+        });
+        for effect in effects {
+            self.carry(entry, start, effect);
+        }
+        let status: serde_json::Value =
+            serde_json::from_slice(&answer.unwrap_or_default()).unwrap_or_default();
+        let groups = status["groups"]["groups"].as_array().cloned().unwrap_or_default();
+        let owned = groups.iter().filter(|group| !group["right_left_ms"].is_null());
+        owned.filter_map(|group| group["group"].as_u64()).map(|group| group as usize).collect()
+    }
+
+    /// Returns the revision of a profile that each running instance showed last.
+    pub fn revisions(&self, profile: &str) -> Vec<(String, i64)> {
+        let shown = |entry: EntryIndex| {
+            let start = self.start_of(entry)?;
+            let last =
+                self.history.entries.iter().rev().find_map(|recorded| match &recorded.event {
+                    HistoryEvent::ConfigShown { process, revisions, .. }
+                        if *process == (entry, start) =>
+                    {
+                        Some(revisions)
+                    }
+                    _ => None,
+                })?;
+            let revision = last.iter().find(|(name, _)| name == profile)?.1;
+            Some((entry_name(&self.plan, entry), revision))
+        };
+        (0..self.entries.len()).filter_map(shown).collect()
+    }
+
+    /// Checks the history up to now.
+    pub fn check_now(&mut self) -> Vec<Violation> {
+        self.history.end = self.now;
+        check_all(&self.history)
+    }
+
+    /// Returns the index of a machine by its place in its zone.
+    pub fn machine(&self, zone: usize, place: usize) -> usize {
+        place * self.plan.zones + zone
+    }
+}
--- a/crates/cuminbank-standins/src/harness/world.rs
+++ b/crates/cuminbank-standins/src/harness/world.rs
@@ -268,6 +268,7 @@
         for entry in 0..self.entries.len() {
             self.check_watch(entry);
             let Some(start) = self.start_of(entry) else {
+                self.entries[entry].ready = false;
                 continue;
             };
             if self.entries[entry].process.as_ref().is_some_and(|process| process.paused) {
