Draw the group of tickets by its targets; no timer tick on each exchange

Cause: every ticket named the first owned group, since equal waits were settled by order: all batch tasks landed on 2 of 6 workers. A timeout of zero costs a tick of the runtime's timer on each reuse of a connection. A silent connection of a stand-in was closed, since the runtime frees a task that nothing can wake. Ruled out: the load command, which takes tickets from all entry instances.

--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -3,7 +3,9 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    future::Future,
     net::SocketAddr,
+    task::Poll,
     time::{Duration, Instant},
 };
 
@@ -163,8 +165,7 @@
                 continue;
             }
             // Bytes or an end of stream on an idle connection mean that it is of no more use.
-            let readable = connection.stream.readable(false);
-            if time::timeout(Duration::ZERO, readable).await.is_err() {
+            if !is_readable(&connection.stream).await {
                 return Some(connection.stream);
             }
         }
@@ -187,6 +188,13 @@
     }
 }
 
+/// Tells whether a stream has bytes or an end of stream to read, without waiting: a timeout of zero
+/// would cost a tick of the runtime's timer, 1 ms, on each exchange.
+pub(crate) async fn is_readable(stream: &TcpStream) -> bool {
+    let mut readable = std::pin::pin!(stream.readable(false));
+    std::future::poll_fn(|context| Poll::Ready(readable.as_mut().poll(context).is_ready())).await
+}
+
 async fn connect(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ExchangeError> {
     let Ok(Ok(stream)) = time::timeout(timeout, TcpStream::connect_addr(address)).await else {
         return Err(ExchangeError::NotSent);
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -18,6 +18,8 @@
     time,
 };
 
+use crate::client::is_readable;
+
 /// Longest time for a connection to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest message; a handover of tickets with their answers is the largest.
@@ -65,8 +67,7 @@
             if since.elapsed() > MAX_IDLE {
                 continue;
             }
-            let readable = stream.readable(false);
-            if time::timeout(Duration::ZERO, readable).await.is_err() {
+            if !is_readable(&stream).await {
                 return Some(stream);
             }
         }
--- a/crates/cuminbank-net/src/server.rs
+++ b/crates/cuminbank-net/src/server.rs
@@ -311,7 +311,10 @@
                 false
             }
             ServerAction::Close => false,
-            ServerAction::Silence => std::future::pending().await,
+            ServerAction::Silence => loop {
+                // A task that nothing can wake is freed by the runtime, and its connection closed.
+                time::sleep(Duration::from_secs(3_600)).await;
+            },
         }
     }
 
--- a/crates/cuminbank/src/reducer/calls/forwarding.rs
+++ b/crates/cuminbank/src/reducer/calls/forwarding.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use rand::Rng;
 
 use crate::{
     effect::{CallerAnswer, EntryEffect},
@@ -24,6 +25,8 @@
 const FORWARD_GAIN: Duration = Duration::from_millis(20);
 /// Assumed growth of a peer's wait with each call that was forwarded and is not answered yet.
 const FORWARD_LOAD: Duration = Duration::from_millis(2);
+/// Waits that count as equal when a group is drawn for tickets.
+const EQUAL_WAIT: Duration = Duration::from_millis(5);
 /// Time between two tries to find the owner of a call.
 const OWNER_RETRY: Duration = Duration::from_millis(100);
 /// Time beyond deadline and run time for the answer of a peer: a lost answer takes a probe.
@@ -204,7 +207,7 @@
         self.ticket_forwards.insert(exchange, reply);
     }
 
-    /// Issues tickets from the owned group with the least expected wait.
+    /// Issues tickets from one of the owned groups with the least expected wait.
     pub(super) fn issue_tickets(
         &mut self,
         step: &mut StepContext,
@@ -212,13 +215,31 @@
         count: u32,
     ) -> Option<Vec<RequestTicket>> {
         let now = step.now();
-        let owned = view.groups.owned(now);
-        let usable = owned.into_iter().filter(|group| self.terms.contains_key(group));
-        let group = usable.min_by_key(|group| self.expected_wait(*group, now))?;
+        let group = self.draw_ticket_group(step, view)?;
         let term = self.terms.get_mut(&group)?;
         Some(term.tickets.issue(u64::from(count.clamp(1, MAX_TICKETS)), now))
     }
 
+    /// Draws a group in proportion to its targets: a ticket binds its request to the group, so
+    /// that a fixed choice among equal waits would send all ticketed work to one group.
+    fn draw_ticket_group(&self, step: &mut StepContext, view: CallView<'_>) -> Option<GroupIndex> {
+        let now = step.now();
+        let wait = |group: &GroupIndex| self.expected_wait(*group, now);
+        let mut groups = view.groups.owned(now);
+        groups.retain(|group| self.terms.contains_key(group));
+        let shortest = groups.iter().map(wait).min()?;
+        groups.retain(|group| wait(group) <= shortest + EQUAL_WAIT);
+        let targets = |group: &GroupIndex| view.groups.targets().in_group(*group).count();
+        let mut drawn = step.rng.random_range(0..groups.iter().map(targets).sum::<usize>().max(1));
+        for group in &groups {
+            if drawn < targets(group) {
+                return Some(*group);
+            }
+            drawn -= targets(group);
+        }
+        groups.first().copied()
+    }
+
     /// Handles the end of a request for tickets to a peer.
     pub(super) fn end_ticket_forward(
         &mut self,
