Answer every request that a planned stop has read, at its bound too

Ruled out: a longer bound; late requests arrive as long as a balancer is stale. After: the reducer notes every reply that callers and peers wait for, exits once none is left, and at the bound answers the rest with the outcome unknown. Conclusion: is_idle of the batch part is not needed any more and is removed.

--- a/crates/cuminbank-standins/src/harness/faults.rs
+++ b/crates/cuminbank-standins/src/harness/faults.rs
@@ -251,7 +251,12 @@
         let waits = |origin: &&ReplyOrigin| {
             matches!(origin, ReplyOrigin::Caller { .. } | ReplyOrigin::Peer(_))
         };
-        let unanswered = process.replies.values().filter(waits).count();
+        let waiting: Vec<_> = process.replies.values().filter(waits).collect();
+        let unanswered = waiting.len();
+        if unanswered > 0 {
+            let text = format!("unanswered at the exit: {waiting:?}");
+            self.record(HistoryEvent::Logged { process: (entry, start), text });
+        }
         self.record(HistoryEvent::ProcessExited { process: (entry, start), unanswered });
         self.end_process(entry);
         if self.quiet {
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -7,7 +7,7 @@
 pub mod step;
 pub mod tasks;
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     effect::{CallerAnswer, EntryEffect},
@@ -92,6 +92,8 @@
     records: RecordPart,
     /// Whether the planned stop is complete but for requests that were read since.
     exiting: bool,
+    /// Replies that callers and peers wait for, and whether a peer does.
+    owed: BTreeMap<ReplyId, bool>,
 }
 
 impl EntryReducer {
@@ -106,6 +108,7 @@
             records: RecordPart::new(&settings, start),
             step: StepContext::new(settings, start),
             exiting: false,
+            owed: BTreeMap::new(),
         }
     }
 
@@ -119,17 +122,43 @@
     /// Applies an event that happened at `now` and returns what has to be done.
     pub fn apply(&mut self, now: MonotonicTime, event: EntryEvent) -> Vec<EntryEffect> {
         self.step.begin(now);
+        self.note_owed(&event);
         self.route(event);
         for observation in self.step.take_observations() {
             self.groups.observe_target(&mut self.step, &observation);
         }
         self.pass_group_changes();
         let effects = self.step.take_effects();
+        for effect in &effects {
+            if let EntryEffect::Answer { reply, .. } | EntryEffect::AnswerPeer { reply, .. } =
+                effect
+            {
+                self.owed.remove(reply);
+            }
+        }
         self.hold_exit(effects)
     }
 
+    fn note_owed(&mut self, event: &EntryEvent) {
+        match event {
+            EntryEvent::CallArrived { reply, .. }
+            | EntryEvent::TaskArrived { reply, .. }
+            | EntryEvent::TaskQueried { reply, .. }
+            | EntryEvent::TicketsWanted { reply, .. } => {
+                self.owed.insert(*reply, false);
+            }
+            EntryEvent::PeerAsked { reply, .. } => {
+                self.owed.insert(*reply, true);
+            }
+            EntryEvent::CallerGone { reply } => {
+                self.owed.remove(reply);
+            }
+            _ => {}
+        }
+    }
+
     /// Holds the exit back until requests that were read after the end of the planned stop have
-    /// their answers, at most until the bound of the stop.
+    /// their answers. At the bound of the stop those that still wait get the outcome "unknown".
     fn hold_exit(&mut self, mut effects: Vec<EntryEffect>) -> Vec<EntryEffect> {
         if !self.groups.is_draining() {
             return effects;
@@ -137,12 +166,19 @@
         let count = effects.len();
         effects.retain(|effect| *effect != EntryEffect::Exit);
         self.exiting |= effects.len() < count;
-        let idle = self.calls.is_idle() && self.tasks.is_idle();
         let overdue = self.step.now() >= self.records.exit_bound(&self.step);
-        if self.exiting && (idle || overdue) {
-            self.exiting = false;
-            effects.push(EntryEffect::Exit);
+        if !self.exiting || !(overdue || self.owed.is_empty()) {
+            return effects;
+        }
+        self.exiting = false;
+        for (reply, is_peer) in std::mem::take(&mut self.owed) {
+            let answer = CallerAnswer::new_unknown("the instance has to stop now");
+            effects.push(match is_peer {
+                true => EntryEffect::AnswerPeer { reply, answer: PeerReply::Answer(answer) },
+                false => EntryEffect::Answer { reply, answer },
+            });
         }
+        effects.push(EntryEffect::Exit);
         effects
     }
 
--- a/crates/cuminbank/src/reducer/tasks/journal.rs
+++ b/crates/cuminbank/src/reducer/tasks/journal.rs
@@ -361,18 +361,6 @@
         self.drop_state(step.now());
     }
 
-    /// Tells whether somebody waits for a commit.
-    pub fn has_waiters(&self) -> bool {
-        let staged = self.staged.submissions.values().any(|staged| !staged.waiters.is_empty());
-        let written = self.journal.write.as_ref().is_some_and(|write| match &write.kind {
-            WriteKind::Segment(segment) => {
-                !segment.accepted.is_empty() || !segment.cancelled.is_empty()
-            }
-            _ => false,
-        });
-        staged || written || !self.staged.cancels.is_empty()
-    }
-
     fn drop_state(&mut self, now: MonotonicTime) {
         let mut next =
             Self::new(&self.zone, self.group, self.epoch, self.taken_at, self.probe_from);
--- a/crates/cuminbank/src/reducer/tasks/mod.rs
+++ b/crates/cuminbank/src/reducer/tasks/mod.rs
@@ -322,11 +322,6 @@
         }
     }
 
-    /// Tells whether no caller and no peer waits for an answer.
-    pub fn is_idle(&self) -> bool {
-        self.forwards.is_empty() && !self.groups.values().any(TaskGroup::has_waiters)
-    }
-
     fn open_group(
         &mut self,
         step: &mut StepContext,
