Show the checks of I3 and I8 on histories written by hand

Cause: I3 and I8 have no guard that could be switched off. Ruled out: removing reducer code for a test build.

--- /dev/null
+++ b/crates/cuminbank-standins/tests/history_checks.rs
@@ -0,0 +1,194 @@
+//! Checks over histories written by hand: each finds the one fault that its history holds, and
+//! nothing in a sound one.
+
+use std::time::Duration;
+
+use cuminbank::{effect::CallOutcome, worker::ResourceSize};
+use cuminbank_standins::{
+    harness::{
+        checks::{check_all, ViolationKind},
+        History, HistoryEvent,
+    },
+    worker::ExecutionEnd,
+};
+
+const PROCESS: (usize, u64) = (0, 7);
+
+/// Returns a history with an event each second.
+fn history(events: Vec<HistoryEvent>) -> History {
+    let mut history = History::default();
+    for (second, event) in events.into_iter().enumerate() {
+        history.add(Duration::from_secs(second as u64), event);
+    }
+    history.end = Duration::from_secs(100);
+    history
+}
+
+fn found(events: Vec<HistoryEvent>) -> Vec<ViolationKind> {
+    check_all(&history(events)).into_iter().map(|violation| violation.kind).collect()
+}
+
+fn started(target: &str, attempt: u32, checkpoint: Option<&str>) -> HistoryEvent {
+    HistoryEvent::TaskStarted {
+        target: target.to_owned(),
+        task: "t".to_owned(),
+        attempt,
+        checkpoint: checkpoint.map(str::to_owned),
+        size: ResourceSize::default(),
+    }
+}
+
+fn ended(target: &str, attempt: u32, end: ExecutionEnd) -> HistoryEvent {
+    HistoryEvent::TaskEnded { target: target.to_owned(), task: "t".to_owned(), attempt, end }
+}
+
+fn evicted(target: &str, attempt: u32, checkpoint: &str) -> HistoryEvent {
+    HistoryEvent::TaskEvicted {
+        target: target.to_owned(),
+        task: "t".to_owned(),
+        attempt,
+        checkpoint: checkpoint.to_owned(),
+    }
+}
+
+fn ran(target: &str, call: &str) -> HistoryEvent {
+    let (target, call, key) = (target.to_owned(), call.to_owned(), "k".to_owned());
+    HistoryEvent::RunStarted { target, call, key }
+}
+
+fn stopped(target: &str, call: &str) -> HistoryEvent {
+    let (target, call, key) = (target.to_owned(), call.to_owned(), "k".to_owned());
+    HistoryEvent::RunEnded { target, call, key }
+}
+
+fn sent() -> HistoryEvent {
+    let (key, ticket) = ("k".to_owned(), Some("t".to_owned()));
+    HistoryEvent::RequestSent { request: 0, key, ticket, entry: 0 }
+}
+
+fn answered(outcome: CallOutcome, status: u16, body: &str) -> HistoryEvent {
+    let (key, body) = ("k".to_owned(), body.to_owned().into());
+    HistoryEvent::RequestAnswered { request: 0, key, outcome, status, body }
+}
+
+fn config(start: u64, revision: i64) -> HistoryEvent {
+    let revisions = vec![("p".to_owned(), revision)];
+    HistoryEvent::ConfigShown { process: (0, start), ready: true, linked: true, revisions }
+}
+
+/// Guards against checks that report what is allowed.
+#[test]
+fn sound_history_has_no_violation() {
+    let whole = r#"{"call":"c","key":"k","op":"plan","executor":"e"}"#;
+    let events = vec![
+        started("w1", 1, None),
+        ended("w1", 1, ExecutionEnd::Stopped),
+        evicted("w1", 1, "1:500"),
+        started("w2", 2, Some("1:500")),
+        ended("w2", 2, ExecutionEnd::Finished),
+        sent(),
+        ran("e1", "c"),
+        stopped("e1", "c"),
+        answered(CallOutcome::Done, 200, whole),
+        HistoryEvent::DrainBegan(PROCESS),
+        HistoryEvent::ProcessExited { process: PROCESS, unanswered: 0 },
+    ];
+    assert_eq!(found(events), []);
+}
+
+/// Guards against evicted work that starts anew or from an older checkpoint (I3).
+#[test]
+fn eviction_that_is_not_resumed_is_found() {
+    let events = |resumed_from| {
+        vec![
+            started("w1", 1, None),
+            ended("w1", 1, ExecutionEnd::Stopped),
+            evicted("w1", 1, "1:500"),
+            started("w2", 2, resumed_from),
+        ]
+    };
+    for resumed_from in [None, Some("1:100")] {
+        let kinds = found(events(resumed_from));
+        assert!(matches!(kinds[..], [ViolationKind::NotResumed { .. }]), "{kinds:?}");
+    }
+}
+
+/// Guards against evicted work that is resumed a second time after it finished (I3).
+#[test]
+fn second_resume_is_found() {
+    let events = vec![
+        started("w1", 1, None),
+        ended("w1", 1, ExecutionEnd::Stopped),
+        evicted("w1", 1, "1:500"),
+        started("w2", 2, Some("1:500")),
+        ended("w2", 2, ExecutionEnd::Finished),
+        started("w3", 3, Some("1:500")),
+    ];
+    let kinds = found(events);
+    assert!(matches!(kinds[..], [ViolationKind::DoubledTask { .. }]), "{kinds:?}");
+}
+
+/// Guards against a task and a call at two places at once (I2).
+#[test]
+fn work_at_two_places_is_found() {
+    let kinds = found(vec![started("w1", 1, None), started("w2", 2, None)]);
+    assert!(matches!(kinds[..], [ViolationKind::TwoPlaces { .. }]), "{kinds:?}");
+    let kinds = found(vec![ran("e1", "c1"), ran("e2", "c2")]);
+    assert!(matches!(kinds[..], [ViolationKind::TwoPlaces { .. }]), "{kinds:?}");
+}
+
+/// Guards against an answer that is cut short (I4).
+#[test]
+fn cut_answer_is_found() {
+    let kinds = found(vec![sent(), answered(CallOutcome::Done, 200, r#"{"call":"c","key":"k""#)]);
+    assert!(matches!(kinds[..], [ViolationKind::ForeignAnswer { .. }]), "{kinds:?}");
+}
+
+/// Guards against work that ran before its caller was told "not run" (I5).
+#[test]
+fn refusal_after_a_run_is_found() {
+    let events =
+        vec![sent(), ran("e1", "c"), stopped("e1", "c"), answered(CallOutcome::NotRun, 503, "{}")];
+    let kinds = found(events);
+    assert!(matches!(kinds[..], [ViolationKind::RanAfterAll { .. }]), "{kinds:?}");
+}
+
+/// Guards against a planned stop that drops a request, and against one that never ends (I8).
+#[test]
+fn broken_stops_are_found() {
+    let events = vec![
+        HistoryEvent::DrainBegan(PROCESS),
+        HistoryEvent::ProcessExited { process: PROCESS, unanswered: 2 },
+    ];
+    let kinds = found(events);
+    assert!(matches!(kinds[..], [ViolationKind::Unanswered { count: 2, .. }]), "{kinds:?}");
+    let kinds = found(vec![HistoryEvent::DrainBegan(PROCESS)]);
+    assert!(matches!(kinds[..], [ViolationKind::NoExit { .. }]), "{kinds:?}");
+}
+
+/// Guards against a restarted instance that serves with an older profile (I9).
+#[test]
+fn older_profile_after_a_restart_is_found() {
+    let kinds = found(vec![config(7, 5), config(8, 4)]);
+    assert!(matches!(kinds[..], [ViolationKind::Reverted { from: 5, to: 4, .. }]), "{kinds:?}");
+}
+
+/// Guards against a change that does not reach a live instance in 6 s (I9).
+#[test]
+fn late_profile_is_found() {
+    let mut history = History::default();
+    let committed = HistoryEvent::ConfigCommitted { name: "p".to_owned(), revision: 6 };
+    history.add(Duration::from_secs(1), committed);
+    for sample in 5..50 {
+        history.add(Duration::from_millis(sample * 200), config(7, 5));
+    }
+    let kinds: Vec<_> = check_all(&history).into_iter().map(|violation| violation.kind).collect();
+    assert!(matches!(kinds[..], [ViolationKind::NotInForce { revision: 6, .. }]), "{kinds:?}");
+}
+
+/// Guards against an accepted task without an end.
+#[test]
+fn lost_task_is_found() {
+    let kinds = found(vec![sent(), answered(CallOutcome::Accepted, 202, "{}")]);
+    assert!(matches!(kinds[..], [ViolationKind::LostTask { .. }]), "{kinds:?}");
+}
