Check that every request of a run is answered

Cause: a reply that the reducer forgets shows in no invariant, since callers give up after 15 s. Ruled out: counting callers that gave up, which also happens while their instance is paused or cut off. Before: not looked at. After: a settled run must leave no reply of a caller or peer open in a live process.

--- a/crates/cuminbank-standins/src/harness/checks/fleet.rs
+++ b/crates/cuminbank-standins/src/harness/checks/fleet.rs
@@ -91,6 +91,19 @@
     violations
 }
 
+/// Each request is answered, unless its caller left or the process died.
+pub fn check_answered(history: &History) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for entry in &history.entries {
+        if let HistoryEvent::NeverAnswered { process, waiting } = &entry.event {
+            let (process, waiting) = (*process, waiting.clone());
+            let kind = ViolationKind::NeverAnswered { process, waiting };
+            violations.push(Violation { at: entry.at, kind });
+        }
+    }
+    violations
+}
+
 /// I9: revisions in force never decrease on an instance, and reach every linked live instance
 /// within 6 s.
 pub fn check_config(history: &History) -> Vec<Violation> {
--- a/crates/cuminbank-standins/src/harness/checks/mod.rs
+++ b/crates/cuminbank-standins/src/harness/checks/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     calls::{check_answers, check_calls_fit, check_calls_once, check_not_run, check_tickets_once},
-    fleet::{check_config, check_drains, check_leaving},
+    fleet::{check_answered, check_config, check_drains, check_leaving},
     tasks::{check_evictions, check_tasks_end, check_tasks_fit, check_tasks_once},
 };
 
@@ -98,6 +98,13 @@
         /// Revision.
         revision: StoreRevision,
     },
+    /// A request was never answered.
+    NeverAnswered {
+        /// Process.
+        process: ProcessId,
+        /// Requests of callers and peers.
+        waiting: Vec<String>,
+    },
     /// An accepted task has no end.
     LostTask {
         /// Task id.
@@ -132,6 +139,7 @@
             Self::LeavingTarget { .. } => "I7",
             Self::Unanswered { .. } | Self::NoExit { .. } => "I8",
             Self::Reverted { .. } | Self::NotInForce { .. } => "I9",
+            Self::NeverAnswered { .. } => "requests are answered",
             Self::LostTask { .. } => "accepted tasks finish",
             Self::DoubledTask { .. } => "finished tasks stay finished",
         }
@@ -150,6 +158,7 @@
             Self::LeavingTarget { target, .. } => target.clone(),
             Self::Unanswered { process, .. }
             | Self::NoExit { process }
+            | Self::NeverAnswered { process, .. }
             | Self::Reverted { process, .. }
             | Self::NotInForce { process, .. } => process.1.to_string(),
         }
@@ -171,6 +180,7 @@
         check_drains,
         check_config,
         check_tasks_end,
+        check_answered,
     ];
     let mut violations: Vec<_> = checks.iter().flat_map(|check| check(history)).collect();
     violations.sort_by_key(|violation| violation.at);
--- a/crates/cuminbank-standins/src/harness/history.rs
+++ b/crates/cuminbank-standins/src/harness/history.rs
@@ -193,6 +193,13 @@
     TargetDown(TargetName),
     /// An entry instance was cut off from everything.
     CutOff(EntryIndex),
+    /// A process that still runs at the end of a run has not answered requests.
+    NeverAnswered {
+        /// Process.
+        process: ProcessId,
+        /// Requests of callers and peers.
+        waiting: Vec<String>,
+    },
     /// A process wrote a log event.
     Logged {
         /// Process.
--- a/crates/cuminbank-standins/src/harness/world.rs
+++ b/crates/cuminbank-standins/src/harness/world.rs
@@ -107,9 +107,36 @@
         }
         // Late work that should not run shows itself after the last answer.
         self.run_until(self.now + Duration::from_secs(10));
+        self.note_unanswered();
         self.finish()
     }
 
+    /// Records requests that wait for longer than any caller does. The last request was sent at
+    /// least 10 s ago, and only settled runs are looked at.
+    fn note_unanswered(&mut self) {
+        if !self.is_settled() {
+            return;
+        }
+        for entry in 0..self.entries.len() {
+            let Some(process) = self.entries[entry].process.as_ref() else {
+                continue;
+            };
+            let waits = |origin: &&ReplyOrigin| {
+                matches!(origin, ReplyOrigin::Caller { .. } | ReplyOrigin::Peer(_))
+            };
+            let waiting: Vec<_> = process
+                .replies
+                .values()
+                .filter(waits)
+                .map(|origin| format!("{origin:?}"))
+                .collect();
+            let process = (entry, process.start);
+            if !waiting.is_empty() {
+                self.record(HistoryEvent::NeverAnswered { process, waiting });
+            }
+        }
+    }
+
     /// Ends the run and returns its history.
     pub fn finish(mut self) -> History {
         self.history.end = self.now;
--- a/crates/cuminbank-standins/tests/history_guards.rs
+++ b/crates/cuminbank-standins/tests/history_guards.rs
@@ -9,7 +9,7 @@
 const SEEDS: u64 = 8;
 
 /// Every invariant, for the runs with all guards on.
-const ALL: [&str; 11] = [
+const ALL: [&str; 12] = [
     "I1",
     "I2",
     "I3",
@@ -19,6 +19,7 @@
     "I7",
     "I8",
     "I9",
+    "requests are answered",
     "accepted tasks finish",
     "finished tasks stay finished",
 ];
