Reset given-up connections, notice gone callers, and close without cutting off

Cause: a timed-out or aborted exchange closed its connection plainly, so the kernel went on sending what it held. A caller that left stayed in the queues, since nothing read its connection. A head that never ended was closed after 60 s without an answer, and a rejected body was cut off with a reset while the caller still sent. A planned stop accepted connections until the process ended and closed connections whose request had begun to arrive.

Now an unfinished exchange is closed with SO_LINGER 0, set through nix's safe setsockopt (already in the lock file through monoio). The server looks at the connection with MSG_PEEK every 50 ms while a handler runs and drops the handler when the caller has closed; the daemon then sends CallerGone. Heads and bodies time out with 408 (request_read_ms). A rejected request's input is discarded for up to 2 s. From the start of a drain answers carry "connection: close", and the listener closes BALANCER_DELAY (2 s) later, when the load balancer has seen the failed readiness.

Ruled out: std's TcpStream and socket2's SockRef, which need AsFd, that monoio's stream lacks. Without the discard the 413 test fails on its write.

--- a/crates/cuminbank-entry/src/daemon.rs
+++ b/crates/cuminbank-entry/src/daemon.rs
@@ -18,7 +18,7 @@
     ids::{ExchangeId, MonotonicTime, ReplyId, StartNumber},
     log::{LogRecord, PROCESS_STARTED},
     message::{decode, PeerReply},
-    reducer::{EntryReducer, TICK_INTERVAL},
+    reducer::{groups::BALANCER_DELAY, EntryReducer, TICK_INTERVAL},
     settings::EntrySettings,
 };
 use cuminbank_net::{
@@ -55,6 +55,8 @@
     /// Number of the current watch; an older one stops when it sees a newer.
     pub(crate) watch: Cell<u64>,
     pub(crate) exiting: Cell<bool>,
+    gate: ServerGate,
+    draining_since: Cell<Option<Instant>>,
     reducer: RefCell<EntryReducer>,
     started: Instant,
     replies: Cell<ReplyId>,
@@ -85,6 +87,7 @@
         let (sender, receiver) = oneshot::channel();
         self.callers.borrow_mut().insert(reply, sender);
         self.apply(make(reply));
+        let _waiting = WaitingCaller { state: Rc::clone(self), reply };
         receiver.await.unwrap_or_else(|_| CallerAnswer::new_unknown("the instance stopped"))
     }
 
@@ -115,12 +118,44 @@
         logging::write(&self.settings.instance, record);
     }
 
+    /// Begins a planned stop.
+    pub(crate) fn begin_drain(self: &Rc<Self>) {
+        if self.draining_since.get().is_none() {
+            self.draining_since.set(Some(Instant::now()));
+            self.gate.drain();
+            self.apply(EntryEvent::DrainWanted);
+        }
+    }
+
+    /// Closes to callers once the load balancer has seen the failed readiness.
+    fn close_when_unused(&self) {
+        if self.draining_since.get().is_some_and(|since| since.elapsed() >= BALANCER_DELAY) {
+            self.gate.close();
+        }
+    }
+
     fn next_reply(&self) -> ReplyId {
         self.replies.set(self.replies.get() + 1);
         self.replies.get()
     }
 }
 
+/// Caller that waits for an answer; dropped before the answer, the caller is gone.
+struct WaitingCaller {
+    state: Rc<DaemonState>,
+    reply: ReplyId,
+}
+
+impl Drop for WaitingCaller {
+    fn drop(&mut self) {
+        let waiting = self.state.callers.borrow_mut().remove(&self.reply).is_some();
+        // At the end of the process the runtime drops all tasks and carries out no effects.
+        if waiting && !self.state.exiting.get() {
+            self.state.apply(EntryEvent::CallerGone { reply: self.reply });
+        }
+    }
+}
+
 /// An entry instance.
 pub struct EntryDaemon {
     state: Rc<DaemonState>,
@@ -146,6 +181,8 @@
             aborts: RefCell::default(),
             watch: Cell::new(0),
             exiting: Cell::new(false),
+            gate: ServerGate::default(),
+            draining_since: Cell::new(None),
             reducer: RefCell::new(EntryReducer::new(settings.clone(), start)),
             started: Instant::now(),
             replies: Cell::new(0),
@@ -169,20 +206,24 @@
             state.settings.zone, state.settings.http_address, state.settings.peer_address
         );
         state.log(&LogRecord::new(PROCESS_STARTED, detail));
-        let gate = ServerGate::default();
-        serve_callers(&state, http, &gate);
+        serve_callers(&state, http);
         serve_peers(&state, peer);
         monoio::spawn(receive_datagrams(Rc::clone(&state)));
         run_ticks(&state, &stop).await;
-        gate.close();
-        finish_writes(&gate).await;
+        state.gate.close();
+        finish_writes(&state.gate).await;
     }
 }
 
-fn serve_callers(state: &Rc<DaemonState>, listener: monoio::net::TcpListener, gate: &ServerGate) {
+fn serve_callers(state: &Rc<DaemonState>, listener: monoio::net::TcpListener) {
     let handler_state = Rc::clone(state);
     let handler = move |request| routes::handle(Rc::clone(&handler_state), request);
-    monoio::spawn(server::serve(listener, ServerLimits::default(), gate.clone(), handler));
+    let limits = ServerLimits {
+        read_timeout: state.settings.request_read(),
+        drops_abandoned: true,
+        ..ServerLimits::default()
+    };
+    monoio::spawn(server::serve(listener, limits, state.gate.clone(), handler));
 }
 
 fn serve_peers(state: &Rc<DaemonState>, listener: monoio::net::TcpListener) {
@@ -208,14 +249,13 @@
 }
 
 async fn run_ticks(state: &Rc<DaemonState>, stop: &AtomicBool) {
-    let mut draining = false;
     let mut idle_check = Instant::now();
     while !state.exiting.get() {
         state.apply(EntryEvent::Tick { wall: SystemTime::now() });
-        if stop.load(Ordering::Relaxed) && !draining {
-            draining = true;
-            state.apply(EntryEvent::DrainWanted);
+        if stop.load(Ordering::Relaxed) {
+            state.begin_drain();
         }
+        state.close_when_unused();
         if idle_check.elapsed() > Duration::from_secs(5) {
             idle_check = Instant::now();
             state.executors.close_idle();
@@ -227,7 +267,7 @@
 
 async fn finish_writes(gate: &ServerGate) {
     let started = Instant::now();
-    while gate.requests() > 0 && started.elapsed() < LAST_WRITES {
+    while gate.connections() > 0 && started.elapsed() < LAST_WRITES {
         time::sleep(Duration::from_millis(5)).await;
     }
 }
--- a/crates/cuminbank-entry/src/routes.rs
+++ b/crates/cuminbank-entry/src/routes.rs
@@ -60,7 +60,7 @@
             state.ask(|reply| EntryEvent::ConfigOffered { reply, changes }).await
         }
         (&Method::POST, ["v1", "drain"]) => {
-            state.apply(EntryEvent::DrainWanted);
+            state.begin_drain();
             CallerAnswer::new_done(200, r#"{"draining":true}"#.into())
         }
         (_, known) if is_known(known) => {
--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -26,10 +26,11 @@
     },
 };
 
-use crate::http_limit::{ByteAllowance, LimitedReader};
+use crate::{
+    connection::{connect, ExchangeStream},
+    http_limit::{ByteAllowance, LimitedReader},
+};
 
-/// Longest time for a connection to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle connections are closed before the other side's idle timeout can race with a request.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 /// Idle connections kept for each address.
@@ -137,18 +138,19 @@
         let started = Instant::now();
         let message = request.into_message(address).ok_or(ExchangeError::NotSent)?;
         let mut stream = match self.take_idle(address).await {
-            Some(stream) => stream,
-            None => connect(address, timeout.min(CONNECT_TIMEOUT)).await?,
+            Some(stream) => ExchangeStream::new(stream),
+            None => connect(address, timeout).await?,
         };
         if !may_send() {
-            self.put_idle(address, stream);
+            self.put_idle(address, stream.finish());
             return Err(ExchangeError::NotSent);
         }
         let left = timeout.saturating_sub(started.elapsed());
-        let outcome = time::timeout(left, send_and_read(&mut stream, message)).await;
+        let outcome = time::timeout(left, send_and_read(stream.stream(), message)).await;
         // Dropping the stream on any error closes the connection: a late answer on it can then
         // never be taken for the answer to another request.
         let (answer, reusable) = outcome.map_err(|_| ExchangeError::Lost)??;
+        let stream = stream.finish();
         if reusable {
             self.put_idle(address, stream);
         }
@@ -187,14 +189,6 @@
     }
 }
 
-async fn connect(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ExchangeError> {
-    let Ok(Ok(stream)) = time::timeout(timeout, TcpStream::connect_addr(address)).await else {
-        return Err(ExchangeError::NotSent);
-    };
-    let _ = stream.set_nodelay(true);
-    Ok(stream)
-}
-
 async fn send_and_read(
     stream: &mut TcpStream,
     message: Request<Payload>,
--- a/crates/cuminbank-net/src/http_limit.rs
+++ b/crates/cuminbank-net/src/http_limit.rs
@@ -18,6 +18,11 @@
         self.0.set(bytes);
     }
 
+    /// Returns the bytes that are left.
+    pub fn left(&self) -> usize {
+        self.0.get()
+    }
+
     /// Tells whether the allowance is used up.
     pub fn is_spent(&self) -> bool {
         self.0.get() == 0
--- a/crates/cuminbank-net/src/lib.rs
+++ b/crates/cuminbank-net/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runtime, HTTP, peer transport and store client that the cuminbank daemons share.
 
 pub mod client;
+mod connection;
 pub mod etcd;
 pub mod http_limit;
 pub mod logging;
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -18,8 +18,8 @@
     time,
 };
 
-/// Longest time for a connection to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+use crate::connection::{connect, ExchangeStream};
+
 /// Largest message; a handover of tickets with their answers is the largest.
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
 /// Idle connections are closed after this time.
@@ -45,17 +45,18 @@
         timeout: Duration,
     ) -> Result<PeerReply, ExchangeError> {
         let mut stream = match self.take_idle(to).await {
-            Some(stream) => stream,
-            None => connect(to, timeout.min(CONNECT_TIMEOUT)).await?,
+            Some(stream) => ExchangeStream::new(stream),
+            None => connect(to, timeout).await?,
         };
         let exchange = async {
-            write_message(&mut stream, &encode(request)).await?;
-            read_message(&mut stream).await
+            write_message(stream.stream(), &encode(request)).await?;
+            read_message(stream.stream()).await
         };
         let bytes =
             time::timeout(timeout, exchange).await.ok().flatten().ok_or(ExchangeError::Lost)?;
         let reply = decode(&bytes).ok_or(ExchangeError::Lost)?;
-        self.idle.borrow_mut().entry(to).or_default().push((stream, Instant::now()));
+        let idle = (stream.finish(), Instant::now());
+        self.idle.borrow_mut().entry(to).or_default().push(idle);
         Ok(reply)
     }
 
@@ -73,14 +74,6 @@
     }
 }
 
-async fn connect(to: SocketAddr, timeout: Duration) -> Result<TcpStream, ExchangeError> {
-    let Ok(Ok(stream)) = time::timeout(timeout, TcpStream::connect_addr(to)).await else {
-        return Err(ExchangeError::NotSent);
-    };
-    let _ = stream.set_nodelay(true);
-    Ok(stream)
-}
-
 /// Accepts connections of peers and answers their requests with `handler`.
 pub async fn serve<H, F>(listener: TcpListener, handler: H)
 where
--- a/crates/cuminbank-net/src/server.rs
+++ b/crates/cuminbank-net/src/server.rs
@@ -1,13 +1,20 @@
 //! HTTP server for callers, operators and stand-ins.
 
-use std::{cell::Cell, future::Future, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    future::Future,
+    os::fd::{AsRawFd, RawFd},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cuminbank::effect::CallerAnswer;
 use http::{header, HeaderMap, Method, Version};
 use monoio::{
     io::{
-        sink::SinkExt, stream::Stream, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
+        sink::SinkExt, stream::Stream, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf,
+        OwnedWriteHalf, Splitable,
     },
     net::{TcpListener, TcpStream},
     time,
@@ -26,22 +33,30 @@
     },
 };
 
-use crate::http_limit::{ByteAllowance, LimitedReader};
+use crate::{
+    connection::{discard_input, wait_for_close},
+    http_limit::{ByteAllowance, LimitedReader},
+};
 
 /// Bytes allowed for the head of a request.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Interval at which a wait sees that the gate closes.
+const GATE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
     /// Largest body.
     pub max_body_bytes: usize,
-    /// Longest time for a head and a body to arrive once their first byte was read.
+    /// Longest time for a head to arrive once its first byte was read, and again for its body.
     pub read_timeout: Duration,
     /// Longest time that a connection may be idle between requests.
     pub idle_timeout: Duration,
     /// Most connections at a time; further ones are closed at once.
     pub max_connections: usize,
+    /// Whether the handler is dropped when the caller closes its connection before the answer.
+    /// A caller that only ends its own direction counts as one that has closed.
+    pub drops_abandoned: bool,
 }
 
 impl Default for ServerLimits {
@@ -51,6 +66,7 @@
             read_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
             max_connections: 4_096,
+            drops_abandoned: false,
         }
     }
 }
@@ -133,14 +149,22 @@
 
 #[derive(Debug, Default)]
 struct GateState {
+    draining: Cell<bool>,
     closing: Cell<bool>,
     connections: Cell<usize>,
     requests: Cell<usize>,
 }
 
 impl ServerGate {
-    /// Closes each connection after the request that is in progress on it.
+    /// Ends each connection with its next answer, so that callers open their next one elsewhere
+    /// before this server closes.
+    pub fn drain(&self) {
+        self.0.draining.set(true);
+    }
+
+    /// Stops accepting connections and closes those without a request in progress.
     pub fn close(&self) {
+        self.drain();
         self.0.closing.set(true);
     }
 
@@ -153,6 +177,15 @@
     pub fn requests(&self) -> usize {
         self.0.requests.get()
     }
+
+    /// Returns how many connections are open.
+    pub fn connections(&self) -> usize {
+        self.0.connections.get()
+    }
+
+    fn is_draining(&self) -> bool {
+        self.0.draining.get()
+    }
 }
 
 /// Accepts connections until the gate closes and handles their requests with `handler`.
@@ -161,13 +194,8 @@
     H: Fn(ServerRequest) -> F + Clone + 'static,
     F: Future<Output = ServerAction> + 'static,
 {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of descriptors: the pause lets connections end.
-            time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        if gate.0.connections.get() >= limits.max_connections {
+    while let Some(stream) = accept(&listener, &gate).await {
+        if gate.connections() >= limits.max_connections {
             continue;
         }
         let _ = stream.set_nodelay(true);
@@ -180,11 +208,27 @@
     }
 }
 
+/// Accepts a connection; `None` when the gate closes and none is waiting any more.
+async fn accept(listener: &TcpListener, gate: &ServerGate) -> Option<TcpStream> {
+    loop {
+        let wait = if gate.is_closing() { Duration::ZERO } else { GATE_INTERVAL };
+        match time::timeout(wait, listener.accept()).await {
+            Ok(Ok((stream, _))) => return Some(stream),
+            // Out of descriptors: the pause lets connections end.
+            Ok(Err(_)) => time::sleep(Duration::from_millis(10)).await,
+            Err(_) if wait.is_zero() => return None,
+            Err(_) => {}
+        }
+    }
+}
+
 type ConnectionReader = LimitedReader<OwnedReadHalf<TcpStream>>;
 
 struct ServerConnection {
     decoder: RequestDecoder<ConnectionReader>,
     writer: OwnedWriteHalf<TcpStream>,
+    /// Descriptor of both halves, which stay open as long as this value.
+    socket: RawFd,
     allowance: ByteAllowance,
     limits: ServerLimits,
     gate: ServerGate,
@@ -198,11 +242,13 @@
 
 impl ServerConnection {
     fn new(stream: TcpStream, limits: ServerLimits, gate: ServerGate) -> Self {
+        let socket = stream.as_raw_fd();
         let (read, write) = stream.into_split();
         let allowance = ByteAllowance::default();
         Self {
             decoder: RequestDecoder::new(LimitedReader::new(read, allowance.clone())),
             writer: write,
+            socket,
             allowance,
             limits,
             gate,
@@ -219,16 +265,14 @@
             let (request, keep_alive) = match self.read().await {
                 ReadOutcome::Request(request, keep_alive) => (request, keep_alive),
                 ReadOutcome::Rejected(status, reason) => {
-                    let answer = CallerAnswer::new_not_run(status, reason);
-                    let response = ServerResponse::from_answer(answer);
-                    let _ = self.respond(response, false).await;
+                    self.reject(CallerAnswer::new_not_run(status, reason)).await;
                     return;
                 }
                 ReadOutcome::Ended => return,
             };
             let requests = &self.gate.clone().0.requests;
             requests.set(requests.get() + 1);
-            let action = handler(request).await;
+            let action = self.handle(handler(request)).await;
             let open = self.act(action, keep_alive).await;
             requests.set(requests.get() - 1);
             if !open {
@@ -237,27 +281,56 @@
         }
     }
 
+    /// Runs a handler to its end, or until the caller is gone.
+    async fn handle(&self, handling: impl Future<Output = ServerAction>) -> ServerAction {
+        if !self.limits.drops_abandoned {
+            return handling.await;
+        }
+        monoio::select! {
+            action = handling => action,
+            () = wait_for_close(self.socket) => ServerAction::Close,
+        }
+    }
+
+    /// Answers a request that was not read to its end, and closes.
+    async fn reject(&mut self, answer: CallerAnswer) {
+        if self.respond(ServerResponse::from_answer(answer), false).await {
+            let _ = self.writer.shutdown().await;
+            discard_input(self.socket).await;
+        }
+    }
+
     /// Waits for a request in short steps, so that an idle connection sees the gate close.
     async fn wait_for_head(&mut self) -> Option<Result<Request, ReadOutcome>> {
         let gate = self.gate.clone();
         let limits = self.limits;
+        let allowance = self.allowance.clone();
+        let full = allowance.left();
         let mut head = std::pin::pin!(self.decoder.next());
-        let mut idle = Duration::ZERO;
+        let (mut idle, mut reading) = (Duration::ZERO, Duration::ZERO);
         loop {
-            let step = Duration::from_millis(100);
-            match time::timeout(step, head.as_mut()).await {
+            match time::timeout(GATE_INTERVAL, head.as_mut()).await {
                 Ok(None) => return None,
                 Ok(Some(Ok(request))) => return Some(Ok(request)),
-                Ok(Some(Err(_))) if self.allowance.is_spent() => {
+                Ok(Some(Err(_))) if allowance.is_spent() => {
                     return Some(Err(ReadOutcome::Rejected(413, "the request is too large")));
                 }
                 Ok(Some(Err(_))) => {
                     return Some(Err(ReadOutcome::Rejected(400, "malformed HTTP request")));
                 }
-                Err(_) => idle += step,
+                Err(_) => {}
+            }
+            // A request whose first bytes were read is no longer between requests.
+            if allowance.left() == full {
+                idle += GATE_INTERVAL;
+                if idle >= limits.idle_timeout || gate.is_closing() {
+                    return None;
+                }
+                continue;
             }
-            if idle >= limits.idle_timeout || gate.is_closing() {
-                return None;
+            reading += GATE_INTERVAL;
+            if reading >= limits.read_timeout {
+                return Some(Err(ReadOutcome::Rejected(408, "the head did not arrive in time")));
             }
         }
     }
@@ -303,7 +376,7 @@
     async fn act(&mut self, action: ServerAction, keep_alive: bool) -> bool {
         match action {
             ServerAction::Respond(response) => {
-                let keep_alive = keep_alive && !self.gate.is_closing();
+                let keep_alive = keep_alive && !self.gate.is_draining();
                 self.respond(response, keep_alive).await && keep_alive
             }
             ServerAction::Stream(parts) => {
--- a/crates/cuminbank/src/reducer/groups/drain.rs
+++ b/crates/cuminbank/src/reducer/groups/drain.rs
@@ -18,7 +18,7 @@
 use super::{GroupChange, GroupExchange, GroupPart};
 
 /// The load balancer sees the failed readiness within this time.
-const BALANCER_DELAY: Duration = Duration::from_secs(2);
+pub const BALANCER_DELAY: Duration = Duration::from_secs(2);
 const BALANCE_INTERVAL: Duration = Duration::from_secs(1);
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Handed states are dropped if the group could not be claimed for this time.
--- a/crates/cuminbank/src/reducer/groups/mod.rs
+++ b/crates/cuminbank/src/reducer/groups/mod.rs
@@ -27,6 +27,8 @@
     store::{StoreReply, StoreRequest},
 };
 
+pub use self::drain::BALANCER_DELAY;
+
 use self::{
     claims::{GroupLook, StoreHealth},
     drain::{DrainState, GroupRelease, HandedState},
--- a/crates/cuminbank/src/settings.rs
+++ b/crates/cuminbank/src/settings.rs
@@ -43,6 +43,10 @@
     /// Longest time for a planned stop, in milliseconds, 1,000 to 600,000.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// Longest time for the head of a request to arrive, and again for its body, in milliseconds,
+    /// 100 to 60,000.
+    #[serde(default = "default_request_read_ms")]
+    pub request_read_ms: u64,
 }
 
 fn default_groups() -> GroupIndex {
@@ -57,6 +61,10 @@
     30_000
 }
 
+fn default_request_read_ms() -> u64 {
+    10_000
+}
+
 /// Policy of placement.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -89,6 +97,11 @@
         Duration::from_millis(self.drain_ms)
     }
 
+    /// Returns the longest time for the head of a request to arrive, and again for its body.
+    pub fn request_read(&self) -> Duration {
+        Duration::from_millis(self.request_read_ms)
+    }
+
     fn check(&self) -> Result<(), ProfileError> {
         check_name("instance", &self.instance)?;
         check_name("zone", &self.zone)?;
@@ -104,6 +117,9 @@
         if !(1_000..=600_000).contains(&self.drain_ms) {
             return Err(range_error("drain_ms", self.drain_ms, "1000 to 600000"));
         }
+        if !(100..=60_000).contains(&self.request_read_ms) {
+            return Err(range_error("request_read_ms", self.request_read_ms, "100 to 60000"));
+        }
         Ok(())
     }
 }
