--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -3,9 +3,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    future::Future,
     net::SocketAddr,
-    task::Poll,
     time::{Duration, Instant},
 };
 
@@ -28,10 +26,11 @@
     },
 };
 
-use crate::http_limit::{ByteAllowance, LimitedReader};
+use crate::{
+    connection::{connect, is_readable, ExchangeStream},
+    http_limit::{ByteAllowance, LimitedReader},
+};
 
-/// Longest time for a connection to open.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle connections are closed before the other side's idle timeout can race with a request.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 /// Idle connections kept for each address.
@@ -138,19 +137,20 @@
     ) -> Result<ClientAnswer, ExchangeError> {
         let started = Instant::now();
         let message = request.into_message(address).ok_or(ExchangeError::NotSent)?;
-        let mut stream = match self.take_idle(address).await {
-            Some(stream) => stream,
-            None => connect(address, timeout.min(CONNECT_TIMEOUT)).await?,
+        let mut stream = match self.take_idle(address) {
+            Some(stream) => ExchangeStream::new(stream),
+            None => connect(address, timeout).await?,
         };
         if !may_send() {
-            self.put_idle(address, stream);
+            self.put_idle(address, stream.finish());
             return Err(ExchangeError::NotSent);
         }
         let left = timeout.saturating_sub(started.elapsed());
-        let outcome = time::timeout(left, send_and_read(&mut stream, message)).await;
+        let outcome = time::timeout(left, send_and_read(stream.stream(), message)).await;
         // Dropping the stream on any error closes the connection: a late answer on it can then
         // never be taken for the answer to another request.
         let (answer, reusable) = outcome.map_err(|_| ExchangeError::Lost)??;
+        let stream = stream.finish();
         if reusable {
             self.put_idle(address, stream);
         }
@@ -158,14 +158,13 @@
     }
 
     /// Returns an idle connection that the other side has not closed.
-    async fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
+    fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
         loop {
             let connection = self.idle.borrow_mut().get_mut(&address)?.pop()?;
             if connection.since.elapsed() > MAX_IDLE {
                 continue;
             }
-            // Bytes or an end of stream on an idle connection mean that it is of no more use.
-            if !is_readable(&connection.stream).await {
+            if !is_readable(&connection.stream) {
                 return Some(connection.stream);
             }
         }
@@ -188,21 +187,6 @@
     }
 }
 
-/// Tells whether a stream has bytes or an end of stream to read, without waiting: a timeout of zero
-/// would cost a tick of the runtime's timer, 1 ms, on each exchange.
-pub(crate) async fn is_readable(stream: &TcpStream) -> bool {
-    let mut readable = std::pin::pin!(stream.readable(false));
-    std::future::poll_fn(|context| Poll::Ready(readable.as_mut().poll(context).is_ready())).await
-}
-
-async fn connect(address: SocketAddr, timeout: Duration) -> Result<TcpStream, ExchangeError> {
-    let Ok(Ok(stream)) = time::timeout(timeout, TcpStream::connect_addr(address)).await else {
-        return Err(ExchangeError::NotSent);
-    };
-    let _ = stream.set_nodelay(true);
-    Ok(stream)
-}
-
 async fn send_and_read(
     stream: &mut TcpStream,
     message: Request<Payload>,
