Add cuminbank-bench: slopes of decisions, tasks, peers, records and nodes

The bench drives the reducers with a fake store, list and workers in virtual time, and counts allocations through stats_alloc, which needs no unsafe code of our own. RSS was ruled out for memory per task: the fake workers live in the same process; the memory freed with the reducer holds nothing else.

--- /dev/null
+++ b/crates/cuminbank-bench/src/config.rs
@@ -0,0 +1,199 @@
+//! Time from the acceptance of a profile change until it is in force.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    fs,
+    io::{self, Write},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
+
+use cuminbank::profile::ProfileChange;
+use cuminbank_net::{
+    client::{ClientRequest, HttpPool},
+    runtime,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::table::{quantile, ResultTable};
+
+/// Time between two polls of an instance.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time to wait for an answer.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Something that a poll saw for the first time, or that the script did.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case", tag = "what")]
+enum TimedEvent {
+    /// An instance shows another revision of a profile than at its last answer.
+    Shown { at_ms: u64, instance: SocketAddr, name: String, revision: i64 },
+    /// The command line was started and later printed this revision as committed.
+    Accepted { at_ms: u64, name: String, revision: i64 },
+    /// An instance was stopped.
+    Paused { at_ms: u64, instance: SocketAddr },
+    /// A stopped instance was continued.
+    Resumed { at_ms: u64, instance: SocketAddr },
+}
+
+/// Polls the configuration in force of the instances until `stop` exists; writes what changed.
+pub fn poll(instances: &[SocketAddr], out: &Path, stop: &Path) -> io::Result<()> {
+    let file = Rc::new(RefCell::new(fs::File::create(out)?));
+    runtime::run(async {
+        let mut tasks = Vec::new();
+        for instance in instances {
+            tasks.push(monoio::spawn(poll_one(*instance, Rc::clone(&file), stop.to_owned())));
+        }
+        for task in tasks {
+            task.await?;
+        }
+        Ok(())
+    })
+}
+
+async fn poll_one(
+    instance: SocketAddr,
+    file: Rc<RefCell<fs::File>>,
+    stop: PathBuf,
+) -> io::Result<()> {
+    let pool = HttpPool::new();
+    let mut shown: BTreeMap<String, i64> = BTreeMap::new();
+    while !stop.exists() {
+        let answer = pool.exchange(instance, ClientRequest::new_get("/v1/config"), TIMEOUT).await;
+        // The time after the answer: the change was in force no later.
+        let at_ms = unix_millis();
+        let changes: Vec<ProfileChange> = answer
+            .ok()
+            .filter(|answer| answer.status == 200)
+            .and_then(|answer| serde_json::from_slice(&answer.body).ok())
+            .unwrap_or_default();
+        for ProfileChange { name, revision, .. } in changes {
+            if shown.insert(name.clone(), revision) != Some(revision) {
+                let event = TimedEvent::Shown { at_ms, instance, name, revision };
+                let line = serde_json::to_string(&event)?;
+                writeln!(file.borrow_mut(), "{line}")?;
+            }
+        }
+        monoio::time::sleep(POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Computes the times from the events of a run.
+pub fn summarize(files: &[PathBuf]) -> io::Result<ResultTable> {
+    let mut events = Vec::new();
+    for file in files {
+        for line in fs::read_to_string(file)?.lines() {
+            events.push(serde_json::from_str::<TimedEvent>(line)?);
+        }
+    }
+    Ok(summary_table(&RunEvents::new(events)))
+}
+
+/// The events of a run, by kind.
+#[derive(Debug, Default)]
+struct RunEvents {
+    /// For each instance and profile the times and revisions shown.
+    shown: BTreeMap<SocketAddr, HashMap<String, Vec<(u64, i64)>>>,
+    accepted: Vec<(u64, String, i64)>,
+    /// For each instance the spans in which it was stopped.
+    pauses: HashMap<SocketAddr, Vec<(u64, u64)>>,
+}
+
+impl RunEvents {
+    fn new(mut events: Vec<TimedEvent>) -> Self {
+        events.sort_by_key(|event| match event {
+            TimedEvent::Shown { at_ms, .. }
+            | TimedEvent::Accepted { at_ms, .. }
+            | TimedEvent::Paused { at_ms, .. }
+            | TimedEvent::Resumed { at_ms, .. } => *at_ms,
+        });
+        let mut run = Self::default();
+        for event in events {
+            match event {
+                TimedEvent::Shown { at_ms, instance, name, revision } => {
+                    let names = run.shown.entry(instance).or_default();
+                    names.entry(name).or_default().push((at_ms, revision));
+                }
+                TimedEvent::Accepted { at_ms, name, revision } => {
+                    run.accepted.push((at_ms, name, revision));
+                }
+                TimedEvent::Paused { at_ms, instance } => {
+                    run.pauses.entry(instance).or_default().push((at_ms, u64::MAX));
+                }
+                TimedEvent::Resumed { at_ms, instance } => {
+                    let last = run.pauses.get_mut(&instance).and_then(|spans| spans.last_mut());
+                    if let Some(span) = last {
+                        span.1 = at_ms;
+                    }
+                }
+            }
+        }
+        run
+    }
+
+    fn reversions(&self) -> usize {
+        let names = self.shown.values().flat_map(HashMap::values);
+        let pairs = names.flat_map(|shown| shown.windows(2));
+        pairs.filter(|pair| pair[1].1 < pair[0].1).count()
+    }
+
+    /// Returns when an instance first showed a change or a later one of the same profile.
+    fn in_force(&self, instance: SocketAddr, name: &str, revision: i64) -> Option<u64> {
+        let shown = self.shown.get(&instance)?.get(name)?;
+        shown.iter().find(|(_, shown)| *shown >= revision).map(|(at, _)| *at)
+    }
+
+    /// Returns the end of the last pause of an instance that overlaps a span.
+    fn last_pause(&self, instance: SocketAddr, from: u64, to: u64) -> Option<u64> {
+        let spans = self.pauses.get(&instance)?.iter();
+        spans.filter(|(begin, end)| *begin <= to && from <= *end).map(|(_, end)| *end).next_back()
+    }
+}
+
+fn summary_table(run: &RunEvents) -> ResultTable {
+    let columns = ["instances", "samples", "median ms", "p99 ms", "max ms", "never"];
+    let mut table = ResultTable::new("time from acceptance to in force", &columns);
+    let (mut reachable, mut resumed) = (Vec::new(), Vec::new());
+    let (mut missing, mut missing_resumed) = (0, 0);
+    for (accepted, name, revision) in &run.accepted {
+        for instance in run.shown.keys() {
+            let in_force = run.in_force(*instance, name, *revision);
+            let pause = run.last_pause(*instance, *accepted, in_force.unwrap_or(u64::MAX));
+            match (in_force, pause) {
+                (Some(at), None) => reachable.push(at.saturating_sub(*accepted) as f64),
+                (Some(at), Some(end)) => resumed.push(at.saturating_sub(end) as f64),
+                (None, None) => missing += 1,
+                (None, Some(_)) => missing_resumed += 1,
+            }
+        }
+    }
+    for (what, samples, missing) in [
+        ("reachable, from the start of the command", &reachable, missing),
+        ("paused meanwhile, from the resumption", &resumed, missing_resumed),
+    ] {
+        table.push(vec![
+            what.to_owned(),
+            samples.len().to_string(),
+            format!("{:.0}", quantile(samples, 0.5)),
+            format!("{:.0}", quantile(samples, 0.99)),
+            format!("{:.0}", quantile(samples, 1.0)),
+            missing.to_string(),
+        ]);
+    }
+    table.note(format!(
+        "{} changes, {} reversions (target 0), maximum target under 6,000 ms",
+        run.accepted.len(),
+        run.reversions(),
+    ));
+    table.note("the start of the command is before the acceptance, so the times are upper bounds");
+    table
+}
--- /dev/null
+++ b/crates/cuminbank-bench/src/peers.rs
@@ -0,0 +1,79 @@
+//! Datagrams between entry instances, and the time of a tick, as the instances grow.
+
+use std::time::Duration;
+
+use crate::{
+    platform::{DeploymentPlan, VirtualDeployment},
+    table::{quantile, spread, ResultTable},
+};
+
+/// Zones and entry instances in all.
+const SIZES: [(usize, usize); 7] = [(1, 2), (1, 4), (1, 8), (3, 7), (4, 16), (16, 32), (16, 64)];
+/// Virtual time until the groups are owned.
+const SETTLED: Duration = Duration::from_secs(20);
+/// Virtual time that is measured.
+const MEASURED: Duration = Duration::from_secs(10);
+/// Bytes of the IP and UDP headers of a datagram.
+const HEADERS: f64 = 28.0;
+
+/// Measures what instances send and receive.
+pub fn measure(seed: u64, rounds: usize) -> ResultTable {
+    let columns = [
+        "zones",
+        "instances",
+        "sent B/s",
+        "received B/s",
+        "most B/s",
+        "datagrams/s",
+        "tick p50 us",
+        "tick p99 us",
+        "cpu ms/s",
+    ];
+    let title = format!("peers: seed {seed}, 4 groups a zone, {rounds} rounds, of one instance");
+    let mut table = ResultTable::new(title, &columns);
+    for (zones, entries) in SIZES {
+        let runs: Vec<_> =
+            (0..rounds).map(|round| run(zones, entries, seed + round as u64)).collect();
+        let cells = (0..7).map(|column| {
+            let samples: Vec<f64> = runs.iter().map(|run| run[column]).collect();
+            format!("{:.1}", spread(&samples).1)
+        });
+        table.push([zones.to_string(), entries.to_string()].into_iter().chain(cells).collect());
+    }
+    table.note("sent, received: mean of all instances with 28 bytes of IP and UDP headers each");
+    table.note("most: sent and received by the busiest instance; tick, cpu: medians of the rounds");
+    table
+}
+
+fn run(zones: usize, entries: usize, seed: u64) -> [f64; 7] {
+    let plan = DeploymentPlan { zones, entries, groups: 4, executors: 0, workers: 0, seed };
+    let mut deployment = VirtualDeployment::new(plan);
+    deployment.run_until(SETTLED);
+    deployment.reset_counters();
+    deployment.run_for(MEASURED);
+    let seconds = MEASURED.as_secs_f64();
+    let mean = |total: f64| total / entries as f64 / seconds;
+    let counters: Vec<_> = deployment.hosts.iter().map(|host| &host.counters).collect();
+    let sent: f64 = counters.iter().map(|one| one.sent as f64).sum();
+    let received: f64 = counters.iter().map(|one| one.received as f64).sum();
+    let datagrams: f64 = counters.iter().map(|one| one.datagrams as f64).sum();
+    let both = counters.iter().map(|one| {
+        let headers = one.datagrams as f64 * HEADERS;
+        ((one.sent + one.received) as f64 + headers) / seconds
+    });
+    let ticks: Vec<f64> = counters
+        .iter()
+        .flat_map(|one| one.spent.get("tick").into_iter().flatten())
+        .map(|time| time * 1e6)
+        .collect();
+    let busy: f64 = counters.iter().flat_map(|one| one.spent.values().flatten()).sum();
+    [
+        mean(sent + datagrams / 2.0 * HEADERS),
+        mean(received + datagrams / 2.0 * HEADERS),
+        both.fold(0.0, f64::max),
+        mean(datagrams),
+        quantile(&ticks, 0.5),
+        quantile(&ticks, 0.99),
+        mean(busy) * 1e3,
+    ]
+}
--- /dev/null
+++ b/crates/cuminbank-bench/src/tasks.rs
@@ -0,0 +1,350 @@
+//! Cost of batch tasks: memory, time, bytes of journal and store calls.
+
+use std::{alloc::System, time::Duration};
+
+use cuminbank::{
+    event::{EntryEvent, TaskSubmission},
+    ids::RequestTicket,
+    worker::ResourceSize,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{json, Value};
+use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
+
+use crate::{
+    platform::{DeploymentPlan, HostIndex, VirtualDeployment},
+    table::{quantile, spread, ResultTable},
+};
+
+const ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+const SIZES: [usize; 3] = [1_000, 10_000, 100_000];
+/// Tasks that run on each worker; the workers have room for 64.
+const TASKS_PER_WORKER: usize = 50;
+/// Virtual time until the groups are owned and the workers are known.
+const SETTLED: Duration = Duration::from_secs(15);
+/// Tasks submitted in each second of the fill; a group starts no more than about 260.
+const FILL_RATE: f64 = 250.0;
+/// Virtual time over which ticks are measured.
+const MEASURED: Duration = Duration::from_secs(5);
+
+/// Share of the design size that one zone carries: a sixteenth of 360 starts/s, of 5,200 workers
+/// and of 90,000 running batch tasks.
+const ZONES: f64 = 16.0;
+const ZONE_STARTS: f64 = 360.0 / ZONES;
+const ZONE_WORKERS: usize = 325;
+const ZONE_RUNNING: usize = 5_625;
+const ZONE_ENTRIES: usize = 4;
+
+/// Submits tasks in virtual time.
+struct TaskSource {
+    rng: ChaCha8Rng,
+    tickets: Vec<Vec<RequestTicket>>,
+    submitted: usize,
+}
+
+impl TaskSource {
+    fn new(seed: u64, hosts: usize) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            tickets: vec![Vec::new(); hosts],
+            submitted: 0,
+        }
+    }
+
+    /// Submits a task to each instance in turn.
+    fn submit(&mut self, deployment: &mut VirtualDeployment, run: Duration) {
+        let host = self.submitted % self.tickets.len();
+        if self.tickets[host].is_empty() {
+            self.tickets[host] = take_tickets(deployment, host);
+        }
+        let Some(ticket) = self.tickets[host].pop() else { return };
+        self.submitted += 1;
+        let reply = deployment.next_reply();
+        let submission = TaskSubmission {
+            ticket,
+            profile: "orders".to_owned(),
+            customer: format!("team-{}", self.rng.random_range(0..41)),
+            class: format!("orders-{}", self.rng.random_range(0..4)),
+            size: ResourceSize { millicores: 1_000, memory_mib: 1_024, accelerators: 0 },
+            declared_run_ms: None,
+            input: json!({ "run_ms": run.as_millis() as u64, "order": self.submitted }).to_string(),
+        };
+        deployment.apply(host, EntryEvent::TaskArrived { reply, submission });
+    }
+
+    /// Submits tasks at a rate for a span of virtual time.
+    fn submit_for(
+        &mut self,
+        deployment: &mut VirtualDeployment,
+        span: Duration,
+        for_each_second: f64,
+        mut run: impl FnMut(&mut ChaCha8Rng) -> Duration,
+    ) {
+        let end = deployment.now + span;
+        let mut due = 0.0;
+        while deployment.now < end {
+            due += for_each_second * 0.02;
+            while due >= 1.0 {
+                due -= 1.0;
+                let run = run(&mut self.rng);
+                self.submit(deployment, run);
+            }
+            deployment.run_for(Duration::from_millis(20));
+        }
+    }
+}
+
+fn take_tickets(deployment: &mut VirtualDeployment, host: HostIndex) -> Vec<RequestTicket> {
+    let reply = deployment.next_reply();
+    deployment.apply(host, EntryEvent::TicketsWanted { reply, count: 100 });
+    deployment.run_for(Duration::from_millis(20));
+    let answers = &mut deployment.hosts[host].answers;
+    let answer = answers.iter().rev().find(|(answered, _)| *answered == reply);
+    let body: Value = answer.map_or(Value::Null, |(_, answer)| {
+        serde_json::from_slice(&answer.body).unwrap_or(Value::Null)
+    });
+    answers.clear();
+    let tickets = body["tickets"].as_array().cloned().unwrap_or_default();
+    tickets.iter().filter_map(|ticket| ticket.as_str()?.parse().ok()).collect()
+}
+
+/// Measures memory and time as the tasks of one group grow.
+pub fn measure_sizes(seed: u64, rounds: usize) -> ResultTable {
+    let columns = [
+        "tasks",
+        "running",
+        "bytes/task",
+        "ended bytes/task",
+        "tick p50 us",
+        "tick p99 us",
+        "tick max us",
+        "cpu ms/s",
+        "accept us",
+        "start us",
+        "finish us",
+        "segment B/task",
+        "snapshot B/task",
+    ];
+    let title =
+        format!("tasks: seed {seed}, one group on one instance, medians of {rounds} rounds");
+    let mut table = ResultTable::new(title, &columns);
+    for tasks in SIZES {
+        // The largest size takes long and is steady enough with fewer rounds.
+        let rounds = if tasks >= 100_000 { rounds.min(2) } else { rounds };
+        let runs: Vec<_> = (0..rounds).map(|round| run_size(tasks, seed + round as u64)).collect();
+        let median =
+            |pick: &dyn Fn(&SizeRun) -> f64| spread(&runs.iter().map(pick).collect::<Vec<_>>()).1;
+        table.push(vec![
+            tasks.to_string(),
+            format!("{:.0}", median(&|run| run.running)),
+            format!("{:.0}", median(&|run| run.bytes)),
+            format!("{:.0}", median(&|run| run.ended_bytes)),
+            format!("{:.0}", median(&|run| run.tick_p50)),
+            format!("{:.0}", median(&|run| run.tick_p99)),
+            format!("{:.0}", median(&|run| run.tick_max)),
+            format!("{:.1}", median(&|run| run.busy_ms)),
+            format!("{:.1}", median(&|run| run.accept)),
+            format!("{:.1}", median(&|run| run.start)),
+            format!("{:.1}", median(&|run| run.finish)),
+            format!("{:.0}", median(&|run| run.segments)),
+            format!("{:.0}", median(&|run| run.snapshots)),
+        ]);
+    }
+    table.note("bytes/task: memory freed with the reducer, less that of one without tasks");
+    table.note("tick, cpu: 5 s with all tasks running; cpu is all events, worker visits included");
+    table.note("accept, start, finish: all events of that step divided by the tasks");
+    table.note("segment, snapshot B/task: values written until all tasks run, without base64");
+    table
+}
+
+#[derive(Default)]
+struct SizeRun {
+    running: f64,
+    bytes: f64,
+    ended_bytes: f64,
+    tick_p50: f64,
+    tick_p99: f64,
+    tick_max: f64,
+    busy_ms: f64,
+    accept: f64,
+    start: f64,
+    finish: f64,
+    segments: f64,
+    snapshots: f64,
+}
+
+fn run_size(tasks: usize, seed: u64) -> SizeRun {
+    let workers = tasks / TASKS_PER_WORKER;
+    let empty = memory_of(&mut settled(workers, seed));
+    let mut run = SizeRun::default();
+    let mut deployment = fill(tasks, workers, seed, &mut run);
+    deployment.reset_counters();
+    deployment.run_for(MEASURED);
+    run.note_ticks(&deployment);
+    run.bytes = (memory_of(&mut deployment) - empty) / tasks as f64;
+    if tasks < 100_000 {
+        let mut deployment = fill(tasks, workers, seed, &mut run);
+        finish_all(&mut deployment, tasks, &mut run);
+        run.ended_bytes = (memory_of(&mut deployment) - empty) / tasks as f64;
+    }
+    run
+}
+
+fn settled(workers: usize, seed: u64) -> VirtualDeployment {
+    let plan = DeploymentPlan { zones: 1, entries: 1, groups: 1, executors: 0, workers, seed };
+    let mut deployment = VirtualDeployment::new(plan);
+    deployment.run_until(SETTLED);
+    deployment
+}
+
+/// Submits tasks until all run.
+fn fill(tasks: usize, workers: usize, seed: u64, run: &mut SizeRun) -> VirtualDeployment {
+    let mut deployment = settled(workers, seed);
+    deployment.reset_counters();
+    let mut source = TaskSource::new(seed, 1);
+    let end = deployment.now + Duration::from_secs_f64(tasks as f64 / FILL_RATE + 30.0);
+    let step = Duration::from_millis(20);
+    while source.submitted < tasks {
+        // All attempts end at about the same time, after the measurement.
+        let left = end.saturating_sub(deployment.now);
+        source.submit_for(&mut deployment, step, FILL_RATE, |_| left);
+    }
+    deployment.run_for(Duration::from_secs(5));
+    let spent = &deployment.hosts[0].counters.spent;
+    let micros = |kind: &str| {
+        spent.get(kind).map_or(0.0, |samples| samples.iter().sum::<f64>()) * 1e6 / tasks as f64
+    };
+    run.accept = micros("accept") + micros("committed");
+    run.start = micros("started");
+    let bytes = |part: &str| {
+        deployment.store_use.bytes.get(part).copied().unwrap_or(0) as f64 / tasks as f64
+    };
+    run.segments = bytes("segments");
+    run.snapshots = bytes("snapshots");
+    run.running = deployment.running_tasks() as f64;
+    deployment
+}
+
+fn finish_all(deployment: &mut VirtualDeployment, tasks: usize, run: &mut SizeRun) {
+    let limit = deployment.now + Duration::from_secs(200);
+    while deployment.finished_tasks() == 0 && deployment.now < limit {
+        deployment.run_for(Duration::from_millis(20));
+    }
+    deployment.reset_counters();
+    while deployment.finished_tasks() < tasks as u64 && deployment.now < limit {
+        deployment.run_for(Duration::from_secs(1));
+    }
+    deployment.run_for(Duration::from_secs(3));
+    let spent = &deployment.hosts[0].counters.spent;
+    let sum = |kind: &str| spent.get(kind).map_or(0.0, |samples| samples.iter().sum::<f64>());
+    run.finish = (sum("listed") + sum("committed")) * 1e6 / tasks as f64;
+}
+
+/// Drops the reducer of the first instance and returns the bytes that this freed.
+fn memory_of(deployment: &mut VirtualDeployment) -> f64 {
+    let reducer = deployment.hosts[0].reducer.take();
+    let before = ALLOCATOR.stats().bytes_deallocated;
+    drop(reducer);
+    (ALLOCATOR.stats().bytes_deallocated - before) as f64
+}
+
+impl SizeRun {
+    fn note_ticks(&mut self, deployment: &VirtualDeployment) {
+        let spent = &deployment.hosts[0].counters.spent;
+        let ticks: Vec<f64> =
+            spent.get("tick").into_iter().flatten().map(|seconds| seconds * 1e6).collect();
+        self.tick_p50 = quantile(&ticks, 0.5);
+        self.tick_p99 = quantile(&ticks, 0.99);
+        self.tick_max = quantile(&ticks, 1.0);
+        let all: f64 = spent.values().flatten().sum();
+        self.busy_ms = all * 1e3 / MEASURED.as_secs_f64();
+    }
+}
+
+/// Measures store calls and processor time of one zone at its share of the design size, and
+/// multiplies by the number of zones.
+pub fn measure_load(seed: u64, warm_seconds: u64, seconds: u64) -> ResultTable {
+    let plan = DeploymentPlan {
+        zones: 1,
+        entries: ZONE_ENTRIES,
+        groups: 4,
+        executors: 0,
+        workers: ZONE_WORKERS,
+        seed,
+    };
+    let mut deployment = VirtualDeployment::new(plan);
+    deployment.run_until(SETTLED);
+    let mut source = TaskSource::new(seed, ZONE_ENTRIES);
+    let mean = Duration::from_secs_f64(ZONE_RUNNING as f64 / ZONE_STARTS);
+    let fill = Duration::from_secs(40);
+    let fast = ZONE_RUNNING as f64 / fill.as_secs_f64();
+    // What is left of the run times of tasks that are met running is spread evenly.
+    let residual = move |rng: &mut ChaCha8Rng| mean.mul_f64(rng.random_range(0.1..1.0));
+    source.submit_for(&mut deployment, fill, fast, residual);
+    source.submit_for(&mut deployment, Duration::from_secs(warm_seconds), ZONE_STARTS, |_| mean);
+    deployment.reset_counters();
+    let (started, finished) = (deployment.running_tasks(), deployment.finished_tasks());
+    let span = Duration::from_secs(seconds);
+    source.submit_for(&mut deployment, span, ZONE_STARTS, |_| mean);
+    let ended = deployment.finished_tasks() - finished;
+    let starts = deployment.running_tasks() + ended - started;
+    load_table(&deployment, seed, span, starts, ended)
+}
+
+fn load_table(
+    deployment: &VirtualDeployment,
+    seed: u64,
+    span: Duration,
+    starts: u64,
+    ended: u64,
+) -> ResultTable {
+    let seconds = span.as_secs_f64();
+    let columns = ["calls", "part", "zone calls/s", "16 zones calls/s", "16 zones KB/s"];
+    let title = format!(
+        "store calls of one zone: seed {seed}, {seconds} s, {ZONE_ENTRIES} entry instances, 4 \
+         groups, {ZONE_WORKERS} workers"
+    );
+    let mut table = ResultTable::new(title, &columns);
+    let store = &deployment.store_use;
+    for (what, counts) in [("writes", &store.writes), ("reads", &store.reads)] {
+        for (part, count) in counts {
+            let rate = *count as f64 / seconds;
+            let bytes = store.bytes.get(part).filter(|_| what == "writes").copied().unwrap_or(0);
+            table.push(vec![
+                what.to_owned(),
+                (*part).to_owned(),
+                format!("{rate:.2}"),
+                format!("{:.1}", rate * ZONES),
+                format!("{:.1}", bytes as f64 / seconds * ZONES / 1e3),
+            ]);
+        }
+    }
+    let rate = |count: u64| count as f64 / seconds * ZONES;
+    table.note(format!(
+        "16 zones: {:.0} writes/s (target under 300), {:.0} reads/s with {} open watches counted \
+         as one a second (target under 1,000)",
+        rate(store.total_writes()),
+        rate(store.total_reads()) + ZONE_ENTRIES as f64 * ZONES,
+        ZONE_ENTRIES as f64 * ZONES,
+    ));
+    table.note(format!(
+        "{:.1} starts/s and {:.1} ends/s in the zone, {:.0} starts/s in 16; {} tasks running",
+        starts as f64 / seconds,
+        ended as f64 / seconds,
+        rate(starts),
+        deployment.running_tasks(),
+    ));
+    let busy: Vec<f64> = deployment
+        .hosts
+        .iter()
+        .map(|host| host.counters.spent.values().flatten().sum::<f64>() / seconds * 100.0)
+        .collect();
+    let (low, median, high) = spread(&busy);
+    table.note(format!(
+        "reducer time of an instance: {median:.2} % of a core ({low:.2} to {high:.2})"
+    ));
+    let calls: u64 = deployment.hosts.iter().map(|host| host.counters.worker_calls).sum();
+    table.note(format!("exchanges with workers: {:.0}/s in the zone", calls as f64 / seconds));
+    table
+}
--- a/crates/cuminbank-entry/src/carry.rs
+++ b/crates/cuminbank-entry/src/carry.rs
@@ -162,7 +162,8 @@
     serde_json::from_slice(&answer.body).map_err(|_| ExchangeError::Lost)
 }
 
-fn worker_message(request: &WorkerRequest) -> ClientRequest {
+/// Returns the HTTP request that carries a request to a worker.
+pub fn worker_message(request: &WorkerRequest) -> ClientRequest {
     match request {
         WorkerRequest::Start(start) => {
             let body = serde_json::to_vec(start).expect("a task start is plain data");
