Test entry daemons as processes: owners, planned stop, settings

Adds a support module that runs the platform's stand-ins on a thread of the test and entry daemons as its child processes on free loopback ports, ended by id, and tests of SIGKILL, SIGSTOP and SIGTERM of an owner under load, of io_uring, and of invalid settings.

Found by the last: a value of the wrong type was shown as "the document" without what is allowed. It is now looked up at its path.

--- /dev/null
+++ b/crates/cuminbank-entry/tests/support/callers.rs
@@ -0,0 +1,134 @@
+//! Callers of the entry instances.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc,
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use serde_json::{json, Value};
+
+use super::{
+    http::{post, Answer, Failure},
+    wait_for_some,
+};
+
+const CUSTOMER: (&str, &str) = ("x-customer", "griddle");
+
+/// How a request ended, and how long it took.
+#[derive(Clone, Debug)]
+pub struct CallEnd {
+    pub entry: SocketAddr,
+    pub key: String,
+    pub result: Result<Answer, Failure>,
+    pub took: Duration,
+}
+
+impl CallEnd {
+    /// Tells whether the work ran.
+    pub fn is_done(&self) -> bool {
+        self.outcome() == "done"
+    }
+
+    /// Returns the outcome, which is empty without an answer.
+    pub fn outcome(&self) -> &str {
+        self.result.as_ref().map_or("", Answer::outcome)
+    }
+
+    /// Tells whether a request that was sent got no whole answer.
+    pub fn is_cut_off(&self) -> bool {
+        matches!(self.result, Err(Failure::CutOff(_)))
+    }
+}
+
+fn timed(entry: SocketAddr, key: &str, send: impl FnOnce() -> Result<Answer, Failure>) -> CallEnd {
+    let started = Instant::now();
+    let result = send();
+    CallEnd { entry, key: key.to_owned(), result, took: started.elapsed() }
+}
+
+/// Sends an idempotent call.
+pub fn plan(entry: SocketAddr, key: &str, work_ms: u64) -> CallEnd {
+    let body = json!({ "op": "plan", "key": key, "work_ms": work_ms });
+    timed(entry, key, || post(entry, "/v1/calls", &[("x-profile", "plans"), CUSTOMER], &body))
+}
+
+/// Sends a call that is not idempotent, under a ticket.
+pub fn book(entry: SocketAddr, ticket: &str, work_ms: u64) -> CallEnd {
+    let body = json!({ "op": "reserve", "slot": ticket, "booking": ticket, "key": ticket,
+        "work_ms": work_ms });
+    let headers = [("x-profile", "bookings"), CUSTOMER, ("idempotency-key", ticket)];
+    timed(entry, ticket, || post(entry, "/v1/calls", &headers, &body))
+}
+
+/// Submits a batch task under a ticket.
+pub fn submit(entry: SocketAddr, ticket: &str, run_ms: u64) -> CallEnd {
+    let size = json!({ "millicores": 1_000, "memory_mib": 512 });
+    let body = json!({ "class": "order", "size": size, "input": { "run_ms": run_ms } });
+    let headers = [("x-profile", "orders"), CUSTOMER, ("idempotency-key", ticket)];
+    timed(entry, ticket, || post(entry, "/v1/tasks", &headers, &body))
+}
+
+/// Fetches tickets.
+pub fn tickets(entry: SocketAddr, count: usize) -> Vec<String> {
+    wait_for_some("tickets are issued", || {
+        let answer = post(entry, "/v1/tickets", &[], &json!({ "count": count })).ok()?;
+        let list = answer.body["tickets"].as_array().cloned()?;
+        Some(list.iter().filter_map(Value::as_str).map(str::to_owned).collect())
+    })
+}
+
+/// Callers that send one idempotent call after the other, each to the entry instances in turn.
+pub struct CallLoad {
+    stop: Arc<AtomicBool>,
+    done: Arc<AtomicU64>,
+    threads: Vec<JoinHandle<Vec<CallEnd>>>,
+}
+
+impl CallLoad {
+    /// Starts `callers` callers.
+    /// Its keys begin with `name`.
+    pub fn start(name: &str, callers: usize, entries: &[SocketAddr], work_ms: u64) -> Self {
+        let (stop, done) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let caller = |caller: usize| {
+            let (stop, done, entries) = (Arc::clone(&stop), Arc::clone(&done), entries.to_vec());
+            let name = format!("{name}-{caller}");
+            thread::spawn(move || {
+                let mut ends = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    let entry = entries[(caller + ends.len()) % entries.len()];
+                    ends.push(call_once(entry, &format!("{name}-{}", ends.len()), work_ms, &done));
+                }
+                ends
+            })
+        };
+        let threads = (0..callers).map(caller).collect();
+        Self { stop, done, threads }
+    }
+
+    /// Returns how many calls are done.
+    pub fn done(&self) -> u64 {
+        self.done.load(Ordering::Relaxed)
+    }
+
+    /// Stops the callers after their calls in progress and returns how all calls ended.
+    pub fn finish(self) -> Vec<CallEnd> {
+        self.stop.store(true, Ordering::Relaxed);
+        let join = |thread: JoinHandle<_>| thread.join().expect("a caller does not panic");
+        self.threads.into_iter().flat_map(join).collect()
+    }
+}
+
+fn call_once(entry: SocketAddr, key: &str, work_ms: u64, done: &AtomicU64) -> CallEnd {
+    let end = plan(entry, key, work_ms);
+    done.fetch_add(u64::from(end.is_done()), Ordering::Relaxed);
+    if !end.is_done() {
+        // A caller that is refused comes back later.
+        thread::sleep(Duration::from_millis(20));
+    }
+    end
+}
--- /dev/null
+++ b/crates/cuminbank-entry/tests/support/entry.rs
@@ -0,0 +1,123 @@
+//! An entry daemon as a child process.
+
+use std::{
+    fs::{self, File},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+use nix::{
+    sys::signal::{kill, Signal},
+    unistd::Pid,
+};
+use serde_json::{json, Value};
+
+use super::{http::get, platform::Platform, ports::PortBlock, wait_for_some};
+
+/// First port of the entry instances in the block, two for each.
+const FIRST_PORT: usize = 20;
+
+/// Writes the settings of an entry instance, the first of `[index, count]`.
+pub fn settings(
+    ports: &PortBlock,
+    platform: &Platform,
+    [index, count]: [usize; 2],
+    groups: u16,
+) -> Value {
+    let http = |index: usize| ports.address(FIRST_PORT + 2 * index);
+    let peer = |index: usize| ports.address(FIRST_PORT + 2 * index + 1);
+    let peers: Vec<_> = (0..count).map(peer).collect();
+    json!({
+        "instance": format!("dublin-{index}"), "zone": "dublin",
+        "http_address": http(index), "peer_address": peer(index),
+        "store_addresses": [platform.store], "list_address": platform.list,
+        "peers": { "dublin": peers }, "groups_per_zone": groups, "request_read_ms": 1_000,
+    })
+}
+
+/// Writes a file below the target folder, named after the process and `name`.
+pub fn write_file(name: &str, text: &str) -> PathBuf {
+    let file = format!("{}-{name}", std::process::id());
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
+    fs::write(&path, text).expect("the target folder is writable");
+    path
+}
+
+/// An entry daemon; ended with the value.
+pub struct EntryProcess {
+    pub name: String,
+    pub http: SocketAddr,
+    child: Child,
+    files: Vec<PathBuf>,
+}
+
+impl EntryProcess {
+    /// Starts a daemon.
+    pub fn start(settings: &Value) -> Self {
+        let text = |name: &str| settings[name].as_str().expect("the field is text").to_owned();
+        let http: SocketAddr = text("http_address").parse().expect("the address is valid");
+        let path = write_file(&format!("{}.json", http.port()), &settings.to_string());
+        let log = path.with_extension("log");
+        let child = Command::new(env!("CARGO_BIN_EXE_cuminbank-entry"))
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(File::create(&log).expect("the target folder is writable"))
+            .spawn()
+            .expect("the daemon was built with the test");
+        Self { name: text("instance"), http, child, files: vec![path, log] }
+    }
+
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id().cast_signed());
+        kill(pid, signal).expect("the process has not been waited for");
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait(&mut self) -> ExitStatus {
+        wait_for_some("the entry instance ends", || {
+            self.child.try_wait().expect("the process is a child of the test")
+        })
+    }
+
+    /// Returns the status of the instance; null if it does not answer.
+    pub fn status(&self) -> Value {
+        get(self.http, "/v1/status").map_or(Value::Null, |answer| answer.body)
+    }
+
+    /// Returns the owner of each group as the instance sees it.
+    pub fn owners(&self) -> Vec<Option<String>> {
+        let status = self.status();
+        let groups = status["groups"]["groups"].as_array().cloned().unwrap_or_default();
+        groups.iter().map(|group| group["owner"].as_str().map(str::to_owned)).collect()
+    }
+
+    /// Returns the epoch of a group that the instance owns and has the right to act for.
+    pub fn owns(&self, group: usize) -> Option<u64> {
+        let status = self.status();
+        let group = &status["groups"]["groups"][group];
+        let acts = group["owner"] == self.name.as_str() && group["right_left_ms"].is_number();
+        acts.then(|| group["epoch"].as_u64()).flatten()
+    }
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        // The log of a test that fails is worth keeping.
+        if !std::thread::panicking() {
+            self.files.iter().for_each(|file| {
+                let _ = fs::remove_file(file);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/cuminbank-entry/tests/support/http.rs
@@ -0,0 +1,82 @@
+//! HTTP with one connection for each request.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+};
+
+use serde_json::Value;
+
+use super::BOUND;
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Value,
+}
+
+impl Answer {
+    /// Returns the outcome that the answer states.
+    pub fn outcome(&self) -> &str {
+        let line = self.head.lines().find_map(|line| line.strip_prefix("x-outcome: "));
+        line.unwrap_or_default()
+    }
+}
+
+/// Why there is no answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// No connection was made.
+    Refused,
+    /// The connection ended before the whole answer, with what came of it.
+    CutOff(String),
+}
+
+/// Sends a GET request.
+pub fn get(address: SocketAddr, path: &str) -> Result<Answer, Failure> {
+    exchange(address, format!("GET {path} HTTP/1.1\r\nconnection: close\r\n\r\n").as_bytes())
+}
+
+/// Sends a POST request with a JSON body.
+pub fn post(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Result<Answer, Failure> {
+    let body = body.to_string();
+    exchange(address, request("POST", path, headers, &body).as_bytes())
+}
+
+/// Writes a request that asks for the connection to be closed.
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> String {
+    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    text + &format!("content-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Sends bytes and reads the answer up to the end of the connection.
+pub fn exchange(address: SocketAddr, bytes: &[u8]) -> Result<Answer, Failure> {
+    let mut stream = TcpStream::connect(address).map_err(|_| Failure::Refused)?;
+    stream.set_read_timeout(Some(BOUND)).expect("the bound is not zero");
+    let cut_off = |error: std::io::Error| Failure::CutOff(error.to_string());
+    stream.write_all(bytes).map_err(cut_off)?;
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).map_err(cut_off)?;
+    let text = String::from_utf8_lossy(&text).into_owned();
+    parse(&text).ok_or(Failure::CutOff(text))
+}
+
+fn parse(text: &str) -> Option<Answer> {
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let head = head.to_lowercase();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let whole = length.and_then(|length| length.parse().ok()) == Some(body.len());
+    let body = serde_json::from_str(body).unwrap_or(Value::Null);
+    whole.then_some(Answer { status, head, body })
+}
--- /dev/null
+++ b/crates/cuminbank-entry/tests/support/mod.rs
@@ -0,0 +1,91 @@
+//! Entry daemons as child processes, with the platform's stand-ins on a thread of the test.
+//! Tests wait for conditions, with an upper bound that a busy machine does not reach.
+
+#![allow(dead_code, reason = "each test uses a part")]
+
+pub mod callers;
+pub mod entry;
+pub mod http;
+pub mod platform;
+pub mod ports;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+
+use self::{
+    entry::EntryProcess,
+    http::{get, post},
+    platform::Platform,
+    ports::PortBlock,
+};
+
+/// Longest wait for a condition.
+pub const BOUND: Duration = Duration::from_secs(90);
+
+/// Waits until a condition holds.
+pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    wait_for_some(what, || condition().then_some(()));
+}
+
+/// Waits until a value is there.
+pub fn wait_for_some<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let started = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(started.elapsed() < BOUND, "gave up waiting: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// One zone with its entry instances and the platform.
+pub struct Deployment {
+    pub entries: Vec<EntryProcess>,
+    pub platform: Platform,
+}
+
+impl Deployment {
+    /// Starts a zone and waits until every group has an owner and calls are served.
+    pub fn start(entries: usize, machines: usize, groups: u16) -> Self {
+        let ports = PortBlock::take();
+        let platform = Platform::start(&ports, machines);
+        let settings = |index| entry::settings(&ports, &platform, [index, entries], groups);
+        let entries: Vec<_> =
+            (0..entries).map(|index| EntryProcess::start(&settings(index))).collect();
+        let deployment = Self { entries, platform };
+        for entry in &deployment.entries {
+            wait_for("the entry instance is ready", || {
+                get(entry.http, "/v1/ready").is_ok_and(|answer| answer.status == 200)
+            });
+        }
+        deployment.wait_for_owners(|owners| owners.iter().all(|owner| owner.is_some()));
+        for entry in &deployment.entries {
+            wait_for("calls are served", || callers::plan(entry.http, "warm-up", 1).is_done());
+        }
+        deployment
+    }
+
+    /// Returns the index of the instance that owns group 0.
+    pub fn owner(&self) -> usize {
+        wait_for_some("group 0 has an owner", || {
+            self.entries.iter().position(|entry| entry.owns(0).is_some())
+        })
+    }
+
+    fn wait_for_owners(&self, condition: impl Fn(&[Option<String>]) -> bool) {
+        for entry in &self.entries {
+            wait_for("the groups have their owners", || condition(&entry.owners()));
+        }
+    }
+}
+
+/// Sets the fault mode of a stand-in.
+pub fn set_mode(stand_in: std::net::SocketAddr, mode: Value) {
+    let answer = post(stand_in, "/control", &[], &mode).expect("the control answers");
+    assert_eq!(answer.status, 200, "{mode}: {answer:?}");
+}
--- a/crates/cuminbank/src/settings.rs
+++ b/crates/cuminbank/src/settings.rs
@@ -3,6 +3,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use serde_path_to_error::Segment;
 
 use crate::{
     ids::{GroupIndex, InstanceName, ZoneName},
@@ -82,12 +84,8 @@
     /// Reads settings from JSON and checks every field.
     pub fn from_json(text: &[u8]) -> Result<Self, ProfileError> {
         let deserializer = &mut serde_json::Deserializer::from_slice(text);
-        let settings: Self =
-            serde_path_to_error::deserialize(deserializer).map_err(|error| ProfileError {
-                path: error.path().to_string(),
-                value: "the document".to_owned(),
-                allowed: error.inner().to_string(),
-            })?;
+        let settings: Self = serde_path_to_error::deserialize(deserializer)
+            .map_err(|error| shape_error(text, &error))?;
         settings.check()?;
         Ok(settings)
     }
@@ -124,6 +122,26 @@
     }
 }
 
+/// Describes a value of the wrong type with the value that is at its path in the document.
+fn shape_error(text: &[u8], error: &serde_path_to_error::Error<serde_json::Error>) -> ProfileError {
+    let tree: Value = serde_json::from_slice(text).unwrap_or_default();
+    let found = error.path().iter().try_fold(&tree, |value, segment| match segment {
+        Segment::Map { key } => value.get(key),
+        Segment::Seq { index } => value.get(index),
+        _ => None,
+    });
+    let value = match found {
+        Some(Value::Object(_)) | None => "the document".to_owned(),
+        Some(value) => value.to_string(),
+    };
+    let reason = error.inner().to_string();
+    let allowed = match reason.contains("socket address") {
+        true => "an address in the form IP:port".to_owned(),
+        false => reason,
+    };
+    ProfileError { path: error.path().to_string(), value, allowed }
+}
+
 fn check_name(path: &str, name: &str) -> Result<(), ProfileError> {
     let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
     if (1..=64).contains(&name.len()) && name.chars().all(allowed) {
