--- a/crates/cuminbank-bench/src/main.rs
+++ b/crates/cuminbank-bench/src/main.rs
@@ -1,6 +1,6 @@
 //! Measurements of the cost of each part.
 
-use std::{alloc::System, io, process::ExitCode};
+use std::{alloc::System, io, process::ExitCode, time::Duration};
 
 use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
 
@@ -38,8 +38,13 @@
                 optional --warm-seconds count: u64
                 /// Virtual seconds of the load, 120 without it.
                 optional --seconds count: u64
+                /// Share of its declared core that a task uses, 80 without it; with 0 a task uses
+                /// all that is set aside for it.
+                optional --used-percent share: u64
                 /// Measure the load only.
                 optional --load-only
+                /// Measure the sizes up to this number of tasks, 100000 without it.
+                optional --most-tasks count: usize
             }
             /// Datagrams between entry instances as their number grows.
             cmd peers {}
@@ -67,6 +72,7 @@
 
 use flags::{CuminbankBench, CuminbankBenchCmd};
 use table::ResultTable;
+use tasks::ZoneLoad;
 
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
@@ -94,11 +100,15 @@
     let tables = match flags.subcommand {
         CuminbankBenchCmd::Decisions(_) => vec![decisions::measure(seed, rounds)],
         CuminbankBenchCmd::Tasks(tasks) => {
-            let warm = tasks.warm_seconds.unwrap_or(620).min(3_600);
-            let seconds = tasks.seconds.unwrap_or(120).clamp(10, 3_600);
-            let load = tasks::measure_load(seed, warm, seconds);
-            let sizes = (!tasks.load_only).then(|| tasks::measure_sizes(seed, rounds));
-            sizes.into_iter().chain([load]).collect()
+            let load = ZoneLoad {
+                warm: Duration::from_secs(tasks.warm_seconds.unwrap_or(620).min(3_600)),
+                span: Duration::from_secs(tasks.seconds.unwrap_or(120).clamp(10, 3_600)),
+                used_percent: tasks.used_percent.unwrap_or(80).min(400),
+            };
+            let most = if tasks.load_only { 0 } else { tasks.most_tasks.unwrap_or(100_000) };
+            let sizes =
+                (most > 0).then(|| tasks::measure_sizes(seed, rounds, load.used_percent, most));
+            sizes.into_iter().chain([tasks::measure_load(seed, load)]).collect()
         }
         CuminbankBenchCmd::Peers(_) => vec![peers::measure(seed, rounds)],
         CuminbankBenchCmd::Records(_) => vec![records::measure(seed)],
--- a/crates/cuminbank-bench/src/tasks.rs
+++ b/crates/cuminbank-bench/src/tasks.rs
@@ -23,7 +23,7 @@
 const TASKS_PER_WORKER: usize = 50;
 /// Virtual time until the groups are owned and the workers are known.
 const SETTLED: Duration = Duration::from_secs(15);
-/// Tasks submitted in each second of the fill; a group starts no more than about 260.
+/// Tasks submitted in each second of the fill.
 const FILL_RATE: f64 = 250.0;
 /// Virtual time over which ticks are measured.
 const MEASURED: Duration = Duration::from_secs(5);
@@ -38,14 +38,16 @@
 
 /// Submits tasks in virtual time.
 struct TaskSource {
+    used_percent: u64,
     rng: ChaCha8Rng,
     tickets: Vec<Vec<RequestTicket>>,
     submitted: usize,
 }
 
 impl TaskSource {
-    fn new(seed: u64, hosts: usize) -> Self {
+    fn new(seed: u64, hosts: usize, used_percent: u64) -> Self {
         Self {
+            used_percent,
             rng: ChaCha8Rng::seed_from_u64(seed),
             tickets: vec![Vec::new(); hosts],
             submitted: 0,
@@ -61,6 +63,10 @@
         let Some(ticket) = self.tickets[host].pop() else { return };
         self.submitted += 1;
         let reply = deployment.next_reply();
+        let mut input = json!({ "run_ms": run.as_millis() as u64, "order": self.submitted });
+        if self.used_percent > 0 {
+            input["used_millicores"] = json!(self.used_percent * 10);
+        }
         let submission = TaskSubmission {
             ticket,
             profile: "orders".to_owned(),
@@ -68,7 +74,7 @@
             class: format!("orders-{}", self.rng.random_range(0..4)),
             size: ResourceSize { millicores: 1_000, memory_mib: 1_024, accelerators: 0 },
             declared_run_ms: None,
-            input: json!({ "run_ms": run.as_millis() as u64, "order": self.submitted }).to_string(),
+            input: input.to_string(),
         };
         deployment.apply(host, EntryEvent::TaskArrived { reply, submission });
     }
@@ -110,7 +116,7 @@
 }
 
 /// Measures memory and time as the tasks of one group grow.
-pub fn measure_sizes(seed: u64, rounds: usize) -> ResultTable {
+pub fn measure_sizes(seed: u64, rounds: usize, used_percent: u64, most: usize) -> ResultTable {
     let columns = [
         "tasks",
         "running",
@@ -129,10 +135,11 @@
     let title =
         format!("tasks: seed {seed}, one group on one instance, medians of {rounds} rounds");
     let mut table = ResultTable::new(title, &columns);
-    for tasks in SIZES {
+    for tasks in SIZES.into_iter().filter(|tasks| *tasks <= most) {
         // The largest size takes long and is steady enough with fewer rounds.
         let rounds = if tasks >= 100_000 { rounds.min(2) } else { rounds };
-        let runs: Vec<_> = (0..rounds).map(|round| run_size(tasks, seed + round as u64)).collect();
+        let runs: Vec<_> =
+            (0..rounds).map(|round| run_size(tasks, seed + round as u64, used_percent)).collect();
         let median =
             |pick: &dyn Fn(&SizeRun) -> f64| spread(&runs.iter().map(pick).collect::<Vec<_>>()).1;
         table.push(vec![
@@ -174,17 +181,16 @@
     snapshots: f64,
 }
 
-fn run_size(tasks: usize, seed: u64) -> SizeRun {
-    let workers = tasks / TASKS_PER_WORKER;
-    let empty = memory_of(&mut settled(workers, seed));
+fn run_size(tasks: usize, seed: u64, used_percent: u64) -> SizeRun {
+    let empty = memory_of(&mut settled(tasks / TASKS_PER_WORKER, seed));
     let mut run = SizeRun::default();
-    let mut deployment = fill(tasks, workers, seed, &mut run);
+    let mut deployment = fill(tasks, seed, used_percent, &mut run);
     deployment.reset_counters();
     deployment.run_for(MEASURED);
     run.note_ticks(&deployment);
     run.bytes = (memory_of(&mut deployment) - empty) / tasks as f64;
     if tasks < 100_000 {
-        let mut deployment = fill(tasks, workers, seed, &mut run);
+        let mut deployment = fill(tasks, seed, used_percent, &mut run);
         finish_all(&mut deployment, tasks, &mut run);
         run.ended_bytes = (memory_of(&mut deployment) - empty) / tasks as f64;
     }
@@ -199,10 +205,10 @@
 }
 
 /// Submits tasks until all run.
-fn fill(tasks: usize, workers: usize, seed: u64, run: &mut SizeRun) -> VirtualDeployment {
-    let mut deployment = settled(workers, seed);
+fn fill(tasks: usize, seed: u64, used_percent: u64, run: &mut SizeRun) -> VirtualDeployment {
+    let mut deployment = settled(tasks / TASKS_PER_WORKER, seed);
     deployment.reset_counters();
-    let mut source = TaskSource::new(seed, 1);
+    let mut source = TaskSource::new(seed, 1, used_percent);
     let end = deployment.now + Duration::from_secs_f64(tasks as f64 / FILL_RATE + 30.0);
     let step = Duration::from_millis(20);
     while source.submitted < tasks {
@@ -262,9 +268,20 @@
     }
 }
 
+/// How the load of one zone is run.
+#[derive(Clone, Copy, Debug)]
+pub struct ZoneLoad {
+    /// Time of the load before the measurement.
+    pub warm: Duration,
+    /// Time that is measured.
+    pub span: Duration,
+    /// Share of its declared core that a task uses; with 0 it uses all that is set aside.
+    pub used_percent: u64,
+}
+
 /// Measures store calls and processor time of one zone at its share of the design size, and
 /// multiplies by the number of zones.
-pub fn measure_load(seed: u64, warm_seconds: u64, seconds: u64) -> ResultTable {
+pub fn measure_load(seed: u64, load: ZoneLoad) -> ResultTable {
     let plan = DeploymentPlan {
         zones: 1,
         entries: ZONE_ENTRIES,
@@ -275,17 +292,17 @@
     };
     let mut deployment = VirtualDeployment::new(plan);
     deployment.run_until(SETTLED);
-    let mut source = TaskSource::new(seed, ZONE_ENTRIES);
+    let mut source = TaskSource::new(seed, ZONE_ENTRIES, load.used_percent);
     let mean = Duration::from_secs_f64(ZONE_RUNNING as f64 / ZONE_STARTS);
     let fill = Duration::from_secs(40);
     let fast = ZONE_RUNNING as f64 / fill.as_secs_f64();
     // What is left of the run times of tasks that are met running is spread evenly.
     let residual = move |rng: &mut ChaCha8Rng| mean.mul_f64(rng.random_range(0.1..1.0));
     source.submit_for(&mut deployment, fill, fast, residual);
-    source.submit_for(&mut deployment, Duration::from_secs(warm_seconds), ZONE_STARTS, |_| mean);
+    source.submit_for(&mut deployment, load.warm, ZONE_STARTS, |_| mean);
     deployment.reset_counters();
     let (started, finished) = (deployment.running_tasks(), deployment.finished_tasks());
-    let span = Duration::from_secs(seconds);
+    let span = load.span;
     source.submit_for(&mut deployment, span, ZONE_STARTS, |_| mean);
     let ended = deployment.finished_tasks() - finished;
     let starts = deployment.running_tasks() + ended - started;
