--- a/crates/cuminbank-standins/src/harness/parties.rs
+++ b/crates/cuminbank-standins/src/harness/parties.rs
@@ -63,6 +63,8 @@
     pub(super) number: u64,
     pub(super) cursor: Option<WatchCursor>,
     pub(super) silent_since: Option<Duration>,
+    /// Set while the connection of the watch is silent for good; then the client ends it.
+    pub(super) ends_at: Option<Duration>,
 }
 
 impl EntryProcess {
--- a/crates/cuminbank-standins/src/harness/platform.rs
+++ b/crates/cuminbank-standins/src/harness/platform.rs
@@ -23,6 +23,8 @@
 
 /// Time after which a watch that cannot be opened ends.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which the client ends a watch that brings nothing.
+const WATCH_SILENCE: Duration = Duration::from_secs(30);
 /// Time after which the platform's list drops an instance that has ended.
 const LIST_DROPS_AFTER: Duration = Duration::from_secs(3);
 /// Snapshots of the list that are kept.
@@ -169,7 +171,7 @@
         let number = process.next_watch;
         let cursor = cursor.and_then(Result::ok);
         let opened = cursor.is_some();
-        process.watch = Some(WatchState { number, cursor, silent_since: None });
+        process.watch = Some(WatchState { number, cursor, silent_since: None, ends_at: None });
         let delay = if opened { Duration::from_millis(2) } else { OPEN_TIMEOUT };
         self.queue.push(self.now + delay, Action::Watch(entry, start, number));
     }
@@ -191,7 +193,7 @@
             self.apply(entry, EntryEvent::WatchLost);
             return;
         };
-        if !reachable {
+        if !reachable || watch.ends_at.is_some() {
             return;
         }
         let revision = self.store.revision();
@@ -217,11 +219,12 @@
         }
     }
 
-    /// Notices a cut between a process and the store; half of the watches do not survive one.
+    /// Notices a cut between a process and the store. After it a watch goes on, ends, or stays
+    /// silent until its client ends it.
     pub(super) fn check_watch(&mut self, entry: EntryIndex) {
         let reachable = self.reaches(Party::Store, Party::Entry(entry));
         let now = self.now;
-        let lost = self.rng.random_bool(0.5);
+        let fate = self.rng.random_range(0..3);
         let Some(process) = self.entries[entry].process.as_mut() else {
             return;
         };
@@ -234,8 +237,13 @@
             return;
         }
         let was_silent = watch.silent_since.take().is_some();
-        if was_silent && lost {
-            watch.cursor = None;
+        match fate {
+            0 if was_silent => watch.cursor = None,
+            1 if was_silent => watch.ends_at = Some(now + WATCH_SILENCE),
+            _ => {}
+        }
+        if watch.ends_at.is_some_and(|end| now >= end) {
+            (watch.cursor, watch.ends_at) = (None, None);
         }
         let number = watch.number;
         self.queue.push(now, Action::Watch(entry, start, number));
--- a/crates/cuminbank-standins/tests/history_config.rs
+++ b/crates/cuminbank-standins/tests/history_config.rs
@@ -35,3 +35,16 @@
     let counts = assert_seeds(10, plan);
     assert!(counts.changes > 500, "{counts:?}");
 }
+
+/// Guards against a watch whose connection went silent for good in a zone with one instance, which
+/// has no peer of its zone to learn from.
+#[test]
+fn config_with_silent_watches() {
+    let kinds = [FaultKind::CutZoneFromStore, FaultKind::CutZones];
+    let plan = |seed| {
+        let plan = HarnessPlan::new(seed).with_changes(400).with_faults(&kinds, 0.01);
+        HarnessPlan { entries: 1, ..plan }
+    };
+    let counts = assert_seeds(20, plan);
+    assert!(counts.changes > 500, "{counts:?}");
+}
