--- a/crates/cuminbank-bench/src/main.rs
+++ b/crates/cuminbank-bench/src/main.rs
@@ -6,6 +6,7 @@
 
 mod config;
 mod decisions;
+mod list;
 mod nodes;
 mod peers;
 mod platform;
@@ -48,6 +49,8 @@
             }
             /// Datagrams between entry instances as their number grows.
             cmd peers {}
+            /// Size of the platform's list and time to read it.
+            cmd list {}
             /// Size of day records.
             cmd records {}
             /// Bytes that control costs a worker and an executor.
@@ -111,6 +114,7 @@
             sizes.into_iter().chain([tasks::measure_load(seed, load)]).collect()
         }
         CuminbankBenchCmd::Peers(_) => vec![peers::measure(seed, rounds)],
+        CuminbankBenchCmd::List(_) => vec![list::measure(rounds)],
         CuminbankBenchCmd::Records(_) => vec![records::measure(seed)],
         CuminbankBenchCmd::Nodes(_) => vec![nodes::measure()?],
         CuminbankBenchCmd::ConfigPoll(poll) => {
