--- a/crates/cuminbank-entry/tests/ownership.rs
+++ b/crates/cuminbank-entry/tests/ownership.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{collections::BTreeMap, net::SocketAddr, thread};
+use std::{collections::BTreeMap, net::SocketAddr, thread, time::Duration};
 
 use nix::sys::signal::Signal;
 
@@ -11,6 +11,10 @@
     wait_for, Deployment,
 };
 
+/// The silence of a peer is found within 5 s; a busy machine may take longer. Without that the
+/// wait is 40 s: the deadline, the longest run time and 5 s.
+const SILENCE_BOUND: Duration = Duration::from_secs(20);
+
 /// Sends each ticket's booking from a thread of its own.
 fn book_all(entries: &[SocketAddr], tickets: &[String], work_ms: u64) -> Vec<CallEnd> {
     thread::scope(|scope| {
@@ -67,7 +71,8 @@
     deployment.platform.assert_history();
 }
 
-/// Guards against an owner that was paused for longer than its lease and promises and then goes
+/// Guards against callers of a live instance that wait for a paused peer as long as their calls
+/// may run, and against an owner that was paused for longer than its lease and promises and then goes
 /// on dispatching to executors that its successor fills.
 #[test]
 fn paused_owner_does_not_act_after_its_right_has_ended() {
@@ -94,7 +99,10 @@
         sending.join().expect("no panic");
     });
     book_all(&[paused.http, peer.http], &bookings, 1);
-    let ends = [load.finish(), held.finish()].concat();
+    let served = load.finish();
+    let longest = served.iter().map(|end| end.took).max();
+    assert!(longest < Some(SILENCE_BOUND), "a call waited {longest:?} for the paused peer");
+    let ends = [served, held.finish()].concat();
     let cut_off: Vec<_> = ends.iter().filter(|end| end.is_cut_off()).collect();
     assert!(cut_off.is_empty(), "calls without a whole answer: {cut_off:?}");
     assert_no_ticket_ran_twice(&deployment);
--- a/crates/cuminbank-entry/tests/support/callers.rs
+++ b/crates/cuminbank-entry/tests/support/callers.rs
@@ -13,10 +13,12 @@
 use serde_json::{json, Value};
 
 use super::{
-    http::{post, Answer, Failure},
+    http::{get, post, Answer, Failure},
     wait_for_some,
 };
 
+/// Interval of the load balancer's checks; it has 2 s to see that an instance is leaving.
+const READY_INTERVAL: Duration = Duration::from_millis(200);
 const CUSTOMER: (&str, &str) = ("x-customer", "griddle");
 
 /// How a request ended, and how long it took.
@@ -82,7 +84,8 @@
     })
 }
 
-/// Callers that send one idempotent call after the other, each to the entry instances in turn.
+/// Callers that send one idempotent call after the other, each to the entry instances in turn. As
+/// the platform's load balancer does, they pass over an instance that says it is not ready.
 pub struct CallLoad {
     stop: Arc<AtomicBool>,
     done: Arc<AtomicU64>,
@@ -93,6 +96,7 @@
     /// Starts `callers` callers.
     /// Its keys begin with `name`.
     pub fn start(name: &str, callers: usize, entries: &[SocketAddr], work_ms: u64) -> Self {
+        let entries: Vec<_> = entries.iter().copied().map(BalancedEntry::new).collect();
         let (stop, done) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
         let caller = |caller: usize| {
             let (stop, done, entries) = (Arc::clone(&stop), Arc::clone(&done), entries.to_vec());
@@ -100,13 +104,27 @@
             thread::spawn(move || {
                 let mut ends = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
-                    let entry = entries[(caller + ends.len()) % entries.len()];
+                    let turns = (0..entries.len())
+                        .map(|step| &entries[(caller + ends.len() + step) % entries.len()]);
+                    let Some(entry) = turns.into_iter().find(|entry| entry.is_ready()) else {
+                        thread::sleep(READY_INTERVAL);
+                        continue;
+                    };
+                    let entry = entry.address;
                     ends.push(call_once(entry, &format!("{name}-{}", ends.len()), work_ms, &done));
                 }
                 ends
             })
         };
-        let threads = (0..callers).map(caller).collect();
+        let mut threads: Vec<_> = (0..callers).map(caller).collect();
+        let stopped = Arc::clone(&stop);
+        threads.push(thread::spawn(move || {
+            while !stopped.load(Ordering::Relaxed) {
+                entries.iter().for_each(BalancedEntry::check);
+                thread::sleep(READY_INTERVAL);
+            }
+            Vec::new()
+        }));
         Self { stop, done, threads }
     }
 
@@ -123,6 +141,28 @@
     }
 }
 
+/// Entry instance as the load balancer sees it.
+#[derive(Clone)]
+struct BalancedEntry {
+    address: SocketAddr,
+    ready: Arc<AtomicBool>,
+}
+
+impl BalancedEntry {
+    fn new(address: SocketAddr) -> Self {
+        Self { address, ready: Arc::new(AtomicBool::new(true)) }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    fn check(&self) {
+        let ready = get(self.address, "/v1/ready").is_ok_and(|answer| answer.status == 200);
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+}
+
 fn call_once(entry: SocketAddr, key: &str, work_ms: u64, done: &AtomicU64) -> CallEnd {
     let end = plan(entry, key, work_ms);
     done.fetch_add(u64::from(end.is_done()), Ordering::Relaxed);
--- a/crates/cuminbank-net/src/server.rs
+++ b/crates/cuminbank-net/src/server.rs
@@ -40,6 +40,8 @@
 
 /// Bytes allowed for the head of a request.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Time without a new connection after which a closing server stops accepting.
+const LAST_LOOK: Duration = Duration::from_millis(5);
 /// Interval at which a wait sees that the gate closes.
 const GATE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -208,15 +210,19 @@
     }
 }
 
-/// Accepts a connection; `None` when the gate closes and none is waiting any more.
+/// Accepts a connection; `None` when the gate closes and none is waiting any more. One that the
+/// kernel completes between the last look and the close is reset, which only a load balancer that
+/// no longer sends connections here rules out.
 async fn accept(listener: &TcpListener, gate: &ServerGate) -> Option<TcpStream> {
     loop {
-        let wait = if gate.is_closing() { Duration::ZERO } else { GATE_INTERVAL };
+        let closing = gate.is_closing();
+        // The driver has to look at the socket once more before the end; no wait would skip that.
+        let wait = if closing { LAST_LOOK } else { GATE_INTERVAL };
         match time::timeout(wait, listener.accept()).await {
             Ok(Ok((stream, _))) => return Some(stream),
             // Out of descriptors: the pause lets connections end.
             Ok(Err(_)) => time::sleep(Duration::from_millis(10)).await,
-            Err(_) if wait.is_zero() => return None,
+            Err(_) if closing => return None,
             Err(_) => {}
         }
     }
--- a/crates/cuminbank-standins/src/load/client.rs
+++ b/crates/cuminbank-standins/src/load/client.rs
@@ -1,7 +1,7 @@
 //! Sends calls and tasks to the entry instances.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
@@ -10,9 +10,13 @@
 
 use cuminbank::event::ExchangeError;
 use cuminbank_net::client::{ClientAnswer, ClientRequest, HttpPool};
+use monoio::time;
 use serde_json::{json, Value};
 
-use super::arrivals::{CallArrival, TaskArrival};
+use super::{
+    arrivals::{CallArrival, TaskArrival},
+    result::ConnectionResult,
+};
 
 /// Tickets fetched at a time, and the stock below which more are fetched.
 const TICKET_BATCH: u32 = 100;
@@ -21,6 +25,9 @@
 /// unknown outcomes that a caller with fresh tickets does not see.
 const MAX_TICKET_AGE: Duration = Duration::from_secs(20);
 
+/// Interval of the load balancer's checks of readiness.
+const READY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How an exchange ended for the caller.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum CallerResult {
@@ -50,6 +57,8 @@
     timeout: Duration,
     tickets: RefCell<HashMap<SocketAddr, VecDeque<(Instant, String)>>>,
     refilling: RefCell<HashSet<SocketAddr>>,
+    connections: Cell<ConnectionResult>,
+    leaving: RefCell<HashSet<SocketAddr>>,
 }
 
 impl LoadClient {
@@ -60,9 +69,49 @@
             timeout,
             tickets: RefCell::default(),
             refilling: RefCell::default(),
+            connections: Cell::default(),
+            leaving: RefCell::default(),
         })
     }
 
+    /// Looks at the readiness of the entry instances as long as the client is in use. Only an
+    /// instance that says it is not ready is passed over, as the load balancer does.
+    pub(super) fn watch_readiness(self: &Rc<Self>) {
+        for entry in self.entries.clone() {
+            let client = Rc::downgrade(self);
+            monoio::spawn(async move {
+                let pool = HttpPool::new();
+                while let Some(client) = client.upgrade() {
+                    let request = ClientRequest::new_get("/v1/ready");
+                    if let Ok(answer) = pool.exchange(entry, request, READY_INTERVAL).await {
+                        client.set_leaving(entry, answer.status == 503);
+                    }
+                    drop(client);
+                    time::sleep(READY_INTERVAL).await;
+                }
+            });
+        }
+    }
+
+    fn set_leaving(&self, entry: SocketAddr, leaving: bool) {
+        let mut entries = self.leaving.borrow_mut();
+        if leaving {
+            entries.insert(entry);
+        } else {
+            entries.remove(&entry);
+        }
+    }
+
+    /// Returns the entry instances in the order in which they are tried.
+    fn route(&self, turn: usize) -> Vec<SocketAddr> {
+        let length = self.entries.len();
+        let leaving = self.leaving.borrow();
+        let mut route: Vec<_> =
+            (0..length).map(|step| self.entries[(turn + step) % length]).collect();
+        route.sort_by_key(|entry| leaving.contains(entry));
+        route
+    }
+
     /// Fetches tickets from every entry instance ahead of the run.
     pub(super) async fn warm_up(&self) {
         for entry in &self.entries {
@@ -127,9 +176,8 @@
     /// Sends to the entry instance whose turn it is, or to the next if no byte left: the
     /// platform's load balancer does not route to an instance that accepts no connections.
     async fn send(&self, turn: usize, request: ClientRequest) -> Result<ClientAnswer, String> {
-        for step in 0..self.entries.len() {
-            let entry = self.entries[(turn + step) % self.entries.len()];
-            match self.pool.exchange(entry, request.clone(), self.timeout).await {
+        for entry in self.route(turn) {
+            match self.exchange(entry, request.clone()).await {
                 Err(ExchangeError::NotSent) => continue,
                 Ok(answer) => return Ok(answer),
                 Err(error) => return Err(format!("no answer: {error:?}")),
@@ -138,6 +186,29 @@
         Err("no entry instance accepts connections".to_owned())
     }
 
+    /// Returns what happened to the connections so far.
+    pub(super) fn connections(&self) -> ConnectionResult {
+        self.connections.get()
+    }
+
+    async fn exchange(
+        &self,
+        entry: SocketAddr,
+        request: ClientRequest,
+    ) -> Result<ClientAnswer, ExchangeError> {
+        let sent = Instant::now();
+        let outcome = self.pool.exchange(entry, request, self.timeout).await;
+        let mut connections = self.connections.get();
+        match &outcome {
+            Err(ExchangeError::NotSent) => connections.refused += 1,
+            Err(_) if sent.elapsed() >= self.timeout => connections.timed_out += 1,
+            Err(_) => connections.cut_off += 1,
+            Ok(_) => {}
+        }
+        self.connections.set(connections);
+        outcome
+    }
+
     async fn take_ticket(self: &Rc<Self>, turn: usize) -> Result<String, CallerResult> {
         let entry = self.entries[turn % self.entries.len()];
         if let Some(ticket) = self.stocked_ticket(entry) {
@@ -176,7 +247,7 @@
     async fn fetch_tickets(&self, entry: SocketAddr) -> Result<(), CallerResult> {
         let body = json!({ "count": TICKET_BATCH }).to_string();
         let request = ClientRequest::new_post("/v1/tickets", body);
-        let answer = self.pool.exchange(entry, request, self.timeout).await;
+        let answer = self.exchange(entry, request).await;
         let failed = |error| CallerResult::Error(format!("no ticket: {error:?}"));
         let answer = answer.map_err(failed)?;
         let Some(fetched) = read_tickets(&answer.body) else {
--- a/crates/cuminbank-standins/src/load/mod.rs
+++ b/crates/cuminbank-standins/src/load/mod.rs
@@ -7,7 +7,7 @@
 
 pub use self::{
     arrivals::{plan_arrivals, Arrival, CallArrival, LoadWork, TaskArrival},
-    result::{compare, ClassResult, LoadResult, SlotResult, TaskResult},
+    result::{compare, ClassResult, ConnectionResult, LoadResult, SlotResult, TaskResult},
     runner::run_load,
 };
 
--- a/crates/cuminbank-standins/src/load/result.rs
+++ b/crates/cuminbank-standins/src/load/result.rs
@@ -27,6 +27,9 @@
     pub tasks: TaskResult,
     /// Booked slots.
     pub slots: SlotResult,
+    /// Connections that failed.
+    #[serde(default)]
+    pub connections: ConnectionResult,
     /// Reasons of refusals, unknown outcomes and errors, with their numbers.
     pub reasons: BTreeMap<String, u64>,
     /// Longest delay of a send behind its time, in milliseconds; a high value means that the load
@@ -99,6 +102,19 @@
     pub not_reserved: u64,
 }
 
+/// Requests that got no answer for a reason of their connection, those for tickets and for the
+/// state of tasks included. The load command sends a request whose connection was refused to the
+/// next entry instance, as the platform's load balancer does.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ConnectionResult {
+    /// No connection was made, so that nothing was sent.
+    pub refused: u64,
+    /// The connection ended after bytes of the request had left and before the whole answer.
+    pub cut_off: u64,
+    /// No whole answer came within the longest wait.
+    pub timed_out: u64,
+}
+
 /// Collects results during a run.
 #[derive(Debug, Default)]
 pub(super) struct ResultCollector {
@@ -208,6 +224,13 @@
             );
         }
         self.write_tasks(&mut text);
+        let ConnectionResult { refused, cut_off, timed_out } = self.connections;
+        if refused + cut_off + timed_out > 0 {
+            let _ = writeln!(
+                text,
+                "connections: {refused} refused, {cut_off} requests cut off, {timed_out} timed out"
+            );
+        }
         for (reason, count) in &self.reasons {
             let _ = writeln!(text, "{count:>7} x {reason}");
         }
--- a/crates/cuminbank-standins/src/load/runner.rs
+++ b/crates/cuminbank-standins/src/load/runner.rs
@@ -44,6 +44,7 @@
 pub async fn run_load(settings: &LoadSettings) -> LoadResult {
     let arrivals = plan_arrivals(settings);
     let client = LoadClient::new(settings.entries.clone(), settings.timeout);
+    client.watch_readiness();
     if arrivals.iter().any(needs_ticket) {
         client.warm_up().await;
     }
@@ -68,7 +69,8 @@
     time::sleep(length.saturating_sub(run.started.elapsed())).await;
     settle_tasks(&run, settings.settle).await;
     wait_for_answers(&run, settings.timeout).await;
-    let result = run.collector.borrow_mut().finish();
+    let mut result = run.collector.borrow_mut().finish();
+    result.connections = run.client.connections();
     result
 }
 
--- a/crates/cuminbank-standins/tests/load.rs
+++ b/crates/cuminbank-standins/tests/load.rs
@@ -109,3 +109,34 @@
         assert!(result.reasons.is_empty(), "{result:?}");
     });
 }
+
+/// Guards against a refused connection that counts as a request cut off, or the other way round:
+/// a planned stop may refuse connections and must not cut off a request.
+#[test]
+fn refused_connections_and_requests_cut_off_are_told_apart() {
+    runtime::run(async {
+        let good = spawn_entry(Duration::from_secs(3_600));
+        let listener = runtime::listen(([127, 0, 0, 1], 0).into()).expect("loopback has a port");
+        let closing = listener.local_addr().expect("the socket is bound");
+        let close = |_| async { ServerAction::Close };
+        let (limits, gate) = (ServerLimits::default(), ServerGate::default());
+        monoio::spawn(server::serve(listener, limits, gate, close));
+        let refusing = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback has a port");
+        let refused = refusing.local_addr().expect("the socket is bound");
+        drop(refusing);
+        let settings = LoadSettings { seconds: 1, ..settings(LoadPlan::Steady, vec![]) };
+        let sent = plan_arrivals(&settings).len() as u64;
+        let run = |entries| {
+            let settings = LoadSettings { entries, ..settings.clone() };
+            async move { run_load(&settings).await }
+        };
+        let result = run(vec![refused, good]).await;
+        let class = &result.classes["plan"];
+        assert_eq!((class.on_time + class.late, class.errors), (sent, 0), "{result:?}");
+        let connections = result.connections;
+        assert_eq!((connections.refused, connections.cut_off), (sent.div_ceil(2), 0));
+        let result = run(vec![closing]).await;
+        let connections = result.connections;
+        assert_eq!((connections.refused, connections.cut_off), (0, sent), "{result:?}");
+    });
+}
--- a/crates/cuminbank/src/membership.rs
+++ b/crates/cuminbank/src/membership.rs
@@ -19,6 +19,9 @@
 
 /// A peer is live if it was heard within this time.
 pub const PEER_LIVE: Duration = Duration::from_secs(2);
+/// Calls that wait for a peer end once it was not heard for this time: within the 5 s for the
+/// detection of silence, and after eight lost heartbeats.
+pub const PEER_SILENT: Duration = Duration::from_secs(4);
 /// A peer that was not heard for this time is forgotten.
 const PEER_FORGOTTEN: Duration = Duration::from_secs(600);
 
@@ -257,6 +260,15 @@
         Some((entry, Duration::from_millis(u64::from(wait))))
     }
 
+    /// Returns the addresses at which a peer went silent and no other is live.
+    pub fn silent(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let silent = |entry: &&PeerEntry| now >= entry.heard + PEER_SILENT;
+        let addresses = self.all().filter(silent).map(|entry| entry.heartbeat.address);
+        let replaced =
+            |address: &SocketAddr| self.live(now).any(|entry| entry.heartbeat.address == *address);
+        addresses.filter(|address| !replaced(address)).collect()
+    }
+
     /// Returns when another process with the name of `identity` was last heard.
     pub fn other_heard(&self, identity: &PeerIdentity) -> Option<MonotonicTime> {
         let entry = self.peers.get(&identity.instance)?;
--- a/crates/cuminbank/src/reducer/calls/forwarding.rs
+++ b/crates/cuminbank/src/reducer/calls/forwarding.rs
@@ -98,7 +98,7 @@
             timeout: timeout + FORWARD_SLACK,
         });
         *self.underway.entry(group).or_default() += 1;
-        self.forwards.insert(exchange, ForwardFlight { waiter, call, group });
+        self.forwards.insert(exchange, ForwardFlight { waiter, call, group, address });
     }
 
     /// Keeps a caller's call until an owner is known or its deadline can no longer be met.
@@ -121,7 +121,7 @@
         flight: ForwardFlight,
         result: Result<PeerReply, ExchangeError>,
     ) {
-        let ForwardFlight { waiter, call, group } = flight;
+        let ForwardFlight { waiter, call, group, .. } = flight;
         if let Some(count) = self.underway.get_mut(&group) {
             *count = count.saturating_sub(1);
         }
@@ -140,6 +140,24 @@
         self.answer_waiter(step, records, waiter, answer);
     }
 
+    /// Ends the calls that wait for a peer which is paused or cut off. Its connection stays open,
+    /// and the time for an answer can be much longer than the deadline.
+    pub(super) fn end_silent_forwards(&mut self, context: &mut CallContext<'_>) {
+        let silent = context.view.groups.silent_peers(context.now());
+        if silent.is_empty() {
+            return;
+        }
+        let waiting = self.forwards.iter().filter(|(_, flight)| silent.contains(&flight.address));
+        let mut ended: Vec<_> = waiting.map(|(exchange, _)| *exchange).collect();
+        ended.sort_unstable();
+        for exchange in ended {
+            if let Some(flight) = self.forwards.remove(&exchange) {
+                let lost = Err(ExchangeError::Lost);
+                self.end_forward(context.step, context.records, flight, lost);
+            }
+        }
+    }
+
     /// Routes calls again whose owner was not known.
     pub(super) fn route_pending(&mut self, context: &mut CallContext<'_>) {
         let now = context.now();
--- a/crates/cuminbank/src/reducer/calls/mod.rs
+++ b/crates/cuminbank/src/reducer/calls/mod.rs
@@ -264,6 +264,7 @@
         records: &mut RecordPart,
     ) {
         let context = &mut CallContext { step, view, records };
+        self.end_silent_forwards(context);
         self.route_pending(context);
         self.label_long_calls(context.now());
         self.open_gates(context);
--- a/crates/cuminbank/src/reducer/calls/state.rs
+++ b/crates/cuminbank/src/reducer/calls/state.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{HashMap, HashSet},
     hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -166,6 +167,7 @@
     pub waiter: CallWaiter,
     pub call: CallRequest,
     pub group: GroupIndex,
+    pub address: SocketAddr,
 }
 
 /// A call whose owner is not known at present.
--- a/crates/cuminbank/src/reducer/groups/mod.rs
+++ b/crates/cuminbank/src/reducer/groups/mod.rs
@@ -248,6 +248,11 @@
         Some((peer.heartbeat.address, wait))
     }
 
+    /// Returns the addresses of peers that went silent.
+    pub fn silent_peers(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        self.peers.silent(now)
+    }
+
     /// Returns the targets of the zone.
     pub fn targets(&self) -> &TargetTable {
         &self.targets
