Compare the evening report with what callers and workers saw

Cause: no test with real processes compared the page with the callers.

Ruled out: making the report with the command line's own clock. A killed instance shows as a gap only once a live one would have saved, 60 s later; the tests make the report for that time instead of waiting. Calls of the tests' start-up now have a customer of their own, so that the counts of a test can be compared exactly.

Before: no check.

--- a/crates/cuminbank-entry/tests/support/callers.rs
+++ b/crates/cuminbank-entry/tests/support/callers.rs
@@ -57,6 +57,13 @@
     timed(entry, key, || post(entry, "/v1/calls", &[("x-profile", "plans"), CUSTOMER], &body))
 }
 
+/// Sends a call of a customer of its own, so that its counts are apart from those of a test.
+pub fn warm_up(entry: SocketAddr) -> CallEnd {
+    let body = json!({ "op": "plan", "key": "warm-up", "work_ms": 1 });
+    let headers = [("x-profile", "plans"), ("x-customer", "warm-up")];
+    timed(entry, "warm-up", || post(entry, "/v1/calls", &headers, &body))
+}
+
 /// Sends a call that is not idempotent, under a ticket.
 pub fn book(entry: SocketAddr, ticket: &str, work_ms: u64) -> CallEnd {
     let body = json!({ "op": "reserve", "slot": ticket, "booking": ticket, "key": ticket,
--- a/crates/cuminbank-entry/tests/support/mod.rs
+++ b/crates/cuminbank-entry/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod platform;
 pub mod ports;
+pub mod report;
 
 use std::{
     thread,
@@ -65,7 +66,7 @@
         }
         deployment.wait_for_owners(|owners| owners.iter().all(|owner| owner.is_some()));
         for entry in &deployment.entries {
-            wait_for("calls are served", || callers::plan(entry.http, "warm-up", 1).is_done());
+            wait_for("calls are served", || callers::warm_up(entry.http).is_done());
         }
         deployment
     }
--- /dev/null
+++ b/crates/cuminbank-entry/tests/support/report.rs
@@ -0,0 +1,83 @@
+//! The evening report of a test's store.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
+
+use cuminbank::{
+    record::{day_name, ClassCounters, ClassKey, DayRecord},
+    reducer::records::SAVE_INTERVAL,
+};
+use cuminbank_cli::{
+    operate_commands::read_input,
+    report::{
+        html::to_html,
+        text::{tables, to_text},
+        DayReport, ReportInput, SAVE_DELAY,
+    },
+    session::{CliSession, CliSettings},
+};
+use cuminbank_net::runtime;
+
+/// The report of the present day as the operators get it.
+pub struct ReadReport {
+    pub report: DayReport,
+    pub text: String,
+    pub page: String,
+    records: Vec<DayRecord>,
+}
+
+impl ReadReport {
+    /// Makes the report as it would be once every live instance has saved, without the wait.
+    pub fn read(store: SocketAddr) -> Self {
+        let now = SystemTime::now() + SAVE_DELAY + SAVE_INTERVAL;
+        let input = runtime::run(read_records(store, now));
+        let report = DayReport::new(&input);
+        let page = to_html(&report).expect("the plots can be drawn");
+        Self { text: to_text(&report), page, report, records: input.records }
+    }
+
+    /// Returns a figure of a table of the page; 0 if the table has no such row.
+    pub fn figure(&self, title: &str, [profile, customer]: [&str; 2], column: &str) -> u64 {
+        let tables = tables(&self.report);
+        let Some(table) = tables.iter().find(|table| table.title == title) else { return 0 };
+        let column = table.header.iter().position(|name| *name == column).expect("a column");
+        let row = table.rows.iter().find(|row| row[0] == profile && row[1] == customer);
+        row.map_or(0, |row| {
+            let cells: String = row.iter().map(|cell| format!("<td>{cell}</td>")).collect();
+            assert!(self.page.contains(&cells), "the page lacks {cells}");
+            row[column].parse().expect("a whole number")
+        })
+    }
+
+    /// Returns the sum over the calls of a profile and customer that one instance counted.
+    pub fn sum_at(
+        &self,
+        instance: &str,
+        [profile, customer]: [&str; 2],
+        count: impl Fn(&ClassCounters) -> u64,
+    ) -> u64 {
+        let key = ClassKey::new(profile, customer);
+        let own = self.records.iter().filter(|record| record.instance == instance);
+        own.filter_map(|record| record.calls.get(&key)).map(count).sum()
+    }
+
+    /// Returns the sum over all calls of the page.
+    pub fn sum(&self, count: impl Fn(&ClassCounters) -> u64) -> u64 {
+        self.report.calls.values().map(count).sum()
+    }
+}
+
+async fn read_records(store: SocketAddr, now: SystemTime) -> ReportInput {
+    let session = CliSession::new(CliSettings { store: vec![store], ..CliSettings::default() });
+    let written = SystemTime::now();
+    let input = read_input(&session, &day_name(written), now).await;
+    input.unwrap_or_else(|end| panic!("the store answers: {}", end.text))
+}
+
+/// Returns the time of day in whole seconds since 1970, rounded up.
+pub fn seconds_now() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("after 1970");
+    (since + Duration::from_millis(999)).as_secs()
+}
