Use one health record for executors and workers

Cause: reducer/tasks/trials.rs had its own quarantine of workers beside health.rs.

After: HealthRecord in health.rs holds results, quarantine and trials of one target. TargetHealth keeps one for each executor, WorkerState holds one keyed by task. Workers now also follow the ratio rule, only a trial ends or lengthens a quarantine, and the rule "one task at a time after the first failure" stays (allows_cautious), as does the bound of 60 s on a trial. Executors behave as before.

Tests: quarantine_doubles_and_tries_one_task expected release by a success that no trial had reported; it now starts the trial first and also checks that a success of earlier work does not release. New tests cover the ratio rule and the single start after a failure.

--- a/crates/cuminbank/src/health.rs
+++ b/crates/cuminbank/src/health.rs
@@ -20,6 +20,9 @@
 const FIRST_QUARANTINE: Duration = Duration::from_secs(10);
 /// Longest time in quarantine.
 const LONGEST_QUARANTINE: Duration = Duration::from_secs(300);
+/// A trial that runs this long no longer keeps the target from getting a second one; otherwise one
+/// long task after a single failure would leave the rest of a worker unused.
+const LONG_TRIAL: Duration = Duration::from_secs(60);
 /// Distinct targets on which a class has to fail, without a success anywhere, for its failures to
 /// count against the class and no longer against targets. Otherwise one broken kind of call would
 /// put every target into quarantine.
@@ -47,30 +50,125 @@
     Released,
 }
 
-#[derive(Debug, Default)]
-struct HealthEntry {
+/// Results of one target and its quarantine. `W` names a piece of work; `()` serves where the trial
+/// is the only work on the target.
+#[derive(Debug)]
+pub struct HealthRecord<W> {
     successes: f64,
     failures: f64,
     decayed_at: MonotonicTime,
     failures_in_a_row: u32,
-    quarantine: Option<Quarantine>,
+    quarantine: Option<QuarantineTerm>,
+    /// Work started since the last failure or in quarantine, and when.
+    trials: Vec<(W, MonotonicTime)>,
 }
 
-#[derive(Debug)]
-struct Quarantine {
+#[derive(Clone, Copy, Debug)]
+struct QuarantineTerm {
     until: MonotonicTime,
     length: Duration,
-    trial: bool,
 }
 
-/// Decayed failure ratio of each target, and its quarantine.
+/// Health of each target that is named, and classes whose work fails everywhere.
 #[derive(Debug, Default)]
 pub struct TargetHealth {
-    targets: HashMap<TargetName, HealthEntry>,
+    targets: HashMap<TargetName, HealthRecord<()>>,
     faulty_classes: HashMap<ClassName, BTreeSet<TargetName>>,
 }
 
-impl HealthEntry {
+impl<W> Default for HealthRecord<W> {
+    fn default() -> Self {
+        Self {
+            successes: 0.0,
+            failures: 0.0,
+            decayed_at: MonotonicTime::ZERO,
+            failures_in_a_row: 0,
+            quarantine: None,
+            trials: Vec::new(),
+        }
+    }
+}
+
+impl<W: PartialEq> HealthRecord<W> {
+    /// Returns whether the target may be given work at `now`.
+    pub fn gate(&self, now: MonotonicTime) -> HealthGate {
+        match self.quarantine {
+            None => HealthGate::Open,
+            Some(_) if self.has_trial(now) => HealthGate::Closed(None),
+            Some(term) if now < term.until => HealthGate::Closed(Some(term.until)),
+            Some(_) => HealthGate::Trial,
+        }
+    }
+
+    /// Tells whether the target may be given work at `now` if a target whose last result was a
+    /// failure gets one piece of work at a time even before its quarantine. This bounds the starts
+    /// of a large worker that fails everything.
+    pub fn allows_cautious(&self, now: MonotonicTime) -> bool {
+        match self.gate(now) {
+            HealthGate::Open => self.failures_in_a_row == 0 || !self.has_trial(now),
+            HealthGate::Trial => true,
+            HealthGate::Closed(_) => false,
+        }
+    }
+
+    /// Tells whether the target is in quarantine or its last result was a failure.
+    pub fn is_suspect(&self) -> bool {
+        self.quarantine.is_some() || self.failures_in_a_row > 0
+    }
+
+    /// Notes that work was started on the target.
+    pub fn note_start(&mut self, now: MonotonicTime, work: W) {
+        if self.is_suspect() {
+            self.note_unjudged(&work);
+            self.trials.push((work, now));
+        }
+    }
+
+    /// Notes that work ended in a way that says nothing about the target.
+    pub fn note_unjudged(&mut self, work: &W) {
+        self.trials.retain(|(trial, _)| trial != work);
+    }
+
+    /// Records that the target finished work.
+    pub fn record_success(&mut self, now: MonotonicTime, work: &W) -> Option<HealthChange> {
+        self.decay(now);
+        self.successes += 1.0;
+        self.failures_in_a_row = 0;
+        if self.quarantine.is_none() {
+            self.trials.clear();
+            return None;
+        }
+        if !self.is_trial(work) {
+            // Work that was started before the quarantine proves nothing about it.
+            return None;
+        }
+        *self = Self { successes: 1.0, decayed_at: now, ..Self::default() };
+        Some(HealthChange::Released)
+    }
+
+    /// Records that the target failed work.
+    pub fn record_failure(&mut self, now: MonotonicTime, work: &W) -> Option<HealthChange> {
+        let was_trial = self.is_trial(work);
+        self.note_unjudged(work);
+        self.decay(now);
+        self.failures += 1.0;
+        self.failures_in_a_row += 1;
+        if let Some(term) = self.quarantine {
+            // Work that was started before the quarantine counts once, by having begun it.
+            let length = (term.length * 2).min(LONGEST_QUARANTINE);
+            return was_trial.then(|| self.close(now, length));
+        }
+        self.is_failing().then(|| self.close(now, FIRST_QUARANTINE))
+    }
+
+    fn is_trial(&self, work: &W) -> bool {
+        self.trials.iter().any(|(trial, _)| trial == work)
+    }
+
+    fn has_trial(&self, now: MonotonicTime) -> bool {
+        self.trials.iter().any(|(_, since)| now < *since + LONG_TRIAL)
+    }
+
     fn decay(&mut self, now: MonotonicTime) {
         let elapsed = now.saturating_sub(self.decayed_at).as_secs_f64();
         let factor = (-elapsed / HALF_LIFE.as_secs_f64()).exp2();
@@ -87,7 +185,8 @@
 
     fn close(&mut self, now: MonotonicTime, length: Duration) -> HealthChange {
         let until = now + length;
-        self.quarantine = Some(Quarantine { until, length, trial: false });
+        self.quarantine = Some(QuarantineTerm { until, length });
+        self.trials.clear();
         HealthChange::Quarantined(until)
     }
 }
@@ -95,30 +194,20 @@
 impl TargetHealth {
     /// Returns whether a target may be given work at `now`.
     pub fn gate(&self, target: &str, now: MonotonicTime) -> HealthGate {
-        let quarantine = self.targets.get(target).and_then(|entry| entry.quarantine.as_ref());
-        match quarantine {
-            None => HealthGate::Open,
-            Some(quarantine) if quarantine.trial => HealthGate::Closed(None),
-            Some(quarantine) if now < quarantine.until => {
-                HealthGate::Closed(Some(quarantine.until))
-            }
-            Some(_) => HealthGate::Trial,
-        }
+        self.targets.get(target).map_or(HealthGate::Open, |record| record.gate(now))
     }
 
     /// Notes that work was started on a target; the first after a quarantine is the trial.
-    pub fn note_start(&mut self, target: &str) {
-        let quarantine = self.targets.get_mut(target).and_then(|entry| entry.quarantine.as_mut());
-        if let Some(quarantine) = quarantine {
-            quarantine.trial = true;
+    pub fn note_start(&mut self, target: &str, now: MonotonicTime) {
+        if let Some(record) = self.targets.get_mut(target) {
+            record.note_start(now, ());
         }
     }
 
     /// Notes that work ended in a way that says nothing about the target.
     pub fn note_unjudged(&mut self, target: &str) {
-        let quarantine = self.targets.get_mut(target).and_then(|entry| entry.quarantine.as_mut());
-        if let Some(quarantine) = quarantine {
-            quarantine.trial = false;
+        if let Some(record) = self.targets.get_mut(target) {
+            record.note_unjudged(&());
         }
     }
 
@@ -130,17 +219,7 @@
         now: MonotonicTime,
     ) -> Option<HealthChange> {
         self.faulty_classes.remove(class);
-        let entry = self.targets.entry(target.to_owned()).or_default();
-        entry.decay(now);
-        entry.successes += 1.0;
-        entry.failures_in_a_row = 0;
-        let quarantine = entry.quarantine.as_ref()?;
-        if !quarantine.trial {
-            // Work that was started before the quarantine proves nothing about it.
-            return None;
-        }
-        *entry = HealthEntry { successes: 1.0, decayed_at: now, ..HealthEntry::default() };
-        Some(HealthChange::Released)
+        self.targets.entry(target.to_owned()).or_default().record_success(now, &())
     }
 
     /// Records that a target failed work of a class.
@@ -154,15 +233,7 @@
             self.note_unjudged(target);
             return None;
         }
-        let entry = self.targets.entry(target.to_owned()).or_default();
-        entry.decay(now);
-        entry.failures += 1.0;
-        entry.failures_in_a_row += 1;
-        if let Some(quarantine) = &entry.quarantine {
-            let length = (quarantine.length * 2).min(LONGEST_QUARANTINE);
-            return quarantine.trial.then(|| entry.close(now, length));
-        }
-        entry.is_failing().then(|| entry.close(now, FIRST_QUARANTINE))
+        self.targets.entry(target.to_owned()).or_default().record_failure(now, &())
     }
 
     /// Forgets a target that ended.
@@ -172,7 +243,7 @@
 
     /// Returns the number of targets in quarantine.
     pub fn quarantined(&self) -> usize {
-        self.targets.values().filter(|entry| entry.quarantine.is_some()).count()
+        self.targets.values().filter(|record| record.quarantine.is_some()).count()
     }
 
     /// Notes a failure of a class on a target and tells whether the class failed on enough distinct
--- a/crates/cuminbank/src/reducer/calls/dispatch.rs
+++ b/crates/cuminbank/src/reducer/calls/dispatch.rs
@@ -49,7 +49,7 @@
             valid_until,
             timeout: record.max_run,
         });
-        self.health.note_start(&spec.name);
+        self.health.note_start(&spec.name, now);
         if let Some(watch) = self.watches.get_mut(executor) {
             watch.flights.insert(call_id.clone(), exchange);
         }
--- a/crates/cuminbank/src/reducer/tasks/mod.rs
+++ b/crates/cuminbank/src/reducer/tasks/mod.rs
@@ -5,7 +5,6 @@
 pub mod queue;
 pub mod renewing;
 pub mod sizes;
-pub mod trials;
 pub mod workers;
 
 mod eviction;
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -259,7 +259,7 @@
         match end {
             AttemptEnd::Finished { .. } => {
                 if let Some(worker) = self.workers.get_mut(name) {
-                    worker.health.on_success();
+                    worker.health.record_success(step.now(), &task);
                 }
             }
             AttemptEnd::Failed { .. } => self.note_failure(step, task, name),
--- a/crates/cuminbank/src/reducer/tasks/starting.rs
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -361,10 +361,10 @@
         let failed_before =
             self.ledger.get(task).is_some_and(|record| !record.failed_on.is_empty());
         let Some(state) = self.workers.get_mut(worker) else { return };
-        if failed_before && !state.health.is_failing() {
+        if failed_before && !state.health.is_suspect() {
             return;
         }
-        if state.health.on_failure(step.now(), task) {
+        if state.health.record_failure(step.now(), &task).is_some() {
             step.log(WORKER_QUARANTINED, worker);
         }
     }
--- a/crates/cuminbank/src/reducer/tasks/workers.rs
+++ b/crates/cuminbank/src/reducer/tasks/workers.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     event::ListedRole,
+    health::HealthRecord,
     ids::{ClassName, MachineName, MonotonicTime, TargetName},
     interference::MachineRelief,
     ledger::TaskId,
@@ -15,8 +16,6 @@
     worker::ResourceSize,
 };
 
-use super::trials::WorkerHealth;
-
 const SILENCE: Duration = Duration::from_secs(3);
 
 /// State of a worker.
@@ -41,7 +40,7 @@
     /// Size of attempts that the worker lists and the ledger does not place there.
     pub foreign: ResourceSize,
     /// Results of recent attempts.
-    pub health: WorkerHealth,
+    pub health: HealthRecord<TaskId>,
     /// No start before this time, after a start that did not reach the worker or did not fit.
     pub avoid_until: MonotonicTime,
     /// Hysteresis against slowdowns.
@@ -80,7 +79,7 @@
             runs: BTreeSet::new(),
             held: ResourceSize::default(),
             foreign: ResourceSize::default(),
-            health: WorkerHealth::default(),
+            health: HealthRecord::default(),
             avoid_until: MonotonicTime::ZERO,
             relief: MachineRelief::default(),
             throttled: None,
@@ -115,7 +114,7 @@
             && self.listed
             && !self.is_silent(now)
             && now >= self.avoid_until
-            && self.health.allows(now)
+            && self.health.allows_cautious(now)
     }
 }
 
--- a/crates/cuminbank/tests/interference.rs
+++ b/crates/cuminbank/tests/interference.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use cuminbank::{
+    health::{HealthChange, HealthRecord},
     interference::{MachineRelief, PairLearner, RelievingStep},
     ledger::TaskId,
     quota::QuotaTable,
-    reducer::tasks::{queue::StartQueue, sizes::SizeLearner, trials::WorkerHealth},
+    reducer::tasks::{queue::StartQueue, sizes::SizeLearner},
     worker::{ResourceSize, UsageWindow},
 };
 
@@ -127,23 +128,58 @@
     assert_eq!(sizes.reservation("plan", &declared), expected);
 }
 
-/// Guards against a quarantine that never ends, never grows, or counts one burst many times.
+/// Guards against a quarantine that never ends, never grows, counts one burst many times, or ends
+/// by a task that was started before it.
 #[test]
 fn quarantine_doubles_and_tries_one_task() {
     let task = |sequence| TaskId { epoch: 1, sequence };
-    let mut health = WorkerHealth::default();
+    let mut health = HealthRecord::default();
     for failure in 0..30 {
-        health.on_failure(secs(1), task(failure));
+        health.record_failure(secs(1), &task(failure));
     }
-    assert!(!health.allows(secs(10)));
-    assert!(health.allows(secs(11)));
-    health.on_start(secs(11), task(40));
-    assert!(!health.allows(secs(12)), "one trial at a time");
-    health.on_failure(secs(12), task(40));
-    assert!(!health.allows(secs(31)));
-    assert!(health.allows(secs(32)));
-    health.on_success();
-    assert!(health.allows(secs(32)) && !health.is_failing());
+    assert!(!health.allows_cautious(secs(10)));
+    assert!(health.allows_cautious(secs(11)));
+    health.note_start(secs(11), task(40));
+    assert!(!health.allows_cautious(secs(12)), "one trial at a time");
+    assert_eq!(health.record_success(secs(12), &task(31)), None, "it was started before");
+    assert!(!health.allows_cautious(secs(12)) && health.is_suspect());
+    health.record_failure(secs(12), &task(40));
+    assert!(!health.allows_cautious(secs(31)));
+    assert!(health.allows_cautious(secs(32)));
+    health.note_start(secs(32), task(41));
+    assert_eq!(health.record_success(secs(33), &task(41)), Some(HealthChange::Released));
+    assert!(health.allows_cautious(secs(33)) && !health.is_suspect());
+}
+
+/// Guards against a second start next to one that follows a failure, and against a long task that
+/// keeps a worker from others for good.
+#[test]
+fn failure_allows_one_start_at_a_time() {
+    let task = |sequence| TaskId { epoch: 1, sequence };
+    let mut health = HealthRecord::default();
+    health.record_failure(secs(1), &task(1));
+    assert!(health.allows_cautious(secs(1)));
+    health.note_start(secs(1), task(2));
+    assert!(!health.allows_cautious(secs(60)));
+    assert!(health.allows_cautious(secs(61)), "a long trial does not keep others away");
+    health.note_unjudged(&task(2));
+    assert!(health.allows_cautious(secs(2)));
+}
+
+/// Guards against a worker that fails most of its tasks and is kept by a success now and then.
+#[test]
+fn ratio_of_failures_quarantines_a_worker() {
+    let task = |sequence| TaskId { epoch: 1, sequence };
+    let mut health = HealthRecord::default();
+    for sequence in 0..6 {
+        let change = match sequence {
+            2 | 5 => health.record_success(secs(1), &task(sequence)),
+            _ => health.record_failure(secs(1), &task(sequence)),
+        };
+        assert_eq!(change, None);
+    }
+    let change = health.record_failure(secs(1), &task(6));
+    assert_eq!(change, Some(HealthChange::Quarantined(secs(11))));
 }
 
 /// Guards against an order of starts that ignores the priority, against tasks without
