--- a/crates/cuminbank-standins/tests/scenarios.rs
+++ b/crates/cuminbank-standins/tests/scenarios.rs
@@ -39,6 +39,7 @@
         "silence" | "fail" | "leave" | "crash" => change_machine(world, case),
         "apply" => apply(world, case),
         "outcome" => outcome(world),
+        "answered" => answered(world),
         "owners" => owners(world),
         "ready" => ready(world),
         "in-force" => in_force(world, case),
@@ -222,6 +223,14 @@
     text
 }
 
+/// Prints how many requests have a final answer, where the share of unknown ones depends on what
+/// was under way at the moment of a fault.
+fn answered(world: &World) -> String {
+    let requests = world.requests();
+    let waiting = requests.iter().filter(|request| request.state == RequestState::Open).count();
+    format!("{} of {} answered\n", requests.len() - waiting, requests.len())
+}
+
 fn owners(world: &mut World) -> String {
     let mut text = String::new();
     for (group, owners) in world.owners() {
