Wait for the answers to the last copies before looking for unanswered requests

After: the run goes on for 12 s and up to 13 s more while a request waits; the check is as strict as before.

--- a/crates/cuminbank-standins/src/harness/world.rs
+++ b/crates/cuminbank-standins/src/harness/world.rs
@@ -28,6 +28,10 @@
 
 /// Time between two samples of readiness, configuration and the platform's list.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after the last answer in which copies of refused requests are sent.
+const LAST_COPY: Duration = Duration::from_secs(12);
+/// Time in which the last copy is answered: below the time after which its caller gives up.
+const LAST_ANSWER: Duration = Duration::from_secs(13);
 /// Lag of the platform's list without a fault.
 pub(super) const LIST_LAG: Duration = Duration::from_secs(1);
 
@@ -105,14 +109,24 @@
         while self.now < last && !self.is_settled() {
             self.run_until(self.now + Duration::from_secs(1));
         }
-        // Late work that should not run shows itself after the last answer.
-        self.run_until(self.now + Duration::from_secs(10));
+        // Late work that should not run shows itself after the last answer. Copies of refused
+        // requests are sent up to 12 s after it, and their answers take up to a deadline of 10 s.
+        let (copied, answered) = (self.now + LAST_COPY, self.now + LAST_COPY + LAST_ANSWER);
+        self.run_until(copied);
+        while self.now < answered && self.waits_for_answers() {
+            self.run_until(self.now + Duration::from_secs(1));
+        }
         self.note_unanswered();
         self.finish()
     }
 
-    /// Records requests that wait for longer than any caller does. The last request was sent at
-    /// least 10 s ago, and only settled runs are looked at.
+    fn waits_for_answers(&self) -> bool {
+        let processes = self.entries.iter().filter_map(|host| host.process.as_ref());
+        let mut origins = processes.flat_map(|process| process.replies.values());
+        origins.any(|origin| matches!(origin, ReplyOrigin::Caller { .. } | ReplyOrigin::Peer(_)))
+    }
+
+    /// Records requests that wait for longer than they may; only settled runs are looked at.
     fn note_unanswered(&mut self) {
         if !self.is_settled() {
             return;
