Yield while the input of a rejected request is discarded

Cause: the discard read without a pause as long as input was there, so a fast sender could hold up the daemon's only thread for up to 2 s. Ruled out: a limit on bytes, which would bring back the reset for slower senders.

--- a/crates/cuminbank-net/src/connection.rs
+++ b/crates/cuminbank-net/src/connection.rs
@@ -88,7 +88,8 @@
     while started.elapsed() < DISCARD_TIME {
         match recv(socket, &mut buffer, MsgFlags::MSG_DONTWAIT) {
             Ok(0) => return,
-            Ok(_) => {}
+            // A sender that is always ready must not hold up the other tasks of the thread.
+            Ok(_) => time::sleep(Duration::from_millis(1)).await,
             Err(Errno::EAGAIN | Errno::EINTR) => time::sleep(LOOK_INTERVAL).await,
             Err(_) => return,
         }
