--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    connection::{connect, ExchangeStream},
+    connection::{connect, is_readable, ExchangeStream},
     http_limit::{ByteAllowance, LimitedReader},
 };
 
@@ -137,7 +137,7 @@
     ) -> Result<ClientAnswer, ExchangeError> {
         let started = Instant::now();
         let message = request.into_message(address).ok_or(ExchangeError::NotSent)?;
-        let mut stream = match self.take_idle(address).await {
+        let mut stream = match self.take_idle(address) {
             Some(stream) => ExchangeStream::new(stream),
             None => connect(address, timeout).await?,
         };
@@ -158,15 +158,13 @@
     }
 
     /// Returns an idle connection that the other side has not closed.
-    async fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
+    fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
         loop {
             let connection = self.idle.borrow_mut().get_mut(&address)?.pop()?;
             if connection.since.elapsed() > MAX_IDLE {
                 continue;
             }
-            // Bytes or an end of stream on an idle connection mean that it is of no more use.
-            let readable = connection.stream.readable(false);
-            if time::timeout(Duration::ZERO, readable).await.is_err() {
+            if !is_readable(&connection.stream) {
                 return Some(connection.stream);
             }
         }
--- a/crates/cuminbank-net/src/connection.rs
+++ b/crates/cuminbank-net/src/connection.rs
@@ -95,3 +95,10 @@
         }
     }
 }
+
+/// Tells whether an idle connection has bytes or an end of stream to read, and so is of no more use.
+/// A wait with a timeout of zero would cost a tick of the runtime's timer, 1 ms, on each exchange.
+pub(crate) fn is_readable(stream: &TcpStream) -> bool {
+    let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+    !matches!(recv(stream.as_raw_fd(), &mut [0], flags), Err(Errno::EAGAIN | Errno::EINTR))
+}
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -18,7 +18,7 @@
     time,
 };
 
-use crate::connection::{connect, ExchangeStream};
+use crate::connection::{connect, is_readable, ExchangeStream};
 
 /// Largest message; a handover of tickets with their answers is the largest.
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
@@ -44,7 +44,7 @@
         request: &PeerRequest,
         timeout: Duration,
     ) -> Result<PeerReply, ExchangeError> {
-        let mut stream = match self.take_idle(to).await {
+        let mut stream = match self.take_idle(to) {
             Some(stream) => ExchangeStream::new(stream),
             None => connect(to, timeout).await?,
         };
@@ -60,14 +60,13 @@
         Ok(reply)
     }
 
-    async fn take_idle(&self, to: SocketAddr) -> Option<TcpStream> {
+    fn take_idle(&self, to: SocketAddr) -> Option<TcpStream> {
         loop {
             let (stream, since) = self.idle.borrow_mut().get_mut(&to)?.pop()?;
             if since.elapsed() > MAX_IDLE {
                 continue;
             }
-            let readable = stream.readable(false);
-            if time::timeout(Duration::ZERO, readable).await.is_err() {
+            if !is_readable(&stream) {
                 return Some(stream);
             }
         }
--- a/crates/cuminbank-standins/src/harness/faults.rs
+++ b/crates/cuminbank-standins/src/harness/faults.rs
@@ -251,7 +251,12 @@
         let waits = |origin: &&ReplyOrigin| {
             matches!(origin, ReplyOrigin::Caller { .. } | ReplyOrigin::Peer(_))
         };
-        let unanswered = process.replies.values().filter(waits).count();
+        let waiting: Vec<_> = process.replies.values().filter(waits).collect();
+        let unanswered = waiting.len();
+        if unanswered > 0 {
+            let text = format!("unanswered at the exit: {waiting:?}");
+            self.record(HistoryEvent::Logged { process: (entry, start), text });
+        }
         self.record(HistoryEvent::ProcessExited { process: (entry, start), unanswered });
         self.end_process(entry);
         if self.quiet {
@@ -290,7 +295,11 @@
             return;
         };
         process.paused = false;
-        let buffer = std::mem::take(&mut process.buffer);
+        let mut buffer = std::mem::take(&mut process.buffer);
+        // The tasks of a process go on in any order; a write may come before the first tick.
+        if self.rng.random_bool(0.5) {
+            buffer.sort_by_key(|action| !matches!(action, Action::Write(..)));
+        }
         for action in buffer {
             self.queue.push(self.now, action);
         }
--- a/crates/cuminbank-standins/src/harness/history.rs
+++ b/crates/cuminbank-standins/src/harness/history.rs
@@ -147,6 +147,11 @@
         /// Whether the task finished with a result.
         finished: bool,
     },
+    /// A caller was told that its task is cancelled.
+    TaskCancelled {
+        /// Task id.
+        task: String,
+    },
     /// A process was shown the platform's list.
     ListShown {
         /// Process.
@@ -193,6 +198,13 @@
     TargetDown(TargetName),
     /// An entry instance was cut off from everything.
     CutOff(EntryIndex),
+    /// A process that still runs at the end of a run has not answered requests.
+    NeverAnswered {
+        /// Process.
+        process: ProcessId,
+        /// Requests of callers and peers.
+        waiting: Vec<String>,
+    },
     /// A process wrote a log event.
     Logged {
         /// Process.
--- a/crates/cuminbank/src/reducer/calls/forwarding.rs
+++ b/crates/cuminbank/src/reducer/calls/forwarding.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use rand::Rng;
 
 use crate::{
     effect::{CallerAnswer, EntryEffect},
@@ -24,6 +25,8 @@
 const FORWARD_GAIN: Duration = Duration::from_millis(20);
 /// Assumed growth of a peer's wait with each call that was forwarded and is not answered yet.
 const FORWARD_LOAD: Duration = Duration::from_millis(2);
+/// Waits that count as equal when a group is drawn for tickets.
+const EQUAL_WAIT: Duration = Duration::from_millis(50);
 /// Time between two tries to find the owner of a call.
 const OWNER_RETRY: Duration = Duration::from_millis(100);
 /// Time beyond deadline and run time for the answer of a peer: a lost answer takes a probe.
@@ -199,17 +202,17 @@
             step.answer(reply, CallerAnswer::new_not_run(400, "count has to be 1 to 100"));
             return;
         }
-        if let Some(tickets) = self.issue_tickets(step, view, count) {
-            step.answer(reply, ticket_answer(&tickets));
-            return;
-        }
-        let now = step.now();
-        let groups = 0..step.settings.groups_per_zone;
-        let owners = groups.filter_map(|group| view.groups.owner_of(&self.zone, group, now));
-        let Some((address, _)) = owners.min_by_key(|&(_, wait)| wait) else {
+        let Some(home) = self.draw_ticket_home(step, view) else {
             self.refuse_tickets(step, reply, "no owner of a group is known");
             return;
         };
+        let TicketHome::Peer(address) = home else {
+            match self.issue_tickets(step, view, count) {
+                Some(tickets) => step.answer(reply, ticket_answer(&tickets)),
+                None => self.refuse_tickets(step, reply, "no owner of a group is known"),
+            }
+            return;
+        };
         let exchange = step.begin_exchange(ReducerPart::Calls);
         let request = PeerRequest::IssueTickets { count: count.min(MAX_TICKETS) };
         step.push(EntryEffect::CallPeer {
@@ -222,7 +225,7 @@
         self.ticket_forwards.insert(exchange, reply);
     }
 
-    /// Issues tickets from the owned group with the least expected wait.
+    /// Issues tickets from one of the owned groups with the least expected wait.
     pub(super) fn issue_tickets(
         &mut self,
         step: &mut StepContext,
@@ -230,13 +233,36 @@
         count: u32,
     ) -> Option<Vec<RequestTicket>> {
         let now = step.now();
-        let owned = view.groups.owned(now);
-        let usable = owned.into_iter().filter(|group| self.terms.contains_key(group));
-        let group = usable.min_by_key(|group| self.expected_wait(*group, now))?;
+        let group = self.draw_ticket_group(step, view)?;
         let term = self.terms.get_mut(&group)?;
         Some(term.tickets.issue(u64::from(count.clamp(1, MAX_TICKETS)), now))
     }
 
+    /// Draws who issues tickets to a caller, over all groups of the zone. Each entry instance gets
+    /// its share of callers but not of targets, so that issuing only from its own groups would
+    /// give them too much or too little work.
+    fn draw_ticket_home(&self, step: &mut StepContext, view: CallView<'_>) -> Option<TicketHome> {
+        let now = step.now();
+        let owned = view.groups.owned(now);
+        let homes = (0..step.settings.groups_per_zone).filter_map(|group| {
+            if owned.contains(&group) && self.terms.contains_key(&group) {
+                return Some((group, self.expected_wait(group, now), TicketHome::Own));
+            }
+            let (address, wait) = view.groups.owner_of(&self.zone, group, now)?;
+            Some((group, wait, TicketHome::Peer(address)))
+        });
+        draw_by_targets(homes.collect(), step, view)
+    }
+
+    /// Draws one of the owned groups.
+    fn draw_ticket_group(&self, step: &mut StepContext, view: CallView<'_>) -> Option<GroupIndex> {
+        let now = step.now();
+        let owned = view.groups.owned(now).into_iter();
+        let usable = owned.filter(|group| self.terms.contains_key(group));
+        let groups = usable.map(|group| (group, self.expected_wait(group, now), group));
+        draw_by_targets(groups.collect(), step, view)
+    }
+
     /// Handles the end of a request for tickets to a peer.
     pub(super) fn end_ticket_forward(
         &mut self,
@@ -260,6 +286,35 @@
     }
 }
 
+/// Who issues tickets.
+#[derive(Clone, Copy, Debug)]
+enum TicketHome {
+    Own,
+    Peer(SocketAddr),
+}
+
+/// Draws among the groups with about the shortest wait in proportion to their targets: a ticket
+/// binds its request to a group, and a fixed choice would send all ticketed work to one.
+fn draw_by_targets<T: Copy>(
+    mut groups: Vec<(GroupIndex, Duration, T)>,
+    step: &mut StepContext,
+    view: CallView<'_>,
+) -> Option<T> {
+    let shortest = groups.iter().map(|(_, wait, _)| *wait).min()?;
+    groups.retain(|(_, wait, _)| *wait <= shortest + EQUAL_WAIT);
+    let targets = |group| view.groups.targets().in_group(group).count();
+    let total: usize = groups.iter().map(|(group, ..)| targets(*group)).sum();
+    let mut drawn = step.rng.random_range(0..total.max(1));
+    for (group, _, choice) in &groups {
+        let count = targets(*group);
+        if drawn < count {
+            return Some(*choice);
+        }
+        drawn -= count;
+    }
+    groups.first().map(|(_, _, choice)| *choice)
+}
+
 fn ticket_answer(tickets: &[RequestTicket]) -> CallerAnswer {
     let tickets: Vec<String> = tickets.iter().map(RequestTicket::to_string).collect();
     let body = serde_json::json!({ "tickets": tickets });
--- a/crates/cuminbank/src/reducer/tasks/mod.rs
+++ b/crates/cuminbank/src/reducer/tasks/mod.rs
@@ -5,7 +5,6 @@
 pub mod queue;
 pub mod renewing;
 pub mod sizes;
-pub mod trials;
 pub mod workers;
 
 mod eviction;
@@ -322,11 +321,6 @@
         }
     }
 
-    /// Tells whether no caller and no peer waits for an answer.
-    pub fn is_idle(&self) -> bool {
-        self.forwards.is_empty() && !self.groups.values().any(TaskGroup::has_waiters)
-    }
-
     fn open_group(
         &mut self,
         step: &mut StepContext,
--- a/crates/cuminbank/src/reducer/tasks/workers.rs
+++ b/crates/cuminbank/src/reducer/tasks/workers.rs
@@ -1,13 +1,14 @@
 //! Workers of a group: what they hold, which have room, and when each is due for a renewal.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::Duration,
 };
 
 use crate::{
     event::ListedRole,
+    health::HealthRecord,
     ids::{ClassName, MachineName, MonotonicTime, TargetName},
     interference::MachineRelief,
     ledger::TaskId,
@@ -15,8 +16,6 @@
     worker::ResourceSize,
 };
 
-use super::trials::WorkerHealth;
-
 const SILENCE: Duration = Duration::from_secs(3);
 
 /// State of a worker.
@@ -41,7 +40,7 @@
     /// Size of attempts that the worker lists and the ledger does not place there.
     pub foreign: ResourceSize,
     /// Results of recent attempts.
-    pub health: WorkerHealth,
+    pub health: HealthRecord<TaskId>,
     /// No start before this time, after a start that did not reach the worker or did not fit.
     pub avoid_until: MonotonicTime,
     /// Hysteresis against slowdowns.
@@ -50,6 +49,8 @@
     pub throttled: Option<TaskId>,
     /// Last answer.
     pub answered_at: Option<MonotonicTime>,
+    /// When the last list was sent that was not answered.
+    pub unheard_at: Option<MonotonicTime>,
     /// Highest end seen.
     pub seen_end: u64,
     /// Highest end up to which all are committed.
@@ -78,11 +79,12 @@
             runs: BTreeSet::new(),
             held: ResourceSize::default(),
             foreign: ResourceSize::default(),
-            health: WorkerHealth::default(),
+            health: HealthRecord::default(),
             avoid_until: MonotonicTime::ZERO,
             relief: MachineRelief::default(),
             throttled: None,
             answered_at: None,
+            unheard_at: None,
             seen_end: 0,
             durable_end: 0,
             open_ends: 0,
@@ -112,14 +114,14 @@
             && self.listed
             && !self.is_silent(now)
             && now >= self.avoid_until
-            && self.health.allows(now)
+            && self.health.allows_cautious(now)
     }
 }
 
 /// Workers of a group.
 #[derive(Debug, Default)]
 pub struct WorkerTable {
-    workers: HashMap<TargetName, WorkerState>,
+    workers: BTreeMap<TargetName, WorkerState>,
     machines: HashMap<MachineName, BTreeSet<TargetName>>,
     free: BTreeSet<(u8, u64, TargetName)>,
     due: BTreeSet<(MonotonicTime, TargetName)>,
