Compare counts during planned stops, and explain the report's terms

Cause: the comparison stopped the instances without traffic, so answers given during a stop were not checked. The report used p50, evicted, resumed and entry instance without saying what they are. One run of the process tests failed before any check: "Address already in use" at the start of the stand-ins. Many tests run on this machine; which program took the port is not known.

Ruled out: two tests of one process taking the same block, since the first port of a block is held while the deployment starts. That port was released after the start and is now held as long as the deployment; a block of which a port is taken between the look and the use is replaced by another.

Conclusion: answers during planned stops are on the page.

--- a/crates/cuminbank-cli/src/report/text.rs
+++ b/crates/cuminbank-cli/src/report/text.rs
@@ -221,24 +221,25 @@
         ("What failed", faults),
         ("Gaps: times without saved counts", gaps),
         ("Store outages (a warning only)", outages.collect()),
-        ("Limits of this report", limits(report)),
+        ("How to read this report", notes(report)),
     ];
     sections.into_iter().filter(|(_, lines): &(_, Vec<String>)| !lines.is_empty()).collect()
 }
 
-fn limits(report: &DayReport) -> Vec<String> {
-    let mut limits = vec![format!(
+fn notes(report: &DayReport) -> Vec<String> {
+    let mut notes = vec![format!(
         "A day goes well with at most {MAX_LATE_PERCENT} % late urgent calls in each profile and \
          {MAX_REFUSED_PERCENT} % refused ones at the crest, and with no unknown outcome, gap, \
          overdue or doubled task, and no confirmed slot that is late at the crest."
     )];
     if !report.calls.is_empty() {
-        limits.push(
-            "Times are exact to 1 %, those at the crest to 10 %. p99 is the time that 99 of 100 \
-             calls did not exceed."
+        notes.push(
+            "Times are exact to 1 %, those at the crest to 10 %. p50 is the time that half of the \
+             calls did not exceed, p99 the time that 99 of 100 did not. The wait of short behind \
+             long is how long short calls waited while long ones held places to run."
                 .to_owned(),
         );
-        limits.push(
+        notes.push(
             "Received is the sum of on time, late, refused, unknown and no answer. No answer: the \
              call arrived and no answer is saved: it was running when its instance last saved, or \
              its instance ended. Unknown: the caller was told that nobody can tell whether the \
@@ -248,10 +249,17 @@
         );
     }
     if !report.gaps.is_empty() {
-        limits.push("What an instance counted in a gap is missing from every figure.".to_owned());
+        notes.push("What an entry instance, one of the processes that receive calls and tasks, counted in \
+             a gap is missing from every figure.".to_owned());
     }
     if !report.tasks.is_empty() {
-        limits.push(
+        notes.push(
+            "Evicted: a running task was stopped to free its machine and put back in the queue. \
+             Resumed: a task was started again after that, or after its machine was lost. \
+             Doubled: a task gave two results."
+                .to_owned(),
+        );
+        notes.push(
             "Overdue is a lower bound: tasks past their deadline at the time of the report, or at \
              the end of the day, without a recorded end. It does not tell a lost task from one \
              that still runs, and leaves out tasks accepted on earlier days."
@@ -259,11 +267,11 @@
         );
     }
     for profile in &report.unknown_deadlines {
-        limits.push(format!(
+        notes.push(format!(
             "The store holds no profile \"{profile}\", so its overdue tasks are not known."
         ));
     }
-    limits
+    notes
 }
 
 fn push_table(text: &mut String, table: &ReportTable) {
--- a/crates/cuminbank-entry/tests/report.rs
+++ b/crates/cuminbank-entry/tests/report.rs
@@ -204,8 +204,8 @@
 }
 
 /// Guards against a call or task that is on the page twice, in the wrong column or not at all:
-/// done, late, refused and unknown calls, of the owner's own callers and forwarded ones, and
-/// tasks that were evicted.
+/// done, late, refused and unknown calls, of the owner's own callers and forwarded ones, those
+/// that arrive during the planned stops, and tasks that were evicted.
 #[test]
 fn page_shows_what_callers_and_workers_saw() {
     let mut deployment = Deployment::start(2, 2, 1);
@@ -222,9 +222,16 @@
     set_executors(json!({ "mode": "normal" }));
     assert!(counts[&["bookings", "lost"]].contains_key("unknown"), "{counts:?}");
     assert!(counts[&["plans", "slow"]].contains_key("done"), "{counts:?}");
+    let load = CallLoad::start("stops", 8, &entries, 20);
+    wait_for("calls are served", || load.done() > 100);
     let owner = deployment.owner();
     stop_as_planned(&mut deployment.entries[owner]);
     stop_as_planned(&mut deployment.entries[1 - owner]);
+    let ends = load.finish();
+    let griddle = counts.entry(LOAD).or_default();
+    for end in ends.iter().filter(|end| end.result.is_ok()) {
+        *griddle.entry(end.outcome().to_owned()).or_default() += 1;
+    }
 
     let read = ReadReport::read(deployment.platform.store);
     assert_eq!(read.report.gaps, [], "{}", read.text);
--- a/crates/cuminbank-entry/tests/support/mod.rs
+++ b/crates/cuminbank-entry/tests/support/mod.rs
@@ -48,17 +48,17 @@
 pub struct Deployment {
     pub entries: Vec<EntryProcess>,
     pub platform: Platform,
+    _ports: PortBlock,
 }
 
 impl Deployment {
     /// Starts a zone and waits until every group has an owner and calls are served.
     pub fn start(entries: usize, machines: usize, groups: u16) -> Self {
-        let ports = PortBlock::take();
-        let platform = Platform::start(&ports, machines);
+        let (ports, platform) = start_platform(machines);
         let settings = |index| entry::settings(&ports, &platform, [index, entries], groups);
         let entries: Vec<_> =
             (0..entries).map(|index| EntryProcess::start(&settings(index))).collect();
-        let deployment = Self { entries, platform };
+        let deployment = Self { entries, platform, _ports: ports };
         for entry in &deployment.entries {
             wait_for("the entry instance is ready", || {
                 get(entry.http, "/v1/ready").is_ok_and(|answer| answer.status == 200)
@@ -85,6 +85,21 @@
     }
 }
 
+/// Starts the platform on the first block of ports that is still free when it is used.
+fn start_platform(machines: usize) -> (PortBlock, Platform) {
+    let mut taken = Vec::new();
+    wait_for_some("the platform finds free ports", || {
+        let ports = PortBlock::take();
+        let platform = Platform::start(&ports, machines);
+        // A block that failed stays held, so that the next one is another.
+        let Some(platform) = platform else {
+            taken.push(ports);
+            return None;
+        };
+        Some((ports, platform))
+    })
+}
+
 /// Sets the fault mode of a stand-in.
 pub fn set_mode(stand_in: std::net::SocketAddr, mode: Value) {
     let answer = post(stand_in, "/control", &[], &mode).expect("the control answers");
--- a/crates/cuminbank-entry/tests/support/platform.rs
+++ b/crates/cuminbank-entry/tests/support/platform.rs
@@ -1,7 +1,8 @@
 //! The platform's stand-ins on a thread of the test.
 
 use std::{
-    collections::BTreeMap, future::pending, net::SocketAddr, sync::mpsc, thread, time::Instant,
+    collections::BTreeMap, future::pending, io::ErrorKind, net::SocketAddr, sync::mpsc, thread,
+    time::Instant,
 };
 
 use base64::{engine::general_purpose::STANDARD, Engine};
@@ -39,8 +40,9 @@
 }
 
 impl Platform {
-    /// Starts the stand-ins and stores the profiles.
-    pub fn start(ports: &PortBlock, machines: usize) -> Self {
+    /// Starts the stand-ins and stores the profiles. Returns nothing if another program on the
+    /// machine took a port of the block after it was found free.
+    pub fn start(ports: &PortBlock, machines: usize) -> Option<Self> {
         let settings = json!({
             "zones": ["dublin"], "machines_per_zone": machines, "first_port": ports.port(LIST),
             "list_lag_ms": 100, "usage_lag_ms": 100,
@@ -49,7 +51,7 @@
         let store = ports.address(STORE);
         let (sender, receiver) = mpsc::channel();
         thread::spawn(move || runtime::run(serve(store, settings, sender)));
-        let started = receiver.recv().expect("the stand-ins are up");
+        let started = receiver.recv().ok()?;
         let machine = |index: usize| LIST + 1 + 2 * index;
         let platform = Self {
             store,
@@ -59,7 +61,7 @@
             started,
         };
         PROFILES.iter().for_each(|profile| platform.put_profile(profile));
-        platform
+        Some(platform)
     }
 
     fn put_profile(&self, profile: &str) {
@@ -110,11 +112,14 @@
 }
 
 async fn serve(store: SocketAddr, settings: FleetSettings, ready: mpsc::Sender<Instant>) {
-    let listener = runtime::listen(store).expect("the port is free");
+    let Ok(listener) = runtime::listen(store) else { return };
     monoio::spawn(StoreServer::new(StoreLimits::default(), 1).serve(listener));
     let started = Instant::now();
     let fleet = Fleet::new(&settings);
-    fleet.spawn().expect("the ports are free");
+    if let Err(error) = fleet.spawn() {
+        assert_eq!(error.kind(), ErrorKind::AddrInUse, "{error}");
+        return;
+    }
     ready.send(started).expect("the test waits");
     pending::<()>().await;
 }
