Remove repeated code of task groups

Cause: TaskPart passed the ends of exchanges with workers and with the store to its groups in two equal loops, and each step that fills a segment was given the time of the segment beside the segment.

Before: two loops in reducer/tasks/mod.rs; an argument `at_ms` on add_ends, add_submissions, add_cancels, add_starts and add_entry. After: TaskPart::pass_end serves both exchanges, and SegmentWrite holds `at_ms`.

--- a/crates/cuminbank/src/reducer/tasks/journal.rs
+++ b/crates/cuminbank/src/reducer/tasks/journal.rs
@@ -100,6 +100,8 @@
 /// A segment that is being written.
 #[derive(Debug, Default)]
 pub(super) struct SegmentWrite {
+    /// Time of day of its changes, for display.
+    pub(super) at_ms: u64,
     pub(super) entries: Vec<JournalEntry>,
     pub(super) bytes: usize,
     pub(super) workers: Vec<TargetName>,
--- a/crates/cuminbank/src/reducer/tasks/mod.rs
+++ b/crates/cuminbank/src/reducer/tasks/mod.rs
@@ -264,16 +264,9 @@
         exchange: ExchangeId,
         result: Result<WorkerReply, ExchangeError>,
     ) {
-        let models = &mut self.models;
-        for (index, group) in &mut self.groups {
-            let taken = with_scene(view, step.now(), *index, |scene| {
-                group.on_worker_ended(step, scene, models, exchange, &result)
-            });
-            if taken {
-                break;
-            }
-        }
-        self.count_samples(records);
+        self.pass_end(step, view, records, |group, step, scene, models| {
+            group.on_worker_ended(step, scene, models, exchange, &result)
+        });
     }
 
     /// Handles the end of an exchange with the store.
@@ -285,11 +278,22 @@
         exchange: ExchangeId,
         result: Result<StoreReply, ExchangeError>,
     ) {
+        self.pass_end(step, view, records, |group, step, scene, _| {
+            group.on_store_ended(step, scene, exchange, &result)
+        });
+    }
+
+    /// Passes the end of an exchange to the groups until one takes it.
+    fn pass_end(
+        &mut self,
+        step: &mut StepContext,
+        view: TaskView<'_>,
+        records: &mut RecordPart,
+        take: impl Fn(&mut TaskGroup, &mut StepContext, &GroupScene<'_>, &mut TaskModels) -> bool,
+    ) {
+        let models = &mut self.models;
         for (index, group) in &mut self.groups {
-            let taken = with_scene(view, step.now(), *index, |scene| {
-                group.on_store_ended(step, scene, exchange, &result)
-            });
-            if taken {
+            if with_scene(view, step.now(), *index, |scene| take(group, step, scene, models)) {
                 break;
             }
         }
--- a/crates/cuminbank/src/reducer/tasks/segment.rs
+++ b/crates/cuminbank/src/reducer/tasks/segment.rs
@@ -26,11 +26,11 @@
         models: &TaskModels,
     ) {
         let at_ms = wall_ms(step);
-        let mut segment = SegmentWrite::default();
-        self.add_ends(step, scene, &mut segment, at_ms);
-        self.add_submissions(step, scene, &mut segment, at_ms);
-        self.add_cancels(step, scene, &mut segment, at_ms);
-        self.add_starts(step, scene, models, &mut segment, at_ms);
+        let mut segment = SegmentWrite { at_ms, ..SegmentWrite::default() };
+        self.add_ends(step, scene, &mut segment);
+        self.add_submissions(step, scene, &mut segment);
+        self.add_cancels(step, scene, &mut segment);
+        self.add_starts(step, scene, models, &mut segment);
         if segment.entries.is_empty() {
             self.settle_ends(&segment.workers);
             return;
@@ -48,17 +48,16 @@
         step: &mut StepContext,
         scene: &GroupScene<'_>,
         segment: &mut SegmentWrite,
-        at_ms: u64,
     ) {
         while segment.bytes < SEGMENT_BYTES {
             let Some((entry, worker)) = self.staged.entries.pop_front() else { return };
             self.staged.bytes = self.staged.bytes.saturating_sub(entry.weight());
             segment.workers.extend(worker);
-            self.note_doubled(step, &entry, at_ms);
+            self.note_doubled(step, &entry, segment.at_ms);
             let task = entry.task();
-            self.add_entry(step, scene, segment, entry, at_ms);
+            self.add_entry(step, scene, segment, entry);
             if let Some(reason) = self.give_up_reason(scene, task) {
-                self.add_entry(step, scene, segment, JournalEntry::Failed(task, reason), at_ms);
+                self.add_entry(step, scene, segment, JournalEntry::Failed(task, reason));
             }
         }
     }
@@ -68,16 +67,15 @@
         step: &mut StepContext,
         scene: &GroupScene<'_>,
         segment: &mut SegmentWrite,
-        at_ms: u64,
     ) {
         while segment.bytes < SEGMENT_BYTES {
             let Some((task, submission)) = self.staged.take_submission() else { return };
             let entry = JournalEntry::Accepted(task, submission.body);
-            self.add_entry(step, scene, segment, entry, at_ms);
+            self.add_entry(step, scene, segment, entry);
             segment.accepted.insert(task, submission.waiters);
             if submission.oversized {
                 let reason = "cannot run: larger than every worker".to_owned();
-                self.add_entry(step, scene, segment, JournalEntry::Failed(task, reason), at_ms);
+                self.add_entry(step, scene, segment, JournalEntry::Failed(task, reason));
             }
         }
     }
@@ -87,12 +85,10 @@
         step: &mut StepContext,
         scene: &GroupScene<'_>,
         segment: &mut SegmentWrite,
-        at_ms: u64,
     ) {
         while segment.bytes < SEGMENT_BYTES {
             let Some((task, waiters)) = self.staged.take_cancel() else { return };
-            let changed =
-                self.add_entry(step, scene, segment, JournalEntry::Cancelled(task), at_ms);
+            let changed = self.add_entry(step, scene, segment, JournalEntry::Cancelled(task));
             if changed || segment.before.contains_key(&task) {
                 segment.cancelled.insert(task, waiters);
             } else {
@@ -110,19 +106,18 @@
         scene: &GroupScene<'_>,
         segment: &mut SegmentWrite,
         entry: JournalEntry,
-        at_ms: u64,
     ) -> bool {
         let task = entry.task();
         let before = self.ledger.get(task);
         let resumes = before.is_some_and(|record| record.interrupted);
         let was_final = before.is_some_and(|record| record.state.is_final());
         let name = before.map_or("", |record| record.state.name());
-        if !self.apply(step, scene, &entry, at_ms) {
+        if !self.apply(step, scene, &entry, segment.at_ms) {
             return false;
         }
         segment.before.entry(task).or_insert(name);
         for mark in marks(&entry, resumes, was_final) {
-            segment.samples.extend(self.sample(task, mark, at_ms));
+            segment.samples.extend(self.sample(task, mark, segment.at_ms));
         }
         if let JournalEntry::Started(_, placement) = &entry {
             segment.starts.push((task, placement.attempt));
--- a/crates/cuminbank/src/reducer/tasks/starting.rs
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -51,7 +51,6 @@
         scene: &GroupScene<'_>,
         models: &TaskModels,
         segment: &mut SegmentWrite,
-        at_ms: u64,
     ) {
         let now = step.now();
         if now >= self.starts_at {
@@ -72,7 +71,7 @@
             match self.next_start(step, scene, models, &customer) {
                 Some((task, placement)) => {
                     let entry = JournalEntry::Started(task, placement);
-                    if !self.add_entry(step, scene, segment, entry, at_ms) {
+                    if !self.add_entry(step, scene, segment, entry) {
                         blocked.push(customer);
                     }
                 }
