--- a/crates/cuminbank/src/admission.rs
+++ b/crates/cuminbank/src/admission.rs
@@ -63,7 +63,7 @@
 
 /// Short or long calls.
 #[derive(Debug, Default)]
-struct QueueLane {
+struct QueueClass {
     flows: BTreeMap<CustomerName, CustomerFlow>,
     cost: Duration,
     count: usize,
@@ -76,13 +76,13 @@
 #[derive(Debug)]
 pub struct CallQueue<K> {
     order: QueueOrder,
-    lanes: [QueueLane; 2],
+    classes: [QueueClass; 2],
     items: HashMap<u64, QueueItem<K>>,
     by_latest_start: BTreeSet<(MonotonicTime, u64)>,
     sequence: u64,
 }
 
-impl QueueLane {
+impl QueueClass {
     fn push(&mut self, customer: &str, weight: u32, cost: Duration, place: (MonotonicTime, u64)) {
         let served_share = self.served_share;
         let flow = self.flows.entry(customer.to_owned()).or_default();
@@ -157,7 +157,7 @@
     pub fn new(order: QueueOrder) -> Self {
         Self {
             order,
-            lanes: Default::default(),
+            classes: Default::default(),
             items: HashMap::new(),
             by_latest_start: BTreeSet::new(),
             sequence: 0,
@@ -169,8 +169,8 @@
         let id = self.sequence;
         self.sequence += 1;
         let place = self.place(&item, id);
-        let (lane, customer) = (self.lane_of(&item), self.customer_of(&item));
-        self.lanes[lane].push(&customer, item.weight, item.cost, place);
+        let (class, customer) = (self.class_of(&item), self.customer_of(&item));
+        self.classes[class].push(&customer, item.weight, item.cost, place);
         self.by_latest_start.insert((item.latest_start, id));
         self.items.insert(id, item);
         id
@@ -178,7 +178,7 @@
 
     /// Returns the call to start next among short or long ones.
     pub fn first(&self, long: bool) -> Option<(u64, K)> {
-        let id = self.lanes[usize::from(long)].first()?;
+        let id = self.classes[usize::from(long)].first()?;
         Some((id, self.items[&id].key))
     }
 
@@ -217,20 +217,20 @@
 
     /// Returns the expected run time of all waiting short or long calls together.
     pub fn cost(&self, long: bool) -> Duration {
-        self.lanes[usize::from(long)].cost
+        self.classes[usize::from(long)].cost
     }
 
     /// Returns the expected run time of the calls ahead of a further call of a customer.
     pub fn backlog(&self, long: bool, customer: &str, weight: u32) -> Duration {
-        self.lanes[usize::from(long)].backlog(customer, weight)
+        self.classes[usize::from(long)].backlog(customer, weight)
     }
 
     fn take(&mut self, id: u64, served: bool) -> Option<QueueItem<K>> {
         let item = self.items.remove(&id)?;
         self.by_latest_start.remove(&(item.latest_start, id));
         let place = self.place(&item, id);
-        let (lane, customer) = (self.lane_of(&item), self.customer_of(&item));
-        self.lanes[lane].remove(&customer, item.cost, place, served);
+        let (class, customer) = (self.class_of(&item), self.customer_of(&item));
+        self.classes[class].remove(&customer, item.cost, place, served);
         Some(item)
     }
 
@@ -241,7 +241,7 @@
         }
     }
 
-    fn lane_of(&self, item: &QueueItem<K>) -> usize {
+    fn class_of(&self, item: &QueueItem<K>) -> usize {
         usize::from(item.long && self.order == QueueOrder::Deadline)
     }
 
--- a/crates/cuminbank/src/placement.rs
+++ b/crates/cuminbank/src/placement.rs
@@ -74,7 +74,7 @@
 
 /// Executors of a group that take calls.
 #[derive(Debug, Default)]
-struct GroupShelf {
+struct ExecutorIndex {
     open: LoadBuckets,
     open_long: LoadBuckets,
     accepting: Vec<ExecutorKey>,
@@ -85,10 +85,10 @@
 /// Bucket and position of an executor.
 type BucketPlace = (u32, u32);
 
-/// Where an executor is on the shelf of its group, and what it adds to the sums. Kept apart from
+/// Where an executor is in the index of its group, and what it adds to the sums. Kept apart from
 /// the executors, so that a change of one touches little memory of others.
 #[derive(Clone, Copy, Debug, Default)]
-struct ShelfPlace {
+struct IndexPlace {
     accepting: Option<u32>,
     open: Option<BucketPlace>,
     open_long: Option<BucketPlace>,
@@ -106,8 +106,8 @@
     holds: SlotMap<HoldKey, SlotHold>,
     by_name: HashMap<TargetName, ExecutorKey>,
     by_machine: HashMap<MachineName, BTreeSet<ExecutorKey>>,
-    shelves: BTreeMap<GroupIndex, GroupShelf>,
-    places: SecondaryMap<ExecutorKey, ShelfPlace>,
+    indexes: BTreeMap<GroupIndex, ExecutorIndex>,
+    places: SecondaryMap<ExecutorKey, IndexPlace>,
     long_limit: u32,
 }
 
@@ -173,7 +173,7 @@
             holds: SlotMap::with_key(),
             by_name: HashMap::new(),
             by_machine: HashMap::new(),
-            shelves: BTreeMap::new(),
+            indexes: BTreeMap::new(),
             places: SecondaryMap::new(),
             long_limit,
         }
@@ -212,7 +212,7 @@
             inherited: BTreeMap::new(),
             classes: BTreeMap::new(),
         });
-        self.places.insert(key, ShelfPlace::default());
+        self.places.insert(key, IndexPlace::default());
         self.by_name.insert(name, key);
         self.by_machine.entry(machine).or_default().insert(key);
         key
@@ -324,8 +324,8 @@
         rng: &mut impl Rng,
         mut slowdown: impl FnMut(&ExecutorSlots) -> f64,
     ) -> Option<ExecutorKey> {
-        let shelf = self.shelves.get(&query.group)?;
-        let buckets = if query.long { &shelf.open_long } else { &shelf.open };
+        let index = self.indexes.get(&query.group)?;
+        let buckets = if query.long { &index.open_long } else { &index.open };
         let mut best: Option<(f64, ExecutorKey)> = None;
         let mut weigh = |key: ExecutorKey| {
             let executor = &self.executors[key];
@@ -342,7 +342,7 @@
         buckets.least_loaded(LEAST_LOADED_CANDIDATES, rng, &mut weigh);
         if buckets.count > LEAST_LOADED_CANDIDATES {
             for _ in 0..RANDOM_CANDIDATES {
-                weigh(shelf.accepting[rng.random_range(0..shelf.accepting.len())]);
+                weigh(index.accepting[rng.random_range(0..index.accepting.len())]);
             }
         }
         best.map(|(_, key)| key)
@@ -350,7 +350,7 @@
 
     /// Returns the executor of a group with the fewest calls and a free slot.
     pub fn least_loaded(&self, query: PickQuery, rng: &mut impl Rng) -> Option<ExecutorKey> {
-        let open = &self.shelves.get(&query.group)?.open;
+        let open = &self.indexes.get(&query.group)?.open;
         let mut first = None;
         let mut other = None;
         open.least_loaded(2, rng, |key| {
@@ -362,34 +362,34 @@
 
     /// Returns any executor of a group that takes calls, full or not.
     pub fn random(&self, group: GroupIndex, rng: &mut impl Rng) -> Option<ExecutorKey> {
-        let accepting = &self.shelves.get(&group)?.accepting;
+        let accepting = &self.indexes.get(&group)?.accepting;
         (!accepting.is_empty()).then(|| accepting[rng.random_range(0..accepting.len())])
     }
 
     /// Tells whether an executor of a group has a free slot for a call.
     pub fn has_free(&self, group: GroupIndex, long: bool) -> bool {
-        self.shelves.get(&group).is_some_and(|shelf| {
-            let buckets = if long { &shelf.open_long } else { &shelf.open };
+        self.indexes.get(&group).is_some_and(|index| {
+            let buckets = if long { &index.open_long } else { &index.open };
             buckets.count > 0
         })
     }
 
     /// Returns the slots that own calls can use on the executors of a group that take calls.
     pub fn usable_slots(&self, group: GroupIndex) -> u64 {
-        self.shelves.get(&group).map_or(0, |shelf| shelf.slots)
+        self.indexes.get(&group).map_or(0, |index| index.slots)
     }
 
     /// Returns the slots that long calls can use.
     pub fn usable_long_slots(&self, group: GroupIndex) -> u64 {
         let limit = u64::from(self.long_limit);
-        self.shelves
+        self.indexes
             .get(&group)
-            .map_or(0, |shelf| shelf.slots.min(limit * shelf.accepting.len() as u64))
+            .map_or(0, |index| index.slots.min(limit * index.accepting.len() as u64))
     }
 
     /// Returns the slots that long calls hold on the executors of a group that take calls.
     pub fn long_held(&self, group: GroupIndex) -> u64 {
-        self.shelves.get(&group).map_or(0, |shelf| shelf.long)
+        self.indexes.get(&group).map_or(0, |index| index.long)
     }
 
     /// Returns the classes that run on the executors of a machine, with the number of calls.
@@ -408,14 +408,14 @@
         self.reindex(key);
     }
 
-    /// Takes an executor off the shelf of its group.
+    /// Takes an executor from the index of its group.
     fn unshelve(&mut self, key: ExecutorKey) {
         let accepting = self.executors[key].accepting;
         self.change(key, |executor| executor.accepting = false);
         self.executors[key].accepting = accepting;
     }
 
-    /// Moves an executor to where it belongs on the shelf of its group.
+    /// Moves an executor to where it belongs in the index of its group.
     fn reindex(&mut self, key: ExecutorKey) {
         let executor = &self.executors[key];
         let open = executor.is_open().then(|| executor.used());
@@ -423,34 +423,34 @@
         let accepting = executor.accepting;
         let slots = if accepting { own_slots(executor) } else { 0 };
         let long = if accepting { executor.long } else { 0 };
-        let shelf = self.shelves.entry(executor.spec.group).or_default();
+        let index = self.indexes.entry(executor.spec.group).or_default();
         let places = &mut self.places;
         let place = places[key];
-        shelf.slots = shelf.slots + u64::from(slots) - u64::from(place.slots);
-        shelf.long = shelf.long + u64::from(long) - u64::from(place.long);
+        index.slots = index.slots + u64::from(slots) - u64::from(place.slots);
+        index.long = index.long + u64::from(long) - u64::from(place.long);
         if place.accepting.is_some() != accepting {
-            let new = shelf.set_accepting(key, place.accepting, places);
+            let new = index.set_accepting(key, place.accepting, places);
             places[key].accepting = new;
         }
-        let open = shelf.open.relocate(key, place.open, open, |moved, place| {
+        let open = index.open.relocate(key, place.open, open, |moved, place| {
             places[moved].open = Some(place);
         });
         let open_long =
-            shelf.open_long.relocate(key, place.open_long, open_long, |moved, place| {
+            index.open_long.relocate(key, place.open_long, open_long, |moved, place| {
                 places[moved].open_long = Some(place);
             });
         let accepting = places[key].accepting;
-        places[key] = ShelfPlace { accepting, open, open_long, slots, long };
+        places[key] = IndexPlace { accepting, open, open_long, slots, long };
     }
 }
 
-impl GroupShelf {
+impl ExecutorIndex {
     /// Adds an executor that was not in the list, or removes it; returns its new position.
     fn set_accepting(
         &mut self,
         key: ExecutorKey,
         position: Option<u32>,
-        places: &mut SecondaryMap<ExecutorKey, ShelfPlace>,
+        places: &mut SecondaryMap<ExecutorKey, IndexPlace>,
     ) -> Option<u32> {
         let Some(position) = position else {
             self.accepting.push(key);
--- a/crates/cuminbank/src/reducer/calls/answers.rs
+++ b/crates/cuminbank/src/reducer/calls/answers.rs
@@ -58,7 +58,7 @@
         waiter: CallWaiter,
         answer: CallerAnswer,
     ) {
-        let waits = self.owed.settle(waiter.reply);
+        let waits = self.replies.settle(waiter.reply);
         if waiter.origin == WaiterOrigin::Peer {
             let answer = PeerReply::Answer(answer);
             step.push(EntryEffect::AnswerPeer { reply: waiter.reply, answer });
@@ -72,7 +72,7 @@
 
     /// Tells a peer that nothing was done, so that it may ask another owner.
     pub(super) fn return_to_peer(&mut self, step: &mut StepContext, waiter: &CallWaiter) {
-        self.owed.settle(waiter.reply);
+        self.replies.settle(waiter.reply);
         let answer = PeerReply::NotOwner;
         step.push(EntryEffect::AnswerPeer { reply: waiter.reply, answer });
     }
--- a/crates/cuminbank/src/reducer/calls/dispatch.rs
+++ b/crates/cuminbank/src/reducer/calls/dispatch.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{
-    state::{CallKey, CallStage, DispatchFlight, LostCall},
+    state::{CallKey, CallStage, LostCall, PendingDispatch},
     CallContext, CallPart, TRANSIT_BOUND,
 };
 
@@ -51,9 +51,9 @@
         });
         self.health.note_start(&spec.name, now);
         if let Some(watch) = self.watches.get_mut(executor) {
-            watch.flights.insert(call_id.clone(), exchange);
+            watch.dispatches.insert(call_id.clone(), exchange);
         }
-        let flight = DispatchFlight {
+        let dispatch = PendingDispatch {
             call: key,
             executor,
             hold,
@@ -62,7 +62,7 @@
             valid_until,
             aborting: false,
         };
-        self.flights.insert(exchange, flight);
+        self.dispatches.insert(exchange, dispatch);
         self.unlabelled.push_back((now, exchange));
         self.count_wait(context, key, long);
         self.refresh(executor, now);
@@ -92,21 +92,21 @@
         exchange: ExchangeId,
         result: Result<ExecutorAnswer, ExchangeError>,
     ) {
-        let Some(flight) = self.flights.remove(&exchange) else { return };
-        if let Some(watch) = self.watches.get_mut(flight.executor) {
-            watch.flights.remove(&flight.call_id);
+        let Some(dispatch) = self.dispatches.remove(&exchange) else { return };
+        if let Some(watch) = self.watches.get_mut(dispatch.executor) {
+            watch.dispatches.remove(&dispatch.call_id);
         }
-        let executor = flight.executor;
+        let executor = dispatch.executor;
         let group = self.executors.get(executor).map(|slots| slots.spec.group);
         match result {
-            Ok(answer) => self.end_answered(context, &flight, answer),
-            Err(ExchangeError::NotSent) => self.end_not_sent(context, &flight),
+            Ok(answer) => self.end_answered(context, &dispatch, answer),
+            Err(ExchangeError::NotSent) => self.end_not_sent(context, &dispatch),
             Err(ExchangeError::Refused(_)) => {
-                self.executors.release(flight.hold);
-                self.judge(context, &flight, false);
-                self.retry_refused(context, flight.call);
+                self.executors.release(dispatch.hold);
+                self.judge(context, &dispatch, false);
+                self.retry_refused(context, dispatch.call);
             }
-            Err(ExchangeError::Lost) => self.end_lost(context, flight),
+            Err(ExchangeError::Lost) => self.end_lost(context, dispatch),
         }
         self.refresh(executor, context.now());
         self.remove_if_ended(executor);
@@ -118,16 +118,16 @@
     fn end_answered(
         &mut self,
         context: &mut CallContext<'_>,
-        flight: &DispatchFlight,
+        dispatch: &PendingDispatch,
         answer: ExecutorAnswer,
     ) {
-        self.executors.release(flight.hold);
+        self.executors.release(dispatch.hold);
         let failed = answer.status >= 500;
-        self.judge(context, flight, !failed);
-        let key = flight.call;
+        self.judge(context, dispatch, !failed);
+        let key = dispatch.call;
         let Some(record) = self.calls.get_mut(key) else { return };
         record.bytes_left = true;
-        record.avoid = failed.then_some(flight.executor);
+        record.avoid = failed.then_some(dispatch.executor);
         if answer.status == REFUSED_STATUS {
             self.retry_refused(context, key);
             return;
@@ -145,30 +145,30 @@
         self.finish(context, key, answer);
     }
 
-    fn end_not_sent(&mut self, context: &mut CallContext<'_>, flight: &DispatchFlight) {
+    fn end_not_sent(&mut self, context: &mut CallContext<'_>, dispatch: &PendingDispatch) {
         let now = context.now();
-        self.executors.release(flight.hold);
-        if now < flight.valid_until {
+        self.executors.release(dispatch.hold);
+        if now < dispatch.valid_until {
             // No connection: the executor gets no further calls until a probe succeeds.
-            self.judge(context, flight, false);
-            self.set_silent(flight.executor, now);
-        } else if let Some(slots) = self.executors.get(flight.executor) {
+            self.judge(context, dispatch, false);
+            self.set_silent(dispatch.executor, now);
+        } else if let Some(slots) = self.executors.get(dispatch.executor) {
             // The right to act had ended, which says nothing about the executor.
             self.health.note_unjudged(&slots.spec.name);
         }
-        if let Some(record) = self.calls.get_mut(flight.call) {
-            record.avoid = Some(flight.executor);
+        if let Some(record) = self.calls.get_mut(dispatch.call) {
+            record.avoid = Some(dispatch.executor);
         }
-        self.requeue(context, flight.call);
+        self.requeue(context, dispatch.call);
     }
 
     /// Handles a lost answer. The slot stays held until a probe shows that the call does not run.
-    fn end_lost(&mut self, context: &mut CallContext<'_>, flight: DispatchFlight) {
+    fn end_lost(&mut self, context: &mut CallContext<'_>, dispatch: PendingDispatch) {
         let now = context.now();
-        self.judge(context, &flight, false);
-        self.set_silent(flight.executor, now);
-        let DispatchFlight { call: key, executor, hold, call_id, started, valid_until, .. } =
-            flight;
+        self.judge(context, &dispatch, false);
+        self.set_silent(dispatch.executor, now);
+        let PendingDispatch { call: key, executor, hold, call_id, started, valid_until, .. } =
+            dispatch;
         let Some(record) = self.calls.get_mut(key) else { return };
         record.bytes_left = true;
         record.fallback = None;
@@ -245,14 +245,14 @@
     pub(super) fn label_long_calls(&mut self, now: MonotonicTime) {
         let Some(limit) = self.runtimes.long_limit() else { return };
         while let Some(&(started, exchange)) = self.unlabelled.front() {
-            let Some(flight) = self.flights.get(&exchange) else {
+            let Some(dispatch) = self.dispatches.get(&exchange) else {
                 self.unlabelled.pop_front();
                 continue;
             };
             if now.saturating_sub(started) <= limit {
                 return;
             }
-            self.executors.mark_long(flight.hold);
+            self.executors.mark_long(dispatch.hold);
             self.unlabelled.pop_front();
         }
     }
--- a/crates/cuminbank/src/reducer/calls/executors.rs
+++ b/crates/cuminbank/src/reducer/calls/executors.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    state::{DispatchFlight, ExecutorWatch},
+    state::{ExecutorWatch, PendingDispatch},
     CallContext, CallPart,
 };
 
@@ -92,7 +92,7 @@
             return;
         };
         let owned = self.terms.contains_key(&executor.spec.group);
-        if (owned && !watch.ended) || !watch.flights.is_empty() || !watch.lost.is_empty() {
+        if (owned && !watch.ended) || !watch.dispatches.is_empty() || !watch.lost.is_empty() {
             return;
         }
         let name = executor.spec.name.clone();
@@ -154,12 +154,12 @@
     pub(super) fn judge(
         &mut self,
         context: &mut CallContext<'_>,
-        flight: &DispatchFlight,
+        dispatch: &PendingDispatch,
         succeeded: bool,
     ) {
         let now = context.now();
-        let Some(executor) = self.executors.get(flight.executor) else { return };
-        let Some(record) = self.calls.get(flight.call) else { return };
+        let Some(executor) = self.executors.get(dispatch.executor) else { return };
+        let Some(record) = self.calls.get(dispatch.call) else { return };
         let (name, class) = (&executor.spec.name, &record.call.class);
         let change = if succeeded {
             self.health.record_success(name, class, now)
--- a/crates/cuminbank/src/reducer/calls/forwarding.rs
+++ b/crates/cuminbank/src/reducer/calls/forwarding.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    state::{CallWaiter, ForwardFlight, PendingCall},
+    state::{CallWaiter, PendingCall, PendingForward},
     CallContext, CallPart,
 };
 
@@ -101,7 +101,7 @@
             timeout: timeout + FORWARD_SLACK,
         });
         *self.underway.entry(group).or_default() += 1;
-        self.forwards.insert(exchange, ForwardFlight { waiter, call, group });
+        self.forwards.insert(exchange, PendingForward { waiter, call, group });
     }
 
     /// Keeps a caller's call until an owner is known or its deadline can no longer be met.
@@ -121,10 +121,10 @@
         &mut self,
         step: &mut StepContext,
         records: &mut RecordPart,
-        flight: ForwardFlight,
+        forward: PendingForward,
         result: Result<PeerReply, ExchangeError>,
     ) {
-        let ForwardFlight { waiter, call, group } = flight;
+        let PendingForward { waiter, call, group } = forward;
         if let Some(count) = self.underway.get_mut(&group) {
             *count = count.saturating_sub(1);
         }
@@ -147,7 +147,7 @@
     pub(super) fn route_pending(&mut self, context: &mut CallContext<'_>) {
         let now = context.now();
         for pending in std::mem::take(&mut self.pending) {
-            let gone = self.owed.is_gone(pending.waiter.reply);
+            let gone = self.replies.is_gone(pending.waiter.reply);
             if gone || pending.give_up_at < now {
                 self.give_up_pending(context, pending);
             } else if pending.retry_at <= now {
@@ -203,7 +203,7 @@
             request,
             timeout: TICKET_TIMEOUT,
         });
-        self.owed.add(reply);
+        self.replies.add(reply);
         self.ticket_forwards.insert(exchange, reply);
     }
 
@@ -247,7 +247,7 @@
         reply: ReplyId,
         result: Result<PeerReply, ExchangeError>,
     ) {
-        if !self.owed.settle(reply) {
+        if !self.replies.settle(reply) {
             return;
         }
         match result {
--- a/crates/cuminbank/src/reducer/calls/mod.rs
+++ b/crates/cuminbank/src/reducer/calls/mod.rs
@@ -35,8 +35,8 @@
 
 use self::{
     state::{
-        CallRecord, CallWaiter, DispatchFlight, ExecutorWatch, ForwardFlight, GroupTerm,
-        OwedReplies, PendingCall, ProbeFlight, WaiterOrigin,
+        CallRecord, CallWaiter, ExecutorWatch, GroupTerm, OutstandingReplies, PendingCall,
+        PendingDispatch, PendingForward, PendingProbe, WaiterOrigin,
     },
     tickets::TicketTable,
 };
@@ -72,22 +72,22 @@
     zone: ZoneName,
     policy: PlacementPolicy,
     calls: SlotMap<CallKey, CallRecord>,
-    owed: OwedReplies,
+    replies: OutstandingReplies,
     terms: BTreeMap<GroupIndex, GroupTerm>,
     ended: BTreeMap<GroupIndex, EndedTerm>,
     executors: SlotLedger,
     watches: SecondaryMap<ExecutorKey, ExecutorWatch>,
     probe_times: BTreeSet<(MonotonicTime, ExecutorKey)>,
-    probes: HashMap<ExchangeId, ProbeFlight>,
+    probes: HashMap<ExchangeId, PendingProbe>,
     gate_times: BTreeSet<(MonotonicTime, ExecutorKey)>,
-    flights: HashMap<ExchangeId, DispatchFlight>,
+    dispatches: HashMap<ExchangeId, PendingDispatch>,
     /// Dispatches in the order of their start, to find those that have become long.
     unlabelled: VecDeque<(MonotonicTime, ExchangeId)>,
     /// Dispatches to abort at a time, unless their answer arrives before.
     aborts: BTreeSet<(MonotonicTime, ExchangeId)>,
     /// Calls whose lost answer has to be settled by a time.
     settling: BTreeSet<(MonotonicTime, CallKey)>,
-    forwards: HashMap<ExchangeId, ForwardFlight>,
+    forwards: HashMap<ExchangeId, PendingForward>,
     /// Number of calls that peers serve, for each group.
     underway: HashMap<GroupIndex, u32>,
     ticket_forwards: HashMap<ExchangeId, ReplyId>,
@@ -110,7 +110,7 @@
             zone: settings.zone.clone(),
             policy: settings.policy,
             calls: SlotMap::with_key(),
-            owed: OwedReplies::default(),
+            replies: OutstandingReplies::default(),
             terms: BTreeMap::new(),
             ended: BTreeMap::new(),
             executors: SlotLedger::new(long_limit),
@@ -118,7 +118,7 @@
             probe_times: BTreeSet::new(),
             probes: HashMap::new(),
             gate_times: BTreeSet::new(),
-            flights: HashMap::new(),
+            dispatches: HashMap::new(),
             unlabelled: VecDeque::new(),
             aborts: BTreeSet::new(),
             settling: BTreeSet::new(),
@@ -144,7 +144,7 @@
     ) {
         let waiter = CallWaiter::new(WaiterOrigin::Caller, reply, &call, step.now())
             .with_profile(view.config.profile(&call.profile));
-        self.owed.add(reply);
+        self.replies.add(reply);
         self.route(&mut CallContext { step, view, records }, waiter, call);
     }
 
@@ -162,7 +162,7 @@
         let arrived = step.now().saturating_sub(waited);
         let waiter = CallWaiter::new(WaiterOrigin::Peer, reply, &call, arrived)
             .with_profile(view.config.profile(&call.profile));
-        self.owed.add(reply);
+        self.replies.add(reply);
         self.accept_forwarded(&mut CallContext { step, view, records }, waiter, group, call);
     }
 
@@ -194,7 +194,7 @@
 
     /// Forgets a caller that closed its connection.
     pub fn on_caller_gone(&mut self, _step: &mut StepContext, reply: ReplyId) {
-        self.owed.set_gone(reply);
+        self.replies.set_gone(reply);
     }
 
     /// Handles the end of a dispatch.
@@ -231,8 +231,8 @@
     ) {
         if let Some(reply) = self.ticket_forwards.remove(&exchange) {
             self.end_ticket_forward(step, reply, result);
-        } else if let Some(flight) = self.forwards.remove(&exchange) {
-            self.end_forward(step, records, flight, result);
+        } else if let Some(forward) = self.forwards.remove(&exchange) {
+            self.end_forward(step, records, forward, result);
         }
     }
 
--- a/crates/cuminbank/src/reducer/calls/probes.rs
+++ b/crates/cuminbank/src/reducer/calls/probes.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{
-    state::{ExecutorWatch, ProbeFlight},
+    state::{ExecutorWatch, PendingProbe},
     CallContext, CallPart,
 };
 
@@ -67,7 +67,7 @@
             address: executor.spec.address,
             timeout: PROBE_TIMEOUT,
         });
-        self.probes.insert(exchange, ProbeFlight { executor: key, sent_at: context.now() });
+        self.probes.insert(exchange, PendingProbe { executor: key, sent_at: context.now() });
     }
 
     /// Handles the end of a probe.
@@ -77,7 +77,7 @@
         exchange: ExchangeId,
         result: Result<Vec<String>, ExchangeError>,
     ) {
-        let Some(ProbeFlight { executor: key, sent_at }) = self.probes.remove(&exchange) else {
+        let Some(PendingProbe { executor: key, sent_at }) = self.probes.remove(&exchange) else {
             return;
         };
         let Some(watch) = self.watches.get_mut(key) else { return };
@@ -163,11 +163,11 @@
         sent_at: MonotonicTime,
     ) {
         let Some(watch) = self.watches.get(key) else { return };
-        for (call_id, exchange) in &watch.flights {
-            let Some(flight) = self.flights.get_mut(exchange) else { continue };
-            let silent = flight.started + SILENCE <= sent_at;
-            if silent && !flight.aborting && !ids.contains(call_id) {
-                flight.aborting = true;
+        for (call_id, exchange) in &watch.dispatches {
+            let Some(dispatch) = self.dispatches.get_mut(exchange) else { continue };
+            let silent = dispatch.started + SILENCE <= sent_at;
+            if silent && !dispatch.aborting && !ids.contains(call_id) {
+                dispatch.aborting = true;
                 self.aborts.insert((context.step.now() + ABORT_GRACE, *exchange));
             }
         }
@@ -180,9 +180,9 @@
                 return;
             }
             self.aborts.pop_first();
-            let Some(flight) = self.flights.get(&exchange) else { continue };
-            let name = self.executors.get(flight.executor).map(|slots| slots.spec.name.as_str());
-            let detail = format!("executor {}, call {}", name.unwrap_or("?"), flight.call_id);
+            let Some(dispatch) = self.dispatches.get(&exchange) else { continue };
+            let name = self.executors.get(dispatch.executor).map(|slots| slots.spec.name.as_str());
+            let detail = format!("executor {}, call {}", name.unwrap_or("?"), dispatch.call_id);
             context.step.log(log::CONNECTION_SILENT, detail);
             context.step.push(EntryEffect::AbortDispatch { exchange });
         }
@@ -218,7 +218,7 @@
     group: GroupIndex,
     epoch: OwnerEpoch,
 ) -> bool {
-    if watch.flights.contains_key(id) || watch.lost.iter().any(|call| call.call_id == id) {
+    if watch.dispatches.contains_key(id) || watch.lost.iter().any(|call| call.call_id == id) {
         return true;
     }
     id.parse::<RequestTicket>().is_ok_and(|id| {
--- a/crates/cuminbank/src/reducer/calls/queueing.rs
+++ b/crates/cuminbank/src/reducer/calls/queueing.rs
@@ -209,7 +209,7 @@
     ) {
         let Some(record) = self.calls.get(key) else { return };
         let abandoned = record.call.ticket.is_none()
-            && record.waiters.iter().all(|waiter| self.owed.is_gone(waiter.reply));
+            && record.waiters.iter().all(|waiter| self.replies.is_gone(waiter.reply));
         if abandoned {
             self.give_up(context, key, "the caller closed its connection before the start");
             return;
--- a/crates/cuminbank/src/reducer/calls/state.rs
+++ b/crates/cuminbank/src/reducer/calls/state.rs
@@ -114,7 +114,7 @@
 
 /// A dispatch in progress.
 #[derive(Debug)]
-pub(super) struct DispatchFlight {
+pub(super) struct PendingDispatch {
     pub call: CallKey,
     pub executor: ExecutorKey,
     pub hold: HoldKey,
@@ -137,7 +137,7 @@
 /// An executor under watch.
 #[derive(Debug, Default)]
 pub(super) struct ExecutorWatch {
-    pub flights: BTreeMap<String, ExchangeId>,
+    pub dispatches: BTreeMap<String, ExchangeId>,
     pub lost: Vec<LostCall>,
     /// First call of the term that was sent after the watch began. A listed one with a lower
     /// number was sent to an earlier executor of this name that the platform reported as ended.
@@ -155,14 +155,14 @@
 
 /// A probe in progress.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ProbeFlight {
+pub(super) struct PendingProbe {
     pub executor: ExecutorKey,
     pub sent_at: MonotonicTime,
 }
 
 /// A call that a peer serves.
 #[derive(Debug)]
-pub(super) struct ForwardFlight {
+pub(super) struct PendingForward {
     pub waiter: CallWaiter,
     pub call: CallRequest,
     pub group: GroupIndex,
@@ -214,20 +214,20 @@
     }
 }
 
-/// Replies that are owed, so that a caller that is gone gets no answer.
+/// Replies that are outstanding, so that a caller that is gone gets no answer.
 #[derive(Debug, Default)]
-pub(super) struct OwedReplies {
-    owed: HashSet<ReplyId>,
+pub(super) struct OutstandingReplies {
+    waiting: HashSet<ReplyId>,
     gone: HashSet<ReplyId>,
 }
 
-impl OwedReplies {
+impl OutstandingReplies {
     pub fn add(&mut self, reply: ReplyId) {
-        self.owed.insert(reply);
+        self.waiting.insert(reply);
     }
 
     pub fn set_gone(&mut self, reply: ReplyId) {
-        if self.owed.contains(&reply) {
+        if self.waiting.contains(&reply) {
             self.gone.insert(reply);
         }
     }
@@ -238,7 +238,7 @@
 
     /// Notes that the reply is given; returns whether somebody still waits for it.
     pub fn settle(&mut self, reply: ReplyId) -> bool {
-        self.owed.remove(&reply);
+        self.waiting.remove(&reply);
         !self.gone.remove(&reply)
     }
 }
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -93,7 +93,7 @@
     /// Whether the planned stop is complete but for requests that were read since.
     exiting: bool,
     /// Replies that callers and peers wait for, and whether a peer does.
-    owed: BTreeMap<ReplyId, bool>,
+    outstanding: BTreeMap<ReplyId, bool>,
 }
 
 impl EntryReducer {
@@ -108,7 +108,7 @@
             records: RecordPart::new(&settings, start),
             step: StepContext::new(settings, start),
             exiting: false,
-            owed: BTreeMap::new(),
+            outstanding: BTreeMap::new(),
         }
     }
 
@@ -122,7 +122,7 @@
     /// Applies an event that happened at `now` and returns what has to be done.
     pub fn apply(&mut self, now: MonotonicTime, event: EntryEvent) -> Vec<EntryEffect> {
         self.step.begin(now);
-        self.note_owed(&event);
+        self.note_outstanding(&event);
         self.route(event);
         for observation in self.step.take_observations() {
             self.groups.observe_target(&mut self.step, &observation);
@@ -133,25 +133,25 @@
             if let EntryEffect::Answer { reply, .. } | EntryEffect::AnswerPeer { reply, .. } =
                 effect
             {
-                self.owed.remove(reply);
+                self.outstanding.remove(reply);
             }
         }
         self.hold_exit(effects)
     }
 
-    fn note_owed(&mut self, event: &EntryEvent) {
+    fn note_outstanding(&mut self, event: &EntryEvent) {
         match event {
             EntryEvent::CallArrived { reply, .. }
             | EntryEvent::TaskArrived { reply, .. }
             | EntryEvent::TaskQueried { reply, .. }
             | EntryEvent::TicketsWanted { reply, .. } => {
-                self.owed.insert(*reply, false);
+                self.outstanding.insert(*reply, false);
             }
             EntryEvent::PeerAsked { reply, .. } => {
-                self.owed.insert(*reply, true);
+                self.outstanding.insert(*reply, true);
             }
             EntryEvent::CallerGone { reply } => {
-                self.owed.remove(reply);
+                self.outstanding.remove(reply);
             }
             _ => {}
         }
@@ -167,11 +167,11 @@
         effects.retain(|effect| *effect != EntryEffect::Exit);
         self.exiting |= effects.len() < count;
         let overdue = self.step.now() >= self.records.exit_bound(&self.step);
-        if !self.exiting || !(overdue || self.owed.is_empty()) {
+        if !self.exiting || !(overdue || self.outstanding.is_empty()) {
             return effects;
         }
         self.exiting = false;
-        for (reply, is_peer) in std::mem::take(&mut self.owed) {
+        for (reply, is_peer) in std::mem::take(&mut self.outstanding) {
             let answer = CallerAnswer::new_unknown("the instance has to stop now");
             effects.push(match is_peer {
                 true => EntryEffect::AnswerPeer { reply, answer: PeerReply::Answer(answer) },
--- a/crates/cuminbank/src/reducer/tasks/eviction.rs
+++ b/crates/cuminbank/src/reducer/tasks/eviction.rs
@@ -12,7 +12,7 @@
 };
 
 use super::group::{
-    GroupExchange, GroupScene, RunPhase, StopReason, TaskGroup, TaskModels, AVOID_MACHINE,
+    GroupExchange, GroupView, RunPhase, StopReason, TaskGroup, TaskModels, AVOID_MACHINE,
     TRANSIT_BOUND,
 };
 
@@ -37,13 +37,13 @@
     /// with a further task if one is given.
     pub(super) fn worst_slowdown(
         &self,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
         name: &str,
         added: Option<(&str, f64)>,
     ) -> f64 {
         let Some(worker) = self.workers.get(name) else { return 1.0 };
-        let victims = (scene.classes_on)(&worker.machine);
+        let victims = (view.classes_on)(&worker.machine);
         if victims.is_empty() {
             return 1.0;
         }
@@ -58,7 +58,7 @@
     pub(super) fn take_usage(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &mut TaskModels,
         name: &str,
         report: &WorkerReport,
@@ -70,13 +70,13 @@
                 continue;
             }
             let reported = window.slowdowns.iter().map(|(_, value)| *value).fold(1.0, f64::max);
-            let slowdown = reported.max(self.worst_slowdown(scene, models, name, None));
+            let slowdown = reported.max(self.worst_slowdown(view, models, name, None));
             let Some(worker) = self.workers.get_mut(name) else { return };
             match worker.relief.on_report(step.now(), slowdown) {
                 RelievingStep::Keep => {}
-                RelievingStep::Throttle => self.throttle_worst(step, scene, models, name),
-                RelievingStep::Unthrottle => self.unthrottle(step, scene, name),
-                RelievingStep::Evict => self.evict_worst(step, scene, models, name),
+                RelievingStep::Throttle => self.throttle_worst(step, view, models, name),
+                RelievingStep::Unthrottle => self.unthrottle(step, view, name),
+                RelievingStep::Evict => self.evict_worst(step, view, models, name),
             }
         }
     }
@@ -105,14 +105,9 @@
     }
 
     /// Returns the running task of a worker that slows the urgent classes there most.
-    fn worst_task(
-        &self,
-        scene: &GroupScene<'_>,
-        models: &TaskModels,
-        name: &str,
-    ) -> Option<TaskId> {
+    fn worst_task(&self, view: &GroupView<'_>, models: &TaskModels, name: &str) -> Option<TaskId> {
         let worker = self.workers.get(name)?;
-        let victims = (scene.classes_on)(&worker.machine);
+        let victims = (view.classes_on)(&worker.machine);
         let harm = |task: &TaskId| {
             let run = self.runs.get(task)?;
             if run.phase != RunPhase::Running || run.stop.is_some() {
@@ -132,28 +127,28 @@
     fn throttle_worst(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
         name: &str,
     ) {
-        let task = self.worst_task(scene, models, name);
+        let task = self.worst_task(view, models, name);
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(task) = task else { return worker.relief.forget_throttle() };
         worker.throttled = Some(task);
-        self.set_share(step, scene, name, task, THROTTLED_PERCENT);
+        self.set_share(step, view, name, task, THROTTLED_PERCENT);
     }
 
-    fn unthrottle(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
+    fn unthrottle(&mut self, step: &mut StepContext, view: &GroupView<'_>, name: &str) {
         let throttled = self.workers.get_mut(name).and_then(|worker| worker.throttled.take());
         if let Some(task) = throttled {
-            self.set_share(step, scene, name, task, 100);
+            self.set_share(step, view, name, task, 100);
         }
     }
 
     pub(super) fn set_share(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         name: &str,
         task: TaskId,
         percent: u8,
@@ -165,33 +160,33 @@
         step.log(TASK_THROTTLED, format!("{wire_id} on {name}: {percent} %"));
         let request = WorkerRequest::Throttle { task: wire_id, attempt, percent };
         let exchange = GroupExchange::Throttle(name.to_owned());
-        self.call_worker(step, scene, name, request, exchange);
+        self.call_worker(step, view, name, request, exchange);
     }
 
     fn evict_worst(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
         name: &str,
     ) {
         let throttled = self.workers.get_mut(name).and_then(|worker| worker.throttled.take());
-        let Some(task) = throttled.or_else(|| self.worst_task(scene, models, name)) else { return };
+        let Some(task) = throttled.or_else(|| self.worst_task(view, models, name)) else { return };
         self.want_stop(task, StopReason::Evict);
-        self.try_stop(step, scene, task);
+        self.try_stop(step, view, task);
     }
 
     /// Checkpoints and stops all tasks of a leaving worker.
     pub(super) fn move_tasks_away(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         name: &str,
     ) {
         let Some(worker) = self.workers.get(name) else { return };
         for task in worker.runs.iter().copied().collect::<Vec<_>>() {
             self.want_stop(task, StopReason::Leave);
-            self.try_stop(step, scene, task);
+            self.try_stop(step, view, task);
         }
     }
 
@@ -202,28 +197,18 @@
     }
 
     /// Stops the attempts of a worker that are to be stopped and whose stop had no effect so far.
-    pub(super) fn retry_stops(
-        &mut self,
-        step: &mut StepContext,
-        scene: &GroupScene<'_>,
-        name: &str,
-    ) {
+    pub(super) fn retry_stops(&mut self, step: &mut StepContext, view: &GroupView<'_>, name: &str) {
         let Some(worker) = self.workers.get(name) else { return };
         let wanted = |task: &TaskId| self.runs.get(task).is_some_and(|run| run.stop.is_some());
         for task in worker.runs.iter().copied().filter(wanted).collect::<Vec<_>>() {
-            self.try_stop(step, scene, task);
+            self.try_stop(step, view, task);
         }
     }
 
     /// Sends the stop of a running attempt that is to be stopped. An eviction waits while the
     /// store does not confirm, since its checkpoint could not be committed; a cancellation or an
     /// end that is not committed yet waits for the commit.
-    pub(super) fn try_stop(
-        &mut self,
-        step: &mut StepContext,
-        scene: &GroupScene<'_>,
-        task: TaskId,
-    ) {
+    pub(super) fn try_stop(&mut self, step: &mut StepContext, view: &GroupView<'_>, task: TaskId) {
         let Some(run) = self.runs.get(&task) else { return };
         let Some(reason) = run.stop.filter(|_| run.phase == RunPhase::Running && !run.stopping)
         else {
@@ -238,7 +223,7 @@
         let checkpoint = reason != StopReason::Cancel;
         let request = WorkerRequest::Stop { task: self.wire_id(task), attempt, checkpoint };
         let exchange = GroupExchange::Stop(task, attempt, name.clone());
-        if self.call_worker(step, scene, &name, request, exchange).is_some() {
+        if self.call_worker(step, view, &name, request, exchange).is_some() {
             if let Some(run) = self.runs.get_mut(&task) {
                 run.stopping = true;
             }
--- a/crates/cuminbank/src/reducer/tasks/group.rs
+++ b/crates/cuminbank/src/reducer/tasks/group.rs
@@ -49,7 +49,7 @@
 
 /// What a group reads from the rest of the reducer in one step.
 #[derive(Clone, Copy)]
-pub struct GroupScene<'a> {
+pub struct GroupView<'a> {
     /// Until when the instance may act for the group.
     pub right_until: Option<MonotonicTime>,
     /// Returns a profile in force.
@@ -306,7 +306,7 @@
     pub fn on_target(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         target: &TargetEntry,
     ) {
         // First lists are spread over the second between two lists, by the name.
@@ -318,9 +318,9 @@
             self.queue.unpark();
         }
         self.start_wanted = true;
-        self.place_worker(step.now(), scene, None, &target.name);
+        self.place_worker(step.now(), view, None, &target.name);
         if target.state == crate::membership::TargetState::Leaving {
-            self.move_tasks_away(step, scene, &target.name);
+            self.move_tasks_away(step, view, &target.name);
         }
     }
 
@@ -333,14 +333,14 @@
     pub fn on_store_ended(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         exchange: ExchangeId,
         result: &Result<StoreReply, ExchangeError>,
     ) -> bool {
         match self.exchanges.remove(&exchange) {
-            Some(GroupExchange::Load) => self.on_loaded(step, scene, result),
-            Some(GroupExchange::Write) => self.on_written(step, scene, result),
-            Some(GroupExchange::Check) => self.on_checked(step, scene, result),
+            Some(GroupExchange::Load) => self.on_loaded(step, view, result),
+            Some(GroupExchange::Write) => self.on_written(step, view, result),
+            Some(GroupExchange::Check) => self.on_checked(step, view, result),
             _ => return false,
         }
         true
@@ -350,7 +350,7 @@
     pub fn on_worker_ended(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &mut TaskModels,
         exchange: ExchangeId,
         result: &Result<WorkerReply, ExchangeError>,
@@ -367,7 +367,7 @@
             }
             GroupExchange::List(worker, sent_at) => {
                 self.note_answer(step, &worker, result);
-                self.on_listed(step, scene, models, &worker, sent_at, result);
+                self.on_listed(step, view, models, &worker, sent_at, result);
             }
             GroupExchange::Stop(task, attempt, worker) => {
                 self.note_answer(step, &worker, result);
@@ -383,7 +383,7 @@
     pub fn on_tick(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &mut TaskModels,
     ) {
         if self.journal.fenced {
@@ -392,23 +392,23 @@
         if !self.journal.loaded {
             return self.load(step);
         }
-        self.expire_waiters(step, scene);
-        self.go_on_writing(step, scene, models);
-        self.send_starts(step, scene);
-        self.visit_due_workers(step, scene, models);
+        self.expire_waiters(step, view);
+        self.go_on_writing(step, view, models);
+        self.send_starts(step, view);
+        self.visit_due_workers(step, view, models);
     }
 
     /// Calls a worker. Returns the time by which all bytes have left, or `None` without the right.
     pub(super) fn call_worker(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         worker: &str,
         request: WorkerRequest,
         exchange: GroupExchange,
     ) -> Option<MonotonicTime> {
         let now = step.now();
-        let right = scene.right_until.filter(|until| *until > now)?;
+        let right = view.right_until.filter(|until| *until > now)?;
         let address = self.workers.get(worker)?.address;
         let valid_until = right.min(now + WORKER_WINDOW);
         let id = step.begin_exchange(ReducerPart::Tasks);
@@ -449,7 +449,7 @@
     pub(super) fn apply(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         entry: &JournalEntry,
         at_ms: u64,
     ) -> bool {
@@ -459,17 +459,17 @@
             return false;
         }
         match entry {
-            JournalEntry::Started(_, placement) => self.begin_run(step, scene, task, placement),
+            JournalEntry::Started(_, placement) => self.begin_run(step, view, task, placement),
             JournalEntry::NotRun(_, attempt)
             | JournalEntry::AttemptFailed(_, attempt, _)
             | JournalEntry::Interrupted(_, attempt, _)
             | JournalEntry::Evicted(_, attempt, _)
             | JournalEntry::Finished(_, attempt, _) => {
-                self.end_run(step.now(), scene, task, *attempt)
+                self.end_run(step.now(), view, task, *attempt)
             }
             JournalEntry::Accepted(..) | JournalEntry::Failed(..) | JournalEntry::Cancelled(_) => {}
         }
-        self.follow_state(step.now(), scene, task, before == Some(true));
+        self.follow_state(step.now(), view, task, before == Some(true));
         true
     }
 
@@ -477,14 +477,14 @@
     fn follow_state(
         &mut self,
         now: MonotonicTime,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         task: TaskId,
         was_final: bool,
     ) {
         let Some(record) = self.ledger.get(task) else { return };
         match record.state {
             TaskState::Queued => {
-                self.requeue(now, scene, task);
+                self.requeue(now, view, task);
                 self.start_wanted = true;
             }
             TaskState::Placed => self.queue.remove(task),
@@ -504,23 +504,23 @@
     fn begin_run(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         task: TaskId,
         placement: &Placement,
     ) {
         let now = step.now();
-        self.add_run(scene, task, placement, RunPhase::Committing, now + LEASE_LAPSED);
+        self.add_run(view, task, placement, RunPhase::Committing, now + LEASE_LAPSED);
         self.avoid.remove(&task);
         if let Some(worker) = self.workers.get_mut(&placement.worker) {
             worker.health.note_start(now, task);
         }
-        self.place_worker(now, scene, None, &placement.worker);
+        self.place_worker(now, view, None, &placement.worker);
     }
 
     /// Adds an attempt that occupies its worker.
     pub(super) fn add_run(
         &mut self,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         task: TaskId,
         placement: &Placement,
         phase: RunPhase,
@@ -529,7 +529,7 @@
         let Some(record) = self.ledger.get(task) else { return };
         let body = &record.body;
         let weight =
-            (scene.profile)(&body.profile).map_or(1, |profile| profile.weight(&body.customer));
+            (view.profile)(&body.profile).map_or(1, |profile| profile.weight(&body.customer));
         let charge = self.quota.charge(&body.customer, placement.reserved.millicores, weight);
         let run = TaskRun {
             placement: placement.clone(),
@@ -552,7 +552,7 @@
     fn end_run(
         &mut self,
         now: MonotonicTime,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         task: TaskId,
         attempt: AttemptNumber,
     ) {
@@ -566,7 +566,7 @@
             worker.class_changed.insert(run.class, now);
         }
         self.workers.release(&run.placement.worker, task, &run.placement.reserved);
-        self.place_worker(now, scene, None, &run.placement.worker);
+        self.place_worker(now, view, None, &run.placement.worker);
         self.start_wanted = true;
     }
 
@@ -575,11 +575,11 @@
     pub(super) fn place_worker(
         &mut self,
         now: MonotonicTime,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: Option<&TaskModels>,
         name: &str,
     ) {
-        let slowdown = models.map_or(1.0, |models| self.worst_slowdown(scene, models, name, None));
+        let slowdown = models.map_or(1.0, |models| self.worst_slowdown(view, models, name, None));
         self.workers.place(now, name, slowdown);
     }
 
--- a/crates/cuminbank/src/reducer/tasks/journal.rs
+++ b/crates/cuminbank/src/reducer/tasks/journal.rs
@@ -21,7 +21,7 @@
 };
 
 use super::{
-    group::{GroupExchange, GroupScene, TaskGroup, TaskModels, TaskSample, Waiter},
+    group::{GroupExchange, GroupView, TaskGroup, TaskModels, TaskSample, Waiter},
     snapshot::SnapshotPlan,
 };
 
@@ -176,7 +176,7 @@
     pub(super) fn go_on_writing(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &mut TaskModels,
     ) {
         let now = step.now();
@@ -193,7 +193,7 @@
         }
         let rested = self.journal.last_flush.is_none_or(|at| now >= at + JOURNAL_INTERVAL);
         if rested || self.staged.bytes >= SEGMENT_BYTES {
-            self.flush(step, scene, models);
+            self.flush(step, view, models);
         }
         if self.journal.write.is_none() {
             self.go_on_with_snapshot(step);
@@ -261,14 +261,14 @@
     pub(super) fn on_written(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         result: &Result<StoreReply, ExchangeError>,
     ) {
         match result {
-            Ok(StoreReply::Txn { succeeded: true, .. }) => self.on_committed(step, scene),
+            Ok(StoreReply::Txn { succeeded: true, .. }) => self.on_committed(step, view),
             Ok(StoreReply::Txn { values, .. }) => {
                 if self.is_written(values) {
-                    return self.on_committed(step, scene);
+                    return self.on_committed(step, view);
                 }
                 self.fence(step);
             }
@@ -282,14 +282,14 @@
     pub(super) fn on_checked(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         result: &Result<StoreReply, ExchangeError>,
     ) {
         let Ok(StoreReply::Range { values, .. }) = result else {
             return self.retry_write(step, true);
         };
         if self.is_written(values) {
-            return self.on_committed(step, scene);
+            return self.on_committed(step, view);
         }
         // The key is absent, or still holds an older value of a snapshot. Sending the same bytes
         // again is safe even if the first write is still under way: the comparison lets only one
@@ -318,13 +318,13 @@
         write.retry_at = Some(step.now() + RETRY_INTERVAL);
     }
 
-    fn on_committed(&mut self, step: &mut StepContext, scene: &GroupScene<'_>) {
+    fn on_committed(&mut self, step: &mut StepContext, view: &GroupView<'_>) {
         let Some(write) = self.journal.write.take() else { return };
         match write.kind {
             WriteKind::Segment(segment) => {
                 self.journal.segments.insert(self.journal.next);
                 self.journal.next += 1;
-                self.on_segment_committed(step, scene, *segment);
+                self.on_segment_committed(step, view, *segment);
             }
             WriteKind::Chunk => {
                 if let Some(plan) = &mut self.journal.plan {
@@ -375,7 +375,7 @@
     }
 
     /// Gives callers their final answer who have waited too long for the store.
-    pub(super) fn expire_waiters(&mut self, step: &mut StepContext, scene: &GroupScene<'_>) {
+    pub(super) fn expire_waiters(&mut self, step: &mut StepContext, view: &GroupView<'_>) {
         let now = step.now();
         if let Some((segment, since)) = self.journal.segment_mut() {
             if now >= since + WRITE_PATIENCE {
@@ -388,7 +388,7 @@
         }
         // Only with the right to act is a refusal final: without it the next owner may accept a
         // copy of the request.
-        let has_right = scene.right_until.is_some_and(|until| until > now);
+        let has_right = view.right_until.is_some_and(|until| until > now);
         let reason = "the store does not answer";
         let refusal = || match has_right {
             true => CallerAnswer::new_busy(reason, STORE_PATIENCE),
--- a/crates/cuminbank/src/reducer/tasks/loading.rs
+++ b/crates/cuminbank/src/reducer/tasks/loading.rs
@@ -11,7 +11,7 @@
     store::{StoreReply, StoreRequest},
 };
 
-use super::group::{GroupExchange, GroupScene, RunPhase, TaskGroup, LEASE_LAPSED};
+use super::group::{GroupExchange, GroupView, RunPhase, TaskGroup, LEASE_LAPSED};
 
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -29,14 +29,14 @@
     pub(super) fn on_loaded(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         result: &Result<StoreReply, ExchangeError>,
     ) {
         self.journal.loading = false;
         self.journal.retry_at = step.now() + RETRY_INTERVAL;
         let Ok(StoreReply::Range { values, .. }) = result else { return };
         match StoredLedger::read(&self.prefix(), values) {
-            Ok(stored) => self.adopt_ledger(step, scene, stored),
+            Ok(stored) => self.adopt_ledger(step, view, stored),
             Err(error) => {
                 let detail = format!("{}/{}: {error:?}", self.zone, self.group);
                 step.log(JOURNAL_UNREADABLE, detail);
@@ -44,12 +44,7 @@
         }
     }
 
-    fn adopt_ledger(
-        &mut self,
-        step: &mut StepContext,
-        scene: &GroupScene<'_>,
-        stored: StoredLedger,
-    ) {
+    fn adopt_ledger(&mut self, step: &mut StepContext, view: &GroupView<'_>, stored: StoredLedger) {
         let now = step.now();
         self.journal.loaded = true;
         self.journal.next = stored.next_segment();
@@ -59,7 +54,7 @@
         let mut ids: Vec<_> = self.ledger.tasks().map(|(task, _)| task).collect();
         ids.sort_unstable();
         for task in ids {
-            self.index_task(now, scene, task);
+            self.index_task(now, view, task);
         }
         self.retired.extend(self.ledger.retired().map(|task| (now, task)));
         self.start_wanted = true;
@@ -79,7 +74,7 @@
     fn index_task(
         &mut self,
         now: MonotonicTime,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         task: crate::ledger::TaskId,
     ) {
         let Some(record) = self.ledger.get(task) else { return };
@@ -87,10 +82,10 @@
         if let Some(placement) = record.placement.clone() {
             let lapse_at = self.taken_at + LEASE_LAPSED;
             let phase = RunPhase::Unsure(self.probe_from);
-            self.add_run(scene, task, &placement, phase, lapse_at);
+            self.add_run(view, task, &placement, phase, lapse_at);
         }
         if is_queued {
-            self.requeue(now, scene, task);
+            self.requeue(now, view, task);
         }
         if is_final {
             // Ends are not ordered by a common clock; counting from the takeover keeps them
--- a/crates/cuminbank/src/reducer/tasks/mod.rs
+++ b/crates/cuminbank/src/reducer/tasks/mod.rs
@@ -31,7 +31,7 @@
     worker::{ResourceSize, WorkerReply},
 };
 
-use self::group::{GroupScene, TaskGroup, TaskModels, Waiter, TRANSIT_BOUND};
+use self::group::{GroupView, TaskGroup, TaskModels, Waiter, TRANSIT_BOUND};
 
 use super::{
     groups::{GroupChange, GroupPart},
@@ -65,13 +65,13 @@
 }
 
 /// Calls a function with what a group reads from the other parts.
-fn with_scene<R>(
+fn with_group_view<R>(
     view: TaskView<'_>,
     now: MonotonicTime,
     group: GroupIndex,
-    run: impl FnOnce(&GroupScene<'_>) -> R,
+    run: impl FnOnce(&GroupView<'_>) -> R,
 ) -> R {
-    run(&GroupScene {
+    run(&GroupView {
         right_until: view.groups.right_until(group, now),
         profile: &|name| view.config.profile(name),
         classes_on: &|machine| view.calls.classes_on(machine),
@@ -151,7 +151,9 @@
     ) {
         let index = submission.ticket.group;
         let Some(group) = self.groups.get_mut(&index) else { return };
-        with_scene(view, step.now(), index, |scene| group.submit(step, scene, waiter, submission));
+        with_group_view(view, step.now(), index, |view| {
+            group.submit(step, view, waiter, submission)
+        });
         self.count_samples(records);
     }
 
@@ -264,8 +266,8 @@
         exchange: ExchangeId,
         result: Result<WorkerReply, ExchangeError>,
     ) {
-        self.pass_end(step, view, records, |group, step, scene, models| {
-            group.on_worker_ended(step, scene, models, exchange, &result)
+        self.pass_end(step, view, records, |group, step, view, models| {
+            group.on_worker_ended(step, view, models, exchange, &result)
         });
     }
 
@@ -278,8 +280,8 @@
         exchange: ExchangeId,
         result: Result<StoreReply, ExchangeError>,
     ) {
-        self.pass_end(step, view, records, |group, step, scene, _| {
-            group.on_store_ended(step, scene, exchange, &result)
+        self.pass_end(step, view, records, |group, step, view, _| {
+            group.on_store_ended(step, view, exchange, &result)
         });
     }
 
@@ -289,11 +291,11 @@
         step: &mut StepContext,
         view: TaskView<'_>,
         records: &mut RecordPart,
-        take: impl Fn(&mut TaskGroup, &mut StepContext, &GroupScene<'_>, &mut TaskModels) -> bool,
+        take: impl Fn(&mut TaskGroup, &mut StepContext, &GroupView<'_>, &mut TaskModels) -> bool,
     ) {
         let models = &mut self.models;
         for (index, group) in &mut self.groups {
-            if with_scene(view, step.now(), *index, |scene| take(group, step, scene, models)) {
+            if with_group_view(view, step.now(), *index, |view| take(group, step, view, models)) {
                 break;
             }
         }
@@ -332,10 +334,11 @@
         index: GroupIndex,
         mut group: TaskGroup,
     ) {
-        with_scene(view, step.now(), index, |scene| {
-            for (_, target) in view.groups.targets().in_group(index) {
+        let targets = view.groups.targets();
+        with_group_view(view, step.now(), index, |view| {
+            for (_, target) in targets.in_group(index) {
                 if matches!(target.role, ListedRole::Worker { .. }) {
-                    group.on_target(step, scene, target);
+                    group.on_target(step, view, target);
                 }
             }
         });
@@ -352,7 +355,7 @@
         let Some((_, target)) = view.groups.targets().by_name(name) else { return };
         let ListedRole::Worker { .. } = target.role else { return };
         let Some(group) = self.groups.get_mut(&target.group) else { return };
-        with_scene(view, step.now(), target.group, |scene| group.on_target(step, scene, target));
+        with_group_view(view, step.now(), target.group, |view| group.on_target(step, view, target));
     }
 
     /// Writes the journal, renews leases, starts, throttles and evicts tasks.
@@ -365,7 +368,7 @@
         self.reopen_fenced(step, view);
         let models = &mut self.models;
         for (index, group) in &mut self.groups {
-            with_scene(view, step.now(), *index, |scene| group.on_tick(step, scene, models));
+            with_group_view(view, step.now(), *index, |view| group.on_tick(step, view, models));
         }
         self.count_samples(records);
     }
--- a/crates/cuminbank/src/reducer/tasks/queries.rs
+++ b/crates/cuminbank/src/reducer/tasks/queries.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    group::{GroupScene, TaskGroup, Waiter},
+    group::{GroupView, TaskGroup, Waiter},
     journal::{StagedSubmission, STORE_PATIENCE},
 };
 
@@ -26,7 +26,7 @@
     pub fn submit(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         waiter: Waiter,
         submission: TaskSubmission,
     ) {
@@ -52,13 +52,13 @@
             let reason = "the ticket is of a former owner of its home; take a new one";
             return waiter.answer(step, CallerAnswer::new_busy(reason, RETRY_SOON));
         }
-        let refusal = self.refuse_state(step.now()).or_else(|| refuse_body(scene, &body));
+        let refusal = self.refuse_state(step.now()).or_else(|| refuse_body(view, &body));
         if let Some(refusal) = refusal {
             self.refused.insert(step.now(), task);
             return waiter.answer(step, refusal);
         }
         let oversized =
-            !self.workers.could_hold(&body.size) && (scene.could_hold)(&body.size) == Some(false);
+            !self.workers.could_hold(&body.size) && (view.could_hold)(&body.size) == Some(false);
         let since = step.now();
         let staged = StagedSubmission { body, oversized, waiters: vec![waiter], since };
         self.staged.submit(task, staged);
@@ -226,8 +226,8 @@
 }
 
 /// Returns why a body is refused.
-fn refuse_body(scene: &GroupScene<'_>, body: &TaskBody) -> Option<CallerAnswer> {
-    let Some(profile) = (scene.profile)(&body.profile) else {
+fn refuse_body(view: &GroupView<'_>, body: &TaskBody) -> Option<CallerAnswer> {
+    let Some(profile) = (view.profile)(&body.profile) else {
         return Some(CallerAnswer::new_not_run(404, "the profile does not exist"));
     };
     if profile.kind != WorkKind::Batch {
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -15,7 +15,7 @@
 };
 
 use super::group::{
-    GroupExchange, GroupScene, RunPhase, StopReason, TaskGroup, TaskModels, TaskRun, LEASE_LAPSED,
+    GroupExchange, GroupView, RunPhase, StopReason, TaskGroup, TaskModels, TaskRun, LEASE_LAPSED,
     TRANSIT_BOUND, WORKER_LEASE,
 };
 
@@ -41,19 +41,19 @@
     pub(super) fn visit_due_workers(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
     ) {
         let now = step.now();
         while let Some(name) = self.workers.take_due(now, now + VISIT_INTERVAL) {
             self.lapse_leases(now, &name, step.guards.lease_wait);
-            self.place_worker(now, scene, Some(models), &name);
+            self.place_worker(now, view, Some(models), &name);
             if self.workers.get(&name).is_none_or(|worker| worker.ended) || now < self.probe_from {
                 continue;
             }
-            self.renew(step, scene, &name);
-            self.list(step, scene, &name);
-            self.retry_stops(step, scene, &name);
+            self.renew(step, view, &name);
+            self.list(step, view, &name);
+            self.retry_stops(step, view, &name);
         }
     }
 
@@ -79,7 +79,7 @@
         }
     }
 
-    fn renew(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
+    fn renew(&mut self, step: &mut StepContext, view: &GroupView<'_>, name: &str) {
         let now = step.now();
         let Some(worker) = self.workers.get(name) else { return };
         if worker.renewing || worker.is_silent(now) {
@@ -98,7 +98,7 @@
             tasks: tasks.iter().map(|(task, attempt)| (self.wire_id(*task), *attempt)).collect(),
         };
         let exchange = GroupExchange::Renew(name.to_owned(), tasks.clone());
-        let Some(valid_until) = self.call_worker(step, scene, name, request, exchange) else {
+        let Some(valid_until) = self.call_worker(step, view, name, request, exchange) else {
             return;
         };
         for (task, _) in tasks {
@@ -111,7 +111,7 @@
         }
     }
 
-    fn list(&mut self, step: &mut StepContext, scene: &GroupScene<'_>, name: &str) {
+    fn list(&mut self, step: &mut StepContext, view: &GroupView<'_>, name: &str) {
         let Some(worker) = self.workers.get(name) else { return };
         if worker.listing {
             return;
@@ -119,7 +119,7 @@
         let since = worker.durable_end;
         let exchange = GroupExchange::List(name.to_owned(), step.now());
         let request = WorkerRequest::List { since };
-        if self.call_worker(step, scene, name, request, exchange).is_none() {
+        if self.call_worker(step, view, name, request, exchange).is_none() {
             return;
         }
         if let Some(worker) = self.workers.get_mut(name) {
@@ -191,7 +191,7 @@
     pub(super) fn on_listed(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &mut TaskModels,
         name: &str,
         sent_at: MonotonicTime,
@@ -213,14 +213,14 @@
             step.observe(TargetObservation::Staying(name.to_owned()));
         }
         self.take_ends(step, name, &report.ended);
-        self.take_running(step, scene, name, sent_at, report);
+        self.take_running(step, view, name, sent_at, report);
         self.settle_missing(name, sent_at, report);
-        self.take_usage(step, scene, models, name, report);
+        self.take_usage(step, view, models, name, report);
         let state = self.workers.get(name).map(|worker| worker.state);
         if state == Some(TargetState::Leaving) {
-            self.move_tasks_away(step, scene, name);
+            self.move_tasks_away(step, view, name);
         }
-        self.place_worker(step.now(), scene, Some(models), name);
+        self.place_worker(step.now(), view, Some(models), name);
     }
 
     fn take_ends(&mut self, step: &mut StepContext, name: &str, ends: &[EndedTask]) {
@@ -298,7 +298,7 @@
     fn take_running(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         name: &str,
         sent_at: MonotonicTime,
         report: &WorkerReport,
@@ -309,18 +309,18 @@
             let confirmed = self.confirm_run(step, name, task, sent_at, running);
             if confirmed == RunMatch::Adopted {
                 // The last owner may have throttled it.
-                self.set_share(step, scene, name, task, 100);
+                self.set_share(step, view, name, task, 100);
             }
             if confirmed == RunMatch::Foreign {
                 let size = self.ledger.get(task).map(|record| record.body.size);
                 foreign = foreign.plus(&size.unwrap_or_default());
-                self.stop_foreign(step, scene, name, task, running.attempt);
+                self.stop_foreign(step, view, name, task, running.attempt);
             }
         }
         if let Some(worker) = self.workers.get_mut(name) {
             worker.foreign = foreign;
         }
-        self.retry_stops(step, scene, name);
+        self.retry_stops(step, view, name);
     }
 
     /// Notes that a worker runs an attempt.
@@ -359,14 +359,14 @@
     fn stop_foreign(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         name: &str,
         task: TaskId,
         attempt: AttemptNumber,
     ) {
         let request = WorkerRequest::Stop { task: self.wire_id(task), attempt, checkpoint: false };
         let exchange = GroupExchange::Stop(task, attempt, name.to_owned());
-        self.call_worker(step, scene, name, request, exchange);
+        self.call_worker(step, view, name, request, exchange);
     }
 
     /// Settles the attempts that the worker neither runs nor reported as ended.
--- a/crates/cuminbank/src/reducer/tasks/segment.rs
+++ b/crates/cuminbank/src/reducer/tasks/segment.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    group::{GroupScene, TaskGroup, TaskModels},
+    group::{GroupView, TaskGroup, TaskModels},
     journal::{SegmentWrite, WriteKind, SEGMENT_BYTES},
 };
 
@@ -22,15 +22,15 @@
     pub(super) fn flush(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
     ) {
         let at_ms = wall_ms(step);
         let mut segment = SegmentWrite { at_ms, ..SegmentWrite::default() };
-        self.add_ends(step, scene, &mut segment);
-        self.add_submissions(step, scene, &mut segment);
-        self.add_cancels(step, scene, &mut segment);
-        self.add_starts(step, scene, models, &mut segment);
+        self.add_ends(step, view, &mut segment);
+        self.add_submissions(step, view, &mut segment);
+        self.add_cancels(step, view, &mut segment);
+        self.add_starts(step, view, models, &mut segment);
         if segment.entries.is_empty() {
             self.settle_ends(&segment.workers);
             return;
@@ -46,7 +46,7 @@
     fn add_ends(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         segment: &mut SegmentWrite,
     ) {
         while segment.bytes < SEGMENT_BYTES {
@@ -55,9 +55,9 @@
             segment.workers.extend(worker);
             self.note_doubled(step, &entry, segment.at_ms);
             let task = entry.task();
-            self.add_entry(step, scene, segment, entry);
-            if let Some(reason) = self.give_up_reason(scene, task) {
-                self.add_entry(step, scene, segment, JournalEntry::Failed(task, reason));
+            self.add_entry(step, view, segment, entry);
+            if let Some(reason) = self.give_up_reason(view, task) {
+                self.add_entry(step, view, segment, JournalEntry::Failed(task, reason));
             }
         }
     }
@@ -65,17 +65,17 @@
     fn add_submissions(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         segment: &mut SegmentWrite,
     ) {
         while segment.bytes < SEGMENT_BYTES {
             let Some((task, submission)) = self.staged.take_submission() else { return };
             let entry = JournalEntry::Accepted(task, submission.body);
-            self.add_entry(step, scene, segment, entry);
+            self.add_entry(step, view, segment, entry);
             segment.accepted.insert(task, submission.waiters);
             if submission.oversized {
                 let reason = "cannot run: larger than every worker".to_owned();
-                self.add_entry(step, scene, segment, JournalEntry::Failed(task, reason));
+                self.add_entry(step, view, segment, JournalEntry::Failed(task, reason));
             }
         }
     }
@@ -83,12 +83,12 @@
     fn add_cancels(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         segment: &mut SegmentWrite,
     ) {
         while segment.bytes < SEGMENT_BYTES {
             let Some((task, waiters)) = self.staged.take_cancel() else { return };
-            let changed = self.add_entry(step, scene, segment, JournalEntry::Cancelled(task));
+            let changed = self.add_entry(step, view, segment, JournalEntry::Cancelled(task));
             if changed || segment.before.contains_key(&task) {
                 segment.cancelled.insert(task, waiters);
             } else {
@@ -103,7 +103,7 @@
     pub(super) fn add_entry(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         segment: &mut SegmentWrite,
         entry: JournalEntry,
     ) -> bool {
@@ -112,7 +112,7 @@
         let resumes = before.is_some_and(|record| record.interrupted);
         let was_final = before.is_some_and(|record| record.state.is_final());
         let name = before.map_or("", |record| record.state.name());
-        if !self.apply(step, scene, &entry, segment.at_ms) {
+        if !self.apply(step, view, &entry, segment.at_ms) {
             return false;
         }
         segment.before.entry(task).or_insert(name);
@@ -140,7 +140,7 @@
     pub(super) fn on_segment_committed(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         segment: SegmentWrite,
     ) {
         self.settle_ends(&segment.workers);
@@ -157,10 +157,10 @@
         }
         for entry in &segment.entries {
             self.log_entry(step, entry);
-            self.try_stop(step, scene, entry.task());
+            self.try_stop(step, view, entry.task());
         }
         self.to_send.extend(segment.starts);
-        self.send_starts(step, scene);
+        self.send_starts(step, view);
     }
 
     fn log_entry(&self, step: &mut StepContext, entry: &JournalEntry) {
--- a/crates/cuminbank/src/reducer/tasks/starting.rs
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -18,7 +18,7 @@
 
 use super::{
     group::{
-        GroupExchange, GroupScene, RunPhase, TaskGroup, TaskModels, LEASE_LAPSED, TRANSIT_BOUND,
+        GroupExchange, GroupView, RunPhase, TaskGroup, TaskModels, LEASE_LAPSED, TRANSIT_BOUND,
         WORKER_LEASE,
     },
     journal::SegmentWrite,
@@ -48,7 +48,7 @@
     pub(super) fn add_starts(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
         segment: &mut SegmentWrite,
     ) {
@@ -58,7 +58,7 @@
             self.start_wanted = true;
             self.keep_room(now);
         }
-        if !self.start_wanted || scene.right_until.is_none_or(|until| until <= now) {
+        if !self.start_wanted || view.right_until.is_none_or(|until| until <= now) {
             return;
         }
         let mut blocked: Vec<String> = Vec::new();
@@ -68,10 +68,10 @@
             }
             let open = self.queue.customers().filter(|name| !blocked.iter().any(|b| b == name));
             let Some(customer) = self.quota.least_used(open).map(str::to_owned) else { break };
-            match self.next_start(step, scene, models, &customer) {
+            match self.next_start(step, view, models, &customer) {
                 Some((task, placement)) => {
                     let entry = JournalEntry::Started(task, placement);
-                    if !self.add_entry(step, scene, segment, entry) {
+                    if !self.add_entry(step, view, segment, entry) {
                         blocked.push(customer);
                     }
                 }
@@ -84,7 +84,7 @@
     fn next_start(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
         customer: &str,
     ) -> Option<(TaskId, Placement)> {
@@ -94,7 +94,7 @@
                 self.queue.park(task);
                 continue;
             }
-            if let Some(placement) = self.choose_worker(step, scene, models, task, record) {
+            if let Some(placement) = self.choose_worker(step, view, models, task, record) {
                 return Some((task, placement));
             }
         }
@@ -104,7 +104,7 @@
     fn choose_worker(
         &self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
         task: TaskId,
         record: &TaskRecord,
@@ -134,7 +134,7 @@
             .collect();
         let name = match step.settings.policy {
             PlacementPolicy::Learned => {
-                self.least_slowed(step.now(), scene, models, task, record, &suitable)?
+                self.least_slowed(step.now(), view, models, task, record, &suitable)?
             }
             PlacementPolicy::LeastLoaded => *suitable
                 .iter()
@@ -151,7 +151,7 @@
     fn least_slowed<'a>(
         &self,
         now: MonotonicTime,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         models: &TaskModels,
         task: TaskId,
         record: &TaskRecord,
@@ -161,7 +161,7 @@
         let patient = self.queue.since(task).is_none_or(|since| now < since + SLOWDOWN_PATIENCE);
         let mut best: Option<(f64, u64, &TargetName)> = None;
         for name in suitable.iter().take(WORKERS_COMPARED) {
-            let slowdown = self.worst_slowdown(scene, models, name, Some(added));
+            let slowdown = self.worst_slowdown(view, models, name, Some(added));
             if patient && slowdown > HIGH_SLOWDOWN {
                 continue;
             }
@@ -223,12 +223,12 @@
     }
 
     /// Returns why a task that waits again after a failure is given up, if it is.
-    pub(super) fn give_up_reason(&self, scene: &GroupScene<'_>, task: TaskId) -> Option<String> {
+    pub(super) fn give_up_reason(&self, view: &GroupView<'_>, task: TaskId) -> Option<String> {
         let record = self.ledger.get(task)?;
         if record.state != TaskState::Queued || record.failures == 0 {
             return None;
         }
-        let profile = (scene.profile)(&record.body.profile);
+        let profile = (view.profile)(&record.body.profile);
         let allowed = profile.map_or(3, |profile| profile.max_attempts);
         let distinct = record.failed_on.len() as u32;
         // In a group with fewer workers than attempts the workers run out first; the number of
@@ -239,19 +239,19 @@
     }
 
     /// Sends the starts that are committed.
-    pub(super) fn send_starts(&mut self, step: &mut StepContext, scene: &GroupScene<'_>) {
-        if scene.right_until.is_none_or(|until| until <= step.now()) {
+    pub(super) fn send_starts(&mut self, step: &mut StepContext, view: &GroupView<'_>) {
+        if view.right_until.is_none_or(|until| until <= step.now()) {
             return;
         }
         for (task, attempt) in std::mem::take(&mut self.to_send) {
-            self.send_start(step, scene, task, attempt);
+            self.send_start(step, view, task, attempt);
         }
     }
 
     fn send_start(
         &mut self,
         step: &mut StepContext,
-        scene: &GroupScene<'_>,
+        view: &GroupView<'_>,
         task: TaskId,
         attempt: AttemptNumber,
     ) {
@@ -275,7 +275,7 @@
             input: serde_json::from_str(&record.body.input).unwrap_or_default(),
         });
         let exchange = GroupExchange::Start(task, attempt, worker.clone());
-        let Some(valid_until) = self.call_worker(step, scene, &worker, request, exchange) else {
+        let Some(valid_until) = self.call_worker(step, view, &worker, request, exchange) else {
             return self.to_send.push((task, attempt));
         };
         if let Some(run) = self.runs.get_mut(&task) {
@@ -375,10 +375,10 @@
     }
 
     /// Queues a task that waits for a start; aside if no worker of the group can hold it.
-    pub(super) fn requeue(&mut self, now: MonotonicTime, scene: &GroupScene<'_>, task: TaskId) {
+    pub(super) fn requeue(&mut self, now: MonotonicTime, view: &GroupView<'_>, task: TaskId) {
         let Some(record) = self.ledger.get(task) else { return };
         let body = &record.body;
-        let profile = (scene.profile)(&body.profile);
+        let profile = (view.profile)(&body.profile);
         let priority = profile.map_or(DEFAULT_PRIORITY, |profile| profile.priority);
         self.queue.push(now, task, &body.customer, &body.size, priority);
         if !self.workers.could_hold(&body.size) {
--- a/crates/cuminbank/tests/calls_path.rs
+++ b/crates/cuminbank/tests/calls_path.rs
@@ -5,7 +5,8 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use calls_support::{
-    answers, dispatches, done, done_after, executor, forwarded, ms, outcome, plan, CallBench, TICK,
+    answers, dispatches, done, done_after, executor, forwarded, ms, outcome, plan, CallFixture,
+    TICK,
 };
 use cuminbank::{
     effect::{CallOutcome, CallerAnswer, EntryEffect},
@@ -21,67 +22,67 @@
 /// Guards against a call that gets the answer of another one or the wrong status.
 #[test]
 fn a_plain_call_gets_its_own_answer() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 2)]);
-    let first = dispatches(&bench.call(1, plan("a")));
-    let second = dispatches(&bench.call(2, plan("a")));
-    let effects = bench.end_dispatch(second[0].exchange, done(200));
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 2)]);
+    let first = dispatches(&fixture.call(1, plan("a")));
+    let second = dispatches(&fixture.call(2, plan("a")));
+    let effects = fixture.end_dispatch(second[0].exchange, done(200));
     assert_eq!(answers(&effects).keys().copied().collect::<Vec<_>>(), [2]);
-    let effects = bench.end_dispatch(first[0].exchange, done(404));
+    let effects = fixture.end_dispatch(first[0].exchange, done(404));
     assert_eq!(outcome(&effects), (CallOutcome::Done, 404));
-    assert!(bench.calls.is_idle());
+    assert!(fixture.calls.is_idle());
 }
 
 /// Guards against bad requests that run, or that are refused with a misleading status.
 #[test]
 fn bad_requests_are_refused_with_their_status() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 2)]);
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 2)]);
     let with = |profile: &str| CallRequest { profile: profile.to_owned(), ..plan("a") };
-    assert_eq!(outcome(&bench.call(1, with("nothing"))), (CallOutcome::NotRun, 404));
-    assert_eq!(outcome(&bench.call(2, with("orders"))), (CallOutcome::NotRun, 400));
-    assert_eq!(outcome(&bench.call(3, with("book"))), (CallOutcome::NotRun, 400));
+    assert_eq!(outcome(&fixture.call(1, with("nothing"))), (CallOutcome::NotRun, 404));
+    assert_eq!(outcome(&fixture.call(2, with("orders"))), (CallOutcome::NotRun, 400));
+    assert_eq!(outcome(&fixture.call(3, with("book"))), (CallOutcome::NotRun, 400));
     let large = CallRequest { body: vec![0; 300_000].into(), ..plan("a") };
-    assert_eq!(outcome(&bench.call(4, large)), (CallOutcome::NotRun, 413));
-    bench.config = ConfigPart::new(&bench.step.settings);
-    assert_eq!(outcome(&bench.call(5, plan("a"))), (CallOutcome::NotRun, 503));
+    assert_eq!(outcome(&fixture.call(4, large)), (CallOutcome::NotRun, 413));
+    fixture.config = ConfigPart::new(&fixture.step.settings);
+    assert_eq!(outcome(&fixture.call(5, plan("a"))), (CallOutcome::NotRun, 503));
 }
 
 /// Guards against more dispatches than slots, and against dispatches without the right to act.
 #[test]
 fn a_call_waits_for_a_slot_and_for_the_right_to_act() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 1)]);
-    let sent = dispatches(&bench.call(1, plan("a")));
-    assert!(bench.call(2, plan("a")).is_empty(), "the second call has no slot");
-    bench.fixed.owned.insert(0, (1, bench.now));
-    let effects = bench.end_dispatch(sent[0].exchange, done(200));
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 1)]);
+    let sent = dispatches(&fixture.call(1, plan("a")));
+    assert!(fixture.call(2, plan("a")).is_empty(), "the second call has no slot");
+    fixture.fixed.owned.insert(0, (1, fixture.now));
+    let effects = fixture.end_dispatch(sent[0].exchange, done(200));
     assert!(dispatches(&effects).is_empty(), "the right to act has ended");
-    bench.fixed.owned.insert(0, (1, bench.now + ms(500)));
-    let sent = bench.run_for(TICK);
+    fixture.fixed.owned.insert(0, (1, fixture.now + ms(500)));
+    let sent = fixture.run_for(TICK);
     assert!(matches!(sent[..], [EntryEffect::Dispatch { valid_until, .. }]
-        if valid_until == bench.now - TICK + ms(500)));
+        if valid_until == fixture.now - TICK + ms(500)));
 }
 
 /// Guards against new work on a target that is leaving, suspect or has ended.
 #[test]
 fn a_target_that_is_not_live_gets_no_call() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 4), ("e2", 4)]);
-    bench.set_state("e1", TargetState::Leaving);
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 4), ("e2", 4)]);
+    fixture.set_state("e1", TargetState::Leaving);
     let gone = GroupChange::TargetEnded { name: "e2".to_owned(), group: 0 };
-    bench.set_state("e2", TargetState::Suspect);
-    assert!(dispatches(&bench.call(1, plan("a"))).is_empty());
-    bench.set_state("e2", TargetState::Live);
-    assert_eq!(dispatches(&bench.effects()).len(), 1);
-    bench.change(&gone);
-    assert!(dispatches(&bench.call(2, plan("a"))).is_empty());
+    fixture.set_state("e2", TargetState::Suspect);
+    assert!(dispatches(&fixture.call(1, plan("a"))).is_empty());
+    fixture.set_state("e2", TargetState::Live);
+    assert_eq!(dispatches(&fixture.effects()).len(), 1);
+    fixture.change(&gone);
+    assert!(dispatches(&fixture.call(2, plan("a"))).is_empty());
 }
 
 /// Guards against a queue that outgrows the deadline, and against refusals that come back together.
 #[test]
 fn calls_that_cannot_be_on_time_are_refused_at_once_and_spread() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 1)]);
-    learn(&mut bench, "a", ms(200), 25);
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 1)]);
+    learn(&mut fixture, "a", ms(200), 25);
     let mut refused = Vec::new();
     for reply in 100..160 {
-        let effects = bench.call(reply, plan("a"));
+        let effects = fixture.call(reply, plan("a"));
         refused.extend(answers(&effects).into_values());
     }
     let running_and_waiting = 60 - refused.len();
@@ -99,11 +100,11 @@
 fn a_waiting_call_is_refused_when_its_deadline_is_out_of_reach() {
     let policies = [LEARNED, PlacementPolicy::LeastLoaded, PlacementPolicy::RandomQueue];
     for policy in policies {
-        let mut bench = CallBench::with_executors(policy, &[("e1", 1)]);
-        bench.call(1, plan("a"));
-        assert!(bench.call(2, plan("a")).is_empty());
-        assert!(answers(&bench.run_for(ms(1_990))).is_empty(), "{policy:?}");
-        let effects = bench.run_for(ms(40));
+        let mut fixture = CallFixture::with_executors(policy, &[("e1", 1)]);
+        fixture.call(1, plan("a"));
+        assert!(fixture.call(2, plan("a")).is_empty());
+        assert!(answers(&fixture.run_for(ms(1_990))).is_empty(), "{policy:?}");
+        let effects = fixture.run_for(ms(40));
         assert_eq!(outcome(&effects), (CallOutcome::NotRun, 503), "{policy:?}");
     }
 }
@@ -111,39 +112,39 @@
 /// Guards against short calls behind long ones: long calls stay within their share of slots.
 #[test]
 fn long_calls_stay_within_their_slots() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 8)]);
-    learn(&mut bench, "short", ms(10), 60);
-    learn(&mut bench, "long", ms(400), 25);
-    let long = (100..105).map(|reply| dispatches(&bench.call(reply, plan("long"))).len());
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 8)]);
+    learn(&mut fixture, "short", ms(10), 60);
+    learn(&mut fixture, "long", ms(400), 25);
+    let long = (100..105).map(|reply| dispatches(&fixture.call(reply, plan("long"))).len());
     assert_eq!(long.collect::<Vec<_>>(), [1, 1, 0, 0, 0]);
-    let short = (200..206).map(|reply| dispatches(&bench.call(reply, plan("short"))).len());
+    let short = (200..206).map(|reply| dispatches(&fixture.call(reply, plan("short"))).len());
     assert_eq!(short.sum::<usize>(), 6, "short calls use the other slots");
 }
 
 /// Guards against calls of unknown length that fill an executor beyond the bound for good.
 #[test]
 fn a_call_that_runs_long_counts_as_long() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 8)]);
-    learn(&mut bench, "short", ms(10), 60);
-    learn(&mut bench, "long", ms(400), 25);
-    bench.call(1, plan("new"));
-    bench.call(2, plan("new"));
-    bench.run_for(ms(200));
-    assert!(dispatches(&bench.call(3, plan("long"))).is_empty());
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 8)]);
+    learn(&mut fixture, "short", ms(10), 60);
+    learn(&mut fixture, "long", ms(400), 25);
+    fixture.call(1, plan("new"));
+    fixture.call(2, plan("new"));
+    fixture.run_for(ms(200));
+    assert!(dispatches(&fixture.call(3, plan("long"))).is_empty());
 }
 
 /// Guards against calls that began to wait before their class was known as long and then pass the
 /// bound together.
 #[test]
 fn a_waiting_call_becomes_long_with_its_class() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 8)]);
-    learn(&mut bench, "short", ms(10), 100);
-    let calls = (1..=38).flat_map(|reply| dispatches(&bench.call(reply, plan("late"))));
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 8)]);
+    learn(&mut fixture, "short", ms(10), 100);
+    let calls = (1..=38).flat_map(|reply| dispatches(&fixture.call(reply, plan("late"))));
     let mut running: Vec<_> = calls.collect();
     // The class is known after 20 ends; the 8 calls that run by then end after 28.
     for _ in 0..28 {
         let sent = running.remove(0);
-        running.extend(dispatches(&bench.end_dispatch(sent.exchange, done_after(200, ms(400)))));
+        running.extend(dispatches(&fixture.end_dispatch(sent.exchange, done_after(200, ms(400)))));
     }
     assert_eq!(running.len(), 2);
 }
@@ -151,28 +152,28 @@
 /// Guards against calls that wait here while a peer has free slots, and against a second hop.
 #[test]
 fn a_call_is_forwarded_once_to_an_owner_with_less_wait() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 1)]);
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 1)]);
     let peer = "10.0.0.9:9".parse().unwrap();
-    bench.fixed.owners.insert(("dublin".to_owned(), 1), (peer, Duration::ZERO));
-    learn(&mut bench, "a", ms(200), 25);
-    bench.call(1, plan("a"));
-    let sent = forwarded(&bench.call(2, plan("a")));
+    fixture.fixed.owners.insert(("dublin".to_owned(), 1), (peer, Duration::ZERO));
+    learn(&mut fixture, "a", ms(200), 25);
+    fixture.call(1, plan("a"));
+    let sent = forwarded(&fixture.call(2, plan("a")));
     assert!(matches!(sent[0].2, PeerRequest::ForwardCall { group: 1, .. }));
-    assert_eq!(outcome(&bench.end_peer(sent[0].0, Err(ExchangeError::Lost))).1, 504);
+    assert_eq!(outcome(&fixture.end_peer(sent[0].0, Err(ExchangeError::Lost))).1, 504);
 
-    let sent = forwarded(&bench.call(3, plan("a")));
-    let returned = bench.end_peer(sent[0].0, Ok(PeerReply::NotOwner));
+    let sent = forwarded(&fixture.call(3, plan("a")));
+    let returned = fixture.end_peer(sent[0].0, Ok(PeerReply::NotOwner));
     assert!(returned.is_empty(), "nothing was done, so another owner is asked");
-    let again = forwarded(&bench.run_for(ms(120)));
+    let again = forwarded(&fixture.run_for(ms(120)));
     assert_eq!(again.len(), 1);
     let refusal = CallerAnswer::new_not_run(503, "busy");
-    let effects = bench.end_peer(again[0].0, Ok(PeerReply::Answer(refusal.clone())));
+    let effects = fixture.end_peer(again[0].0, Ok(PeerReply::Answer(refusal.clone())));
     assert_eq!(answers(&effects)[&3], refusal);
 
-    bench.apply(|calls, step, view, records| {
+    fixture.apply(|calls, step, view, records| {
         calls.on_forwarded_call(step, view, records, 4, 1, plan("a"), ms(5));
     });
-    let effects = bench.effects();
+    let effects = fixture.effects();
     assert!(matches!(
         effects[..],
         [EntryEffect::AnswerPeer { reply: 4, answer: PeerReply::NotOwner }]
@@ -182,32 +183,32 @@
 /// Guards against calls that are lost or never answered when the group goes to a peer.
 #[test]
 fn waiting_calls_follow_their_group() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 1)]);
-    let sent = dispatches(&bench.call(1, plan("a")));
-    bench.call(2, plan("a"));
-    bench.fixed.owned.clear();
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 1)]);
+    let sent = dispatches(&fixture.call(1, plan("a")));
+    fixture.call(2, plan("a"));
+    fixture.fixed.owned.clear();
     let peer = "10.0.0.9:9".parse().unwrap();
-    bench.fixed.owners.insert(("dublin".to_owned(), 0), (peer, Duration::ZERO));
-    bench.change(&GroupChange::Lost { group: 0 });
-    let effects = bench.run_for(ms(120));
+    fixture.fixed.owners.insert(("dublin".to_owned(), 0), (peer, Duration::ZERO));
+    fixture.change(&GroupChange::Lost { group: 0 });
+    let effects = fixture.run_for(ms(120));
     assert_eq!(forwarded(&effects).len(), 1);
-    assert_eq!(outcome(&bench.end_dispatch(sent[0].exchange, done(200))).1, 200);
+    assert_eq!(outcome(&fixture.end_dispatch(sent[0].exchange, done(200))).1, 200);
 }
 
 /// Guards against one customer that takes all slots under contention.
 #[test]
 fn customers_share_slots_by_weight() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 1)]);
-    learn(&mut bench, "a", ms(20), 25);
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 1)]);
+    learn(&mut fixture, "a", ms(20), 25);
     let of = |customer: &str| CallRequest { customer: customer.to_owned(), ..plan("a") };
-    let mut sent = dispatches(&bench.call(1, of("big")));
+    let mut sent = dispatches(&fixture.call(1, of("big")));
     for reply in 100..120 {
         let customer = if reply < 110 { "small" } else { "big" };
-        assert!(bench.call(reply, of(customer)).is_empty());
+        assert!(fixture.call(reply, of(customer)).is_empty());
     }
     let mut served = Vec::new();
     for _ in 0..9 {
-        let effects = bench.end_dispatch(sent[0].exchange, done_after(200, ms(20)));
+        let effects = fixture.end_dispatch(sent[0].exchange, done_after(200, ms(20)));
         served.extend(answers(&effects).into_keys());
         sent = dispatches(&effects);
     }
@@ -219,15 +220,15 @@
 #[test]
 fn baselines_keep_the_bound_on_slots() {
     for policy in [PlacementPolicy::LeastLoaded, PlacementPolicy::RandomQueue] {
-        let mut bench = CallBench::with_executors(policy, &[("e1", 2), ("e2", 2)]);
+        let mut fixture = CallFixture::with_executors(policy, &[("e1", 2), ("e2", 2)]);
         let mut sent = Vec::new();
         for reply in 1..=20 {
-            sent.extend(dispatches(&bench.call(reply, plan("a"))));
+            sent.extend(dispatches(&fixture.call(reply, plan("a"))));
         }
         assert!(sent.len() <= 4, "{policy:?}");
         let mut answered = 0;
         while let Some(next) = sent.pop() {
-            let effects = bench.end_dispatch(next.exchange, done(200));
+            let effects = fixture.end_dispatch(next.exchange, done(200));
             answered += answers(&effects).len();
             sent.extend(dispatches(&effects));
         }
@@ -238,29 +239,29 @@
 /// Guards against work for a caller that is gone.
 #[test]
 fn a_waiting_call_whose_caller_is_gone_does_not_start() {
-    let mut bench = CallBench::with_executors(LEARNED, &[("e1", 1)]);
-    let sent = dispatches(&bench.call(1, plan("a")));
-    bench.call(2, plan("a"));
-    bench.apply(|calls, step, _, _| calls.on_caller_gone(step, 2));
-    let effects = bench.end_dispatch(sent[0].exchange, done(200));
+    let mut fixture = CallFixture::with_executors(LEARNED, &[("e1", 1)]);
+    let sent = dispatches(&fixture.call(1, plan("a")));
+    fixture.call(2, plan("a"));
+    fixture.apply(|calls, step, _, _| calls.on_caller_gone(step, 2));
+    let effects = fixture.end_dispatch(sent[0].exchange, done(200));
     assert_eq!(effects.len(), 1, "one answer and no dispatch: {effects:?}");
-    assert!(bench.calls.is_idle());
+    assert!(fixture.calls.is_idle());
 }
 
 /// Guards against new executors that are used before a probe has shown what runs on them.
 #[test]
 fn a_new_executor_is_used_after_its_first_probe() {
-    let mut bench = CallBench::with_executors(LEARNED, &[]);
-    bench.fixed.targets.push(executor("e1", 0, 1));
-    bench.change(&GroupChange::TargetChanged { name: "e1".to_owned() });
-    assert!(bench.call(1, plan("a")).is_empty());
-    bench.run_for(TICK);
-    assert_eq!(dispatches(&bench.answer_probes(&[])).len(), 1);
+    let mut fixture = CallFixture::with_executors(LEARNED, &[]);
+    fixture.fixed.targets.push(executor("e1", 0, 1));
+    fixture.change(&GroupChange::TargetChanged { name: "e1".to_owned() });
+    assert!(fixture.call(1, plan("a")).is_empty());
+    fixture.run_for(TICK);
+    assert_eq!(dispatches(&fixture.answer_probes(&[])).len(), 1);
 }
 
-fn learn(bench: &mut CallBench, class: &str, elapsed: Duration, count: u64) {
+fn learn(fixture: &mut CallFixture, class: &str, elapsed: Duration, count: u64) {
     for reply in 10_000..10_000 + count {
-        let sent = dispatches(&bench.call(reply, plan(class)));
-        bench.end_dispatch(sent[0].exchange, done_after(200, elapsed));
+        let sent = dispatches(&fixture.call(reply, plan(class)));
+        fixture.end_dispatch(sent[0].exchange, done_after(200, elapsed));
     }
 }
--- a/crates/cuminbank/tests/calls_random.rs
+++ b/crates/cuminbank/tests/calls_random.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use calls_support::{book, done, executor, ms, plan, CallBench, TICK};
+use calls_support::{book, done, executor, ms, plan, CallFixture, TICK};
 use cuminbank::{
     effect::{CallOutcome, EntryEffect},
     event::{CallRequest, ExchangeError, ExecutorAnswer},
@@ -37,7 +37,7 @@
 struct CallWorld {
     rng: ChaCha8Rng,
     now: Duration,
-    owners: Vec<CallBench>,
+    owners: Vec<CallFixture>,
     events: BTreeMap<(Duration, u64), LaterEvent>,
     sequence: u64,
     open: HashSet<Flight>,
@@ -51,7 +51,7 @@
 
 impl CallWorld {
     fn new(seed: u64, policy: PlacementPolicy) -> Self {
-        let owners = vec![CallBench::new(policy), CallBench::new(policy)];
+        let owners = vec![CallFixture::new(policy), CallFixture::new(policy)];
         let mut world = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Duration::from_secs(1),
@@ -96,9 +96,9 @@
             }
             for owner in 0..self.owners.len() {
                 let effects = {
-                    let bench = &mut self.owners[owner];
-                    bench.now = self.now - TICK;
-                    bench.run_for(TICK)
+                    let fixture = &mut self.owners[owner];
+                    fixture.now = self.now - TICK;
+                    fixture.run_for(TICK)
                 };
                 self.carry_out(owner, effects);
             }
--- a/crates/cuminbank/tests/calls_safety.rs
+++ b/crates/cuminbank/tests/calls_safety.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use calls_support::{
-    answers, dispatches, done, executor, ms, outcome, plan, CallBench, Sent, TICK,
+    answers, dispatches, done, executor, ms, outcome, plan, CallFixture, Sent, TICK,
 };
 use cuminbank::{
     effect::{CallOutcome, EntryEffect},
@@ -18,8 +18,8 @@
     executor(name, 0, 1).address
 }
 
-fn send(bench: &mut CallBench, reply: u64) -> Sent {
-    let sent = dispatches(&bench.call(reply, plan("a")));
+fn send(fixture: &mut CallFixture, reply: u64) -> Sent {
+    let sent = dispatches(&fixture.call(reply, plan("a")));
     assert_eq!(sent.len(), 1, "call {reply} starts at once");
     sent[0].clone()
 }
@@ -27,106 +27,106 @@
 /// Guards against work given to an executor that is full of calls of a dead owner.
 #[test]
 fn inherited_calls_hold_their_slots_until_a_later_probe() {
-    let mut bench = CallBench::new(Learned);
-    bench.fixed.targets = vec![executor("e1", 0, 2)];
-    bench.take_group(0, 5, Duration::from_secs(3), None);
-    bench.call(1, plan("a"));
-    bench.run_for(ms(1_900));
-    assert!(bench.take_probes().is_empty(), "bytes of the old owner may be on their way");
-    bench.run_for(ms(200));
-    let probe = bench.take_probes()[0].0;
-    assert!(bench.end_probe(probe, Err(ExchangeError::Lost)).is_empty(), "still full");
-    bench.run_for(ms(1_000));
+    let mut fixture = CallFixture::new(Learned);
+    fixture.fixed.targets = vec![executor("e1", 0, 2)];
+    fixture.take_group(0, 5, Duration::from_secs(3), None);
+    fixture.call(1, plan("a"));
+    fixture.run_for(ms(1_900));
+    assert!(fixture.take_probes().is_empty(), "bytes of the old owner may be on their way");
+    fixture.run_for(ms(200));
+    let probe = fixture.take_probes()[0].0;
+    assert!(fixture.end_probe(probe, Err(ExchangeError::Lost)).is_empty(), "still full");
+    fixture.run_for(ms(1_000));
     let old = ["dublin-0-4-8", "dublin-0-4-9"];
-    assert!(bench.answer_probes(&old).is_empty(), "two inherited calls hold both slots");
-    bench.run_for(ms(1_000));
-    let effects = bench.answer_probes(&old[..1]);
+    assert!(fixture.answer_probes(&old).is_empty(), "two inherited calls hold both slots");
+    fixture.run_for(ms(1_000));
+    let effects = fixture.answer_probes(&old[..1]);
     let sent = dispatches(&effects);
     assert_eq!(sent.len(), 0, "call 1 was refused at its deadline: {effects:?}");
-    let sent = send(&mut bench, 2);
-    assert!(bench.call(3, plan("a")).is_empty(), "one inherited and one own call");
-    bench.run_for(ms(1_000));
-    assert_eq!(dispatches(&bench.answer_probes(&[&sent.call_id])).len(), 1);
+    let sent = send(&mut fixture, 2);
+    assert!(fixture.call(3, plan("a")).is_empty(), "one inherited and one own call");
+    fixture.run_for(ms(1_000));
+    assert_eq!(dispatches(&fixture.answer_probes(&[&sent.call_id])).len(), 1);
 }
 
 /// Guards against a probe that crosses an own dispatch or its answer and miscounts slots.
 #[test]
 fn own_calls_do_not_count_as_inherited() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 2)]);
-    let sent = send(&mut bench, 1);
-    bench.run_for(ms(1_100));
-    bench.end_dispatch(sent.exchange, done(200));
-    bench.answer_probes(&[&sent.call_id]);
-    send(&mut bench, 2);
-    send(&mut bench, 3);
-    assert!(bench.call(4, plan("a")).is_empty());
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 2)]);
+    let sent = send(&mut fixture, 1);
+    fixture.run_for(ms(1_100));
+    fixture.end_dispatch(sent.exchange, done(200));
+    fixture.answer_probes(&[&sent.call_id]);
+    send(&mut fixture, 2);
+    send(&mut fixture, 3);
+    assert!(fixture.call(4, plan("a")).is_empty());
 }
 
 /// Guards against a second run while the first may still be going on.
 #[test]
 fn a_lost_call_does_not_run_again_while_it_may_run() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 1), ("e2", 1)]);
-    let sent = send(&mut bench, 1);
-    bench.run_for(ms(400));
-    assert!(bench.end_dispatch(sent.exchange, Err(ExchangeError::Lost)).is_empty());
-    bench.answer_probes(&[]);
-    bench.run_for(TICK);
-    assert!(bench.answer_probes(&[]).is_empty(), "this probe may arrive before the dispatch");
-    bench.run_for(ms(980));
-    assert!(bench.answer_probes(&[&sent.call_id]).is_empty(), "the call still runs");
-    let effects = bench.run_for(ms(100));
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 1), ("e2", 1)]);
+    let sent = send(&mut fixture, 1);
+    fixture.run_for(ms(400));
+    assert!(fixture.end_dispatch(sent.exchange, Err(ExchangeError::Lost)).is_empty());
+    fixture.answer_probes(&[]);
+    fixture.run_for(TICK);
+    assert!(fixture.answer_probes(&[]).is_empty(), "this probe may arrive before the dispatch");
+    fixture.run_for(ms(980));
+    assert!(fixture.answer_probes(&[&sent.call_id]).is_empty(), "the call still runs");
+    let effects = fixture.run_for(ms(100));
     assert!(effects.is_empty(), "{effects:?}");
-    assert_eq!(outcome(&bench.run_for(ms(700))).0, CallOutcome::Unknown);
+    assert_eq!(outcome(&fixture.run_for(ms(700))).0, CallOutcome::Unknown);
 }
 
 /// Guards against retries that never happen, or go to the executor that failed.
 #[test]
 fn a_retry_goes_to_another_executor() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 1), ("e2", 1)]);
-    let sent = send(&mut bench, 1);
-    bench.end_dispatch(sent.exchange, Err(ExchangeError::Lost));
-    bench.run_for(ms(20));
-    bench.answer_probes(&[]);
-    bench.run_for(ms(1_000));
-    let again = dispatches(&bench.answer_probes(&[]));
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 1), ("e2", 1)]);
+    let sent = send(&mut fixture, 1);
+    fixture.end_dispatch(sent.exchange, Err(ExchangeError::Lost));
+    fixture.run_for(ms(20));
+    fixture.answer_probes(&[]);
+    fixture.run_for(ms(1_000));
+    let again = dispatches(&fixture.answer_probes(&[]));
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].address, sent.address);
-    assert_eq!(outcome(&bench.end_dispatch(again[0].exchange, done(200))).1, 200);
+    assert_eq!(outcome(&fixture.end_dispatch(again[0].exchange, done(200))).1, 200);
 }
 
 /// Guards against a call that runs twice, and against a slot that is given away too early.
 #[test]
 fn a_lost_call_that_is_not_idempotent_is_unknown_and_keeps_its_slot() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 1)]);
-    let ticket = bench.tickets(1).remove(0);
-    let sent = dispatches(&bench.call(1, calls_support::book(Some(ticket))));
-    let effects = bench.end_dispatch(sent[0].exchange, Err(ExchangeError::Lost));
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 1)]);
+    let ticket = fixture.tickets(1).remove(0);
+    let sent = dispatches(&fixture.call(1, calls_support::book(Some(ticket))));
+    let effects = fixture.end_dispatch(sent[0].exchange, Err(ExchangeError::Lost));
     assert_eq!(outcome(&effects), (CallOutcome::Unknown, 504));
-    bench.run_for(TICK);
-    bench.answer_probes(&[&sent[0].call_id]);
-    assert!(bench.call(2, plan("a")).is_empty(), "the slot is still held");
-    bench.run_for(ms(1_000));
-    assert_eq!(dispatches(&bench.answer_probes(&[])).len(), 1);
+    fixture.run_for(TICK);
+    fixture.answer_probes(&[&sent[0].call_id]);
+    assert!(fixture.call(2, plan("a")).is_empty(), "the slot is still held");
+    fixture.run_for(ms(1_000));
+    assert_eq!(dispatches(&fixture.answer_probes(&[])).len(), 1);
 }
 
 /// Guards against connections that stay silent for good, and against calls cut off while they run
 /// or while their answer is on its way.
 #[test]
 fn a_silent_dispatch_is_closed_once_a_probe_does_not_list_it() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 3)]);
-    let silent = send(&mut bench, 1);
-    let running = send(&mut bench, 2);
-    let crossing = send(&mut bench, 3);
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 3)]);
+    let silent = send(&mut fixture, 1);
+    let running = send(&mut fixture, 2);
+    let crossing = send(&mut fixture, 3);
     let mut aborted = Vec::new();
     for round in 0..5 {
-        let effects = bench.run_for(ms(1_000));
+        let effects = fixture.run_for(ms(1_000));
         aborted.extend(effects.into_iter().filter_map(|effect| match effect {
             EntryEffect::AbortDispatch { exchange } => Some((round, exchange)),
             _ => None,
         }));
-        bench.answer_probes(&[&running.call_id]);
+        fixture.answer_probes(&[&running.call_id]);
         if round == 2 {
-            bench.end_dispatch(crossing.exchange, done(200));
+            fixture.end_dispatch(crossing.exchange, done(200));
         }
     }
     assert_eq!(aborted, [(3, silent.exchange)], "within 5 s, and only the silent one");
@@ -136,32 +136,32 @@
 /// against retries without bound.
 #[test]
 fn failures_are_retried_within_the_budget() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 4), ("e2", 4), ("e3", 4)]);
-    let mut sent = send(&mut bench, 1);
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 4), ("e2", 4), ("e3", 4)]);
+    let mut sent = send(&mut fixture, 1);
     for _ in 0..3 {
-        let again = dispatches(&bench.end_dispatch(sent.exchange, done(500)));
+        let again = dispatches(&fixture.end_dispatch(sent.exchange, done(500)));
         assert_ne!(again[0].address, sent.address);
         sent = again[0].clone();
     }
-    let effects = bench.end_dispatch(sent.exchange, done(500));
+    let effects = fixture.end_dispatch(sent.exchange, done(500));
     assert_eq!(outcome(&effects), (CallOutcome::Done, 500), "the budget of 3 is used up");
 
-    let ticket = bench.tickets(1).remove(0);
-    let sent = dispatches(&bench.call(2, calls_support::book(Some(ticket))));
-    let effects = bench.end_dispatch(sent[0].exchange, done(500));
+    let ticket = fixture.tickets(1).remove(0);
+    let sent = dispatches(&fixture.call(2, calls_support::book(Some(ticket))));
+    let effects = fixture.end_dispatch(sent[0].exchange, done(500));
     assert_eq!(outcome(&effects), (CallOutcome::Done, 500), "not idempotent: no second run");
 }
 
 /// Guards against "not run" once bytes have left, and against a refusal that is not retried.
 #[test]
 fn a_refused_call_is_tried_elsewhere_and_then_unknown() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 4), ("e2", 4)]);
-    let ticket = bench.tickets(1).remove(0);
-    let mut sent = dispatches(&bench.call(1, calls_support::book(Some(ticket))));
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 4), ("e2", 4)]);
+    let ticket = fixture.tickets(1).remove(0);
+    let mut sent = dispatches(&fixture.call(1, calls_support::book(Some(ticket))));
     for _ in 0..3 {
-        sent = dispatches(&bench.end_dispatch(sent[0].exchange, done(503)));
+        sent = dispatches(&fixture.end_dispatch(sent[0].exchange, done(503)));
     }
-    let effects = bench.end_dispatch(sent[0].exchange, done(503));
+    let effects = fixture.end_dispatch(sent[0].exchange, done(503));
     assert_eq!(outcome(&effects), (CallOutcome::Unknown, 504));
 }
 
@@ -169,31 +169,31 @@
 /// to an executor that cannot be reached.
 #[test]
 fn a_call_that_was_not_sent_goes_elsewhere_or_is_not_run() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 4), ("e2", 4)]);
-    let sent = send(&mut bench, 1);
-    let again = dispatches(&bench.end_dispatch(sent.exchange, Err(ExchangeError::NotSent)));
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 4), ("e2", 4)]);
+    let sent = send(&mut fixture, 1);
+    let again = dispatches(&fixture.end_dispatch(sent.exchange, Err(ExchangeError::NotSent)));
     assert_ne!(again[0].address, sent.address);
-    let effects = bench.end_dispatch(again[0].exchange, Err(ExchangeError::NotSent));
+    let effects = fixture.end_dispatch(again[0].exchange, Err(ExchangeError::NotSent));
     assert!(effects.is_empty(), "both executors wait for a probe: {effects:?}");
-    let effects = bench.run_for(ms(2_100));
+    let effects = fixture.run_for(ms(2_100));
     assert_eq!(outcome(&effects), (CallOutcome::NotRun, 503));
 }
 
 /// Guards against an executor that fails everything and draws ever more calls.
 #[test]
 fn a_failing_executor_is_quarantined_and_tried_once() {
-    let mut bench = CallBench::with_executors(Learned, &[("bad", 8), ("good", 8)]);
+    let mut fixture = CallFixture::with_executors(Learned, &[("bad", 8), ("good", 8)]);
     let bad = address_of("bad");
     let mut starts = 0;
     for reply in 1..=200 {
-        let mut sent = dispatches(&bench.call(reply, plan("a")));
+        let mut sent = dispatches(&fixture.call(reply, plan("a")));
         while let Some(next) = sent.pop() {
             starts += u32::from(next.address == bad);
             let status = if next.address == bad { 500 } else { 200 };
-            sent = dispatches(&bench.end_dispatch(next.exchange, done(status)));
+            sent = dispatches(&fixture.end_dispatch(next.exchange, done(status)));
         }
-        bench.run_for(ms(100));
-        bench.answer_probes(&[]);
+        fixture.run_for(ms(100));
+        fixture.answer_probes(&[]);
     }
     assert!((3..=6).contains(&starts), "{starts} calls to the failing executor in 20 s");
 }
@@ -203,39 +203,39 @@
 fn a_failing_class_does_not_quarantine_the_fleet() {
     let names: Vec<String> = (0..6).map(|number| format!("e{number}")).collect();
     let executors: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 1)).collect();
-    let mut bench = CallBench::with_executors(Learned, &executors);
+    let mut fixture = CallFixture::with_executors(Learned, &executors);
     for reply in 1..=60 {
-        let mut sent = dispatches(&bench.call(reply, plan("broken")));
+        let mut sent = dispatches(&fixture.call(reply, plan("broken")));
         while let Some(next) = sent.pop() {
-            sent = dispatches(&bench.end_dispatch(next.exchange, done(500)));
+            sent = dispatches(&fixture.end_dispatch(next.exchange, done(500)));
         }
     }
     // Up to two executors can fail three times before the class has failed on a third one.
-    let started = (101..=106).map(|reply| dispatches(&bench.call(reply, plan("a"))).len());
+    let started = (101..=106).map(|reply| dispatches(&fixture.call(reply, plan("a"))).len());
     assert!(started.sum::<usize>() >= 4);
 }
 
 /// Guards against a lost call that waits for a probe that can never come.
 #[test]
 fn a_lost_call_on_an_ended_executor_is_unknown_at_once() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 1)]);
-    let sent = send(&mut bench, 1);
-    bench.end_dispatch(sent.exchange, Err(ExchangeError::Lost));
-    bench.change(&GroupChange::TargetEnded { name: "e1".to_owned(), group: 0 });
-    assert_eq!(outcome(&bench.effects()).0, CallOutcome::Unknown);
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 1)]);
+    let sent = send(&mut fixture, 1);
+    fixture.end_dispatch(sent.exchange, Err(ExchangeError::Lost));
+    fixture.change(&GroupChange::TargetEnded { name: "e1".to_owned(), group: 0 });
+    assert_eq!(outcome(&fixture.effects()).0, CallOutcome::Unknown);
 }
 
 /// Guards against calls counted on the wrong machine for the slowdown of batch tasks, and against a
 /// changed number of slots that is ignored.
 #[test]
 fn running_classes_and_changed_slots_are_known() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 1)]);
-    let sent = send(&mut bench, 1);
-    assert_eq!(bench.calls.classes_on("machine-e1"), [("a".to_owned(), 1)]);
-    bench.fixed.targets[0].role = ListedRole::Executor { slots: 2, connections: 60 };
-    bench.change(&GroupChange::TargetChanged { name: "e1".to_owned() });
-    send(&mut bench, 2);
-    let effects = bench.end_dispatch(sent.exchange, done(200));
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 1)]);
+    let sent = send(&mut fixture, 1);
+    assert_eq!(fixture.calls.classes_on("machine-e1"), [("a".to_owned(), 1)]);
+    fixture.fixed.targets[0].role = ListedRole::Executor { slots: 2, connections: 60 };
+    fixture.change(&GroupChange::TargetChanged { name: "e1".to_owned() });
+    send(&mut fixture, 2);
+    let effects = fixture.end_dispatch(sent.exchange, done(200));
     assert_eq!(answers(&effects).len(), 1);
-    assert_eq!(bench.calls.status(bench.now)["executors"][0]["held"], 1);
+    assert_eq!(fixture.calls.status(fixture.now)["executors"][0]["held"], 1);
 }
--- a/crates/cuminbank/tests/calls_support/mod.rs
+++ b/crates/cuminbank/tests/calls_support/mod.rs
@@ -1,6 +1,6 @@
-//! A bench that drives the call part alone, with ownership and profiles set by the test.
+//! A fixture that drives the call part alone, with ownership and profiles set by the test.
 
-#![allow(dead_code, reason = "each test file uses a part of the bench")]
+#![allow(dead_code, reason = "each test file uses a part of the fixture")]
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -100,7 +100,7 @@
     }
 }
 
-pub struct CallBench {
+pub struct CallFixture {
     pub now: Duration,
     pub step: StepContext,
     pub calls: CallPart,
@@ -112,7 +112,7 @@
     probes: Vec<(ExchangeId, SocketAddr)>,
 }
 
-impl CallBench {
+impl CallFixture {
     pub fn new(policy: PlacementPolicy) -> Self {
         let text = br#"{"instance":"d1","zone":"dublin","http_address":"127.0.0.1:8080",
             "peer_address":"127.0.0.1:8081","store_addresses":["127.0.0.1:2379"],
@@ -141,18 +141,18 @@
         }
     }
 
-    /// A bench that owns group 0 with these executors, all probed and idle.
+    /// A fixture that owns group 0 with these executors, all probed and idle.
     pub fn with_executors(policy: PlacementPolicy, executors: &[(&str, u32)]) -> Self {
-        let mut bench = Self::new(policy);
-        bench.fixed.targets =
+        let mut fixture = Self::new(policy);
+        fixture.fixed.targets =
             executors.iter().map(|&(name, slots)| executor(name, 0, slots)).collect();
-        bench.take_group(0, 1, Duration::ZERO, None);
-        bench.run_for(TICK);
-        bench.answer_probes(&[]);
-        bench
+        fixture.take_group(0, 1, Duration::ZERO, None);
+        fixture.run_for(TICK);
+        fixture.answer_probes(&[]);
+        fixture
     }
 
-    /// Applies a call to the part with the view of the bench.
+    /// Applies a call to the part with the view of the fixture.
     pub fn apply<R>(
         &mut self,
         action: impl FnOnce(&mut CallPart, &mut StepContext, CallView<'_>, &mut RecordPart) -> R,
--- a/crates/cuminbank/tests/calls_tickets.rs
+++ b/crates/cuminbank/tests/calls_tickets.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use calls_support::{answers, book, dispatches, done, forwarded, ms, outcome, plan, CallBench};
+use calls_support::{answers, book, dispatches, done, forwarded, ms, outcome, plan, CallFixture};
 use cuminbank::{
     effect::CallOutcome,
     event::{CallRequest, ExchangeError},
@@ -18,62 +18,62 @@
     RequestTicket { zone: "dublin".to_owned(), group: 0, epoch, sequence }
 }
 
-fn bench() -> CallBench {
-    CallBench::with_executors(Learned, &[("e1", 4)])
+fn fixture() -> CallFixture {
+    CallFixture::with_executors(Learned, &[("e1", 4)])
 }
 
 /// Guards against a second run for a copy of a request.
 #[test]
 fn copies_of_a_request_share_one_run() {
-    let mut bench = bench();
-    let ticket = bench.tickets(1).remove(0);
-    let sent = dispatches(&bench.call(1, book(Some(ticket.clone()))));
-    assert!(bench.call(2, book(Some(ticket.clone()))).is_empty(), "joins the first");
+    let mut fixture = fixture();
+    let ticket = fixture.tickets(1).remove(0);
+    let sent = dispatches(&fixture.call(1, book(Some(ticket.clone()))));
+    assert!(fixture.call(2, book(Some(ticket.clone()))).is_empty(), "joins the first");
     let other = CallRequest { body: vec![1].into(), ..book(Some(ticket.clone())) };
-    assert_eq!(outcome(&bench.call(3, other.clone())), (CallOutcome::NotRun, 409));
-    let answered = answers(&bench.end_dispatch(sent[0].exchange, done(200)));
+    assert_eq!(outcome(&fixture.call(3, other.clone())), (CallOutcome::NotRun, 409));
+    let answered = answers(&fixture.end_dispatch(sent[0].exchange, done(200)));
     assert_eq!(answered[&1], answered[&2]);
-    assert_eq!(answers(&bench.call(4, book(Some(ticket))))[&4], answered[&1]);
-    assert_eq!(outcome(&bench.call(5, other)), (CallOutcome::NotRun, 409));
+    assert_eq!(answers(&fixture.call(4, book(Some(ticket))))[&4], answered[&1]);
+    assert_eq!(outcome(&fixture.call(5, other)), (CallOutcome::NotRun, 409));
 }
 
 /// Guards against a ticket that nobody issued, and one whose state is gone, being run.
 #[test]
 fn foreign_tickets_do_not_run() {
-    let mut bench = bench();
-    bench.tickets(3);
+    let mut fixture = fixture();
+    fixture.tickets(3);
     let cases = [
         (ticket(1, 3), (CallOutcome::NotRun, 400)),
         (ticket(2, 0), (CallOutcome::NotRun, 400)),
         (ticket(0, 0), (CallOutcome::Unknown, 504)),
     ];
     for (reply, (ticket, expected)) in cases.into_iter().enumerate() {
-        assert_eq!(outcome(&bench.call(reply as u64, book(Some(ticket)))), expected);
+        assert_eq!(outcome(&fixture.call(reply as u64, book(Some(ticket)))), expected);
     }
 }
 
 /// Guards against a delayed copy that runs after its caller was told "not run".
 #[test]
 fn a_refusal_is_final_for_its_ticket() {
-    let mut bench = bench();
-    let ticket = bench.tickets(1).remove(0);
+    let mut fixture = fixture();
+    let ticket = fixture.tickets(1).remove(0);
     let large = CallRequest { body: vec![0; 65].into(), ..book(Some(ticket.clone())) };
-    let refusal = answers(&bench.call(1, large.clone()))[&1].clone();
+    let refusal = answers(&fixture.call(1, large.clone()))[&1].clone();
     assert_eq!((refusal.outcome, refusal.status), (CallOutcome::NotRun, 413));
-    assert_eq!(answers(&bench.call(2, large))[&2], refusal);
-    assert_eq!(outcome(&bench.call(3, book(Some(ticket)))), (CallOutcome::NotRun, 409));
+    assert_eq!(answers(&fixture.call(2, large))[&2], refusal);
+    assert_eq!(outcome(&fixture.call(3, book(Some(ticket)))), (CallOutcome::NotRun, 409));
 }
 
 /// Guards against a run for a ticket whose state has expired.
 #[test]
 fn an_expired_ticket_is_unknown() {
-    let mut bench = bench();
-    let tickets = bench.tickets(2);
-    let sent = dispatches(&bench.call(1, book(Some(tickets[0].clone()))));
-    bench.end_dispatch(sent[0].exchange, done(200));
-    bench.now += Duration::from_secs(601);
+    let mut fixture = fixture();
+    let tickets = fixture.tickets(2);
+    let sent = dispatches(&fixture.call(1, book(Some(tickets[0].clone()))));
+    fixture.end_dispatch(sent[0].exchange, done(200));
+    fixture.now += Duration::from_secs(601);
     for (reply, ticket) in tickets.into_iter().enumerate() {
-        let effects = bench.call(10 + reply as u64, book(Some(ticket)));
+        let effects = fixture.call(10 + reply as u64, book(Some(ticket)));
         assert_eq!(outcome(&effects), (CallOutcome::Unknown, 504));
     }
 }
@@ -81,7 +81,7 @@
 /// Guards against tickets that run twice, or not at all, because their group changed hands.
 #[test]
 fn ticket_states_pass_to_the_next_owner() {
-    let mut old = bench();
+    let mut old = fixture();
     let tickets = old.tickets(4);
     let sent = dispatches(&old.call(1, book(Some(tickets[0].clone()))));
     let effects = old.end_dispatch(sent[0].exchange, done(200));
@@ -90,7 +90,7 @@
     old.change(&GroupChange::Lost { group: 0 });
     let (next, states) = old.calls.handover_state(0, 1, old.now);
 
-    let mut new = CallBench::with_executors(Learned, &[]);
+    let mut new = CallFixture::with_executors(Learned, &[]);
     new.fixed.targets = old.fixed.targets.clone();
     new.take_group(0, 2, Duration::ZERO, Some((1, next, states)));
     new.run_for(ms(20));
@@ -108,7 +108,7 @@
 /// both when it expired before the handover and after it.
 #[test]
 fn expired_tickets_stay_expired_after_a_handover() {
-    let mut old = bench();
+    let mut old = fixture();
     let early = old.tickets(2);
     let sent = dispatches(&old.call(1, book(Some(early[0].clone()))));
     old.end_dispatch(sent[0].exchange, done(200));
@@ -122,7 +122,7 @@
     old.change(&GroupChange::Lost { group: 0 });
     let (next, states) = old.calls.handover_state(0, 1, old.now);
 
-    let mut new = bench();
+    let mut new = fixture();
     new.now = Duration::from_secs(1_000);
     new.change(&GroupChange::Lost { group: 0 });
     new.take_group(0, 2, Duration::ZERO, Some((1, next, states)));
@@ -135,14 +135,14 @@
 /// Guards against a call that was told "not run" when its group was lost, and runs later.
 #[test]
 fn a_waiting_ticket_is_refused_for_good_when_the_group_is_lost() {
-    let mut bench = CallBench::with_executors(Learned, &[("e1", 1)]);
-    let ticket = bench.tickets(1).remove(0);
-    bench.call(1, plan("a"));
-    assert!(bench.call(2, book(Some(ticket.clone()))).is_empty());
-    bench.fixed.owned.clear();
-    bench.change(&GroupChange::Lost { group: 0 });
-    assert_eq!(outcome(&bench.effects()), (CallOutcome::NotRun, 503));
-    let (_, states) = bench.calls.handover_state(0, 1, bench.now);
+    let mut fixture = CallFixture::with_executors(Learned, &[("e1", 1)]);
+    let ticket = fixture.tickets(1).remove(0);
+    fixture.call(1, plan("a"));
+    assert!(fixture.call(2, book(Some(ticket.clone()))).is_empty());
+    fixture.fixed.owned.clear();
+    fixture.change(&GroupChange::Lost { group: 0 });
+    assert_eq!(outcome(&fixture.effects()), (CallOutcome::NotRun, 503));
+    let (_, states) = fixture.calls.handover_state(0, 1, fixture.now);
     let expected = |state: &TicketHandover| {
         state.answer.as_ref().is_some_and(|answer| answer.outcome == CallOutcome::NotRun)
     };
@@ -152,31 +152,31 @@
 /// Guards against a ticketed call that is served or refused by an instance that is not its home.
 #[test]
 fn a_ticket_goes_to_its_home_in_another_zone() {
-    let mut bench = bench();
+    let mut fixture = fixture();
     let home = "10.0.9.9:9".parse().unwrap();
     let remote = RequestTicket { zone: "kildare".to_owned(), ..ticket(7, 7) };
-    bench.fixed.owners.insert(("kildare".to_owned(), 0), (home, Duration::ZERO));
+    fixture.fixed.owners.insert(("kildare".to_owned(), 0), (home, Duration::ZERO));
     let large = CallRequest { body: vec![0; 65].into(), ..book(Some(remote.clone())) };
-    let sent = forwarded(&bench.call(1, large));
+    let sent = forwarded(&fixture.call(1, large));
     assert!(sent[0].1 == home && matches!(sent[0].2, PeerRequest::ForwardCall { .. }));
-    bench.end_peer(sent[0].0, Err(ExchangeError::NotSent));
-    bench.fixed.owners.clear();
-    let effects = bench.run_for(ms(2_100));
+    fixture.end_peer(sent[0].0, Err(ExchangeError::NotSent));
+    fixture.fixed.owners.clear();
+    let effects = fixture.run_for(ms(2_100));
     assert_eq!(outcome(&effects), (CallOutcome::Unknown, 504), "an earlier copy may have run");
 }
 
 /// Guards against tickets that an instance without a group cannot get for its callers.
 #[test]
 fn tickets_come_from_an_owner() {
-    let mut bench = CallBench::new(Learned);
-    bench.apply(|calls, step, view, _| calls.on_tickets_wanted(step, view, 1, 2));
-    assert_eq!(outcome(&bench.effects()), (CallOutcome::NotRun, 503));
+    let mut fixture = CallFixture::new(Learned);
+    fixture.apply(|calls, step, view, _| calls.on_tickets_wanted(step, view, 1, 2));
+    assert_eq!(outcome(&fixture.effects()), (CallOutcome::NotRun, 503));
     let home = "10.0.9.9:9".parse().unwrap();
-    bench.fixed.owners.insert(("dublin".to_owned(), 3), (home, Duration::ZERO));
-    bench.apply(|calls, step, view, _| calls.on_tickets_wanted(step, view, 2, 2));
-    let sent = forwarded(&bench.effects());
+    fixture.fixed.owners.insert(("dublin".to_owned(), 3), (home, Duration::ZERO));
+    fixture.apply(|calls, step, view, _| calls.on_tickets_wanted(step, view, 2, 2));
+    let sent = forwarded(&fixture.effects());
     let reply = PeerReply::Tickets(vec![ticket(1, 0), ticket(1, 1)]);
-    let effects = bench.end_peer(sent[0].0, Ok(reply));
+    let effects = fixture.end_peer(sent[0].0, Ok(reply));
     let body = answers(&effects)[&2].body.clone();
     assert_eq!(&body[..], br#"{"tickets":["dublin-0-1-0","dublin-0-1-1"]}"#);
 }
--- a/crates/cuminbank/tests/groups_drain.rs
+++ b/crates/cuminbank/tests/groups_drain.rs
@@ -96,7 +96,7 @@
 }
 
 /// One instance's part with a store, for looking at its changes.
-struct PartBench {
+struct PartFixture {
     part: GroupPart,
     step: StepContext,
     store: FakeStore,
@@ -104,7 +104,7 @@
     now: Duration,
 }
 
-impl PartBench {
+impl PartFixture {
     fn new() -> Self {
         let settings = settings("d0", 7_000, &[7_000]);
         Self {
@@ -164,11 +164,11 @@
 /// before the last owner's bytes have arrived.
 #[test]
 fn handed_states_arrive_with_the_group() {
-    let mut bench = PartBench::new();
-    bench.release(0, 7);
-    let answer = bench.hand_over(7);
+    let mut fixture = PartFixture::new();
+    fixture.release(0, 7);
+    let answer = fixture.hand_over(7);
     assert!(matches!(answer, Some(EntryEffect::AnswerPeer { answer: PeerReply::HandedOver, .. })));
-    let changes = bench.run(Duration::from_millis(100));
+    let changes = fixture.run(Duration::from_millis(100));
     let (epoch, probe_from, handed) = taken(&changes, 0).expect("a handed group is claimed");
     assert_eq!((epoch, handed), (8, Some(7)));
     assert!(probe_from >= seconds(1));
@@ -180,19 +180,19 @@
 /// Guards against states of an older term that are used after another owner's term.
 #[test]
 fn states_of_an_older_term_are_dropped() {
-    let mut bench = PartBench::new();
-    bench.release(0, 8);
-    bench.hand_over(7);
-    let (epoch, _, handed) = taken(&bench.run(seconds(5)), 0).expect("the group is claimed");
+    let mut fixture = PartFixture::new();
+    fixture.release(0, 8);
+    fixture.hand_over(7);
+    let (epoch, _, handed) = taken(&fixture.run(seconds(5)), 0).expect("the group is claimed");
     assert_eq!((epoch, handed), (9, None));
 }
 
 /// Guards against an owner that goes on after a peer announced a later term.
 #[test]
 fn later_term_in_a_heartbeat_ends_the_own_term() {
-    let mut bench = PartBench::new();
-    bench.run(seconds(1));
-    assert_eq!(bench.part.owned(bench.now), [0, 1, 2, 3]);
+    let mut fixture = PartFixture::new();
+    fixture.run(seconds(1));
+    assert_eq!(fixture.part.owned(fixture.now), [0, 1, 2, 3]);
     let from = cuminbank::message::PeerIdentity { instance: "d1".to_owned(), start: 5 };
     let heartbeat = cuminbank::message::PeerHeartbeat {
         from,
@@ -205,9 +205,9 @@
     };
     let address = heartbeat.address;
     let datagram = cuminbank::message::PeerDatagram::Heartbeat(heartbeat);
-    bench.part.on_datagram(&mut bench.step, &bench.config, address, datagram);
-    assert_eq!(bench.part.owned(bench.now), [0, 1, 3]);
-    assert_eq!(bench.part.take_changes(), [GroupChange::Lost { group: 2 }]);
-    let owner = bench.part.owner_of("dublin", 2, bench.now);
+    fixture.part.on_datagram(&mut fixture.step, &fixture.config, address, datagram);
+    assert_eq!(fixture.part.owned(fixture.now), [0, 1, 3]);
+    assert_eq!(fixture.part.take_changes(), [GroupChange::Lost { group: 2 }]);
+    let owner = fixture.part.owner_of("dublin", 2, fixture.now);
     assert_eq!(owner, Some((address, Duration::from_millis(40))));
 }
--- a/crates/cuminbank/tests/groups_targets.rs
+++ b/crates/cuminbank/tests/groups_targets.rs
@@ -19,7 +19,7 @@
 
 use self::groups_support::{listed, settings};
 
-struct TargetBench {
+struct TargetFixture {
     part: GroupPart,
     step: StepContext,
     now: Duration,
@@ -29,7 +29,7 @@
     listed(name, ListedRole::Executor { slots: 8, connections: 60 })
 }
 
-impl TargetBench {
+impl TargetFixture {
     fn new() -> Self {
         let settings = settings("d0", 7_000, &[]);
         let part = GroupPart::new(&settings, 1);
@@ -55,73 +55,73 @@
 /// Guards against work for instances of other zones and for entry instances.
 #[test]
 fn only_targets_of_the_own_zone_are_listed() {
-    let mut bench = TargetBench::new();
+    let mut fixture = TargetFixture::new();
     let other_zone = ListedInstance { zone: "kildare".to_owned(), ..executor("x2") };
-    let changes = bench.list(&[executor("x1"), other_zone, listed("d1", ListedRole::Entry)]);
+    let changes = fixture.list(&[executor("x1"), other_zone, listed("d1", ListedRole::Entry)]);
     assert_eq!(changes, [GroupChange::TargetChanged { name: "x1".to_owned() }]);
-    let (_, target) = bench.part.targets().by_name("x1").expect("x1 is listed");
-    assert_eq!(bench.part.targets().in_group(target.group).count(), 1);
+    let (_, target) = fixture.part.targets().by_name("x1").expect("x1 is listed");
+    assert_eq!(fixture.part.targets().in_group(target.group).count(), 1);
 }
 
 /// Guards against a target that ends because one list lacks it or cannot be fetched.
 #[test]
 fn target_ends_after_three_lists_without_it() {
-    let mut bench = TargetBench::new();
-    bench.list(&[executor("x1")]);
-    assert_eq!(bench.list(&[]), []);
-    assert_eq!(bench.list(&[]), []);
-    assert_eq!(bench.list(&[executor("x1")]), []);
-    bench.list(&[]);
-    bench.part.on_list_fetched(&mut bench.step, Err(ExchangeError::Lost));
-    assert_eq!(bench.list(&[]), []);
-    let changes = bench.list(&[]);
+    let mut fixture = TargetFixture::new();
+    fixture.list(&[executor("x1")]);
+    assert_eq!(fixture.list(&[]), []);
+    assert_eq!(fixture.list(&[]), []);
+    assert_eq!(fixture.list(&[executor("x1")]), []);
+    fixture.list(&[]);
+    fixture.part.on_list_fetched(&mut fixture.step, Err(ExchangeError::Lost));
+    assert_eq!(fixture.list(&[]), []);
+    let changes = fixture.list(&[]);
     assert!(matches!(&changes[..], [GroupChange::TargetEnded { name, .. }] if name == "x1"));
-    assert_eq!(bench.state("x1"), None);
+    assert_eq!(fixture.state("x1"), None);
 }
 
 /// Guards against a stale list that revives a target which does not answer.
 #[test]
 fn only_an_answer_revives_a_suspect() {
-    let mut bench = TargetBench::new();
-    bench.list(&[executor("x1")]);
+    let mut fixture = TargetFixture::new();
+    fixture.list(&[executor("x1")]);
     let silent = || TargetObservation::Silent("x1".to_owned());
     let answered = || TargetObservation::Answered("x1".to_owned());
     for observation in [silent(), silent(), answered(), silent(), silent()] {
-        bench.observe(observation);
+        fixture.observe(observation);
     }
-    assert_eq!(bench.state("x1"), Some(TargetState::Live), "silence has to be in a row");
-    bench.observe(silent());
-    assert_eq!(bench.state("x1"), Some(TargetState::Suspect));
-    bench.list(&[executor("x1")]);
-    assert_eq!(bench.state("x1"), Some(TargetState::Suspect));
-    bench.observe(answered());
-    assert_eq!(bench.state("x1"), Some(TargetState::Live));
+    assert_eq!(fixture.state("x1"), Some(TargetState::Live), "silence has to be in a row");
+    fixture.observe(silent());
+    assert_eq!(fixture.state("x1"), Some(TargetState::Suspect));
+    fixture.list(&[executor("x1")]);
+    assert_eq!(fixture.state("x1"), Some(TargetState::Suspect));
+    fixture.observe(answered());
+    assert_eq!(fixture.state("x1"), Some(TargetState::Live));
 }
 
 /// Guards against new work for a leaving target (I7): its own word holds against a lagging list.
 #[test]
 fn leaving_target_stays_leaving() {
-    let mut bench = TargetBench::new();
+    let mut fixture = TargetFixture::new();
     let leaving = ListedInstance { leaving: true, ..executor("x1") };
-    bench.list(&[executor("x1"), executor("x2")]);
-    bench.list(&[leaving, executor("x2")]);
-    assert_eq!(bench.state("x1"), Some(TargetState::Leaving));
-    bench.observe(TargetObservation::Leaving("x2".to_owned()));
-    bench.list(&[executor("x2")]);
-    bench.observe(TargetObservation::Answered("x2".to_owned()));
-    assert_eq!(bench.state("x2"), Some(TargetState::Leaving));
+    fixture.list(&[executor("x1"), executor("x2")]);
+    fixture.list(&[leaving, executor("x2")]);
+    assert_eq!(fixture.state("x1"), Some(TargetState::Leaving));
+    fixture.observe(TargetObservation::Leaving("x2".to_owned()));
+    fixture.list(&[executor("x2")]);
+    fixture.observe(TargetObservation::Answered("x2".to_owned()));
+    assert_eq!(fixture.state("x2"), Some(TargetState::Leaving));
 }
 
 /// Guards against slots of an ended process that count for its successor under the same name.
 #[test]
 fn name_with_another_address_is_a_new_target() {
-    let mut bench = TargetBench::new();
-    bench.list(&[executor("x1")]);
+    let mut fixture = TargetFixture::new();
+    fixture.list(&[executor("x1")]);
     let moved = ListedInstance {
         address: "127.0.0.1:9001".parse().expect("the address is valid"),
         ..executor("x1")
     };
-    let changes = bench.list(&[moved]);
+    let changes = fixture.list(&[moved]);
     let ended = matches!(&changes[0], GroupChange::TargetEnded { name, .. } if name == "x1");
     assert!(ended && changes[1] == GroupChange::TargetChanged { name: "x1".to_owned() });
 }
@@ -129,18 +129,18 @@
 /// Guards against a list that is polled at each tick, twice at once, or no more after a loss.
 #[test]
 fn list_is_fetched_each_second_and_given_up_after_three() {
-    let mut bench = TargetBench::new();
-    let settings = bench.step.settings.clone();
+    let mut fixture = TargetFixture::new();
+    let settings = fixture.step.settings.clone();
     let (calls, config) = (CallPart::new(&settings), ConfigPart::new(&settings));
     let mut records = RecordPart::new(&settings, 1);
     let mut fetched = Vec::new();
     for tick in 0..300_u64 {
-        bench.step.begin(Duration::from_millis(tick * 20));
-        bench.part.on_tick(&mut bench.step, &config, &calls, &mut records);
-        if bench.step.take_effects().contains(&EntryEffect::FetchList) {
+        fixture.step.begin(Duration::from_millis(tick * 20));
+        fixture.part.on_tick(&mut fixture.step, &config, &calls, &mut records);
+        if fixture.step.take_effects().contains(&EntryEffect::FetchList) {
             fetched.push(tick * 20);
             if fetched.len() < 3 {
-                bench.part.on_list_fetched(&mut bench.step, Ok(Vec::new()));
+                fixture.part.on_list_fetched(&mut fixture.step, Ok(Vec::new()));
             }
         }
     }
--- a/crates/cuminbank/tests/tasks_support/mod.rs
+++ b/crates/cuminbank/tests/tasks_support/mod.rs
@@ -19,7 +19,7 @@
     profile::WorkProfile,
     reducer::{
         step::StepContext,
-        tasks::group::{GroupScene, TaskGroup, TaskModels, TaskSample, Waiter},
+        tasks::group::{GroupView, TaskGroup, TaskModels, TaskSample, Waiter},
     },
     settings::EntrySettings,
     store::{epoch_key, StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
@@ -403,18 +403,18 @@
             state,
         };
         let owner = self.owners.len() - 1;
-        self.with_owner(owner, |group, step, _, scene| group.on_target(step, scene, &target));
+        self.with_owner(owner, |group, step, _, view| group.on_target(step, view, &target));
     }
 
     pub fn with_owner(
         &mut self,
         index: usize,
-        run: impl FnOnce(&mut TaskGroup, &mut StepContext, &mut TaskModels, &GroupScene<'_>),
+        run: impl FnOnce(&mut TaskGroup, &mut StepContext, &mut TaskModels, &GroupView<'_>),
     ) {
         let (now, profiles, victims, workers) =
             (self.now, &self.profiles, &self.victims, &self.workers);
         let owner = &mut self.owners[index];
-        let scene = GroupScene {
+        let view = GroupView {
             right_until: owner.has_right.then_some(now + secs(2)),
             profile: &|name| profiles.get(name),
             classes_on: &|_| victims.clone(),
@@ -422,7 +422,7 @@
         };
         owner.step.begin(now);
         owner.step.set_wall(SystemTime::UNIX_EPOCH + now);
-        run(&mut owner.group, &mut owner.step, &mut owner.models, &scene);
+        run(&mut owner.group, &mut owner.step, &mut owner.models, &view);
         self.samples.extend(owner.group.take_samples());
         owner.step.take_observations();
         for effect in owner.step.take_effects() {
@@ -511,13 +511,13 @@
                         self.queue.push((self.now + TICK, owner, id, end));
                     }
                 }
-                Message::StoreEnd(result) => self.with_owner(owner, |group, step, _, scene| {
-                    group.on_store_ended(step, scene, id, &result);
+                Message::StoreEnd(result) => self.with_owner(owner, |group, step, _, view| {
+                    group.on_store_ended(step, view, id, &result);
                 }),
                 Message::WorkerEnd(result) => {
                     self.note_results(owner, &result);
-                    self.with_owner(owner, |group, step, models, scene| {
-                        group.on_worker_ended(step, scene, models, id, &result);
+                    self.with_owner(owner, |group, step, models, view| {
+                        group.on_worker_ended(step, view, models, id, &result);
                     });
                 }
             }
@@ -550,8 +550,8 @@
             self.workers.values_mut().for_each(|worker| worker.advance(now));
             self.deliver();
             for owner in 0..self.owners.len() {
-                self.with_owner(owner, |group, step, models, scene| {
-                    group.on_tick(step, scene, models);
+                self.with_owner(owner, |group, step, models, view| {
+                    group.on_tick(step, view, models);
                 });
             }
             self.check();
@@ -602,8 +602,8 @@
         self.replies += 1;
         let waiter = Waiter { reply: self.replies, peer: false };
         let owner = self.owners.len() - 1;
-        self.with_owner(owner, |group, step, _, scene| {
-            group.submit(step, scene, waiter, submission);
+        self.with_owner(owner, |group, step, _, view| {
+            group.submit(step, view, waiter, submission);
         });
         self.replies
     }
