--- a/crates/cuminbank/src/reducer/calls/mod.rs
+++ b/crates/cuminbank/src/reducer/calls/mod.rs
@@ -144,6 +144,7 @@
     ) {
         let waiter = CallWaiter::new(WaiterOrigin::Caller, reply, &call, step.now())
             .with_profile(view.config.profile(&call.profile));
+        records.count_received(&waiter.profile, &waiter.customer);
         self.replies.add(reply);
         self.route(&mut CallContext { step, view, records }, waiter, call);
     }
@@ -264,6 +265,7 @@
         records: &mut RecordPart,
     ) {
         let context = &mut CallContext { step, view, records };
+        self.end_silent_forwards(context);
         self.route_pending(context);
         self.label_long_calls(context.now());
         self.open_gates(context);
