--- a/crates/cuminbank/src/reducer/calls/forwarding.rs
+++ b/crates/cuminbank/src/reducer/calls/forwarding.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    state::{CallWaiter, ForwardFlight, PendingCall},
+    state::{CallWaiter, PendingCall, PendingForward},
     CallContext, CallPart,
 };
 
@@ -101,7 +101,7 @@
             timeout: timeout + FORWARD_SLACK,
         });
         *self.underway.entry(group).or_default() += 1;
-        self.forwards.insert(exchange, ForwardFlight { waiter, call, group, address });
+        self.forwards.insert(exchange, PendingForward { waiter, call, group, address });
     }
 
     /// Keeps a caller's call until an owner is known or its deadline can no longer be met.
@@ -121,10 +121,10 @@
         &mut self,
         step: &mut StepContext,
         records: &mut RecordPart,
-        flight: ForwardFlight,
+        forward: PendingForward,
         result: Result<PeerReply, ExchangeError>,
     ) {
-        let ForwardFlight { waiter, call, group, .. } = flight;
+        let PendingForward { waiter, call, group, .. } = forward;
         if let Some(count) = self.underway.get_mut(&group) {
             *count = count.saturating_sub(1);
         }
@@ -150,13 +150,13 @@
         if silent.is_empty() {
             return;
         }
-        let waiting = self.forwards.iter().filter(|(_, flight)| silent.contains(&flight.address));
+        let waiting = self.forwards.iter().filter(|(_, forward)| silent.contains(&forward.address));
         let mut ended: Vec<_> = waiting.map(|(exchange, _)| *exchange).collect();
         ended.sort_unstable();
         for exchange in ended {
-            if let Some(flight) = self.forwards.remove(&exchange) {
+            if let Some(forward) = self.forwards.remove(&exchange) {
                 let lost = Err(ExchangeError::Lost);
-                self.end_forward(context.step, context.records, flight, lost);
+                self.end_forward(context.step, context.records, forward, lost);
             }
         }
     }
@@ -165,7 +165,7 @@
     pub(super) fn route_pending(&mut self, context: &mut CallContext<'_>) {
         let now = context.now();
         for pending in std::mem::take(&mut self.pending) {
-            let gone = self.owed.is_gone(pending.waiter.reply);
+            let gone = self.replies.is_gone(pending.waiter.reply);
             if gone || pending.give_up_at < now {
                 self.give_up_pending(context, pending);
             } else if pending.retry_at <= now {
@@ -221,7 +221,7 @@
             request,
             timeout: TICKET_TIMEOUT,
         });
-        self.owed.add(reply);
+        self.replies.add(reply);
         self.ticket_forwards.insert(exchange, reply);
     }
 
@@ -270,7 +270,7 @@
         reply: ReplyId,
         result: Result<PeerReply, ExchangeError>,
     ) {
-        if !self.owed.settle(reply) {
+        if !self.replies.settle(reply) {
             return;
         }
         match result {
