--- a/crates/cuminbank/tests/tasks_workers.rs
+++ b/crates/cuminbank/tests/tasks_workers.rs
@@ -339,6 +339,42 @@
     }
 }
 
+/// Guards against empty workers that are hidden behind many with too little room: a class that uses
+/// more than it declares has to start on one of the empty ones.
+#[test]
+fn grown_task_finds_an_empty_worker_behind_many_filled_ones() {
+    let mut world = World::new(70, 1);
+    let grown = |world: &mut World| {
+        let ticket = world.next_ticket();
+        let mut submission = world.submission(&ticket, 300_000);
+        (submission.class, submission.size) = ("grown".to_owned(), cores(1));
+        world.send_submission(submission);
+        ticket
+    };
+    let first = grown(&mut world);
+    world.run_until("the first task runs", |world| world.worker_of(&first).is_some());
+    let worker = world.worker_of(&first).expect("it runs");
+    for _ in 0..30 {
+        let neighbours = vec![("grown".to_owned(), 3.0)];
+        let window = UsageWindow { length_ms: 1_000, age_ms: 0, neighbours, slowdowns: vec![] };
+        world.workers.get_mut(&worker).expect("it exists").usage.push(window);
+        world.run(secs(1));
+    }
+    let mut fillers = Vec::new();
+    for _ in 0..66 {
+        let ticket = world.next_ticket();
+        let mut submission = world.submission(&ticket, 300_000);
+        submission.size = cores(3);
+        world.send_submission(submission);
+        fillers.push(ticket);
+        world.run(millis(50));
+    }
+    world.run(secs(5));
+    let second = grown(&mut world);
+    world.run(secs(10));
+    assert!(world.worker_of(&second).is_some(), "it waits: {}", world.state(&second));
+}
+
 /// Guards against tasks that fit behind tasks that no worker of the group can hold, and against
 /// forgetting the latter when a larger worker comes.
 #[test]
