--- a/crates/cuminbank/tests/tasks_support/mod.rs
+++ b/crates/cuminbank/tests/tasks_support/mod.rs
@@ -2,12 +2,14 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod store;
+pub mod worker;
+
 use std::{
     collections::BTreeMap,
     time::{Duration, SystemTime},
 };
 
-use bytes::Bytes;
 use cuminbank::{
     effect::{CallOutcome, CallerAnswer, EntryEffect},
     event::{ExchangeError, ListedRole, TaskQuery, TaskSubmission},
@@ -22,15 +24,14 @@
         tasks::group::{GroupView, TaskGroup, TaskModels, TaskSample, Waiter},
     },
     settings::EntrySettings,
-    store::{epoch_key, StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
-    worker::{
-        AttemptEnd, EndedTask, ResourceSize, RunningTask, TaskStart, UsageWindow, WorkerReply,
-        WorkerReport, WorkerRequest,
-    },
+    store::{epoch_key, StoreReply, StoreRequest},
+    worker::{AttemptEnd, ResourceSize, TaskStart, WorkerReply, WorkerRequest},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use self::{store::FakeStore, worker::FakeWorker};
+
 pub const TICK: Duration = Duration::from_millis(20);
 pub const ZONE: &str = "dublin";
 
@@ -60,240 +61,6 @@
     Late(u64),
 }
 
-/// The store: keys with revisions, and a fault for each call.
-#[derive(Default)]
-pub struct FakeStore {
-    pub keys: BTreeMap<String, (Bytes, i64)>,
-    pub revision: i64,
-    pub writes: usize,
-    pub requests: Vec<StoreRequest>,
-}
-
-impl FakeStore {
-    pub fn put(&mut self, key: &str, value: impl Into<Bytes>) {
-        self.revision += 1;
-        self.keys.insert(key.to_owned(), (value.into(), self.revision));
-    }
-
-    fn holds(&self, compare: &StoreCompare) -> bool {
-        match compare {
-            StoreCompare::ModRevision(key, revision) => {
-                self.keys.get(key).map_or(0, |(_, at)| *at) == *revision
-            }
-            StoreCompare::Value(key, value) => {
-                self.keys.get(key).is_some_and(|(held, _)| held == value)
-            }
-        }
-    }
-
-    fn values(&self, wanted: impl Fn(&str) -> bool) -> Vec<StoreValue> {
-        let found = self.keys.iter().filter(|(key, _)| wanted(key));
-        found
-            .map(|(key, (value, at))| StoreValue {
-                key: key.clone(),
-                value: value.clone(),
-                mod_revision: *at,
-            })
-            .collect()
-    }
-
-    fn call(&mut self, request: &StoreRequest) -> StoreReply {
-        self.requests.push(request.clone());
-        match request {
-            StoreRequest::Range { key, prefix } => {
-                let values =
-                    self.values(|held| held == key || (*prefix && held.starts_with(key.as_str())));
-                StoreReply::Range { revision: self.revision, values }
-            }
-            StoreRequest::Txn { compares, then, otherwise } => {
-                if !compares.iter().all(|compare| self.holds(compare)) {
-                    let values = self.values(|held| otherwise.iter().any(|key| key == held));
-                    let revision = self.revision;
-                    return StoreReply::Txn { revision, succeeded: false, values };
-                }
-                self.writes += 1;
-                for write in then {
-                    match write {
-                        StoreWrite::Put { key, value, .. } => self.put(key, value.clone()),
-                        StoreWrite::Delete(key) => drop(self.keys.remove(key)),
-                        StoreWrite::DeletePrefix(prefix) => {
-                            self.keys.retain(|key, _| !key.starts_with(prefix.as_str()));
-                        }
-                    }
-                }
-                StoreReply::Txn { revision: self.revision, succeeded: true, values: Vec::new() }
-            }
-            other => panic!("unexpected request {other:?}"),
-        }
-    }
-}
-
-pub struct FakeRun {
-    pub attempt: u32,
-    pub size: ResourceSize,
-    pub class: String,
-    pub left: Duration,
-    pub lease_until: MonotonicTime,
-}
-
-/// A worker. A checkpoint is the work that is left, in milliseconds.
-pub struct FakeWorker {
-    pub size: ResourceSize,
-    pub running: BTreeMap<String, FakeRun>,
-    pub last_attempt: BTreeMap<String, u32>,
-    /// Ends that the owner has not confirmed.
-    pub ended: Vec<EndedTask>,
-    /// All results: task, attempt, and whether a restart lost it unconfirmed.
-    pub results: Vec<(String, u32, bool)>,
-    pub leaving: bool,
-    pub fails_all: bool,
-    pub fault: Fault,
-    pub usage: Vec<UsageWindow>,
-    pub sequence: u64,
-    pub starts: Vec<(MonotonicTime, TaskStart)>,
-    pub stops: usize,
-    pub throttles: Vec<(String, u8)>,
-}
-
-impl FakeWorker {
-    fn new(size: ResourceSize) -> Self {
-        Self {
-            size,
-            running: BTreeMap::new(),
-            last_attempt: BTreeMap::new(),
-            ended: Vec::new(),
-            results: Vec::new(),
-            sequence: 0,
-            leaving: false,
-            fails_all: false,
-            fault: Fault::None,
-            usage: Vec::new(),
-            starts: Vec::new(),
-            stops: 0,
-            throttles: Vec::new(),
-        }
-    }
-
-    /// Loses everything but its name, as a process that starts again does.
-    pub fn restart(&mut self) {
-        self.running.clear();
-        self.last_attempt.clear();
-        let lost = std::mem::take(&mut self.ended);
-        for (task, attempt, is_lost) in &mut self.results {
-            *is_lost |= lost.iter().any(|end| end.task == *task && end.attempt == *attempt);
-        }
-        self.sequence = 0;
-    }
-
-    pub fn held(&self) -> ResourceSize {
-        self.running.values().fold(ResourceSize::default(), |sum, run| sum.plus(&run.size))
-    }
-
-    fn end(&mut self, task: &str, attempt: u32, end: AttemptEnd) {
-        self.sequence += 1;
-        let sequence = self.sequence;
-        if matches!(end, AttemptEnd::Finished { .. }) {
-            self.results.push((task.to_owned(), attempt, false));
-        }
-        self.ended.push(EndedTask { sequence, task: task.to_owned(), attempt, end });
-    }
-
-    fn advance(&mut self, now: MonotonicTime) {
-        let mut ends = Vec::new();
-        for (task, run) in &mut self.running {
-            run.left = run.left.saturating_sub(TICK);
-            if self.fails_all {
-                let end = AttemptEnd::Failed { reason: "broken".to_owned() };
-                ends.push((task.clone(), run.attempt, end));
-            } else if run.left.is_zero() {
-                let end = AttemptEnd::Finished { result: serde_json::json!(task) };
-                ends.push((task.clone(), run.attempt, end));
-            } else if now >= run.lease_until {
-                let checkpoint = Some(run.left.as_millis().to_string());
-                ends.push((task.clone(), run.attempt, AttemptEnd::LeaseLapsed { checkpoint }));
-            }
-        }
-        for (task, attempt, end) in ends {
-            self.running.remove(&task);
-            self.end(&task, attempt, end);
-        }
-    }
-
-    fn call(&mut self, now: MonotonicTime, request: &WorkerRequest) -> WorkerReply {
-        match request {
-            WorkerRequest::Start(start) => self.start(now, start),
-            WorkerRequest::Renew { lease_ms, tasks } => {
-                let mut missing = Vec::new();
-                for (task, attempt) in tasks {
-                    match self.running.get_mut(task).filter(|run| run.attempt == *attempt) {
-                        Some(run) => run.lease_until = now + millis(*lease_ms),
-                        None => missing.push(task.clone()),
-                    }
-                }
-                WorkerReply::Renewed { missing }
-            }
-            WorkerRequest::Stop { task, attempt, checkpoint } => {
-                self.stops += 1;
-                let running = self.running.get(task).filter(|run| run.attempt == *attempt);
-                let text = running.map(|run| run.left.as_millis().to_string());
-                if text.is_some() {
-                    self.running.remove(task);
-                }
-                let same = |ended: &&EndedTask| ended.task == *task && ended.attempt == *attempt;
-                let ended = self.ended.iter().find(same).map(|ended| ended.end.clone());
-                WorkerReply::Stopped { checkpoint: text.filter(|_| *checkpoint), ended }
-            }
-            WorkerRequest::Throttle { task, percent, .. } => {
-                self.throttles.push((task.clone(), *percent));
-                WorkerReply::Accepted
-            }
-            WorkerRequest::List { since } => {
-                // A worker keeps no end that its owner has confirmed.
-                self.ended.retain(|ended| ended.sequence > *since);
-                let running = self.running.iter().map(|(task, run)| RunningTask {
-                    task: task.clone(),
-                    attempt: run.attempt,
-                    checkpoint: Some(run.left.as_millis().to_string()),
-                });
-                WorkerReply::Listed(WorkerReport {
-                    leaving: self.leaving,
-                    running: running.collect(),
-                    ended: self.ended.clone(),
-                    usage: std::mem::take(&mut self.usage),
-                })
-            }
-        }
-    }
-
-    fn start(&mut self, now: MonotonicTime, start: &TaskStart) -> WorkerReply {
-        let last = self.last_attempt.entry(start.task.clone()).or_default();
-        if start.attempt <= *last {
-            return WorkerReply::Refused { status: 409 };
-        }
-        if self.leaving {
-            return WorkerReply::Refused { status: 503 };
-        }
-        *last = start.attempt;
-        if !self.held().plus(&start.size).fits(&self.size) {
-            return WorkerReply::Refused { status: 507 };
-        }
-        let left = match &start.checkpoint {
-            Some(text) => text.parse().expect("the checkpoint is one of a worker"),
-            None => start.input["run_ms"].as_u64().expect("the input names the run time"),
-        };
-        let run = FakeRun {
-            attempt: start.attempt,
-            size: start.size,
-            class: start.class.clone(),
-            left: millis(left),
-            lease_until: now + millis(start.lease_ms),
-        };
-        self.running.insert(start.task.clone(), run);
-        self.starts.push((now, start.clone()));
-        WorkerReply::Accepted
-    }
-}
-
 /// An entry instance that owns, or owned, the group.
 pub struct Owner {
     pub group: TaskGroup,
--- a/crates/cuminbank/tests/tasks_workers.rs
+++ b/crates/cuminbank/tests/tasks_workers.rs
@@ -13,7 +13,11 @@
     settings::PlacementPolicy,
     worker::{AttemptEnd, EndedTask, UsageWindow},
 };
-use tasks_support::{cores, millis, secs, FakeRun, Fault, World};
+use tasks_support::{
+    cores, millis, secs,
+    worker::{FakeRun, FakeWorker},
+    Fault, World,
+};
 
 fn marks(world: &World, mark: TaskMark) -> usize {
     world.samples.iter().filter(|sample| sample.mark == mark).count()
@@ -260,9 +264,7 @@
     let first = world.workers["w3"].starts.first().expect("it got some work").0;
     // Results are known a second after the first starts at the latest.
     let counted = |at: Duration| at > first + millis(1_500) && at <= first + millis(61_500);
-    let starts = |worker: &tasks_support::FakeWorker| {
-        worker.starts.iter().filter(|(at, _)| counted(*at)).count()
-    };
+    let starts = |worker: &FakeWorker| worker.starts.iter().filter(|(at, _)| counted(*at)).count();
     let all: usize = world.workers.values().map(starts).sum();
     let faulty = starts(&world.workers["w3"]);
     assert!(all > 500, "{all} starts");
