--- a/crates/cuminbank/tests/calls_random.rs
+++ b/crates/cuminbank/tests/calls_random.rs
@@ -26,7 +26,7 @@
 const END: Duration = Duration::from_secs(60);
 
 /// An owner and its exchange.
-type Flight = (usize, ExchangeId);
+type OwnerExchange = (usize, ExchangeId);
 type DispatchResult = Result<ExecutorAnswer, ExchangeError>;
 const LOST: DispatchResult = Err(ExchangeError::Lost);
 
@@ -40,7 +40,7 @@
     owners: Vec<CallFixture>,
     events: BTreeMap<(Duration, u64), LaterEvent>,
     sequence: u64,
-    open: HashSet<Flight>,
+    open: HashSet<OwnerExchange>,
     running: HashMap<SocketAddr, BTreeMap<String, Bytes>>,
     runs: HashMap<Bytes, u32>,
     asked: HashMap<(usize, ReplyId), CallRequest>,
@@ -171,31 +171,31 @@
         }
     }
 
-    fn send(&mut self, flight: Flight, address: SocketAddr, call_id: String, body: Bytes) {
+    fn send(&mut self, exchange: OwnerExchange, address: SocketAddr, call_id: String, body: Bytes) {
         let delay = self.rng.random_range(0..950);
-        let run = move |world: &mut Self| world.begin_run(flight, address, call_id, &body);
+        let run = move |world: &mut Self| world.begin_run(exchange, address, call_id, &body);
         match self.rng.random_range(0..100) {
-            0..3 => self.end_later(5, flight, Err(ExchangeError::NotSent)),
+            0..3 => self.end_later(5, exchange, Err(ExchangeError::NotSent)),
             3..8 => {
                 // The connection breaks at once, but the bytes arrive.
                 self.later(delay, run);
-                self.end_later(1, flight, LOST);
+                self.end_later(1, exchange, LOST);
             }
             8..10 => {
                 // Nothing arrives and the connection stays silent.
             }
-            10..14 => self.end_later(delay, flight, done(503)),
+            10..14 => self.end_later(delay, exchange, done(503)),
             14..40 => self.later(delay, run),
             _ => self.later(delay / 20, run),
         }
     }
 
-    fn end_later(&mut self, delay_ms: u64, flight: Flight, result: DispatchResult) {
+    fn end_later(&mut self, delay_ms: u64, exchange: OwnerExchange, result: DispatchResult) {
         self.later(delay_ms, move |world| {
-            if world.open.remove(&flight) {
-                world.owners[flight.0].now = world.now;
-                let effects = world.owners[flight.0].end_dispatch(flight.1, result);
-                world.carry_out(flight.0, effects);
+            if world.open.remove(&exchange) {
+                world.owners[exchange.0].now = world.now;
+                let effects = world.owners[exchange.0].end_dispatch(exchange.1, result);
+                world.carry_out(exchange.0, effects);
             }
         });
     }
@@ -211,7 +211,7 @@
         self.carry_out(owner, effects);
     }
 
-    fn end_run(&mut self, flight: Flight, address: SocketAddr, call_id: &str) {
+    fn end_run(&mut self, exchange: OwnerExchange, address: SocketAddr, call_id: &str) {
         let ended = self.running.get_mut(&address).and_then(|calls| calls.remove(call_id));
         assert!(ended.is_some(), "the executor runs the call");
         let result = match self.rng.random_range(0..100) {
@@ -220,10 +220,16 @@
             6..10 => done(500),
             _ => done(200),
         };
-        self.end_later(1, flight, result);
+        self.end_later(1, exchange, result);
     }
 
-    fn begin_run(&mut self, flight: Flight, address: SocketAddr, call_id: String, body: &Bytes) {
+    fn begin_run(
+        &mut self,
+        exchange: OwnerExchange,
+        address: SocketAddr,
+        call_id: String,
+        body: &Bytes,
+    ) {
         let elsewhere = self.running.values().any(|calls| calls.values().any(|run| run == body));
         assert!(!elsewhere, "I2: {body:?} runs in two places");
         let calls = self.running.entry(address).or_default();
@@ -235,7 +241,7 @@
         assert!(*runs == 1 || body.starts_with(b"plan"), "I6: {body:?} ran twice");
         let slow = self.rng.random_bool(0.05);
         let time = self.rng.random_range(5..if slow { 6_000 } else { 200 });
-        self.later(time, move |world| world.end_run(flight, address, &call_id));
+        self.later(time, move |world| world.end_run(exchange, address, &call_id));
     }
 
     fn check_answers(&self) {
