Remove public functions that nothing uses

Cause: a search over the workspace found no use of GroupPart::with_target, GroupPart::peer_addresses and MachineRelief::is_throttled.

Before: three unused public functions. After: none of them.

Conclusion: the workspace builds without them; the tests pass.

--- a/crates/cuminbank/src/interference.rs
+++ b/crates/cuminbank/src/interference.rs
@@ -129,11 +129,6 @@
         RelievingStep::Keep
     }
 
-    /// Tells whether a task of the machine is throttled.
-    pub fn is_throttled(&self) -> bool {
-        self.throttled
-    }
-
     /// Notes that the throttled task is gone.
     pub fn forget_throttle(&mut self) {
         self.throttled = false;
--- a/crates/cuminbank/src/reducer/groups/mod.rs
+++ b/crates/cuminbank/src/reducer/groups/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     effect::EntryEffect,
-    event::{ExchangeError, ListedInstance},
+    event::ExchangeError,
     ids::{
         ExchangeId, GroupIndex, LeaseId, MonotonicTime, OwnerEpoch, ReplyId, StartNumber,
         StoreRevision, TargetName, ZoneName,
@@ -192,13 +192,6 @@
         self
     }
 
-    /// Adds a target, for tests of other parts.
-    #[doc(hidden)]
-    pub fn with_target(mut self, listed: ListedInstance) -> Self {
-        self.targets.insert(TargetEntry::from_listed(listed, self.groups_per_zone));
-        self
-    }
-
     /// Adds a target as it is, for tests of other parts.
     #[doc(hidden)]
     pub fn with_target_entry(mut self, entry: TargetEntry) -> Self {
@@ -264,11 +257,6 @@
         self.peers.all().map(|peer| heard(&peer.heartbeat.from.instance, peer.heard)).collect()
     }
 
-    /// Returns the addresses of live peers.
-    pub fn peer_addresses(&self, now: MonotonicTime) -> Vec<SocketAddr> {
-        self.peers.live(now).map(|peer| peer.heartbeat.address).collect()
-    }
-
     /// Handles the end of an exchange with the store.
     pub fn on_store_ended(
         &mut self,
