Pass a forwarded call to the call part as one value

Cause: CallPart::on_forwarded_call took eight arguments and was the reason for an allow of clippy::too_many_arguments on the whole impl block.

Before: group, call and waiting time as three arguments, lint off. After: ForwardedCall holds the three; the lint is on.

--- a/crates/cuminbank/src/reducer/calls/mod.rs
+++ b/crates/cuminbank/src/reducer/calls/mod.rs
@@ -66,6 +66,17 @@
     tickets: TicketTable,
 }
 
+/// A call that a peer forwarded to a group that this instance owns.
+#[derive(Debug)]
+pub struct ForwardedCall {
+    /// Group that is to run the call.
+    pub group: GroupIndex,
+    /// Call.
+    pub call: CallRequest,
+    /// Time since the call arrived at the peer.
+    pub waited: Duration,
+}
+
 /// Urgent calls.
 #[derive(Debug)]
 pub struct CallPart {
@@ -98,7 +109,6 @@
     budget: RetryBudget,
 }
 
-#[allow(clippy::too_many_arguments, reason = "one argument for each part that is involved")]
 impl CallPart {
     /// Creates the part.
     pub fn new(settings: &EntrySettings) -> Self {
@@ -156,10 +166,9 @@
         view: CallView<'_>,
         records: &mut RecordPart,
         reply: ReplyId,
-        group: GroupIndex,
-        call: CallRequest,
-        waited: Duration,
+        forwarded: ForwardedCall,
     ) {
+        let ForwardedCall { group, call, waited } = forwarded;
         let arrived = step.now().saturating_sub(waited);
         let waiter = CallWaiter::new(WaiterOrigin::Peer, reply, &call, arrived)
             .with_profile(view.config.profile(&call.profile));
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use self::{
-    calls::CallPart,
+    calls::{CallPart, ForwardedCall},
     config::ConfigPart,
     groups::{GroupChange, GroupPart},
     records::RecordPart,
@@ -292,15 +292,12 @@
     fn on_peer_asked(&mut self, reply: ReplyId, request: PeerRequest) {
         let step = &mut self.step;
         match request {
-            PeerRequest::ForwardCall { group, call, waited_ms } => self.calls.on_forwarded_call(
-                step,
-                call_view!(self),
-                &mut self.records,
-                reply,
-                group,
-                call,
-                Duration::from_millis(waited_ms),
-            ),
+            PeerRequest::ForwardCall { group, call, waited_ms } => {
+                let waited = Duration::from_millis(waited_ms);
+                let forwarded = ForwardedCall { group, call, waited };
+                let (view, records) = (call_view!(self), &mut self.records);
+                self.calls.on_forwarded_call(step, view, records, reply, forwarded);
+            }
             PeerRequest::ForwardTask(submission) => self.tasks.on_forwarded_submission(
                 step,
                 task_view!(self),
--- a/crates/cuminbank/tests/calls_path.rs
+++ b/crates/cuminbank/tests/calls_path.rs
@@ -13,7 +13,7 @@
     event::{CallRequest, ExchangeError},
     membership::TargetState,
     message::{PeerReply, PeerRequest},
-    reducer::{config::ConfigPart, groups::GroupChange},
+    reducer::{calls::ForwardedCall, config::ConfigPart, groups::GroupChange},
     settings::PlacementPolicy,
 };
 
@@ -171,7 +171,8 @@
     assert_eq!(answers(&effects)[&3], refusal);
 
     fixture.apply(|calls, step, view, records| {
-        calls.on_forwarded_call(step, view, records, 4, 1, plan("a"), ms(5));
+        let forwarded = ForwardedCall { group: 1, call: plan("a"), waited: ms(5) };
+        calls.on_forwarded_call(step, view, records, 4, forwarded);
     });
     let effects = fixture.effects();
     assert!(matches!(
