Wait for no open call past the bound of a planned stop

Cause: the records part held the exit back while a call had no answer, also when the stop had reached its bound.

Ruled out: a longer limit in the check of I8; the process has to be gone by the bound.

After: all five tests of `history_calls` pass.

Conclusion: the exit is held for answers only before the bound.

--- a/crates/cuminbank/src/reducer/records.rs
+++ b/crates/cuminbank/src/reducer/records.rs
@@ -460,7 +460,8 @@
     fn save_late_counts(&mut self, step: &mut StepContext, groups: &GroupPart) {
         let counted = !self.current.calls.is_empty() || !self.current.tasks.is_empty();
         let stopping = self.finish.as_ref().is_some_and(|finish| !finish.exited);
-        if stopping && counted && self.save.is_none() && self.waiting.is_empty() {
+        let in_time = step.now() < self.exit_bound(step);
+        if stopping && in_time && counted && self.save.is_none() && self.waiting.is_empty() {
             self.current.is_final = true;
             self.close_interval(step, groups, step.wall(), step.wall());
             self.advance(step);
@@ -468,9 +469,11 @@
     }
 
     fn exit_when_saved(&mut self, step: &mut StepContext) {
-        let saved = self.save.is_none() && self.waiting.is_empty() && self.open.is_empty();
+        let saved = self.save.is_none() && self.waiting.is_empty();
+        // Past the bound the reducer ends the calls that are left, and nothing is waited for.
+        let ended = self.open.is_empty() || step.now() >= self.exit_bound(step);
         let Some(finish) = self.finish.as_mut().filter(|finish| !finish.exited) else { return };
-        if !saved && step.now() < finish.deadline {
+        if !(saved && ended) && step.now() < finish.deadline {
             return;
         }
         finish.exited = true;
