--- a/crates/cuminbank/tests/records.rs
+++ b/crates/cuminbank/tests/records.rs
@@ -1,20 +1,18 @@
 //! Day records: counts add up, and no record is lost or counted twice whatever the store does.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, SystemTime},
-};
+mod records_support;
+
+use std::time::{Duration, SystemTime};
 
-use bytes::Bytes;
 use cuminbank::{
     effect::{CallOutcome, EntryEffect},
-    event::{EntryEvent, ExchangeError},
+    event::EntryEvent,
     histogram::{TimeHistogram, COARSE_DIGITS, FINE_DIGITS},
     ids::ExchangeId,
     message::{PeerDatagram, PeerHeartbeat, PeerIdentity},
     record::{
         day_end, day_minute, day_name, day_prefix, day_start, ClassKey, DayRecord, StoredRecord,
-        MAX_CLASSES, MAX_RECORD_BYTES, OTHER_CUSTOMER,
+        MAX_CLASSES, OTHER_CUSTOMER,
     },
     reducer::{
         groups::GroupPart,
@@ -23,122 +21,15 @@
         EntryReducer,
     },
     settings::EntrySettings,
-    store::{StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
+    store::{StoreRequest, StoreWrite},
 };
 use proptest::prelude::*;
+use records_support::{FakeStore, StoreMode};
 
 const DAY: &str = "2026-12-04";
 
-/// What the fake store does with a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum StoreMode {
-    Answers,
-    Unreachable,
-    /// The request is lost on its way.
-    LosesRequest,
-    /// The request takes effect and the answer is lost.
-    LosesAnswer,
-    /// The answer is lost and the request takes effect only after the next one.
-    Delays,
-}
-
-#[derive(Debug)]
-struct FakeStore {
-    mode: StoreMode,
-    revision: i64,
-    values: BTreeMap<String, (Bytes, i64)>,
-    delayed: Vec<StoreRequest>,
-    writes: usize,
-}
-
-impl FakeStore {
-    fn new() -> Self {
-        Self {
-            mode: StoreMode::Answers,
-            revision: 1,
-            values: BTreeMap::new(),
-            delayed: Vec::new(),
-            writes: 0,
-        }
-    }
-
-    fn call(&mut self, request: &StoreRequest) -> Result<StoreReply, ExchangeError> {
-        let reply = match self.mode {
-            StoreMode::Answers => Ok(self.carry_out(request)),
-            StoreMode::Unreachable => return Err(ExchangeError::NotSent),
-            StoreMode::LosesRequest => Err(ExchangeError::Lost),
-            StoreMode::LosesAnswer => {
-                self.carry_out(request);
-                Err(ExchangeError::Lost)
-            }
-            StoreMode::Delays => {
-                self.delayed.push(request.clone());
-                return Err(ExchangeError::Lost);
-            }
-        };
-        for late in std::mem::take(&mut self.delayed) {
-            self.carry_out(&late);
-        }
-        reply
-    }
-
-    fn carry_out(&mut self, request: &StoreRequest) -> StoreReply {
-        let revision = self.revision;
-        match request {
-            StoreRequest::Range { key, .. } => {
-                StoreReply::Range { revision, values: self.read(std::slice::from_ref(key)) }
-            }
-            StoreRequest::Txn { compares, then, otherwise } => {
-                let holds = |compare: &StoreCompare| match compare {
-                    StoreCompare::ModRevision(key, revision) => {
-                        self.values.get(key).map_or(0, |value| value.1) == *revision
-                    }
-                    StoreCompare::Value(..) => panic!("records compare no values"),
-                };
-                let succeeded = compares.iter().all(holds);
-                if succeeded {
-                    self.write(then);
-                }
-                let values = if succeeded { Vec::new() } else { self.read(otherwise) };
-                StoreReply::Txn { revision: self.revision, succeeded, values }
-            }
-            other => panic!("records send no {other:?}"),
-        }
-    }
-
-    fn write(&mut self, writes: &[StoreWrite]) {
-        self.revision += 1;
-        for write in writes {
-            let StoreWrite::Put { key, value, lease: None } = write else {
-                panic!("records only put values without a lease");
-            };
-            assert!(value.len() <= MAX_RECORD_BYTES, "a value of {} bytes", value.len());
-            self.writes += 1;
-            self.values.insert(key.clone(), (value.clone(), self.revision));
-        }
-    }
-
-    fn read(&self, keys: &[String]) -> Vec<StoreValue> {
-        let found = keys.iter().filter_map(|key| self.values.get_key_value(key));
-        found
-            .map(|(key, (value, revision))| StoreValue {
-                key: key.clone(),
-                value: value.clone(),
-                mod_revision: *revision,
-            })
-            .collect()
-    }
-
-    fn records(&self, day: &str) -> Vec<DayRecord> {
-        let prefix = day_prefix(day);
-        let of_day = self.values.iter().filter(|(key, _)| key.starts_with(&prefix));
-        let decode = |value: &Bytes| StoredRecord::decode(value).expect("the value is a record");
-        of_day.map(|(_, (value, _))| decode(value).record).collect()
-    }
-}
-
 #[derive(Debug)]
-struct RecordBench {
+struct RecordFixture {
     part: RecordPart,
     step: StepContext,
     groups: GroupPart,
@@ -148,10 +39,10 @@
     exits: usize,
 }
 
-impl RecordBench {
+impl RecordFixture {
     fn new(begin: SystemTime) -> Self {
         let settings = settings();
-        let mut bench = Self {
+        let mut fixture = Self {
             part: RecordPart::new(&settings, 7),
             groups: GroupPart::new(&settings, 7),
             step: StepContext::new(settings, 7),
@@ -160,8 +51,8 @@
             now: Duration::ZERO,
             exits: 0,
         };
-        bench.run(Duration::ZERO);
-        bench
+        fixture.run(Duration::ZERO);
+        fixture
     }
 
     /// Lets time pass in ticks of 100 ms.
@@ -250,9 +141,9 @@
 // Guards against an instance that lives for a few seconds and is unknown to the report.
 #[test]
 fn the_first_record_is_saved_within_two_seconds() {
-    let mut bench = RecordBench::new(noon());
-    bench.run(Duration::from_secs(2));
-    let records = bench.store.records(DAY);
+    let mut fixture = RecordFixture::new(noon());
+    fixture.run(Duration::from_secs(2));
+    let records = fixture.store.records(DAY);
     assert_eq!(records.len(), 1);
     assert_eq!((records[0].from, records[0].is_final), (noon(), false));
 }
@@ -260,15 +151,15 @@
 // Guards against a call that is counted in no outcome or in two.
 #[test]
 fn the_four_outcomes_add_up_to_the_calls_received() {
-    let mut bench = RecordBench::new(noon());
-    bench.count("griddle", CallOutcome::Done, true);
-    bench.count("griddle", CallOutcome::Done, false);
-    bench.count("griddle", CallOutcome::NotRun, true);
-    bench.count("griddle", CallOutcome::Unknown, false);
-    bench.run(Duration::from_secs(31));
-    bench.count("griddle", CallOutcome::Done, true);
-    bench.run(Duration::from_secs(31));
-    let merged = bench.merged(DAY);
+    let mut fixture = RecordFixture::new(noon());
+    fixture.count("griddle", CallOutcome::Done, true);
+    fixture.count("griddle", CallOutcome::Done, false);
+    fixture.count("griddle", CallOutcome::NotRun, true);
+    fixture.count("griddle", CallOutcome::Unknown, false);
+    fixture.run(Duration::from_secs(31));
+    fixture.count("griddle", CallOutcome::Done, true);
+    fixture.run(Duration::from_secs(31));
+    let merged = fixture.merged(DAY);
     let counters = &merged.calls[&ClassKey::new("morning rush", "griddle")];
     assert!(counters.adds_up());
     assert_eq!(counters.open(), 0);
@@ -283,11 +174,11 @@
 // Guards against calls that arrived at an instance that died and are in no figure.
 #[test]
 fn a_call_without_an_answer_is_open() {
-    let mut bench = RecordBench::new(noon());
-    bench.count("griddle", CallOutcome::Done, true);
-    bench.part.count_received("morning rush", "griddle");
-    bench.run(Duration::from_secs(31));
-    let merged = bench.merged(DAY);
+    let mut fixture = RecordFixture::new(noon());
+    fixture.count("griddle", CallOutcome::Done, true);
+    fixture.part.count_received("morning rush", "griddle");
+    fixture.run(Duration::from_secs(31));
+    let merged = fixture.merged(DAY);
     let counters = &merged.calls[&ClassKey::new("morning rush", "griddle")];
     assert_eq!((counters.received, counters.on_time, counters.open()), (2, 1, 1));
     assert!(counters.adds_up());
@@ -296,13 +187,13 @@
 // Guards against a planned stop whose last record leaves out the answers given after it.
 #[test]
 fn a_planned_stop_saves_answers_that_follow_the_final_record() {
-    let mut bench = RecordBench::new(noon());
-    bench.run(Duration::from_secs(31));
-    bench.part.count_received("morning rush", "griddle");
-    bench.stop();
-    bench.part.count_call(&sample("griddle", CallOutcome::Done, true));
-    bench.run(Duration::from_secs(5));
-    let merged = bench.merged(DAY);
+    let mut fixture = RecordFixture::new(noon());
+    fixture.run(Duration::from_secs(31));
+    fixture.part.count_received("morning rush", "griddle");
+    fixture.stop();
+    fixture.part.count_call(&sample("griddle", CallOutcome::Done, true));
+    fixture.run(Duration::from_secs(5));
+    let merged = fixture.merged(DAY);
     let counters = &merged.calls[&ClassKey::new("morning rush", "griddle")];
     assert_eq!((counters.received, counters.on_time, counters.open()), (1, 1, 0));
 }
@@ -311,14 +202,14 @@
 #[test]
 fn a_call_that_is_open_at_midnight_counts_on_both_days() {
     let end = day_end(noon());
-    let mut bench = RecordBench::new(end - Duration::from_secs(20));
-    bench.run(Duration::from_secs(5));
-    bench.part.count_received("morning rush", "griddle");
-    bench.run(Duration::from_secs(20));
-    bench.part.count_call(&sample("griddle", CallOutcome::Done, true));
-    bench.run(Duration::from_secs(31));
+    let mut fixture = RecordFixture::new(end - Duration::from_secs(20));
+    fixture.run(Duration::from_secs(5));
+    fixture.part.count_received("morning rush", "griddle");
+    fixture.run(Duration::from_secs(20));
+    fixture.part.count_call(&sample("griddle", CallOutcome::Done, true));
+    fixture.run(Duration::from_secs(31));
     let key = ClassKey::new("morning rush", "griddle");
-    let (before, after) = (bench.merged(DAY), bench.merged(&day_name(end)));
+    let (before, after) = (fixture.merged(DAY), fixture.merged(&day_name(end)));
     assert_eq!((before.calls[&key].received, before.calls[&key].open()), (1, 1));
     assert_eq!((after.calls[&key].received, after.calls[&key].open()), (1, 0));
 }
@@ -326,61 +217,61 @@
 // Guards against a record that is counted twice after its answer was lost.
 #[test]
 fn a_lost_answer_is_settled_by_a_read() {
-    let mut bench = RecordBench::new(noon());
-    bench.count("griddle", CallOutcome::Done, true);
-    bench.store.mode = StoreMode::LosesAnswer;
-    bench.run(Duration::from_secs(2));
-    bench.store.mode = StoreMode::Answers;
-    bench.run(Duration::from_secs(5));
-    assert_eq!(bench.store.writes, 1);
-    assert_eq!(bench.merged(DAY).calls.values().next().unwrap().received, 1);
+    let mut fixture = RecordFixture::new(noon());
+    fixture.count("griddle", CallOutcome::Done, true);
+    fixture.store.mode = StoreMode::LosesAnswer;
+    fixture.run(Duration::from_secs(2));
+    fixture.store.mode = StoreMode::Answers;
+    fixture.run(Duration::from_secs(5));
+    assert_eq!(fixture.store.writes, 1);
+    assert_eq!(fixture.merged(DAY).calls.values().next().unwrap().received, 1);
 }
 
 // Guards against a late first copy that writes the same counters under a second key.
 #[test]
 fn a_late_copy_of_a_lost_write_is_harmless() {
-    let mut bench = RecordBench::new(noon());
-    bench.count("griddle", CallOutcome::Done, true);
-    bench.store.mode = StoreMode::Delays;
-    bench.run(Duration::from_secs(2));
-    bench.store.mode = StoreMode::Answers;
-    bench.run(Duration::from_secs(40));
-    assert_eq!(bench.merged(DAY).calls.values().next().unwrap().received, 1);
-    assert_eq!(bench.store.writes, bench.store.values.len());
+    let mut fixture = RecordFixture::new(noon());
+    fixture.count("griddle", CallOutcome::Done, true);
+    fixture.store.mode = StoreMode::Delays;
+    fixture.run(Duration::from_secs(2));
+    fixture.store.mode = StoreMode::Answers;
+    fixture.run(Duration::from_secs(40));
+    assert_eq!(fixture.merged(DAY).calls.values().next().unwrap().received, 1);
+    assert_eq!(fixture.store.writes, fixture.store.values.len());
 }
 
 // Guards against counters dropped in a long outage, and against an outage that is not shown.
 #[test]
 fn an_outage_of_the_store_loses_no_counters_and_is_recorded() {
-    let mut bench = RecordBench::new(noon());
-    bench.run(Duration::from_secs(2));
-    bench.store.mode = StoreMode::Unreachable;
+    let mut fixture = RecordFixture::new(noon());
+    fixture.run(Duration::from_secs(2));
+    fixture.store.mode = StoreMode::Unreachable;
     for _ in 0..20 {
-        bench.count("griddle", CallOutcome::Done, true);
-        bench.run(Duration::from_secs(30));
+        fixture.count("griddle", CallOutcome::Done, true);
+        fixture.run(Duration::from_secs(30));
     }
-    bench.store.mode = StoreMode::Answers;
-    bench.run(Duration::from_secs(40));
-    let merged = bench.merged(DAY);
+    fixture.store.mode = StoreMode::Answers;
+    fixture.run(Duration::from_secs(40));
+    let merged = fixture.merged(DAY);
     assert_eq!(merged.calls.values().next().unwrap().received, 20);
     assert_eq!(merged.outages.len(), 1);
     let outage = merged.outages[0];
     assert!(outage.from <= noon() + Duration::from_secs(33), "{outage:?}");
     assert!(outage.to >= noon() + Duration::from_secs(600), "{outage:?}");
     // The first record, the one that was frozen, the merged rest, and one after the outage.
-    assert!(bench.store.values.len() <= 4, "{} records", bench.store.values.len());
+    assert!(fixture.store.values.len() <= 4, "{} records", fixture.store.values.len());
 }
 
 // Guards against intervals that overlap or leave a hole, which the report would show as a gap.
 #[test]
 fn intervals_are_contiguous_across_midnight() {
     let midnight = day_end(noon());
-    let mut bench = RecordBench::new(midnight - Duration::from_secs(45));
-    bench.count("griddle", CallOutcome::Done, true);
-    bench.run(Duration::from_secs(50));
-    bench.count("griddle", CallOutcome::Done, true);
-    bench.stop();
-    let (before, after) = (bench.merged(DAY), bench.merged("2026-12-05"));
+    let mut fixture = RecordFixture::new(midnight - Duration::from_secs(45));
+    fixture.count("griddle", CallOutcome::Done, true);
+    fixture.run(Duration::from_secs(50));
+    fixture.count("griddle", CallOutcome::Done, true);
+    fixture.stop();
+    let (before, after) = (fixture.merged(DAY), fixture.merged("2026-12-05"));
     assert_eq!((before.to, before.is_final), (midnight, false));
     assert_eq!((after.from, after.is_final), (midnight, true));
     assert_eq!(before.calls.values().next().unwrap().received, 1);
@@ -390,49 +281,49 @@
 // Guards against a planned stop that exits before its final record is saved.
 #[test]
 fn the_process_exits_after_the_final_record_is_saved() {
-    let mut bench = RecordBench::new(noon());
-    bench.run(Duration::from_secs(2));
-    bench.store.mode = StoreMode::Unreachable;
-    bench.stop();
-    bench.run(Duration::from_secs(1));
-    assert_eq!(bench.exits, 0);
-    bench.store.mode = StoreMode::Answers;
-    bench.run(Duration::from_secs(1));
-    assert_eq!(bench.exits, 1);
-    assert!(bench.merged(DAY).is_final);
+    let mut fixture = RecordFixture::new(noon());
+    fixture.run(Duration::from_secs(2));
+    fixture.store.mode = StoreMode::Unreachable;
+    fixture.stop();
+    fixture.run(Duration::from_secs(1));
+    assert_eq!(fixture.exits, 0);
+    fixture.store.mode = StoreMode::Answers;
+    fixture.run(Duration::from_secs(1));
+    assert_eq!(fixture.exits, 1);
+    assert!(fixture.merged(DAY).is_final);
 }
 
 // Guards against a planned stop that never ends while the store is down.
 #[test]
 fn a_planned_stop_without_the_store_is_bounded() {
-    let mut bench = RecordBench::new(noon());
-    bench.store.mode = StoreMode::Unreachable;
-    bench.run(Duration::from_secs(2));
-    bench.stop();
-    bench.run(Duration::from_secs(30));
-    assert_eq!(bench.exits, 1);
-    assert_eq!(bench.store.values.len(), 0);
+    let mut fixture = RecordFixture::new(noon());
+    fixture.store.mode = StoreMode::Unreachable;
+    fixture.run(Duration::from_secs(2));
+    fixture.stop();
+    fixture.run(Duration::from_secs(30));
+    assert_eq!(fixture.exits, 1);
+    assert_eq!(fixture.store.values.len(), 0);
 }
 
 // Guards against values that the store refuses because they are too large.
 #[test]
 fn a_record_with_many_classes_is_split_into_small_values() {
-    let mut bench = RecordBench::new(noon());
-    bench.store.mode = StoreMode::Unreachable;
+    let mut fixture = RecordFixture::new(noon());
+    fixture.store.mode = StoreMode::Unreachable;
     let (calls_each, customers) = (25, 900);
     for round in 0..calls_each {
         for customer in 0..customers {
             let mut sample = sample(&format!("team {customer}"), CallOutcome::Done, true);
             sample.elapsed = Duration::from_millis(7 * round + 3 * customer);
-            bench.part.count_received(&sample.profile, &sample.customer);
-            bench.part.count_call(&sample);
+            fixture.part.count_received(&sample.profile, &sample.customer);
+            fixture.part.count_call(&sample);
         }
-        bench.run(Duration::from_secs(30));
+        fixture.run(Duration::from_secs(30));
     }
-    bench.store.mode = StoreMode::Answers;
-    bench.run(Duration::from_secs(40));
-    assert!(bench.store.values.len() > 2, "the records did not reach the limit of a value");
-    let merged = bench.merged(DAY);
+    fixture.store.mode = StoreMode::Answers;
+    fixture.run(Duration::from_secs(40));
+    assert!(fixture.store.values.len() > 2, "the records did not reach the limit of a value");
+    let merged = fixture.merged(DAY);
     assert_eq!(merged.calls.len() as u64, customers);
     assert!(merged.calls.values().all(|counters| counters.received == calls_each));
 }
@@ -451,7 +342,7 @@
 // Guards against a batch task whose events are counted in the wrong place.
 #[test]
 fn task_marks_are_counted_each() {
-    let mut bench = RecordBench::new(noon());
+    let mut fixture = RecordFixture::new(noon());
     let marks = [
         TaskMark::Accepted,
         TaskMark::Started,
@@ -464,11 +355,11 @@
     ];
     for (index, mark) in marks.into_iter().enumerate() {
         for _ in 0..=index {
-            bench.part.count_task("standing orders", "griddle", mark, Duration::from_secs(90));
+            fixture.part.count_task("standing orders", "griddle", mark, Duration::from_secs(90));
         }
     }
-    bench.run(Duration::from_secs(2));
-    let merged = bench.merged(DAY);
+    fixture.run(Duration::from_secs(2));
+    let merged = fixture.merged(DAY);
     let tasks = &merged.tasks[&ClassKey::new("standing orders", "griddle")];
     let counts = [
         tasks.accepted,
@@ -487,13 +378,13 @@
 // Guards against a clock that was set back, which would leave all later counts in one minute.
 #[test]
 fn a_clock_set_back_begins_a_new_interval() {
-    let mut bench = RecordBench::new(noon());
-    bench.run(Duration::from_secs(2));
-    bench.begin -= Duration::from_secs(7_200);
-    bench.run(Duration::from_secs(1));
-    bench.count("griddle", CallOutcome::Done, true);
-    bench.run(Duration::from_secs(31));
-    let merged = bench.merged(DAY);
+    let mut fixture = RecordFixture::new(noon());
+    fixture.run(Duration::from_secs(2));
+    fixture.begin -= Duration::from_secs(7_200);
+    fixture.run(Duration::from_secs(1));
+    fixture.count("griddle", CallOutcome::Done, true);
+    fixture.run(Duration::from_secs(31));
+    let merged = fixture.merged(DAY);
     let minutes = &merged.calls.values().next().unwrap().minutes;
     assert_eq!(minutes.keys().copied().collect::<Vec<_>>(), [600]);
 }
@@ -602,20 +493,20 @@
             1..20,
         ),
     ) {
-        let mut bench = RecordBench::new(noon());
+        let mut fixture = RecordFixture::new(noon());
         for (mode, seconds) in &modes {
-            bench.store.mode = *mode;
-            bench.count("griddle", CallOutcome::Done, true);
-            bench.run(Duration::from_secs(*seconds));
+            fixture.store.mode = *mode;
+            fixture.count("griddle", CallOutcome::Done, true);
+            fixture.run(Duration::from_secs(*seconds));
         }
-        bench.store.mode = StoreMode::Answers;
-        bench.stop();
-        bench.run(Duration::from_secs(5));
-        prop_assert_eq!(bench.exits, 1);
-        let merged = bench.merged(DAY);
+        fixture.store.mode = StoreMode::Answers;
+        fixture.stop();
+        fixture.run(Duration::from_secs(5));
+        prop_assert_eq!(fixture.exits, 1);
+        let merged = fixture.merged(DAY);
         prop_assert_eq!(merged.calls.values().next().unwrap().received, modes.len() as u64);
         let mut intervals: Vec<_> =
-            bench.store.records(DAY).iter().map(|record| (record.from, record.to)).collect();
+            fixture.store.records(DAY).iter().map(|record| (record.from, record.to)).collect();
         intervals.sort();
         for pair in intervals.windows(2) {
             prop_assert_eq!(pair[0].1, pair[1].0);
--- /dev/null
+++ b/crates/cuminbank/tests/records_support/mod.rs
@@ -0,0 +1,118 @@
+//! A store for the tests of day records, which loses and delays what the test tells it to.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use cuminbank::{
+    event::ExchangeError,
+    record::{day_prefix, DayRecord, StoredRecord, MAX_RECORD_BYTES},
+    store::{StoreCompare, StoreReply, StoreRequest, StoreValue, StoreWrite},
+};
+
+/// What the fake store does with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StoreMode {
+    Answers,
+    Unreachable,
+    /// The request is lost on its way.
+    LosesRequest,
+    /// The request takes effect and the answer is lost.
+    LosesAnswer,
+    /// The answer is lost and the request takes effect only after the next one.
+    Delays,
+}
+
+#[derive(Debug)]
+pub struct FakeStore {
+    pub mode: StoreMode,
+    revision: i64,
+    pub values: BTreeMap<String, (Bytes, i64)>,
+    delayed: Vec<StoreRequest>,
+    pub writes: usize,
+}
+
+impl FakeStore {
+    pub fn new() -> Self {
+        Self {
+            mode: StoreMode::Answers,
+            revision: 1,
+            values: BTreeMap::new(),
+            delayed: Vec::new(),
+            writes: 0,
+        }
+    }
+
+    pub fn call(&mut self, request: &StoreRequest) -> Result<StoreReply, ExchangeError> {
+        let reply = match self.mode {
+            StoreMode::Answers => Ok(self.carry_out(request)),
+            StoreMode::Unreachable => return Err(ExchangeError::NotSent),
+            StoreMode::LosesRequest => Err(ExchangeError::Lost),
+            StoreMode::LosesAnswer => {
+                self.carry_out(request);
+                Err(ExchangeError::Lost)
+            }
+            StoreMode::Delays => {
+                self.delayed.push(request.clone());
+                return Err(ExchangeError::Lost);
+            }
+        };
+        for late in std::mem::take(&mut self.delayed) {
+            self.carry_out(&late);
+        }
+        reply
+    }
+
+    fn carry_out(&mut self, request: &StoreRequest) -> StoreReply {
+        let revision = self.revision;
+        match request {
+            StoreRequest::Range { key, .. } => {
+                StoreReply::Range { revision, values: self.read(std::slice::from_ref(key)) }
+            }
+            StoreRequest::Txn { compares, then, otherwise } => {
+                let holds = |compare: &StoreCompare| match compare {
+                    StoreCompare::ModRevision(key, revision) => {
+                        self.values.get(key).map_or(0, |value| value.1) == *revision
+                    }
+                    StoreCompare::Value(..) => panic!("records compare no values"),
+                };
+                let succeeded = compares.iter().all(holds);
+                if succeeded {
+                    self.write(then);
+                }
+                let values = if succeeded { Vec::new() } else { self.read(otherwise) };
+                StoreReply::Txn { revision: self.revision, succeeded, values }
+            }
+            other => panic!("records send no {other:?}"),
+        }
+    }
+
+    fn write(&mut self, writes: &[StoreWrite]) {
+        self.revision += 1;
+        for write in writes {
+            let StoreWrite::Put { key, value, lease: None } = write else {
+                panic!("records only put values without a lease");
+            };
+            assert!(value.len() <= MAX_RECORD_BYTES, "a value of {} bytes", value.len());
+            self.writes += 1;
+            self.values.insert(key.clone(), (value.clone(), self.revision));
+        }
+    }
+
+    fn read(&self, keys: &[String]) -> Vec<StoreValue> {
+        let found = keys.iter().filter_map(|key| self.values.get_key_value(key));
+        found
+            .map(|(key, (value, revision))| StoreValue {
+                key: key.clone(),
+                value: value.clone(),
+                mod_revision: *revision,
+            })
+            .collect()
+    }
+
+    pub fn records(&self, day: &str) -> Vec<DayRecord> {
+        let prefix = day_prefix(day);
+        let of_day = self.values.iter().filter(|(key, _)| key.starts_with(&prefix));
+        let decode = |value: &Bytes| StoredRecord::decode(value).expect("the value is a record");
+        of_day.map(|(_, (value, _))| decode(value).record).collect()
+    }
+}
