Draw both plots with one function, and repeat no numbers on their axes

Cause: a plot with one call had the axis labels 0 0 0 0 1 1 1 1; seen on the quickstart's page. Before: two copies of the drawing code. After: one; labels are at most one more than the calls.

--- a/crates/cuminbank-cli/src/report/plots.rs
+++ b/crates/cuminbank-cli/src/report/plots.rs
@@ -11,8 +11,10 @@
 const LATENCY_SIZE: (u32, u32) = (470, 220);
 /// Bars for each doubling of the time.
 const BARS_PER_DOUBLING: f64 = 4.0;
-/// Most labels on the axis of a latency plot.
+/// Most labels of an axis from left to right.
 const MAX_LABELS: usize = 8;
+/// Most labels of an axis from bottom to top.
+const MAX_LEVELS: usize = 10;
 const CALL_COLOR: RGBColor = RGBColor(70, 110, 160);
 const CREST_COLOR: RGBColor = RGBColor(200, 80, 40);
 
@@ -21,70 +23,80 @@
 
 type SvgArea<'a> = DrawingArea<SVGBackend<'a>, Shift>;
 
+/// A bar of width 1.
+struct PlotBar {
+    left: f64,
+    calls: u64,
+    color: RGBColor,
+}
+
+/// Captions and labels of a bar plot.
+struct PlotAxes<'a> {
+    x_caption: &'a str,
+    y_caption: &'a str,
+    x_label: &'a dyn Fn(&f64) -> String,
+}
+
 /// Returns the calls of each minute, with the crest in another colour.
 pub fn rate_plot(report: &DayReport) -> Result<String, PlotError> {
-    draw(RATE_SIZE, |area| {
-        let first = report.rate.keys().next().copied().unwrap_or(0);
-        let last = report.rate.keys().next_back().copied().unwrap_or(first) + 1;
-        let highest = report.rate.values().max().copied().unwrap_or(1).max(1);
-        let mut chart = ChartBuilder::on(area)
-            .margin(8)
-            .x_label_area_size(36)
-            .y_label_area_size(56)
-            .build_cartesian_2d(f64::from(first)..f64::from(last), 0_f64..highest as f64 * 1.05)
-            .map_err(|error| error.to_string())?;
-        chart
-            .configure_mesh()
-            .disable_x_mesh()
-            .x_desc("minute (UTC)")
-            .y_desc("calls per minute")
-            .x_label_formatter(&|minute| minute_text(*minute as DayMinute))
-            .y_label_formatter(&whole_number)
-            .draw()
-            .map_err(|error| error.to_string())?;
-        let bars = report.rate.iter().map(|(minute, calls)| {
-            let crest = report.crest.contains(minute);
-            let color = if crest { CREST_COLOR } else { CALL_COLOR };
-            let left = f64::from(*minute);
-            Rectangle::new([(left, 0.0), (left + 1.0, *calls as f64)], color.filled())
-        });
-        chart.draw_series(bars).map_err(|error| error.to_string())?;
-        Ok(())
-    })
+    let bars = report.rate.iter().map(|(minute, calls)| {
+        let crest = report.crest.contains(minute);
+        let color = if crest { CREST_COLOR } else { CALL_COLOR };
+        PlotBar { left: f64::from(*minute), calls: *calls, color }
+    });
+    let axes = PlotAxes {
+        x_caption: "minute (UTC)",
+        y_caption: "calls per minute",
+        x_label: &|minute| minute_text(*minute as DayMinute),
+    };
+    draw_bars(RATE_SIZE, &bars.collect::<Vec<_>>(), &axes)
 }
 
 /// Returns the times of a profile and customer on a logarithmic axis.
 pub fn latency_plot(latency: &TimeHistogram) -> Result<String, PlotError> {
-    let bars = latency_bars(latency);
+    let bars = latency_bars(latency).into_iter().map(|(bar, calls)| PlotBar {
+        left: f64::from(bar),
+        calls,
+        color: CALL_COLOR,
+    });
     // The axis counts bars and is labelled with their edges: the labels of the library's own
     // logarithmic axis are powers of ten, of which a narrow plot shows none.
-    let edge = |bar: &f64| format!("{:.1}", 2_f64.powf(bar / BARS_PER_DOUBLING));
-    let first = bars.keys().next().copied().unwrap_or(0);
-    let last = bars.keys().next_back().copied().unwrap_or(first) + 1;
-    let highest = bars.values().max().copied().unwrap_or(1).max(1);
-    draw(LATENCY_SIZE, |area| {
+    let axes = PlotAxes {
+        x_caption: "time in ms (logarithmic)",
+        y_caption: "number of calls",
+        x_label: &|bar| format!("{:.1}", 2_f64.powf(bar / BARS_PER_DOUBLING)),
+    };
+    draw_bars(LATENCY_SIZE, &bars.collect::<Vec<_>>(), &axes)
+}
+
+fn draw_bars(size: (u32, u32), bars: &[PlotBar], axes: &PlotAxes<'_>) -> Result<String, PlotError> {
+    let first = bars.first().map_or(0.0, |bar| bar.left);
+    let last = bars.last().map_or(first, |bar| bar.left) + 1.0;
+    let highest = bars.iter().map(|bar| bar.calls).max().unwrap_or(1).max(1);
+    draw(size, |area| {
         let mut chart = ChartBuilder::on(area)
             .margin(8)
             .x_label_area_size(36)
             .y_label_area_size(56)
-            .build_cartesian_2d(f64::from(first)..f64::from(last), 0_f64..highest as f64 * 1.05)
+            .build_cartesian_2d(first..last, 0_f64..highest as f64 * 1.05)
             .map_err(|error| error.to_string())?;
+        // More labels than bars or calls would repeat numbers.
         chart
             .configure_mesh()
             .disable_x_mesh()
             .x_labels(MAX_LABELS.min((last - first) as usize + 1))
-            .x_desc("time in ms (logarithmic)")
-            .y_desc("number of calls")
-            .x_label_formatter(&edge)
+            .y_labels(MAX_LEVELS.min(highest as usize + 1))
+            .x_desc(axes.x_caption)
+            .y_desc(axes.y_caption)
+            .x_label_formatter(axes.x_label)
             .y_label_formatter(&whole_number)
             .draw()
             .map_err(|error| error.to_string())?;
-        let bars = bars.iter().map(|(bar, calls)| {
-            let left = f64::from(*bar);
-            let corners = [(left, 0.0), (left + 1.0, *calls as f64)];
-            Rectangle::new(corners, CALL_COLOR.filled())
+        let shapes = bars.iter().map(|bar| {
+            let corners = [(bar.left, 0.0), (bar.left + 1.0, bar.calls as f64)];
+            Rectangle::new(corners, bar.color.filled())
         });
-        chart.draw_series(bars).map_err(|error| error.to_string())?;
+        chart.draw_series(shapes).map_err(|error| error.to_string())?;
         Ok(())
     })
 }
