Ask for the usable groups in one place

Cause: four places of the call part filtered the owned groups by the terms that have begun, and the move of a ticketed call wrote expected_wait out again; seen on reading the whole change. Before: four copies. After: CallPart::usable_groups. Conclusion: a rule on usable groups now has one place.

--- a/crates/cuminbank/src/reducer/calls/arrival.rs
+++ b/crates/cuminbank/src/reducer/calls/arrival.rs
@@ -230,8 +230,7 @@
         call: &CallRequest,
         profile: &WorkProfile,
     ) -> Option<(GroupIndex, Duration)> {
-        let mut groups = context.view.groups.owned(context.now());
-        groups.retain(|group| self.terms.contains_key(group));
+        let mut groups = self.usable_groups(context.view, context.now());
         if groups.is_empty() {
             return None;
         }
--- a/crates/cuminbank/src/reducer/calls/forwarding.rs
+++ b/crates/cuminbank/src/reducer/calls/forwarding.rs
@@ -243,9 +243,9 @@
     /// give them too much or too little work.
     fn draw_ticket_home(&self, step: &mut StepContext, view: CallView<'_>) -> Option<TicketHome> {
         let now = step.now();
-        let owned = view.groups.owned(now);
+        let usable = self.usable_groups(view, now);
         let homes = (0..step.settings.groups_per_zone).filter_map(|group| {
-            if owned.contains(&group) && self.terms.contains_key(&group) {
+            if usable.contains(&group) {
                 return Some((group, self.expected_wait(group, now), TicketHome::Own));
             }
             let (address, wait) = view.groups.owner_of(&self.zone, group, now)?;
@@ -257,8 +257,7 @@
     /// Draws one of the owned groups.
     fn draw_ticket_group(&self, step: &mut StepContext, view: CallView<'_>) -> Option<GroupIndex> {
         let now = step.now();
-        let owned = view.groups.owned(now).into_iter();
-        let usable = owned.filter(|group| self.terms.contains_key(group));
+        let usable = self.usable_groups(view, now).into_iter();
         let groups = usable.map(|group| (group, self.expected_wait(group, now), group));
         draw_by_targets(groups.collect(), step, view)
     }
--- a/crates/cuminbank/src/reducer/calls/mod.rs
+++ b/crates/cuminbank/src/reducer/calls/mod.rs
@@ -323,6 +323,13 @@
         self.executors.classes_on(machine)
     }
 
+    /// Returns the groups that this instance may act for and whose term this part has begun.
+    fn usable_groups(&self, view: CallView<'_>, now: MonotonicTime) -> Vec<GroupIndex> {
+        let mut groups = view.groups.owned(now);
+        groups.retain(|group| self.terms.contains_key(group));
+        groups
+    }
+
     fn queue_order(&self) -> QueueOrder {
         match self.policy {
             PlacementPolicy::Learned => QueueOrder::Deadline,
--- a/crates/cuminbank/src/reducer/calls/queueing.rs
+++ b/crates/cuminbank/src/reducer/calls/queueing.rs
@@ -327,10 +327,11 @@
         if home.is_none_or(|home| !self.terms.contains_key(&home)) {
             return false;
         }
-        let mut groups = context.view.groups.owned(context.now());
-        groups.retain(|group| self.terms.contains_key(group));
-        let wait = |group: &GroupIndex| self.wait_for(*group, None).unwrap_or(UNKNOWN_WAIT);
-        let Some(group) = groups.into_iter().min_by_key(wait) else { return false };
+        let now = context.now();
+        let groups = self.usable_groups(context.view, now).into_iter();
+        let Some(group) = groups.min_by_key(|group| self.expected_wait(*group, now)) else {
+            return false;
+        };
         let epoch = self.terms.get(&group).map_or(0, |term| term.epoch);
         if let Some(record) = self.calls.get_mut(key) {
             (record.group, record.epoch) = (group, epoch);
