Learn what filling work costs a service from its slack

The model used counts of tails over the bound instead, so that it needed many of them to learn a pair.

Ruled out: an effect of tasks that reserve their share (loss 0 to 0.2) and of other services on the same executor (alone, the slack swings between 1.6 and 3.9 whatever the number).

Change: SlackWindow takes the undisturbed slack of a job from its tasks on other executors; the model keeps mean and variance of the loss for each pair and shares a surprise by what is least known. Tasks that started or ended within the half second of a tail count in part. A service over its bound is relieved by as much slack as others cost it.

What remains: more late standing orders, since most fillers suit one or two services only.

--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -1,11 +1,13 @@
 //! How much filling tasks press on serving tasks of the same executor, by what they run.
 //!
-//! Some pairs of images disturb each other: with the share of the executor that the filling image
-//! holds, the serving task's tail latency passes its bound more and more often. All other pairs do
-//! not disturb at any share. The model keeps for each pair the odds that it is one of the first
-//! kind, from the tails in the executors' reports.
+//! The tail latency of a serving task grows with its load like that of a queue: its bound divided by
+//! the tail, called slack here, falls linearly with the load, and a filling task that disturbs it
+//! lowers the slack further, in proportion to the share of the executor that it uses. The tasks of a
+//! job have the same load at a time, so that the ones on other executors tell what the slack would
+//! be undisturbed. The model keeps for each pair of images the loss of slack for a whole executor,
+//! with its variance, and shares the loss of a report among the images that may have caused it.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -13,76 +15,106 @@
 
 /// Number of an image.
 pub type ImageId = u32;
-
-/// Logarithm of the odds that a pair disturbs, before any report: about one pair in five does.
-const PRIOR: f64 = -1.4;
-/// Share of the executor from which on a disturbing image shows, and the further share with which
-/// the part of tails over the bound grows by one.
-const SILENT_SHARE: f64 = 0.03;
-const FULL_SHARE: f64 = 0.25;
-/// Least and greatest part of tails over the bound beside a disturbing image.
-const LEAST_OVER: f64 = 0.005;
-const MOST_OVER: f64 = 0.7;
-/// Part of tails over the bound without disturbance, at the peaks of the serving task's load.
-const USUAL_OVER: f64 = 0.01;
-/// Weight of a calm tail that may be due to a want of load.
-const IDLE_WEIGHT: f64 = 0.25;
-/// Bound of the evidence either way: what was learned long ago must not outweigh a few reports.
-const MOST_EVIDENCE: f64 = 5.0;
-/// Time in which the evidence against a pair that is kept apart fades to a half.
+/// Number of an executor that tells it from others.
+pub type HostRank = u32;
+
+/// Expected loss of slack for a whole executor, and its variance, before any report: about one pair
+/// in four loses 4 to 20, the others next to nothing.
+const PRIOR_MEAN: f64 = 2.0;
+const PRIOR_VARIANCE: f64 = 25.0;
+/// Least variance of what is known of a pair.
+const LEAST_VARIANCE: f64 = 0.2;
+/// Greatest loss of slack for a whole executor.
+const MOST_LOSS: f64 = 30.0;
+/// Variance of a reported slack: tails are rough figures.
+const REPORT_VARIANCE: f64 = 0.05;
+/// Standard deviation of what a task presses over time, in parts of its mean.
+const SWAY_PART: f64 = 0.5;
+/// Time in which what is known of a pair that is kept apart fades to a half.
 const HALF_LIFE: Duration = Duration::from_secs(90);
-/// Share that a disturbing image may hold without passing the bound often.
-const HARMLESS_SHARE: f64 = 0.06;
-/// Weight of the probability that a pair disturbs: an unknown image may hold about twice the share
-/// of a disturbing one.
-const HARM_WEIGHT: f64 = 2.5;
-/// Probabilities of harm between which a pair is only tried on a few executors.
-const UNSURE_HARM: f64 = 0.1;
-const HARMFUL: f64 = 0.5;
+/// Standard deviation above which a pair is only tried on a few executors.
+const UNSURE_DEVIATION: f64 = 2.5;
+/// Standard deviations of the loss that placement allows for.
+const CAUTION: f64 = 1.0;
+/// Slack that a serving task has at the peaks of its load, undisturbed.
+pub const PEAK_SLACK: f64 = 1.63;
+/// Loss of slack that is left at the peaks of the load before the bound is passed, less a reserve
+/// for the roughness of the reports.
+const PEAK_RESERVE: f64 = 0.1;
+const MOST_PRESS: f64 = PEAK_SLACK - 1.0 - PEAK_RESERVE;
 /// Most executors on which a pair of which little is known is tried at a time.
 pub const MOST_TRIALS: usize = 2;
-/// Pressure up to which filling tasks are placed: a disturbing image at its harmless share.
+/// Pressure up to which filling tasks are placed.
 pub const MOST_PRESSURE: f64 = 1.0;
-/// Pressure down to which filling tasks are moved away from a serving task over its bound.
-pub const RELIEVED_PRESSURE: f64 = 0.8;
-
-/// What a report says of a serving task's tail.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum TailReading {
-    /// Over its bound.
-    Over,
-    /// Calm under load.
-    LoadedCalm,
-    /// Calm, perhaps for want of load.
-    IdleCalm,
+/// Slack up to which a serving task over its bound is relieved.
+pub const RELIEVED_SLACK: f64 = 1.2;
+/// Least expected loss of slack for which a filling task is moved.
+pub const LEAST_PART: f64 = 0.04;
+
+/// Loss of slack that filling tasks are expected to cause together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SlackLoss {
+    /// Expected loss.
+    pub mean: f64,
+    /// Its variance.
+    pub variance: f64,
+}
+
+impl SlackLoss {
+    /// Returns the loss with that of further tasks.
+    pub fn plus(self, other: Self) -> Self {
+        Self { mean: self.mean + other.mean, variance: self.variance + other.variance }
+    }
+
+    /// Returns the loss in parts of what is bearable, with some caution.
+    pub fn pressure(&self) -> f64 {
+        (self.mean + CAUTION * self.variance.sqrt()) / MOST_PRESS
+    }
 }
 
+/// What is known of a pair: the loss of slack for a whole executor.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-struct PairEvidence {
-    log_odds: f64,
+struct PairEffect {
+    mean: f64,
+    variance: f64,
     at: MonotonicTime,
 }
 
-impl PairEvidence {
+impl PairEffect {
     fn new() -> Self {
-        Self { log_odds: PRIOR, at: MonotonicTime::ZERO }
+        Self { mean: PRIOR_MEAN, variance: PRIOR_VARIANCE, at: MonotonicTime::ZERO }
     }
 
-    fn now(&self, now: MonotonicTime) -> f64 {
-        if self.log_odds <= PRIOR {
-            return self.log_odds;
+    /// Returns the effect as it is known now. A pair that is kept apart gives no reports.
+    fn at(&self, now: MonotonicTime) -> Self {
+        if self.mean <= PRIOR_MEAN {
+            return *self;
         }
         let age = now.saturating_sub(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        PRIOR + (self.log_odds - PRIOR) * 0.5_f64.powf(age)
+        let kept = 0.5_f64.powf(age);
+        Self {
+            mean: PRIOR_MEAN + (self.mean - PRIOR_MEAN) * kept,
+            variance: PRIOR_VARIANCE + (self.variance - PRIOR_VARIANCE) * kept,
+            at: now,
+        }
+    }
+
+    /// Returns the variance of what a task presses at a time.
+    fn spread(&self) -> f64 {
+        self.variance + (self.mean * SWAY_PART).powi(2)
+    }
+
+    fn is_unsure(&self) -> bool {
+        self.variance.sqrt() > UNSURE_DEVIATION
     }
 }
 
-/// Evidence about pairs of images.
+/// What is known of pairs of images.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct ColocationModel {
     names: Vec<String>,
-    /// Evidence that the second image disturbs the first.
-    pairs: Vec<Vec<PairEvidence>>,
+    /// Effect of the second image on the first.
+    pairs: Vec<Vec<PairEffect>>,
 }
 
 impl ColocationModel {
@@ -94,9 +126,9 @@
         let id = self.names.len();
         self.names.push(name.to_owned());
         for row in &mut self.pairs {
-            row.push(PairEvidence::new());
+            row.push(PairEffect::new());
         }
-        self.pairs.push(vec![PairEvidence::new(); id + 1]);
+        self.pairs.push(vec![PairEffect::new(); id + 1]);
         id as ImageId
     }
 
@@ -108,59 +140,110 @@
         self
     }
 
-    /// Takes the reading of a serving image's tail beside filling images, each with its share of
-    /// the executor.
+    /// Takes the loss of slack of a serving image beside filling images, each with its share of the
+    /// executor.
     pub fn learn(
         &mut self,
         now: MonotonicTime,
         victim: ImageId,
-        reading: TailReading,
+        loss: f64,
         filling: &[(ImageId, f64)],
     ) {
-        let causes: f64 = filling
-            .iter()
-            .map(|(image, share)| self.harm(now, victim, *image) * over_part(*share))
-            .sum();
-        for (image, share) in filling {
-            let part = over_part(*share);
-            let evidence = match reading {
-                // The images share the blame by what is known of them, with what happens anyway.
-                TailReading::Over => {
-                    let cause = self.harm(now, victim, *image) * part;
-                    (part / USUAL_OVER).ln().max(0.0) * cause / (causes + USUAL_OVER)
-                }
-                TailReading::LoadedCalm => calm_evidence(part),
-                TailReading::IdleCalm => calm_evidence(part) * IDLE_WEIGHT,
+        let row = &mut self.pairs[victim as usize];
+        let known: Vec<PairEffect> =
+            filling.iter().map(|(image, _)| row[*image as usize].at(now)).collect();
+        let shares = || known.iter().zip(filling).map(|(effect, (_, share))| (effect, share));
+        let expected: f64 = shares().map(|(effect, share)| effect.mean * share).sum();
+        let spread: f64 = shares().map(|(effect, share)| effect.spread() * share * share).sum();
+        let surprise = loss - expected;
+        for (effect, (image, share)) in known.iter().zip(filling) {
+            // The less is known of an image, the more of the surprise is put down to it.
+            let gain = effect.variance * share / (spread + REPORT_VARIANCE);
+            row[*image as usize] = PairEffect {
+                mean: (effect.mean + gain * surprise).clamp(0.0, MOST_LOSS),
+                variance: (effect.variance * (1.0 - gain * share)).max(LEAST_VARIANCE),
+                at: now,
             };
-            let pair = &mut self.pairs[victim as usize][*image as usize];
-            let log_odds = (pair.now(now) + evidence).clamp(-MOST_EVIDENCE, MOST_EVIDENCE);
-            *pair = PairEvidence { log_odds, at: now };
         }
     }
 
-    /// Returns the probability that `image` disturbs `victim`.
-    fn harm(&self, now: MonotonicTime, victim: ImageId, image: ImageId) -> f64 {
-        let log_odds = self.pairs[victim as usize][image as usize].now(now);
-        1.0 / (1.0 + (-log_odds).exp())
-    }
-
     /// Tells whether too little is known of a pair to place it on many executors.
     pub fn is_unsure(&self, now: MonotonicTime, victim: ImageId, image: ImageId) -> bool {
-        (UNSURE_HARM..HARMFUL).contains(&self.harm(now, victim, image))
+        self.effect(now, victim, image).is_unsure()
     }
 
-    /// Returns the pressure of a filling image with a share of the executor on a serving one.
-    pub fn pressure(&self, now: MonotonicTime, victim: ImageId, image: ImageId, share: f64) -> f64 {
-        let weight = (self.harm(now, victim, image) * HARM_WEIGHT).min(1.0);
-        weight * share / HARMLESS_SHARE
+    /// Returns the loss of slack that a filling image with a share of the executor causes.
+    pub fn loss(
+        &self,
+        now: MonotonicTime,
+        victim: ImageId,
+        image: ImageId,
+        share: f64,
+    ) -> SlackLoss {
+        let effect = self.effect(now, victim, image);
+        SlackLoss { mean: effect.mean * share, variance: effect.spread() * share * share }
+    }
+
+    /// Returns the loss that counts when a filling image is placed. Of an image that has hardly been
+    /// tried only the expected loss counts, or it would never be tried.
+    pub fn trial_loss(
+        &self,
+        now: MonotonicTime,
+        victim: ImageId,
+        image: ImageId,
+        share: f64,
+    ) -> SlackLoss {
+        let loss = self.loss(now, victim, image, share);
+        match self.is_unsure(now, victim, image) {
+            true => SlackLoss { variance: 0.0, ..loss },
+            false => loss,
+        }
+    }
+
+    fn effect(&self, now: MonotonicTime, victim: ImageId, image: ImageId) -> PairEffect {
+        self.pairs[victim as usize][image as usize].at(now)
     }
 }
 
-/// Returns the part of tails over the bound beside a disturbing image with a share.
-fn over_part(share: f64) -> f64 {
-    ((share - SILENT_SHARE) / FULL_SHARE).clamp(LEAST_OVER, MOST_OVER)
+/// Time for which a reported slack tells something of the load: it swings by a tenth meanwhile.
+const SLACK_TIME: Duration = Duration::from_millis(300);
+/// Executors from which on the slack of an undisturbed task is not taken from the best one.
+const MANY_HOSTS: usize = 3;
+
+/// Slacks of a job's serving tasks in the last moments.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SlackWindow {
+    samples: VecDeque<(MonotonicTime, HostRank, f64)>,
 }
 
-fn calm_evidence(over_part: f64) -> f64 {
-    ((1.0 - over_part) / (1.0 - USUAL_OVER)).ln().min(0.0)
+impl SlackWindow {
+    /// Takes the slack of a task.
+    pub fn push(&mut self, now: MonotonicTime, host: HostRank, slack: f64) {
+        while self.samples.front().is_some_and(|(at, _, _)| now > *at + SLACK_TIME) {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((now, host, slack));
+    }
+
+    /// Returns the slack of an undisturbed task, if there are reports of several executors.
+    pub fn undisturbed(&self) -> Option<f64> {
+        let mut hosts: Vec<(HostRank, f64, f64)> = Vec::new();
+        for (_, host, slack) in &self.samples {
+            match hosts.iter_mut().find(|(known, _, _)| known == host) {
+                Some((_, sum, count)) => {
+                    *sum += slack;
+                    *count += 1.0;
+                }
+                None => hosts.push((*host, *slack, 1.0)),
+            }
+        }
+        let mut means: Vec<f64> = hosts.into_iter().map(|(_, sum, count)| sum / count).collect();
+        means.sort_by(f64::total_cmp);
+        match means.len() {
+            0 | 1 => None,
+            count if count < MANY_HOSTS => means.last().copied(),
+            // The upper quartile: more than a quarter of the executors is calm.
+            count => Some(means[(count * 3 - 1) / 4]),
+        }
+    }
 }
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -126,9 +126,9 @@
             over_target_since: None,
             serving_images: Vec::new(),
             filling_images: Vec::new(),
-            pressure: Vec::new(),
+            losses: Vec::new(),
+            departed: Vec::new(),
             no_filling_until: MonotonicTime::ZERO,
-            filling_left_at: MonotonicTime::ZERO,
         };
         let key = self.executors.insert(executor);
         self.executor_names.insert(entry.name, key);
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -9,6 +9,7 @@
     JobScheduler,
 };
 use crate::{
+    colocation::SlackWindow,
     ids::{JobId, StoreRevision, TaskIndex, WallTime},
     job::{JobOutcome, JobRecord, TaskLayout},
     keys::{job_of, CANCEL_PREFIX, JOB_PREFIX, OWNER_KEY},
@@ -117,6 +118,7 @@
             outcome: progress.outcome,
             recorded_outcome: progress.outcome,
             started: started || progress.outcome.is_some(),
+            slacks: SlackWindow::default(),
             record,
         };
         let detail = format!(
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -5,7 +5,8 @@
 use cuminbank::log::{RUN_REJECTED, RUN_STARTED, RUN_STOPPED};
 
 use super::{
-    state::{ExecutorKey, JobKey, RunKey, RunPhase, RunState, TaskPhase},
+    state::{DepartedTask, ExecutorKey, JobKey, RunKey, RunPhase, RunState, TaskPhase},
+    watching::TAIL_WINDOW,
     JobEffect, JobScheduler,
 };
 use crate::{
@@ -106,10 +107,11 @@
             (false, true) => "serving",
             (false, false) => "reserving",
         };
+        let image = run.image;
         let key = self.add_run(run);
         let executor = &self.executors[executor_key];
         let detail = format!(
-            "task={} kind={kind} run={number} executor={} waited_ms={} idle_cpu={} \
+            "task={} kind={kind} image={image} run={number} executor={} waited_ms={} idle_cpu={} \
              reserved_cpu={} filling={} serving={} slowness={}",
             task,
             executor.name,
@@ -133,7 +135,7 @@
         let (job, task, executor_key) = (run.job, run.task, run.executor);
         let key = self.runs.insert(run);
         self.executors[executor_key].runs.push(key);
-        self.update_pressure(executor_key);
+        self.update_losses(executor_key);
         let job = &mut self.jobs[job];
         job.started = true;
         job.tasks[task as usize].runs.push(key);
@@ -146,7 +148,16 @@
         if let Some(executor) = self.executors.get_mut(run.executor) {
             executor.runs.retain(|other| *other != key);
             executor.free_room(&run);
-            self.update_pressure(run.executor);
+            if run.fills {
+                executor.departed.retain(|task| task.at + TAIL_WINDOW > self.now);
+                executor.departed.push(DepartedTask {
+                    image: run.image,
+                    cpu_millis: run.needs.cpu_millis,
+                    since: run.since,
+                    at: self.now,
+                });
+            }
+            self.update_losses(run.executor);
         }
         self.jobs[run.job].tasks[run.task as usize].runs.retain(|other| *other != key);
         self.placing_wanted = true;
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -9,7 +9,7 @@
 use slotmap::new_key_type;
 
 use crate::{
-    colocation::ImageId,
+    colocation::{ImageId, SlackLoss, SlackWindow},
     ids::{
         BirthMillis, ExecutorMillis, ExecutorName, JobId, MonotonicTime, OrderId, RunNumber,
         ServiceName, TaskIndex, WallTime,
@@ -99,6 +99,8 @@
     pub(super) recorded_outcome: Option<JobOutcome>,
     /// Whether any task has started.
     pub(super) started: bool,
+    /// Slacks of its serving tasks.
+    pub(super) slacks: SlackWindow,
 }
 
 impl JobState {
@@ -170,6 +172,15 @@
     rows.retain(|(_, sum)| *sum > 0);
 }
 
+/// Filling task that has ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct DepartedTask {
+    pub(super) image: ImageId,
+    pub(super) cpu_millis: u32,
+    pub(super) since: MonotonicTime,
+    pub(super) at: MonotonicTime,
+}
+
 /// Exchange by which the owner keeps in contact with an executor.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct HoldState {
@@ -231,12 +242,12 @@
     pub(super) serving_images: Vec<(ImageId, u32)>,
     /// What fills here, with the processor share that it wants in thousandths of a core.
     pub(super) filling_images: Vec<(ImageId, u32)>,
-    /// Pressure of the filling tasks on each serving image.
-    pub(super) pressure: Vec<(ImageId, f64)>,
+    /// Loss of slack that the filling tasks cause to each serving image.
+    pub(super) losses: Vec<(ImageId, SlackLoss)>,
+    /// Filling tasks that have ended of late, which the reported tails still show.
+    pub(super) departed: Vec<DepartedTask>,
     /// No filling task is placed here until then.
     pub(super) no_filling_until: MonotonicTime,
-    /// When a filling task was moved away last.
-    pub(super) filling_left_at: MonotonicTime,
 }
 
 /// Phase of a run.
--- a/crates/cuminbank-jobs/src/scheduler/watching.rs
+++ b/crates/cuminbank-jobs/src/scheduler/watching.rs
@@ -6,11 +6,11 @@
 use cuminbank::log::{FILLING_MOVED, RUN_STUCK};
 
 use super::{
-    state::{ExecutorKey, ExecutorState, RunKey, RunPhase},
+    state::{ExecutorKey, ExecutorState, JobKey, RunKey, RunPhase},
     JobScheduler,
 };
 use crate::{
-    colocation::{ImageId, TailReading, MOST_TRIALS, RELIEVED_PRESSURE},
+    colocation::{ImageId, SlackLoss, LEAST_PART, MOST_TRIALS, PEAK_SLACK, RELIEVED_SLACK},
     order::RunReport,
 };
 
@@ -21,13 +21,9 @@
 /// are saved.
 const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 /// Window of the tail latency that executors report.
-const TAIL_WINDOW: Duration = Duration::from_millis(600);
-/// Time after which a filling task shows in the tails.
-const SETTLE_TIME: Duration = Duration::from_millis(250);
-/// Parts of its bound between which a tail says that nothing disturbs the serving task under load,
-/// in percent. Alone it is at 40 in the middle and at 62 at the peaks of its load.
-const LOADED_PERCENT: u64 = 38;
-const CALM_PERCENT: u64 = 75;
+pub(super) const TAIL_WINDOW: Duration = Duration::from_millis(500);
+/// Loss of slack that neither the load nor the roughness of a report explains.
+const UNEXPLAINED_LOSS: f64 = 0.25;
 /// Time after a report of a tail over its bound in which the executor gets no filling tasks.
 const CALM_TIME: Duration = Duration::from_millis(900);
 /// Part of the longest time over the bound after which all filling tasks are moved.
@@ -111,26 +107,15 @@
         if self.executors[key].serving == 0 {
             return;
         }
-        let filling = self.settled_filling(key);
-        // A tail is a figure for the last half second: it still shows tasks that have just left.
-        let clear = now >= self.executors[key].filling_left_at + TAIL_WINDOW;
-        let mut over: Vec<ImageId> = Vec::new();
-        for row in rows {
-            let Some((victim, tail, target)) = self.tail_of(row) else { continue };
-            let reading = match tail * 100 / target {
-                100.. => TailReading::Over,
-                LOADED_PERCENT..CALM_PERCENT => TailReading::LoadedCalm,
-                ..LOADED_PERCENT => TailReading::IdleCalm,
-                _ => continue,
-            };
-            if reading == TailReading::Over && !over.contains(&victim) {
-                over.push(victim);
-            }
-            if clear || reading != TailReading::Over {
-                self.colocation.learn(now, victim, reading, &filling);
+        let tails = self.tails_of(key, rows);
+        let filling = self.exposed_filling(key);
+        for tail in &tails {
+            if let Some(loss) = tail.mean_loss() {
+                self.colocation.learn(now, tail.victim, loss, &filling);
             }
         }
-        self.update_pressure(key);
+        self.update_losses(key);
+        let over: Vec<&ServiceTail> = tails.iter().filter(|tail| tail.slack < 1.0).collect();
         let executor = &mut self.executors[key];
         if over.is_empty() {
             executor.over_target_since = None;
@@ -141,93 +126,133 @@
         self.move_filling(key, &over, now.saturating_sub(since));
     }
 
-    /// Returns the serving image of a row with its tail latency and the bound, in milliseconds.
-    fn tail_of(&self, row: &RunReport) -> Option<(ImageId, u64, u64)> {
-        let job = &self.jobs[*self.job_ids.get(&row.task.job)?];
+    /// Returns the tails of an executor's report by image.
+    fn tails_of(&mut self, key: ExecutorKey, rows: &[RunReport]) -> Vec<ServiceTail> {
+        let (now, rank) = (self.now, self.executors[key].rank);
+        let mut tails: Vec<ServiceTail> = Vec::new();
+        for row in rows {
+            let Some((job_key, victim, slack)) = self.slack_of(row) else { continue };
+            let slacks = &mut self.jobs[job_key].slacks;
+            slacks.push(now, rank, slack);
+            let loss = match slacks.undisturbed() {
+                Some(calm) => Some(calm - slack),
+                // Below what its load explains at the most, the rest is due to others.
+                None => Some(PEAK_SLACK - slack).filter(|loss| *loss > UNEXPLAINED_LOSS),
+            };
+            let known = tails.iter_mut().find(|tail| tail.victim == victim);
+            match known {
+                Some(tail) => tail.add(slack, loss),
+                None => {
+                    let mut tail = ServiceTail::new(victim);
+                    tail.add(slack, loss);
+                    tails.push(tail);
+                }
+            }
+        }
+        tails
+    }
+
+    /// Returns the serving image of a row with its job and its slack.
+    fn slack_of(&self, row: &RunReport) -> Option<(JobKey, ImageId, f64)> {
+        let job_key = *self.job_ids.get(&row.task.job)?;
+        let job = &self.jobs[job_key];
         let step = job.record.steps.get(row.task.step as usize)?;
         let serving = step.tail_target_ms > 0 && !step.fills && row.percent == 100;
-        let image = job.images[row.task.step as usize];
-        serving.then_some((image, row.usage?, u64::from(step.tail_target_ms)))
+        let tail = row.usage.filter(|_| serving)?.max(1);
+        let slack = f64::from(step.tail_target_ms) / tail as f64;
+        Some((job_key, job.images[row.task.step as usize], slack))
     }
 
-    /// Returns the filling images that have run for long enough to show in the tails, each with its
-    /// share of the executor.
-    fn settled_filling(&self, key: ExecutorKey) -> Vec<(ImageId, f64)> {
+    /// Returns the filling images that show in the tails now, each with its share of the executor,
+    /// lessened by the part of the window in which it did not run.
+    fn exposed_filling(&self, key: ExecutorKey) -> Vec<(ImageId, f64)> {
+        let now = self.now;
         let executor = &self.executors[key];
+        let running = executor.runs.iter().map(|run| &self.runs[*run]);
+        let running = running
+            .filter(|run| run.fills && run.phase != RunPhase::Starting)
+            .map(|run| (run.image, run.needs.cpu_millis, run.since, now));
+        let departed = executor.departed.iter();
+        let departed = departed.map(|task| (task.image, task.cpu_millis, task.since, task.at));
         let mut images: Vec<(ImageId, f64)> = Vec::new();
-        for run in executor.runs.iter().map(|run| &self.runs[*run]) {
-            let settled = self.now >= run.since + SETTLE_TIME;
-            if !run.fills || run.phase != RunPhase::Running || !settled {
-                continue;
-            }
-            let share = executor.share_of(run.needs.cpu_millis);
-            match images.iter_mut().find(|(image, _)| *image == run.image) {
+        for (image, cpu_millis, from, until) in running.chain(departed) {
+            let from = from.max(now.saturating_sub(TAIL_WINDOW));
+            let exposed = until.saturating_sub(from).as_secs_f64() / TAIL_WINDOW.as_secs_f64();
+            let share = executor.share_of(cpu_millis) * exposed;
+            match images.iter_mut().find(|(known, _)| *known == image) {
                 Some((_, sum)) => *sum += share,
-                None => images.push((run.image, share)),
+                None => images.push((image, share)),
             }
         }
+        images.retain(|(_, share)| *share > 0.0);
         images
     }
 
     /// Moves filling tasks away from serving tasks that are over their bound: those that press most
     /// until the rest is expected to be harmless, and all of them before the bound has been passed
     /// for too long.
-    fn move_filling(&mut self, key: ExecutorKey, over: &[ImageId], since: Duration) {
+    fn move_filling(&mut self, key: ExecutorKey, over: &[&ServiceTail], since: Duration) {
         let now = self.now;
         let executor = &self.executors[key];
-        let mut pressure = over
-            .iter()
-            .filter_map(|victim| executor.pressure.iter().find(|(image, _)| image == victim))
-            .map(|(_, pressure)| *pressure)
-            .fold(0.0, f64::max);
-        let mut suspects: Vec<(f64, RunKey)> = executor
+        let mut wanted: Vec<(ImageId, f64)> =
+            over.iter().map(|tail| (tail.victim, tail.relief())).collect();
+        let victims: Vec<ImageId> = wanted.iter().map(|(victim, _)| *victim).collect();
+        let mut suspects: Vec<(Vec<f64>, RunKey)> = executor
             .runs
             .iter()
             .map(|run_key| (&self.runs[*run_key], *run_key))
             .filter(|(run, _)| run.fills && run.phase == RunPhase::Running)
             .map(|(run, run_key)| {
                 let share = executor.share_of(run.needs.cpu_millis);
-                let part =
-                    |victim: &ImageId| self.colocation.pressure(now, *victim, run.image, share);
-                (over.iter().map(part).fold(0.0, f64::max), run_key)
+                let part = |victim: &ImageId| {
+                    self.colocation.loss(now, *victim, run.image, share).mean
+                };
+                (victims.iter().map(part).collect(), run_key)
             })
             .collect();
-        suspects.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let most = |parts: &[f64]| parts.iter().copied().fold(0.0, f64::max);
+        suspects.sort_by(|left, right| most(&right.0).total_cmp(&most(&left.0)));
         let all_due = since >= self.bounds.harm_time / ALL_SUSPECTS_PART;
-        for (part, run_key) in suspects {
-            if pressure <= RELIEVED_PRESSURE && !all_due {
-                return;
+        for (parts, run_key) in suspects {
+            let relieves = wanted
+                .iter()
+                .zip(&parts)
+                .any(|((_, relief), part)| *relief > 0.0 && *part >= LEAST_PART);
+            if !relieves && !all_due {
+                continue;
+            }
+            for ((_, relief), part) in wanted.iter_mut().zip(&parts) {
+                *relief -= part;
             }
-            pressure -= part;
             let run = &self.runs[run_key];
             let id = self.jobs[run.job].id;
             let detail = format!(
-                "task={} run={} executor={} image={} victims={over:?} pressure={part:.2} \
-                 since_ms={} ran_ms={} percent={}",
+                "task={} run={} executor={} image={} victims={victims:?} loss={:.2} since_ms={} \
+                 ran_ms={} percent={}",
                 run.task,
                 run.number,
                 self.executors[key].name,
                 run.image,
+                most(&parts),
                 since.as_millis(),
                 now.saturating_sub(run.since).as_millis(),
                 run.percent
             );
             self.log(FILLING_MOVED, Some(id), detail);
             self.measure("filling.moved", "", None);
-            self.executors[key].filling_left_at = now;
             self.stop_run(run_key, "it disturbs a service");
         }
     }
 
-    /// Works out again how much the filling tasks of an executor press on its serving tasks.
-    pub(super) fn update_pressure(&mut self, key: ExecutorKey) {
+    /// Works out again how much slack the filling tasks of an executor cost its serving tasks.
+    pub(super) fn update_losses(&mut self, key: ExecutorKey) {
         let executor = &self.executors[key];
-        let pressure = executor
+        let losses = executor
             .serving_images
             .iter()
-            .map(|(victim, _)| (*victim, self.pressure_on(executor, *victim)))
+            .map(|(victim, _)| (*victim, self.loss_on(executor, *victim)))
             .collect();
-        self.executors[key].pressure = pressure;
+        self.executors[key].losses = losses;
     }
 
     /// Returns the greatest pressure on a serving task of an executor with one more filling task.
@@ -239,9 +264,11 @@
     ) -> f64 {
         let share = executor.share_of(cpu_millis);
         executor
-            .pressure
+            .losses
             .iter()
-            .map(|(victim, sum)| sum + self.colocation.pressure(self.now, *victim, image, share))
+            .map(|(victim, sum)| {
+                sum.plus(self.colocation.trial_loss(self.now, *victim, image, share)).pressure()
+            })
             .fold(0.0, f64::max)
     }
 
@@ -264,10 +291,46 @@
 
     /// Returns the pressure that a serving image feels or would feel on an executor.
     pub(super) fn pressure_on(&self, executor: &ExecutorState, victim: ImageId) -> f64 {
+        self.loss_on(executor, victim).pressure()
+    }
+
+    fn loss_on(&self, executor: &ExecutorState, victim: ImageId) -> SlackLoss {
         let part = |(image, cpu_millis): &(ImageId, u32)| {
             let share = executor.share_of(*cpu_millis);
-            self.colocation.pressure(self.now, victim, *image, share)
+            self.colocation.loss(self.now, victim, *image, share)
         };
-        executor.filling_images.iter().map(part).sum()
+        executor.filling_images.iter().map(part).fold(SlackLoss::default(), SlackLoss::plus)
+    }
+}
+
+/// Tails of a serving image on an executor.
+struct ServiceTail {
+    victim: ImageId,
+    /// Slack of the task that is worst off.
+    slack: f64,
+    /// Sum of the losses of slack that others cause, and their number.
+    losses: (f64, f64),
+}
+
+impl ServiceTail {
+    fn new(victim: ImageId) -> Self {
+        Self { victim, slack: f64::INFINITY, losses: (0.0, 0.0) }
+    }
+
+    fn add(&mut self, slack: f64, loss: Option<f64>) {
+        self.slack = self.slack.min(slack);
+        if let Some(loss) = loss {
+            self.losses.0 += loss;
+            self.losses.1 += 1.0;
+        }
+    }
+
+    fn mean_loss(&self) -> Option<f64> {
+        (self.losses.1 > 0.0).then(|| self.losses.0 / self.losses.1)
+    }
+
+    /// Returns how much slack has to be won back, as far as others have caused the loss.
+    fn relief(&self) -> f64 {
+        (RELIEVED_SLACK - self.slack).min(self.mean_loss().unwrap_or_default())
     }
 }
