Leave sought services to the filling images that depend on them

Some images suit one service only, others four, and the choice by pressure and fullness let the latter take the room of the former: 90 of 470 standing orders late, filling tasks of some images waiting 4 to 16 s at the 95th percentile.

Change: each filling image counts as demand, divided among the services that it does not disturb; a place beside a service costs by the demand for it, an executor without services most.

--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -48,6 +48,8 @@
 pub const MOST_PRESSURE: f64 = 1.0;
 /// Slack up to which a serving task over its bound is relieved.
 pub const RELIEVED_SLACK: f64 = 1.2;
+/// Share of an executor that a filling task usually takes.
+const USUAL_SHARE: f64 = 0.08;
 /// Least expected loss of slack for which a filling task is moved.
 pub const LEAST_PART: f64 = 0.04;
 
@@ -104,6 +106,10 @@
         self.variance + (self.mean * SWAY_PART).powi(2)
     }
 
+    fn is_known(&self) -> bool {
+        !self.is_unsure()
+    }
+
     fn is_unsure(&self) -> bool {
         self.variance.sqrt() > UNSURE_DEVIATION
     }
@@ -200,6 +206,23 @@
         }
     }
 
+    /// Returns for each image how much it is sought as a neighbour: each filling image counts once,
+    /// divided among the serving images that it does not disturb.
+    pub fn demand(&self, now: MonotonicTime) -> Vec<f64> {
+        let mut demand = vec![0.0; self.names.len()];
+        for image in 0..self.names.len() as ImageId {
+            let suits = |victim: &ImageId| {
+                let effect = self.effect(now, *victim, image);
+                effect.is_known() && effect.mean * USUAL_SHARE <= MOST_PRESS
+            };
+            let friends: Vec<ImageId> = (0..self.names.len() as ImageId).filter(suits).collect();
+            for victim in &friends {
+                demand[*victim as usize] += 1.0 / friends.len() as f64;
+            }
+        }
+        demand
+    }
+
     fn effect(&self, now: MonotonicTime, victim: ImageId, image: ImageId) -> PairEffect {
         self.pairs[victim as usize][image as usize].at(now)
     }
--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -15,6 +15,9 @@
     pub serving_cpu: u32,
     /// Pressure of filling tasks on serving ones with the task placed here; 1 is the bound.
     pub pressure: f64,
+    /// How much filling images depend on what serves here, from 0 to 1: images that suit many
+    /// services leave it to those that suit few.
+    pub sought: f64,
     /// Whether a task of the same image serves here.
     pub same_image: bool,
     /// Processor share wanted by filling tasks, in thousandths of a core.
@@ -53,8 +56,10 @@
 const PRESSURE_COST: f64 = 20_000.0;
 /// Cost of a filling task where nothing serves, and of a task that reserves its share where
 /// something does.
-const FILL_FREE_COST: u64 = 6_000;
+const FILL_FREE_COST: u64 = 10_000;
 const RESERVE_BESIDE_COST: u64 = 5_000;
+/// Cost of a filling task beside the services that filling images depend on most.
+const SOUGHT_COST: f64 = 8_000.0;
 /// Cost of taking the share that filling tasks use.
 const SQUEEZE_COST: u64 = 50_000;
 /// Cost of serving beside each filling task, on an executor where nothing serves yet, and beside
@@ -114,7 +119,7 @@
         // Executors without serving tasks are for filling tasks that would disturb some.
         cost += match (demand.fills, self.serving) {
             (true, 0) => FILL_FREE_COST,
-            (true, _) => (self.pressure * PRESSURE_COST) as u64,
+            (true, _) => (self.pressure * PRESSURE_COST + self.sought * SOUGHT_COST) as u64,
             (false, 0) => 0,
             (false, _) => RESERVE_BESIDE_COST,
         };
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -203,6 +203,9 @@
     advice: AdviceBook,
     /// How much filling tasks slow serving tasks down, by image.
     colocation: ColocationModel,
+    /// How much each serving image is sought as a neighbour, and when that is worked out again.
+    sought: Vec<f64>,
+    next_sought_at: MonotonicTime,
     last_order: OrderId,
     last_write: WriteId,
     /// Counts orders and answers, to tell which came first.
@@ -245,6 +248,8 @@
             journal: JournalState::default(),
             advice: AdviceBook::default(),
             colocation: ColocationModel::default(),
+            sought: Vec::new(),
+            next_sought_at: MonotonicTime::ZERO,
             last_order: 0,
             last_write: 0,
             stamp: 0,
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -73,6 +73,7 @@
         if waiting.is_empty() {
             return 0;
         }
+        self.update_sought();
         let now = self.now;
         waiting.sort_by(|(left_key, left), (right_key, right)| {
             priority::compare(now, left, right).then(left_key.cmp(right_key))
@@ -324,6 +325,7 @@
             } else if spec.long_running {
                 load.pressure = self.pressure_on(executor, job.images[step]);
             }
+            load.sought = self.sought_by_others(executor);
             load.same_image =
                 executor.serving_images.iter().any(|(image, _)| *image == job.images[step]);
             let cost = load.cost(&demand);
@@ -355,6 +357,7 @@
             filling_cpu: executor.filling_cpu,
             pressure: 0.0,
             same_image: false,
+            sought: 0.0,
             filling: executor.filling,
             serving: executor.serving,
             near_data,
--- a/crates/cuminbank-jobs/src/scheduler/watching.rs
+++ b/crates/cuminbank-jobs/src/scheduler/watching.rs
@@ -26,6 +26,8 @@
 const UNEXPLAINED_LOSS: f64 = 0.25;
 /// Time after a report of a tail over its bound in which the executor gets no filling tasks.
 const CALM_TIME: Duration = Duration::from_millis(900);
+/// Interval at which the demand for services as neighbours is worked out.
+const SOUGHT_INTERVAL: Duration = Duration::from_millis(250);
 /// Part of the longest time over the bound after which all filling tasks are moved.
 const ALL_SUSPECTS_PART: u32 = 2;
 
@@ -289,6 +291,26 @@
             })
     }
 
+    /// Works out again which services most filling images depend on.
+    pub(super) fn update_sought(&mut self) {
+        if self.now < self.next_sought_at {
+            return;
+        }
+        self.next_sought_at = self.now + SOUGHT_INTERVAL;
+        let mut sought = self.colocation.demand(self.now);
+        let most = sought.iter().copied().fold(f64::MIN_POSITIVE, f64::max);
+        sought.iter_mut().for_each(|demand| *demand /= most);
+        self.sought = sought;
+    }
+
+    /// Returns how much other filling images depend on an executor, for the services on it: from 0
+    /// to 1. Beside several services only what suits all of them fits.
+    pub(super) fn sought_by_others(&self, executor: &ExecutorState) -> f64 {
+        let images = executor.serving_images.iter();
+        let demands = images.filter_map(|(image, _)| self.sought.get(*image as usize).copied());
+        demands.fold(1.0, f64::min)
+    }
+
     /// Returns the pressure that a serving image feels or would feel on an executor.
     pub(super) fn pressure_on(&self, executor: &ExecutorState, victim: ImageId) -> f64 {
         self.loss_on(executor, victim).pressure()
