Place filling work by the slack that a service has until it ends

Change: what a service bears is worked out from the slack that it had last, less what its load may rise until the task ends, never below its peak. Placement allows for two deviations of the sway and half a deviation of what is not known, and keeps 0.2 of slack. After a takeover late jobs may disturb services one task at a time, 250 ms apart.

--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -34,14 +34,20 @@
 const HALF_LIFE: Duration = Duration::from_secs(90);
 /// Standard deviation above which a pair is only tried on a few executors.
 const UNSURE_DEVIATION: f64 = 2.5;
-/// Standard deviations of the loss that placement allows for.
-const CAUTION: f64 = 1.0;
+/// Part of the variance of what is known that counts beside the sway: an image must not be kept away
+/// because little is known of it.
+const UNSURE_PART: f64 = 0.25;
+/// Standard deviations of the loss that placement allows for: a service over its bound costs about
+/// five times what the filling task that causes it is worth.
+const CAUTION: f64 = 2.0;
 /// Slack that a serving task has at the peaks of its load, undisturbed.
 pub const PEAK_SLACK: f64 = 1.63;
-/// Loss of slack that is left at the peaks of the load before the bound is passed, less a reserve
-/// for the roughness of the reports.
-const PEAK_RESERVE: f64 = 0.1;
-const MOST_PRESS: f64 = PEAK_SLACK - 1.0 - PEAK_RESERVE;
+/// Slack that is kept for the roughness of the reports.
+const SLACK_RESERVE: f64 = 0.2;
+/// Loss of slack that a service bears at the peaks of its load.
+pub const PEAK_BEARABLE: f64 = PEAK_SLACK - 1.0 - SLACK_RESERVE;
+/// Most by which the slack falls in a second as the load rises.
+const SLACK_FALL: f64 = 0.5;
 /// Most executors on which a pair of which little is known is tried at a time.
 pub const MOST_TRIALS: usize = 2;
 /// Pressure up to which filling tasks are placed.
@@ -69,11 +75,18 @@
     }
 
     /// Returns the loss in parts of what is bearable, with some caution.
-    pub fn pressure(&self) -> f64 {
-        (self.mean + CAUTION * self.variance.sqrt()) / MOST_PRESS
+    pub fn pressure(&self, bearable: f64) -> f64 {
+        (self.mean + CAUTION * self.variance.sqrt()) / bearable
     }
 }
 
+/// Returns the loss of slack that a service bears until a time, from the undisturbed slack that it
+/// had last and its age: its load may rise meanwhile, but not above its peak.
+pub fn bearable_loss(slack: f64, age: Duration, ahead: Duration) -> f64 {
+    let fallen = slack - SLACK_FALL * (age + ahead).as_secs_f64();
+    fallen.max(PEAK_SLACK) - 1.0 - SLACK_RESERVE
+}
+
 /// What is known of a pair: the loss of slack for a whole executor.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 struct PairEffect {
@@ -101,9 +114,9 @@
         }
     }
 
-    /// Returns the variance of what a task presses at a time.
-    fn spread(&self) -> f64 {
-        self.variance + (self.mean * SWAY_PART).powi(2)
+    /// Returns the variance of what a task presses over time.
+    fn sway(&self) -> f64 {
+        (self.mean * SWAY_PART).powi(2)
     }
 
     fn is_known(&self) -> bool {
@@ -160,7 +173,8 @@
             filling.iter().map(|(image, _)| row[*image as usize].at(now)).collect();
         let shares = || known.iter().zip(filling).map(|(effect, (_, share))| (effect, share));
         let expected: f64 = shares().map(|(effect, share)| effect.mean * share).sum();
-        let spread: f64 = shares().map(|(effect, share)| effect.spread() * share * share).sum();
+        let spread: f64 =
+            shares().map(|(effect, share)| (effect.variance + effect.sway()) * share * share).sum();
         let surprise = loss - expected;
         for (effect, (image, share)) in known.iter().zip(filling) {
             // The less is known of an image, the more of the surprise is put down to it.
@@ -187,7 +201,8 @@
         share: f64,
     ) -> SlackLoss {
         let effect = self.effect(now, victim, image);
-        SlackLoss { mean: effect.mean * share, variance: effect.spread() * share * share }
+        let variance = effect.variance * UNSURE_PART + effect.sway();
+        SlackLoss { mean: effect.mean * share, variance: variance * share * share }
     }
 
     /// Returns the loss that counts when a filling image is placed. Of an image that has hardly been
@@ -213,7 +228,7 @@
         for image in 0..self.names.len() as ImageId {
             let suits = |victim: &ImageId| {
                 let effect = self.effect(now, *victim, image);
-                effect.is_known() && effect.mean * USUAL_SHARE <= MOST_PRESS
+                effect.is_known() && effect.mean * USUAL_SHARE <= PEAK_BEARABLE
             };
             let friends: Vec<ImageId> = (0..self.names.len() as ImageId).filter(suits).collect();
             for victim in &friends {
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -127,6 +127,7 @@
             serving_images: Vec::new(),
             filling_images: Vec::new(),
             losses: Vec::new(),
+            slacks: Vec::new(),
             departed: Vec::new(),
             no_filling_until: MonotonicTime::ZERO,
         };
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -206,6 +206,8 @@
     /// How much each serving image is sought as a neighbour, and when that is worked out again.
     sought: Vec<f64>,
     next_sought_at: MonotonicTime,
+    /// Earliest time of the next task that may disturb services.
+    next_starved_at: MonotonicTime,
     last_order: OrderId,
     last_write: WriteId,
     /// Counts orders and answers, to tell which came first.
@@ -250,6 +252,7 @@
             colocation: ColocationModel::default(),
             sought: Vec::new(),
             next_sought_at: MonotonicTime::ZERO,
+            next_starved_at: MonotonicTime::ZERO,
             last_order: 0,
             last_write: 0,
             stamp: 0,
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -23,6 +23,8 @@
 /// Wait after which a late job that runs nothing may disturb services with one task. A job with room
 /// must not stand still for 3 s.
 const STARVED_TIME: Duration = Duration::from_millis(1_500);
+/// Pause between two tasks that may disturb services: after a takeover many jobs are late at once.
+const STARVED_PAUSE: Duration = Duration::from_millis(250);
 
 /// Shape of a task for which a pass found no room.
 struct MissedShape {
@@ -165,6 +167,9 @@
         let Some(executor) = self.choose(job, task, placeable, &counts, starving) else {
             return false;
         };
+        if starving {
+            self.next_starved_at = self.now + STARVED_PAUSE;
+        }
         let number = self.next_run(key, std::iter::once(task));
         self.start_run(key, task, number, executor);
         true
@@ -179,6 +184,7 @@
         job.record.steps[step].fills
             && self.now > job.deadline
             && waited >= STARVED_TIME
+            && self.now >= self.next_starved_at
             && job.tasks.iter().all(|other| other.runs.is_empty())
     }
 
@@ -315,8 +321,7 @@
                 continue;
             }
             if spec.fills {
-                let cpu = spec.needs.cpu_millis;
-                load.pressure = self.pressure_with(executor, job.images[step], cpu);
+                load.pressure = self.pressure_with(executor, job.images[step], spec);
                 let disturbs = load.pressure > MOST_PRESSURE
                     || self.is_trial_too_many(executor, job.images[step]);
                 if self.now < executor.no_filling_until || (disturbs && !starving) {
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -172,6 +172,14 @@
     rows.retain(|(_, sum)| *sum > 0);
 }
 
+/// Slack of a serving image on an executor.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct SlackReading {
+    pub(super) victim: ImageId,
+    pub(super) slack: f64,
+    pub(super) at: MonotonicTime,
+}
+
 /// Filling task that has ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct DepartedTask {
@@ -244,6 +252,8 @@
     pub(super) filling_images: Vec<(ImageId, u32)>,
     /// Loss of slack that the filling tasks cause to each serving image.
     pub(super) losses: Vec<(ImageId, SlackLoss)>,
+    /// Undisturbed slack that each serving image had last, at the worst of its tasks.
+    pub(super) slacks: Vec<SlackReading>,
     /// Filling tasks that have ended of late, which the reported tails still show.
     pub(super) departed: Vec<DepartedTask>,
     /// No filling task is placed here until then.
--- a/crates/cuminbank-jobs/src/scheduler/watching.rs
+++ b/crates/cuminbank-jobs/src/scheduler/watching.rs
@@ -6,11 +6,15 @@
 use cuminbank::log::{FILLING_MOVED, RUN_STUCK};
 
 use super::{
-    state::{ExecutorKey, ExecutorState, JobKey, RunKey, RunPhase},
+    state::{ExecutorKey, ExecutorState, JobKey, RunKey, RunPhase, SlackReading},
     JobScheduler,
 };
 use crate::{
-    colocation::{ImageId, SlackLoss, LEAST_PART, MOST_TRIALS, PEAK_SLACK, RELIEVED_SLACK},
+    colocation::{
+        bearable_loss, ImageId, SlackLoss, LEAST_PART, MOST_TRIALS, PEAK_BEARABLE, PEAK_SLACK,
+        RELIEVED_SLACK,
+    },
+    job::JobStep,
     order::RunReport,
 };
 
@@ -26,6 +30,8 @@
 const UNEXPLAINED_LOSS: f64 = 0.25;
 /// Time after a report of a tail over its bound in which the executor gets no filling tasks.
 const CALM_TIME: Duration = Duration::from_millis(900);
+/// Time in which a task starts or resumes, and in which its effect has left the tails.
+const START_TIME: Duration = Duration::from_millis(600);
 /// Interval at which the demand for services as neighbours is worked out.
 const SOUGHT_INTERVAL: Duration = Duration::from_millis(250);
 /// Part of the longest time over the bound after which all filling tasks are moved.
@@ -117,6 +123,7 @@
             }
         }
         self.update_losses(key);
+        self.note_slacks(key, &tails, &filling);
         let over: Vec<&ServiceTail> = tails.iter().filter(|tail| tail.slack < 1.0).collect();
         let executor = &mut self.executors[key];
         if over.is_empty() {
@@ -128,6 +135,19 @@
         self.move_filling(key, &over, now.saturating_sub(since));
     }
 
+    /// Notes the slack that each service would have without the filling tasks that show in it.
+    fn note_slacks(&mut self, key: ExecutorKey, tails: &[ServiceTail], filling: &[(ImageId, f64)]) {
+        let now = self.now;
+        let slacks = tails.iter().map(|tail| {
+            let loss = |(image, share): &(ImageId, f64)| {
+                self.colocation.loss(now, tail.victim, *image, *share).mean
+            };
+            let lost: f64 = filling.iter().map(loss).sum();
+            SlackReading { victim: tail.victim, slack: tail.slack + lost, at: now }
+        });
+        self.executors[key].slacks = slacks.collect();
+    }
+
     /// Returns the tails of an executor's report by image.
     fn tails_of(&mut self, key: ExecutorKey, rows: &[RunReport]) -> Vec<ServiceTail> {
         let (now, rank) = (self.now, self.executors[key].rank);
@@ -206,9 +226,8 @@
             .filter(|(run, _)| run.fills && run.phase == RunPhase::Running)
             .map(|(run, run_key)| {
                 let share = executor.share_of(run.needs.cpu_millis);
-                let part = |victim: &ImageId| {
-                    self.colocation.loss(now, *victim, run.image, share).mean
-                };
+                let part =
+                    |victim: &ImageId| self.colocation.loss(now, *victim, run.image, share).mean;
                 (victims.iter().map(part).collect(), run_key)
             })
             .collect();
@@ -262,18 +281,28 @@
         &self,
         executor: &ExecutorState,
         image: ImageId,
-        cpu_millis: u32,
+        spec: &JobStep,
     ) -> f64 {
-        let share = executor.share_of(cpu_millis);
+        let share = executor.share_of(spec.needs.cpu_millis);
+        let ahead = Duration::from_millis(u64::from(spec.estimate_ms)) + START_TIME;
         executor
             .losses
             .iter()
             .map(|(victim, sum)| {
-                sum.plus(self.colocation.trial_loss(self.now, *victim, image, share)).pressure()
+                let loss = sum.plus(self.colocation.trial_loss(self.now, *victim, image, share));
+                loss.pressure(self.bearable_by(executor, *victim, ahead))
             })
             .fold(0.0, f64::max)
     }
 
+    /// Returns the loss of slack that a service on an executor bears for a while.
+    fn bearable_by(&self, executor: &ExecutorState, victim: ImageId, ahead: Duration) -> f64 {
+        let reading = executor.slacks.iter().find(|reading| reading.victim == victim);
+        reading.map_or(PEAK_BEARABLE, |reading| {
+            bearable_loss(reading.slack, self.now.saturating_sub(reading.at), ahead)
+        })
+    }
+
     /// Tells whether a filling image would meet a serving one on an executor that it has met on
     /// enough others while little is known of the pair.
     pub(super) fn is_trial_too_many(&self, executor: &ExecutorState, image: ImageId) -> bool {
@@ -313,7 +342,7 @@
 
     /// Returns the pressure that a serving image feels or would feel on an executor.
     pub(super) fn pressure_on(&self, executor: &ExecutorState, victim: ImageId) -> f64 {
-        self.loss_on(executor, victim).pressure()
+        self.loss_on(executor, victim).pressure(PEAK_BEARABLE)
     }
 
     fn loss_on(&self, executor: &ExecutorState, victim: ImageId) -> SlackLoss {
