Keep an executor in the roster until its ends are recorded

Once the last run of a draining executor had ended, the roster no longer named it, though the record of the end waited behind others: a write holds 32 entries. The owner was cut off before the next write, so that its successor neither read the end nor waited for the executor.

Change: an executor belongs to the roster while it lists ends that are not recorded. The absence of an executor is decided in one place.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -196,10 +196,12 @@
         executor.absent_since.is_some_and(|since| self.now > since + ABSENCE_GRACE)
     }
 
-    /// Tells whether an executor belongs to the roster: it runs something, may be given something to
-    /// run, or may run something of an earlier owner. The next owner need not wait for any other.
+    /// Tells whether an executor belongs to the roster: it runs something, lists ends that are not
+    /// recorded, may be given something to run, or may run something of an earlier owner. The next
+    /// owner need not wait for any other.
     pub(super) fn is_member(&self, executor: &ExecutorState) -> bool {
         !executor.runs.is_empty()
+            || executor.seen_end > executor.acknowledged
             || !(executor.draining || self.is_absent(executor))
             || self.unsettled.contains(&executor.name)
     }
@@ -337,8 +339,7 @@
     /// Tells whether an executor may get new work.
     pub(super) fn is_placeable(&self, executor: &ExecutorState) -> bool {
         let now = self.now;
-        let named = executor.absent_since.is_none_or(|since| now < since + ABSENCE_GRACE);
-        named
+        !self.is_absent(executor)
             && !executor.draining
             && executor.enrolled
             && executor.contacted
--- a/crates/cuminbank-jobs/tests/history.rs
+++ b/crates/cuminbank-jobs/tests/history.rs
@@ -141,3 +141,34 @@
     let guards = JobGuards { proves_ownership: false, ..JobGuards::default() };
     assert!(!cut_off_owner(guards).checks.breaches.is_empty(), "the check finds nothing");
 }
+
+/// Many runs end at once on executors that drain, more than one write records, and the owner dies
+/// soon after.
+fn owner_dies_while_ends_wait(after: Duration) -> FakeWorld {
+    let lengths = |_, _| (Some(Duration::from_millis(1_200)), RunEnd::Done);
+    let mut world = FakeWorld::new(11, 3, 6).with_plan(Box::new(lengths));
+    let submitted = Duration::from_secs(3);
+    world.play_until(submitted);
+    (0..40).for_each(|id| world.submit(id, job(vec![step(1, &[])])));
+    for executor in 0..3 {
+        let at = submitted + Duration::from_millis(600);
+        world.fault_at(at, WorldFault::DrainExecutor { executor });
+    }
+    world.play_until(submitted + after);
+    let instance = world.owner().expect("somebody owns the pool");
+    let down = Duration::from_secs(30);
+    world.fault_at(world.now, WorldFault::KillInstance { instance, down });
+    world.play_until(submitted + Duration::from_secs(20));
+    world.check_end();
+    world
+}
+
+// Guards against a roster without an executor that lists ends of which no record is stored yet: the
+// next owner would start those tasks again before it hears of them.
+#[test]
+fn draining_executor_stays_known_until_its_ends_are_recorded() {
+    for millis in (1_200..1_400).step_by(2) {
+        let world = owner_dies_while_ends_wait(Duration::from_millis(millis));
+        assert!(world.checks.breaches.is_empty(), "{millis} ms: {}", show(11, &world));
+    }
+}
