Fail a read of records in which an item cannot be read

Cause: an item of the store whose value is not base64 was left out without a line, so that a record of progress could seem missing and its tasks run again.

Ruled out: failing every read, since others write executors' entries and one bad entry must not hide the list.

Change: pages tell the keys of unreadable items; each is logged (EV0757), and a read of own records fails.

--- a/crates/cuminbank-jobd/src/store.rs
+++ b/crates/cuminbank-jobd/src/store.rs
@@ -2,15 +2,16 @@
 
 use std::{cell::Cell, net::SocketAddr, time::Duration};
 
-use cuminbank::log::{POOL_STORE_FOUND, POOL_STORE_LOST};
+use cuminbank::log::{POOL_STORE_FOUND, POOL_STORE_LOST, STORE_UNREADABLE};
 use cuminbank_jobs::{
     ids::{MonotonicTime, StoreRevision},
     scheduler::DecisionRecord,
     store::{StoreCall, StoreFailure, StoreItem, StoreReply},
 };
 use cuminbank_net::client::HttpPool;
-use cuminbank_platform::store::{
-    decode_page_reply, decode_reply, decode_watch, encode_call, encode_watch, WatchReply,
+use cuminbank_platform::{
+    store::{decode_page_reply, decode_reply, decode_watch, encode_call, encode_watch, WatchReply},
+    EXECUTOR_PREFIX,
 };
 
 use crate::clock;
@@ -66,7 +67,7 @@
         log: impl Fn(DecisionRecord),
     ) -> Result<StoreReply, StoreFailure> {
         let result = match call {
-            StoreCall::Read { .. } => self.read_pages(call, timeout).await,
+            StoreCall::Read { prefix } => self.read_pages(call, prefix, timeout, &log).await,
             _ => {
                 let answer = self.pool.exchange(self.address, encode_call(call, None), timeout);
                 decode_reply(call, answer.await)
@@ -79,7 +80,9 @@
     async fn read_pages(
         &self,
         call: &StoreCall,
+        prefix: &str,
         timeout: Duration,
+        log: &impl Fn(DecisionRecord),
     ) -> Result<StoreReply, StoreFailure> {
         let mut items: Vec<StoreItem> = Vec::new();
         let mut revision: Option<StoreRevision> = None;
@@ -91,6 +94,14 @@
             // Pages are not a snapshot: changes since the first one have to be watched.
             let first = *revision.get_or_insert(page.revision);
             items.extend(page.items);
+            for key in &page.unreadable {
+                let detail = format!("key={key} revision={}", page.revision);
+                log(DecisionRecord { code: STORE_UNREADABLE, job: None, detail });
+            }
+            // What others wrote may be left out; of our own records none may be missing.
+            if !page.unreadable.is_empty() && prefix != EXECUTOR_PREFIX {
+                return Err(StoreFailure::Unknown);
+            }
             match page.next {
                 Some(next) => after = Some(next),
                 None => return Ok(StoreReply::Items { items, revision: first }),
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -116,6 +116,7 @@
     POOL_CONFIG_UNREADABLE = (754, Error, "A configuration of the pool cannot be read.");
     SETTINGS_CHECKED = (755, Info, "The settings file was checked again.");
     LINES_DROPPED = (756, Warn, "Log lines were dropped because the reader is too slow.");
+    STORE_UNREADABLE = (757, Error, "An item of the store cannot be read.");
 }
 
 impl LogRecord {
