Replace a lost owner a second earlier

Change: the lease lasts 1.3 s, renewed each 0.35 s; a renewal without an answer is given up after 0.5 s.

--- a/crates/cuminbank-jobs/src/tenure.rs
+++ b/crates/cuminbank-jobs/src/tenure.rs
@@ -14,11 +14,11 @@
     },
 };
 
-/// Time to live of the ownership lease: several renewals fit, and a lost owner is replaced well
+/// Time to live of the ownership lease: three renewals fit, and a lost owner is replaced well
 /// before the leases of its runs end.
-pub const TENURE_TTL: Duration = Duration::from_millis(2_000);
+pub const TENURE_TTL: Duration = Duration::from_millis(1_300);
 /// Interval between two renewals.
-pub const RENEW_INTERVAL: Duration = Duration::from_millis(500);
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(350);
 /// Time after the last answer of the store in which an owner goes on giving orders. It spans the
 /// outages of the store that the sites know, of up to 7 s and varied by a third; executors that a
 /// new owner has reached refuse the orders anyway.
@@ -35,7 +35,7 @@
 /// Pause after a claim that failed.
 pub const CLAIM_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time for a call of the tenure.
-pub const TENURE_TIMEOUT: Duration = Duration::from_millis(700);
+pub const TENURE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The ownership record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
