Keep room in the log for lines that are not about runs

Change: lines about single runs take at most 1,300 of the 1,500 lines of a second.

Conclusion: done; the bound on the volume stays.

--- a/crates/cuminbank-jobd/src/lib.rs
+++ b/crates/cuminbank-jobd/src/lib.rs
@@ -3,12 +3,9 @@
 mod clients;
 pub mod clock;
 pub mod daemon;
-mod logging;
+pub mod logging;
 mod metrics;
 mod operators;
 mod owner;
 mod store;
 mod watches;
-
-pub use logging::start as start_logging;
-pub use logging::LogGuard;
--- a/crates/cuminbank-jobd/src/logging.rs
+++ b/crates/cuminbank-jobd/src/logging.rs
@@ -1,20 +1,23 @@
 //! Log lines as JSON on standard output, bounded in rate and in memory.
 
-use std::{
-    cell::Cell,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, time::Duration};
 
-use cuminbank::log::{LogLevel, LINES_DROPPED};
-use cuminbank_jobs::scheduler::DecisionRecord;
+use cuminbank::log::{LogCode, LogLevel, LINES_DROPPED};
+use cuminbank_jobs::{ids::MonotonicTime, scheduler::DecisionRecord};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
+use crate::clock;
+
 /// Lines that wait for a slow reader; more are dropped.
 const MAX_WAITING_LINES: usize = 2_000;
 /// Lines written in a second; more are counted and dropped, so that a flood of decisions costs a
 /// bounded share of the processor.
-const MAX_LINES_PER_SECOND: u32 = 1_500;
+pub const MAX_LINES_PER_SECOND: u32 = 1_500;
+/// Part of them that lines about single runs may take: the others tell what the instance believes.
+pub const MAX_RUN_LINES_PER_SECOND: u32 = 1_300;
+/// Numbers of the events about single runs.
+const RUN_EVENTS: std::ops::Range<u16> = 711..721;
 
 /// Keeps the writer alive; dropped, it writes what waits.
 pub struct LogGuard(#[expect(dead_code, reason = "its drop writes what waits")] WorkerGuard);
@@ -37,41 +40,72 @@
     LogGuard(guard)
 }
 
+/// Lines that may still be written in this second.
+#[derive(Debug, Default)]
+pub struct LineBudget {
+    second: MonotonicTime,
+    written: u32,
+    runs_written: u32,
+    dropped: u64,
+}
+
+impl LineBudget {
+    /// Takes a line from the budget; returns false if it has to be dropped.
+    pub fn take(&mut self, now: MonotonicTime, code: LogCode) -> bool {
+        self.begin_second(now);
+        let about_run = RUN_EVENTS.contains(&code.number);
+        let full = self.written >= MAX_LINES_PER_SECOND
+            || (about_run && self.runs_written >= MAX_RUN_LINES_PER_SECOND);
+        if full {
+            self.dropped += 1;
+            return false;
+        }
+        self.written += 1;
+        self.runs_written += u32::from(about_run);
+        true
+    }
+
+    /// Returns how many lines were dropped, once their second is over.
+    pub fn take_dropped(&mut self, now: MonotonicTime) -> u64 {
+        match self.begin_second(now) {
+            true => std::mem::take(&mut self.dropped),
+            false => 0,
+        }
+    }
+
+    fn begin_second(&mut self, now: MonotonicTime) -> bool {
+        if now < self.second + Duration::from_secs(1) {
+            return false;
+        }
+        self.second = now;
+        self.written = 0;
+        self.runs_written = 0;
+        true
+    }
+}
+
 /// Writer of decisions.
 #[derive(Debug)]
 pub(crate) struct DecisionLog {
     instance: String,
-    second: Cell<Instant>,
-    written: Cell<u32>,
-    dropped: Cell<u64>,
+    budget: RefCell<LineBudget>,
 }
 
 impl DecisionLog {
     pub(crate) fn new(instance: String) -> Self {
-        Self {
-            instance,
-            second: Cell::new(Instant::now()),
-            written: Cell::new(0),
-            dropped: Cell::new(0),
-        }
+        Self { instance, budget: RefCell::default() }
     }
 
     pub(crate) fn write(&self, record: &DecisionRecord) {
-        if self.second.get().elapsed() >= Duration::from_secs(1) {
-            self.second.set(Instant::now());
-            self.written.set(0);
-            let dropped = self.dropped.take();
-            if dropped > 0 {
-                let detail = format!("lines={dropped}");
-                self.emit(&DecisionRecord { code: LINES_DROPPED, job: None, detail });
-            }
+        let now = clock::now();
+        let dropped = self.budget.borrow_mut().take_dropped(now);
+        if dropped > 0 {
+            let detail = format!("lines={dropped}");
+            self.emit(&DecisionRecord { code: LINES_DROPPED, job: None, detail });
         }
-        if self.written.get() >= MAX_LINES_PER_SECOND {
-            self.dropped.set(self.dropped.get() + 1);
-            return;
+        if self.budget.borrow_mut().take(now, record.code) {
+            self.emit(record);
         }
-        self.written.set(self.written.get() + 1);
-        self.emit(record);
     }
 
     fn emit(&self, record: &DecisionRecord) {
--- a/crates/cuminbank-jobd/src/main.rs
+++ b/crates/cuminbank-jobd/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
-use cuminbank_jobd::{daemon::JobDaemon, start_logging};
+use cuminbank_jobd::{daemon::JobDaemon, logging};
 use cuminbank_jobs::settings::JobSettings;
 use cuminbank_net::runtime;
 
@@ -47,7 +47,7 @@
         println!("{}: the settings are valid", path.display());
         return ExitCode::SUCCESS;
     }
-    let _guard = start_logging();
+    let _guard = logging::start();
     let outcome = runtime::run(async {
         let daemon = JobDaemon::new(path, settings, rand::random())?;
         daemon.run().await;
