Ownership leases of 1.5 s, and room in the log for lines of the instance

And after a takeover the lines about 490 executors and 300 jobs took the room that was kept for others: EV0745 was dropped again.

Change: leases of 1.5 s; the part of 1,300 lines a second now covers jobs, runs and executors, so that lines of the instance, its dependencies and its ownership are not dropped.

Jobs accepted before a takeover still wait for executors behind a cut.

--- a/crates/cuminbank-jobd/src/logging.rs
+++ b/crates/cuminbank-jobd/src/logging.rs
@@ -14,10 +14,11 @@
 /// Lines written in a second; more are counted and dropped, so that a flood of decisions costs a
 /// bounded share of the processor.
 pub const MAX_LINES_PER_SECOND: u32 = 1_500;
-/// Part of them that lines about single runs may take: the others tell what the instance believes.
-pub const MAX_RUN_LINES_PER_SECOND: u32 = 1_300;
-/// Numbers of the events about single runs.
-const RUN_EVENTS: std::ops::Range<u16> = 711..721;
+/// Part of them that lines about single jobs, runs and executors may take: the others tell of the
+/// instance, its dependencies and its ownership.
+pub const MAX_ITEM_LINES_PER_SECOND: u32 = 1_300;
+/// Numbers of the events about single jobs, runs and executors.
+const ITEM_EVENTS: std::ops::Range<u16> = 701..740;
 
 /// Keeps the writer alive; dropped, it writes what waits.
 pub struct LogGuard(#[expect(dead_code, reason = "its drop writes what waits")] WorkerGuard);
@@ -45,7 +46,7 @@
 pub struct LineBudget {
     second: MonotonicTime,
     written: u32,
-    runs_written: u32,
+    items_written: u32,
     dropped: u64,
 }
 
@@ -53,15 +54,15 @@
     /// Takes a line from the budget; returns false if it has to be dropped.
     pub fn take(&mut self, now: MonotonicTime, code: LogCode) -> bool {
         self.begin_second(now);
-        let about_run = RUN_EVENTS.contains(&code.number);
+        let about_item = ITEM_EVENTS.contains(&code.number);
         let full = self.written >= MAX_LINES_PER_SECOND
-            || (about_run && self.runs_written >= MAX_RUN_LINES_PER_SECOND);
+            || (about_item && self.items_written >= MAX_ITEM_LINES_PER_SECOND);
         if full {
             self.dropped += 1;
             return false;
         }
         self.written += 1;
-        self.runs_written += u32::from(about_run);
+        self.items_written += u32::from(about_item);
         true
     }
 
@@ -79,7 +80,7 @@
         }
         self.second = now;
         self.written = 0;
-        self.runs_written = 0;
+        self.items_written = 0;
         true
     }
 }
--- a/crates/cuminbank-jobs/src/tenure.rs
+++ b/crates/cuminbank-jobs/src/tenure.rs
@@ -14,9 +14,9 @@
     },
 };
 
-/// Time to live of the ownership lease: three renewals fit, and a lost owner is replaced well
+/// Time to live of the ownership lease: four renewals fit, and a lost owner is replaced well
 /// before the leases of its runs end.
-pub const TENURE_TTL: Duration = Duration::from_millis(1_300);
+pub const TENURE_TTL: Duration = Duration::from_millis(1_500);
 /// Interval between two renewals.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(350);
 /// Time after the last answer of the store in which an owner goes on giving orders. It spans the
