Let jobs that run nothing start while the pool is little used

Their images disturb every service, so that they only run where nothing serves or as tasks that may disturb.

Ruled out: executors without services (10 of 66, full with 9 to 10 fillers each).

Change: while tasks reserve at most 60 % of the pool, any job that runs nothing and has waited 1.5 s may start a task, late or not and without the pause. In a fuller pool the pause holds.

--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -208,6 +208,8 @@
     next_sought_at: MonotonicTime,
     /// Earliest time of the next task that may disturb services.
     next_starved_at: MonotonicTime,
+    /// Whether tasks reserved little of the pool at the last pass.
+    little_used: bool,
     last_order: OrderId,
     last_write: WriteId,
     /// Counts orders and answers, to tell which came first.
@@ -253,6 +255,7 @@
             sought: Vec::new(),
             next_sought_at: MonotonicTime::ZERO,
             next_starved_at: MonotonicTime::ZERO,
+            little_used: false,
             last_order: 0,
             last_write: 0,
             stamp: 0,
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -20,11 +20,15 @@
 /// pass when the queue is long.
 const MAX_MISSES: usize = 150;
 
-/// Wait after which a late job that runs nothing may disturb services with one task. A job with room
-/// must not stand still for 3 s.
+/// Wait after which a job that runs nothing may disturb services with one task. While the pool has
+/// room no job must stand still for 3 s.
 const STARVED_TIME: Duration = Duration::from_millis(1_500);
-/// Pause between two tasks that may disturb services: after a takeover many jobs are late at once.
+/// Pause between two such tasks while much of the pool is reserved: after a takeover many jobs are late
+/// at once.
 const STARVED_PAUSE: Duration = Duration::from_millis(250);
+/// Part of the processors up to which a pool counts as little used, in percent, with a reserve to the
+/// half at which jobs may stand still.
+const LITTLE_USED_PERCENT: u64 = 60;
 
 /// Shape of a task for which a pass found no room.
 struct MissedShape {
@@ -76,6 +80,7 @@
             return 0;
         }
         self.update_sought();
+        self.little_used = self.is_little_used();
         let now = self.now;
         waiting.sort_by(|(left_key, left), (right_key, right)| {
             priority::compare(now, left, right).then(left_key.cmp(right_key))
@@ -175,19 +180,30 @@
         true
     }
 
-    /// Tells whether a filling task may disturb services, since its job is late, runs nothing and has
-    /// waited for a while: where every executor serves something that an image disturbs, the image
-    /// would never run. It is moved on when a service passes its bound, with its checkpoint.
+    /// Tells whether a filling task may disturb services, since its job runs nothing and has waited
+    /// for a while: where every executor serves something that an image disturbs, the image would
+    /// never run. It is moved on when a service passes its bound, with its checkpoint. In a pool that
+    /// is much used only late jobs may, one at a time.
     fn is_starving(&self, job: &JobState, task: TaskIndex) -> bool {
         let (_, step) = job.layout.place(task);
         let waited = self.now.saturating_sub(job.tasks[task as usize].ready_since);
+        let allowed =
+            self.little_used || (self.now > job.deadline && self.now >= self.next_starved_at);
         job.record.steps[step].fills
-            && self.now > job.deadline
+            && allowed
             && waited >= STARVED_TIME
-            && self.now >= self.next_starved_at
             && job.tasks.iter().all(|other| other.runs.is_empty())
     }
 
+    /// Tells whether tasks reserve little of the processors of the pool.
+    fn is_little_used(&self) -> bool {
+        let sum = |part: fn(&ExecutorState) -> u32| {
+            self.executors.values().map(|executor| u64::from(part(executor))).sum::<u64>()
+        };
+        let reserved = sum(|executor| executor.reserved.cpu_millis);
+        reserved * 100 <= sum(|executor| executor.capacity.cpu_millis) * LITTLE_USED_PERCENT
+    }
+
     /// Starts all members of a gang, or none.
     fn place_gang(
         &mut self,
--- a/crates/cuminbank-jobs/tests/scheduling.rs
+++ b/crates/cuminbank-jobs/tests/scheduling.rs
@@ -266,3 +266,32 @@
     // It is moved on each time, so that the service is not over its bound for long.
     assert!(world.executors[0].running.len() <= 2);
 }
+
+// Guards against jobs that stand still for seconds while most of the pool is idle, because each
+// waits for its turn to disturb a service.
+#[test]
+fn many_disturbing_jobs_run_while_the_pool_is_idle() {
+    let seen = SeenStarts::default();
+    let noted = Rc::clone(&seen);
+    let plan = move |task: TaskName, run| {
+        noted.borrow_mut().push((task, run));
+        (Some(Duration::from_secs(60)), RunEnd::Done)
+    };
+    let mut world = FakeWorld::new(3, 2, 6).with_plan(Box::new(plan));
+    world.executors.iter_mut().for_each(|executor| executor.crowded_tail_ms = Some(200));
+    world.play_until(SUBMITTED);
+    let serving =
+        JobStep { long_running: true, tail_target_ms: 50, image: "s".to_owned(), ..step(6, &[]) };
+    world.submit(100, job(vec![JobStep { max_per_executor: 1, ..serving }]));
+    for id in 0..24 {
+        let filling = JobStep { fills: true, image: "f".to_owned(), ..step(1, &[]) };
+        world.submit(id, job(vec![filling]));
+    }
+    world.play_until(SUBMITTED + Duration::from_secs(30));
+    seen.borrow_mut().clear();
+    world.play_until(SUBMITTED + Duration::from_secs(45));
+    for id in 0..24 {
+        let tries = seen.borrow().iter().filter(|(task, _)| task.job == id).count();
+        assert!(tries >= 4, "job {id}: {tries} tries in 15 s");
+    }
+}
