Add a soak of real processes under random faults

Processes are frozen, killed, stopped and restarted, links are slow, silent, silent one way, reset or muted for good, in series and overlapping, while two clients submit jobs on kept connections. Checked from what clients and executors see: every accepted job completes, no two runs of a task at a time, none after an acknowledged result, none of a refused job.

The support of the process tests is shared.

--- /dev/null
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -0,0 +1,299 @@
+//! Daemons as child processes on the stand-in of the platform.
+
+#![allow(dead_code, reason = "each test uses a part")]
+
+pub mod proxy;
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use cuminbank_net::runtime;
+use cuminbank_platform_standin::server::{self, StandinSettings};
+use nix::{
+    sys::signal::{kill, Signal},
+    unistd::Pid,
+};
+use serde_json::{json, Value};
+
+use self::proxy::FaultLink;
+
+/// Longest wait for a condition.
+pub const BOUND: Duration = Duration::from_secs(60);
+pub const EXECUTORS: u16 = 4;
+pub const PREFIX: &str = "/p/";
+/// How long a client waits for an answer.
+const CLIENT_DEADLINE: Duration = Duration::from_secs(3);
+/// Ports of an instance.
+const INSTANCE_PORTS: u16 = 4;
+
+/// An instance of the daemon; ended with the value.
+pub struct InstanceProcess {
+    settings: PathBuf,
+    child: Child,
+}
+
+fn spawn(settings: &Path, output: Stdio) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_cuminbank-jobd"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(output)
+        .spawn()
+        .expect("the daemon was built")
+}
+
+impl InstanceProcess {
+    fn start(settings: PathBuf, output: Stdio) -> Self {
+        let child = spawn(&settings, output);
+        Self { settings, child }
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process was started here");
+        self.child.wait().expect("the process was started here");
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id().cast_signed());
+        kill(pid, signal).expect("the process has not been waited for");
+    }
+
+    /// Tells whether the process has ended.
+    pub fn is_over(&mut self) -> bool {
+        self.child.try_wait().expect("the process was started here").is_some()
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.settings, Stdio::null());
+    }
+}
+
+impl Drop for InstanceProcess {
+    fn drop(&mut self) {
+        // A process that has ended already is no fault here.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A stand-in of the platform with instances of the daemon.
+pub struct Deployment {
+    pub store: SocketAddr,
+    pub clients: Vec<SocketAddr>,
+    pub operators: Vec<SocketAddr>,
+    pub instances: Vec<InstanceProcess>,
+    /// Links of the instances to the store, if there are proxies.
+    pub store_links: Vec<FaultLink>,
+    /// Links of all instances to each executor, if there are proxies.
+    pub executor_links: Vec<FaultLink>,
+}
+
+/// Returns the first of so many ports in a row that are free now.
+fn free_ports(count: u16) -> u16 {
+    loop {
+        let probe = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+        let first = probe.local_addr().expect("the socket is bound").port();
+        drop(probe);
+        let Some(last) = first.checked_add(count) else { continue };
+        let all: Result<Vec<_>, _> =
+            (first..last).map(|port| TcpListener::bind(("127.0.0.1", port))).collect();
+        if all.is_ok() {
+            return first;
+        }
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+impl Deployment {
+    /// Starts instances that reach the platform directly.
+    pub fn start(count: u16, task_ms: u64, output: impl Fn() -> Stdio) -> Self {
+        Self::build(count, task_ms, output, false)
+    }
+
+    /// Starts instances with a proxy on each link to the store and to an executor.
+    pub fn start_behind_links(count: u16, task_ms: u64) -> Self {
+        Self::build(count, task_ms, Stdio::null, true)
+    }
+
+    fn build(count: u16, task_ms: u64, output: impl Fn() -> Stdio, linked: bool) -> Self {
+        // The store, the executors, proxies to both, and the instances.
+        let proxies = if linked { EXECUTORS + count } else { 0 };
+        let first = free_ports(1 + EXECUTORS + proxies + count * INSTANCE_PORTS);
+        let store = loopback(first);
+        let settings = StandinSettings {
+            store,
+            executors: EXECUTORS,
+            task_time: Duration::from_millis(task_ms),
+            prefix: PREFIX.to_owned(),
+            entry_offset: if linked { EXECUTORS } else { 0 },
+        };
+        // The platform ends with the test process.
+        thread::spawn(move || runtime::run(server::run(settings)).expect("the ports are free"));
+        let mut deployment = Self {
+            store,
+            clients: Vec::new(),
+            operators: Vec::new(),
+            instances: Vec::new(),
+            store_links: Vec::new(),
+            executor_links: Vec::new(),
+        };
+        if linked {
+            let executors = first + 1..=first + EXECUTORS;
+            let link = |port| FaultLink::start(loopback(port + EXECUTORS), loopback(port));
+            deployment.executor_links = executors.map(link).collect();
+        }
+        for number in 0..count {
+            let mut store_address = store;
+            if linked {
+                store_address = loopback(first + 1 + EXECUTORS * 2 + number);
+                deployment.store_links.push(FaultLink::start(store_address, store));
+            }
+            let port = first + 1 + EXECUTORS + proxies + number * INSTANCE_PORTS;
+            let settings = json!({
+                "instance": format!("i{number}"), "zone": "z",
+                "client_address": loopback(port), "readiness_address": loopback(port + 1),
+                "peer_address": loopback(port + 2), "operator_address": loopback(port + 3),
+                "store_address": store_address, "max_lease_ms": 6_000, "stop_timeout_ms": 200,
+                "grace_ms": 6_000, "min_store_ttl_ms": 1_000, "harm_ms": 4_000,
+                "processor_share": 1.0, "retention_ms": 120_000,
+            });
+            let path = std::env::temp_dir().join(format!("cuminbank-jobd-{port}.json"));
+            fs::write(&path, settings.to_string()).expect("the directory is writable");
+            deployment.clients.push(loopback(port));
+            deployment.operators.push(loopback(port + 3));
+            deployment.instances.push(InstanceProcess::start(path, output()));
+        }
+        deployment.wait("no instance owns the pool", |deployment| deployment.owner().is_some());
+        deployment
+    }
+
+    pub fn owner(&self) -> Option<usize> {
+        self.operators.iter().position(|operator| {
+            let status = call(*operator, "GET", "/v1/status", "");
+            status.is_some_and(|(_, body)| {
+                body["owns_pool"] == json!(true) && body["config_version"] == json!(1)
+            })
+        })
+    }
+
+    pub fn wait(&self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let started = Instant::now();
+        while !condition(self) {
+            assert!(started.elapsed() < BOUND, "{what}");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Submits a job until an instance has accepted it.
+    pub fn submit(&self, id: u64, job: &Value) {
+        let path = format!("{PREFIX}{id:016x}");
+        self.wait("no instance accepts the job", |deployment| {
+            deployment.clients.iter().any(|client| {
+                let answer = call(*client, "POST", &path, &job.to_string());
+                answer.is_some_and(|(status, _)| status == 200)
+            })
+        });
+    }
+
+    pub fn is_completed(&self, id: u64) -> bool {
+        let path = format!("{PREFIX}{id:016x}");
+        self.clients.iter().any(|client| {
+            let answer = call(*client, "GET", &path, "");
+            answer.is_some_and(|(_, body)| body["state"] == json!("completed"))
+        })
+    }
+
+    /// Returns the tasks that executors have started, in order.
+    pub fn starts(&self) -> Vec<String> {
+        let answer = call(self.store, "GET", "/standin/starts", "");
+        let (_, body) = answer.expect("the stand-in answers");
+        serde_json::from_value(body).expect("a list of names")
+    }
+}
+
+/// Sends a request on a connection of its own.
+pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: plans.example\r\nconnection: close\r\n\
+         content-length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    stream.write_all(body.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, serde_json::from_str(body).unwrap_or_default()))
+}
+
+/// Connection of a client that is used until it ends.
+pub struct KeptConnection {
+    address: SocketAddr,
+    stream: Option<BufReader<TcpStream>>,
+}
+
+impl KeptConnection {
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, stream: None }
+    }
+
+    /// Sends a request and returns the status of the answer. A connection that has failed is not used
+    /// again.
+    pub fn exchange(&mut self, method: &str, path: &str, body: &str) -> Option<u16> {
+        let stream = match self.stream.take() {
+            Some(stream) => stream,
+            None => {
+                let stream = TcpStream::connect(self.address).ok()?;
+                stream.set_read_timeout(Some(CLIENT_DEADLINE)).ok()?;
+                BufReader::new(stream)
+            }
+        };
+        let (stream, status) = exchange_on(stream, method, path, body)?;
+        self.stream = Some(stream);
+        Some(status)
+    }
+}
+
+fn exchange_on(
+    mut stream: BufReader<TcpStream>,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Option<(BufReader<TcpStream>, u16)> {
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: plans.example\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.get_mut().write_all(format!("{head}{body}").as_bytes()).ok()?;
+    let mut line = String::new();
+    stream.read_line(&mut line).ok()?;
+    let status = line.split(' ').nth(1)?.parse().ok()?;
+    let mut length = 0;
+    loop {
+        line.clear();
+        stream.read_line(&mut line).ok()?;
+        let header = line.trim().to_ascii_lowercase();
+        if let Some(value) = header.strip_prefix("content-length: ") {
+            length = value.parse().ok()?;
+        }
+        if header.is_empty() {
+            break;
+        }
+    }
+    stream.read_exact(&mut vec![0; length]).ok()?;
+    Some((stream, status))
+}
