--- a/crates/cuminbank-jobd/tests/soak.rs
+++ b/crates/cuminbank-jobd/tests/soak.rs
@@ -22,8 +22,8 @@
 use support::{call, proxy::LinkMode, Deployment, KeptConnection, PREFIX};
 
 const INSTANCES: u16 = 3;
-/// Run time of a task in milliseconds.
-const TASK_MS: u64 = 300;
+/// Run time of a task in milliseconds: runs outlast a change of the owner.
+const TASK_MS: u64 = 1_200;
 /// How long faults come.
 const FAULT_TIME: Duration = Duration::from_secs(12);
 /// Time in which everything accepted is completed once all faults are over: a takeover with leases
@@ -85,48 +85,58 @@
     }
 }
 
-/// Begins a random fault; returns how it ends and when.
-fn begin_fault(deployment: &mut Deployment, random: &mut StdRng) -> Option<(Duration, FaultEnd)> {
+/// Begins a random fault; returns how its parts end and when.
+fn begin_fault(deployment: &mut Deployment, random: &mut StdRng) -> Vec<(Duration, FaultEnd)> {
     let instance = random.random_range(0..deployment.instances.len());
     let executor = random.random_range(0..deployment.executor_links.len());
     let span = Duration::from_millis(random.random_range(200..7_000));
     let modes = [LinkMode::Slow, LinkMode::Silent, LinkMode::AnswersHeld];
     let mode = modes[random.random_range(0..modes.len())];
-    match random.random_range(0..10) {
+    match random.random_range(0..12) {
         0 | 1 if !deployment.instances[instance].is_over() => {
             deployment.instances[instance].signal(Signal::SIGSTOP);
-            Some((span, FaultEnd::Continue(instance)))
+            vec![(span, FaultEnd::Continue(instance))]
         }
         2 | 3 if !deployment.instances[instance].is_over() => {
             deployment.instances[instance].kill();
-            Some((span / 4, FaultEnd::Restart(instance)))
+            vec![(span / 4, FaultEnd::Restart(instance))]
         }
         4 if !deployment.instances[instance].is_over() => {
             deployment.instances[instance].signal(Signal::SIGTERM);
-            Some((span / 2, FaultEnd::Restart(instance)))
+            vec![(span / 2, FaultEnd::Restart(instance))]
         }
         5 => {
             deployment.store_links[instance].set(mode);
-            Some((span, FaultEnd::StoreLink(instance)))
+            vec![(span, FaultEnd::StoreLink(instance))]
         }
         6 => {
             deployment.executor_links[executor].set(mode);
-            Some((span, FaultEnd::ExecutorLink(executor)))
+            vec![(span, FaultEnd::ExecutorLink(executor))]
         }
         7 => {
             deployment.store_links[instance].reset();
             deployment.executor_links[executor].mute();
-            None
+            Vec::new()
         }
         8 => {
             deployment.store_links[instance].mute();
             deployment.executor_links[executor].reset();
-            None
+            Vec::new()
+        }
+        9 | 10 => {
+            // All processes are lost while an executor is out of reach.
+            deployment.executor_links[executor].set(LinkMode::Silent);
+            let mut ends = vec![(span, FaultEnd::ExecutorLink(executor))];
+            for (number, process) in deployment.instances.iter_mut().enumerate() {
+                process.kill();
+                ends.push((span / 8, FaultEnd::Restart(number)));
+            }
+            ends
         }
         _ => {
             // The store is away for everybody.
             deployment.store_links.iter().for_each(|link| link.set(mode));
-            Some((span, FaultEnd::StoreLink(usize::MAX)))
+            vec![(span, FaultEnd::StoreLink(usize::MAX))]
         }
     }
 }
@@ -164,9 +174,8 @@
         ends = later;
         let due: Vec<(Instant, FaultEnd)> = due;
         due.iter().for_each(|(_, end)| end_fault(deployment, end));
-        if let Some((span, end)) = begin_fault(deployment, random) {
-            ends.push((now + span, end));
-        }
+        let begun = begin_fault(deployment, random);
+        ends.extend(begun.into_iter().map(|(span, end)| (now + span, end)));
     }
     ends.iter().for_each(|(_, end)| end_fault(deployment, end));
 }
