Pause between two tries of a write without an answer

A try that failed at once was repeated at once.

Ruled out: the other callers; watches pause 150 ms, claims 200 ms, submissions 20 ms and at most 0.6 s.

Change: at least 60 ms lie between two tries of a write.

--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -25,7 +25,7 @@
 /// Interval between two writes of progress. Each is a priced call, and a job's completion waits for
 /// one.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(15);
-/// Pause before a write that was not carried out is sent again.
+/// Least time between two tries of a write.
 const FLUSH_RETRY: Duration = Duration::from_millis(60);
 /// Interval at which what was learned about pairs of images is stored with another write.
 const COLOCATION_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -58,6 +58,9 @@
     /// Number that the write stores under the sequence key.
     number: WriteId,
     sent_at: MonotonicTime,
+    /// When it was sent last, and whether that try has ended without an answer.
+    tried_at: MonotonicTime,
+    unanswered: bool,
     txn: StoreTxn,
     outcomes: Vec<(JobKey, Option<JobOutcome>)>,
     acknowledged: Vec<(ExecutorKey, Option<BirthMillis>, u64)>,
@@ -74,7 +77,10 @@
 
     /// Writes progress if there is any, the last write has ended and the interval is over.
     pub(super) fn flush_if_due(&mut self) {
-        if !self.loaded || self.journal.in_flight.is_some() || self.now < self.journal.next_at {
+        if self.journal.in_flight.is_some() {
+            return self.repeat_flush();
+        }
+        if !self.loaded || self.now < self.journal.next_at {
             return;
         }
         if !self.guards.records_first {
@@ -152,6 +158,8 @@
             id,
             number,
             sent_at: self.now,
+            tried_at: self.now,
+            unanswered: false,
             txn,
             outcomes,
             acknowledged,
@@ -215,15 +223,25 @@
             Err(StoreFailure::Unknown) => {
                 let detail = format!("number={} entries={}", flush.number, flush.txn.puts.len());
                 self.log(PROGRESS_UNANSWERED, None, detail);
-                // The same write again: if the first one took effect, the conditions say so.
-                self.last_write += 1;
-                let id = self.last_write;
-                self.effects.push(JobEffect::Commit { id, txn: flush.txn.clone() });
-                self.journal.in_flight = Some(FlushState { id, ..flush });
+                self.journal.in_flight = Some(FlushState { unanswered: true, ..flush });
             }
         }
     }
 
+    /// Sends a write without an answer again. If an earlier try took effect, the conditions say so.
+    fn repeat_flush(&mut self) {
+        let now = self.now;
+        let Some(flush) = &mut self.journal.in_flight else { return };
+        if !flush.unanswered || now < flush.tried_at + FLUSH_RETRY {
+            return;
+        }
+        self.last_write += 1;
+        flush.id = self.last_write;
+        flush.tried_at = now;
+        flush.unanswered = false;
+        self.effects.push(JobEffect::Commit { id: flush.id, txn: flush.txn.clone() });
+    }
+
     fn finish_flush(&mut self, flush: FlushState, revision: StoreRevision) {
         self.journal.sequence_revision = revision;
         self.journal.next_at = self.now + FLUSH_INTERVAL;
