Name the executors that a takeover waited for

Change: EV0745 tells how many executors had not answered and names up to five.

Conclusion: explained and open: jobs accepted before wait for the leases of an executor that is gone if owners follow each other within 5.6 s.

--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -18,6 +18,8 @@
     tenure::ACT_WITHOUT_STORE,
 };
 
+/// Most executors that a log line names.
+const MOST_NAMED: usize = 5;
 /// Slack on top of the bounds of an earlier owner's orders.
 const SETTLE_SLACK: Duration = Duration::from_millis(300);
 
@@ -113,8 +115,11 @@
         let slowest_lease = LEASE_TIME.min(self.bounds.max_lease) * 100 / 98;
         let last_order = self.predecessor_ended.unwrap_or(self.started_at + ACT_WITHOUT_STORE);
         if self.now >= last_order + slowest_lease + self.bounds.stop_timeout + SETTLE_SLACK {
-            self.unsettled.clear();
-            self.log_settled("earlier leases have ended");
+            let missing: Vec<ExecutorName> = self.unsettled.drain().collect();
+            let named = missing.iter().take(MOST_NAMED).cloned().collect::<Vec<_>>().join(",");
+            let reason =
+                format!("earlier leases have ended missing={} executors={named}", missing.len());
+            self.log_settled(&reason);
         }
     }
 
