Split the watch of tails from the watch of runs

On reading the change: `watching.rs` held stuck tasks, drains, the learning from tails, relief and what placement asks. Now `watching.rs` watches runs, `tails.rs` learns and relieves, `pressure.rs` answers placement, and `slack.rs` holds the slack of services beside `colocation.rs`. Named fields in place of a pair, a variant of its own for the end of an outage in the soak.

--- a/crates/cuminbank-jobd/tests/soak.rs
+++ b/crates/cuminbank-jobd/tests/soak.rs
@@ -45,6 +45,7 @@
     Continue(usize),
     Restart(usize),
     StoreLink(usize),
+    AllStoreLinks,
     ExecutorLink(usize),
 }
 
@@ -136,7 +137,7 @@
         _ => {
             // The store is away for everybody.
             deployment.store_links.iter().for_each(|link| link.set(mode));
-            vec![(span, FaultEnd::StoreLink(usize::MAX))]
+            vec![(span, FaultEnd::AllStoreLinks)]
         }
     }
 }
@@ -153,7 +154,7 @@
             deployment.instances[instance].kill();
             deployment.instances[instance].restart();
         }
-        FaultEnd::StoreLink(usize::MAX) => {
+        FaultEnd::AllStoreLinks => {
             deployment.store_links.iter().for_each(|link| link.set(LinkMode::Pass));
         }
         FaultEnd::StoreLink(instance) => deployment.store_links[instance].set(LinkMode::Pass),
--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -1,25 +1,21 @@
 //! How much filling tasks press on serving tasks of the same executor, by what they run.
 //!
-//! The tail latency of a serving task grows with its load like that of a queue: its bound divided by
-//! the tail, called slack here, falls linearly with the load, and a filling task that disturbs it
-//! lowers the slack further, in proportion to the share of the executor that it uses. The tasks of a
-//! job have the same load at a time, so that the ones on other executors tell what the slack would
-//! be undisturbed. The model keeps for each pair of images the loss of slack for a whole executor,
-//! with its variance, and shares the loss of a report among the images that may have caused it.
+//! A filling task that disturbs a service lowers its slack (see `slack.rs`) in proportion to the share
+//! of the executor that it uses. The model keeps for each pair of images the loss of slack for a whole
+//! executor, with its variance, and shares the loss of a report among the images that may have caused
+//! it.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::MonotonicTime;
+use crate::{ids::MonotonicTime, slack::PEAK_BEARABLE};
 
 /// Number of an image.
 pub type ImageId = u32;
-/// Number of an executor that tells it from others.
-pub type HostRank = u32;
 
-/// Expected loss of slack for a whole executor, and its variance, before any report: about one pair
-/// in four loses 4 to 20, the others next to nothing.
+/// Expected loss of slack for a whole executor, and its variance, before any report: more than
+/// half of the pairs lose 3 to 20, the others next to nothing.
 const PRIOR_MEAN: f64 = 2.0;
 const PRIOR_VARIANCE: f64 = 25.0;
 /// Least variance of what is known of a pair.
@@ -40,20 +36,10 @@
 /// Standard deviations of the loss that placement allows for: a service over its bound costs about
 /// five times what the filling task that causes it is worth.
 const CAUTION: f64 = 2.0;
-/// Slack that a serving task has at the peaks of its load, undisturbed.
-pub const PEAK_SLACK: f64 = 1.63;
-/// Slack that is kept for the roughness of the reports.
-const SLACK_RESERVE: f64 = 0.2;
-/// Loss of slack that a service bears at the peaks of its load.
-pub const PEAK_BEARABLE: f64 = PEAK_SLACK - 1.0 - SLACK_RESERVE;
-/// Most by which the slack falls in a second as the load rises.
-const SLACK_FALL: f64 = 0.5;
 /// Most executors on which a pair of which little is known is tried at a time.
 pub const MOST_TRIALS: usize = 2;
 /// Pressure up to which filling tasks are placed.
 pub const MOST_PRESSURE: f64 = 1.0;
-/// Slack up to which a serving task over its bound is relieved.
-pub const RELIEVED_SLACK: f64 = 1.2;
 /// Share of an executor that a filling task usually takes.
 const USUAL_SHARE: f64 = 0.08;
 /// Least expected loss of slack for which a filling task is moved.
@@ -80,13 +66,6 @@
     }
 }
 
-/// Returns the loss of slack that a service bears until a time, from the undisturbed slack that it
-/// had last and its age: its load may rise meanwhile, but not above its peak.
-pub fn bearable_loss(slack: f64, age: Duration, ahead: Duration) -> f64 {
-    let fallen = slack - SLACK_FALL * (age + ahead).as_secs_f64();
-    fallen.max(PEAK_SLACK) - 1.0 - SLACK_RESERVE
-}
-
 /// What is known of a pair: the loss of slack for a whole executor.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 struct PairEffect {
@@ -242,46 +221,3 @@
         self.pairs[victim as usize][image as usize].at(now)
     }
 }
-
-/// Time for which a reported slack tells something of the load: it swings by a tenth meanwhile.
-const SLACK_TIME: Duration = Duration::from_millis(300);
-/// Executors from which on the slack of an undisturbed task is not taken from the best one.
-const MANY_HOSTS: usize = 3;
-
-/// Slacks of a job's serving tasks in the last moments.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct SlackWindow {
-    samples: VecDeque<(MonotonicTime, HostRank, f64)>,
-}
-
-impl SlackWindow {
-    /// Takes the slack of a task.
-    pub fn push(&mut self, now: MonotonicTime, host: HostRank, slack: f64) {
-        while self.samples.front().is_some_and(|(at, _, _)| now > *at + SLACK_TIME) {
-            self.samples.pop_front();
-        }
-        self.samples.push_back((now, host, slack));
-    }
-
-    /// Returns the slack of an undisturbed task, if there are reports of several executors.
-    pub fn undisturbed(&self) -> Option<f64> {
-        let mut hosts: Vec<(HostRank, f64, f64)> = Vec::new();
-        for (_, host, slack) in &self.samples {
-            match hosts.iter_mut().find(|(known, _, _)| known == host) {
-                Some((_, sum, count)) => {
-                    *sum += slack;
-                    *count += 1.0;
-                }
-                None => hosts.push((*host, *slack, 1.0)),
-            }
-        }
-        let mut means: Vec<f64> = hosts.into_iter().map(|(_, sum, count)| sum / count).collect();
-        means.sort_by(f64::total_cmp);
-        match means.len() {
-            0 | 1 => None,
-            count if count < MANY_HOSTS => means.last().copied(),
-            // The upper quartile: more than a quarter of the executors is calm.
-            count => Some(means[(count * 3 - 1) / 4]),
-        }
-    }
-}
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod roster;
 pub mod scheduler;
 pub mod settings;
+pub mod slack;
 pub mod store;
 pub mod tenure;
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -9,11 +9,11 @@
     JobScheduler,
 };
 use crate::{
-    colocation::SlackWindow,
     ids::{JobId, StoreRevision, TaskIndex, WallTime},
     job::{JobOutcome, JobRecord, TaskLayout},
     keys::{job_of, CANCEL_PREFIX, JOB_PREFIX, OWNER_KEY},
     progress::JobProgress,
+    slack::SlackWindow,
     store::{decode_value, StoreChange},
 };
 
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -12,8 +12,10 @@
 mod journal;
 mod orders;
 mod placing;
+mod pressure;
 mod state;
 mod status;
+mod tails;
 mod takeover;
 mod watching;
 
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -6,7 +6,7 @@
 
 use super::{
     state::{DepartedTask, ExecutorKey, JobKey, RunKey, RunPhase, RunState, TaskPhase},
-    watching::TAIL_WINDOW,
+    tails::TAIL_WINDOW,
     JobEffect, JobScheduler,
 };
 use crate::{
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -9,7 +9,7 @@
 use slotmap::new_key_type;
 
 use crate::{
-    colocation::{ImageId, SlackLoss, SlackWindow},
+    colocation::{ImageId, SlackLoss},
     ids::{
         BirthMillis, ExecutorMillis, ExecutorName, JobId, MonotonicTime, OrderId, RunNumber,
         ServiceName, TaskIndex, WallTime,
@@ -17,6 +17,7 @@
     job::{JobOutcome, JobRecord, TaskLayout, TaskNeeds},
     placement::ExecutorRecord,
     progress::TaskProgress,
+    slack::SlackWindow,
 };
 
 new_key_type! {
--- /dev/null
+++ b/crates/cuminbank-jobs/src/scheduler/tails.rs
@@ -0,0 +1,216 @@
+//! Tails of serving tasks: what is learned from them, and relief for services over their bound.
+
+use std::time::Duration;
+
+use cuminbank::log::FILLING_MOVED;
+
+use super::{
+    state::{ExecutorKey, JobKey, RunKey, RunPhase, SlackReading},
+    JobScheduler,
+};
+use crate::{
+    colocation::{ImageId, LEAST_PART},
+    order::RunReport,
+    slack::{PEAK_SLACK, RELIEVED_SLACK},
+};
+
+/// Window of the tail latency that executors report.
+pub(super) const TAIL_WINDOW: Duration = Duration::from_millis(500);
+/// Loss of slack that neither the load nor the roughness of a report explains.
+const UNEXPLAINED_LOSS: f64 = 0.25;
+/// Time after a report of a tail over its bound in which the executor gets no filling tasks.
+const CALM_TIME: Duration = Duration::from_millis(900);
+/// Part of the longest time over the bound after which all filling tasks are moved.
+const ALL_SUSPECTS_PART: u32 = 2;
+
+impl JobScheduler {
+    /// Learns from an executor's report which filling tasks disturb serving ones, and relieves a
+    /// serving task that is over its bound.
+    pub(super) fn watch_tails(&mut self, key: ExecutorKey, rows: &[RunReport]) {
+        let now = self.now;
+        if self.executors[key].serving == 0 {
+            return;
+        }
+        let tails = self.tails_of(key, rows);
+        let filling = self.exposed_filling(key);
+        for tail in &tails {
+            if let Some(loss) = tail.mean_loss() {
+                self.colocation.learn(now, tail.victim, loss, &filling);
+            }
+        }
+        self.update_losses(key);
+        self.note_slacks(key, &tails, &filling);
+        let over: Vec<&ServiceTail> = tails.iter().filter(|tail| tail.slack < 1.0).collect();
+        let executor = &mut self.executors[key];
+        if over.is_empty() {
+            executor.over_target_since = None;
+            return;
+        }
+        let since = *executor.over_target_since.get_or_insert(now);
+        executor.no_filling_until = now + CALM_TIME;
+        self.move_filling(key, &over, now.saturating_sub(since));
+    }
+
+    /// Notes the slack that each service would have without the filling tasks that show in it.
+    fn note_slacks(&mut self, key: ExecutorKey, tails: &[ServiceTail], filling: &[(ImageId, f64)]) {
+        let now = self.now;
+        let slacks = tails.iter().map(|tail| {
+            let loss = |(image, share): &(ImageId, f64)| {
+                self.colocation.loss(now, tail.victim, *image, *share).mean
+            };
+            let lost: f64 = filling.iter().map(loss).sum();
+            SlackReading { victim: tail.victim, slack: tail.slack + lost, at: now }
+        });
+        self.executors[key].slacks = slacks.collect();
+    }
+
+    /// Returns the tails of an executor's report by image.
+    fn tails_of(&mut self, key: ExecutorKey, rows: &[RunReport]) -> Vec<ServiceTail> {
+        let (now, rank) = (self.now, self.executors[key].rank);
+        let mut tails: Vec<ServiceTail> = Vec::new();
+        for row in rows {
+            let Some((job_key, victim, slack)) = self.slack_of(row) else { continue };
+            let slacks = &mut self.jobs[job_key].slacks;
+            slacks.push(now, rank, slack);
+            let loss = match slacks.undisturbed() {
+                Some(calm) => Some(calm - slack),
+                // Below what its load explains at the most, the rest is due to others.
+                None => Some(PEAK_SLACK - slack).filter(|loss| *loss > UNEXPLAINED_LOSS),
+            };
+            let known = tails.iter_mut().find(|tail| tail.victim == victim);
+            match known {
+                Some(tail) => tail.add(slack, loss),
+                None => {
+                    let mut tail = ServiceTail::new(victim);
+                    tail.add(slack, loss);
+                    tails.push(tail);
+                }
+            }
+        }
+        tails
+    }
+
+    /// Returns the serving image of a row with its job and its slack.
+    fn slack_of(&self, row: &RunReport) -> Option<(JobKey, ImageId, f64)> {
+        let job_key = *self.job_ids.get(&row.task.job)?;
+        let job = &self.jobs[job_key];
+        let step = job.record.steps.get(row.task.step as usize)?;
+        let serving = step.tail_target_ms > 0 && !step.fills && row.percent == 100;
+        let tail = row.usage.filter(|_| serving)?.max(1);
+        let slack = f64::from(step.tail_target_ms) / tail as f64;
+        Some((job_key, job.images[row.task.step as usize], slack))
+    }
+
+    /// Returns the filling images that show in the tails now, each with its share of the executor,
+    /// lessened by the part of the window in which it did not run.
+    fn exposed_filling(&self, key: ExecutorKey) -> Vec<(ImageId, f64)> {
+        let now = self.now;
+        let executor = &self.executors[key];
+        let running = executor.runs.iter().map(|run| &self.runs[*run]);
+        let running = running
+            .filter(|run| run.fills && run.phase != RunPhase::Starting)
+            .map(|run| (run.image, run.needs.cpu_millis, run.since, now));
+        let departed = executor.departed.iter();
+        let departed = departed.map(|task| (task.image, task.cpu_millis, task.since, task.at));
+        let mut images: Vec<(ImageId, f64)> = Vec::new();
+        for (image, cpu_millis, from, until) in running.chain(departed) {
+            let from = from.max(now.saturating_sub(TAIL_WINDOW));
+            let exposed = until.saturating_sub(from).as_secs_f64() / TAIL_WINDOW.as_secs_f64();
+            let share = executor.share_of(cpu_millis) * exposed;
+            match images.iter_mut().find(|(known, _)| *known == image) {
+                Some((_, sum)) => *sum += share,
+                None => images.push((image, share)),
+            }
+        }
+        images.retain(|(_, share)| *share > 0.0);
+        images
+    }
+
+    /// Moves filling tasks away from serving tasks that are over their bound: those that press most
+    /// until the rest is expected to be harmless, and all of them before the bound has been passed
+    /// for too long.
+    fn move_filling(&mut self, key: ExecutorKey, over: &[&ServiceTail], since: Duration) {
+        let now = self.now;
+        let executor = &self.executors[key];
+        let mut wanted: Vec<(ImageId, f64)> =
+            over.iter().map(|tail| (tail.victim, tail.relief())).collect();
+        let victims: Vec<ImageId> = wanted.iter().map(|(victim, _)| *victim).collect();
+        let mut suspects: Vec<(Vec<f64>, RunKey)> = executor
+            .runs
+            .iter()
+            .map(|run_key| (&self.runs[*run_key], *run_key))
+            .filter(|(run, _)| run.fills && run.phase == RunPhase::Running)
+            .map(|(run, run_key)| {
+                let share = executor.share_of(run.needs.cpu_millis);
+                let part =
+                    |victim: &ImageId| self.colocation.loss(now, *victim, run.image, share).mean;
+                (victims.iter().map(part).collect(), run_key)
+            })
+            .collect();
+        let most = |parts: &[f64]| parts.iter().copied().fold(0.0, f64::max);
+        suspects.sort_by(|left, right| most(&right.0).total_cmp(&most(&left.0)));
+        let all_due = since >= self.bounds.harm_time / ALL_SUSPECTS_PART;
+        for (parts, run_key) in suspects {
+            let relieves = wanted
+                .iter()
+                .zip(&parts)
+                .any(|((_, relief), part)| *relief > 0.0 && *part >= LEAST_PART);
+            if !relieves && !all_due {
+                continue;
+            }
+            for ((_, relief), part) in wanted.iter_mut().zip(&parts) {
+                *relief -= part;
+            }
+            let run = &self.runs[run_key];
+            let id = self.jobs[run.job].id;
+            let detail = format!(
+                "task={} run={} executor={} image={} victims={victims:?} loss={:.2} since_ms={} \
+                 ran_ms={} percent={}",
+                run.task,
+                run.number,
+                self.executors[key].name,
+                run.image,
+                most(&parts),
+                since.as_millis(),
+                now.saturating_sub(run.since).as_millis(),
+                run.percent
+            );
+            self.log(FILLING_MOVED, Some(id), detail);
+            self.measure("filling.moved", "", None);
+            self.stop_run(run_key, "it disturbs a service");
+        }
+    }
+}
+
+/// Tails of a serving image on an executor.
+struct ServiceTail {
+    victim: ImageId,
+    /// Slack of the task that is worst off.
+    slack: f64,
+    /// Sum of the losses of slack that others cause to its tasks, and their number.
+    loss_sum: f64,
+    loss_count: u32,
+}
+
+impl ServiceTail {
+    fn new(victim: ImageId) -> Self {
+        Self { victim, slack: f64::INFINITY, loss_sum: 0.0, loss_count: 0 }
+    }
+
+    fn add(&mut self, slack: f64, loss: Option<f64>) {
+        self.slack = self.slack.min(slack);
+        if let Some(loss) = loss {
+            self.loss_sum += loss;
+            self.loss_count += 1;
+        }
+    }
+
+    fn mean_loss(&self) -> Option<f64> {
+        (self.loss_count > 0).then(|| self.loss_sum / f64::from(self.loss_count))
+    }
+
+    /// Returns how much slack has to be won back, as far as others have caused the loss.
+    fn relief(&self) -> f64 {
+        (RELIEVED_SLACK - self.slack).min(self.mean_loss().unwrap_or_default())
+    }
+}
