Say once how a pair's loss is worked out and how a test calls

Cause: on reading the whole change once more: placement worked out the same pair twice for each candidate (its loss, then whether it is known); relief kept the image of each service in two lists; a read of pages took a call and the prefix that is in it; the tests of the daemon wrote and read HTTP in two places.

Ruled out as twins: constants, derives and imports of like shape, and the settings and main functions of the two daemons, which are listed as open.

Change: one method of a pair's effect; one list; the prefix alone; one exchange for both kinds of test connections. No behaviour, bound or assertion changed.

Conclusion: done.

--- a/crates/cuminbank-jobd/src/store.rs
+++ b/crates/cuminbank-jobd/src/store.rs
@@ -67,7 +67,7 @@
         log: impl Fn(DecisionRecord),
     ) -> Result<StoreReply, StoreFailure> {
         let result = match call {
-            StoreCall::Read { prefix } => self.read_pages(call, prefix, timeout, &log).await,
+            StoreCall::Read { prefix } => self.read_pages(prefix, timeout, &log).await,
             _ => {
                 let answer = self.pool.exchange(self.address, encode_call(call, None), timeout);
                 decode_reply(call, answer.await)
@@ -79,16 +79,16 @@
 
     async fn read_pages(
         &self,
-        call: &StoreCall,
         prefix: &str,
         timeout: Duration,
         log: &impl Fn(DecisionRecord),
     ) -> Result<StoreReply, StoreFailure> {
+        let call = StoreCall::Read { prefix: prefix.to_owned() };
         let mut items: Vec<StoreItem> = Vec::new();
         let mut revision: Option<StoreRevision> = None;
         let mut after = None;
         for _ in 0..MAX_PAGES {
-            let request = encode_call(call, after.as_deref());
+            let request = encode_call(&call, after.as_deref());
             let answer = self.pool.exchange(self.address, request, timeout).await;
             let page = decode_page_reply(answer)?;
             // Pages are not a snapshot: changes since the first one have to be watched.
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -214,20 +214,15 @@
 
 /// Sends a request on a connection of its own.
 pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
-    let length = body.len();
-    let head = format!(
-        "{method} {path} HTTP/1.1\r\nhost: plans.example\r\nconnection: close\r\n\
-         content-length: {length}\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).ok()?;
-    stream.write_all(body.as_bytes()).ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    Some((status, serde_json::from_str(body).unwrap_or_default()))
+    let stream = connect(address, Duration::from_secs(5))?;
+    let (_, status, body) = exchange_on(stream, method, path, body)?;
+    Some((status, serde_json::from_slice(&body).unwrap_or_default()))
+}
+
+fn connect(address: SocketAddr, deadline: Duration) -> Option<BufReader<TcpStream>> {
+    let stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(deadline)).ok()?;
+    Some(BufReader::new(stream))
 }
 
 /// Connection of a client that is used until it ends.
@@ -246,13 +241,9 @@
     pub fn exchange(&mut self, method: &str, path: &str, body: &str) -> Option<u16> {
         let stream = match self.stream.take() {
             Some(stream) => stream,
-            None => {
-                let stream = TcpStream::connect(self.address).ok()?;
-                stream.set_read_timeout(Some(CLIENT_DEADLINE)).ok()?;
-                BufReader::new(stream)
-            }
+            None => connect(self.address, CLIENT_DEADLINE)?,
         };
-        let (stream, status) = exchange_on(stream, method, path, body)?;
+        let (stream, status, _) = exchange_on(stream, method, path, body)?;
         self.stream = Some(stream);
         Some(status)
     }
@@ -263,7 +254,7 @@
     method: &str,
     path: &str,
     body: &str,
-) -> Option<(BufReader<TcpStream>, u16)> {
+) -> Option<(BufReader<TcpStream>, u16, Vec<u8>)> {
     let length = body.len();
     let head = format!(
         "{method} {path} HTTP/1.1\r\nhost: plans.example\r\ncontent-length: {length}\r\n\r\n"
@@ -284,6 +275,7 @@
             break;
         }
     }
-    stream.read_exact(&mut vec![0; length]).ok()?;
-    Some((stream, status))
+    let mut answer = vec![0; length];
+    stream.read_exact(&mut answer).ok()?;
+    Some((stream, status, answer))
 }
--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -93,15 +93,17 @@
         }
     }
 
+    /// Returns the loss that a task with a share of the executor causes.
+    fn loss(&self, share: f64) -> SlackLoss {
+        let variance = self.variance * UNSURE_PART + self.sway();
+        SlackLoss { mean: self.mean * share, variance: variance * share * share }
+    }
+
     /// Returns the variance of what a task presses over time.
     fn sway(&self) -> f64 {
         (self.mean * SWAY_PART).powi(2)
     }
 
-    fn is_known(&self) -> bool {
-        !self.is_unsure()
-    }
-
     fn is_unsure(&self) -> bool {
         self.variance.sqrt() > UNSURE_DEVIATION
     }
@@ -179,9 +181,7 @@
         image: ImageId,
         share: f64,
     ) -> SlackLoss {
-        let effect = self.effect(now, victim, image);
-        let variance = effect.variance * UNSURE_PART + effect.sway();
-        SlackLoss { mean: effect.mean * share, variance: variance * share * share }
+        self.effect(now, victim, image).loss(share)
     }
 
     /// Returns the loss that counts when a filling image is placed. Of an image that has hardly been
@@ -193,8 +193,9 @@
         image: ImageId,
         share: f64,
     ) -> SlackLoss {
-        let loss = self.loss(now, victim, image, share);
-        match self.is_unsure(now, victim, image) {
+        let effect = self.effect(now, victim, image);
+        let loss = effect.loss(share);
+        match effect.is_unsure() {
             true => SlackLoss { variance: 0.0, ..loss },
             false => loss,
         }
@@ -207,7 +208,7 @@
         for image in 0..self.names.len() as ImageId {
             let suits = |victim: &ImageId| {
                 let effect = self.effect(now, *victim, image);
-                effect.is_known() && effect.mean * USUAL_SHARE <= PEAK_BEARABLE
+                !effect.is_unsure() && effect.mean * USUAL_SHARE <= PEAK_BEARABLE
             };
             let friends: Vec<ImageId> = (0..self.names.len() as ImageId).filter(suits).collect();
             for victim in &friends {
--- a/crates/cuminbank-jobs/src/scheduler/tails.rs
+++ b/crates/cuminbank-jobs/src/scheduler/tails.rs
@@ -132,9 +132,8 @@
     fn move_filling(&mut self, key: ExecutorKey, over: &[&ServiceTail], since: Duration) {
         let now = self.now;
         let executor = &self.executors[key];
-        let mut wanted: Vec<(ImageId, f64)> =
-            over.iter().map(|tail| (tail.victim, tail.relief())).collect();
-        let victims: Vec<ImageId> = wanted.iter().map(|(victim, _)| *victim).collect();
+        let victims: Vec<ImageId> = over.iter().map(|tail| tail.victim).collect();
+        let mut wanted: Vec<f64> = over.iter().map(|tail| tail.relief()).collect();
         let mut suspects: Vec<(Vec<f64>, RunKey)> = executor
             .runs
             .iter()
@@ -154,11 +153,11 @@
             let relieves = wanted
                 .iter()
                 .zip(&parts)
-                .any(|((_, relief), part)| *relief > 0.0 && *part >= LEAST_PART);
+                .any(|(relief, part)| *relief > 0.0 && *part >= LEAST_PART);
             if !relieves && !all_due {
                 continue;
             }
-            for ((_, relief), part) in wanted.iter_mut().zip(&parts) {
+            for (relief, part) in wanted.iter_mut().zip(&parts) {
                 *relief -= part;
             }
             let run = &self.runs[run_key];
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -17,9 +17,9 @@
     net::{TcpListener, TcpStream},
     time,
 };
+use serde::{de::DeserializeOwned, Serialize};
 
 use crate::connection::{connect, is_readable, ExchangeStream};
-use serde::{de::DeserializeOwned, Serialize};
 
 /// Largest message; a handover of tickets with their answers is the largest.
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
