Cut passes over the queue into parts and bound the starts in flight

Cause: one turn looked at every executor for every ready task and, for pairs of images of which little is known, at every executor again for each of them. The list of executors was read twice a second, about 4 Mbit/s. Ruled out: the time limit of an order, which is only hit behind such a turn. Change: a pass ends its part after units of work by the instance's share and goes on later; executors are looked at once for all tasks of a step; meetings of images are counted as they change; starts in flight are bounded by the link; entries of executors are watched. Turns are timed on /metrics. Conclusion: the turn is bounded; the link needs the pool divided.

--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -10,7 +10,7 @@
         atomic::{AtomicBool, Ordering},
         Arc,
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cuminbank::log::{
@@ -134,6 +134,7 @@
 
     /// Applies an event to the scheduler, if this process owns the pool.
     pub(crate) fn apply(self: &Rc<Self>, event: JobEvent) {
+        let (started, name) = (Instant::now(), event.name());
         let effects = match self.scheduler.borrow_mut().as_mut() {
             Some(scheduler) => scheduler.apply(clock::now(), clock::wall(), event),
             None => return,
@@ -142,6 +143,7 @@
         for effect in effects {
             self.carry_out(tenure, effect);
         }
+        self.metrics.time("turn", name, started.elapsed());
     }
 
     fn carry_out(self: &Rc<Self>, tenure: u64, effect: JobEffect) {
@@ -295,7 +297,10 @@
             harm_time: Duration::from_millis(self.settings.harm_ms),
             retention: Duration::from_millis(self.settings.retention_ms),
         };
-        *self.scheduler.borrow_mut() = Some(JobScheduler::new(bounds, held, clock::now()));
+        let scheduler = JobScheduler::new(bounds, held, clock::now())
+            .with_processor_share(self.settings.processor_share)
+            .with_link(self.settings.link_mbps);
+        *self.scheduler.borrow_mut() = Some(scheduler);
         self.tenures.set(self.tenures.get() + 1);
         let tenure = self.tenures.get();
         monoio::spawn(watches::follow_pool(Rc::clone(self), tenure));
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -1,11 +1,12 @@
 //! Watches of the store: configuration, ownership and the pool.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use cuminbank::log::{POOL_CONFIG_IN_FORCE, POOL_CONFIG_UNREADABLE};
 use cuminbank_jobs::{
-    ids::StoreRevision,
+    ids::{MonotonicTime, StoreRevision},
     keys::{LEDGER_PREFIX, OWNER_KEY, OWNER_PREFIX, POOL_PREFIX},
+    order::ExecutorReport,
     scheduler::{DecisionRecord, JobEvent},
     store::{StoreCall, StoreChange, StoreItem, StoreReply},
 };
@@ -27,9 +28,11 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause after a read or a watch without an answer.
 const WATCH_PAUSE: Duration = Duration::from_millis(150);
-/// Interval of reads of the executors' entries. An executor that drains must get no new work after
-/// 2 s.
-const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Wait of the owner's watch of the executors' entries.
+const LIST_WAIT: Duration = Duration::from_millis(1_000);
+/// Least time between two lists that the scheduler gets: entries change one by one. An executor that
+/// drains must get no new work after 2 s.
+const LIST_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What a watch delivers to its consumer.
 enum WatchNews {
@@ -206,18 +209,48 @@
     None
 }
 
-/// Reads the executors' entries for a tenure.
+/// Follows the executors' entries for a tenure. Reading them all again and again would take several
+/// Mbit/s with hundreds of executors.
 pub(crate) async fn follow_list(state: Rc<DaemonState>, tenure: u64) {
-    let call = StoreCall::Read { prefix: EXECUTOR_PREFIX.to_owned() };
-    while state.is_tenure(tenure) {
-        let started = clock::now();
-        if let Ok(StoreReply::Items { items, .. }) = state.call_store(&call, READ_TIMEOUT).await {
-            let reports =
-                items.iter().filter_map(cuminbank_platform::executor::decode_entry).collect();
-            if state.is_tenure(tenure) {
-                state.apply(JobEvent::Listed { reports });
+    let mut entries: BTreeMap<String, ExecutorReport> = BTreeMap::new();
+    let (mut changed, mut told_at) = (false, MonotonicTime::ZERO);
+    follow(&state, EXECUTOR_PREFIX, LIST_WAIT, None, |news| {
+        if !state.is_tenure(tenure) {
+            return false;
+        }
+        match news {
+            WatchNews::Snapshot(items, _) => {
+                entries.clear();
+                items.iter().for_each(|item| take_entry(&mut entries, item));
+                changed = true;
+            }
+            WatchNews::Changes(changes) => {
+                changed |= !changes.is_empty();
+                for change in &changes {
+                    match change {
+                        StoreChange::Written(item) => take_entry(&mut entries, item),
+                        StoreChange::Removed { key, .. } => {
+                            entries.remove(key);
+                        }
+                    }
+                }
             }
         }
-        time::sleep(LIST_INTERVAL.saturating_sub(clock::now().saturating_sub(started))).await;
-    }
+        let now = clock::now();
+        if changed && now >= told_at + LIST_INTERVAL {
+            (changed, told_at) = (false, now);
+            state.metrics.count("list.told", "");
+            state.apply(JobEvent::Listed { reports: entries.values().cloned().collect() });
+        }
+        true
+    })
+    .await;
+}
+
+/// Takes an entry; one that cannot be read names no executor.
+fn take_entry(entries: &mut BTreeMap<String, ExecutorReport>, item: &StoreItem) {
+    match cuminbank_platform::executor::decode_entry(item) {
+        Some(report) => entries.insert(item.key.clone(), report),
+        None => entries.remove(&item.key),
+    };
 }
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -156,7 +156,7 @@
                 "peer_address": loopback(port + 2), "operator_address": loopback(port + 3),
                 "store_address": store_address, "max_lease_ms": 6_000, "stop_timeout_ms": 200,
                 "grace_ms": 6_000, "min_store_ttl_ms": 1_000, "harm_ms": 4_000,
-                "processor_share": 1.0, "retention_ms": 120_000,
+                "processor_share": 1.0, "link_mbps": 1_000.0, "retention_ms": 120_000,
             });
             let path = std::env::temp_dir().join(format!("cuminbank-jobd-{port}.json"));
             fs::write(&path, settings.to_string()).expect("the directory is writable");
--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -37,7 +37,7 @@
 /// five times what the filling task that causes it is worth.
 const CAUTION: f64 = 2.0;
 /// Most executors on which a pair of which little is known is tried at a time.
-pub const MOST_TRIALS: usize = 2;
+pub const MOST_TRIALS: u32 = 2;
 /// Pressure up to which filling tasks are placed.
 pub const MOST_PRESSURE: f64 = 1.0;
 /// Share of an executor that a filling task usually takes.
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -331,6 +331,8 @@
         let Some(executor) = self.executors.remove(key) else { return };
         self.executor_names.remove(&executor.name);
         self.orders.retain(|_, pending| pending.executor != key);
+        let starts = self.orders.values().filter(|pending| pending.kind == OrderKind::Start);
+        self.starts_in_flight = starts.count();
         self.settle_executor(&executor.name);
         self.journal.roster_dirty = true;
         self.log(EXECUTOR_GONE, None, format!("executor={}", executor.name));
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -6,11 +6,13 @@
 //! each of them has answered under the new epoch or its leases have surely ended.
 
 mod advice;
+mod candidates;
 mod contact;
 mod ends;
 mod jobs;
 mod journal;
 mod orders;
+mod pass;
 mod placing;
 mod pressure;
 mod state;
@@ -32,11 +34,12 @@
 use self::{
     advice::AdviceBook,
     journal::JournalState,
-    orders::PendingOrder,
+    orders::{most_starts, PendingOrder},
+    pass::{part_units, QueuePass},
     state::{ExecutorState, JobState, RunState},
 };
 use crate::{
-    colocation::ColocationModel,
+    colocation::{ColocationModel, ImageId},
     guards::JobGuards,
     ids::{
         ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, StoreRevision, WallTime, WriteId,
@@ -50,11 +53,6 @@
 /// Interval of the ticks that drive timers.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Interval between two passes over the queue for each so many shapes that found no room: a pass
-/// looks at all executors for each of them.
-const CROWDED_INTERVAL: Duration = Duration::from_millis(20);
-const MISSES_PER_INTERVAL: u32 = 40;
-
 /// Bounds of the platform that the scheduler needs.
 #[derive(Clone, Copy, Debug)]
 pub struct SchedulerBounds {
@@ -118,6 +116,23 @@
     Tick,
 }
 
+impl JobEvent {
+    /// Returns the name of the kind of event, for measurements.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Loaded { .. } => "loaded",
+            Self::PoolChanged { .. } => "pool_changed",
+            Self::TenureChanged(_) => "tenure_changed",
+            Self::PredecessorEnded { .. } => "predecessor_ended",
+            Self::Listed { .. } => "listed",
+            Self::OrderEnded { .. } => "order_ended",
+            Self::AdviceEnded { .. } => "advice_ended",
+            Self::CommitEnded { .. } => "commit_ended",
+            Self::Tick => "tick",
+        }
+    }
+}
+
 /// What the scheduler wants done.
 #[derive(Clone, Debug)]
 pub enum JobEffect {
@@ -219,9 +234,19 @@
     /// Jobs with ready tasks.
     waiting: HashSet<JobKey>,
     placing_wanted: bool,
+    /// Pass over the queue that is not complete.
+    pass: Option<QueuePass>,
+    /// Units of work that one part of a pass may take, and that the last one took.
+    part_units: u32,
+    spent_units: u32,
+    /// Starts that may be in flight at a time, and that are.
+    most_starts: usize,
+    starts_in_flight: usize,
+    /// On how many executors each pair of a serving and a filling image meets.
+    meetings: HashMap<(ImageId, ImageId), u32>,
     /// When ended jobs are looked through next.
     next_forget_at: MonotonicTime,
-    /// Earliest time of the next pass, after one that found no room for some tasks.
+    /// Earliest time of the next pass, or of the next part of this one.
     next_pass_at: MonotonicTime,
     now: MonotonicTime,
     wall: WallTime,
@@ -263,6 +288,12 @@
             stamp: 0,
             waiting: HashSet::new(),
             placing_wanted: false,
+            pass: None,
+            part_units: part_units(1.0),
+            spent_units: 0,
+            most_starts: usize::MAX,
+            starts_in_flight: 0,
+            meetings: HashMap::new(),
             next_forget_at: MonotonicTime::ZERO,
             next_pass_at: MonotonicTime::ZERO,
             now,
@@ -277,6 +308,18 @@
         self
     }
 
+    /// Sets the share of a core that the instance may use, which bounds the work in one turn.
+    pub fn with_processor_share(mut self, share: f64) -> Self {
+        self.part_units = part_units(share);
+        self
+    }
+
+    /// Sets the bandwidth of the instance's link in Mbit/s, which bounds the starts in flight.
+    pub fn with_link(mut self, mbps: f64) -> Self {
+        self.most_starts = most_starts(mbps);
+        self
+    }
+
     /// Applies an event and returns what has to be done.
     pub fn apply(&mut self, now: MonotonicTime, wall: WallTime, event: JobEvent) -> Vec<JobEffect> {
         self.now = now;
@@ -292,11 +335,7 @@
             JobEvent::CommitEnded { id, result } => self.on_commit_ended(id, result),
             JobEvent::Tick => self.on_tick(),
         }
-        if self.loaded && self.placing_wanted && now >= self.next_pass_at {
-            self.placing_wanted = false;
-            let missed = self.place_ready_tasks() as u32;
-            self.next_pass_at = now + CROWDED_INTERVAL * missed.div_ceil(MISSES_PER_INTERVAL);
-        }
+        self.drive_pass();
         self.flush_if_due();
         std::mem::take(&mut self.effects)
     }
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -22,6 +22,20 @@
 /// Time in which an executor that had no room or was not healthy gets no new work.
 const REJECT_PAUSE: Duration = Duration::from_millis(300);
 
+/// Time for which the starts in flight may fill the link. Leases and the renewal of the ownership pass
+/// through the same link, and have to be through well before an order's answer is due.
+const LINK_FILL: Duration = Duration::from_millis(80);
+/// Bytes of a start on the wire, with a payload of a usual length.
+const START_BYTES: f64 = 1_700.0;
+/// Starts that may be in flight on any link.
+const LEAST_STARTS: usize = 12;
+
+/// Returns how many starts may be in flight on a link.
+pub(super) fn most_starts(link_mbps: f64) -> usize {
+    let bytes_per_second = link_mbps * 1_000_000.0 / 8.0;
+    ((bytes_per_second * LINK_FILL.as_secs_f64() / START_BYTES) as usize).max(LEAST_STARTS)
+}
+
 /// Kind of an order in flight.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum OrderKind {
@@ -57,6 +71,7 @@
             timeout,
             valid_until: self.right_until,
         };
+        self.starts_in_flight += usize::from(pending.kind == OrderKind::Start);
         self.orders.insert(id, pending);
         self.effects.push(JobEffect::Order(order));
         id
@@ -64,6 +79,11 @@
 
     pub(super) fn on_order_ended(&mut self, id: OrderId, result: Result<OrderReply, OrderFailure>) {
         let Some(pending) = self.orders.remove(&id) else { return };
+        if pending.kind == OrderKind::Start {
+            self.starts_in_flight -= 1;
+            // A pass that stopped for want of room on the link goes on.
+            self.placing_wanted = true;
+        }
         if matches!(result, Ok(OrderReply::Rejected { reason: RejectReason::Fence })) {
             self.effects.push(JobEffect::Fenced);
             return;
@@ -130,9 +150,10 @@
 
     /// Adds a run and the room that it takes.
     pub(super) fn add_run(&mut self, run: RunState) -> RunKey {
-        let executor = &mut self.executors[run.executor];
-        executor.take_room(&run);
         let (job, task, executor_key) = (run.job, run.task, run.executor);
+        self.count_meetings(executor_key, false);
+        self.executors[executor_key].take_room(&run);
+        self.count_meetings(executor_key, true);
         let key = self.runs.insert(run);
         self.executors[executor_key].runs.push(key);
         self.update_losses(executor_key);
@@ -145,6 +166,7 @@
     /// Removes a run and frees its room.
     pub(super) fn remove_run(&mut self, key: RunKey) -> Option<RunState> {
         let run = self.runs.remove(key)?;
+        self.count_meetings(run.executor, false);
         if let Some(executor) = self.executors.get_mut(run.executor) {
             executor.runs.retain(|other| *other != key);
             executor.free_room(&run);
@@ -159,6 +181,7 @@
             }
             self.update_losses(run.executor);
         }
+        self.count_meetings(run.executor, true);
         self.jobs[run.job].tasks[run.task as usize].runs.retain(|other| *other != key);
         self.placing_wanted = true;
         Some(run)
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -5,21 +5,17 @@
 use cuminbank::log::GANG_WAITS;
 
 use super::{
+    candidates::{CandidateSearch, StepCandidates, EVALUATION_UNITS},
     state::{ExecutorCounts, ExecutorKey, ExecutorState, JobKey, JobState, TaskPhase},
     JobScheduler,
 };
 use crate::{
-    colocation::{ImageId, MOST_PRESSURE},
-    ids::{MonotonicTime, TaskIndex},
-    job::{JobStep, TaskNeeds},
+    colocation::MOST_PRESSURE,
+    ids::TaskIndex,
+    job::JobStep,
     placement::{ExecutorLoad, TaskDemand},
-    priority::{self, JobUrgency},
 };
 
-/// Shapes of tasks without room that one pass looks for before it ends: a bound on the cost of a
-/// pass when the queue is long.
-const MAX_MISSES: usize = 150;
-
 /// Wait after which a job that runs nothing may disturb services with one task. While the pool has
 /// room no job must stand still for 3 s.
 const STARVED_TIME: Duration = Duration::from_millis(1_500);
@@ -30,116 +26,15 @@
 /// half at which jobs may stand still.
 const LITTLE_USED_PERCENT: u64 = 60;
 
-/// Shape of a task for which a pass found no room.
-struct MissedShape {
-    service: String,
-    label: Option<String>,
-    image: ImageId,
-    fills: bool,
-    needs: TaskNeeds,
-}
-
-impl MissedShape {
-    fn new(job: &JobState, step: usize) -> Self {
-        let spec = &job.record.steps[step];
-        Self {
-            service: job.record.terms.service.clone(),
-            label: spec.required_label.clone(),
-            image: job.images[step],
-            fills: spec.fills,
-            needs: spec.needs,
-        }
-    }
-
-    /// Tells whether a task of the step needs no less than this one.
-    fn covers(&self, job: &JobState, step: usize) -> bool {
-        let spec = &job.record.steps[step];
-        self.fills == spec.fills
-            && self.image == job.images[step]
-            && self.needs.cpu_millis <= spec.needs.cpu_millis
-            && self.needs.memory_mb <= spec.needs.memory_mb
-            && self.needs.gpus <= spec.needs.gpus
-            && self.label == spec.required_label
-            && self.service == job.record.terms.service
-    }
-}
-
 impl JobScheduler {
-    /// Starts what has room; returns for how many steps there was none.
-    pub(super) fn place_ready_tasks(&mut self) -> usize {
-        let (jobs, settled) = (&self.jobs, self.is_settled());
-        self.waiting.retain(|key| !jobs[*key].ready.is_empty());
-        let mut waiting: Vec<(JobKey, JobUrgency)> = self
-            .waiting
-            .iter()
-            .map(|key| (*key, &self.jobs[*key]))
-            .filter(|(_, job)| job.fresh || settled)
-            .map(|(key, job)| (key, urgency(job)))
-            .collect();
-        if waiting.is_empty() {
-            return 0;
-        }
-        self.update_sought();
-        self.little_used = self.is_little_used();
-        let now = self.now;
-        waiting.sort_by(|(left_key, left), (right_key, right)| {
-            priority::compare(now, left, right).then(left_key.cmp(right_key))
-        });
-        let placeable: Vec<ExecutorKey> = self
-            .executors
-            .iter()
-            .filter(|(_, executor)| self.is_placeable(executor))
-            .map(|(key, _)| key)
-            .collect();
-        let mut missed = Vec::new();
-        for (key, _) in waiting {
-            self.place_job(key, &placeable, &mut missed);
-            if missed.len() >= MAX_MISSES {
-                break;
-            }
-        }
-        missed.len()
-    }
-
-    /// Starts the ready tasks of a job; adds the shapes for which there is no room.
-    fn place_job(&mut self, key: JobKey, placeable: &[ExecutorKey], missed: &mut Vec<MissedShape>) {
-        let ready: Vec<TaskIndex> = self.jobs[key].ready.iter().copied().collect();
-        let mut full_step = None;
-        for task in ready {
-            let job = &self.jobs[key];
-            let (occurrence, step) = job.layout.place(task);
-            if full_step == Some((occurrence, step))
-                || job.tasks[task as usize].phase != TaskPhase::Ready
-            {
-                continue;
-            }
-            // Where an advised step may run differs by step, so that its shape says nothing of others.
-            let advised = job.record.terms.advice.is_some();
-            let gang = job.record.steps[step].gang;
-            let known_full = !advised
-                && !gang
-                && !self.is_starving(job, task)
-                && missed.iter().any(|shape| shape.covers(job, step));
-            if known_full || (advised && !self.has_advice(key, task, placeable)) {
-                full_step = Some((occurrence, step));
-                continue;
-            }
-            let placed = match gang {
-                true => self.place_gang(key, occurrence, step, placeable),
-                false => self.place_task(key, task, placeable),
-            };
-            if !placed {
-                full_step = Some((occurrence, step));
-                if !advised {
-                    missed.push(MissedShape::new(&self.jobs[key], step));
-                }
-            }
-        }
-    }
-
     /// Tells whether an executor with room has a ticket for the step of a task; asks for some if none
     /// has.
-    fn has_advice(&mut self, key: JobKey, task: TaskIndex, placeable: &[ExecutorKey]) -> bool {
+    pub(super) fn has_advice(
+        &mut self,
+        key: JobKey,
+        task: TaskIndex,
+        placeable: &[ExecutorKey],
+    ) -> bool {
         let job = &self.jobs[key];
         let (occurrence, step) = job.layout.place(task);
         let spec = &job.record.steps[step];
@@ -164,39 +59,62 @@
         false
     }
 
-    fn place_task(&mut self, key: JobKey, task: TaskIndex, placeable: &[ExecutorKey]) -> bool {
+    /// Starts a task on the executor that costs least, if one has room. `candidates` are those of the
+    /// task's step, once they are known.
+    pub(super) fn place_task(
+        &mut self,
+        key: JobKey,
+        task: TaskIndex,
+        starving: bool,
+        placeable: &[ExecutorKey],
+        candidates: &mut Option<StepCandidates>,
+    ) -> bool {
         let job = &self.jobs[key];
-        let (occurrence, step) = job.layout.place(task);
-        let counts = self.step_counts(job, occurrence, step);
-        let starving = self.is_starving(job, task);
-        let Some(executor) = self.choose(job, task, placeable, &counts, starving) else {
-            return false;
+        let place = job.layout.place(task);
+        let special = starving
+            || job.record.terms.advice.is_some()
+            || !job.tasks[task as usize].failed_on.is_empty();
+        if candidates.as_ref().is_none_or(|known| known.place != place) {
+            *candidates = None;
+        }
+        let chosen = match special {
+            true => self.choose(key, task, placeable, starving),
+            false => {
+                let known = match candidates.take() {
+                    Some(known) => known,
+                    None => self.find_candidates(key, place, placeable),
+                };
+                self.take_candidate(key, candidates.insert(known))
+            }
         };
+        let Some(executor) = chosen else { return false };
         if starving {
             self.next_starved_at = self.now + STARVED_PAUSE;
         }
         let number = self.next_run(key, std::iter::once(task));
         self.start_run(key, task, number, executor);
+        match (special, candidates.as_mut()) {
+            (false, Some(known)) => self.return_candidate(key, known, executor),
+            // The costs that are known are those of before this start.
+            _ => *candidates = None,
+        }
         true
     }
 
-    /// Tells whether a filling task may disturb services, since its job runs nothing and has waited
+    /// Tells whether a filling task of a job that runs nothing may disturb services, since it has waited
     /// for a while: where every executor serves something that an image disturbs, the image would
     /// never run. It is moved on when a service passes its bound, with its checkpoint. In a pool that
     /// is much used only late jobs may, one at a time.
-    fn is_starving(&self, job: &JobState, task: TaskIndex) -> bool {
+    pub(super) fn is_starving(&self, job: &JobState, task: TaskIndex) -> bool {
         let (_, step) = job.layout.place(task);
         let waited = self.now.saturating_sub(job.tasks[task as usize].ready_since);
         let allowed =
             self.little_used || (self.now > job.deadline && self.now >= self.next_starved_at);
-        job.record.steps[step].fills
-            && allowed
-            && waited >= STARVED_TIME
-            && job.tasks.iter().all(|other| other.runs.is_empty())
+        job.record.steps[step].fills && allowed && waited >= STARVED_TIME
     }
 
     /// Tells whether tasks reserve little of the processors of the pool.
-    fn is_little_used(&self) -> bool {
+    pub(super) fn is_little_used(&self) -> bool {
         let sum = |part: fn(&ExecutorState) -> u32| {
             self.executors.values().map(|executor| u64::from(part(executor))).sum::<u64>()
         };
@@ -205,7 +123,7 @@
     }
 
     /// Starts all members of a gang, or none.
-    fn place_gang(
+    pub(super) fn place_gang(
         &mut self,
         key: JobKey,
         occurrence: u32,
@@ -296,7 +214,12 @@
         tasks.map(|task| job.tasks[task as usize].last_run).max().unwrap_or_default() + 1
     }
 
-    fn step_counts(&self, job: &JobState, occurrence: u32, step: usize) -> ExecutorCounts {
+    pub(super) fn step_counts(
+        &self,
+        job: &JobState,
+        occurrence: u32,
+        step: usize,
+    ) -> ExecutorCounts {
         let mut counts = ExecutorCounts::new();
         if job.record.steps[step].max_per_executor == 0 {
             return counts;
@@ -309,52 +232,61 @@
         counts
     }
 
+    /// Looks at all executors for one task.
     fn choose(
-        &self,
-        job: &JobState,
+        &mut self,
+        key: JobKey,
         task: TaskIndex,
         placeable: &[ExecutorKey],
-        counts: &ExecutorCounts,
         starving: bool,
     ) -> Option<ExecutorKey> {
-        let (occurrence, step) = job.layout.place(task);
-        let spec = &job.record.steps[step];
-        let advised = job.record.terms.advice.is_some();
-        let job_key = self.job_ids.get(&job.id).copied()?;
+        let job = &self.jobs[key];
+        let place = job.layout.place(task);
+        let counts = self.step_counts(job, place.0, place.1);
         let failed_on = &job.tasks[task as usize].failed_on;
+        let search = CandidateSearch { key, place, counts: &counts, failed_on, starving };
+        let costs = placeable.iter().filter_map(|key| Some((self.cost_on(&search, *key)?, *key)));
+        let best = costs.min();
+        self.spend(placeable.len() as u32 * EVALUATION_UNITS);
+        best.map(|(_, executor)| executor)
+    }
+
+    /// Returns what it costs to place a task on an executor, if it may run there.
+    pub(super) fn cost_on(&self, search: &CandidateSearch, key: ExecutorKey) -> Option<u64> {
+        let job = &self.jobs[search.key];
+        let step = search.place.1;
+        let spec = &job.record.steps[step];
+        let executor = self.executors.get(key)?;
+        if !executor.may_have_room(spec)
+            || !self.is_placeable(executor)
+            || !self.fits_labels(job, spec, key)
+            || !within_limit(spec, search.counts, key)
+        {
+            return None;
+        }
+        if job.record.terms.advice.is_some()
+            && self.ticket((search.key, search.place.0, step), key).is_none()
+        {
+            return None;
+        }
         let demand = demand_of(spec);
-        let mut best: Option<(u64, ExecutorKey)> = None;
-        for key in placeable {
-            let executor = &self.executors[*key];
-            if !self.fits_labels(job, spec, *key) || !within_limit(spec, counts, *key) {
-                continue;
-            }
-            if advised && self.ticket((job_key, occurrence, step), *key).is_none() {
-                continue;
-            }
-            let mut load = self.load_of(spec, executor, failed_on);
-            if !load.has_room(&demand) {
-                continue;
-            }
-            if spec.fills {
-                load.pressure = self.pressure_with(executor, job.images[step], spec);
-                let disturbs = load.pressure > MOST_PRESSURE
-                    || self.is_trial_too_many(executor, job.images[step]);
-                if self.now < executor.no_filling_until || (disturbs && !starving) {
-                    continue;
-                }
-            } else if spec.long_running {
-                load.pressure = self.pressure_on(executor, job.images[step]);
-            }
-            load.sought = self.sought_by_others(executor);
-            load.same_image =
-                executor.serving_images.iter().any(|(image, _)| *image == job.images[step]);
-            let cost = load.cost(&demand);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, *key));
+        let mut load = self.load_of(spec, executor, search.failed_on);
+        if !load.has_room(&demand) {
+            return None;
+        }
+        let image = job.images[step];
+        if spec.fills {
+            load.pressure = self.pressure_with(executor, image, spec);
+            let disturbs = load.pressure > MOST_PRESSURE || self.is_trial_too_many(executor, image);
+            if self.now < executor.no_filling_until || (disturbs && !search.starving) {
+                return None;
             }
+        } else if spec.long_running {
+            load.pressure = self.pressure_on(executor, image);
         }
-        best.map(|(_, key)| key)
+        load.sought = self.sought_by_others(executor);
+        load.same_image = executor.serving_images.iter().any(|(known, _)| *known == image);
+        Some(load.cost(&demand))
     }
 
     fn fits_labels(&self, job: &JobState, spec: &JobStep, key: ExecutorKey) -> bool {
@@ -407,25 +339,3 @@
 fn rack_of(executor: &ExecutorState) -> Option<&str> {
     executor.labels.last().map(String::as_str)
 }
-
-fn urgency(job: &JobState) -> JobUrgency {
-    JobUrgency {
-        priority: job.record.terms.priority,
-        arrived: job.arrived,
-        deadline: job.deadline,
-        remaining: remaining_time(job),
-        long_running: job.record.is_long_running(),
-    }
-}
-
-/// Returns the estimated time of the longest chain of steps that are not done.
-fn remaining_time(job: &JobState) -> MonotonicTime {
-    let steps = job.record.steps.len();
-    let occurrence = job.opened.saturating_sub(1);
-    let longest = (0..steps)
-        .filter(|step| job.open_tasks[job.open_slot(occurrence, *step)] > 0)
-        .map(|step| job.chains[step])
-        .max()
-        .unwrap_or_default();
-    Duration::from_millis(longest)
-}
--- a/crates/cuminbank-jobs/src/scheduler/pressure.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pressure.rs
@@ -59,18 +59,28 @@
     /// Tells whether a filling image would meet a serving one on an executor that it has met on
     /// enough others while little is known of the pair.
     pub(super) fn is_trial_too_many(&self, executor: &ExecutorState, image: ImageId) -> bool {
-        let holds = |rows: &[(ImageId, u32)], image| rows.iter().any(|(known, _)| *known == image);
-        executor
-            .serving_images
-            .iter()
-            .filter(|(victim, _)| self.colocation.is_unsure(self.now, *victim, image))
-            .any(|(victim, _)| {
-                let both = self.executors.values().filter(|other| {
-                    holds(&other.filling_images, image) && holds(&other.serving_images, *victim)
-                });
-                !holds(&executor.filling_images, image)
-                    && both.take(MOST_TRIALS).count() == MOST_TRIALS
-            })
+        let known_here = executor.filling_images.iter().any(|(known, _)| *known == image);
+        !known_here
+            && executor
+                .serving_images
+                .iter()
+                .filter(|(victim, _)| self.colocation.is_unsure(self.now, *victim, image))
+                .any(|(victim, _)| {
+                    let met = self.meetings.get(&(*victim, image)).copied().unwrap_or_default();
+                    met >= MOST_TRIALS
+                })
+    }
+
+    /// Counts each pair of a serving and a filling image on an executor in or out. To be called before
+    /// and after the images there change.
+    pub(super) fn count_meetings(&mut self, key: ExecutorKey, present: bool) {
+        let Some(executor) = self.executors.get(key) else { return };
+        for (victim, _) in &executor.serving_images {
+            for (image, _) in &executor.filling_images {
+                let met = self.meetings.entry((*victim, *image)).or_default();
+                *met = if present { *met + 1 } else { met.saturating_sub(1) };
+            }
+        }
     }
 
     /// Works out again which services most filling images depend on.
--- a/crates/cuminbank-jobs/src/settings.rs
+++ b/crates/cuminbank-jobs/src/settings.rs
@@ -40,6 +40,8 @@
     pub harm_ms: u64,
     /// Share of a core that the instance may use, 0.01 to 64.
     pub processor_share: f64,
+    /// Bandwidth of the instance's link in Mbit/s, 0.1 to 1,000,000.
+    pub link_mbps: f64,
     /// How long the outcome of an ended job is kept, in milliseconds.
     pub retention_ms: u64,
 }
@@ -102,6 +104,13 @@
                 allowed: "0.01 to 64".to_owned(),
             });
         }
+        if !(0.1..=1_000_000.0).contains(&self.link_mbps) {
+            return Err(ProfileError {
+                path: "link_mbps".to_owned(),
+                value: self.link_mbps.to_string(),
+                allowed: "0.1 to 1000000".to_owned(),
+            });
+        }
         check_range("retention_ms", self.retention_ms, 1_000, 86_400_000)
     }
 }
--- a/crates/cuminbank-jobs/tests/support/world/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/world/effects.rs
@@ -18,6 +18,8 @@
         let (now, wall) = (self.now, Duration::from_secs(1_000) + self.now);
         let Some(scheduler) = self.instances[number].scheduler.as_mut() else { return };
         let effects = scheduler.apply(now, wall, event);
+        self.most_units = self.most_units.max(scheduler.spent_units());
+        self.most_starts = self.most_starts.max(scheduler.starts_in_flight());
         for effect in effects {
             self.carry_out(number, effect);
         }
@@ -116,8 +118,10 @@
                         harm_time: Duration::from_secs(4),
                         retention: Duration::from_secs(600),
                     };
-                    let scheduler =
-                        JobScheduler::new(bounds, &held, self.now).with_guards(self.guards);
+                    let scheduler = JobScheduler::new(bounds, &held, self.now)
+                        .with_guards(self.guards)
+                        .with_processor_share(self.processor_share)
+                        .with_link(self.link_mbps);
                     self.trace.push(format!("{:?} {} began {held:?}", self.now, number));
                     let delay = self.delay() * 4;
                     let instance = &mut self.instances[number];
--- a/crates/cuminbank-jobs/tests/support/world/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/world/mod.rs
@@ -170,6 +170,11 @@
     pub advised: BTreeSet<String>,
     /// Numbers of executors that it was asked about.
     pub questions: Vec<usize>,
+    /// Most units of work in a turn, and most starts in flight, of any scheduler.
+    pub most_units: u32,
+    pub most_starts: usize,
+    processor_share: f64,
+    link_mbps: f64,
     instances: Vec<FakeInstance>,
     silent_since: Vec<Option<MonotonicTime>>,
     gone: BTreeSet<usize>,
@@ -207,6 +212,10 @@
             trace: Vec::new(),
             advised: BTreeSet::new(),
             questions: Vec::new(),
+            most_units: 0,
+            most_starts: 0,
+            processor_share: 1.0,
+            link_mbps: 1_000.0,
             instances: Vec::new(),
             silent_since: vec![None; executors],
             gone: BTreeSet::new(),
@@ -240,6 +249,18 @@
         self
     }
 
+    /// Sets the share of a core of each instance.
+    pub fn with_processor_share(mut self, share: f64) -> Self {
+        self.processor_share = share;
+        self
+    }
+
+    /// Sets the bandwidth of each instance's link in Mbit/s.
+    pub fn with_link(mut self, mbps: f64) -> Self {
+        self.link_mbps = mbps;
+        self
+    }
+
     /// Switches guards off.
     pub fn with_guards(mut self, guards: JobGuards) -> Self {
         self.guards = guards;
