--- /dev/null
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -0,0 +1,265 @@
+//! A cell of the pool in this process: who owns it, its scheduler while this process does, and the
+//! tasks that carry their effects out.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cuminbank::log::{TENURE_BEGAN, TENURE_ENDED, TENURE_RESUMED};
+use cuminbank_jobs::{
+    ids::{CellId, MonotonicTime, OwnerEpoch, StoreRevision},
+    keys::CellKeys,
+    peer::{OwnerAnswer, OwnerQuestion},
+    scheduler::{DecisionRecord, JobEffect, JobEvent, JobScheduler, SchedulerBounds},
+    store::{StoreCall, StoreFailure, StoreItem, StoreReply},
+    tenure::{HeldTenure, OwnerRecord, TenureEffect, TenureState},
+};
+use serde_json::{json, Value};
+
+use crate::{clock, daemon::DaemonState, watches};
+
+/// Longest time for a write of the owner; a slow store answers after about 250 ms.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// A cell of the pool.
+pub(crate) struct CellState {
+    pub(crate) id: CellId,
+    pub(crate) keys: CellKeys,
+    scheduler: RefCell<Option<JobScheduler>>,
+    tenure: RefCell<TenureState>,
+    /// Number of the current tenure of this process; tasks of an earlier one end.
+    tenures: Cell<u64>,
+}
+
+impl CellState {
+    /// Creates a cell that this process does not own.
+    pub(crate) fn new(id: CellId, tenure: TenureState) -> Self {
+        Self {
+            id,
+            keys: CellKeys::new(id),
+            scheduler: RefCell::default(),
+            tenure: RefCell::new(tenure.with_cell(id)),
+            tenures: Cell::new(0),
+        }
+    }
+
+    /// Tells whether a tenure of this process still lasts.
+    pub(crate) fn is_tenure(&self, tenure: u64) -> bool {
+        self.tenures.get() == tenure && self.owns()
+    }
+
+    /// Tells whether this process owns the cell.
+    pub(crate) fn owns(&self) -> bool {
+        self.scheduler.borrow().is_some()
+    }
+
+    /// Tells whether this process owns the cell or is about to.
+    pub(crate) fn is_engaged(&self) -> bool {
+        self.tenure.borrow().is_engaged()
+    }
+
+    /// Returns where the owner answers questions.
+    pub(crate) fn owner_address(&self) -> Option<SocketAddr> {
+        self.tenure.borrow().observed().map(|owner| owner.peer_address)
+    }
+
+    /// Returns the epoch in which this process owns the cell.
+    pub(crate) fn held_epoch(&self) -> Option<OwnerEpoch> {
+        self.tenure.borrow().held().map(|held| held.epoch)
+    }
+
+    /// Returns what operators want to know of the cell.
+    pub(crate) fn status(&self) -> Value {
+        let tenure = self.tenure.borrow();
+        json!({
+            "cell": self.id,
+            "owner": tenure.observed().map(|owner| owner.instance.clone()),
+            "epoch": tenure.observed().map(|owner| owner.epoch),
+            "owned_here": tenure.held().is_some(),
+        })
+    }
+
+    /// Answers a question to the owner, if this process is the owner.
+    pub(crate) fn answer(&self, question: &OwnerQuestion) -> OwnerAnswer {
+        let scheduler = self.scheduler.borrow();
+        scheduler.as_ref().map_or(OwnerAnswer::NotOwner, |owner| owner.answer(question))
+    }
+
+    /// Applies an event to the scheduler, if this process owns the cell.
+    pub(crate) fn apply(self: &Rc<Self>, state: &Rc<DaemonState>, event: JobEvent) {
+        let (started, name) = (Instant::now(), event.name());
+        let effects = match self.scheduler.borrow_mut().as_mut() {
+            Some(scheduler) => scheduler.apply(clock::now(), clock::wall(), event),
+            None => return,
+        };
+        let tenure = self.tenures.get();
+        for effect in effects {
+            self.carry_out(state, tenure, effect);
+        }
+        state.metrics.time("turn", name, started.elapsed());
+    }
+
+    /// Applies an event that a task of a tenure has waited for.
+    fn apply_in(self: &Rc<Self>, state: &Rc<DaemonState>, tenure: u64, event: JobEvent) {
+        if self.is_tenure(tenure) {
+            self.apply(state, event);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, state: &Rc<DaemonState>, tenure: u64, effect: JobEffect) {
+        let (cell, task_state) = (Rc::clone(self), Rc::clone(state));
+        match effect {
+            JobEffect::Log(record) => state.log(&record),
+            JobEffect::Measure(measure) => state.metrics.take(&measure),
+            JobEffect::Fenced => {
+                let effects = self.tenure.borrow_mut().fenced(clock::now());
+                self.carry_out_tenure(state, effects);
+            }
+            JobEffect::OwnerSeen(Some(item)) => {
+                self.observe_owner(state, item.revision, Some(&item));
+            }
+            JobEffect::OwnerSeen(None) => {
+                let effects = self.tenure.borrow_mut().doubt(clock::now());
+                self.carry_out_tenure(state, effects);
+            }
+            JobEffect::Order(order) => {
+                monoio::spawn(async move {
+                    let id = order.id;
+                    let result = task_state.send_order(order).await;
+                    cell.apply_in(&task_state, tenure, JobEvent::OrderEnded { id, result });
+                });
+            }
+            JobEffect::AskAdvice { id, step, executors, timeout } => {
+                monoio::spawn(async move {
+                    let result = task_state.ask_advice(step, &executors, timeout).await;
+                    cell.apply_in(&task_state, tenure, JobEvent::AdviceEnded { id, result });
+                });
+            }
+            JobEffect::Commit { id, txn } => {
+                monoio::spawn(async move {
+                    let call = StoreCall::Commit(txn);
+                    let result = match task_state.call_store(&call, COMMIT_TIMEOUT).await {
+                        Ok(StoreReply::Txn(outcome)) => Ok(outcome),
+                        Ok(_) => Err(StoreFailure::Unknown),
+                        Err(failure) => Err(failure),
+                    };
+                    cell.apply_in(&task_state, tenure, JobEvent::CommitEnded { id, result });
+                });
+            }
+        }
+    }
+
+    /// Takes what the store says of the ownership record.
+    pub(crate) fn observe_owner(
+        self: &Rc<Self>,
+        state: &Rc<DaemonState>,
+        revision: StoreRevision,
+        item: Option<&StoreItem>,
+    ) {
+        let effects = self.tenure.borrow_mut().observe(clock::now(), revision, item);
+        self.carry_out_tenure(state, effects);
+    }
+
+    /// Lets time pass. `other_cells` is how many others this process owns or claims.
+    pub(crate) fn tick(self: &Rc<Self>, state: &Rc<DaemonState>, other_cells: u32) {
+        self.tenure.borrow_mut().set_other_cells(other_cells);
+        let effects = self.tenure.borrow_mut().tick(clock::now());
+        self.carry_out_tenure(state, effects);
+        let held = self.tenure.borrow().held().copied();
+        if let Some(held) = held {
+            self.apply(state, JobEvent::TenureChanged(held));
+        }
+        self.apply(state, JobEvent::Tick);
+    }
+
+    /// Gives the cell up for a planned stop.
+    pub(crate) fn release(self: &Rc<Self>, state: &Rc<DaemonState>) {
+        let effects = self.tenure.borrow_mut().drain(clock::now());
+        self.carry_out_tenure(state, effects);
+    }
+
+    /// Gives no more orders if this process has that start and an earlier epoch; returns for how long
+    /// it has given none.
+    pub(crate) fn yield_tenure(
+        self: &Rc<Self>,
+        state: &Rc<DaemonState>,
+        start: u64,
+        epoch: OwnerEpoch,
+    ) -> Duration {
+        let (stopped, effects) = self.tenure.borrow_mut().yield_to(clock::now(), start, epoch);
+        self.carry_out_tenure(state, effects);
+        stopped
+    }
+
+    fn carry_out_tenure(self: &Rc<Self>, state: &Rc<DaemonState>, effects: Vec<TenureEffect>) {
+        for effect in effects {
+            match effect {
+                TenureEffect::Call { id, call, timeout } => {
+                    let (cell, task_state) = (Rc::clone(self), Rc::clone(state));
+                    monoio::spawn(async move {
+                        let result = task_state.call_store(&call, timeout).await;
+                        let effects = cell.tenure.borrow_mut().ended(clock::now(), id, result);
+                        cell.carry_out_tenure(&task_state, effects);
+                    });
+                }
+                TenureEffect::Began(held, predecessor) => {
+                    self.begin_tenure(state, &held, predecessor);
+                }
+                TenureEffect::Resumed(held) => {
+                    let detail = format!(
+                        "cell={} epoch={} revision={:?}",
+                        self.id, held.epoch, held.revision
+                    );
+                    state.log(&DecisionRecord { code: TENURE_RESUMED, job: None, detail });
+                    self.apply(state, JobEvent::TenureChanged(held));
+                }
+                TenureEffect::Ended(reason) => {
+                    *self.scheduler.borrow_mut() = None;
+                    self.tenures.set(self.tenures.get() + 1);
+                    let detail = format!("cell={} reason={reason}", self.id);
+                    state.log(&DecisionRecord { code: TENURE_ENDED, job: None, detail });
+                }
+            }
+        }
+    }
+
+    fn begin_tenure(
+        self: &Rc<Self>,
+        state: &Rc<DaemonState>,
+        held: &HeldTenure,
+        predecessor: Option<OwnerRecord>,
+    ) {
+        let detail = format!(
+            "cell={} epoch={} revision={:?} predecessor={:?}",
+            self.id,
+            held.epoch,
+            held.revision,
+            predecessor.as_ref().map(|owner| owner.instance.as_str())
+        );
+        state.log(&DecisionRecord { code: TENURE_BEGAN, job: None, detail });
+        let settings = &state.settings;
+        let bounds = SchedulerBounds {
+            max_lease: settings.max_lease(),
+            stop_timeout: settings.stop_timeout(),
+            harm_time: Duration::from_millis(settings.harm_ms),
+            retention: Duration::from_millis(settings.retention_ms),
+        };
+        let now: MonotonicTime = clock::now();
+        let scheduler = JobScheduler::new(bounds, held, now)
+            .with_cell(self.id)
+            .with_processor_share(settings.processor_share)
+            .with_link(settings.link_mbps);
+        *self.scheduler.borrow_mut() = Some(scheduler);
+        self.tenures.set(self.tenures.get() + 1);
+        let tenure = self.tenures.get();
+        monoio::spawn(watches::follow_pool(Rc::clone(state), Rc::clone(self), tenure));
+        if let Some(predecessor) = predecessor {
+            let cell = Rc::clone(self);
+            monoio::spawn(Rc::clone(state).end_predecessor(cell, tenure, predecessor));
+        }
+        monoio::spawn(watches::follow_list(Rc::clone(state), Rc::clone(self), tenure));
+    }
+}
--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -6,9 +6,8 @@
 use cuminbank_jobs::{
     acceptance::{AcceptState, AcceptStep, ACCEPT_TIME, RETRY_PAUSE, RETURN_SECONDS},
     config::JobQueue,
-    ids::{JobId, MonotonicTime},
-    keys::{cancel_key, job_key, progress_key},
-    peer::{OwnerAnswer, OwnerQuestion},
+    ids::{CellId, JobId, MonotonicTime, StoreRevision},
+    keys::{accepted_key, CellKeys},
     scheduler::DecisionRecord,
     store::{encode_value, StoreCall, StoreFailure, StorePut, StoreReply, StoreTxn},
 };
@@ -19,7 +18,7 @@
 use monoio::time;
 use serde_json::json;
 
-use crate::{clock, daemon::DaemonState, owner::PhaseAnswer};
+use crate::{clock, daemon::DaemonState, division::JobPlace, owner::PhaseAnswer};
 
 /// Longest time for one try of a write; a slow store answers after about 250 ms.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -127,11 +126,17 @@
             return ClientAnswer::new(400, cause);
         }
     };
-    let key = job_key(job);
+    let Some(cell) = state.choose_cell(job, &record) else {
+        return ClientAnswer::new(503, "not accepted: the pool is not divided yet").with_return();
+    };
     let txn = StoreTxn {
-        // The record of an ended job is removed; its progress then tells that it was there.
-        expected: vec![(key.clone(), 0), (progress_key(job), 0)],
-        puts: vec![StorePut::new(key, encode_value(&record))],
+        // One key for all cells, which outlives the record of the job: another instance may choose
+        // another cell for a repeated request.
+        expected: vec![(accepted_key(job), 0)],
+        puts: vec![
+            StorePut::new(accepted_key(job), encode_value(&cell.id)),
+            StorePut::new(cell.keys.job(job), encode_value(&record)),
+        ],
         removes: Vec::new(),
     };
     match write(state, txn, arrived).await {
@@ -187,18 +192,16 @@
     if state.store.is_away() {
         return ClientAnswer::new(503, "the store is away").with_return();
     }
-    let key = job_key(job);
-    let read = StoreCall::ReadKey { key: key.clone() };
-    let revision = match state.call_store(&read, WRITE_TIMEOUT).await {
-        Ok(StoreReply::Items { items, .. }) => match items.first() {
-            Some(item) => item.revision,
-            None => return ClientAnswer::new(410, "no such job, or it has ended"),
-        },
-        _ => return ClientAnswer::new(503, "the store does not answer").with_return(),
+    let (keys, revision) = match find_record(state, job).await {
+        RecordPlace::At(keys, revision) => (keys, revision),
+        RecordPlace::Nowhere => return ClientAnswer::new(410, "no such job, or it has ended"),
+        RecordPlace::Unknown => {
+            return ClientAnswer::new(503, "the store does not answer").with_return();
+        }
     };
     let txn = StoreTxn {
-        expected: vec![(cancel_key(job), 0), (key, revision)],
-        puts: vec![StorePut::new(cancel_key(job), Vec::new())],
+        expected: vec![(keys.cancel(job), 0), (keys.job(job), revision)],
+        puts: vec![StorePut::new(keys.cancel(job), Vec::new())],
         removes: Vec::new(),
     };
     match write(state, txn, arrived).await {
@@ -210,12 +213,44 @@
     }
 }
 
+/// Where the record of a job that has not ended is.
+enum RecordPlace {
+    At(CellKeys, StoreRevision),
+    Nowhere,
+    Unknown,
+}
+
+/// Looks for the record of a job where it probably is, and then where the store says.
+async fn find_record(state: &Rc<DaemonState>, job: JobId) -> RecordPlace {
+    let Some(likely) = state.likely_cell(job) else { return RecordPlace::Unknown };
+    match read_record(state, likely, job).await {
+        RecordPlace::Nowhere => {}
+        place => return place,
+    }
+    match state.find_job(job).await {
+        JobPlace::Cell(cell) if cell != likely => read_record(state, cell, job).await,
+        JobPlace::Cell(_) | JobPlace::Nowhere => RecordPlace::Nowhere,
+        JobPlace::Unknown => RecordPlace::Unknown,
+    }
+}
+
+async fn read_record(state: &Rc<DaemonState>, cell: CellId, job: JobId) -> RecordPlace {
+    let keys = CellKeys::new(cell);
+    let read = StoreCall::ReadKey { key: keys.job(job) };
+    match state.call_store(&read, WRITE_TIMEOUT).await {
+        Ok(StoreReply::Items { items, .. }) => match items.first() {
+            Some(item) => RecordPlace::At(keys, item.revision),
+            None => RecordPlace::Nowhere,
+        },
+        _ => RecordPlace::Unknown,
+    }
+}
+
 async fn read_pending(state: &Rc<DaemonState>, queue: &JobQueue) -> ClientAnswer {
-    let question = OwnerQuestion::Pending { queue: queue.name.clone() };
-    match state.ask_owner(&question).await {
-        OwnerAnswer::Pending(count) => {
+    match state.pending_jobs(&queue.name).await {
+        Some(count) => {
             ClientAnswer { response: encode_pending(count), cause: "counted".to_owned() }
         }
-        _ => ClientAnswer::new(503, "the owner does not answer").with_return(),
+        None => ClientAnswer::new(503, "not every owner answers").with_return(),
     }
 }
--- /dev/null
+++ b/crates/cuminbank-jobd/src/division.rs
@@ -0,0 +1,191 @@
+//! Division of the pool into cells, as this instance knows it: the plan, who has which job, and how much
+//! each cell is used.
+
+use std::{rc::Rc, time::Duration};
+
+use cuminbank::log::POOL_DIVIDED;
+use cuminbank_jobs::{
+    cells::PoolPlan,
+    ids::{CellId, JobId, StoreRevision},
+    job::JobRecord,
+    keys::{accepted_key, PLAN_KEY},
+    order::ExecutorReport,
+    peer::{OwnerAnswer, OwnerQuestion},
+    scheduler::DecisionRecord,
+    store::{decode_value, encode_value, StoreCall, StoreItem, StorePut, StoreReply, StoreTxn},
+    tenure::{weakness, TenureState},
+};
+use cuminbank_platform::{executor::decode_entry, EXECUTOR_PREFIX};
+use monoio::time;
+
+use crate::{cell::CellState, clock, daemon::DaemonState};
+
+/// Pause before an instance of usual strength divides a pool that nobody has divided; stronger ones
+/// come first, since the division follows from the link of the instance that makes it.
+const PLAN_DELAY: Duration = Duration::from_millis(400);
+/// Pause between two counts of the executors; the pool is divided once two agree.
+const PLAN_PAUSE: Duration = Duration::from_millis(300);
+/// Counts without any executor after which the pool is taken for a single cell.
+const EMPTY_COUNTS: u32 = 15;
+/// Interval at which the owners are asked how much their cells are used.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for a call of the store.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Most jobs away from their home cell that an instance remembers.
+const MOST_REMEMBERED: usize = 10_000;
+
+/// Where an accepted job is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum JobPlace {
+    /// In a cell.
+    Cell(CellId),
+    /// No such job was accepted, or it was forgotten.
+    Nowhere,
+    /// The store does not answer.
+    Unknown,
+}
+
+impl DaemonState {
+    /// Returns a cell of the pool.
+    pub(crate) fn cell(&self, id: CellId) -> Option<Rc<CellState>> {
+        self.cells.borrow().get(usize::from(id)).cloned()
+    }
+
+    /// Returns all cells; none while the division is not known.
+    pub(crate) fn all_cells(&self) -> Vec<Rc<CellState>> {
+        self.cells.borrow().clone()
+    }
+
+    /// Tells whether an executor belongs to a cell.
+    pub(crate) fn is_in_cell(&self, report: &ExecutorReport, cell: CellId) -> bool {
+        self.plan.get().is_some_and(|plan| plan.cell_of(report) == cell)
+    }
+
+    /// Takes the plan, once; it never changes.
+    pub(crate) fn take_plan(self: &Rc<Self>, item: &StoreItem) {
+        if self.plan.get().is_some() {
+            return;
+        }
+        let Some(plan) = decode_value::<PoolPlan>(&item.value) else {
+            let detail = format!("error=unreadable bytes={}", item.value.len());
+            return self.log(&DecisionRecord { code: POOL_DIVIDED, job: None, detail });
+        };
+        let detail = format!("cells={} revision={}", plan.cells, item.revision);
+        self.log(&DecisionRecord { code: POOL_DIVIDED, job: None, detail });
+        let settings = &self.settings;
+        let new_cell = |id| {
+            let name = settings.instance.clone();
+            let tenure = TenureState::new(name, self.start, settings.peer_address)
+                .with_min_ttl(settings.min_store_ttl())
+                .with_cell(id)
+                .with_strength(settings.processor_share, settings.link_mbps);
+            Rc::new(CellState::new(id, tenure))
+        };
+        *self.cells.borrow_mut() = (0..plan.cells.max(1)).map(new_cell).collect();
+        self.plan.set(Some(plan));
+    }
+
+    /// Tells every cell who owns it, by everything below the prefix of owners at a revision.
+    pub(crate) fn take_owners(self: &Rc<Self>, items: &[StoreItem], revision: StoreRevision) {
+        if let Some(item) = items.iter().find(|item| item.key == PLAN_KEY) {
+            self.take_plan(item);
+        }
+        for cell in self.all_cells() {
+            let item = items.iter().find(|item| item.key == cell.keys.owner);
+            // What is there has the revision of its change; an absence that of the read.
+            let revision = item.map_or(revision, |item| item.revision);
+            cell.observe_owner(self, revision, item);
+        }
+    }
+
+    /// Returns the cell for a job that is about to be accepted; none while the division is not known.
+    pub(crate) fn choose_cell(&self, job: JobId, record: &JobRecord) -> Option<Rc<CellState>> {
+        let plan = self.plan.get()?;
+        let chosen = self.loads.borrow().choose(clock::now(), &plan, job, record);
+        if chosen != plan.homes(job).0 {
+            self.metrics.count("job.away_from_home", "");
+            self.remember(job, chosen);
+        }
+        self.cell(chosen)
+    }
+
+    /// Returns the cell in which a job is if it was accepted, as far as is known without the store.
+    pub(crate) fn likely_cell(&self, job: JobId) -> Option<CellId> {
+        let plan = self.plan.get()?;
+        let away = self.away.borrow().get(&job).copied();
+        Some(away.unwrap_or_else(|| plan.homes(job).0))
+    }
+
+    /// Asks the store in which cell a job is.
+    pub(crate) async fn find_job(&self, job: JobId) -> JobPlace {
+        let call = StoreCall::ReadKey { key: accepted_key(job) };
+        let Ok(StoreReply::Items { items, .. }) = self.call_store(&call, CALL_TIMEOUT).await else {
+            return JobPlace::Unknown;
+        };
+        let Some(item) = items.first() else { return JobPlace::Nowhere };
+        let Some(cell) = decode_value::<CellId>(&item.value) else { return JobPlace::Unknown };
+        self.remember(job, cell);
+        JobPlace::Cell(cell)
+    }
+
+    fn remember(&self, job: JobId, cell: CellId) {
+        let home = self.plan.get().map(|plan| plan.homes(job).0);
+        if home == Some(cell) {
+            return;
+        }
+        let mut away = self.away.borrow_mut();
+        if away.len() >= MOST_REMEMBERED {
+            away.clear();
+        }
+        away.insert(job, cell);
+    }
+}
+
+/// Divides the pool if nobody has. The plan is created only if there is none.
+pub(crate) async fn propose_plan(state: Rc<DaemonState>) {
+    let settings = &state.settings;
+    let factor = weakness(settings.processor_share, settings.link_mbps);
+    time::sleep(PLAN_DELAY.mul_f64(factor)).await;
+    let (mut last, mut empty) = (None, 0);
+    while state.plan.get().is_none() {
+        let call = StoreCall::Read { prefix: EXECUTOR_PREFIX.to_owned() };
+        if let Ok(StoreReply::Items { items, .. }) = state.call_store(&call, CALL_TIMEOUT).await {
+            let count = items.iter().filter_map(decode_entry).count();
+            empty += u32::from(count == 0);
+            let settled = last == Some(count) && (count > 0 || empty >= EMPTY_COUNTS);
+            last = Some(count);
+            if settled {
+                let plan = PoolPlan::new(count, settings.cell_executors, settings.link_mbps);
+                let txn = StoreTxn {
+                    expected: vec![(PLAN_KEY.to_owned(), 0)],
+                    puts: vec![StorePut::new(PLAN_KEY, encode_value(&plan))],
+                    removes: Vec::new(),
+                };
+                // Whoever was first, the watch of owners tells. Without an answer it is tried again.
+                let written = state.call_store(&StoreCall::Commit(txn), CALL_TIMEOUT).await;
+                let detail = format!("proposed={} executors={count} {written:?}", plan.cells);
+                state.log(&DecisionRecord { code: POOL_DIVIDED, job: None, detail });
+            }
+        }
+        time::sleep(PLAN_PAUSE).await;
+    }
+}
+
+/// Keeps the loads of the cells known, where there are several.
+pub(crate) async fn follow_loads(state: Rc<DaemonState>) {
+    loop {
+        time::sleep(LOAD_INTERVAL).await;
+        if state.plan.get().is_none_or(|plan| plan.cells <= 1) {
+            continue;
+        }
+        for cell in state.all_cells() {
+            let state = Rc::clone(&state);
+            monoio::spawn(async move {
+                let question = OwnerQuestion::Load { cell: cell.id };
+                if let OwnerAnswer::Load(load) = state.ask_owner(&question).await {
+                    state.loads.borrow_mut().note(clock::now(), cell.id, load);
+                }
+            });
+        }
+    }
+}
--- a/crates/cuminbank-jobd/src/owner.rs
+++ b/crates/cuminbank-jobd/src/owner.rs
@@ -1,11 +1,11 @@
-//! Questions to the owner of the pool.
+//! Questions to the owners of cells.
 
 use std::{rc::Rc, time::Duration};
 
 use cuminbank_jobs::{
-    ids::JobId,
+    ids::{JobId, QueueName},
     job::JobPhase,
-    keys::{job_key, progress_key},
+    keys::CellKeys,
     peer::{OwnerAnswer, OwnerQuestion},
     progress::JobProgress,
     scheduler::JobEvent,
@@ -14,7 +14,7 @@
 };
 use monoio::time;
 
-use crate::daemon::DaemonState;
+use crate::{cell::CellState, daemon::DaemonState, division::JobPlace};
 
 /// Time for the answer of another instance, which is about 1 ms away.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -36,12 +36,13 @@
 }
 
 impl DaemonState {
-    /// Asks the owner, which may be this instance.
+    /// Asks the owner of a cell, which may be this instance.
     pub(crate) async fn ask_owner(self: &Rc<Self>, question: &OwnerQuestion) -> OwnerAnswer {
-        if let Some(scheduler) = self.scheduler.borrow().as_ref() {
-            return scheduler.answer(question);
+        let Some(cell) = self.cell(question.cell()) else { return OwnerAnswer::NotOwner };
+        if cell.owns() {
+            return cell.answer(question);
         }
-        let Some(address) = self.owner_address() else { return OwnerAnswer::NotOwner };
+        let Some(address) = cell.owner_address() else { return OwnerAnswer::NotOwner };
         match self.peers.exchange(address, question, OWNER_TIMEOUT).await {
             Ok(answer) => answer,
             Err(_) => {
@@ -51,56 +52,86 @@
         }
     }
 
-    /// Returns the phase of a job, from the owner or from the store.
+    /// Returns the phase of a job, from its owner or from the store.
     pub(crate) async fn phase_of(self: &Rc<Self>, job: JobId) -> PhaseAnswer {
-        if let OwnerAnswer::Phase(phase) = self.ask_owner(&OwnerQuestion::Phase { job }).await {
+        let Some(likely) = self.likely_cell(job) else { return PhaseAnswer::Unavailable };
+        let question = OwnerQuestion::Phase { cell: likely, job };
+        if let OwnerAnswer::Phase(phase) = self.ask_owner(&question).await {
             return PhaseAnswer::Known(phase);
         }
         self.metrics.count("phase.from_store", "");
-        let record = StoreCall::ReadKey { key: job_key(job) };
-        let accepted = match self.call_store(&record, READ_TIMEOUT).await {
-            Ok(StoreReply::Items { items, .. }) => !items.is_empty(),
-            _ => return PhaseAnswer::Unavailable,
+        let cell = match self.find_job(job).await {
+            JobPlace::Cell(cell) => cell,
+            JobPlace::Nowhere => return PhaseAnswer::Missing,
+            JobPlace::Unknown => return PhaseAnswer::Unavailable,
         };
-        // The record is removed in the same write that stores the outcome, so that the progress has
-        // to be read after it.
-        let progress = StoreCall::ReadKey { key: progress_key(job) };
+        if cell != likely {
+            let question = OwnerQuestion::Phase { cell, job };
+            if let OwnerAnswer::Phase(phase) = self.ask_owner(&question).await {
+                return PhaseAnswer::Known(phase);
+            }
+        }
+        let progress = StoreCall::ReadKey { key: CellKeys::new(cell).progress(job) };
         let Ok(StoreReply::Items { items, .. }) = self.call_store(&progress, READ_TIMEOUT).await
         else {
             return PhaseAnswer::Unavailable;
         };
-        let progress = items.first().and_then(|item| decode_value::<JobProgress>(&item.value));
-        match progress {
+        let Some(item) = items.first() else { return PhaseAnswer::Known(JobPhase::Queued) };
+        match decode_value::<JobProgress>(&item.value) {
             Some(progress) => {
                 PhaseAnswer::Known(progress.outcome.map_or(JobPhase::Running, JobPhase::Ended))
             }
-            None if accepted => PhaseAnswer::Known(JobPhase::Queued),
-            None => PhaseAnswer::Missing,
+            None => PhaseAnswer::Unavailable,
+        }
+    }
+
+    /// Returns how many accepted jobs of a queue have not started in any cell, if every owner answers.
+    pub(crate) async fn pending_jobs(self: &Rc<Self>, queue: &QueueName) -> Option<u64> {
+        let asked: Vec<_> = self
+            .all_cells()
+            .into_iter()
+            .map(|cell| {
+                let (state, queue) = (Rc::clone(self), queue.clone());
+                monoio::spawn(async move {
+                    state.ask_owner(&OwnerQuestion::Pending { cell: cell.id, queue }).await
+                })
+            })
+            .collect();
+        let mut sum = None;
+        for answer in asked {
+            let OwnerAnswer::Pending(count) = answer.await else { return None };
+            sum = Some(sum.unwrap_or_default() + count);
         }
+        sum
     }
 
-    /// Answers a question of another instance.
-    pub(crate) fn answer_peer(self: &Rc<Self>, question: &OwnerQuestion) -> OwnerAnswer {
-        if let OwnerQuestion::Yield { start, epoch } = question {
-            let stopped = self.yield_tenure(*start, *epoch);
-            return OwnerAnswer::Yielded { stopped_ms: stopped.as_millis() as u64 };
+    /// Answers a question of another instance; one about a cell that is not known here gets none.
+    pub(crate) fn answer_peer(self: &Rc<Self>, question: &OwnerQuestion) -> Option<OwnerAnswer> {
+        let cell = self.cell(question.cell())?;
+        if let OwnerQuestion::Yield { start, epoch, .. } = question {
+            let stopped = cell.yield_tenure(self, *start, *epoch);
+            return Some(OwnerAnswer::Yielded { stopped_ms: stopped.as_millis() as u64 });
         }
         // Only the owner answers: a question is never passed on.
-        let scheduler = self.scheduler.borrow();
-        scheduler.as_ref().map_or(OwnerAnswer::NotOwner, |owner| owner.answer(question))
+        Some(cell.answer(question))
     }
 
     /// Asks the owner of the epoch before until it gives no more orders.
-    pub(crate) async fn end_predecessor(self: Rc<Self>, tenure: u64, predecessor: OwnerRecord) {
-        let Some(epoch) = self.held_epoch() else { return };
-        let question = OwnerQuestion::Yield { start: predecessor.start, epoch };
-        while self.is_tenure(tenure) {
+    pub(crate) async fn end_predecessor(
+        self: Rc<Self>,
+        cell: Rc<CellState>,
+        tenure: u64,
+        predecessor: OwnerRecord,
+    ) {
+        let Some(epoch) = cell.held_epoch() else { return };
+        let question = OwnerQuestion::Yield { cell: cell.id, start: predecessor.start, epoch };
+        while cell.is_tenure(tenure) {
             let asked =
                 self.peers.exchange(predecessor.peer_address, &question, OWNER_TIMEOUT).await;
-            if let (Ok(OwnerAnswer::Yielded { stopped_ms }), true) = (asked, self.is_tenure(tenure))
+            if let (Ok(OwnerAnswer::Yielded { stopped_ms }), true) = (asked, cell.is_tenure(tenure))
             {
                 let stopped = Duration::from_millis(stopped_ms);
-                return self.apply(JobEvent::PredecessorEnded { stopped });
+                return cell.apply(&self, JobEvent::PredecessorEnded { stopped });
             }
             time::sleep(YIELD_PAUSE).await;
         }
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -5,7 +5,7 @@
 use cuminbank::log::{POOL_CONFIG_IN_FORCE, POOL_CONFIG_UNREADABLE};
 use cuminbank_jobs::{
     ids::{MonotonicTime, StoreRevision},
-    keys::{LEDGER_PREFIX, OWNER_KEY, OWNER_PREFIX, POOL_PREFIX},
+    keys::{owned_cell, OWNER_PREFIX, PLAN_KEY},
     order::ExecutorReport,
     scheduler::{DecisionRecord, JobEvent},
     store::{StoreCall, StoreChange, StoreItem, StoreReply},
@@ -13,7 +13,7 @@
 use cuminbank_platform::{config::decode_config, store::WatchReply, CONFIG_KEY, EXECUTOR_PREFIX};
 use monoio::time;
 
-use crate::{clock, daemon::DaemonState};
+use crate::{cell::CellState, clock, daemon::DaemonState};
 
 /// Wait of a watch of the configuration. A change must be in force within 2 s also if the watch's
 /// connection has gone silent.
@@ -130,64 +130,76 @@
     }
 }
 
-/// Follows the ownership record.
-pub(crate) async fn follow_owner(state: Rc<DaemonState>) {
+/// Follows who owns the cells, and how the pool is divided.
+pub(crate) async fn follow_owners(state: Rc<DaemonState>) {
     follow(&state, OWNER_PREFIX, OWNER_WAIT, None, |news| {
         match news {
-            WatchNews::Snapshot(items, revision) => {
-                let item = items.iter().find(|item| item.key == OWNER_KEY);
-                // What is there has the revision of its change; an absence that of the read.
-                let revision = item.map_or(revision, |item| item.revision);
-                state.observe_owner(revision, item);
+            WatchNews::Snapshot(items, revision) => state.take_owners(&items, revision),
+            WatchNews::Changes(changes) => {
+                for change in &changes {
+                    take_owner_change(&state, change);
+                }
             }
-            WatchNews::Changes(changes) => observe_changes(&state, &changes),
         }
         true
     })
     .await;
 }
 
-fn observe_changes(state: &Rc<DaemonState>, changes: &[StoreChange]) {
-    for change in changes {
-        match change {
-            StoreChange::Written(item) if item.key == OWNER_KEY => {
-                state.observe_owner(item.revision, Some(item));
+fn take_owner_change(state: &Rc<DaemonState>, change: &StoreChange) {
+    match change {
+        // Nobody owns a cell of a pool that has just been divided.
+        StoreChange::Written(item) if item.key == PLAN_KEY => {
+            state.take_owners(std::slice::from_ref(item), item.revision);
+        }
+        StoreChange::Written(item) => {
+            if let Some(cell) = owned_cell(&item.key).and_then(|cell| state.cell(cell)) {
+                cell.observe_owner(state, item.revision, Some(item));
             }
-            StoreChange::Removed { key, revision } if key == OWNER_KEY => {
-                state.observe_owner(*revision, None);
+        }
+        StoreChange::Removed { key, revision } => {
+            if let Some(cell) = owned_cell(key).and_then(|cell| state.cell(cell)) {
+                cell.observe_owner(state, *revision, None);
             }
-            _ => {}
         }
     }
 }
 
-/// Loads the pool for a tenure and follows it until the tenure ends.
-pub(crate) async fn follow_pool(state: Rc<DaemonState>, tenure: u64) {
-    let Some(revision) = load_pool(&state, tenure).await else { return };
-    follow(&state, POOL_PREFIX, POOL_WAIT, Some(revision), |news| {
+/// Loads a cell for a tenure and follows it until the tenure ends.
+pub(crate) async fn follow_pool(state: Rc<DaemonState>, cell: Rc<CellState>, tenure: u64) {
+    let Some(revision) = load_pool(&state, &cell, tenure).await else { return };
+    follow(&state, &cell.keys.pool_prefix, POOL_WAIT, Some(revision), |news| {
         let changes = match news {
             WatchNews::Snapshot(items, _) => items.into_iter().map(StoreChange::Written).collect(),
-            WatchNews::Changes(changes) => {
-                // A change of the owner ends the tenure before jobs that follow it are taken in.
-                observe_changes(&state, &changes);
-                changes
-            }
+            WatchNews::Changes(changes) => changes,
         };
-        if !state.is_tenure(tenure) {
+        // A change of the owner ends the tenure before jobs that follow it are taken in.
+        for change in &changes {
+            if let StoreChange::Written(item) = change {
+                if cell.keys.names_owner(&item.key) {
+                    cell.observe_owner(&state, item.revision, Some(item));
+                }
+            }
+        }
+        if !cell.is_tenure(tenure) {
             return false;
         }
         if !changes.is_empty() {
-            state.apply(JobEvent::PoolChanged { changes });
+            cell.apply(&state, JobEvent::PoolChanged { changes });
         }
         true
     })
     .await;
 }
 
-async fn load_pool(state: &Rc<DaemonState>, tenure: u64) -> Option<StoreRevision> {
-    while state.is_tenure(tenure) {
-        let ledger = StoreCall::Read { prefix: LEDGER_PREFIX.to_owned() };
-        let pool = StoreCall::Read { prefix: POOL_PREFIX.to_owned() };
+async fn load_pool(
+    state: &Rc<DaemonState>,
+    cell: &Rc<CellState>,
+    tenure: u64,
+) -> Option<StoreRevision> {
+    while cell.is_tenure(tenure) {
+        let ledger = StoreCall::Read { prefix: cell.keys.ledger_prefix.clone() };
+        let pool = StoreCall::Read { prefix: cell.keys.pool_prefix.clone() };
         // Only this tenure writes the ledger now, so that it does not change between the reads.
         let ledger = state.call_store(&ledger, READ_TIMEOUT).await;
         let pool = state.call_store(&pool, READ_TIMEOUT).await;
@@ -199,11 +211,11 @@
             time::sleep(WATCH_PAUSE).await;
             continue;
         };
-        if !state.is_tenure(tenure) {
+        if !cell.is_tenure(tenure) {
             return None;
         }
         all.extend(items);
-        state.apply(JobEvent::Loaded { items: all });
+        cell.apply(state, JobEvent::Loaded { items: all });
         return Some(revision);
     }
     None
@@ -211,11 +223,11 @@
 
 /// Follows the executors' entries for a tenure. Reading them all again and again would take several
 /// Mbit/s with hundreds of executors.
-pub(crate) async fn follow_list(state: Rc<DaemonState>, tenure: u64) {
+pub(crate) async fn follow_list(state: Rc<DaemonState>, cell: Rc<CellState>, tenure: u64) {
     let mut entries: BTreeMap<String, ExecutorReport> = BTreeMap::new();
     let (mut changed, mut told_at) = (false, MonotonicTime::ZERO);
     follow(&state, EXECUTOR_PREFIX, LIST_WAIT, None, |news| {
-        if !state.is_tenure(tenure) {
+        if !cell.is_tenure(tenure) {
             return false;
         }
         match news {
@@ -240,7 +252,9 @@
         if changed && now >= told_at + LIST_INTERVAL {
             (changed, told_at) = (false, now);
             state.metrics.count("list.told", "");
-            state.apply(JobEvent::Listed { reports: entries.values().cloned().collect() });
+            let own = entries.values().filter(|report| state.is_in_cell(report, cell.id));
+            let reports = own.cloned().collect();
+            cell.apply(&state, JobEvent::Listed { reports });
         }
         true
     })
--- /dev/null
+++ b/crates/cuminbank-jobs/src/cells.rs
@@ -0,0 +1,142 @@
+//! Division of the pool into cells, each with an owner of its own.
+//!
+//! Answers size: one owner carries every order and every lease of its executors over its own link and
+//! with its own share of a core, and hundreds of executors are more than the weaker instances can
+//! carry. Executors belong to a cell by their rack, for as long as they live. A job goes to a cell when
+//! it is accepted and stays there. Its home cell follows from its id, so that every instance knows whom
+//! to ask first; it goes elsewhere if its home is loaded much more, or lacks a label that it needs.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{CellId, JobId, MonotonicTime},
+    job::JobRecord,
+    order::ExecutorReport,
+};
+
+/// Traffic of an executor through its owner in kbit/s, at the usual load: starts with their payload,
+/// holds and their answers.
+const EXECUTOR_KBPS: f64 = 30.0;
+/// Part of its link that an owner may use at the usual load; bursts take over twice as much.
+const LINK_PART: f64 = 0.4;
+/// Least executors of a cell: a job of a usual width has to fit into a part of it.
+const LEAST_EXECUTORS: usize = 12;
+/// Most cells; every instance asks each of their owners for its load.
+const MOST_CELLS: usize = 64;
+/// Use of its home cell, in percent, up to which a job goes there: it will hardly wait.
+const COMFORT_PERCENT: u32 = 85;
+/// By how much less another cell must be used before a job goes there, in percent: loads are old.
+const MARGIN_PERCENT: u32 = 10;
+/// Use that counts for a cell whose owner has not answered lately: it may have none.
+const UNKNOWN_PERCENT: u32 = 200;
+/// Age up to which a load counts.
+const LOAD_AGE: Duration = Duration::from_millis(1_800);
+
+/// How the pool is divided.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PoolPlan {
+    /// Number of cells.
+    pub cells: CellId,
+}
+
+/// Use of a cell as its owner tells it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct CellLoad {
+    /// Processor share that is in use or wanted, in percent of what there is.
+    pub use_percent: u32,
+    /// Kinds and racks of its executors.
+    pub labels: Vec<String>,
+}
+
+impl PoolPlan {
+    /// Divides a pool so that each owner can carry its executors.
+    pub fn new(executors: usize, most_executors: usize, link_mbps: f64) -> Self {
+        let by_count = executors.div_ceil(most_executors.max(1));
+        let wanted_kbps = executors as f64 * EXECUTOR_KBPS;
+        let by_link = (wanted_kbps / (link_mbps * 1_000.0 * LINK_PART)).ceil() as usize;
+        let most = (executors / LEAST_EXECUTORS).clamp(1, MOST_CELLS);
+        Self { cells: by_count.max(by_link).clamp(1, most) as CellId }
+    }
+
+    /// Returns the cell of an executor. Those of a rack are in one cell, for the sake of gangs and of
+    /// work near its data.
+    pub fn cell_of(&self, report: &ExecutorReport) -> CellId {
+        let rack = report.labels.last().unwrap_or(&report.name);
+        self.reduce(crc32fast::hash(rack.as_bytes()))
+    }
+
+    /// Returns the home cell of a job, and the one to which it may go instead.
+    pub fn homes(&self, job: JobId) -> (CellId, CellId) {
+        let bytes = job.to_be_bytes();
+        let home = self.reduce(crc32fast::hash(&bytes));
+        let others = u32::from(self.cells.max(2) - 1);
+        let step = 1 + crc32fast::hash(&bytes[1..]) % others;
+        (home, ((u32::from(home) + step) % u32::from(self.cells)) as CellId)
+    }
+
+    fn reduce(&self, hash: u32) -> CellId {
+        (hash % u32::from(self.cells.max(1))) as CellId
+    }
+}
+
+/// What an instance knows of the loads of the cells.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBoard {
+    loads: BTreeMap<CellId, (MonotonicTime, CellLoad)>,
+}
+
+impl LoadBoard {
+    /// Takes the load of a cell.
+    pub fn note(&mut self, now: MonotonicTime, cell: CellId, load: CellLoad) {
+        self.loads.insert(cell, (now, load));
+    }
+
+    /// Chooses the cell of a job that is about to be accepted.
+    pub fn choose(
+        &self,
+        now: MonotonicTime,
+        plan: &PoolPlan,
+        id: JobId,
+        record: &JobRecord,
+    ) -> CellId {
+        let (home, other) = plan.homes(id);
+        if plan.cells <= 1 {
+            return home;
+        }
+        match (self.suits(home, record), self.suits(other, record)) {
+            (true, true) => {
+                let (here, there) = (self.use_of(now, home), self.use_of(now, other));
+                let better = here > COMFORT_PERCENT && there + MARGIN_PERCENT < here;
+                if better {
+                    other
+                } else {
+                    home
+                }
+            }
+            (true, false) => home,
+            (false, true) => other,
+            (false, false) => (0..plan.cells)
+                .filter(|cell| self.suits(*cell, record))
+                .min_by_key(|cell| self.use_of(now, *cell))
+                .unwrap_or(home),
+        }
+    }
+
+    fn use_of(&self, now: MonotonicTime, cell: CellId) -> u32 {
+        let known = self.loads.get(&cell).filter(|(at, _)| now <= *at + LOAD_AGE);
+        known.map_or(UNKNOWN_PERCENT, |(_, load)| load.use_percent)
+    }
+
+    /// Tells whether a cell has every label and rack that a job wants, as far as it is known.
+    fn suits(&self, cell: CellId, record: &JobRecord) -> bool {
+        let wanted = || {
+            record.steps.iter().flat_map(|step| [&step.required_label, &step.data_rack]).flatten()
+        };
+        match self.loads.get(&cell) {
+            Some((_, load)) => wanted().all(|label| load.labels.contains(label)),
+            None => wanted().next().is_none(),
+        }
+    }
+}
--- a/crates/cuminbank-jobs/src/ids.rs
+++ b/crates/cuminbank-jobs/src/ids.rs
@@ -20,6 +20,8 @@
 pub type RunNumber = u32;
 /// Place of a task in its job, counted over all occurrences and steps.
 pub type TaskIndex = u32;
+/// Number of a cell of the pool, from 0.
+pub type CellId = u16;
 /// Revision of the store.
 pub type StoreRevision = u64;
 /// Lease of the store.
--- a/crates/cuminbank-jobs/src/peer.rs
+++ b/crates/cuminbank-jobs/src/peer.rs
@@ -3,25 +3,37 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{JobId, OwnerEpoch, QueueName},
+    cells::CellLoad,
+    ids::{CellId, JobId, OwnerEpoch, QueueName},
     job::JobPhase,
 };
 
-/// What an entry instance asks the owner of the pool.
+/// What an entry instance asks the owner of a cell.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum OwnerQuestion {
     /// The phase of a job.
     Phase {
+        /// The cell.
+        cell: CellId,
         /// The job.
         job: JobId,
     },
     /// How many accepted jobs of a queue have not started.
     Pending {
+        /// The cell.
+        cell: CellId,
         /// The queue.
         queue: QueueName,
     },
+    /// How much the cell is used.
+    Load {
+        /// The cell.
+        cell: CellId,
+    },
     /// The next owner asks its predecessor to give no more orders.
     Yield {
+        /// The cell.
+        cell: CellId,
         /// Start of the predecessor's process.
         start: u64,
         /// Epoch of the next owner.
@@ -29,6 +41,18 @@
     },
 }
 
+impl OwnerQuestion {
+    /// Returns the cell whose owner is asked.
+    pub fn cell(&self) -> CellId {
+        match self {
+            Self::Phase { cell, .. }
+            | Self::Pending { cell, .. }
+            | Self::Load { cell }
+            | Self::Yield { cell, .. } => *cell,
+        }
+    }
+}
+
 /// What the owner answers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum OwnerAnswer {
@@ -38,6 +62,8 @@
     Unknown,
     /// Number of jobs.
     Pending(u64),
+    /// Use of the cell.
+    Load(CellLoad),
     /// The process that was asked for gives no more orders.
     Yielded {
         /// For how long at least it has given none.
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -11,7 +11,7 @@
 use crate::{
     ids::{JobId, StoreRevision, TaskIndex, WallTime},
     job::{JobOutcome, JobRecord, TaskLayout},
-    keys::{job_of, CANCEL_PREFIX, JOB_PREFIX, OWNER_KEY},
+    keys::job_of,
     progress::JobProgress,
     slack::SlackWindow,
     store::{decode_value, StoreChange},
@@ -26,15 +26,15 @@
     pub(super) fn on_pool_changed(&mut self, changes: Vec<StoreChange>) {
         for change in changes {
             match change {
-                StoreChange::Written(item) if item.key.starts_with(JOB_PREFIX) => {
+                StoreChange::Written(item) if item.key.starts_with(&self.keys.job_prefix) => {
                     self.add_job_item(&item.key, &item.value, item.created, None);
                 }
-                StoreChange::Written(item) if item.key.starts_with(CANCEL_PREFIX) => {
-                    if let Some(job) = job_of(&item.key, CANCEL_PREFIX) {
+                StoreChange::Written(item) if item.key.starts_with(&self.keys.cancel_prefix) => {
+                    if let Some(job) = job_of(&item.key, &self.keys.cancel_prefix) {
                         self.cancel_job(job);
                     }
                 }
-                StoreChange::Written(item) if item.key == OWNER_KEY => {
+                StoreChange::Written(item) if self.keys.names_owner(&item.key) => {
                     self.effects.push(super::JobEffect::OwnerSeen(Some(item)));
                 }
                 StoreChange::Written(_) | StoreChange::Removed { .. } => {}
@@ -49,7 +49,7 @@
         created: StoreRevision,
         progress: Option<JobProgress>,
     ) {
-        let Some(id) = job_of(key, JOB_PREFIX) else { return };
+        let Some(id) = job_of(key, &self.keys.job_prefix) else { return };
         if self.job_ids.contains_key(&id) || self.ended_jobs.contains_key(&id) {
             return;
         }
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -11,9 +11,7 @@
 use crate::{
     ids::{BirthMillis, JobId, MonotonicTime, OwnerEpoch, StoreRevision, WriteId},
     job::JobOutcome,
-    keys::{
-        cancel_key, job_key, progress_key, COLOCATION_KEY, OWNER_KEY, ROSTER_KEY, SEQUENCE_KEY,
-    },
+    keys::accepted_key,
     progress::JobProgress,
     roster::{ExecutorRoster, RosterEntry},
     store::{
@@ -93,8 +91,10 @@
             return self.acknowledge(self.unrecorded_ends());
         }
         let Some(owner_revision) = self.owner_revision else { return };
-        let mut removes: Vec<String> =
-            std::mem::take(&mut self.journal.forgotten).into_iter().map(progress_key).collect();
+        let mut removes: Vec<String> = std::mem::take(&mut self.journal.forgotten)
+            .into_iter()
+            .flat_map(|job| [self.keys.progress(job), accepted_key(job)])
+            .collect();
         let mut entries = FIXED_ENTRIES + removes.len();
         let mut jobs: Vec<JobKey> = Vec::new();
         while let Some(key) = self.journal.dirty.front().copied() {
@@ -112,12 +112,12 @@
         self.last_write += 1;
         let number = self.last_write;
         let sequence = encode_value(&(self.epoch, number));
-        let mut puts = vec![StorePut::new(SEQUENCE_KEY, sequence)];
+        let mut puts = vec![StorePut::new(self.keys.sequence.clone(), sequence)];
         let mut outcomes = Vec::with_capacity(jobs.len());
         for key in jobs {
             let Some(job) = self.jobs.get(key) else { continue };
             if job.outcome.is_some() {
-                removes.extend([job_key(job.id), cancel_key(job.id)]);
+                removes.extend([self.keys.job(job.id), self.keys.cancel(job.id)]);
             }
             let tasks = match job.outcome {
                 Some(_) => Vec::new(),
@@ -128,7 +128,7 @@
             };
             let ended_at = job.outcome.map(|_| self.wall);
             let progress = JobProgress { outcome: job.outcome, ended_at, tasks };
-            puts.push(StorePut::new(progress_key(job.id), encode_value(&progress)));
+            puts.push(StorePut::new(self.keys.progress(job.id), encode_value(&progress)));
             outcomes.push((key, job.outcome));
         }
         let has_roster = self.journal.roster_dirty;
@@ -140,15 +140,17 @@
                 // An executor that leaves the roster gets no work until it is back there.
                 executor.enrolled &= enrolled.contains(&key);
             }
-            puts.push(StorePut::new(ROSTER_KEY, encode_value(&self.roster(&enrolled))));
+            let roster = encode_value(&self.roster(&enrolled));
+            puts.push(StorePut::new(self.keys.roster.clone(), roster));
         }
         if self.now >= self.journal.colocation_at {
             self.journal.colocation_at = self.now + COLOCATION_INTERVAL;
-            puts.push(StorePut::new(COLOCATION_KEY, encode_value(&self.colocation)));
+            let learned = encode_value(&self.colocation);
+            puts.push(StorePut::new(self.keys.colocation.clone(), learned));
         }
         let expected = vec![
-            (OWNER_KEY.to_owned(), owner_revision),
-            (SEQUENCE_KEY.to_owned(), self.journal.sequence_revision),
+            (self.keys.owner.clone(), owner_revision),
+            (self.keys.sequence.clone(), self.journal.sequence_revision),
         ];
         let txn = StoreTxn { expected, puts, removes };
         self.journal.proof_wanted = false;
@@ -269,14 +271,14 @@
     }
 
     fn on_flush_conflict(&mut self, flush: FlushState, items: &[StoreItem]) {
-        let sequence = items.iter().find(|item| item.key == SEQUENCE_KEY);
+        let sequence = items.iter().find(|item| item.key == self.keys.sequence);
         let written = sequence.and_then(|item| decode_value::<(OwnerEpoch, WriteId)>(&item.value));
         if let (Some(item), Some((epoch, number))) = (sequence, written) {
             if epoch == self.epoch && number == flush.number {
                 return self.finish_flush(flush, item.revision);
             }
         }
-        let owner = items.iter().find(|item| item.key == OWNER_KEY).cloned();
+        let owner = items.iter().find(|item| item.key == self.keys.owner).cloned();
         let detail = format!(
             "number={} sequence={written:?} owner_revision={:?}",
             flush.number,
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -1,4 +1,4 @@
-//! Decisions of the owner of a pool of executors.
+//! Decisions of the owner of a cell, a part of the pool of executors.
 //!
 //! The owner reads accepted jobs from the store, starts their tasks on executors, records how runs
 //! end and acknowledges an end only after it is recorded. Starts are not recorded: after a change of
@@ -39,12 +39,15 @@
     state::{ExecutorState, JobState, RunState},
 };
 use crate::{
+    cells::CellLoad,
     colocation::{ColocationModel, ImageId},
     guards::JobGuards,
     ids::{
-        ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, StoreRevision, WallTime, WriteId,
+        CellId, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, StoreRevision, WallTime,
+        WriteId,
     },
     job::{JobOutcome, StepName},
+    keys::CellKeys,
     order::{AdviceFailure, AdviceReply, ExecutorOrder, ExecutorReport, OrderFailure, OrderReply},
     store::{StoreChange, StoreFailure, StoreItem, StoreTxn, TxnOutcome},
     tenure::HeldTenure,
@@ -188,9 +191,13 @@
     pub time: Option<Duration>,
 }
 
-/// Scheduler of one tenure.
+/// Scheduler of one tenure of a cell.
 pub struct JobScheduler {
     bounds: SchedulerBounds,
+    keys: CellKeys,
+    /// Use of the cell, and when it is worked out again.
+    load: CellLoad,
+    next_load_at: MonotonicTime,
     guards: JobGuards,
     epoch: OwnerEpoch,
     /// Revision at which the tenure began: jobs created later have no earlier runs.
@@ -258,6 +265,9 @@
     pub fn new(bounds: SchedulerBounds, tenure: &HeldTenure, now: MonotonicTime) -> Self {
         Self {
             bounds,
+            keys: CellKeys::new(0),
+            load: CellLoad::default(),
+            next_load_at: MonotonicTime::ZERO,
             guards: JobGuards::default(),
             epoch: tenure.epoch,
             began: tenure.began,
@@ -302,6 +312,12 @@
         }
     }
 
+    /// Names the cell.
+    pub fn with_cell(mut self, cell: CellId) -> Self {
+        self.keys = CellKeys::new(cell);
+        self
+    }
+
     /// Switches guards off, for tests.
     pub fn with_guards(mut self, guards: JobGuards) -> Self {
         self.guards = guards;
@@ -360,6 +376,7 @@
         self.drive_contacts();
         self.drive_orders();
         self.watch_runs();
+        self.update_load();
         self.placing_wanted = true;
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -8,10 +8,7 @@
 use crate::{
     colocation::ColocationModel,
     ids::{ExecutorName, JobId},
-    keys::{
-        job_of, CANCEL_PREFIX, COLOCATION_KEY, JOB_PREFIX, PROGRESS_PREFIX, ROSTER_KEY,
-        SEQUENCE_KEY,
-    },
+    keys::job_of,
     progress::JobProgress,
     roster::ExecutorRoster,
     store::{decode_value, StoreItem},
@@ -29,10 +26,11 @@
             return;
         }
         self.loaded = true;
+        let keys = self.keys.clone();
         let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
         let mut roster = ExecutorRoster::default();
         for item in &items {
-            if let Some(job) = job_of(&item.key, PROGRESS_PREFIX) {
+            if let Some(job) = job_of(&item.key, &keys.progress_prefix) {
                 // A record that cannot be read is treated as missing: its tasks run again.
                 match decode_value(&item.value) {
                     Some(record) => {
@@ -44,13 +42,13 @@
                         format!("key={} bytes={}", item.key, item.value.len()),
                     ),
                 }
-            } else if item.key == ROSTER_KEY {
+            } else if item.key == keys.roster {
                 roster = decode_value(&item.value).unwrap_or_default();
-            } else if item.key == COLOCATION_KEY {
+            } else if item.key == keys.colocation {
                 if let Some(model) = decode_value::<ColocationModel>(&item.value) {
                     self.colocation = model.with_time(self.now);
                 }
-            } else if item.key == SEQUENCE_KEY {
+            } else if item.key == keys.sequence {
                 self.journal.sequence_revision = item.revision;
             }
         }
@@ -67,13 +65,14 @@
             }
         }
         for item in &items {
-            if item.key.starts_with(JOB_PREFIX) {
-                let known = job_of(&item.key, JOB_PREFIX).and_then(|job| progress.remove(&job));
+            if item.key.starts_with(&keys.job_prefix) {
+                let known = job_of(&item.key, &keys.job_prefix);
+                let known = known.and_then(|job| progress.remove(&job));
                 self.add_job_item(&item.key, &item.value, item.created, known);
             }
         }
         for item in &items {
-            if let Some(job) = job_of(&item.key, CANCEL_PREFIX) {
+            if let Some(job) = job_of(&item.key, &keys.cancel_prefix) {
                 self.cancel_job(job);
             }
         }
--- a/crates/cuminbank-jobs/src/settings.rs
+++ b/crates/cuminbank-jobs/src/settings.rs
@@ -42,10 +42,18 @@
     pub processor_share: f64,
     /// Bandwidth of the instance's link in Mbit/s, 0.1 to 1,000,000.
     pub link_mbps: f64,
+    /// Most executors of a cell, 1 to 5,000. Read when the pool is first divided.
+    #[serde(default = "default_cell_executors")]
+    pub cell_executors: usize,
     /// How long the outcome of an ended job is kept, in milliseconds.
     pub retention_ms: u64,
 }
 
+/// Executors that an owner with half a core carries with time to spare.
+fn default_cell_executors() -> usize {
+    400
+}
+
 impl JobSettings {
     /// Reads and checks a settings file; an error names it.
     pub fn read(path: &Path) -> Result<Self, String> {
@@ -111,6 +119,7 @@
                 allowed: "0.1 to 1000000".to_owned(),
             });
         }
+        check_range("cell_executors", self.cell_executors as u64, 1, 5_000)?;
         check_range("retention_ms", self.retention_ms, 1_000, 86_400_000)
     }
 }
--- a/crates/cuminbank-jobs/src/tenure.rs
+++ b/crates/cuminbank-jobs/src/tenure.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{InstanceName, LeaseId, MonotonicTime, OwnerEpoch, StoreRevision, WriteId},
-    keys::{EPOCH_KEY, OWNER_KEY, OWNER_PREFIX},
+    ids::{CellId, InstanceName, LeaseId, MonotonicTime, OwnerEpoch, StoreRevision, WriteId},
+    keys::CellKeys,
     store::{
         decode_value, encode_value, StoreCall, StoreFailure, StoreItem, StorePut, StoreReply,
         StoreTxn, TxnOutcome,
@@ -26,9 +26,14 @@
 /// Pause before a vacant pool is claimed by an instance that did not own it, for the benefit of an
 /// owner that still has everything in memory.
 pub const CLAIM_DELAY: Duration = Duration::from_millis(250);
-/// Share of a core with which an instance claims after [`CLAIM_DELAY`]. One with a greater share
-/// claims earlier, since the work of an owner grows with the executors.
+/// Share of a core and bandwidth with which an instance claims after [`CLAIM_DELAY`]. One with more
+/// claims earlier, since the work and the traffic of an owner grow with the executors.
 pub const USUAL_SHARE: f64 = 0.25;
+const USUAL_LINK_MBPS: f64 = 100.0;
+/// Span over which instances of the same strength spread their claims of a cell.
+const CLAIM_SPREAD: Duration = Duration::from_millis(120);
+/// Further pause for each other cell that an instance owns: a claim takes three calls of the store.
+const OTHER_CELL_DELAY: Duration = Duration::from_millis(400);
 /// Bounds of the factor on the delay.
 const LEAST_DELAY_FACTOR: f64 = 0.4;
 const MOST_DELAY_FACTOR: f64 = 4.0;
@@ -37,6 +42,12 @@
 /// Longest time for a call of the tenure.
 pub const TENURE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Returns the factor on pauses before an instance offers itself: the less it can carry, the greater.
+pub fn weakness(share: f64, link_mbps: f64) -> f64 {
+    let factor = (USUAL_SHARE / share).max(USUAL_LINK_MBPS / link_mbps);
+    factor.clamp(LEAST_DELAY_FACTOR, MOST_DELAY_FACTOR)
+}
+
 /// The ownership record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OwnerRecord {
@@ -95,6 +106,7 @@
 #[derive(Clone, Debug)]
 pub struct TenureState {
     identity: OwnerRecord,
+    keys: CellKeys,
     held: Option<HeldTenure>,
     /// When this process stopped giving orders of its last tenure that has ended.
     stopped_at: Option<MonotonicTime>,
@@ -112,6 +124,8 @@
     draining: bool,
     ttl: Duration,
     claim_delay: Duration,
+    /// Cells that the process owns or claims besides this one.
+    other_cells: u32,
     /// Removal of the ownership record, repeated until it is answered: without it the next owner
     /// waits for the end of the lease.
     release: Option<(WriteId, StoreTxn)>,
@@ -123,6 +137,7 @@
     pub fn new(instance: InstanceName, start: u64, peer_address: std::net::SocketAddr) -> Self {
         Self {
             identity: OwnerRecord { instance, start, peer_address, epoch: 0 },
+            keys: CellKeys::new(0),
             held: None,
             stopped_at: None,
             observed: None,
@@ -137,6 +152,7 @@
             draining: false,
             ttl: TENURE_TTL,
             claim_delay: CLAIM_DELAY,
+            other_cells: 0,
             release: None,
             calls: 0,
         }
@@ -148,13 +164,32 @@
         self
     }
 
-    /// Sets the share of a core that the instance may use.
-    pub fn with_processor_share(mut self, share: f64) -> Self {
-        let factor = (USUAL_SHARE / share).clamp(LEAST_DELAY_FACTOR, MOST_DELAY_FACTOR);
-        self.claim_delay = CLAIM_DELAY.mul_f64(factor);
+    /// Names the cell.
+    pub fn with_cell(mut self, cell: CellId) -> Self {
+        self.keys = CellKeys::new(cell);
+        self
+    }
+
+    /// Sets what the instance can carry: its share of a core, and the bandwidth of its link in Mbit/s.
+    pub fn with_strength(mut self, share: f64, link_mbps: f64) -> Self {
+        // Instances of the same strength claim different cells first.
+        let name = format!("{}/{}", self.identity.instance, self.keys.cell);
+        let place = f64::from(crc32fast::hash(name.as_bytes()) % 100) / 100.0;
+        let spread = CLAIM_SPREAD.mul_f64(place);
+        self.claim_delay = CLAIM_DELAY.mul_f64(weakness(share, link_mbps)) + spread;
         self
     }
 
+    /// Notes how many other cells the process owns or claims; an instance with less to do goes first.
+    pub fn set_other_cells(&mut self, count: u32) {
+        self.other_cells = count;
+    }
+
+    /// Tells whether this instance owns the cell or is about to.
+    pub fn is_engaged(&self) -> bool {
+        self.held.is_some() || self.pending.is_some()
+    }
+
     /// Returns the ownership that this instance holds.
     pub fn held(&self) -> Option<&HeldTenure> {
         self.held.as_ref()
@@ -172,8 +207,8 @@
         let mut effects = self.end(now, "planned stop");
         if let Some(revision) = held.revision {
             let txn = StoreTxn {
-                expected: vec![(OWNER_KEY.to_owned(), revision)],
-                removes: vec![OWNER_KEY.to_owned()],
+                expected: vec![(self.keys.owner.clone(), revision)],
+                removes: vec![self.keys.owner.clone()],
                 ..StoreTxn::default()
             };
             effects.push(self.send_release(txn));
@@ -231,7 +266,10 @@
             return self.renew(now);
         }
         let Some(vacant_since) = self.vacant_since else { return Vec::new() };
-        let delay = if self.held.is_some() { Duration::ZERO } else { self.claim_delay };
+        let delay = match self.held {
+            Some(_) => Duration::ZERO,
+            None => self.claim_delay + OTHER_CELL_DELAY * self.other_cells,
+        };
         if self.pending.is_some() || now < vacant_since + delay || now < self.next_claim {
             return Vec::new();
         }
@@ -264,7 +302,7 @@
         self.pending = None;
         match (pending, result) {
             (PendingCall::Grant, Ok(StoreReply::Granted { lease })) => {
-                let call = StoreCall::Read { prefix: OWNER_PREFIX.to_owned() };
+                let call = StoreCall::Read { prefix: self.keys.owner_prefix.clone() };
                 self.start(PendingCall::Read { lease }, call)
             }
             (PendingCall::Read { lease }, Ok(StoreReply::Items { items, .. })) => {
@@ -274,7 +312,7 @@
                 TxnOutcome::Committed { revision } => self.begin(now, lease, epoch, revision),
                 TxnOutcome::Conflict { items } => {
                     self.next_claim = now + CLAIM_PAUSE;
-                    let owner = items.iter().find(|item| item.key == OWNER_KEY);
+                    let owner = items.iter().find(|item| item.key == self.keys.owner);
                     match owner.cloned() {
                         Some(item) => self.observe(now, item.revision, Some(&item)),
                         None => Vec::new(),
@@ -325,23 +363,25 @@
         lease: LeaseId,
         items: &[StoreItem],
     ) -> Vec<TenureEffect> {
-        if let Some(owner) = items.iter().find(|item| item.key == OWNER_KEY) {
+        if let Some(owner) = items.iter().find(|item| item.key == self.keys.owner) {
             self.next_claim = now + CLAIM_PAUSE;
             return self.observe(now, owner.revision, Some(&owner.clone()));
         }
-        let last = items.iter().find(|item| item.key == EPOCH_KEY);
+        let last = items.iter().find(|item| item.key == self.keys.epoch);
         let last_owner = last.and_then(|item| decode_value::<OwnerRecord>(&item.value));
         let last_epoch = last_owner.as_ref().map_or(0, |owner| owner.epoch);
         let last_revision = last.map_or(0, |item| item.revision);
         let resumes = self.held.is_some_and(|held| held.epoch == last_epoch);
         let epoch = if resumes { last_epoch } else { last_epoch + 1 };
         let record = OwnerRecord { epoch, ..self.identity.clone() };
-        let mut puts = vec![StorePut::new(OWNER_KEY, encode_value(&record)).with_lease(lease)];
+        let mut puts =
+            vec![StorePut::new(self.keys.owner.clone(), encode_value(&record)).with_lease(lease)];
         if !resumes {
-            puts.push(StorePut::new(EPOCH_KEY, encode_value(&record)));
+            puts.push(StorePut::new(self.keys.epoch.clone(), encode_value(&record)));
+            puts.push(StorePut::new(self.keys.epoch_mark.clone(), encode_value(&record)));
             self.predecessor = last_owner;
         }
-        let expected = vec![(OWNER_KEY.to_owned(), 0), (EPOCH_KEY.to_owned(), last_revision)];
+        let expected = vec![(self.keys.owner.clone(), 0), (self.keys.epoch.clone(), last_revision)];
         self.claimed = Some((lease, epoch));
         let txn = StoreTxn { expected, puts, removes: Vec::new() };
         self.start(PendingCall::Claim { lease, epoch }, StoreCall::Commit(txn))
--- a/crates/cuminbank-jobs/tests/support/world/faults.rs
+++ b/crates/cuminbank-jobs/tests/support/world/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cuminbank_jobs::keys::OWNER_KEY;
+use cuminbank_jobs::keys::CellKeys;
 
 use super::{Action, FakeWorld, WorldFault};
 
@@ -25,7 +25,7 @@
             WorldFault::CutFromStore { instance, span } => {
                 self.instances[instance].store_cut_until = self.now + span;
             }
-            WorldFault::RevokeOwner => self.store.remove(OWNER_KEY),
+            WorldFault::RevokeOwner => self.store.remove(&CellKeys::new(0).owner),
             WorldFault::CutFromExecutors { instance, executors, span } => {
                 let until = self.now + span;
                 let cut = &mut self.instances[instance].executors_cut;
--- a/crates/cuminbank-jobs/tests/support/world/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/world/mod.rs
@@ -14,7 +14,7 @@
     guards::JobGuards,
     ids::{JobId, MonotonicTime, OrderId, StoreRevision, WriteId},
     job::{JobOutcome, JobPhase, JobRecord},
-    keys::{cancel_key, job_key},
+    keys::{accepted_key, CellKeys},
     order::{AdviceFailure, AdviceReply, ExecutorOrder, OrderFailure, OrderReply, RunEnd},
     scheduler::{JobEvent, JobScheduler},
     store::{
@@ -270,8 +270,11 @@
     /// Stores a job as an entry instance does.
     pub fn submit(&mut self, id: JobId, record: JobRecord) {
         let txn = StoreTxn {
-            expected: vec![(job_key(id), 0)],
-            puts: vec![StorePut::new(job_key(id), encode_value(&record))],
+            expected: vec![(accepted_key(id), 0)],
+            puts: vec![
+                StorePut::new(accepted_key(id), encode_value(&0u16)),
+                StorePut::new(CellKeys::new(0).job(id), encode_value(&record)),
+            ],
             removes: Vec::new(),
         };
         self.checks.records.insert(id, record);
@@ -280,7 +283,7 @@
 
     /// Stores a request to cancel as an entry instance does.
     pub fn cancel(&mut self, id: JobId) {
-        let puts = vec![StorePut::new(cancel_key(id), Vec::new())];
+        let puts = vec![StorePut::new(CellKeys::new(0).cancel(id), Vec::new())];
         let txn = StoreTxn { puts, ..StoreTxn::default() };
         self.store.call(self.now, &StoreCall::Commit(txn));
     }
--- a/crates/cuminbank-jobs/tests/support/world/watches.rs
+++ b/crates/cuminbank-jobs/tests/support/world/watches.rs
@@ -1,10 +1,6 @@
 //! What the store tells the instances.
 
-use cuminbank_jobs::{
-    keys::{LEDGER_PREFIX, OWNER_KEY, POOL_PREFIX},
-    scheduler::JobEvent,
-    store::StoreChange,
-};
+use cuminbank_jobs::{keys::CellKeys, scheduler::JobEvent, store::StoreChange};
 
 use super::{key_of, revision_of, FakeWorld, LIST, LIST_SILENCE};
 
@@ -14,8 +10,8 @@
     }
 
     pub(super) fn watch(&mut self, number: usize) {
-        let revision = self.store.revision;
-        let owner = self.store.read(OWNER_KEY).into_iter().next();
+        let (keys, revision) = (CellKeys::new(0), self.store.revision);
+        let owner = self.store.read(&keys.owner).into_iter().next();
         let Some(watched) = self.instances[number].watched else {
             self.instances[number].watched = Some(revision);
             let seen = owner.as_ref().map_or(revision, |item| item.revision);
@@ -32,10 +28,10 @@
             .collect();
         for change in &news {
             let effects = match change {
-                StoreChange::Written(item) if item.key == OWNER_KEY => {
+                StoreChange::Written(item) if item.key == keys.owner => {
                     self.instances[number].tenure.observe(self.now, item.revision, Some(item))
                 }
-                StoreChange::Removed { key, revision } if key == OWNER_KEY => {
+                StoreChange::Removed { key, revision } if *key == keys.owner => {
                     self.instances[number].tenure.observe(self.now, *revision, None)
                 }
                 _ => continue,
@@ -46,15 +42,15 @@
     }
 
     pub(super) fn feed_scheduler(&mut self, number: usize) {
-        let now = self.now;
+        let (keys, now) = (CellKeys::new(0), self.now);
         if self.instances[number].scheduler.is_none() {
             return;
         }
         if self.instances[number].loads_at.is_some_and(|at| now >= at) {
             self.instances[number].loads_at = None;
             self.instances[number].pool_watched = self.store.revision;
-            let mut items = self.store.read(LEDGER_PREFIX);
-            items.extend(self.store.read(POOL_PREFIX));
+            let mut items = self.store.read(&keys.ledger_prefix);
+            items.extend(self.store.read(&keys.pool_prefix));
             self.apply(number, JobEvent::Loaded { items });
         }
         if self.instances[number].loads_at.is_some() {
@@ -65,7 +61,9 @@
             .store
             .changes
             .iter()
-            .filter(|change| revision_of(change) > after && key_of(change).starts_with(POOL_PREFIX))
+            .filter(|change| {
+                revision_of(change) > after && key_of(change).starts_with(&keys.pool_prefix)
+            })
             .cloned()
             .collect();
         self.instances[number].pool_watched = self.store.revision;
--- a/crates/cuminbank-jobs/tests/tenure.rs
+++ b/crates/cuminbank-jobs/tests/tenure.rs
@@ -4,7 +4,7 @@
 
 use cuminbank_jobs::{
     ids::MonotonicTime,
-    keys::OWNER_KEY,
+    keys::CellKeys,
     store::{StoreCall, StoreFailure, StoreTxn},
     tenure::{HeldTenure, TenureEffect, TenureState, ACT_WITHOUT_STORE, CLAIM_DELAY, TENURE_TTL},
 };
@@ -43,7 +43,7 @@
     now: MonotonicTime,
 ) -> Vec<TenureEffect> {
     store.expire(now);
-    let item = store.read(OWNER_KEY).into_iter().next();
+    let item = store.read(&CellKeys::new(0).owner).into_iter().next();
     let revision = item.as_ref().map_or(store.revision, |item| item.revision);
     let effects = state.observe(now, revision, item.as_ref());
     settle(store, state, now, effects)
@@ -127,7 +127,7 @@
     assert!(owner.observe(START + CLAIM_DELAY, revision - 1, None).is_empty());
     assert!(owner.held().is_some_and(|held| held.revision.is_some()));
     // A later removal counts.
-    let txn = StoreTxn { removes: vec![OWNER_KEY.to_owned()], ..StoreTxn::default() };
+    let txn = StoreTxn { removes: vec![CellKeys::new(0).owner], ..StoreTxn::default() };
     store.call(START, &StoreCall::Commit(txn));
     owner.observe(START + CLAIM_DELAY, store.revision, None);
     assert!(owner.held().is_some_and(|held| held.revision.is_none()));
@@ -177,7 +177,7 @@
     let now = START + CLAIM_DELAY;
     let again = owner.ended(now, *id, Err(StoreFailure::Unknown));
     settle(&mut store, &mut owner, now, again);
-    assert!(store.read(OWNER_KEY).is_empty());
+    assert!(store.read(&CellKeys::new(0).owner).is_empty());
 }
 
 // Guards against an owner on the slowest machine of the fleet while others could have the pool.
@@ -185,7 +185,7 @@
 fn greater_share_claims_earlier() {
     let claims_at = |share: f64| {
         let (mut store, fresh) = (FakeStore::default(), state("a", 1));
-        let mut state = fresh.with_processor_share(share);
+        let mut state = fresh.with_strength(share, 1_000.0);
         observe(&mut store, &mut state, START);
         let mut delay = Duration::ZERO;
         while state.tick(START + delay).is_empty() {
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -117,6 +117,7 @@
     SETTINGS_CHECKED = (755, Info, "The settings file was checked again.");
     LINES_DROPPED = (756, Warn, "Log lines were dropped because the reader is too slow.");
     STORE_UNREADABLE = (757, Error, "An item of the store cannot be read.");
+    POOL_DIVIDED = (758, Info, "The division of the pool into cells was proposed or taken.");
 }
 
 impl LogRecord {
