Cells of 64 executors and more, and fewer calls of the store

Change: cells have 64 executors at least; entries are watched with a pause of 400 ms; owners write at intervals that grow with the number of cells, to 60 ms.

--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -249,7 +249,7 @@
         };
         let now: MonotonicTime = clock::now();
         let scheduler = JobScheduler::new(bounds, held, now)
-            .with_cell(self.id)
+            .with_cell(self.id, state.all_cells().len() as CellId)
             .with_processor_share(settings.processor_share)
             .with_link(settings.link_mbps);
         *self.scheduler.borrow_mut() = Some(scheduler);
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -4,7 +4,7 @@
 
 use cuminbank::log::{POOL_CONFIG_IN_FORCE, POOL_CONFIG_UNREADABLE};
 use cuminbank_jobs::{
-    ids::{MonotonicTime, StoreRevision},
+    ids::StoreRevision,
     keys::{owned_cell, OWNER_PREFIX, PLAN_KEY},
     order::ExecutorReport,
     scheduler::{DecisionRecord, JobEvent},
@@ -13,7 +13,7 @@
 use cuminbank_platform::{config::decode_config, store::WatchReply, CONFIG_KEY, EXECUTOR_PREFIX};
 use monoio::time;
 
-use crate::{cell::CellState, clock, daemon::DaemonState};
+use crate::{cell::CellState, daemon::DaemonState};
 
 /// Wait of a watch of the configuration. A change must be in force within 2 s also if the watch's
 /// connection has gone silent.
@@ -30,9 +30,9 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(150);
 /// Wait of the owner's watch of the executors' entries.
 const LIST_WAIT: Duration = Duration::from_millis(1_000);
-/// Least time between two lists that the scheduler gets: entries change one by one. An executor that
-/// drains must get no new work after 2 s.
-const LIST_INTERVAL: Duration = Duration::from_millis(200);
+/// Pause before each watch of the entries, which change with every heartbeat. An executor that drains
+/// must get no new work after 2 s.
+const LIST_INTERVAL: Duration = Duration::from_millis(400);
 
 /// What a watch delivers to its consumer.
 enum WatchNews {
@@ -42,11 +42,12 @@
     Changes(Vec<StoreChange>),
 }
 
-/// Reads a prefix and then watches it until `consume` returns false.
+/// Reads a prefix and then watches it until `consume` returns false, with a pause before each watch that
+/// waits for so long at most.
 async fn follow(
     state: &Rc<DaemonState>,
     prefix: &str,
-    wait: Duration,
+    (wait, pause): (Duration, Duration),
     from: Option<StoreRevision>,
     mut consume: impl FnMut(WatchNews) -> bool,
 ) {
@@ -67,6 +68,7 @@
             continue;
         };
         let log = |record| state.log(&record);
+        time::sleep(pause).await;
         match state.store.watch(prefix, revision, wait, margin, log).await {
             Ok(WatchReply::Changes(changes, next)) => {
                 margin = WATCH_MARGIN;
@@ -90,7 +92,7 @@
 
 /// Keeps the configuration in force.
 pub(crate) async fn follow_config(state: Rc<DaemonState>) {
-    follow(&state, CONFIG_KEY, CONFIG_WAIT, None, |news| {
+    follow(&state, CONFIG_KEY, (CONFIG_WAIT, Duration::ZERO), None, |news| {
         let items: Vec<StoreItem> = match news {
             WatchNews::Snapshot(items, _) => items,
             WatchNews::Changes(changes) => changes.into_iter().filter_map(written).collect(),
@@ -132,7 +134,7 @@
 
 /// Follows who owns the cells, and how the pool is divided.
 pub(crate) async fn follow_owners(state: Rc<DaemonState>) {
-    follow(&state, OWNER_PREFIX, OWNER_WAIT, None, |news| {
+    follow(&state, OWNER_PREFIX, (OWNER_WAIT, Duration::ZERO), None, |news| {
         match news {
             WatchNews::Snapshot(items, revision) => state.take_owners(&items, revision),
             WatchNews::Changes(changes) => {
@@ -168,7 +170,7 @@
 /// Loads a cell for a tenure and follows it until the tenure ends.
 pub(crate) async fn follow_pool(state: Rc<DaemonState>, cell: Rc<CellState>, tenure: u64) {
     let Some(revision) = load_pool(&state, &cell, tenure).await else { return };
-    follow(&state, &cell.keys.pool_prefix, POOL_WAIT, Some(revision), |news| {
+    follow(&state, &cell.keys.pool_prefix, (POOL_WAIT, Duration::ZERO), Some(revision), |news| {
         let changes = match news {
             WatchNews::Snapshot(items, _) => items.into_iter().map(StoreChange::Written).collect(),
             WatchNews::Changes(changes) => changes,
@@ -225,8 +227,8 @@
 /// Mbit/s with hundreds of executors.
 pub(crate) async fn follow_list(state: Rc<DaemonState>, cell: Rc<CellState>, tenure: u64) {
     let mut entries: BTreeMap<String, ExecutorReport> = BTreeMap::new();
-    let (mut changed, mut told_at) = (false, MonotonicTime::ZERO);
-    follow(&state, EXECUTOR_PREFIX, LIST_WAIT, None, |news| {
+    let mut changed = false;
+    follow(&state, EXECUTOR_PREFIX, (LIST_WAIT, LIST_INTERVAL), None, |news| {
         if !cell.is_tenure(tenure) {
             return false;
         }
@@ -248,9 +250,7 @@
                 }
             }
         }
-        let now = clock::now();
-        if changed && now >= told_at + LIST_INTERVAL {
-            (changed, told_at) = (false, now);
+        if std::mem::take(&mut changed) {
             state.metrics.count("list.told", "");
             let own = entries.values().filter(|report| state.is_in_cell(report, cell.id));
             let reports = own.cloned().collect();
--- a/crates/cuminbank-jobs/src/cells.rs
+++ b/crates/cuminbank-jobs/src/cells.rs
@@ -21,8 +21,9 @@
 const EXECUTOR_KBPS: f64 = 30.0;
 /// Part of its link that an owner may use at the usual load; bursts take over twice as much.
 const LINK_PART: f64 = 0.4;
-/// Least executors of a cell: a job of a usual width has to fit into a part of it.
-const LEAST_EXECUTORS: usize = 12;
+/// Least executors of a cell. A step whose tasks keep apart needs as many executors as it has tasks,
+/// and its job cannot be completed in a smaller cell.
+const LEAST_EXECUTORS: usize = 64;
 /// Most cells; every instance asks each of their owners for its load.
 const MOST_CELLS: usize = 64;
 /// Use of its home cell, in percent, up to which a job goes there: it will hardly wait.
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -9,7 +9,7 @@
     JobEffect, JobScheduler,
 };
 use crate::{
-    ids::{BirthMillis, JobId, MonotonicTime, OwnerEpoch, StoreRevision, WriteId},
+    ids::{BirthMillis, CellId, JobId, MonotonicTime, OwnerEpoch, StoreRevision, WriteId},
     job::JobOutcome,
     keys::accepted_key,
     progress::JobProgress,
@@ -20,9 +20,10 @@
     },
 };
 
-/// Interval between two writes of progress. Each is a priced call, and a job's completion waits for
-/// one.
+/// Interval between two writes of progress for each cell of the pool, and its bound. Each is a priced
+/// call, and a job's completion waits for one.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(15);
+const LONGEST_FLUSH_INTERVAL: Duration = Duration::from_millis(60);
 /// Least time between two tries of a write.
 const FLUSH_RETRY: Duration = Duration::from_millis(60);
 /// Interval at which what was learned about pairs of images is stored with another write.
@@ -66,6 +67,11 @@
     has_roster: bool,
 }
 
+/// Returns the interval between two writes of an owner in a pool of so many cells.
+pub(super) fn flush_interval(cells: CellId) -> Duration {
+    (FLUSH_INTERVAL * u32::from(cells)).min(LONGEST_FLUSH_INTERVAL)
+}
+
 impl JobScheduler {
     pub(super) fn mark_dirty(&mut self, key: JobKey) {
         if !self.journal.dirty.contains(&key) {
@@ -246,7 +252,7 @@
 
     fn finish_flush(&mut self, flush: FlushState, revision: StoreRevision) {
         self.journal.sequence_revision = revision;
-        self.journal.next_at = self.now + FLUSH_INTERVAL;
+        self.journal.next_at = self.now + self.flush_interval;
         self.owned_at = self.owned_at.max(flush.sent_at);
         for (key, outcome) in flush.outcomes {
             if let Some(job) = self.jobs.get_mut(key) {
