Let other instances send starts where the owner's link is narrow

Ruled out: more cells (steps that keep apart do not fit into them). Change: an owner with less than 25 Mbit/s hands up to 8 starts of a job with one payload to an instance that has asked it something lately; that one sends them while they are valid and says what came of each. The epoch and the end of the lease fence late ones; without an answer the scheduler sends them again under the same numbers.

--- /dev/null
+++ b/crates/cuminbank-jobd/src/carrying.rs
@@ -0,0 +1,93 @@
+//! Sends orders: directly, or through another instance where the own link is narrow.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use cuminbank::log::STARTS_NOT_CARRIED;
+use cuminbank_jobs::{
+    carriers::{is_carried, CarriedResult, SortedOrders, StartBundle},
+    order::{ExecutorOrder, OrderFailure},
+    peer::{PeerReply, PeerRequest},
+    scheduler::{DecisionRecord, JobEvent},
+};
+
+use crate::{cell::CellState, clock, daemon::DaemonState};
+
+/// Sends the orders of one turn of a cell's scheduler.
+pub(crate) fn send_orders(
+    state: &Rc<DaemonState>,
+    cell: &Rc<CellState>,
+    tenure: u64,
+    orders: Vec<ExecutorOrder>,
+) {
+    if !is_carried(state.settings.link_mbps) {
+        return orders.into_iter().for_each(|order| send_one(state, cell, tenure, order));
+    }
+    let sorted = SortedOrders::new(orders);
+    sorted.own.into_iter().for_each(|order| send_one(state, cell, tenure, order));
+    for group in sorted.groups {
+        match state.carriers.borrow_mut().next(clock::now()) {
+            Some(carrier) => send_group(state, cell, tenure, carrier, &group),
+            None => group.into_iter().for_each(|order| send_one(state, cell, tenure, order)),
+        }
+    }
+}
+
+fn send_one(state: &Rc<DaemonState>, cell: &Rc<CellState>, tenure: u64, order: ExecutorOrder) {
+    let (state, cell) = (Rc::clone(state), Rc::clone(cell));
+    monoio::spawn(async move {
+        let id = order.id;
+        let result = state.send_order(order).await;
+        cell.apply_in(&state, tenure, JobEvent::OrderEnded { id, result });
+    });
+}
+
+fn send_group(
+    state: &Rc<DaemonState>,
+    cell: &Rc<CellState>,
+    tenure: u64,
+    carrier: SocketAddr,
+    group: &[ExecutorOrder],
+) {
+    let (state, cell) = (Rc::clone(state), Rc::clone(cell));
+    let bundle = StartBundle::new(clock::now(), group);
+    let ids: Vec<_> = group.iter().map(|order| order.id).collect();
+    monoio::spawn(async move {
+        let wait = bundle.wait();
+        let request = PeerRequest::Carry(bundle);
+        let asked = state.peers.exchange(carrier, &request, wait).await;
+        let results = match asked {
+            Ok(PeerReply::Carried(results)) if results.len() == ids.len() => results,
+            other => {
+                // Each start may have been sent: the scheduler sends it again under the same number.
+                state.carriers.borrow_mut().forget(carrier);
+                let detail = format!("carrier={carrier} starts={} cause={other:?}", ids.len());
+                state.log(&DecisionRecord { code: STARTS_NOT_CARRIED, job: None, detail });
+                vec![CarriedResult::Failed(OrderFailure::Lost); ids.len()]
+            }
+        };
+        for (id, result) in ids.into_iter().zip(results) {
+            let result = result.into_result();
+            cell.apply_in(&state, tenure, JobEvent::OrderEnded { id, result });
+        }
+    });
+}
+
+impl DaemonState {
+    /// Sends the starts of another instance and returns what came of each.
+    pub(crate) async fn carry(self: &Rc<Self>, bundle: StartBundle) -> Vec<CarriedResult> {
+        self.metrics.count("bundle.carried", "");
+        let orders = bundle.into_orders(clock::now());
+        let sent: Vec<_> = orders
+            .into_iter()
+            .map(|order| {
+                let state = Rc::clone(self);
+                monoio::spawn(async move { CarriedResult::new(&state.send_order(order).await) })
+            })
+            .collect();
+        let mut results = Vec::with_capacity(sent.len());
+        for result in sent {
+            results.push(result.await);
+        }
+        results
+    }
+}
--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -19,7 +19,7 @@
 };
 use serde_json::{json, Value};
 
-use crate::{clock, daemon::DaemonState, watches};
+use crate::{carrying::send_orders, clock, daemon::DaemonState, watches};
 
 /// Longest time for a write of the owner; a slow store answers after about 250 ms.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -96,14 +96,19 @@
             None => return,
         };
         let tenure = self.tenures.get();
+        let mut orders = Vec::new();
         for effect in effects {
-            self.carry_out(state, tenure, effect);
+            match effect {
+                JobEffect::Order(order) => orders.push(order),
+                effect => self.carry_out(state, tenure, effect),
+            }
         }
+        send_orders(state, self, tenure, orders);
         state.metrics.time("turn", name, started.elapsed());
     }
 
     /// Applies an event that a task of a tenure has waited for.
-    fn apply_in(self: &Rc<Self>, state: &Rc<DaemonState>, tenure: u64, event: JobEvent) {
+    pub(crate) fn apply_in(self: &Rc<Self>, state: &Rc<DaemonState>, tenure: u64, event: JobEvent) {
         if self.is_tenure(tenure) {
             self.apply(state, event);
         }
@@ -125,13 +130,7 @@
                 let effects = self.tenure.borrow_mut().doubt(clock::now());
                 self.carry_out_tenure(state, effects);
             }
-            JobEffect::Order(order) => {
-                monoio::spawn(async move {
-                    let id = order.id;
-                    let result = task_state.send_order(order).await;
-                    cell.apply_in(&task_state, tenure, JobEvent::OrderEnded { id, result });
-                });
-            }
+            JobEffect::Order(order) => send_orders(state, self, tenure, vec![order]),
             JobEffect::AskAdvice { id, step, executors, timeout } => {
                 monoio::spawn(async move {
                     let result = task_state.ask_advice(step, &executors, timeout).await;
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -15,12 +15,13 @@
 
 use cuminbank::log::{DRAIN_ENDED, DRAIN_STARTED, PROCESS_STARTED, SETTINGS_CHECKED};
 use cuminbank_jobs::{
+    carriers::CarrierBoard,
     cells::{LoadBoard, PoolPlan},
     config::ConfigInForce,
     ids::{CellId, ExecutorName, JobId, MonotonicTime},
     job::StepName,
     order::{AdviceFailure, AdviceReply, ExecutorOrder, OrderFailure, OrderReply},
-    peer::OwnerQuestion,
+    peer::{PeerReply, PeerRequest},
     scheduler::{DecisionRecord, TICK_INTERVAL},
     settings::JobSettings,
     store::{StoreCall, StoreFailure, StoreReply},
@@ -70,6 +71,8 @@
     pub(crate) loads: RefCell<LoadBoard>,
     /// Cells of jobs that are not in their home cell, as far as this instance has met them.
     pub(crate) away: RefCell<HashMap<JobId, CellId>>,
+    /// Instances that may send starts for this one.
+    pub(crate) carriers: RefCell<CarrierBoard>,
     /// Number of this start of the process.
     pub(crate) start: u64,
     pub(crate) peers: PeerPool,
@@ -216,6 +219,7 @@
             cells: RefCell::default(),
             loads: RefCell::default(),
             away: RefCell::default(),
+            carriers: RefCell::default(),
             start,
             peers: PeerPool::new(),
             metrics: JobMetrics::new().map_err(io::Error::other)?,
@@ -272,9 +276,14 @@
 
 fn serve_peers(state: &Rc<DaemonState>, listener: TcpListener) {
     let state = Rc::clone(state);
-    monoio::spawn(peer::serve(listener, move |question: OwnerQuestion| {
+    monoio::spawn(peer::serve(listener, move |request: PeerRequest| {
         let state = Rc::clone(&state);
-        async move { state.answer_peer(&question) }
+        async move {
+            match request {
+                PeerRequest::Ask(question) => state.answer_peer(&question).map(PeerReply::Answer),
+                PeerRequest::Carry(bundle) => Some(PeerReply::Carried(state.carry(bundle).await)),
+            }
+        }
     }));
 }
 
--- a/crates/cuminbank-jobd/src/division.rs
+++ b/crates/cuminbank-jobd/src/division.rs
@@ -5,6 +5,7 @@
 
 use cuminbank::log::POOL_DIVIDED;
 use cuminbank_jobs::{
+    carriers::is_carried,
     cells::PoolPlan,
     ids::{CellId, JobId, StoreRevision},
     job::JobRecord,
@@ -171,17 +172,20 @@
     }
 }
 
-/// Keeps the loads of the cells known, where there are several.
+/// Keeps the loads of the cells known where there are several, and tells owners that this instance is
+/// up where they may need carriers.
 pub(crate) async fn follow_loads(state: Rc<DaemonState>) {
     loop {
         time::sleep(LOAD_INTERVAL).await;
-        if state.plan.get().is_none_or(|plan| plan.cells <= 1) {
+        let divided = state.plan.get().is_some_and(|plan| plan.cells > 1);
+        if !divided && !is_carried(state.settings.link_mbps) {
             continue;
         }
         for cell in state.all_cells() {
             let state = Rc::clone(&state);
             monoio::spawn(async move {
-                let question = OwnerQuestion::Load { cell: cell.id };
+                let asker = state.settings.peer_address;
+                let question = OwnerQuestion::Load { cell: cell.id, asker };
                 if let OwnerAnswer::Load(load) = state.ask_owner(&question).await {
                     state.loads.borrow_mut().note(clock::now(), cell.id, load);
                 }
--- a/crates/cuminbank-jobd/src/lib.rs
+++ b/crates/cuminbank-jobd/src/lib.rs
@@ -1,5 +1,6 @@
 //! The job daemon: sockets, timers and the reducers that they feed.
 
+mod carrying;
 mod cell;
 mod clients;
 pub mod clock;
--- a/crates/cuminbank-jobd/src/owner.rs
+++ b/crates/cuminbank-jobd/src/owner.rs
@@ -6,7 +6,7 @@
     ids::{JobId, QueueName},
     job::JobPhase,
     keys::CellKeys,
-    peer::{OwnerAnswer, OwnerQuestion},
+    peer::{OwnerAnswer, OwnerQuestion, PeerReply, PeerRequest},
     progress::JobProgress,
     scheduler::JobEvent,
     store::{decode_value, StoreCall, StoreReply},
@@ -14,7 +14,7 @@
 };
 use monoio::time;
 
-use crate::{cell::CellState, daemon::DaemonState, division::JobPlace};
+use crate::{cell::CellState, clock, daemon::DaemonState, division::JobPlace};
 
 /// Time for the answer of another instance, which is about 1 ms away.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -43,9 +43,10 @@
             return cell.answer(question);
         }
         let Some(address) = cell.owner_address() else { return OwnerAnswer::NotOwner };
-        match self.peers.exchange(address, question, OWNER_TIMEOUT).await {
-            Ok(answer) => answer,
-            Err(_) => {
+        let request = PeerRequest::Ask(question.clone());
+        match self.peers.exchange(address, &request, OWNER_TIMEOUT).await {
+            Ok(PeerReply::Answer(answer)) => answer,
+            _ => {
                 self.metrics.count("owner.unreachable", "");
                 OwnerAnswer::NotOwner
             }
@@ -112,6 +113,11 @@
             let stopped = cell.yield_tenure(self, *start, *epoch);
             return Some(OwnerAnswer::Yielded { stopped_ms: stopped.as_millis() as u64 });
         }
+        if let OwnerQuestion::Load { asker, .. } = question {
+            if cell.owns() {
+                self.carriers.borrow_mut().note(clock::now(), *asker);
+            }
+        }
         // Only the owner answers: a question is never passed on.
         Some(cell.answer(question))
     }
@@ -124,12 +130,16 @@
         predecessor: OwnerRecord,
     ) {
         let Some(epoch) = cell.held_epoch() else { return };
-        let question = OwnerQuestion::Yield { cell: cell.id, start: predecessor.start, epoch };
+        let (cell_id, start) = (cell.id, predecessor.start);
+        let question = PeerRequest::Ask(OwnerQuestion::Yield { cell: cell_id, start, epoch });
         while cell.is_tenure(tenure) {
             let asked =
                 self.peers.exchange(predecessor.peer_address, &question, OWNER_TIMEOUT).await;
-            if let (Ok(OwnerAnswer::Yielded { stopped_ms }), true) = (asked, cell.is_tenure(tenure))
-            {
+            let answered = match asked {
+                Ok(PeerReply::Answer(OwnerAnswer::Yielded { stopped_ms })) => Some(stopped_ms),
+                _ => None,
+            };
+            if let (Some(stopped_ms), true) = (answered, cell.is_tenure(tenure)) {
                 let stopped = Duration::from_millis(stopped_ms);
                 return cell.apply(&self, JobEvent::PredecessorEnded { stopped });
             }
--- a/crates/cuminbank-jobs/src/job.rs
+++ b/crates/cuminbank-jobs/src/job.rs
@@ -180,7 +180,7 @@
 }
 
 /// Full name of a task.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TaskName {
     /// The job.
     pub job: JobId,
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -6,6 +6,7 @@
 //! platform's store, below the keys of [`keys`].
 
 pub mod acceptance;
+pub mod carriers;
 pub mod cells;
 pub mod colocation;
 pub mod config;
--- a/crates/cuminbank-jobs/src/order.rs
+++ b/crates/cuminbank-jobs/src/order.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     ids::{
         BirthMillis, ExecutorMillis, ExecutorName, MonotonicTime, OrderId, OwnerEpoch, RunNumber,
@@ -75,7 +77,7 @@
 }
 
 /// Why an executor rejects an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RejectReason {
     /// It has seen a higher epoch.
     Fence,
@@ -169,7 +171,7 @@
 }
 
 /// Why an order has no answer of use.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OrderFailure {
     /// No byte was sent.
     NotSent,
--- a/crates/cuminbank-jobs/src/peer.rs
+++ b/crates/cuminbank-jobs/src/peer.rs
@@ -1,13 +1,34 @@
 //! Requests between instances of the system.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    carriers::{CarriedResult, StartBundle},
     cells::CellLoad,
     ids::{CellId, JobId, OwnerEpoch, QueueName},
     job::JobPhase,
 };
 
+/// A request to another instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerRequest {
+    /// A question to the owner of a cell.
+    Ask(OwnerQuestion),
+    /// Starts to send on behalf of an owner.
+    Carry(StartBundle),
+}
+
+/// The answer to a request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerReply {
+    /// To a question.
+    Answer(OwnerAnswer),
+    /// What came of each start, in their order.
+    Carried(Vec<CarriedResult>),
+}
+
 /// What an entry instance asks the owner of a cell.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum OwnerQuestion {
@@ -29,6 +50,8 @@
     Load {
         /// The cell.
         cell: CellId,
+        /// Who asks, and so is up.
+        asker: SocketAddr,
     },
     /// The next owner asks its predecessor to give no more orders.
     Yield {
@@ -47,7 +70,7 @@
         match self {
             Self::Phase { cell, .. }
             | Self::Pending { cell, .. }
-            | Self::Load { cell }
+            | Self::Load { cell, .. }
             | Self::Yield { cell, .. } => *cell,
         }
     }
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -10,6 +10,7 @@
     JobEffect, JobScheduler,
 };
 use crate::{
+    carriers::is_carried,
     ids::{MonotonicTime, OrderId, RunNumber, TaskIndex},
     job::TaskName,
     order::{ExecutorOrder, OrderFailure, OrderReply, OrderRequest, RejectReason},
@@ -25,15 +26,18 @@
 /// Time for which the starts in flight may fill the link. Leases and the renewal of the ownership pass
 /// through the same link, and have to be through well before an order's answer is due.
 const LINK_FILL: Duration = Duration::from_millis(80);
-/// Bytes of a start on the wire, with a payload of a usual length.
+/// Bytes of a start on the wire, with a payload of a usual length, and of one that another instance
+/// sends.
 const START_BYTES: f64 = 1_700.0;
+const CARRIED_BYTES: f64 = 300.0;
 /// Starts that may be in flight on any link.
 const LEAST_STARTS: usize = 12;
 
 /// Returns how many starts may be in flight on a link.
 pub(super) fn most_starts(link_mbps: f64) -> usize {
     let bytes_per_second = link_mbps * 1_000_000.0 / 8.0;
-    ((bytes_per_second * LINK_FILL.as_secs_f64() / START_BYTES) as usize).max(LEAST_STARTS)
+    let bytes = if is_carried(link_mbps) { CARRIED_BYTES } else { START_BYTES };
+    ((bytes_per_second * LINK_FILL.as_secs_f64() / bytes) as usize).max(LEAST_STARTS)
 }
 
 /// Kind of an order in flight.
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -118,6 +118,7 @@
     LINES_DROPPED = (756, Warn, "Log lines were dropped because the reader is too slow.");
     STORE_UNREADABLE = (757, Error, "An item of the store cannot be read.");
     POOL_DIVIDED = (758, Info, "The division of the pool into cells was proposed or taken.");
+    STARTS_NOT_CARRIED = (759, Warn, "Another instance did not send starts, or did not say what came of them.");
 }
 
 impl LogRecord {
