Divide the pool evenly by racks, and test cells and carriers

Cause: racks were divided by a hash, which leaves cells of uneven sizes, and few racks may leave one empty, in which a job is never complete. The plan now names the cell of each rack; a rack that comes later gets one by its hash. A number of cells can be fixed in the settings.

--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -66,7 +66,7 @@
     pub(crate) store: StoreClient,
     pub(crate) config: RefCell<ConfigInForce>,
     /// How the pool is divided, once that is known, and its cells in order.
-    pub(crate) plan: Cell<Option<PoolPlan>>,
+    pub(crate) plan: RefCell<Option<Rc<PoolPlan>>>,
     pub(crate) cells: RefCell<Vec<Rc<CellState>>>,
     pub(crate) loads: RefCell<LoadBoard>,
     /// Cells of jobs that are not in their home cell, as far as this instance has met them.
@@ -104,7 +104,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.draining_since.get().is_none()
             && self.config.borrow().current().is_some()
-            && self.plan.get().is_some()
+            && self.plan().is_some()
             && self.store.silence() < READY_SILENCE
     }
 
@@ -118,6 +118,7 @@
             "config_version": self.config.borrow().current().map(|config| config.version),
             "cells": cells.iter().map(|cell| cell.status()).collect::<Vec<_>>(),
             "owns_pool": cells.iter().any(|cell| cell.held_epoch().is_some()),
+            "carriers": self.carriers.borrow().count(clock::now()),
             "store_lost": self.store.is_lost(),
             "store_silent_ms": self.store.silence().as_millis() as u64,
         })
@@ -215,7 +216,7 @@
         let state = DaemonState {
             store: StoreClient::new(settings.store_address),
             config: RefCell::default(),
-            plan: Cell::new(None),
+            plan: RefCell::default(),
             cells: RefCell::default(),
             loads: RefCell::default(),
             away: RefCell::default(),
--- a/crates/cuminbank-jobd/src/division.rs
+++ b/crates/cuminbank-jobd/src/division.rs
@@ -47,6 +47,11 @@
 }
 
 impl DaemonState {
+    /// Returns how the pool is divided, once that is known.
+    pub(crate) fn plan(&self) -> Option<Rc<PoolPlan>> {
+        self.plan.borrow().clone()
+    }
+
     /// Returns a cell of the pool.
     pub(crate) fn cell(&self, id: CellId) -> Option<Rc<CellState>> {
         self.cells.borrow().get(usize::from(id)).cloned()
@@ -59,12 +64,12 @@
 
     /// Tells whether an executor belongs to a cell.
     pub(crate) fn is_in_cell(&self, report: &ExecutorReport, cell: CellId) -> bool {
-        self.plan.get().is_some_and(|plan| plan.cell_of(report) == cell)
+        self.plan().is_some_and(|plan| plan.cell_of(report) == cell)
     }
 
     /// Takes the plan, once; it never changes.
     pub(crate) fn take_plan(self: &Rc<Self>, item: &StoreItem) {
-        if self.plan.get().is_some() {
+        if self.plan().is_some() {
             return;
         }
         let Some(plan) = decode_value::<PoolPlan>(&item.value) else {
@@ -83,7 +88,7 @@
             Rc::new(CellState::new(id, tenure))
         };
         *self.cells.borrow_mut() = (0..plan.cells.max(1)).map(new_cell).collect();
-        self.plan.set(Some(plan));
+        *self.plan.borrow_mut() = Some(Rc::new(plan));
     }
 
     /// Tells every cell who owns it, by everything below the prefix of owners at a revision.
@@ -101,7 +106,7 @@
 
     /// Returns the cell for a job that is about to be accepted; none while the division is not known.
     pub(crate) fn choose_cell(&self, job: JobId, record: &JobRecord) -> Option<Rc<CellState>> {
-        let plan = self.plan.get()?;
+        let plan = self.plan()?;
         let chosen = self.loads.borrow().choose(clock::now(), &plan, job, record);
         if chosen != plan.homes(job).0 {
             self.metrics.count("job.away_from_home", "");
@@ -112,7 +117,7 @@
 
     /// Returns the cell in which a job is if it was accepted, as far as is known without the store.
     pub(crate) fn likely_cell(&self, job: JobId) -> Option<CellId> {
-        let plan = self.plan.get()?;
+        let plan = self.plan()?;
         let away = self.away.borrow().get(&job).copied();
         Some(away.unwrap_or_else(|| plan.homes(job).0))
     }
@@ -130,7 +135,7 @@
     }
 
     fn remember(&self, job: JobId, cell: CellId) {
-        let home = self.plan.get().map(|plan| plan.homes(job).0);
+        let home = self.plan().map(|plan| plan.homes(job).0);
         if home == Some(cell) {
             return;
         }
@@ -148,15 +153,16 @@
     let factor = weakness(settings.processor_share, settings.link_mbps);
     time::sleep(PLAN_DELAY.mul_f64(factor)).await;
     let (mut last, mut empty) = (None, 0);
-    while state.plan.get().is_none() {
+    while state.plan().is_none() {
         let call = StoreCall::Read { prefix: EXECUTOR_PREFIX.to_owned() };
         if let Ok(StoreReply::Items { items, .. }) = state.call_store(&call, CALL_TIMEOUT).await {
-            let count = items.iter().filter_map(decode_entry).count();
+            let reports: Vec<ExecutorReport> = items.iter().filter_map(decode_entry).collect();
+            let count = reports.len();
             empty += u32::from(count == 0);
             let settled = last == Some(count) && (count > 0 || empty >= EMPTY_COUNTS);
             last = Some(count);
             if settled {
-                let plan = PoolPlan::new(count, settings.cell_executors, settings.link_mbps);
+                let plan = PoolPlan::new(&reports, &settings.plan_limits());
                 let txn = StoreTxn {
                     expected: vec![(PLAN_KEY.to_owned(), 0)],
                     puts: vec![StorePut::new(PLAN_KEY, encode_value(&plan))],
@@ -177,7 +183,7 @@
 pub(crate) async fn follow_loads(state: Rc<DaemonState>) {
     loop {
         time::sleep(LOAD_INTERVAL).await;
-        let divided = state.plan.get().is_some_and(|plan| plan.cells > 1);
+        let divided = state.plan().is_some_and(|plan| plan.cells > 1);
         if !divided && !is_carried(state.settings.link_mbps) {
             continue;
         }
--- a/crates/cuminbank-jobd/tests/processes.rs
+++ b/crates/cuminbank-jobd/tests/processes.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{json, Value};
 
-use support::{call, Deployment};
+use support::{call, read_text, Deployment, PoolShape};
 
 fn two_steps() -> Value {
     json!({ "spec": "p", "steps": [
@@ -80,3 +80,54 @@
         (10..14).all(|id| deployment.is_completed(id))
     });
 }
+
+// Guards against jobs that one instance cannot find because another put them into another cell, and
+// against a request that is accepted twice, once in each cell.
+#[test]
+fn two_cells_are_one_pool_to_clients() {
+    let shape = PoolShape { cells: 2, ..PoolShape::default() };
+    let deployment = Deployment::start_shaped(3, 100, shape);
+    (20..32).for_each(|id| deployment.submit(id, &two_steps()));
+    deployment.wait("a job is not completed", |deployment| {
+        (20..32).all(|id| deployment.is_completed(id))
+    });
+    for client in &deployment.clients {
+        for id in 20..32 {
+            let path = format!("/p/{id:016x}");
+            let answer = call(*client, "GET", &path, "");
+            assert_eq!(answer.map(|(_, body)| body["state"].clone()), Some(json!("completed")));
+            let again = call(*client, "POST", &path, &two_steps().to_string());
+            assert_eq!(again.map(|(status, _)| status), Some(200));
+        }
+        assert_eq!(call(*client, "GET", "/p/", "").map(|(status, _)| status), Some(200));
+    }
+    assert_eq!(deployment.starts().len(), 12 * 8);
+}
+
+// Guards against starts that are lost or doubled on their way through another instance.
+#[test]
+fn carried_starts_run_once() {
+    let shape = PoolShape { link_mbps: 2.0, ..PoolShape::default() };
+    let mut deployment = Deployment::start_shaped(3, 1_000, shape);
+    let owner = deployment.owner().expect("the pool has an owner");
+    let operator = deployment.operators[owner];
+    deployment.wait("the owner knows no carrier", |_| {
+        let status = call(operator, "GET", "/v1/status", "");
+        status.is_some_and(|(_, body)| body["carriers"] == json!(2))
+    });
+    (40..44).for_each(|id| deployment.submit(id, &two_steps()));
+    // One of the two others carries starts, and is lost.
+    deployment.instances[(owner + 1) % 3].kill();
+    (44..48).for_each(|id| deployment.submit(id, &two_steps()));
+    deployment.wait("a job is not completed", |deployment| {
+        (40..48).all(|id| deployment.is_completed(id))
+    });
+    let mut starts = deployment.starts();
+    let count = starts.len();
+    starts.sort();
+    starts.dedup();
+    assert_eq!((starts.len(), count), (8 * 8, 8 * 8));
+    let mut pages =
+        deployment.operators.iter().filter_map(|operator| read_text(*operator, "/metrics"));
+    assert!(pages.any(|page| page.contains("bundle.carried")), "no start was carried");
+}
--- a/crates/cuminbank-jobs/src/carriers.rs
+++ b/crates/cuminbank-jobs/src/carriers.rs
@@ -228,6 +228,11 @@
         self.known.back().map(|(address, _)| *address)
     }
 
+    /// Returns how many instances are up.
+    pub fn count(&self, now: MonotonicTime) -> usize {
+        self.known.iter().filter(|(_, seen)| now <= *seen + SEEN_TIME).count()
+    }
+
     /// Forgets an instance that did not answer, until it asks again.
     pub fn forget(&mut self, address: SocketAddr) {
         self.known.retain(|(known, _)| *known != address);
--- a/crates/cuminbank-jobs/src/cells.rs
+++ b/crates/cuminbank-jobs/src/cells.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{CellId, JobId, MonotonicTime},
+    ids::{CellId, JobId, MonotonicTime, ServiceName},
     job::JobRecord,
     order::ExecutorReport,
 };
@@ -36,10 +36,23 @@
 const LOAD_AGE: Duration = Duration::from_millis(1_800);
 
 /// How the pool is divided.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PoolPlan {
     /// Number of cells.
     pub cells: CellId,
+    /// Cells of the racks that were there when the pool was divided.
+    pub racks: BTreeMap<String, CellId>,
+}
+
+/// What an owner can carry, by which a pool is divided.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlanLimits {
+    /// Most executors of a cell.
+    pub most_executors: usize,
+    /// Bandwidth of an owner's link in Mbit/s.
+    pub link_mbps: f64,
+    /// Number of cells, if it is fixed.
+    pub cells: Option<CellId>,
 }
 
 /// Use of a cell as its owner tells it.
@@ -49,23 +62,52 @@
     pub use_percent: u32,
     /// Kinds and racks of its executors.
     pub labels: Vec<String>,
+    /// Services of its executors.
+    pub services: Vec<ServiceName>,
 }
 
-impl PoolPlan {
-    /// Divides a pool so that each owner can carry its executors.
-    pub fn new(executors: usize, most_executors: usize, link_mbps: f64) -> Self {
-        let by_count = executors.div_ceil(most_executors.max(1));
+impl PlanLimits {
+    /// Returns into how many cells so many executors are divided.
+    pub fn cells_for(&self, executors: usize) -> CellId {
+        if let Some(cells) = self.cells {
+            return cells.max(1);
+        }
+        let by_count = executors.div_ceil(self.most_executors.max(1));
         let wanted_kbps = executors as f64 * EXECUTOR_KBPS;
-        let by_link = (wanted_kbps / (link_mbps * 1_000.0 * LINK_PART)).ceil() as usize;
+        let by_link = (wanted_kbps / (self.link_mbps * 1_000.0 * LINK_PART)).ceil() as usize;
         let most = (executors / LEAST_EXECUTORS).clamp(1, MOST_CELLS);
-        Self { cells: by_count.max(by_link).clamp(1, most) as CellId }
+        by_count.max(by_link).clamp(1, most) as CellId
+    }
+}
+
+impl PoolPlan {
+    /// Divides a pool so that each owner can carry its executors, and each cell has about the same
+    /// number of each service.
+    pub fn new(reports: &[ExecutorReport], limits: &PlanLimits) -> Self {
+        let cells = limits.cells_for(reports.len());
+        let mut sizes: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for report in reports {
+            *sizes.entry((report.service.as_str(), rack_of(report))).or_default() += 1;
+        }
+        let mut places: Vec<((&str, &str), usize)> = sizes.into_iter().collect();
+        places.sort_by_key(|((service, rack), size)| (*service, std::cmp::Reverse(*size), *rack));
+        let mut filled: BTreeMap<(&str, CellId), usize> = BTreeMap::new();
+        let mut racks = BTreeMap::new();
+        for ((service, rack), size) in places {
+            let count = |cell| filled.get(&(service, cell)).copied().unwrap_or_default();
+            let least = (0..cells).min_by_key(|cell| (count(*cell), *cell)).unwrap_or_default();
+            let cell = *racks.entry(rack.to_owned()).or_insert(least);
+            *filled.entry((service, cell)).or_default() += size;
+        }
+        Self { cells, racks }
     }
 
     /// Returns the cell of an executor. Those of a rack are in one cell, for the sake of gangs and of
     /// work near its data.
     pub fn cell_of(&self, report: &ExecutorReport) -> CellId {
-        let rack = report.labels.last().unwrap_or(&report.name);
-        self.reduce(crc32fast::hash(rack.as_bytes()))
+        let rack = rack_of(report);
+        let known = self.racks.get(rack).copied().filter(|cell| *cell < self.cells);
+        known.unwrap_or_else(|| self.reduce(crc32fast::hash(rack.as_bytes())))
     }
 
     /// Returns the home cell of a job, and the one to which it may go instead.
@@ -82,6 +124,11 @@
     }
 }
 
+/// Returns the rack of an executor, the last of its labels; one without any stands alone.
+fn rack_of(report: &ExecutorReport) -> &str {
+    report.labels.last().unwrap_or(&report.name)
+}
+
 /// What an instance knows of the loads of the cells.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBoard {
@@ -130,13 +177,17 @@
         known.map_or(UNKNOWN_PERCENT, |(_, load)| load.use_percent)
     }
 
-    /// Tells whether a cell has every label and rack that a job wants, as far as it is known.
+    /// Tells whether a cell has executors of the service of a job, and every label and rack that it
+    /// wants, as far as that is known.
     fn suits(&self, cell: CellId, record: &JobRecord) -> bool {
         let wanted = || {
             record.steps.iter().flat_map(|step| [&step.required_label, &step.data_rack]).flatten()
         };
         match self.loads.get(&cell) {
-            Some((_, load)) => wanted().all(|label| load.labels.contains(label)),
+            Some((_, load)) => {
+                load.services.contains(&record.terms.service)
+                    && wanted().all(|label| load.labels.contains(label))
+            }
             None => wanted().next().is_none(),
         }
     }
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -41,7 +41,11 @@
             self.executors.values().flat_map(|executor| executor.labels.iter().cloned()).collect();
         labels.sort_unstable();
         labels.dedup();
-        self.load = CellLoad { use_percent, labels };
+        let mut services: Vec<_> =
+            self.executors.values().map(|executor| executor.service.clone()).collect();
+        services.sort_unstable();
+        services.dedup();
+        self.load = CellLoad { use_percent, labels, services };
     }
 
     /// Answers a question of another instance.
--- a/crates/cuminbank-jobs/src/settings.rs
+++ b/crates/cuminbank-jobs/src/settings.rs
@@ -5,7 +5,10 @@
 use cuminbank::profile::ProfileError;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{InstanceName, ZoneName};
+use crate::{
+    cells::PlanLimits,
+    ids::{CellId, InstanceName, ZoneName},
+};
 
 /// Settings of one instance, read from a JSON file.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -45,6 +48,10 @@
     /// Most executors of a cell, 1 to 5,000. Read when the pool is first divided.
     #[serde(default = "default_cell_executors")]
     pub cell_executors: usize,
+    /// Number of cells, if it is not to follow from the number of executors and the link; 1 to 64. Read
+    /// when the pool is first divided.
+    #[serde(default)]
+    pub cells: Option<CellId>,
     /// How long the outcome of an ended job is kept, in milliseconds.
     pub retention_ms: u64,
 }
@@ -79,6 +86,12 @@
         Ok(settings)
     }
 
+    /// Returns by what a pool is divided.
+    pub fn plan_limits(&self) -> PlanLimits {
+        let Self { cell_executors, link_mbps, cells, .. } = *self;
+        PlanLimits { most_executors: cell_executors, link_mbps, cells }
+    }
+
     /// Returns the longest lease of an executor.
     pub fn max_lease(&self) -> Duration {
         Duration::from_millis(self.max_lease_ms)
@@ -119,6 +132,7 @@
                 allowed: "0.1 to 1000000".to_owned(),
             });
         }
+        check_range("cells", u64::from(self.cells.unwrap_or(1)), 1, 64)?;
         check_range("cell_executors", self.cell_executors as u64, 1, 5_000)?;
         check_range("retention_ms", self.retention_ms, 1_000, 86_400_000)
     }
--- /dev/null
+++ b/crates/cuminbank-jobs/tests/carriers.rs
@@ -0,0 +1,117 @@
+//! Starts that other instances send for an owner.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cuminbank_jobs::{
+    carriers::{is_carried, CarriedResult, CarrierBoard, SortedOrders, StartBundle},
+    job::TaskName,
+    order::{ExecutorOrder, OrderFailure, OrderReply, OrderRequest, RejectReason},
+};
+
+const NOW: Duration = Duration::from_secs(50);
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn start(id: u64, job: u64) -> ExecutorOrder {
+    let task = TaskName { job, occurrence: 0, step: 0, index: id as u32 };
+    let request = OrderRequest::Start {
+        task,
+        run: 3,
+        payload: format!("payload {job}"),
+        lease_until: 9_000,
+        checkpoint: Some("c".to_owned()),
+        ticket: None,
+    };
+    ExecutorOrder {
+        id,
+        executor: format!("i-{id}"),
+        address: address(1),
+        epoch: 7,
+        request,
+        timeout: Duration::from_millis(350),
+        valid_until: NOW + Duration::from_secs(9),
+    }
+}
+
+fn stop(id: u64) -> ExecutorOrder {
+    let task = TaskName { job: 1, occurrence: 0, step: 0, index: 0 };
+    ExecutorOrder { request: OrderRequest::Stop { task, run: 1 }, ..start(id, 1) }
+}
+
+// Guards against a payload that crosses a narrow link once for each task, and against bundles that
+// take longer on the carrier's link than an order may.
+#[test]
+fn starts_of_a_job_share_their_payload() {
+    let mut orders: Vec<_> = (0..19).map(|id| start(id, 1)).collect();
+    orders.extend([start(19, 2), stop(20)]);
+    let sorted = SortedOrders::new(orders);
+    let sizes: Vec<usize> = sorted.groups.iter().map(Vec::len).collect();
+    assert_eq!(sizes, [8, 8, 3]);
+    let mut own: Vec<u64> = sorted.own.iter().map(|order| order.id).collect();
+    own.sort_unstable();
+    assert_eq!(own, [19, 20]);
+    assert!(is_carried(2.0) && is_carried(20.0) && !is_carried(200.0));
+}
+
+// Guards against an order that changes on its way through another instance.
+#[test]
+fn carried_start_is_the_order_of_its_owner() {
+    let group: Vec<_> = (0..3).map(|id| start(id, 1)).collect();
+    let received = NOW + Duration::from_secs(1_000);
+    let carried = StartBundle::new(NOW, &group).into_orders(received);
+    for (order, original) in carried.iter().zip(&group) {
+        assert_eq!(order.request, original.request);
+        assert_eq!((order.epoch, order.address), (original.epoch, original.address));
+        assert_eq!(order.executor, original.executor);
+        // The clocks of two machines have nothing in common: only the time left counts.
+        assert!(order.valid_until > received);
+        assert!(order.valid_until <= received + Duration::from_secs(1));
+    }
+}
+
+// Guards against a carrier that acts on a right of its owner that has ended.
+#[test]
+fn bundle_is_valid_no_longer_than_the_right_of_its_owner() {
+    let mut order = start(1, 1);
+    order.valid_until = NOW + Duration::from_millis(100);
+    let bundle = StartBundle::new(NOW, &[order.clone(), order.clone()]);
+    assert_eq!(bundle.valid, Duration::from_millis(100));
+    let late = StartBundle::new(NOW + Duration::from_secs(1), &[order.clone(), order]);
+    let received = Duration::from_secs(7);
+    assert_eq!(late.into_orders(received)[0].valid_until, received);
+}
+
+// Guards against an answer that loses its meaning: what may have run must not be told as not sent.
+#[test]
+fn results_come_back_as_they_were() {
+    let done = Ok(OrderReply::Done { clock: None });
+    let results = [
+        done,
+        Ok(OrderReply::Rejected { reason: RejectReason::Stale }),
+        Ok(OrderReply::Rejected { reason: RejectReason::Fence }),
+        Err(OrderFailure::NotSent),
+        Err(OrderFailure::Lost),
+        Err(OrderFailure::Replaced),
+    ];
+    for result in results {
+        assert_eq!(CarriedResult::new(&result).into_result(), result);
+    }
+}
+
+// Guards against starts that are handed to an instance that is gone.
+#[test]
+fn only_instances_that_ask_are_carriers() {
+    let mut board = CarrierBoard::default();
+    assert_eq!(board.next(NOW), None);
+    (1..4).for_each(|port| board.note(NOW, address(port)));
+    let mut taken: Vec<_> = (0..3).filter_map(|_| board.next(NOW)).collect();
+    taken.sort_unstable();
+    assert_eq!(taken, [address(1), address(2), address(3)]);
+    let later = NOW + Duration::from_millis(900);
+    board.note(later, address(2));
+    board.forget(address(3));
+    assert_eq!(board.next(NOW + Duration::from_secs(2)), Some(address(2)));
+    assert_eq!(board.next(NOW + Duration::from_secs(4)), None);
+}
--- /dev/null
+++ b/crates/cuminbank-jobs/tests/cells.rs
@@ -0,0 +1,144 @@
+//! Division of the pool: which cell an executor and a job belong to.
+
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cuminbank_jobs::{
+    cells::{CellLoad, LoadBoard, PlanLimits, PoolPlan},
+    ids::CellId,
+    job::{JobRecord, JobStep, TaskNeeds},
+    order::ExecutorReport,
+    settings::JobSettings,
+};
+use support::jobs::{job, step};
+
+const NOW: Duration = Duration::from_secs(100);
+const LIMITS: PlanLimits = PlanLimits { most_executors: 400, link_mbps: 200.0, cells: None };
+
+fn executors(count: usize, a_rack: usize) -> Vec<ExecutorReport> {
+    let report = |number: usize| ExecutorReport {
+        name: format!("i-{number}"),
+        service: "plans".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".to_owned(),
+        draining: false,
+        remaining: None,
+        capacity: TaskNeeds::default(),
+        labels: vec!["a".to_owned(), format!("r{}", number / a_rack)],
+        born: None,
+    };
+    (0..count).map(report).collect()
+}
+
+fn load(use_percent: u32, labels: &[&str]) -> CellLoad {
+    let labels = labels.iter().map(|label| (*label).to_owned()).collect();
+    CellLoad { use_percent, labels, services: vec!["plans".to_owned()] }
+}
+
+/// Returns a plan of three cells, and a board with the same use of each.
+fn three_cells(use_percent: u32) -> (PoolPlan, LoadBoard) {
+    let plan = PoolPlan::new(&executors(195, 8), &PlanLimits { link_mbps: 2.0, ..LIMITS });
+    assert_eq!(plan.cells, 3);
+    let mut board = LoadBoard::default();
+    (0..3).for_each(|cell| board.note(NOW, cell, load(use_percent, &["a", "r1"])));
+    (plan, board)
+}
+
+// Guards against an owner with more executors than it can carry, and against cells that are too small
+// for steps whose tasks keep apart.
+#[test]
+fn number_of_cells_follows_from_executors_and_link() {
+    let cells = |executors, link_mbps| PlanLimits { link_mbps, ..LIMITS }.cells_for(executors);
+    assert_eq!(cells(0, 200.0), 1);
+    assert_eq!(cells(350, 200.0), 1);
+    assert_eq!(cells(610, 200.0), 2);
+    assert_eq!(cells(3_000, 200.0), 8);
+    assert_eq!(cells(66, 2.0), 1);
+    assert_eq!(cells(195, 2.0), 3);
+    assert_eq!(PlanLimits { cells: Some(5), ..LIMITS }.cells_for(10), 5);
+}
+
+// Guards against racks that lie in several cells, and against cells of uneven sizes.
+#[test]
+fn racks_stay_whole_and_cells_are_even() {
+    let reports = executors(610, 8);
+    let plan = PoolPlan::new(&reports, &LIMITS);
+    let mut sizes: BTreeMap<CellId, usize> = BTreeMap::new();
+    let mut racks: BTreeMap<&str, CellId> = BTreeMap::new();
+    for report in &reports {
+        let cell = plan.cell_of(report);
+        *sizes.entry(cell).or_default() += 1;
+        assert_eq!(*racks.entry(&report.labels[1]).or_insert(cell), cell);
+    }
+    let (least, most) = (sizes.values().min().copied(), sizes.values().max().copied());
+    assert!(most.unwrap_or_default() - least.unwrap_or_default() <= 8, "{sizes:?}");
+    // A rack that came later has its cell too, the same for every instance.
+    let late = &executors(2_000, 8)[1_999];
+    assert_eq!(plan.cell_of(late), PoolPlan::new(&reports, &LIMITS).cell_of(late));
+}
+
+// Guards against instances that look for a job in different cells.
+#[test]
+fn idle_cells_get_the_jobs_that_are_at_home_there() {
+    let (plan, board) = three_cells(40);
+    let mut counts = [0; 3];
+    for id in 0..3_000 {
+        let chosen = board.choose(NOW, &plan, id, &job(vec![step(1, &[])]));
+        assert_eq!(chosen, plan.homes(id).0);
+        counts[usize::from(chosen)] += 1;
+    }
+    assert!(counts.iter().all(|count| (800..1_200).contains(count)), "{counts:?}");
+}
+
+// Guards against jobs that wait in a crowded cell, or in one without an owner, while another has room.
+#[test]
+fn crowded_and_silent_cells_are_avoided() {
+    let (plan, mut board) = three_cells(40);
+    board.note(NOW, 1, load(150, &["a", "r1"]));
+    let chosen = |board: &LoadBoard, now| -> Vec<CellId> {
+        (0..300).map(|id| board.choose(now, &plan, id, &job(vec![step(1, &[])]))).collect()
+    };
+    assert!(!chosen(&board, NOW).contains(&1));
+    // The owner of cell 1 has not answered for a while.
+    let later = NOW + Duration::from_secs(5);
+    board.note(later, 0, load(40, &["a", "r1"]));
+    board.note(later, 2, load(40, &["a", "r1"]));
+    assert!(!chosen(&board, later).contains(&1));
+}
+
+// Guards against a job in a cell that lacks the rack of its data or a label that it needs.
+#[test]
+fn job_goes_where_its_label_is() {
+    let (plan, mut board) = three_cells(40);
+    board.note(NOW, 2, load(90, &["a", "r7"]));
+    let near = JobStep { data_rack: Some("r7".to_owned()), ..step(1, &[]) };
+    for id in 0..50 {
+        assert_eq!(board.choose(NOW, &plan, id, &job(vec![near.clone()])), 2);
+    }
+    let mut other = job(vec![step(1, &[])]);
+    other.terms.service = "elsewhere".to_owned();
+    // Nobody has that service: the job waits at home.
+    let record: JobRecord = other;
+    assert_eq!(board.choose(NOW, &plan, 9, &record), plan.homes(9).0);
+}
+
+// Guards against settings that divide a pool into nothing.
+#[test]
+fn fixed_number_of_cells_is_checked() {
+    let text = |cells: &str| {
+        format!(
+            r#"{{"instance": "i", "zone": "z", "client_address": "127.0.0.1:1",
+            "readiness_address": "127.0.0.1:2", "peer_address": "127.0.0.1:3",
+            "operator_address": "127.0.0.1:4", "store_address": "127.0.0.1:5",
+            "max_lease_ms": 6000, "stop_timeout_ms": 200, "grace_ms": 6000,
+            "min_store_ttl_ms": 1000, "harm_ms": 4000, "processor_share": 1.0,
+            "link_mbps": 100.0, "retention_ms": 120000{cells}}}"#
+        )
+    };
+    let read = |cells: &str| JobSettings::from_json(text(cells).as_bytes());
+    assert_eq!(read("").expect("valid").plan_limits(), PlanLimits { link_mbps: 100.0, ..LIMITS });
+    assert_eq!(read(r#", "cells": 0"#).expect_err("no cell").path, "cells");
+    assert_eq!(read(r#", "cells": 65"#).expect_err("too many").path, "cells");
+    assert_eq!(read(r#", "cell_executors": 0"#).expect_err("none").path, "cell_executors");
+}
