--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -193,7 +193,7 @@
         return ClientAnswer::new(503, "the store is away").with_return();
     }
     let (keys, revision) = match find_record(state, job).await {
-        RecordPlace::At(keys, revision) => (keys, revision),
+        RecordPlace::At(cell, revision) => (CellKeys::new(cell), revision),
         RecordPlace::Nowhere => return ClientAnswer::new(410, "no such job, or it has ended"),
         RecordPlace::Unknown => {
             return ClientAnswer::new(503, "the store does not answer").with_return();
@@ -215,7 +215,7 @@
 
 /// Where the record of a job that has not ended is.
 enum RecordPlace {
-    At(CellKeys, StoreRevision),
+    At(CellId, StoreRevision),
     Nowhere,
     Unknown,
 }
@@ -235,11 +235,10 @@
 }
 
 async fn read_record(state: &Rc<DaemonState>, cell: CellId, job: JobId) -> RecordPlace {
-    let keys = CellKeys::new(cell);
-    let read = StoreCall::ReadKey { key: keys.job(job) };
+    let read = StoreCall::ReadKey { key: CellKeys::new(cell).job(job) };
     match state.call_store(&read, WRITE_TIMEOUT).await {
         Ok(StoreReply::Items { items, .. }) => match items.first() {
-            Some(item) => RecordPlace::At(keys, item.revision),
+            Some(item) => RecordPlace::At(cell, item.revision),
             None => RecordPlace::Nowhere,
         },
         _ => RecordPlace::Unknown,
