Bear figures of any size, and watch thousands of heartbeats without falling behind

The watch goes on at once after a large answer now (pace.rs; its test fails with the fixed pause). Found while looking for processes that one message brings down: the needs of a job may be of any size up to 2^32; their sum with what is reserved wrapped (a panic with checks on), and so did the numbers of runs and the clocks that executors name. A stored job would have met each next owner too. Sums are checked, absurd numbers and clocks are refused. malformed.rs failed on the code before at candidates.rs, then at state.rs; a process test sends malformed bytes to every port.

--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -7,6 +7,7 @@
     ids::StoreRevision,
     keys::{owned_cell, OWNER_PREFIX, PLAN_KEY},
     order::ExecutorReport,
+    pace::WatchPace,
     scheduler::{DecisionRecord, JobEvent},
     store::{StoreCall, StoreChange, StoreItem, StoreReply},
 };
@@ -53,6 +54,7 @@
 ) {
     let mut after = from;
     let mut margin = WATCH_MARGIN;
+    let mut pace = WatchPace::new(pause);
     loop {
         let Some(revision) = after else {
             let call = StoreCall::Read { prefix: prefix.to_owned() };
@@ -68,11 +70,12 @@
             continue;
         };
         let log = |record| state.log(&record);
-        time::sleep(pause).await;
+        time::sleep(pace.pause()).await;
         match state.store.watch(prefix, revision, wait, margin, log).await {
             Ok(WatchReply::Changes(changes, next)) => {
                 margin = WATCH_MARGIN;
                 after = Some(next.max(revision));
+                pace.answered(changes.len());
                 if !consume(WatchNews::Changes(changes)) {
                     return;
                 }
--- a/crates/cuminbank-jobd/tests/processes.rs
+++ b/crates/cuminbank-jobd/tests/processes.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
-use std::process::Stdio;
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpStream},
+    process::Stdio,
+};
 
 use serde_json::{json, Value};
 
@@ -131,3 +135,36 @@
         deployment.operators.iter().filter_map(|operator| read_text(*operator, "/metrics"));
     assert!(pages.any(|page| page.contains("bundle.carried")), "no start was carried");
 }
+
+// Guards against a process that one malformed message brings down, on whichever port it comes.
+#[test]
+fn malformed_messages_bring_no_process_down() {
+    let deployment = Deployment::start(1, 100, Stdio::null);
+    let operator = deployment.operators[0];
+    let peer = SocketAddr::new(operator.ip(), operator.port() - 1);
+    let readiness = SocketAddr::new(operator.ip(), operator.port() - 2);
+    let huge_length = [0x03, 0xff, 0xff, 0xff, 1, 2, 3];
+    let messages: [&[u8]; 6] = [
+        &huge_length,
+        &[0, 0, 0, 3, 0xff, 0xff, 0xff],
+        &[0, 0, 0, 0],
+        b"POST /p/1 HTTP/1.1\r\ncontent-length: 99999999999999999999\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\xff\xfe: x\r\n\r\n",
+        &[0xff; 4_096],
+    ];
+    for address in [deployment.clients[0], operator, peer, readiness] {
+        for message in messages {
+            let mut stream = TcpStream::connect(address).expect("the port is open");
+            // The other side may close before it has read everything.
+            let _ = stream.write_all(message);
+        }
+    }
+    let endless = json!({ "spec": "p", "repeat-count": 4, "start-at-ms": 1,
+        "interval-ms": u64::MAX, "steps": [{ "count": 1, "cpu": u32::MAX, "mem-mb": u32::MAX,
+        "estimate-ms": 1e300 }] });
+    deployment.submit(50, &endless);
+    deployment.submit(51, &two_steps());
+    deployment.wait("the job is not completed", |deployment| deployment.is_completed(51));
+    let status = call(operator, "GET", "/v1/status", "").map(|(status, _)| status);
+    assert_eq!(status, Some(200));
+}
--- a/crates/cuminbank-jobs/src/job.rs
+++ b/crates/cuminbank-jobs/src/job.rs
@@ -18,6 +18,18 @@
     pub gpus: u32,
 }
 
+impl TaskNeeds {
+    /// Tells whether memory and accelerators fit beside what is reserved. Needs come from clients and may
+    /// be of any size.
+    pub fn fits_beside(&self, reserved: &Self, capacity: &Self) -> bool {
+        let fits = |need: u32, taken: u32, whole: u32| {
+            taken.checked_add(need).is_some_and(|sum| sum <= whole)
+        };
+        fits(self.memory_mb, reserved.memory_mb, capacity.memory_mb)
+            && fits(self.gpus, reserved.gpus, capacity.gpus)
+    }
+}
+
 /// A step: tasks of one shape.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct JobStep {
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod job;
 pub mod keys;
 pub mod order;
+pub mod pace;
 pub mod peer;
 pub mod placement;
 pub mod priority;
--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -87,8 +87,6 @@
     /// Tells whether the executor has room for a task by its guard and by ours.
     pub fn has_room(&self, demand: &TaskDemand) -> bool {
         let needs = &demand.needs;
-        let memory = self.reserved.memory_mb + needs.memory_mb <= self.capacity.memory_mb;
-        let gpus = self.reserved.gpus + needs.gpus <= self.capacity.gpus;
         let cpu = match demand.fills {
             true => {
                 u64::from(self.idle_cpu()) * 100
@@ -96,7 +94,7 @@
             }
             false => needs.cpu_millis <= self.unreserved_cpu(),
         };
-        memory && gpus && cpu
+        cpu && needs.fits_beside(&self.reserved, &self.capacity)
     }
 
     /// Returns the cost of placing a task here; the least cost wins.
@@ -133,7 +131,7 @@
     /// Serving tasks do not disturb each other. They gather by image, so that each executor admits
     /// as many filling images as possible.
     fn serving_cost(&self, demand: &TaskDemand, capacity: u64) -> u64 {
-        let used = u64::from(self.reserved.cpu_millis + demand.needs.cpu_millis);
+        let used = u64::from(self.reserved.cpu_millis) + u64::from(demand.needs.cpu_millis);
         let mut cost = capacity.saturating_sub(used) * 10_000 / capacity;
         cost += u64::from(self.filling) * FILLED_COST;
         cost += (self.pressure * PRESSURE_COST) as u64;
--- a/crates/cuminbank-jobs/src/scheduler/candidates.rs
+++ b/crates/cuminbank-jobs/src/scheduler/candidates.rs
@@ -45,9 +45,9 @@
     /// Tells at little cost whether an executor may have room for a task of a step.
     pub(super) fn may_have_room(&self, spec: &JobStep) -> bool {
         let cpu = spec.fills
-            || self.reserved.cpu_millis + spec.needs.cpu_millis <= self.capacity.cpu_millis;
-        cpu && self.reserved.memory_mb + spec.needs.memory_mb <= self.capacity.memory_mb
-            && self.reserved.gpus + spec.needs.gpus <= self.capacity.gpus
+            || spec.needs.cpu_millis
+                <= self.capacity.cpu_millis.saturating_sub(self.reserved.cpu_millis);
+        cpu && spec.needs.fits_beside(&self.reserved, &self.capacity)
     }
 }
 
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -38,6 +38,9 @@
 /// Pause between two holds while ends wait to be recorded, since the executor lists them again at
 /// once.
 const UNRECORDED_GAP: Duration = Duration::from_millis(300);
+/// Greatest reading of an executor's clock, some thousands of years. A lease reckoned from a greater one
+/// would never end.
+const MOST_CLOCK: ExecutorMillis = 1 << 48;
 /// How much slower than ours an executor's clock may run, in percent.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
 /// How long an executor that the list no longer names may still get work if it answers, and is kept
@@ -257,7 +260,7 @@
         let now = self.now;
         self.executors[key].hold.order = None;
         match result {
-            Ok(OrderReply::Held(report)) => self.on_held(key, report),
+            Ok(OrderReply::Held(report)) if report.clock <= MOST_CLOCK => self.on_held(key, report),
             Err(OrderFailure::Replaced) => {
                 self.lapse_runs(key, "another executor listens at the address");
                 self.remove_executor(key);
--- a/crates/cuminbank-jobs/src/scheduler/ends.rs
+++ b/crates/cuminbank-jobs/src/scheduler/ends.rs
@@ -8,13 +8,16 @@
     JobScheduler,
 };
 use crate::{
-    ids::TaskIndex,
+    ids::{RunNumber, TaskIndex},
     job::{JobOutcome, TaskName},
     order::{EndReport, HoldReport, OrderRequest, RunEnd, RunReport},
 };
 
 /// Most ends that an executor lists in one answer; further runs may have ended unlisted.
 const LISTED_ENDS: usize = 500;
+/// Highest number of a run. Each takeover adds a thousand; what is above was not started here, and
+/// taken for a run of ours it would leave the task no number to go on with.
+const MOST_RUNS: RunNumber = 1 << 30;
 
 impl JobScheduler {
     pub(super) fn take_report(&mut self, key: ExecutorKey, report: HoldReport, sent_stamp: u64) {
@@ -37,7 +40,11 @@
         self.watch_tails(key, &report.running);
     }
 
-    fn find_task(&self, name: TaskName) -> Option<(JobKey, TaskIndex)> {
+    /// Returns the task of a run that an executor names, unless it cannot be one of ours.
+    fn find_task(&self, name: TaskName, number: RunNumber) -> Option<(JobKey, TaskIndex)> {
+        if number > MOST_RUNS {
+            return None;
+        }
         let key = *self.job_ids.get(&name.job)?;
         let job = &self.jobs[key];
         Some((key, job.layout.index(&job.record, name)?))
@@ -59,7 +66,7 @@
 
     fn take_end(&mut self, key: ExecutorKey, end: &EndReport) {
         let name = self.executors[key].name.clone();
-        let Some((job_key, task)) = self.find_task(end.task) else {
+        let Some((job_key, task)) = self.find_task(end.task, end.run) else {
             let detail = format!("executor={name} end={end:?}");
             return self.log(RUN_UNKNOWN, Some(end.task.job), detail);
         };
@@ -142,7 +149,7 @@
     }
 
     fn take_running(&mut self, key: ExecutorKey, row: &RunReport) -> Option<RunKey> {
-        let Some((job_key, task)) = self.find_task(row.task) else {
+        let Some((job_key, task)) = self.find_task(row.task, row.run) else {
             self.stop_stray(key, row);
             return None;
         };
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -211,7 +211,11 @@
 
     fn next_run(&self, key: JobKey, tasks: impl Iterator<Item = TaskIndex>) -> u32 {
         let job = &self.jobs[key];
-        tasks.map(|task| job.tasks[task as usize].last_run).max().unwrap_or_default() + 1
+        tasks
+            .map(|task| job.tasks[task as usize].last_run)
+            .max()
+            .unwrap_or_default()
+            .saturating_add(1)
     }
 
     pub(super) fn step_counts(
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -319,7 +319,7 @@
             number,
             executor,
             phase: RunPhase::Starting,
-            needs: step.needs,
+            needs: countable(&step.needs),
             fills: step.fills,
             serves: step.long_running && step.tail_target_ms > 0,
             image: job.images[step_number],
@@ -352,6 +352,17 @@
     }
 }
 
+/// Returns needs that can be summed up. An executor may say that it runs what needs more than any has.
+fn countable(needs: &TaskNeeds) -> TaskNeeds {
+    /// More than any machine has, and little enough for the sum of hundreds of runs.
+    const MOST: u32 = 1 << 22;
+    TaskNeeds {
+        cpu_millis: needs.cpu_millis.min(MOST),
+        memory_mb: needs.memory_mb.min(MOST),
+        gpus: needs.gpus.min(MOST),
+    }
+}
+
 /// Converts an arrival by the wall clock to steady time; clocks of machines may differ.
 pub(super) fn arrival_time(
     now: MonotonicTime,
--- a/crates/cuminbank-jobs/tests/journal.rs
+++ b/crates/cuminbank-jobs/tests/journal.rs
@@ -1,36 +1,19 @@
 //! Writes of the owner's records.
 
+mod support;
+
 use std::time::Duration;
 
 use cuminbank_jobs::{
     ids::{MonotonicTime, WriteId},
     scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
-    store::{StoreCall, StoreFailure, StoreReply},
-    tenure::{HeldTenure, TenureEffect, TenureState},
+    store::StoreFailure,
 };
-use cuminbank_platform_standin::{executor::FakeExecutor, store::FakeStore};
+use cuminbank_platform_standin::executor::FakeExecutor;
+use support::tenure::held_tenure;
 
 const START: MonotonicTime = Duration::from_secs(10);
 
-/// Returns an ownership that has just begun.
-fn tenure() -> HeldTenure {
-    let (mut store, address) = (FakeStore::default(), "127.0.0.1:2".parse().expect("an address"));
-    let mut state = TenureState::new("a".to_owned(), 1, address);
-    let mut effects = state.observe(START, store.revision, None);
-    effects.extend(state.tick(START + Duration::from_secs(1)));
-    while let Some(effect) = effects.pop() {
-        match effect {
-            TenureEffect::Began(held, _) => return held,
-            TenureEffect::Call { id, call, .. } => {
-                let reply: StoreReply = store.call(START, &call as &StoreCall);
-                effects.extend(state.ended(START + Duration::from_secs(1), id, Ok(reply)));
-            }
-            _ => {}
-        }
-    }
-    panic!("the pool was not claimed");
-}
-
 fn commits(effects: &[JobEffect]) -> Vec<WriteId> {
     let ids = effects.iter().filter_map(|effect| match effect {
         JobEffect::Commit { id, .. } => Some(*id),
@@ -49,7 +32,7 @@
         retention: Duration::from_secs(120),
     };
     let begun = START + Duration::from_secs(1);
-    let mut scheduler = JobScheduler::new(bounds, &tenure(), begun);
+    let mut scheduler = JobScheduler::new(bounds, &held_tenure(begun), begun);
     let mut effects = scheduler.apply(begun, begun, JobEvent::Loaded { items: Vec::new() });
     let reports = vec![FakeExecutor::new("e", 1_000).report()];
     effects.extend(scheduler.apply(begun, begun, JobEvent::Listed { reports }));
--- /dev/null
+++ b/crates/cuminbank-jobs/tests/malformed.rs
@@ -0,0 +1,147 @@
+//! Figures of any size from clients and executors.
+
+mod support;
+
+use std::{collections::VecDeque, time::Duration};
+
+use cuminbank_jobs::{
+    job::{JobStep, TaskName, TaskNeeds},
+    keys::CellKeys,
+    order::{EndReport, HoldReport, OrderReply, OrderRequest, RunEnd, RunReport},
+    scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
+    store::{encode_value, StoreChange, StoreFailure, StoreItem, TxnOutcome},
+    tenure::HeldTenure,
+};
+use cuminbank_platform_standin::executor::FakeExecutor;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::{
+    jobs::{job, step},
+    tenure::held_tenure,
+};
+
+const START: Duration = Duration::from_secs(11);
+
+/// Returns a figure that is likely to be at an edge.
+fn edge(random: &mut ChaCha8Rng) -> u64 {
+    match random.random_range(0..6) {
+        0 => 0,
+        1 => u64::from(u32::MAX),
+        2 => u64::MAX,
+        3 => 1 << 48,
+        4 => random.random_range(0..5),
+        _ => random.random(),
+    }
+}
+
+fn report(random: &mut ChaCha8Rng) -> HoldReport {
+    let mut task = |random: &mut ChaCha8Rng| TaskName {
+        job: random.random_range(0..3),
+        occurrence: edge(random) as u32,
+        step: random.random_range(0..3),
+        index: edge(random) as u32,
+    };
+    let running = (0..3)
+        .map(|_| RunReport {
+            task: task(random),
+            run: edge(random) as u32,
+            checkpoint: None,
+            percent: edge(random) as u8,
+            usage: Some(edge(random)),
+        })
+        .collect();
+    let ends = [RunEnd::Done, RunEnd::Failed, RunEnd::Lapsed, RunEnd::Alone];
+    let ended = (0..3)
+        .map(|_| EndReport {
+            number: edge(random),
+            task: task(random),
+            run: edge(random) as u32,
+            end: ends[random.random_range(0..ends.len())],
+            checkpoint: None,
+        })
+        .collect();
+    HoldReport { clock: edge(random), born: edge(random), running, ended }
+}
+
+fn scheduler(tenure: &HeldTenure) -> JobScheduler {
+    let bounds = SchedulerBounds {
+        max_lease: Duration::from_secs(6),
+        stop_timeout: Duration::from_millis(200),
+        harm_time: Duration::from_secs(4),
+        retention: Duration::from_secs(120),
+    };
+    JobScheduler::new(bounds, tenure, START)
+}
+
+// Guards against an owner that one answer of an executor, or one job of a client, brings down; as the
+// job is stored, the next owners would follow.
+#[test]
+fn figures_of_any_size_bring_nothing_down() {
+    let keys = CellKeys::new(0);
+    for seed in 0..150 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut scheduler = scheduler(&held_tenure(START));
+        let huge = |random: &mut ChaCha8Rng| edge(random) as u32;
+        let mut changes = Vec::new();
+        for id in 0..3 {
+            let needs = TaskNeeds {
+                cpu_millis: huge(&mut random),
+                memory_mb: huge(&mut random),
+                gpus: huge(&mut random),
+            };
+            let wide = JobStep { needs, estimate_ms: huge(&mut random), ..step(3, &[]) };
+            let value = encode_value(&job(vec![step(2, &[]), wide]));
+            let (key, revision) = (keys.job(id), 1_000 + id);
+            changes.push(StoreChange::Written(StoreItem {
+                key,
+                value,
+                revision,
+                created: revision,
+            }));
+        }
+        let mut events = VecDeque::from([
+            JobEvent::Loaded { items: Vec::new() },
+            JobEvent::Listed { reports: vec![FakeExecutor::new("e", 1_000).report()] },
+            JobEvent::PoolChanged { changes },
+        ]);
+        let mut asked = 0;
+        let mut now = START;
+        for _ in 0..300 {
+            now += Duration::from_millis(7);
+            let event = events.pop_front().unwrap_or(JobEvent::Tick);
+            for effect in scheduler.apply(now, now, event) {
+                match effect {
+                    JobEffect::Commit { id, .. } => {
+                        let result = match random.random_range(0..4) {
+                            0 => Err(StoreFailure::Unknown),
+                            _ => Ok(TxnOutcome::Committed { revision: 2_000 + id }),
+                        };
+                        events.push_back(JobEvent::CommitEnded { id, result });
+                    }
+                    JobEffect::Order(order) => {
+                        asked += 1;
+                        let reply = match order.request {
+                            OrderRequest::Hold { .. } => OrderReply::Held(report(&mut random)),
+                            _ => OrderReply::Done { clock: Some(edge(&mut random)) },
+                        };
+                        events.push_back(JobEvent::OrderEnded { id: order.id, result: Ok(reply) });
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert!(asked > 10, "seed {seed}: the executor was hardly asked");
+    }
+}
+
+// Guards against a task that seems to fit because the sum of what it needs and what is taken wraps.
+#[test]
+fn needs_beyond_every_executor_fit_nowhere() {
+    let taken = TaskNeeds { cpu_millis: 1, memory_mb: 1, gpus: 1 };
+    let whole = TaskNeeds { cpu_millis: 8, memory_mb: 8, gpus: 8 };
+    let fits =
+        |memory_mb, gpus| TaskNeeds { cpu_millis: 1, memory_mb, gpus }.fits_beside(&taken, &whole);
+    assert!(fits(7, 7));
+    assert!(!fits(8, 1) && !fits(1, 8));
+    assert!(!fits(u32::MAX, 1) && !fits(1, u32::MAX));
+}
--- /dev/null
+++ b/crates/cuminbank-jobs/tests/pace.rs
@@ -0,0 +1,38 @@
+//! Watch of the executors' entries at size.
+
+use std::time::Duration;
+
+use cuminbank_jobs::pace::WatchPace;
+
+/// Most changes in an answer of the store.
+const MOST_CHANGES: usize = 500;
+const HEARTBEAT: Duration = Duration::from_millis(1_100);
+const ANSWER_TIME: Duration = Duration::from_millis(15);
+
+/// Plays a minute of heartbeats; returns the longest time for which a change waited, and the calls.
+fn play(executors: usize) -> (Duration, usize) {
+    let mut pace = WatchPace::new(Duration::from_millis(400));
+    let rate = executors as f64 / HEARTBEAT.as_secs_f64();
+    let (mut now, mut seen, mut longest, mut calls) = (Duration::ZERO, 0.0, Duration::ZERO, 0);
+    while now < Duration::from_secs(60) {
+        now += pace.pause() + ANSWER_TIME;
+        let waiting = now.as_secs_f64() * rate - seen;
+        let taken = waiting.min(MOST_CHANGES as f64);
+        longest = longest.max(Duration::from_secs_f64(waiting / rate));
+        seen += taken;
+        pace.answered(taken as usize);
+        calls += 1;
+    }
+    (longest, calls)
+}
+
+// Guards against an owner that learns of a leaving executor many seconds late: with 3,000 executors a
+// watch with fixed pauses fell behind, and work was started on executors that had said they leave.
+#[test]
+fn watch_keeps_up_with_the_heartbeats_of_a_large_pool() {
+    for executors in [66, 610, 3_000, 5_200] {
+        let (longest, calls) = play(executors);
+        assert!(longest < Duration::from_secs(1), "{executors} executors: {longest:?}");
+        assert!(calls < 60 * 20, "{executors} executors: {calls} calls in a minute");
+    }
+}
--- a/crates/cuminbank-jobs/tests/support/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/mod.rs
@@ -5,4 +5,5 @@
 
 pub mod checks;
 pub mod jobs;
+pub mod tenure;
 pub mod world;
