Tell operators where each job stands and what was decided on it, and bound run lines

A job's place was only its phase. Change: runs may take 400 lines a second of the 1,000 for items; drops are counted by event; each instance remembers its last 3,000 decisions on jobs, also those not logged, at /v1/jobs/ID/decisions; /v1/jobs/ID says cell, owner, tasks by phase, executors and what it waits for; /v1/status counts the executors of each cell.

--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -73,12 +73,14 @@
 
     /// Returns what operators want to know of the cell.
     pub(crate) fn status(&self) -> Value {
+        let tally = self.scheduler.borrow().as_ref().map(JobScheduler::counts);
         let tenure = self.tenure.borrow();
         json!({
             "cell": self.id,
             "owner": tenure.observed().map(|owner| owner.instance.clone()),
             "epoch": tenure.observed().map(|owner| owner.epoch),
             "owned_here": tenure.held().is_some(),
+            "tally": tally,
         })
     }
 
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -18,7 +18,7 @@
     carriers::CarrierBoard,
     cells::{LoadBoard, PoolPlan},
     config::ConfigInForce,
-    ids::{CellId, ExecutorName, JobId, MonotonicTime},
+    ids::{CellId, ExecutorName, JobId, MonotonicTime, WallTime},
     job::StepName,
     order::{AdviceFailure, AdviceReply, ExecutorOrder, OrderFailure, OrderReply},
     peer::{PeerReply, PeerRequest},
@@ -90,6 +90,11 @@
         self.log.write(record);
     }
 
+    /// Returns what this instance has decided about a job of late, oldest first.
+    pub(crate) fn decisions(&self, job: JobId) -> Vec<(WallTime, DecisionRecord)> {
+        self.log.decisions(job)
+    }
+
     /// Calls the store.
     pub(crate) async fn call_store(
         &self,
--- a/crates/cuminbank-jobd/src/logging.rs
+++ b/crates/cuminbank-jobd/src/logging.rs
@@ -1,9 +1,16 @@
 //! Log lines as JSON on standard output, bounded in rate and in memory.
 
-use std::{cell::RefCell, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use cuminbank::log::{LogCode, LogLevel, LINES_DROPPED};
-use cuminbank_jobs::{ids::MonotonicTime, scheduler::DecisionRecord};
+use cuminbank_jobs::{
+    ids::{JobId, MonotonicTime, WallTime},
+    scheduler::DecisionRecord,
+};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
@@ -13,12 +20,18 @@
 const MAX_WAITING_LINES: usize = 2_000;
 /// Lines written in a second; more are counted and dropped, so that a flood of decisions costs a
 /// bounded share of the processor.
-pub const MAX_LINES_PER_SECOND: u32 = 1_500;
-/// Part of them that lines about single jobs, runs and executors may take: the others tell of the
-/// instance, its dependencies and its ownership.
-pub const MAX_ITEM_LINES_PER_SECOND: u32 = 1_300;
-/// Numbers of the events about single jobs, runs and executors.
+pub const MAX_LINES_PER_SECOND: u32 = 1_200;
+/// Part of them that lines about single requests, jobs, runs and executors may take: the others tell of
+/// the instance, its dependencies and its ownership.
+pub const MAX_ITEM_LINES_PER_SECOND: u32 = 1_000;
+/// Part of those that lines about single runs may take: a job has dozens of runs, and a flood of them
+/// must not hide what became of requests and executors.
+pub const MAX_RUN_LINES_PER_SECOND: u32 = 400;
+/// Numbers of the events about single jobs, runs and executors, and of those about runs.
 const ITEM_EVENTS: std::ops::Range<u16> = 701..740;
+const RUN_EVENTS: std::ops::Range<u16> = 711..731;
+/// Decisions about jobs that an instance remembers for operators, some 200 bytes each.
+const MOST_REMEMBERED: usize = 3_000;
 
 /// Keeps the writer alive; dropped, it writes what waits.
 pub struct LogGuard(#[expect(dead_code, reason = "its drop writes what waits")] WorkerGuard);
@@ -47,7 +60,8 @@
     second: MonotonicTime,
     written: u32,
     items_written: u32,
-    dropped: u64,
+    runs_written: u32,
+    dropped: BTreeMap<u16, u64>,
 }
 
 impl LineBudget {
@@ -55,22 +69,25 @@
     pub fn take(&mut self, now: MonotonicTime, code: LogCode) -> bool {
         self.begin_second(now);
         let about_item = ITEM_EVENTS.contains(&code.number);
+        let about_run = RUN_EVENTS.contains(&code.number);
         let full = self.written >= MAX_LINES_PER_SECOND
-            || (about_item && self.items_written >= MAX_ITEM_LINES_PER_SECOND);
+            || (about_item && self.items_written >= MAX_ITEM_LINES_PER_SECOND)
+            || (about_run && self.runs_written >= MAX_RUN_LINES_PER_SECOND);
         if full {
-            self.dropped += 1;
+            *self.dropped.entry(code.number).or_default() += 1;
             return false;
         }
         self.written += 1;
+        self.runs_written += u32::from(about_run);
         self.items_written += u32::from(about_item);
         true
     }
 
-    /// Returns how many lines were dropped, once their second is over.
-    pub fn take_dropped(&mut self, now: MonotonicTime) -> u64 {
+    /// Returns how many lines of each event were dropped, once their second is over.
+    pub fn take_dropped(&mut self, now: MonotonicTime) -> BTreeMap<u16, u64> {
         match self.begin_second(now) {
             true => std::mem::take(&mut self.dropped),
-            false => 0,
+            false => BTreeMap::new(),
         }
     }
 
@@ -81,6 +98,7 @@
         self.second = now;
         self.written = 0;
         self.items_written = 0;
+        self.runs_written = 0;
         true
     }
 }
@@ -90,18 +108,41 @@
 pub(crate) struct DecisionLog {
     instance: String,
     budget: RefCell<LineBudget>,
+    /// Decisions about jobs with the time of day, also those whose lines were dropped.
+    recent: RefCell<VecDeque<(WallTime, DecisionRecord)>>,
 }
 
 impl DecisionLog {
     pub(crate) fn new(instance: String) -> Self {
-        Self { instance, budget: RefCell::default() }
+        Self { instance, budget: RefCell::default(), recent: RefCell::default() }
+    }
+
+    /// Returns what this instance has decided about a job of late, oldest first.
+    pub(crate) fn decisions(&self, job: JobId) -> Vec<(WallTime, DecisionRecord)> {
+        let recent = self.recent.borrow();
+        recent.iter().filter(|(_, record)| record.job == Some(job)).cloned().collect()
+    }
+
+    fn remember(&self, record: &DecisionRecord) {
+        if record.job.is_none() {
+            return;
+        }
+        let mut recent = self.recent.borrow_mut();
+        if recent.len() >= MOST_REMEMBERED {
+            recent.pop_front();
+        }
+        recent.push_back((clock::wall(), record.clone()));
     }
 
     pub(crate) fn write(&self, record: &DecisionRecord) {
         let now = clock::now();
         let dropped = self.budget.borrow_mut().take_dropped(now);
-        if dropped > 0 {
-            let detail = format!("lines={dropped}");
+        self.remember(record);
+        if !dropped.is_empty() {
+            let lines: u64 = dropped.values().sum();
+            let by_event: Vec<String> =
+                dropped.iter().map(|(number, count)| format!("EV{number:04}:{count}")).collect();
+            let detail = format!("lines={lines} by_event={}", by_event.join(","));
             self.emit(&DecisionRecord { code: LINES_DROPPED, job: None, detail });
         }
         if self.budget.borrow_mut().take(now, record.code) {
--- a/crates/cuminbank-jobd/tests/logging.rs
+++ b/crates/cuminbank-jobd/tests/logging.rs
@@ -1,9 +1,11 @@
 //! What is logged when there is more than may be written.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use cuminbank::log::{EXECUTOR_REACHED, RUN_ENDED, RUN_STARTED, TENURE_BEGAN};
-use cuminbank_jobd::logging::{LineBudget, MAX_ITEM_LINES_PER_SECOND, MAX_LINES_PER_SECOND};
+use cuminbank::log::{EXECUTOR_REACHED, JOB_ANSWERED, RUN_ENDED, RUN_STARTED, TENURE_BEGAN};
+use cuminbank_jobd::logging::{
+    LineBudget, MAX_ITEM_LINES_PER_SECOND, MAX_LINES_PER_SECOND, MAX_RUN_LINES_PER_SECOND,
+};
 
 // Guards against a flood of jobs, runs and executors that hides a change of the owner or a lost dependency.
 #[test]
@@ -11,8 +13,13 @@
     let now = Duration::from_secs(5);
     let mut budget = LineBudget::default();
     let written = (0..10_000).filter(|_| budget.take(now, RUN_STARTED)).count();
-    assert_eq!(written, MAX_ITEM_LINES_PER_SECOND as usize);
-    assert!(!budget.take(now, RUN_ENDED) && !budget.take(now, EXECUTOR_REACHED));
+    assert_eq!(written, MAX_RUN_LINES_PER_SECOND as usize);
+    assert!(!budget.take(now, RUN_ENDED));
+    // Runs leave room for requests and executors.
+    let written = (0..10_000).filter(|_| budget.take(now, JOB_ANSWERED)).count();
+    let items = MAX_ITEM_LINES_PER_SECOND - MAX_RUN_LINES_PER_SECOND;
+    assert_eq!(written, items as usize);
+    assert!(!budget.take(now, EXECUTOR_REACHED));
     let rest = MAX_LINES_PER_SECOND - MAX_ITEM_LINES_PER_SECOND;
     let written = (0..10_000).filter(|_| budget.take(now, TENURE_BEGAN)).count();
     assert_eq!(written, rest as usize);
@@ -23,12 +30,14 @@
 fn next_second_has_its_own_budget() {
     let now = Duration::from_secs(5);
     let mut budget = LineBudget::default();
-    (0..MAX_ITEM_LINES_PER_SECOND + 7).for_each(|_| {
+    (0..MAX_RUN_LINES_PER_SECOND + 7).for_each(|_| {
         budget.take(now, RUN_STARTED);
     });
-    assert_eq!(budget.take_dropped(now), 0);
+    budget.take(now, RUN_ENDED);
+    assert!(budget.take_dropped(now).is_empty());
     let later = now + Duration::from_secs(1);
-    assert_eq!(budget.take_dropped(later), 7);
+    let dropped = [(RUN_STARTED.number, 7), (RUN_ENDED.number, 1)];
+    assert_eq!(budget.take_dropped(later), BTreeMap::from(dropped));
     assert!(budget.take(later, RUN_STARTED));
-    assert_eq!(budget.take_dropped(later), 0);
+    assert!(budget.take_dropped(later).is_empty());
 }
--- a/crates/cuminbank-jobs/src/peer.rs
+++ b/crates/cuminbank-jobs/src/peer.rs
@@ -1,13 +1,13 @@
 //! Requests between instances of the system.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     carriers::{CarriedResult, StartBundle},
     cells::CellLoad,
-    ids::{CellId, JobId, OwnerEpoch, QueueName},
+    ids::{CellId, ExecutorName, JobId, OwnerEpoch, QueueName},
     job::JobPhase,
 };
 
@@ -39,6 +39,13 @@
         /// The job.
         job: JobId,
     },
+    /// How a job stands, for operators.
+    Describe {
+        /// The cell.
+        cell: CellId,
+        /// The job.
+        job: JobId,
+    },
     /// How many accepted jobs of a queue have not started.
     Pending {
         /// The cell.
@@ -69,6 +76,7 @@
     pub fn cell(&self) -> CellId {
         match self {
             Self::Phase { cell, .. }
+            | Self::Describe { cell, .. }
             | Self::Pending { cell, .. }
             | Self::Load { cell, .. }
             | Self::Yield { cell, .. } => *cell,
@@ -76,11 +84,49 @@
     }
 }
 
+/// How a job stands, as its owner sees it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct JobDescription {
+    /// Phase that clients are told.
+    pub phase: JobPhase,
+    /// Its queue.
+    pub queue: QueueName,
+    /// Time since it arrived.
+    pub age: Duration,
+    /// Time until its objective has passed; zero afterwards.
+    pub left: Duration,
+    /// Tasks that wait for earlier steps or their time.
+    pub blocked: u32,
+    /// Tasks that wait for an executor.
+    pub ready: u32,
+    /// Tasks with a run.
+    pub active: u32,
+    /// Tasks with their result.
+    pub done: u32,
+    /// Executors that run its tasks.
+    pub executors: Vec<ExecutorName>,
+    /// Why its ready tasks wait, if there are any.
+    pub waits: Option<WaitReason>,
+}
+
+/// Why ready tasks of a job wait.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum WaitReason {
+    /// Runs of an earlier owner are not accounted for yet.
+    EarlierRuns,
+    /// No executor has room, or other jobs come first.
+    Room,
+    /// No executor of its service may get work.
+    NoExecutor,
+}
+
 /// What the owner answers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum OwnerAnswer {
     /// The phase of the job.
     Phase(JobPhase),
+    /// How the job stands.
+    Described(JobDescription),
     /// The owner does not know the job; it may not have seen it yet.
     Unknown,
     /// Number of jobs.
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -2,17 +2,43 @@
 
 use std::time::Duration;
 
-use super::JobScheduler;
+use serde::Serialize;
+
+use super::{
+    state::{ExecutorState, TaskPhase},
+    JobScheduler,
+};
 use crate::{
     cells::CellLoad,
     ids::{JobId, QueueName},
     job::{JobOutcome, JobPhase},
-    peer::{OwnerAnswer, OwnerQuestion},
+    peer::{JobDescription, OwnerAnswer, OwnerQuestion, WaitReason},
 };
 
 /// Interval at which the use of the cell is worked out.
 const LOAD_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Executors and work of a cell.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct ExecutorTally {
+    /// Executors that are known.
+    pub known: usize,
+    /// Those that may get work.
+    pub usable: usize,
+    /// Those that drain.
+    pub draining: usize,
+    /// Those that did not answer the last time.
+    pub silent: usize,
+    /// Those that get no work because runs failed there.
+    pub shunned: usize,
+    /// Those that may still run work of an earlier owner.
+    pub unsettled: usize,
+    /// Runs in progress.
+    pub runs: usize,
+    /// Jobs with tasks that wait for an executor.
+    pub waiting_jobs: usize,
+}
+
 impl JobScheduler {
     /// Works out how much of the cell is in use or wanted.
     pub(super) fn update_load(&mut self) {
@@ -58,6 +84,10 @@
                 Some(phase) => OwnerAnswer::Phase(phase),
                 None => OwnerAnswer::Unknown,
             },
+            OwnerQuestion::Describe { job, .. } => match self.describe(*job) {
+                Some(description) => OwnerAnswer::Described(description),
+                None => OwnerAnswer::Unknown,
+            },
             OwnerQuestion::Load { .. } => OwnerAnswer::Load(self.load.clone()),
             OwnerQuestion::Pending { queue, .. } => OwnerAnswer::Pending(self.pending(queue)),
             // Whoever carries the scheduler's effects answers this one.
@@ -80,6 +110,56 @@
         })
     }
 
+    /// Returns how a job that has not been forgotten stands.
+    pub fn describe(&self, id: JobId) -> Option<JobDescription> {
+        let phase = self.phase(id)?;
+        let job = &self.jobs[*self.job_ids.get(&id)?];
+        let count = |wanted| job.tasks.iter().filter(|task| task.phase == wanted).count() as u32;
+        let runs = job.tasks.iter().flat_map(|task| &task.runs);
+        let mut executors: Vec<_> =
+            runs.map(|run| self.executors[self.runs[*run].executor].name.clone()).collect();
+        executors.sort_unstable();
+        executors.dedup();
+        let usable = self.executors.values().any(|executor| {
+            executor.service == job.record.terms.service && self.is_placeable(executor)
+        });
+        let waits = match (job.ready.is_empty(), job.fresh || self.is_settled(), usable) {
+            (true, _, _) => None,
+            (false, false, _) => Some(WaitReason::EarlierRuns),
+            (false, true, false) => Some(WaitReason::NoExecutor),
+            (false, true, true) => Some(WaitReason::Room),
+        };
+        Some(JobDescription {
+            phase,
+            queue: job.record.terms.queue.clone(),
+            age: self.now.saturating_sub(job.arrived),
+            left: job.deadline.saturating_sub(self.now),
+            blocked: count(TaskPhase::Blocked),
+            ready: count(TaskPhase::Ready),
+            active: count(TaskPhase::Active),
+            done: count(TaskPhase::Done),
+            executors,
+            waits,
+        })
+    }
+
+    /// Returns how the executors of the cell are, for operators.
+    pub fn counts(&self) -> ExecutorTally {
+        let count = |holds: &dyn Fn(&ExecutorState) -> bool| {
+            self.executors.values().filter(|executor| holds(executor)).count()
+        };
+        ExecutorTally {
+            known: self.executors.len(),
+            usable: count(&|executor| self.is_placeable(executor)),
+            draining: count(&|executor| executor.draining),
+            silent: count(&|executor| executor.hold.failures > 0),
+            shunned: count(&|executor| executor.record.is_shunned(self.now)),
+            unsettled: self.unsettled.len(),
+            runs: self.runs.len(),
+            waiting_jobs: self.waiting.len(),
+        }
+    }
+
     /// Returns how many accepted jobs of a queue have not started.
     pub fn pending(&self, queue: &QueueName) -> u64 {
         let waiting = self.jobs.values().filter(|job| {
