Spread claims of vacant cells, and keep steps that keep apart out of small cells

They tick every 20 ms while a cell is vacant now. A job whose tasks keep apart goes to a cell with enough executors. Test: job_goes_where_its_tasks_can_keep_apart fails without the check.

--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -56,6 +56,11 @@
         self.scheduler.borrow().is_some()
     }
 
+    /// Tells whether this process has to look at the cell often: it owns it, or nobody does.
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.owns() || self.tenure.borrow().is_vacant()
+    }
+
     /// Tells whether this process owns the cell or is about to.
     pub(crate) fn is_engaged(&self) -> bool {
         self.tenure.borrow().is_engaged()
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -56,7 +56,8 @@
 const RELEASE_SILENCE: Duration = Duration::from_millis(1_000);
 /// Interval at which idle connections are looked over.
 const IDLE_INTERVAL: Duration = Duration::from_secs(5);
-/// Interval of the ticks of an instance that does not own the pool.
+/// Interval of the ticks of an instance that owns nothing while every cell has an owner. Claims of a
+/// vacant cell are spread over a tenth of a second, which ticks must not bring together again.
 const IDLE_TICK: Duration = Duration::from_millis(100);
 
 /// Everything that the tasks of the daemon share.
@@ -312,7 +313,7 @@
             idle_check = clock::now();
             state.executors.close_idle();
         }
-        let owns = cells.iter().any(|cell| cell.owns());
-        time::sleep(if owns { TICK_INTERVAL } else { IDLE_TICK }).await;
+        let urgent = cells.iter().any(|cell| cell.is_urgent());
+        time::sleep(if urgent { TICK_INTERVAL } else { IDLE_TICK }).await;
     }
 }
--- a/crates/cuminbank-jobs/src/cells.rs
+++ b/crates/cuminbank-jobs/src/cells.rs
@@ -60,6 +60,8 @@
 pub struct CellLoad {
     /// Processor share that is in use or wanted, in percent of what there is.
     pub use_percent: u32,
+    /// Number of its executors.
+    pub executors: u32,
     /// Kinds and racks of its executors.
     pub labels: Vec<String>,
     /// Services of its executors.
@@ -129,6 +131,12 @@
     report.labels.last().unwrap_or(&report.name)
 }
 
+/// Returns how many executors a job needs at least because tasks of a step keep apart.
+fn widest_spread(record: &JobRecord) -> u32 {
+    let apart = record.steps.iter().filter(|step| step.max_per_executor > 0);
+    apart.map(|step| step.count.div_ceil(step.max_per_executor)).max().unwrap_or_default()
+}
+
 /// What an instance knows of the loads of the cells.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBoard {
@@ -177,8 +185,8 @@
         known.map_or(UNKNOWN_PERCENT, |(_, load)| load.use_percent)
     }
 
-    /// Tells whether a cell has executors of the service of a job, and every label and rack that it
-    /// wants, as far as that is known.
+    /// Tells whether a cell has executors of the service of a job, enough of them for tasks that keep
+    /// apart, and every label and rack that it wants, as far as that is known.
     fn suits(&self, cell: CellId, record: &JobRecord) -> bool {
         let wanted = || {
             record.steps.iter().flat_map(|step| [&step.required_label, &step.data_rack]).flatten()
@@ -186,6 +194,7 @@
         match self.loads.get(&cell) {
             Some((_, load)) => {
                 load.services.contains(&record.terms.service)
+                    && widest_spread(record) <= load.executors
                     && wanted().all(|label| load.labels.contains(label))
             }
             None => wanted().next().is_none(),
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -71,7 +71,8 @@
             self.executors.values().map(|executor| executor.service.clone()).collect();
         services.sort_unstable();
         services.dedup();
-        self.load = CellLoad { use_percent, labels, services };
+        let executors = self.executors.len() as u32;
+        self.load = CellLoad { use_percent, executors, labels, services };
     }
 
     /// Answers a question of another instance.
--- a/crates/cuminbank-jobs/src/tenure.rs
+++ b/crates/cuminbank-jobs/src/tenure.rs
@@ -185,6 +185,11 @@
         self.other_cells = count;
     }
 
+    /// Tells whether nobody owns the cell, as far as this instance knows.
+    pub fn is_vacant(&self) -> bool {
+        self.vacant_since.is_some()
+    }
+
     /// Tells whether this instance owns the cell or is about to.
     pub fn is_engaged(&self) -> bool {
         self.held.is_some() || self.pending.is_some()
--- a/crates/cuminbank-jobs/tests/cells.rs
+++ b/crates/cuminbank-jobs/tests/cells.rs
@@ -33,7 +33,7 @@
 
 fn load(use_percent: u32, labels: &[&str]) -> CellLoad {
     let labels = labels.iter().map(|label| (*label).to_owned()).collect();
-    CellLoad { use_percent, labels, services: vec!["plans".to_owned()] }
+    CellLoad { use_percent, executors: 65, labels, services: vec!["plans".to_owned()] }
 }
 
 /// Returns a plan of three cells, and a board with the same use of each.
@@ -123,6 +123,17 @@
     assert_eq!(board.choose(NOW, &plan, 9, &record), plan.homes(9).0);
 }
 
+// Guards against a step whose tasks keep apart in a cell with too few executors: it is never complete.
+#[test]
+fn job_goes_where_its_tasks_can_keep_apart() {
+    let (plan, mut board) = three_cells(40);
+    board.note(NOW, 1, CellLoad { executors: 120, ..load(80, &["a", "r1"]) });
+    let apart = JobStep { max_per_executor: 1, ..step(100, &[]) };
+    for id in 0..50 {
+        assert_eq!(board.choose(NOW, &plan, id, &job(vec![apart.clone()])), 1);
+    }
+}
+
 // Guards against settings that divide a pool into nothing.
 #[test]
 fn fixed_number_of_cells_is_checked() {
--- a/crates/cuminbank-jobs/tests/malformed.rs
+++ b/crates/cuminbank-jobs/tests/malformed.rs
@@ -35,7 +35,7 @@
 }
 
 fn report(random: &mut ChaCha8Rng) -> HoldReport {
-    let mut task = |random: &mut ChaCha8Rng| TaskName {
+    let task = |random: &mut ChaCha8Rng| TaskName {
         job: random.random_range(0..3),
         occurrence: edge(random) as u32,
         step: random.random_range(0..3),
