Operators' commands for the pool: pool, job and explain

Cause: the command line knew nothing of the pool; where a job stands and why was only in logs of dozens of instances. 'pool' shows cells, owners, executors and instances; 'job ID' says the same whichever instance is asked; 'explain ID' gathers the decisions of all instances in order and names instances that do not answer. Exit codes as documented.

--- a/crates/cuminbank-cli/src/flags.rs
+++ b/crates/cuminbank-cli/src/flags.rs
@@ -12,6 +12,7 @@
     ///   cuminbank profile check morning-rush.json
     ///   cuminbank --settings ops.json profile apply morning-rush.json --wait
     ///   cuminbank --store 127.0.0.1:2379 report --day 2026-12-04 --html day.html
+    ///   cuminbank --operator 127.0.0.1:7721 explain 5c0e7a21d94b36f8
     ///   cuminbank --entry 127.0.0.1:8080 call --profile 'morning rush' --customer cafe plan.json
     ///
     /// Exit codes: 0 done, 1 refused or not run, 2 usage or invalid input, 3 conflict, 4 outcome
@@ -21,7 +22,9 @@
         repeated --store addr: SocketAddr
         /// Address of an entry instance (HTTP); may be repeated.
         repeated --entry addr: SocketAddr
-        /// JSON file with store, entry and by; flags replace its fields.
+        /// Operators' address of an instance of the job daemon (HTTP); may be repeated.
+        repeated --operator addr: SocketAddr
+        /// JSON file with store, entry, operator and by; flags replace its fields.
         optional --settings path: PathBuf
         /// Print one JSON document.
         optional --json
@@ -64,6 +67,18 @@
         }
         /// Show the state of the entry instances.
         cmd status {}
+        /// Show the cells of the pool of executors, who owns them, and the instances of the job daemon.
+        cmd pool {}
+        /// Show where a job on the pool stands: its phase, cell, tasks, executors and what it waits for.
+        cmd job {
+            /// Id of the job, 16 hexadecimal digits.
+            required id: String
+        }
+        /// Gather the decisions on a job from all instances of the job daemon, in order of time.
+        cmd explain {
+            /// Id of the job, 16 hexadecimal digits.
+            required id: String
+        }
         /// Send one urgent call.
         cmd call {
             /// Profile.
--- a/crates/cuminbank-cli/src/lib.rs
+++ b/crates/cuminbank-cli/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod exit;
 pub mod flags;
 pub mod operate_commands;
+pub mod pool_commands;
 pub mod profile_commands;
 pub mod profile_file;
 pub mod report;
--- /dev/null
+++ b/crates/cuminbank-cli/src/pool_commands.rs
@@ -0,0 +1,217 @@
+//! The commands `pool`, `job` and `explain`, about jobs on a pool of executors.
+
+use std::net::SocketAddr;
+
+use cuminbank_net::client::ClientRequest;
+use serde_json::{json, Value};
+
+use crate::{
+    exit::{CommandEnd, ExitStatus},
+    session::{CliSession, STATE_TIMEOUT},
+};
+
+/// Digits of a job's id.
+const ID_DIGITS: usize = 16;
+
+/// What an instance answered, or why there is no answer.
+type InstanceAnswer = (SocketAddr, Result<Value, String>);
+
+/// Shows who owns each cell of the pool, its executors, and the state of each instance.
+pub async fn pool(session: &CliSession) -> Result<CommandEnd, CommandEnd> {
+    let answers = ask_all(session, "/v1/status").await?;
+    let mut lines = vec![format!(
+        "{:<21} {:<20} {:<6} {:>8} {:>13} {:>6}",
+        "instance", "name", "ready", "config", "store silent", "cells"
+    )];
+    let mut cells = Vec::new();
+    for (address, answer) in &answers {
+        match answer {
+            Ok(status) => {
+                let all = status["cells"].as_array().cloned().unwrap_or_default();
+                let owned: Vec<Value> =
+                    all.into_iter().filter(|cell| cell["owned_here"] == json!(true)).collect();
+                lines.push(format!(
+                    "{:<21} {:<20} {:<6} {:>8} {:>10} ms {:>6}",
+                    address.to_string(),
+                    status["instance"].as_str().unwrap_or("?"),
+                    status["ready"] == json!(true),
+                    number_text(&status["config_version"]),
+                    number_text(&status["store_silent_ms"]),
+                    owned.len()
+                ));
+                cells.extend(owned.into_iter().map(|cell| (status["instance"].clone(), cell)));
+            }
+            Err(error) => lines.push(format!("{:<21} {error}", address.to_string())),
+        }
+    }
+    lines.push(format!(
+        "\n{:>4} {:<20} {:>6} {:>9} {:>7} {:>8} {:>6} {:>7} {:>9} {:>5} {:>12}",
+        "cell",
+        "owner",
+        "epoch",
+        "executors",
+        "usable",
+        "draining",
+        "silent",
+        "shunned",
+        "unsettled",
+        "runs",
+        "waiting jobs"
+    ));
+    cells.sort_by_key(|(_, cell)| cell["cell"].as_u64());
+    for (owner, cell) in &cells {
+        let tally = |name: &str| number_text(&cell["tally"][name]);
+        lines.push(format!(
+            "{:>4} {:<20} {:>6} {:>9} {:>7} {:>8} {:>6} {:>7} {:>9} {:>5} {:>12}",
+            number_text(&cell["cell"]),
+            owner.as_str().unwrap_or("?"),
+            number_text(&cell["epoch"]),
+            tally("known"),
+            tally("usable"),
+            tally("draining"),
+            tally("silent"),
+            tally("shunned"),
+            tally("unsettled"),
+            tally("runs"),
+            tally("waiting_jobs")
+        ));
+    }
+    Ok(end_of(&answers, lines.join("\n")))
+}
+
+/// Shows where a job stands. Every instance gives the same answer: that of the job's owner.
+pub async fn job(session: &CliSession, id: &str) -> Result<CommandEnd, CommandEnd> {
+    check_id(id)?;
+    let answers = ask_all(session, &format!("/v1/jobs/{id}")).await?;
+    let usable = |answer: &&Value| answer["phase"] != json!("unavailable");
+    let found = answers.iter().filter_map(|(_, answer)| answer.as_ref().ok()).find(usable);
+    let Some(found) = found else {
+        let text = format!("{id}: no instance can tell; neither an owner nor the store answers");
+        return Err(CommandEnd::new_failed(ExitStatus::Unreachable, text));
+    };
+    if found["phase"] == json!("missing") {
+        let text = format!("{id}: no such job was accepted, or it was forgotten after its time");
+        return Ok(CommandEnd::new_failed(ExitStatus::NotRun, text).with_data(found.clone()));
+    }
+    let (cell, detail) = (&found["cell"], &found["detail"]);
+    let mut lines = vec![
+        format!("job        {id}"),
+        format!("phase      {}", found["phase"].as_str().unwrap_or("?")),
+        format!(
+            "cell       {}, owned by {} in epoch {}",
+            number_text(&cell["cell"]),
+            cell["owner"].as_str().unwrap_or("nobody"),
+            number_text(&cell["epoch"])
+        ),
+    ];
+    if detail.is_object() {
+        let tasks = &detail["tasks"];
+        lines.push(format!("queue      {}", detail["queue"].as_str().unwrap_or("?")));
+        lines.push(format!(
+            "age        {} ms, {} ms left until its objective",
+            number_text(&detail["age_ms"]),
+            number_text(&detail["left_ms"])
+        ));
+        lines.push(format!(
+            "tasks      {} done, {} running, {} ready, {} blocked",
+            number_text(&tasks["done"]),
+            number_text(&tasks["active"]),
+            number_text(&tasks["ready"]),
+            number_text(&tasks["blocked"])
+        ));
+        if let Some(reason) = detail["waits_for"].as_str() {
+            lines.push(format!("waits for  {reason}"));
+        }
+        let executors = detail["executors"].as_array().into_iter().flatten();
+        let names: Vec<&str> = executors.filter_map(Value::as_str).collect();
+        if !names.is_empty() {
+            lines.push(format!("runs on    {}", names.join(", ")));
+        }
+    }
+    Ok(CommandEnd::new_done(lines.join("\n"), found.clone()))
+}
+
+/// Gathers what the instances have decided about a job of late, in order of time.
+pub async fn explain(session: &CliSession, id: &str) -> Result<CommandEnd, CommandEnd> {
+    check_id(id)?;
+    let answers = ask_all(session, &format!("/v1/jobs/{id}/decisions")).await?;
+    let mut rows: Vec<Value> = answers
+        .iter()
+        .filter_map(|(_, answer)| answer.as_ref().ok()?["decisions"].as_array().cloned())
+        .flatten()
+        .collect();
+    // Clocks of machines may differ by some milliseconds.
+    rows.sort_by_key(|row| row["at_ms"].as_u64());
+    let first = rows.first().and_then(|row| row["at_ms"].as_u64()).unwrap_or_default();
+    let line = |row: &Value| {
+        format!(
+            "{:>8} ms  {:<20} {} {} {}",
+            row["at_ms"].as_u64().unwrap_or_default() - first,
+            row["instance"].as_str().unwrap_or("?"),
+            row["event"].as_str().unwrap_or("?"),
+            row["summary"].as_str().unwrap_or_default(),
+            row["detail"].as_str().unwrap_or_default()
+        )
+    };
+    let mut lines: Vec<String> = rows.iter().map(line).collect();
+    for (address, answer) in &answers {
+        if let Err(error) = answer {
+            lines.push(format!("{address}: {error}; what it decided is missing here"));
+        }
+    }
+    if rows.is_empty() {
+        lines.push(format!("{id}: no instance that answers remembers a decision"));
+    }
+    let end = end_of(&answers, lines.join("\n"));
+    Ok(CommandEnd { data: json!({ "job": id, "decisions": rows }), ..end })
+}
+
+async fn ask_all(session: &CliSession, path: &str) -> Result<Vec<InstanceAnswer>, CommandEnd> {
+    session.require_operator()?;
+    let mut answers = Vec::new();
+    for address in &session.settings.operator {
+        answers.push((*address, ask_one(session, *address, path).await));
+    }
+    if answers.iter().all(|(_, answer)| answer.is_err()) {
+        let text = answers
+            .iter()
+            .filter_map(|(address, answer)| Some(format!("{address}: {}", answer.as_ref().err()?)));
+        let text = text.collect::<Vec<_>>().join("\n");
+        return Err(CommandEnd::new_failed(ExitStatus::Unreachable, text));
+    }
+    Ok(answers)
+}
+
+async fn ask_one(session: &CliSession, address: SocketAddr, path: &str) -> Result<Value, String> {
+    let answer = session.ask(address, ClientRequest::new_get(path), STATE_TIMEOUT).await;
+    let answer = answer.map_err(|error| CommandEnd::from_error("it", error).text)?;
+    if answer.status != 200 {
+        return Err(format!("it answers with status {}", answer.status));
+    }
+    serde_json::from_slice(&answer.body).map_err(|error| format!("its answer: {error}"))
+}
+
+/// Ends a command that has something to say although some instances may not have answered.
+fn end_of(answers: &[InstanceAnswer], text: String) -> CommandEnd {
+    let data = answers.iter().map(|(address, answer)| match answer {
+        Ok(answer) => json!({ "operator": address, "answer": answer }),
+        Err(error) => json!({ "operator": address, "error": error }),
+    });
+    let data = Value::from(data.collect::<Vec<_>>());
+    match answers.iter().all(|(_, answer)| answer.is_ok()) {
+        true => CommandEnd::new_done(text, data),
+        false => CommandEnd::new_failed(ExitStatus::Unreachable, text).with_data(data),
+    }
+}
+
+fn check_id(id: &str) -> Result<(), CommandEnd> {
+    if id.len() == ID_DIGITS && id.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+        return Ok(());
+    }
+    let text = format!("\"{id}\" is no job id: it has 16 hexadecimal digits");
+    Err(CommandEnd::new_failed(ExitStatus::Usage, text))
+}
+
+fn number_text(value: &Value) -> String {
+    value.as_u64().map_or_else(|| "-".to_owned(), |number| number.to_string())
+}
--- a/crates/cuminbank-cli/src/run.rs
+++ b/crates/cuminbank-cli/src/run.rs
@@ -5,7 +5,7 @@
 use crate::{
     exit::{CommandEnd, ExitStatus},
     flags::{Cuminbank, CuminbankCmd, ProfileCmd},
-    operate_commands, profile_commands,
+    operate_commands, pool_commands, profile_commands,
     session::{CliSession, CliSettings},
     work_commands,
 };
@@ -46,6 +46,9 @@
     if !flags.entry.is_empty() {
         settings.entry.clone_from(&flags.entry);
     }
+    if !flags.operator.is_empty() {
+        settings.operator.clone_from(&flags.operator);
+    }
     let session = CliSession::new(settings);
     run_command(&session, &flags.subcommand).await.unwrap_or_else(|end| end)
 }
@@ -63,6 +66,9 @@
             ProfileCmd::Diff(diff) => profile_commands::diff(session, &diff.name, &diff.file).await,
         },
         CuminbankCmd::Status(_) => operate_commands::status(session).await,
+        CuminbankCmd::Pool(_) => pool_commands::pool(session).await,
+        CuminbankCmd::Job(job) => pool_commands::job(session, &job.id).await,
+        CuminbankCmd::Explain(explain) => pool_commands::explain(session, &explain.id).await,
         CuminbankCmd::Call(call) => work_commands::call(session, call).await,
         CuminbankCmd::Submit(submit) => work_commands::submit(session, submit).await,
         CuminbankCmd::Follow(follow) => work_commands::follow(session, &follow.task).await,
--- a/crates/cuminbank-cli/src/session.rs
+++ b/crates/cuminbank-cli/src/session.rs
@@ -33,6 +33,8 @@
     pub store: Vec<SocketAddr>,
     /// HTTP addresses of the entry instances.
     pub entry: Vec<SocketAddr>,
+    /// Operators' addresses of the instances of the job daemon.
+    pub operator: Vec<SocketAddr>,
     /// Operator named in the history of profiles.
     pub by: Option<String>,
 }
@@ -91,6 +93,11 @@
         require(&self.settings.entry, "--entry ADDR or the field \"entry\" of --settings")
     }
 
+    /// Fails unless an operators' address of a job daemon is known.
+    pub fn require_operator(&self) -> Result<(), CommandEnd> {
+        require(&self.settings.operator, "--operator ADDR or the field \"operator\" of --settings")
+    }
+
     /// Calls the store once.
     pub async fn call_store(&self, request: &StoreRequest) -> Result<StoreReply, ExchangeError> {
         self.store.call(request, STORE_TIMEOUT).await
--- /dev/null
+++ b/crates/cuminbank-cli/tests/commands/pool.rs
@@ -0,0 +1,102 @@
+//! Commands on jobs of a pool, against instances of the job daemon in the process of the test.
+
+use cuminbank_cli::exit::ExitStatus;
+use cuminbank_net::{
+    runtime,
+    server::{ServerAction, ServerRequest},
+};
+use serde_json::{json, Value};
+
+use super::common::{json_answer, run_line, start_server};
+
+const JOB: &str = "5c0e7a21d94b36f8";
+/// An address at which nothing listens.
+const NOWHERE: &str = "127.0.0.1:1";
+
+/// Starts an instance that answers like the job daemon; returns its operators' address.
+fn start_instance(name: &'static str, owns: bool, at_ms: u64) -> String {
+    let address = start_server(move |request: ServerRequest| -> ServerAction {
+        let cell = json!({ "cell": 0, "owner": "i0", "epoch": 4, "owned_here": owns, "tally": {
+            "known": 66, "usable": 60, "draining": 2, "silent": 1, "shunned": 3, "unsettled": 0,
+            "runs": 140, "waiting_jobs": 5 } });
+        let body: Value = match request.path.as_str() {
+            "/v1/status" => json!({ "instance": name, "ready": true, "config_version": 7,
+                "store_silent_ms": 12, "cells": [cell] }),
+            "/v1/jobs/5c0e7a21d94b36f8" => json!({ "job": JOB, "phase": "running", "cell": cell,
+                "detail": { "queue": "batch-plan", "age_ms": 900, "left_ms": 300,
+                    "tasks": { "blocked": 2, "ready": 3, "active": 1, "done": 4 },
+                    "executors": ["i-7"], "waits_for": "room" } }),
+            "/v1/jobs/5c0e7a21d94b36f8/decisions" => json!({ "job": JOB, "decisions": [
+                { "at_ms": at_ms, "instance": name, "event": "EV0711", "summary": "Started.",
+                  "detail": "task=1" }] }),
+            "/v1/jobs/00000000000000ff" => json!({ "phase": "missing" }),
+            path => panic!("{path} was not expected"),
+        };
+        json_answer(200, &body)
+    });
+    address.to_string()
+}
+
+// Guards against a job that is running in one view and missing in another: whichever instance is
+// asked, the answer is that of the job's owner.
+#[test]
+fn job_is_the_same_through_every_instance() {
+    runtime::run(async {
+        let (first, second) = (start_instance("i0", true, 1), start_instance("i1", false, 2));
+        let ask =
+            |address: String| async move { run_line(&["--operator", &address, "job", JOB]).await };
+        let (one, other) = (ask(first).await, ask(second).await);
+        assert_eq!(one.status, ExitStatus::Done);
+        assert_eq!(one.text.replace("owned_here", ""), other.text);
+        for part in ["running", "batch-plan", "4 done, 1 running, 3 ready, 2 blocked", "room"] {
+            assert!(one.text.contains(part), "{part} is missing in:\n{}", one.text);
+        }
+    });
+}
+
+// Guards against a fault that is looked for on the wrong instance: the decisions of all of them stand in
+// one order, and an instance that does not answer is named.
+#[test]
+fn explain_gathers_decisions_and_names_gaps() {
+    runtime::run(async {
+        let (late, early) = (start_instance("i0", true, 500), start_instance("i1", false, 100));
+        let line = ["--operator", &late, "--operator", &early, "explain", JOB];
+        let end = run_line(&line).await;
+        assert_eq!(end.status, ExitStatus::Done);
+        let places = (end.text.find("i1"), end.text.find("i0"));
+        assert!(places.0 < places.1, "{}", end.text);
+        let line = ["--operator", &late, "--operator", NOWHERE, "explain", JOB];
+        let end = run_line(&line).await;
+        assert_eq!(end.status, ExitStatus::Unreachable);
+        assert!(end.text.contains("i0") && end.text.contains("is missing here"), "{}", end.text);
+    });
+}
+
+// Guards against a table that hides cells or instances.
+#[test]
+fn pool_shows_owners_executors_and_instances() {
+    runtime::run(async {
+        let (first, second) = (start_instance("i0", true, 1), start_instance("i1", false, 2));
+        let end = run_line(&["--operator", &first, "--operator", &second, "pool"]).await;
+        assert_eq!(end.status, ExitStatus::Done);
+        let rows: Vec<&str> = end.text.lines().collect();
+        assert_eq!(rows.iter().filter(|row| row.contains("true")).count(), 2, "{}", end.text);
+        assert!(end.text.contains("66") && end.text.contains("140"), "{}", end.text);
+        let down = run_line(&["--operator", NOWHERE, "pool"]).await;
+        assert_eq!(down.status, ExitStatus::Unreachable);
+    });
+}
+
+// Guards against a wrong id that is taken for a job that is gone.
+#[test]
+fn ids_are_checked_and_missing_jobs_named() {
+    runtime::run(async {
+        let address = start_instance("i0", true, 1);
+        let end = run_line(&["--operator", &address, "job", "17"]).await;
+        assert_eq!(end.status, ExitStatus::Usage);
+        let end = run_line(&["--operator", &address, "job", "00000000000000ff"]).await;
+        assert_eq!(end.status, ExitStatus::NotRun);
+        let end = run_line(&["explain", JOB]).await;
+        assert_eq!(end.status, ExitStatus::Usage);
+    });
+}
