--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -102,9 +102,9 @@
     EXECUTOR_RESTARTED = (735, Warn, "An executor has begun a new life under its name.");
     EXECUTOR_DRAINING = (736, Info, "An executor drains and gets no new work.");
     EXECUTOR_GONE = (737, Info, "An executor was forgotten.");
-    TENURE_BEGAN = (741, Info, "The instance became the owner of the pool.");
+    TENURE_BEGAN = (741, Info, "The instance became the owner of a cell of the pool.");
     TENURE_RESUMED = (742, Info, "The owner's record stands again in the same epoch.");
-    TENURE_ENDED = (743, Warn, "The instance no longer owns the pool.");
+    TENURE_ENDED = (743, Warn, "The instance no longer owns a cell of the pool.");
     POOL_LOADED = (744, Info, "The owner has read the records of the pool.");
     POOL_SETTLED = (745, Info, "All runs of earlier owners are accounted for.");
     PROGRESS_REFUSED = (746, Warn, "A write of progress was refused by its conditions.");
