Ask for the right at the last step before a bundle is sent, and bound two more turns

Epoch and lease fence a second run, but a machine in touch would have started a task of a job that was cancelled meanwhile. A carrier that cannot be reached costs nothing: the owner sends these starts itself.

--- a/crates/cuminbank-jobd/src/carrying.rs
+++ b/crates/cuminbank-jobd/src/carrying.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use cuminbank::log::STARTS_NOT_CARRIED;
+use cuminbank::{event::ExchangeError, log::STARTS_NOT_CARRIED};
 use cuminbank_jobs::{
     carriers::{is_carried, CarriedResult, SortedOrders, StartBundle},
     order::{ExecutorOrder, OrderFailure},
@@ -26,7 +26,7 @@
     sorted.own.into_iter().for_each(|order| send_one(state, cell, tenure, order));
     for group in sorted.groups {
         match state.carriers.borrow_mut().next(clock::now()) {
-            Some(carrier) => send_group(state, cell, tenure, carrier, &group),
+            Some(carrier) => send_group(state, cell, tenure, carrier, group),
             None => group.into_iter().for_each(|order| send_one(state, cell, tenure, order)),
         }
     }
@@ -46,17 +46,29 @@
     cell: &Rc<CellState>,
     tenure: u64,
     carrier: SocketAddr,
-    group: &[ExecutorOrder],
+    group: Vec<ExecutorOrder>,
 ) {
     let (state, cell) = (Rc::clone(state), Rc::clone(cell));
-    let bundle = StartBundle::new(clock::now(), group);
+    let now = clock::now();
+    let bundle = StartBundle::new(now, &group);
+    let send_until = now + bundle.valid;
     let ids: Vec<_> = group.iter().map(|order| order.id).collect();
     monoio::spawn(async move {
         let wait = bundle.wait();
         let request = PeerRequest::Carry(bundle);
-        let asked = state.peers.exchange(carrier, &request, wait).await;
+        // The carrier counts from the arrival: this process may have been suspended since it decided.
+        let may_send = || clock::now() < send_until;
+        let asked = state.peers.exchange_if(carrier, &request, wait, may_send).await;
         let results = match asked {
             Ok(PeerReply::Carried(results)) if results.len() == ids.len() => results,
+            Err(ExchangeError::NotSent) if clock::now() < send_until => {
+                // The carrier is gone; nothing has left this process.
+                state.carriers.borrow_mut().forget(carrier);
+                return group.into_iter().for_each(|order| send_one(&state, &cell, tenure, order));
+            }
+            Err(ExchangeError::NotSent) => {
+                vec![CarriedResult::Failed(OrderFailure::NotSent); ids.len()]
+            }
             other => {
                 // Each start may have been sent: the scheduler sends it again under the same number.
                 state.carriers.borrow_mut().forget(carrier);
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -53,6 +53,7 @@
         if ticketed >= wanted {
             return true;
         }
+        self.spend(placeable.len() as u32 * EVALUATION_UNITS);
         suitable.sort_unstable();
         let keys: Vec<ExecutorKey> = suitable.into_iter().map(|(_, executor)| executor).collect();
         self.ask_advice(place, &keys);
@@ -137,7 +138,10 @@
         if !all_ready {
             return false;
         }
-        let Some(places) = self.gang_places(job, occurrence, step, placeable) else {
+        let places = self.gang_places(job, occurrence, step, placeable);
+        self.spend((placeable.len() + range.len()) as u32 * EVALUATION_UNITS);
+        let job = &self.jobs[key];
+        let Some(places) = places else {
             let detail = format!("step={step} members={}", range.len());
             let id = job.id;
             self.log(GANG_WAITS, Some(id), detail);
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -45,6 +45,21 @@
         request: &Q,
         timeout: Duration,
     ) -> Result<R, ExchangeError>
+    where
+        Q: Serialize,
+        R: DeserializeOwned,
+    {
+        self.exchange_if(to, request, timeout, || true).await
+    }
+
+    /// Sends a request if `may_send` holds at the last step before the write.
+    pub async fn exchange_if<Q, R>(
+        &self,
+        to: SocketAddr,
+        request: &Q,
+        timeout: Duration,
+        may_send: impl FnOnce() -> bool,
+    ) -> Result<R, ExchangeError>
     where
         Q: Serialize,
         R: DeserializeOwned,
@@ -53,6 +68,10 @@
             Some(stream) => ExchangeStream::new(stream),
             None => connect(to, timeout).await?,
         };
+        if !may_send() {
+            self.put_idle(to, stream.finish());
+            return Err(ExchangeError::NotSent);
+        }
         let exchange = async {
             write_message(stream.stream(), &encode(request)).await?;
             read_message(stream.stream()).await
@@ -60,11 +79,14 @@
         let bytes =
             time::timeout(timeout, exchange).await.ok().flatten().ok_or(ExchangeError::Lost)?;
         let reply = decode(&bytes).ok_or(ExchangeError::Lost)?;
-        let idle = (stream.finish(), Instant::now());
-        self.idle.borrow_mut().entry(to).or_default().push(idle);
+        self.put_idle(to, stream.finish());
         Ok(reply)
     }
 
+    fn put_idle(&self, to: SocketAddr, stream: TcpStream) {
+        self.idle.borrow_mut().entry(to).or_default().push((stream, Instant::now()));
+    }
+
     fn take_idle(&self, to: SocketAddr) -> Option<TcpStream> {
         loop {
             let (stream, since) = self.idle.borrow_mut().get_mut(&to)?.pop()?;
