--- a/crates/cuminbank-jobs/tests/support/tenure.rs
+++ b/crates/cuminbank-jobs/tests/support/tenure.rs
@@ -1,12 +1,13 @@
 //! An ownership for schedulers that are tested alone.
 
+use std::time::Duration;
+
 use cuminbank_jobs::{
     ids::MonotonicTime,
     store::{StoreCall, StoreReply},
     tenure::{HeldTenure, TenureEffect, TenureState},
 };
 use cuminbank_platform_standin::store::FakeStore;
-use std::time::Duration;
 
 /// Returns an ownership that has begun shortly before a time.
 pub fn held_tenure(now: MonotonicTime) -> HeldTenure {
