Log each bundle that was not carried, and end a borrow before its use

Cause, found on reading the change: starts that could not be handed over were sent directly without a line in the log, and the list of carriers stayed borrowed while a group was sent.

--- a/crates/cuminbank-jobd/src/carrying.rs
+++ b/crates/cuminbank-jobd/src/carrying.rs
@@ -25,7 +25,8 @@
     let sorted = SortedOrders::new(orders);
     sorted.own.into_iter().for_each(|order| send_one(state, cell, tenure, order));
     for group in sorted.groups {
-        match state.carriers.borrow_mut().next(clock::now()) {
+        let carrier = state.carriers.borrow_mut().next(clock::now());
+        match carrier {
             Some(carrier) => send_group(state, cell, tenure, carrier, group),
             None => group.into_iter().for_each(|order| send_one(state, cell, tenure, order)),
         }
@@ -59,23 +60,26 @@
         // The carrier counts from the arrival: this process may have been suspended since it decided.
         let may_send = || clock::now() < send_until;
         let asked = state.peers.exchange_if(carrier, &request, wait, may_send).await;
+        let carried = match &asked {
+            Ok(PeerReply::Carried(results)) => results.len() == ids.len(),
+            _ => false,
+        };
+        if !carried {
+            state.carriers.borrow_mut().forget(carrier);
+            let detail = format!("carrier={carrier} starts={} cause={asked:?}", ids.len());
+            state.log(&DecisionRecord { code: STARTS_NOT_CARRIED, job: None, detail });
+        }
         let results = match asked {
-            Ok(PeerReply::Carried(results)) if results.len() == ids.len() => results,
+            Ok(PeerReply::Carried(results)) if carried => results,
             Err(ExchangeError::NotSent) if clock::now() < send_until => {
                 // The carrier is gone; nothing has left this process.
-                state.carriers.borrow_mut().forget(carrier);
                 return group.into_iter().for_each(|order| send_one(&state, &cell, tenure, order));
             }
             Err(ExchangeError::NotSent) => {
                 vec![CarriedResult::Failed(OrderFailure::NotSent); ids.len()]
             }
-            other => {
-                // Each start may have been sent: the scheduler sends it again under the same number.
-                state.carriers.borrow_mut().forget(carrier);
-                let detail = format!("carrier={carrier} starts={} cause={other:?}", ids.len());
-                state.log(&DecisionRecord { code: STARTS_NOT_CARRIED, job: None, detail });
-                vec![CarriedResult::Failed(OrderFailure::Lost); ids.len()]
-            }
+            // Each start may have been sent: the scheduler sends it again under the same number.
+            _ => vec![CarriedResult::Failed(OrderFailure::Lost); ids.len()],
         };
         for (id, result) in ids.into_iter().zip(results) {
             let result = result.into_result();
