Read again: one way for orders, no load of an undivided pool

Found on reading the whole change: carry_out had an arm for orders that apply never reached; a tenure got its cell twice; the use of a cell, with all its labels, was worked out five times a second also where no other cell exists to choose; the interval of writes was kept beside the number of cells from which it follows; candidates of another step were cleared in a step of their own. No decision changes. Left: each OwnerQuestion carries its cell, which PeerRequest::Ask could; ask_one of pool_commands and ask_status differ by the check of the status only.

--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -12,6 +12,7 @@
 use cuminbank_jobs::{
     ids::{CellId, MonotonicTime, OwnerEpoch, StoreRevision},
     keys::CellKeys,
+    order::ExecutorOrder,
     peer::{OwnerAnswer, OwnerQuestion},
     scheduler::{DecisionRecord, JobEffect, JobEvent, JobScheduler, SchedulerBounds},
     store::{StoreCall, StoreFailure, StoreItem, StoreReply},
@@ -41,7 +42,7 @@
             id,
             keys: CellKeys::new(id),
             scheduler: RefCell::default(),
-            tenure: RefCell::new(tenure.with_cell(id)),
+            tenure: RefCell::new(tenure),
             tenures: Cell::new(0),
         }
     }
@@ -105,10 +106,7 @@
         let tenure = self.tenures.get();
         let mut orders = Vec::new();
         for effect in effects {
-            match effect {
-                JobEffect::Order(order) => orders.push(order),
-                effect => self.carry_out(state, tenure, effect),
-            }
+            self.carry_out(state, tenure, effect, &mut orders);
         }
         send_orders(state, self, tenure, orders);
         state.metrics.time("turn", name, started.elapsed());
@@ -121,7 +119,14 @@
         }
     }
 
-    fn carry_out(self: &Rc<Self>, state: &Rc<DaemonState>, tenure: u64, effect: JobEffect) {
+    /// Carries an effect out; orders are collected, so that those of one turn can go together.
+    fn carry_out(
+        self: &Rc<Self>,
+        state: &Rc<DaemonState>,
+        tenure: u64,
+        effect: JobEffect,
+        orders: &mut Vec<ExecutorOrder>,
+    ) {
         let (cell, task_state) = (Rc::clone(self), Rc::clone(state));
         match effect {
             JobEffect::Log(record) => state.log(&record),
@@ -137,7 +142,7 @@
                 let effects = self.tenure.borrow_mut().doubt(clock::now());
                 self.carry_out_tenure(state, effects);
             }
-            JobEffect::Order(order) => send_orders(state, self, tenure, vec![order]),
+            JobEffect::Order(order) => orders.push(order),
             JobEffect::AskAdvice { id, step, executors, timeout } => {
                 monoio::spawn(async move {
                     let result = task_state.ask_advice(step, &executors, timeout).await;
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -68,7 +68,7 @@
 }
 
 /// Returns the interval between two writes of an owner in a pool of so many cells.
-pub(super) fn flush_interval(cells: CellId) -> Duration {
+fn flush_interval(cells: CellId) -> Duration {
     (FLUSH_INTERVAL * u32::from(cells)).min(LONGEST_FLUSH_INTERVAL)
 }
 
@@ -252,7 +252,7 @@
 
     fn finish_flush(&mut self, flush: FlushState, revision: StoreRevision) {
         self.journal.sequence_revision = revision;
-        self.journal.next_at = self.now + self.flush_interval;
+        self.journal.next_at = self.now + flush_interval(self.cells);
         self.owned_at = self.owned_at.max(flush.sent_at);
         for (key, outcome) in flush.outcomes {
             if let Some(job) = self.jobs.get_mut(key) {
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -33,7 +33,7 @@
 
 use self::{
     advice::AdviceBook,
-    journal::{flush_interval, JournalState},
+    journal::JournalState,
     orders::{most_starts, PendingOrder},
     pass::{part_units, QueuePass},
     state::{ExecutorState, JobState, RunState},
@@ -224,7 +224,8 @@
     runs: SlotMap<RunKey, RunState>,
     orders: HashMap<OrderId, PendingOrder>,
     journal: JournalState,
-    flush_interval: Duration,
+    /// Number of cells of the pool.
+    cells: CellId,
     advice: AdviceBook,
     /// How much filling tasks slow serving tasks down, by image.
     colocation: ColocationModel,
@@ -288,7 +289,7 @@
             runs: SlotMap::with_key(),
             orders: HashMap::new(),
             journal: JournalState::default(),
-            flush_interval: flush_interval(1),
+            cells: 1,
             advice: AdviceBook::default(),
             colocation: ColocationModel::default(),
             sought: Vec::new(),
@@ -317,7 +318,7 @@
     /// Names the cell, and says of how many it is one.
     pub fn with_cell(mut self, cell: CellId, cells: CellId) -> Self {
         self.keys = CellKeys::new(cell);
-        self.flush_interval = flush_interval(cells);
+        self.cells = cells;
         self
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -75,13 +75,10 @@
         let special = starving
             || job.record.terms.advice.is_some()
             || !job.tasks[task as usize].failed_on.is_empty();
-        if candidates.as_ref().is_none_or(|known| known.place != place) {
-            *candidates = None;
-        }
         let chosen = match special {
             true => self.choose(key, task, placeable, starving),
             false => {
-                let known = match candidates.take() {
+                let known = match candidates.take().filter(|known| known.place == place) {
                     Some(known) => known,
                     None => self.find_candidates(key, place, placeable),
                 };
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -42,7 +42,8 @@
 impl JobScheduler {
     /// Works out how much of the cell is in use or wanted.
     pub(super) fn update_load(&mut self) {
-        if self.now < self.next_load_at {
+        // Nobody chooses among the cells of an undivided pool.
+        if self.cells <= 1 || self.now < self.next_load_at {
             return;
         }
         self.next_load_at = self.now + LOAD_INTERVAL;
