Let lasting tasks use shunned executors, and give them a turn in crowded passes

A new event (EV0724) says why a lasting task waits: for many seconds the only executors with room for it were shunned ones. An executor is shunned for 4 s after two failures, loses its short tasks meanwhile, and counts as room, while no lasting task may wait for 3 s beside room. A second cause turned up in the test for the first: a pass ends after 150 shapes without room, all of jobs that can still be on time, and lasting tasks come after those, so that they got no turn at all while such a queue stood.

Ruled out: refusals for want of room (paused=0), executors out of reach (0), the limit of a step (0).

Change: a lasting task that has waited for 1.5 s may start on a shunned executor, if no other has room; after 150 shapes a pass goes on with lasting tasks alone, up to 250.

--- a/crates/cuminbank-jobs/src/scheduler/candidates.rs
+++ b/crates/cuminbank-jobs/src/scheduler/candidates.rs
@@ -24,6 +24,8 @@
     pub(super) failed_on: &'a [String],
     /// Whether the task may disturb services.
     pub(super) starving: bool,
+    /// Whether shunned executors are looked at, and no others.
+    pub(super) on_probation: bool,
 }
 
 /// Executors with room for the tasks of a step.
@@ -37,7 +39,7 @@
 impl StepCandidates {
     fn search(&self, key: JobKey) -> CandidateSearch<'_> {
         let (place, counts) = (self.place, &self.counts);
-        CandidateSearch { key, place, counts, failed_on: &[], starving: false }
+        CandidateSearch { key, place, counts, failed_on: &[], starving: false, on_probation: false }
     }
 }
 
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -195,7 +195,7 @@
     }
 
     /// Tells whether the list has not named an executor for too long.
-    fn is_absent(&self, executor: &ExecutorState) -> bool {
+    pub(super) fn is_absent(&self, executor: &ExecutorState) -> bool {
         executor.absent_since.is_some_and(|since| self.now > since + ABSENCE_GRACE)
     }
 
@@ -343,6 +343,11 @@
 
     /// Tells whether an executor may get new work.
     pub(super) fn is_placeable(&self, executor: &ExecutorState) -> bool {
+        self.is_usable(executor) && !executor.record.is_shunned(self.now)
+    }
+
+    /// Tells whether an executor could take new work, whatever its recent results.
+    pub(super) fn is_usable(&self, executor: &ExecutorState) -> bool {
         let now = self.now;
         !self.is_absent(executor)
             && !executor.draining
@@ -351,6 +356,5 @@
             && executor.clock.is_some()
             && executor.hold.failures == 0
             && now >= executor.full_until
-            && !executor.record.is_shunned(now)
     }
 }
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -9,7 +9,7 @@
     JobScheduler,
 };
 use crate::{
-    ids::{JobId, StoreRevision, TaskIndex, WallTime},
+    ids::{JobId, MonotonicTime, StoreRevision, TaskIndex, WallTime},
     job::{JobOutcome, JobRecord, TaskLayout},
     keys::job_of,
     progress::JobProgress,
@@ -119,6 +119,7 @@
             recorded_outcome: progress.outcome,
             started: started || progress.outcome.is_some(),
             slacks: SlackWindow::default(),
+            next_wait_log: MonotonicTime::ZERO,
             record,
         };
         let detail = format!(
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -19,6 +19,7 @@
 mod status;
 mod tails;
 mod takeover;
+mod waits;
 mod watching;
 
 use std::{
@@ -380,6 +381,7 @@
         self.drive_contacts();
         self.drive_orders();
         self.watch_runs();
+        self.report_waits();
         self.update_load();
         self.placing_wanted = true;
     }
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -17,9 +17,14 @@
     priority::{self, JobUrgency},
 };
 
-/// Shapes of tasks without room that one pass looks for before it ends: a bound on the cost of a
-/// pass when the queue is long.
+/// Shapes of tasks without room that one pass looks for before it goes on with lasting tasks alone: a
+/// bound on the cost of a pass when the queue is long.
 const MAX_MISSES: usize = 150;
+/// Shapes after which a pass ends.
+const MAX_MISSES_IN_ALL: usize = 250;
+/// Wait after which a lasting task may use a shunned executor. No lasting task must wait for 3 s while
+/// there is room, and shunned executors empty.
+const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
 /// Units of work in one part of a pass for a whole core. A unit is about as long as one look at an
 /// executor that is full, 20 ns, and a part takes some 5 ms of the instance's share.
 const PART_UNITS_PER_CORE: f64 = 32_000.0;
@@ -41,7 +46,11 @@
     /// Jobs that have not had their turn, most urgent first.
     jobs: VecDeque<JobKey>,
     placeable: Vec<ExecutorKey>,
+    /// Executors that would be placeable if they were not shunned.
+    shunned: Vec<ExecutorKey>,
     missed: Vec<MissedShape>,
+    /// Whether only lasting tasks are still looked at.
+    lasting_only: bool,
 }
 
 /// Shape of a task for which a pass found no room.
@@ -108,9 +117,14 @@
                 self.next_pass_at = self.now + PART_PAUSE;
                 return;
             }
-            if pass.missed.len() >= MAX_MISSES {
+            if pass.missed.len() >= MAX_MISSES_IN_ALL {
                 break;
             }
+            if pass.missed.len() >= MAX_MISSES && !pass.lasting_only {
+                pass.lasting_only = true;
+                let jobs = &self.jobs;
+                pass.jobs.retain(|key| jobs.get(*key).is_some_and(JobState::is_lasting));
+            }
         }
         let missed = pass.missed.len() as u32;
         let crowded = CROWDED_INTERVAL * missed.div_ceil(MISSES_PER_INTERVAL);
@@ -153,15 +167,15 @@
         waiting.sort_by(|(left_key, left), (right_key, right)| {
             priority::compare(now, left, right).then(left_key.cmp(right_key))
         });
-        let placeable: Vec<ExecutorKey> = self
+        let (shunned, placeable): (Vec<ExecutorKey>, Vec<ExecutorKey>) = self
             .executors
             .iter()
-            .filter(|(_, executor)| self.is_placeable(executor))
+            .filter(|(_, executor)| self.is_usable(executor))
             .map(|(key, _)| key)
-            .collect();
+            .partition(|key| self.executors[*key].record.is_shunned(now));
         self.spend((waiting.len() + self.executors.len()) as u32);
         let jobs = waiting.into_iter().map(|(key, _)| key).collect();
-        QueuePass { jobs, placeable, missed: Vec::new() }
+        QueuePass { jobs, placeable, shunned, ..QueuePass::default() }
     }
 
     /// Starts the ready tasks of a job; adds the shapes for which there is no room. Returns false if the
@@ -188,22 +202,34 @@
             let advised = job.record.terms.advice.is_some();
             let gang = job.record.steps[step].gang;
             let starving = idle && self.is_starving(job, task);
+            let waited = self.now.saturating_sub(job.tasks[task as usize].ready_since);
+            let on_probation = !pass.shunned.is_empty()
+                && job.is_lasting()
+                && !advised
+                && !gang
+                && waited >= PROBATION_WAIT;
             let known_full = !advised
                 && !gang
                 && !starving
                 && pass.missed.iter().any(|shape| shape.covers(job, step));
-            if known_full || (advised && !self.has_advice(key, task, &pass.placeable)) {
+            if (known_full && !on_probation)
+                || (advised && !self.has_advice(key, task, &pass.placeable))
+            {
                 full_step = Some((occurrence, step));
                 continue;
             }
-            let placed = match gang {
+            let mut placed = match gang {
                 true => self.place_gang(key, occurrence, step, &pass.placeable),
+                false if known_full => false,
                 false => self.place_task(key, task, starving, &pass.placeable, &mut candidates),
             };
+            if !placed && on_probation {
+                placed = self.place_on_probation(key, task, &pass.shunned);
+            }
             idle &= !placed;
             if !placed {
                 full_step = Some((occurrence, step));
-                if !advised {
+                if !advised && !known_full {
                     pass.missed.push(MissedShape::new(&self.jobs[key], step));
                 }
             }
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -76,7 +76,7 @@
             || job.record.terms.advice.is_some()
             || !job.tasks[task as usize].failed_on.is_empty();
         let chosen = match special {
-            true => self.choose(key, task, placeable, starving),
+            true => self.choose(key, task, placeable, starving, false),
             false => {
                 let known = match candidates.take().filter(|known| known.place == place) {
                     Some(known) => known,
@@ -89,8 +89,7 @@
         if starving {
             self.next_starved_at = self.now + STARVED_PAUSE;
         }
-        let number = self.next_run(key, std::iter::once(task));
-        self.start_run(key, task, number, executor);
+        self.start_next_run(key, task, executor);
         match (special, candidates.as_mut()) {
             (false, Some(known)) => self.return_candidate(key, known, executor),
             // The costs that are known are those of before this start.
@@ -99,6 +98,23 @@
         true
     }
 
+    /// Starts a lasting task on a shunned executor, if one has room.
+    pub(super) fn place_on_probation(
+        &mut self,
+        key: JobKey,
+        task: TaskIndex,
+        shunned: &[ExecutorKey],
+    ) -> bool {
+        let Some(executor) = self.choose(key, task, shunned, false, true) else { return false };
+        self.start_next_run(key, task, executor);
+        true
+    }
+
+    fn start_next_run(&mut self, key: JobKey, task: TaskIndex, executor: ExecutorKey) {
+        let number = self.next_run(key, std::iter::once(task));
+        self.start_run(key, task, number, executor);
+    }
+
     /// Tells whether a filling task of a job that runs nothing may disturb services, since it has waited
     /// for a while: where every executor serves something that an image disturbs, the image would
     /// never run. It is moved on when a service passes its bound, with its checkpoint. In a pool that
@@ -244,12 +260,14 @@
         task: TaskIndex,
         placeable: &[ExecutorKey],
         starving: bool,
+        on_probation: bool,
     ) -> Option<ExecutorKey> {
         let job = &self.jobs[key];
         let place = job.layout.place(task);
         let counts = self.step_counts(job, place.0, place.1);
         let failed_on = &job.tasks[task as usize].failed_on;
-        let search = CandidateSearch { key, place, counts: &counts, failed_on, starving };
+        let search =
+            CandidateSearch { key, place, counts: &counts, failed_on, starving, on_probation };
         let costs = placeable.iter().filter_map(|key| Some((self.cost_on(&search, *key)?, *key)));
         let best = costs.min();
         self.spend(placeable.len() as u32 * EVALUATION_UNITS);
@@ -263,7 +281,8 @@
         let spec = &job.record.steps[step];
         let executor = self.executors.get(key)?;
         if !executor.may_have_room(spec)
-            || !self.is_placeable(executor)
+            || !self.is_usable(executor)
+            || executor.record.is_shunned(self.now) != search.on_probation
             || !self.fits_labels(job, spec, key)
             || !within_limit(spec, search.counts, key)
         {
@@ -294,7 +313,7 @@
         Some(load.cost(&demand))
     }
 
-    fn fits_labels(&self, job: &JobState, spec: &JobStep, key: ExecutorKey) -> bool {
+    pub(super) fn fits_labels(&self, job: &JobState, spec: &JobStep, key: ExecutorKey) -> bool {
         let executor = &self.executors[key];
         let labelled =
             spec.required_label.as_ref().is_none_or(|label| executor.labels.contains(label));
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -102,6 +102,8 @@
     pub(super) started: bool,
     /// Slacks of its serving tasks.
     pub(super) slacks: SlackWindow,
+    /// Earliest time of the next log line about a task that waits.
+    pub(super) next_wait_log: MonotonicTime,
 }
 
 impl JobState {
@@ -109,6 +111,11 @@
         occurrence as usize * self.record.steps.len() + step
     }
 
+    /// Tells whether its tasks run until it is cancelled.
+    pub(super) fn is_lasting(&self) -> bool {
+        self.record.is_long_running()
+    }
+
     /// Returns the first and the last index after those of a step.
     pub(super) fn step_range(&self, occurrence: u32, step: usize) -> std::ops::Range<TaskIndex> {
         let first = self.layout.first(occurrence, step);
--- /dev/null
+++ b/crates/cuminbank-jobs/src/scheduler/waits.rs
@@ -0,0 +1,106 @@
+//! Lasting tasks that wait for an executor, with why none takes them.
+
+use std::time::Duration;
+
+use cuminbank::log::TASK_WAITS;
+
+use super::{
+    state::{ExecutorState, JobKey, JobState},
+    JobScheduler,
+};
+use crate::{ids::TaskIndex, job::JobStep};
+
+/// Wait after which a lasting task is reported, and the time between two reports about a job.
+const REPORTED_WAIT: Duration = Duration::from_secs(2);
+
+/// What keeps executors with room from taking a task.
+#[derive(Debug, Default)]
+struct WaitCauses {
+    with_room: u32,
+    shunned: u32,
+    paused: u32,
+    unreachable: u32,
+    leaving: u32,
+    limit: u32,
+    usable: u32,
+}
+
+impl JobScheduler {
+    /// Reports lasting tasks that have waited for long.
+    pub(super) fn report_waits(&mut self) {
+        let now = self.now;
+        let due = |job: &JobState| {
+            job.record.is_long_running() && job.outcome.is_none() && now >= job.next_wait_log
+        };
+        let waiting: Vec<(JobKey, TaskIndex)> = self
+            .waiting
+            .iter()
+            .filter(|key| due(&self.jobs[**key]))
+            .filter_map(|key| {
+                let job = &self.jobs[*key];
+                let late =
+                    |task: &TaskIndex| now >= job.tasks[*task as usize].ready_since + REPORTED_WAIT;
+                Some((*key, job.ready.iter().copied().find(late)?))
+            })
+            .collect();
+        for (key, task) in waiting {
+            let causes = self.wait_causes(key, task);
+            let job = &mut self.jobs[key];
+            job.next_wait_log = now + REPORTED_WAIT;
+            let (_, step) = job.layout.place(task);
+            let needs = job.record.steps[step].needs;
+            let waited = now.saturating_sub(job.tasks[task as usize].ready_since);
+            let id = job.id;
+            let WaitCauses { with_room, shunned, paused, unreachable, leaving, limit, usable } =
+                causes;
+            let detail = format!(
+                "task={task} waited_ms={} cpu={} memory_mb={} with_room={with_room} \
+                 shunned={shunned} paused={paused} unreachable={unreachable} leaving={leaving} \
+                 limit={limit} usable={usable}",
+                waited.as_millis(),
+                needs.cpu_millis,
+                needs.memory_mb,
+            );
+            self.log(TASK_WAITS, Some(id), detail);
+        }
+    }
+
+    fn wait_causes(&self, key: JobKey, task: TaskIndex) -> WaitCauses {
+        let job = &self.jobs[key];
+        let (occurrence, step) = job.layout.place(task);
+        let spec = &job.record.steps[step];
+        let counts = self.step_counts(job, occurrence, step);
+        let mut causes = WaitCauses::default();
+        for (executor_key, executor) in &self.executors {
+            if !executor.may_have_room(spec) || !self.fits_labels(job, spec, executor_key) {
+                continue;
+            }
+            causes.with_room += 1;
+            let taken = counts.get(&executor_key).copied().unwrap_or_default();
+            *self.cause_of(executor, spec, taken, &mut causes) += 1;
+        }
+        causes
+    }
+
+    fn cause_of<'a>(
+        &self,
+        executor: &ExecutorState,
+        spec: &JobStep,
+        taken: u32,
+        causes: &'a mut WaitCauses,
+    ) -> &'a mut u32 {
+        if executor.draining || self.is_absent(executor) {
+            &mut causes.leaving
+        } else if executor.hold.failures > 0 || !executor.contacted {
+            &mut causes.unreachable
+        } else if executor.record.is_shunned(self.now) {
+            &mut causes.shunned
+        } else if self.now < executor.full_until {
+            &mut causes.paused
+        } else if spec.max_per_executor > 0 && taken >= spec.max_per_executor {
+            &mut causes.limit
+        } else {
+            &mut causes.usable
+        }
+    }
+}
--- a/crates/cuminbank-jobs/tests/scheduling.rs
+++ b/crates/cuminbank-jobs/tests/scheduling.rs
@@ -295,3 +295,47 @@
         assert!(tries >= 4, "job {id}: {tries} tries in 15 s");
     }
 }
+
+// Guards against a lasting task that waits beside room: an executor that fails what it starts is shunned
+// for 4 s, empties meanwhile, and no lasting task may wait for 3 s while there is room.
+#[test]
+fn lasting_task_uses_shunned_executor_rather_than_wait() {
+    let plan = |task: TaskName, _| match task.job {
+        1 | 2 => (Some(Duration::from_millis(200)), RunEnd::Failed),
+        _ => (None, RunEnd::Done),
+    };
+    let mut world = FakeWorld::new(3, 1, 1).with_plan(Box::new(plan));
+    world.play_until(SUBMITTED);
+    world.submit(1, job(vec![step(1, &[])]));
+    world.submit(2, job(vec![step(1, &[])]));
+    // By now both have failed, one after the other.
+    world.play_until(SUBMITTED + Duration::from_millis(700));
+    let lasting = JobStep { long_running: true, ..step(1, &[]) };
+    world.submit(3, job(vec![lasting]));
+    world.play_until(SUBMITTED + Duration::from_millis(1_200));
+    assert_eq!(world.running(3), 0, "the executor is not shunned");
+    world.play_until(SUBMITTED + Duration::from_millis(3_500));
+    assert_eq!(world.running(3), 1);
+}
+
+// Guards against lasting tasks that get no turn since the pass ends over hundreds of jobs that can still
+// be on time and fit nowhere.
+#[test]
+fn crowded_queue_leaves_a_turn_to_lasting_tasks() {
+    let (mut world, _) = world(Duration::from_secs(60), RunEnd::Done);
+    // Six executors of eight cores have one left each.
+    let wide = TaskNeeds { cpu_millis: 7_000, memory_mb: 1_000, gpus: 0 };
+    world.submit(1, job(vec![JobStep { needs: wide, ..step(6, &[]) }]));
+    world.play_until(SUBMITTED + Duration::from_millis(500));
+    assert_eq!(world.running(1), 6);
+    for id in 2..302 {
+        let needs = TaskNeeds { cpu_millis: 2_000, memory_mb: 1_000, gpus: 0 };
+        let image = format!("image-{id}");
+        let waiting = JobStep { needs, image, estimate_ms: 20_000, ..step(1, &[]) };
+        world.submit(id, job(vec![waiting]));
+    }
+    let lasting = JobStep { long_running: true, ..step(6, &[]) };
+    world.submit(400, job(vec![lasting]));
+    world.play_until(SUBMITTED + Duration::from_secs(3));
+    assert_eq!(world.running(400), 6);
+}
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -95,6 +95,7 @@
     ADVICE_ASKED = (721, Info, "The advice service was asked about a step.");
     ADVICE_GIVEN = (722, Info, "The advice service has given tickets for a step.");
     ADVICE_MISSING = (723, Warn, "The advice service has no answer for a step.");
+    TASK_WAITS = (724, Info, "A lasting task has waited for an executor for some time.");
     EXECUTOR_LISTED = (731, Info, "The list names a new executor.");
     EXECUTOR_REACHED = (732, Info, "An executor answers.");
     EXECUTOR_UNREACHABLE = (733, Warn, "An executor does not answer and gets no new work.");
