--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -71,13 +71,22 @@
 /// Starting on less would slow down all filling tasks there.
 const FILL_SHARE_PERCENT: u32 = 75;
 
+/// Returns the processor share of an executor that nobody is expected to use, in thousandths of a core.
+/// Serving tasks use only a part of what they reserve.
+pub fn idle_cpu(capacity: u32, reserved: u32, serving: u32, filling: u32) -> u32 {
+    let unused = serving * (100 - SERVING_USE_PERCENT) / 100;
+    capacity.saturating_sub(reserved - unused + filling)
+}
+
 impl ExecutorLoad {
     /// Returns the processor share that nobody is expected to use, in thousandths of a core.
-    /// Serving tasks use only a part of what they reserve.
     pub fn idle_cpu(&self) -> u32 {
-        let unused = self.serving_cpu * (100 - SERVING_USE_PERCENT) / 100;
-        let used = self.reserved.cpu_millis - unused + self.filling_cpu;
-        self.capacity.cpu_millis.saturating_sub(used)
+        idle_cpu(
+            self.capacity.cpu_millis,
+            self.reserved.cpu_millis,
+            self.serving_cpu,
+            self.filling_cpu,
+        )
     }
 
     fn unreserved_cpu(&self) -> u32 {
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod pressure;
 mod state;
 mod status;
+mod survey;
 mod tails;
 mod takeover;
 mod waits;
@@ -235,6 +236,8 @@
     next_sought_at: MonotonicTime,
     /// Earliest time of the next task that may disturb services.
     next_starved_at: MonotonicTime,
+    /// When the room of the pool is logged next.
+    next_survey_at: MonotonicTime,
     /// Whether tasks reserved little of the pool at the last pass.
     little_used: bool,
     last_order: OrderId,
@@ -296,6 +299,7 @@
             sought: Vec::new(),
             next_sought_at: MonotonicTime::ZERO,
             next_starved_at: MonotonicTime::ZERO,
+            next_survey_at: MonotonicTime::ZERO,
             little_used: false,
             last_order: 0,
             last_write: 0,
@@ -382,6 +386,7 @@
         self.drive_orders();
         self.watch_runs();
         self.report_waits();
+        self.survey_pool();
         self.update_load();
         self.placing_wanted = true;
     }
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -111,6 +111,7 @@
     PROGRESS_REFUSED = (746, Warn, "A write of progress was refused by its conditions.");
     PROGRESS_UNANSWERED = (747, Warn, "A write of progress has no answer and is sent again.");
     PREDECESSOR_ENDED = (748, Info, "The owner before gives no more orders.");
+    POOL_SURVEYED = (749, Info, "Room, work and queue of a cell.");
     POOL_STORE_LOST = (751, Warn, "The platform's store does not answer.");
     POOL_STORE_FOUND = (752, Info, "The platform's store answers again.");
     POOL_CONFIG_IN_FORCE = (753, Info, "A configuration of the pool is in force.");
