Judge the tails of a job's tasks on an executor together, and learn nothing of executors of unknown size

Losses of two jobs of one image, which have loads of their own, were averaged. After a takeover an executor may answer before the list says how large it is: shares of several thousand went into the model and made it sure of what it did not know.

Change: one report for each job and executor, weighed by the number of its tasks; no learning while the capacity is not known.

--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -25,7 +25,7 @@
 /// Greatest loss of slack for a whole executor.
 const MOST_LOSS: f64 = 30.0;
 /// Variance of a reported slack: tails are rough figures.
-pub const REPORT_VARIANCE: f64 = 0.05;
+const REPORT_VARIANCE: f64 = 0.05;
 /// Standard deviation of what a task presses over time, in parts of its mean.
 const SWAY_PART: f64 = 0.5;
 /// Time in which what is known of a pair that is kept apart fades to a half.
--- a/crates/cuminbank-jobs/src/scheduler/tails.rs
+++ b/crates/cuminbank-jobs/src/scheduler/tails.rs
@@ -11,7 +11,7 @@
 use crate::{
     colocation::{ImageId, SlackLoss, LEAST_PART},
     order::RunReport,
-    slack::RELIEVED_SLACK,
+    slack::{SlackReport, RELIEVED_SLACK},
 };
 
 /// Window of the tail latency that executors report.
@@ -26,17 +26,20 @@
     /// serving task that is over its bound.
     pub(super) fn watch_tails(&mut self, key: ExecutorKey, rows: &[RunReport]) {
         let now = self.now;
-        if self.executors[key].serving == 0 {
+        let executor = &self.executors[key];
+        // After a takeover an executor may answer before the list says how large it is, and nothing can
+        // be told of shares of it.
+        if executor.serving == 0 || executor.capacity.cpu_millis == 0 {
             return;
         }
         let filling = self.exposed_filling(key);
         let tails = self.tails_of(key, rows, &filling);
         for tail in tails.iter().filter(|tail| tail.fresh) {
-            self.colocation.learn_estimate(now, tail.victim, tail.mean_loss(), &filling);
+            self.colocation.learn_estimate(now, tail.victim, tail.loss, &filling);
         }
         self.update_losses(key);
         self.note_slacks(key, &tails, &filling);
-        let over: Vec<&ServiceTail> = tails.iter().filter(|tail| tail.slack < 1.0).collect();
+        let over: Vec<&ServiceTail> = tails.iter().filter(|tail| tail.report.slack < 1.0).collect();
         let executor = &mut self.executors[key];
         if over.is_empty() {
             executor.over_target_since = None;
@@ -50,15 +53,23 @@
     /// Notes the slack that each service would have without the filling tasks that show in it.
     fn note_slacks(&mut self, key: ExecutorKey, tails: &[ServiceTail], filling: &[(ImageId, f64)]) {
         let now = self.now;
-        let readings = &self.executors[key].slacks;
-        let slacks = tails.iter().filter_map(|tail| match tail.fresh {
-            true => {
-                let slack = tail.slack + self.loss_beside(tail.victim, filling).mean;
-                Some(SlackReading { victim: tail.victim, slack, at: now })
+        let mut slacks: Vec<SlackReading> = Vec::new();
+        for tail in tails {
+            let victim = tail.victim;
+            let slack = tail.report.slack + self.loss_beside(victim, filling).mean;
+            let known = self.executors[key].slacks.iter().find(|reading| reading.victim == victim);
+            let reading = match known.filter(|_| !tail.fresh) {
+                Some(known) => *known,
+                None => SlackReading { victim, slack, at: now },
+            };
+            // The job that is worst off counts.
+            match slacks.iter_mut().find(|other| other.victim == victim) {
+                Some(other) if other.slack <= reading.slack => {}
+                Some(other) => *other = reading,
+                None => slacks.push(reading),
             }
-            false => readings.iter().find(|reading| reading.victim == tail.victim).copied(),
-        });
-        self.executors[key].slacks = slacks.collect();
+        }
+        self.executors[key].slacks = slacks;
     }
 
     /// Returns the loss of slack that filling images are expected to cause to a service.
@@ -84,7 +95,7 @@
         !known
     }
 
-    /// Returns the tails of an executor's report by image.
+    /// Returns the tails of an executor's report by job.
     fn tails_of(
         &mut self,
         key: ExecutorKey,
@@ -94,23 +105,23 @@
         let now = self.now;
         let mut tails: Vec<ServiceTail> = Vec::new();
         for row in rows {
-            let Some((job_key, victim, slack)) = self.slack_of(row) else { continue };
-            let fresh = self.is_fresh(key, job_key, row);
-            let lost = self.loss_beside(victim, filling);
-            let estimate = &mut self.jobs[job_key].slack;
-            if fresh {
-                estimate.update(now, slack, lost);
-            }
-            let loss = estimate.loss_of(now, slack);
-            let known = tails.iter_mut().find(|tail| tail.victim == victim);
-            match known {
-                Some(tail) => tail.add(slack, loss, fresh),
-                None => {
-                    let mut tail = ServiceTail::new(victim);
-                    tail.add(slack, loss, fresh);
-                    tails.push(tail);
-                }
+            let Some((job, victim, slack)) = self.slack_of(row) else { continue };
+            let fresh = self.is_fresh(key, job, row);
+            let place = tails.iter().position(|tail| tail.job == job && tail.victim == victim);
+            let place = place.unwrap_or_else(|| {
+                tails.push(ServiceTail::new(job, victim));
+                tails.len() - 1
+            });
+            tails[place].report.add(slack);
+            tails[place].fresh |= fresh;
+        }
+        for tail in &mut tails {
+            let lost = self.loss_beside(tail.victim, filling);
+            let estimate = &mut self.jobs[tail.job].slack;
+            if tail.fresh {
+                estimate.update(now, &tail.report, lost);
             }
+            tail.loss = estimate.loss_of(now, &tail.report);
         }
         tails
     }
@@ -206,44 +217,25 @@
     }
 }
 
-/// Tails of a serving image on an executor.
+/// Tails of a job's serving tasks on an executor.
 struct ServiceTail {
+    job: JobKey,
     victim: ImageId,
-    /// Slack of the task that is worst off.
-    slack: f64,
-    /// Sum of the losses of slack that others cause to its tasks, and their number.
-    loss_sum: SlackLoss,
-    loss_count: u32,
+    report: SlackReport,
+    /// Loss of slack that others cause to the tasks.
+    loss: SlackLoss,
     /// Whether any of them was not reported before.
     fresh: bool,
 }
 
 impl ServiceTail {
-    fn new(victim: ImageId) -> Self {
-        Self {
-            victim,
-            slack: f64::INFINITY,
-            loss_sum: SlackLoss::default(),
-            loss_count: 0,
-            fresh: false,
-        }
-    }
-
-    fn add(&mut self, slack: f64, loss: SlackLoss, fresh: bool) {
-        self.fresh |= fresh;
-        self.slack = self.slack.min(slack);
-        self.loss_sum = self.loss_sum.plus(loss);
-        self.loss_count += 1;
-    }
-
-    fn mean_loss(&self) -> SlackLoss {
-        // Tasks of one image are mostly of one job, whose estimate they share.
-        let count = f64::from(self.loss_count.max(1));
-        SlackLoss { mean: self.loss_sum.mean / count, variance: self.loss_sum.variance / count }
+    fn new(job: JobKey, victim: ImageId) -> Self {
+        let report = SlackReport::default();
+        Self { job, victim, report, loss: SlackLoss::default(), fresh: false }
     }
 
     /// Returns how much slack has to be won back, as far as others have caused the loss.
     fn relief(&self) -> f64 {
-        (RELIEVED_SLACK - self.slack).min(self.mean_loss().mean)
+        (RELIEVED_SLACK - self.report.slack).min(self.loss.mean)
     }
 }
--- a/crates/cuminbank-jobs/src/slack.rs
+++ b/crates/cuminbank-jobs/src/slack.rs
@@ -5,10 +5,7 @@
 
 use std::time::Duration;
 
-use crate::{
-    colocation::{SlackLoss, REPORT_VARIANCE},
-    ids::MonotonicTime,
-};
+use crate::{colocation::SlackLoss, ids::MonotonicTime};
 
 /// Slack that a serving task has at the peaks of its load, undisturbed: on the users' sites the bound
 /// is five times the tail without load, and the load reaches 0.675.
@@ -24,6 +21,9 @@
 /// Undisturbed slack of a job of which nothing is known, and its variance.
 const UNKNOWN_SLACK: f64 = 2.5;
 const UNKNOWN_VARIANCE: f64 = 1.0;
+/// Standard deviation of a reported slack in parts of it, and the least variance of a report.
+const REPORT_DEVIATION: f64 = 0.12;
+const LEAST_REPORT_VARIANCE: f64 = 0.01;
 /// Growth of the variance of an estimate in a second, as the load swings.
 const SLACK_DRIFT: f64 = 0.15;
 
@@ -34,6 +34,29 @@
     fallen.max(PEAK_SLACK) - 1.0 - SLACK_RESERVE
 }
 
+/// Slack that tasks of a job report on one executor, where they are disturbed alike.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SlackReport {
+    /// Mean of their slacks.
+    pub slack: f64,
+    tasks: u32,
+}
+
+impl SlackReport {
+    /// Adds the slack of a task.
+    pub fn add(&mut self, slack: f64) {
+        let tasks = f64::from(self.tasks);
+        self.slack = (self.slack * tasks + slack) / (tasks + 1.0);
+        self.tasks += 1;
+    }
+
+    /// Returns the variance of the mean: tails are rough figures.
+    fn variance(&self) -> f64 {
+        let deviation = self.slack * REPORT_DEVIATION;
+        (deviation * deviation + LEAST_REPORT_VARIANCE) / f64::from(self.tasks.max(1))
+    }
+}
+
 /// Estimate of the slack that the tasks of a job would have undisturbed, which follows its load.
 ///
 /// Each report is weighed by how well it tells: one beside little filling work says more than one beside
@@ -51,18 +74,19 @@
         Self { mean: UNKNOWN_SLACK, variance: UNKNOWN_VARIANCE, at: MonotonicTime::ZERO }
     }
 
-    /// Takes a reported slack and the loss that is expected to be in it.
-    pub fn update(&mut self, now: MonotonicTime, slack: f64, lost: SlackLoss) {
+    /// Takes a report and the loss that is expected to be in it.
+    pub fn update(&mut self, now: MonotonicTime, report: &SlackReport, lost: SlackLoss) {
         let variance = self.variance_at(now);
-        let gain = variance / (variance + lost.variance + REPORT_VARIANCE);
-        let mean = self.mean + gain * (slack + lost.mean - self.mean);
+        let gain = variance / (variance + lost.variance + report.variance());
+        let mean = self.mean + gain * (report.slack + lost.mean - self.mean);
         // No load takes the slack below that of the peak.
         *self = Self { mean: mean.max(PEAK_SLACK), variance: variance * (1.0 - gain), at: now };
     }
 
-    /// Returns the loss that others cause to a task with a reported slack.
-    pub fn loss_of(&self, now: MonotonicTime, slack: f64) -> SlackLoss {
-        SlackLoss { mean: self.mean - slack, variance: self.variance_at(now) + REPORT_VARIANCE }
+    /// Returns the loss that others cause to the tasks of a report.
+    pub fn loss_of(&self, now: MonotonicTime, report: &SlackReport) -> SlackLoss {
+        let variance = self.variance_at(now) + report.variance();
+        SlackLoss { mean: self.mean - report.slack, variance }
     }
 
     fn variance_at(&self, now: MonotonicTime) -> f64 {
--- a/crates/cuminbank-jobs/tests/slack.rs
+++ b/crates/cuminbank-jobs/tests/slack.rs
@@ -4,7 +4,7 @@
 
 use cuminbank_jobs::{
     colocation::SlackLoss,
-    slack::{bearable_loss, SlackEstimate, PEAK_BEARABLE, PEAK_SLACK},
+    slack::{bearable_loss, SlackEstimate, SlackReport, PEAK_BEARABLE, PEAK_SLACK},
 };
 
 // Guards against work that waits for the peak of a service's load to pass though it will have ended
@@ -24,11 +24,18 @@
     SlackLoss { mean, variance: 0.0 }
 }
 
+/// Returns the report of one task.
+fn report(slack: f64) -> SlackReport {
+    let mut report = SlackReport::default();
+    report.add(slack);
+    report
+}
+
 /// Returns the estimate after reports of tasks that lose as much slack as is expected.
 fn estimate(reports: &[(f64, SlackLoss)]) -> SlackEstimate {
     let mut estimate = SlackEstimate::new();
     for (slack, lost) in reports {
-        estimate.update(Duration::from_secs(1), *slack, *lost);
+        estimate.update(Duration::from_secs(1), &report(*slack), *lost);
     }
     estimate
 }
@@ -39,11 +46,14 @@
     let calm = known_loss(0.0);
     let estimate = estimate(&[(1.9, calm), (2.0, calm), (1.8, calm), (1.9, calm)]);
     let now = Duration::from_secs(1);
-    assert!(estimate.loss_of(now, 1.9).mean.abs() < 0.1, "{estimate:?}");
-    assert!((estimate.loss_of(now, 0.8).mean - 1.1).abs() < 0.1, "{estimate:?}");
+    assert!(estimate.loss_of(now, &report(1.9)).mean.abs() < 0.1, "{estimate:?}");
+    assert!((estimate.loss_of(now, &report(0.8)).mean - 1.1).abs() < 0.1, "{estimate:?}");
     // What was reported a while ago tells less of the load now.
     let later = now + Duration::from_secs(4);
-    assert!(estimate.loss_of(later, 1.9).variance > 3.0 * estimate.loss_of(now, 1.9).variance);
+    assert!(
+        estimate.loss_of(later, &report(1.9)).variance
+            > 3.0 * estimate.loss_of(now, &report(1.9)).variance
+    );
 }
 
 // Guards against a service that is taken to have little slack, so that nobody is blamed, once filling
@@ -52,7 +62,7 @@
 fn slack_is_known_though_all_executors_are_disturbed() {
     let lost = SlackLoss { mean: 1.5, variance: 0.3 };
     let estimate = estimate(&[(2.0, lost), (2.1, lost), (1.9, lost), (2.0, lost), (2.0, lost)]);
-    let loss = estimate.loss_of(Duration::from_secs(1), 2.0).mean;
+    let loss = estimate.loss_of(Duration::from_secs(1), &report(2.0)).mean;
     assert!((loss - 1.5).abs() < 0.25, "{loss}");
 }
 
@@ -62,7 +72,7 @@
     let guessed = SlackLoss { mean: 3.0, variance: 2.0 };
     let estimate =
         estimate(&[(2.0, known_loss(0.0)), (2.0, known_loss(0.0)), (1.0, guessed), (1.0, guessed)]);
-    let calm = estimate.loss_of(Duration::from_secs(1), 2.0).mean;
+    let calm = estimate.loss_of(Duration::from_secs(1), &report(2.0)).mean;
     assert!(calm.abs() < 0.25, "{calm}");
 }
 
@@ -71,6 +81,21 @@
 #[test]
 fn slack_of_the_peak_is_the_least() {
     let estimate = estimate(&[(0.6, known_loss(0.0)); 10]);
-    let loss = estimate.loss_of(Duration::from_secs(1), 0.6).mean;
+    let loss = estimate.loss_of(Duration::from_secs(1), &report(0.6)).mean;
     assert!((loss - (PEAK_SLACK - 0.6)).abs() < 1e-9, "{loss}");
 }
+
+// Guards against one rough figure that counts as a bound passed: tasks of a job on one executor are
+// disturbed alike, and their figures differ by an eighth.
+#[test]
+fn tasks_of_a_job_are_judged_together() {
+    let mut together = SlackReport::default();
+    for slack in [1.3, 0.95, 1.2, 1.15] {
+        together.add(slack);
+    }
+    assert!((together.slack - 1.15).abs() < 1e-9, "{together:?}");
+    let now = Duration::from_secs(1);
+    let estimate = SlackEstimate::new();
+    let rough = estimate.loss_of(now, &report(1.15)).variance;
+    assert!(estimate.loss_of(now, &together).variance < rough);
+}
