Write progress every 40 ms instead of every 15

Hypothesis: a fifth of the calls of the store are writes of progress of few tasks each, which could share one. Change: the interval between two writes.

--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -22,7 +22,7 @@
 
 /// Interval between two writes of progress for each cell of the pool, and its bound. Each is a priced
 /// call, and a job's completion waits for one.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(15);
+const FLUSH_INTERVAL: Duration = Duration::from_millis(40);
 const LONGEST_FLUSH_INTERVAL: Duration = Duration::from_millis(60);
 /// Least time between two tries of a write.
 const FLUSH_RETRY: Duration = Duration::from_millis(60);
