Ask for leases of 7 s, so that running work outlasts a cut of some seconds

Cause: one of the faults that other operators have told of: work on executors that were only cut off for 5 to 6 s lost its lease of 5 s and began again elsewhere, from its last checkpoint. Work on executors that are lost for good starts 2 s later.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -22,7 +22,7 @@
 
 /// Lease that a hold asks for. It outlasts the change of an owner, about 3 s; work on an executor
 /// that is lost, and earlier jobs of a new owner, wait for its end.
-pub(super) const LEASE_TIME: Duration = Duration::from_millis(5_000);
+pub(super) const LEASE_TIME: Duration = Duration::from_millis(7_000);
 /// How long an executor waits for an end before it answers a hold. An executor that has become
 /// unreachable is noticed after this time, and the rest of a lease never falls below
 /// [`LEASE_TIME`] less this time.
