--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -73,6 +73,15 @@
     }
 }
 
+/// Whether losses count that are so small that they may be due to other images.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FaintLoss {
+    /// They count: for work that can wait a moment for a better place.
+    Counted,
+    /// They do not: for work that has waited.
+    Ignored,
+}
+
 /// What is known of a pair: the loss of slack for a whole executor.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 struct PairEffect {
@@ -101,8 +110,11 @@
     }
 
     /// Returns the loss that a task with a share of the executor causes.
-    fn loss(&self, share: f64) -> SlackLoss {
-        let mean = self.distinct_mean();
+    fn loss(&self, share: f64, faint: FaintLoss) -> SlackLoss {
+        let mean = match faint {
+            FaintLoss::Ignored => self.distinct_mean(),
+            FaintLoss::Counted => self.mean,
+        };
         let variance = self.variance * UNSURE_PART + (mean * SWAY_PART).powi(2);
         SlackLoss { mean: mean * share, variance: variance * share * share }
     }
@@ -208,7 +220,7 @@
         image: ImageId,
         share: f64,
     ) -> SlackLoss {
-        self.effect(now, victim, image).loss(share)
+        self.effect(now, victim, image).loss(share, FaintLoss::Ignored)
     }
 
     /// Returns the loss that counts when a filling image is placed. Of an image that has hardly been
@@ -219,15 +231,38 @@
         victim: ImageId,
         image: ImageId,
         share: f64,
+    ) -> SlackLoss {
+        self.trial_loss_with(FaintLoss::Ignored, now, victim, image, share)
+    }
+
+    /// Returns the same, with faint losses or without.
+    pub fn trial_loss_with(
+        &self,
+        faint: FaintLoss,
+        now: MonotonicTime,
+        victim: ImageId,
+        image: ImageId,
+        share: f64,
     ) -> SlackLoss {
         let effect = self.effect(now, victim, image);
-        let loss = effect.loss(share);
+        let loss = effect.loss(share, faint);
         match effect.is_unsure() {
             true => SlackLoss { variance: 0.0, ..loss },
             false => loss,
         }
     }
 
+    /// Returns the loss of slack with faint losses counted.
+    pub fn whole_loss(
+        &self,
+        now: MonotonicTime,
+        victim: ImageId,
+        image: ImageId,
+        share: f64,
+    ) -> SlackLoss {
+        self.effect(now, victim, image).loss(share, FaintLoss::Counted)
+    }
+
     /// Returns for each image how much it is sought as a neighbour: each filling image counts once,
     /// divided among the serving images that it does not disturb.
     pub fn demand(&self, now: MonotonicTime) -> Vec<f64> {
--- a/crates/cuminbank-jobs/src/scheduler/candidates.rs
+++ b/crates/cuminbank-jobs/src/scheduler/candidates.rs
@@ -8,7 +8,7 @@
     state::{ExecutorCounts, ExecutorKey, ExecutorState, JobKey},
     JobScheduler,
 };
-use crate::job::JobStep;
+use crate::{colocation::FaintLoss, job::JobStep};
 
 /// Units of work for working out the cost of a task on an executor with room.
 pub(super) const EVALUATION_UNITS: u32 = 8;
@@ -22,16 +22,35 @@
     pub(super) counts: &'a ExecutorCounts,
     /// Executors on which the task failed.
     pub(super) failed_on: &'a [String],
-    /// Whether the task may disturb services.
+    pub(super) terms: PlacingTerms,
+}
+
+/// What a task may do for a place.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct PlacingTerms {
+    /// Whether a filling task has waited, so that faint losses of services do not count.
+    pub(super) waited: bool,
+    /// Whether it may disturb services.
     pub(super) starving: bool,
     /// Whether shunned executors are looked at, and no others.
     pub(super) on_probation: bool,
 }
 
+impl PlacingTerms {
+    /// Returns whether faint losses of services count.
+    pub(super) fn faint_loss(self) -> FaintLoss {
+        match self.waited || self.starving {
+            true => FaintLoss::Ignored,
+            false => FaintLoss::Counted,
+        }
+    }
+}
+
 /// Executors with room for the tasks of a step.
 pub(super) struct StepCandidates {
     /// Occurrence and step.
     pub(super) place: (u32, usize),
+    pub(super) terms: PlacingTerms,
     counts: ExecutorCounts,
     by_cost: BinaryHeap<Reverse<(u64, ExecutorKey)>>,
 }
@@ -39,7 +58,7 @@
 impl StepCandidates {
     fn search(&self, key: JobKey) -> CandidateSearch<'_> {
         let (place, counts) = (self.place, &self.counts);
-        CandidateSearch { key, place, counts, failed_on: &[], starving: false, on_probation: false }
+        CandidateSearch { key, place, counts, failed_on: &[], terms: self.terms }
     }
 }
 
@@ -59,10 +78,11 @@
         &mut self,
         key: JobKey,
         place: (u32, usize),
+        terms: PlacingTerms,
         placeable: &[ExecutorKey],
     ) -> StepCandidates {
         let counts = self.step_counts(&self.jobs[key], place.0, place.1);
-        let mut candidates = StepCandidates { place, counts, by_cost: BinaryHeap::new() };
+        let mut candidates = StepCandidates { place, terms, counts, by_cost: BinaryHeap::new() };
         let search = candidates.search(key);
         let costs = placeable
             .iter()
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -7,6 +7,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use super::{
+    candidates::PlacingTerms,
     state::{ExecutorKey, JobKey, JobState, TaskPhase},
     JobScheduler,
 };
@@ -25,6 +26,9 @@
 /// Wait after which a lasting task may use a shunned executor. No lasting task must wait for 3 s while
 /// there is room, and shunned executors empty.
 const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
+/// Wait up to which a filling task is only placed where even faint losses leave services within their
+/// bounds. While there is room for all, it finds such a place; on a heavy day it goes on.
+const PATIENT_TIME: Duration = Duration::from_millis(800);
 /// Units of work in one part of a pass for a whole core. A unit is about as long as one look at an
 /// executor that is full, 20 ns, and a part takes some 5 ms of the instance's share.
 const PART_UNITS_PER_CORE: f64 = 32_000.0;
@@ -61,10 +65,12 @@
     image: ImageId,
     fills: bool,
     needs: TaskNeeds,
+    /// Whether the task had waited, so that it might have gone to more executors.
+    waited: bool,
 }
 
 impl MissedShape {
-    fn new(job: &JobState, step: usize) -> Self {
+    fn new(job: &JobState, step: usize, terms: PlacingTerms) -> Self {
         let spec = &job.record.steps[step];
         Self {
             service: job.record.terms.service.clone(),
@@ -72,13 +78,15 @@
             image: job.images[step],
             fills: spec.fills,
             needs: spec.needs,
+            waited: terms.waited,
         }
     }
 
     /// Tells whether a task of the step needs no less than this one.
-    fn covers(&self, job: &JobState, step: usize) -> bool {
+    fn covers(&self, job: &JobState, step: usize, terms: PlacingTerms) -> bool {
         let spec = &job.record.steps[step];
-        self.fills == spec.fills
+        (self.waited || !terms.waited)
+            && self.fills == spec.fills
             && self.image == job.images[step]
             && self.needs.cpu_millis <= spec.needs.cpu_millis
             && self.needs.memory_mb <= spec.needs.memory_mb
@@ -203,6 +211,11 @@
             let gang = job.record.steps[step].gang;
             let starving = idle && self.is_starving(job, task);
             let waited = self.now.saturating_sub(job.tasks[task as usize].ready_since);
+            let terms = PlacingTerms {
+                waited: waited >= PATIENT_TIME,
+                starving,
+                ..PlacingTerms::default()
+            };
             let on_probation = !pass.shunned.is_empty()
                 && job.is_lasting()
                 && !advised
@@ -211,7 +224,7 @@
             let known_full = !advised
                 && !gang
                 && !starving
-                && pass.missed.iter().any(|shape| shape.covers(job, step));
+                && pass.missed.iter().any(|shape| shape.covers(job, step, terms));
             if (known_full && !on_probation)
                 || (advised && !self.has_advice(key, task, &pass.placeable))
             {
@@ -221,7 +234,7 @@
             let mut placed = match gang {
                 true => self.place_gang(key, occurrence, step, &pass.placeable),
                 false if known_full => false,
-                false => self.place_task(key, task, starving, &pass.placeable, &mut candidates),
+                false => self.place_task(key, task, terms, &pass.placeable, &mut candidates),
             };
             if !placed && on_probation {
                 placed = self.place_on_probation(key, task, &pass.shunned);
@@ -230,7 +243,7 @@
             if !placed {
                 full_step = Some((occurrence, step));
                 if !advised && !known_full {
-                    pass.missed.push(MissedShape::new(&self.jobs[key], step));
+                    pass.missed.push(MissedShape::new(&self.jobs[key], step, terms));
                 }
             }
         }
--- a/crates/cuminbank-jobs/src/scheduler/placing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/placing.rs
@@ -5,7 +5,7 @@
 use cuminbank::log::GANG_WAITS;
 
 use super::{
-    candidates::{CandidateSearch, StepCandidates, EVALUATION_UNITS},
+    candidates::{CandidateSearch, PlacingTerms, StepCandidates, EVALUATION_UNITS},
     state::{ExecutorCounts, ExecutorKey, ExecutorState, JobKey, JobState, TaskPhase},
     JobScheduler,
 };
@@ -66,27 +66,30 @@
         &mut self,
         key: JobKey,
         task: TaskIndex,
-        starving: bool,
+        terms: PlacingTerms,
         placeable: &[ExecutorKey],
         candidates: &mut Option<StepCandidates>,
     ) -> bool {
         let job = &self.jobs[key];
         let place = job.layout.place(task);
-        let special = starving
+        let special = terms.starving
             || job.record.terms.advice.is_some()
             || !job.tasks[task as usize].failed_on.is_empty();
         let chosen = match special {
-            true => self.choose(key, task, placeable, starving, false),
+            true => self.choose(key, task, placeable, terms),
             false => {
-                let known = match candidates.take().filter(|known| known.place == place) {
+                let known = match candidates
+                    .take()
+                    .filter(|known| known.place == place && known.terms == terms)
+                {
                     Some(known) => known,
-                    None => self.find_candidates(key, place, placeable),
+                    None => self.find_candidates(key, place, terms, placeable),
                 };
                 self.take_candidate(key, candidates.insert(known))
             }
         };
         let Some(executor) = chosen else { return false };
-        if starving {
+        if terms.starving {
             self.next_starved_at = self.now + STARVED_PAUSE;
         }
         self.start_next_run(key, task, executor);
@@ -105,7 +108,8 @@
         task: TaskIndex,
         shunned: &[ExecutorKey],
     ) -> bool {
-        let Some(executor) = self.choose(key, task, shunned, false, true) else { return false };
+        let terms = PlacingTerms { on_probation: true, ..PlacingTerms::default() };
+        let Some(executor) = self.choose(key, task, shunned, terms) else { return false };
         self.start_next_run(key, task, executor);
         true
     }
@@ -259,15 +263,13 @@
         key: JobKey,
         task: TaskIndex,
         placeable: &[ExecutorKey],
-        starving: bool,
-        on_probation: bool,
+        terms: PlacingTerms,
     ) -> Option<ExecutorKey> {
         let job = &self.jobs[key];
         let place = job.layout.place(task);
         let counts = self.step_counts(job, place.0, place.1);
         let failed_on = &job.tasks[task as usize].failed_on;
-        let search =
-            CandidateSearch { key, place, counts: &counts, failed_on, starving, on_probation };
+        let search = CandidateSearch { key, place, counts: &counts, failed_on, terms };
         let costs = placeable.iter().filter_map(|key| Some((self.cost_on(&search, *key)?, *key)));
         let best = costs.min();
         self.spend(placeable.len() as u32 * EVALUATION_UNITS);
@@ -282,7 +284,7 @@
         let executor = self.executors.get(key)?;
         if !executor.may_have_room(spec)
             || !self.is_usable(executor)
-            || executor.record.is_shunned(self.now) != search.on_probation
+            || executor.record.is_shunned(self.now) != search.terms.on_probation
             || !self.fits_labels(job, spec, key)
             || !within_limit(spec, search.counts, key)
         {
@@ -300,9 +302,9 @@
         }
         let image = job.images[step];
         if spec.fills {
-            load.pressure = self.pressure_with(executor, image, spec);
+            load.pressure = self.pressure_with(executor, image, spec, search.terms.faint_loss());
             let disturbs = load.pressure > MOST_PRESSURE || self.is_trial_too_many(executor, image);
-            if self.now < executor.no_filling_until || (disturbs && !search.starving) {
+            if self.now < executor.no_filling_until || (disturbs && !search.terms.starving) {
                 return None;
             }
         } else if spec.long_running {
--- a/crates/cuminbank-jobs/src/scheduler/pressure.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pressure.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use super::{
-    state::{ExecutorKey, ExecutorState},
+    state::{ExecutorKey, ExecutorState, VictimLoss},
     JobScheduler,
 };
 use crate::{
-    colocation::{ImageId, SlackLoss, MOST_TRIALS},
+    colocation::{FaintLoss, ImageId, SlackLoss, MOST_TRIALS},
     job::JobStep,
     slack::{bearable_loss, PEAK_BEARABLE},
 };
@@ -24,7 +24,11 @@
         let losses = executor
             .serving_images
             .iter()
-            .map(|(victim, _)| (*victim, self.loss_on(executor, *victim)))
+            .map(|(victim, _)| VictimLoss {
+                victim: *victim,
+                distinct: self.loss_on(executor, *victim, FaintLoss::Ignored),
+                whole: self.loss_on(executor, *victim, FaintLoss::Counted),
+            })
             .collect();
         self.executors[key].losses = losses;
     }
@@ -35,15 +39,21 @@
         executor: &ExecutorState,
         image: ImageId,
         spec: &JobStep,
+        faint: FaintLoss,
     ) -> f64 {
         let share = executor.share_of(spec.needs.cpu_millis);
         let ahead = Duration::from_millis(u64::from(spec.estimate_ms)) + START_TIME;
         executor
             .losses
             .iter()
-            .map(|(victim, sum)| {
-                let loss = sum.plus(self.colocation.trial_loss(self.now, *victim, image, share));
-                loss.pressure(self.bearable_by(executor, *victim, ahead))
+            .map(|loss| {
+                let sum = match faint {
+                    FaintLoss::Counted => loss.whole,
+                    FaintLoss::Ignored => loss.distinct,
+                };
+                let added =
+                    self.colocation.trial_loss_with(faint, self.now, loss.victim, image, share);
+                sum.plus(added).pressure(self.bearable_by(executor, loss.victim, ahead))
             })
             .fold(0.0, f64::max)
     }
@@ -105,13 +115,16 @@
 
     /// Returns the pressure that a serving image feels or would feel on an executor.
     pub(super) fn pressure_on(&self, executor: &ExecutorState, victim: ImageId) -> f64 {
-        self.loss_on(executor, victim).pressure(PEAK_BEARABLE)
+        self.loss_on(executor, victim, FaintLoss::Ignored).pressure(PEAK_BEARABLE)
     }
 
-    fn loss_on(&self, executor: &ExecutorState, victim: ImageId) -> SlackLoss {
+    fn loss_on(&self, executor: &ExecutorState, victim: ImageId, faint: FaintLoss) -> SlackLoss {
         let part = |(image, cpu_millis): &(ImageId, u32)| {
             let share = executor.share_of(*cpu_millis);
-            self.colocation.loss(self.now, victim, *image, share)
+            match faint {
+                FaintLoss::Counted => self.colocation.whole_loss(self.now, victim, *image, share),
+                FaintLoss::Ignored => self.colocation.loss(self.now, victim, *image, share),
+            }
         };
         executor.filling_images.iter().map(part).fold(SlackLoss::default(), SlackLoss::plus)
     }
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -180,6 +180,16 @@
     rows.retain(|(_, sum)| *sum > 0);
 }
 
+/// Loss of slack that filling tasks cause to a serving image on an executor.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct VictimLoss {
+    pub(super) victim: ImageId,
+    /// What is clearly due to them.
+    pub(super) distinct: SlackLoss,
+    /// The same with faint losses.
+    pub(super) whole: SlackLoss,
+}
+
 /// Slack of a serving image on an executor.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct SlackReading {
@@ -259,7 +269,7 @@
     /// What fills here, with the processor share that it wants in thousandths of a core.
     pub(super) filling_images: Vec<(ImageId, u32)>,
     /// Loss of slack that the filling tasks cause to each serving image.
-    pub(super) losses: Vec<(ImageId, SlackLoss)>,
+    pub(super) losses: Vec<VictimLoss>,
     /// Undisturbed slack that each serving image had last, at the worst of its tasks.
     pub(super) slacks: Vec<SlackReading>,
     /// Filling tasks that have ended of late, which the reported tails still show.
--- a/crates/cuminbank-jobs/tests/colocation.rs
+++ b/crates/cuminbank-jobs/tests/colocation.rs
@@ -178,4 +178,9 @@
     let lost = fillers.iter().map(|filler| model.loss(now, service, *filler, 0.1));
     let sum = lost.fold(SlackLoss::default(), SlackLoss::plus);
     assert!(sum.pressure(PEAK_BEARABLE) < MOST_PRESSURE, "{sum:?}");
+    // Work that can wait for a better place counts them: together they may take a service over its
+    // bound.
+    let lost = fillers.iter().map(|filler| model.whole_loss(now, service, *filler, 0.1));
+    let sum = lost.fold(SlackLoss::default(), SlackLoss::plus);
+    assert!(sum.pressure(PEAK_BEARABLE) > MOST_PRESSURE, "{sum:?}");
 }
