Keep moving filling work away once one task has been over its bound for half of the longest time

Change: the time over the bound counts from the worst task; after half of the longest time all that presses on it is moved, as before. One function for losses with and without faint ones.

--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -212,7 +212,7 @@
         self.effect(now, victim, image).is_unsure()
     }
 
-    /// Returns the loss of slack that a filling image with a share of the executor causes.
+    /// Returns the loss of slack that is clearly due to a filling image with a share of the executor.
     pub fn loss(
         &self,
         now: MonotonicTime,
@@ -220,23 +220,24 @@
         image: ImageId,
         share: f64,
     ) -> SlackLoss {
-        self.effect(now, victim, image).loss(share, FaintLoss::Ignored)
+        self.loss_with(FaintLoss::Ignored, now, victim, image, share)
     }
 
-    /// Returns the loss that counts when a filling image is placed. Of an image that has hardly been
-    /// tried only the expected loss counts, or it would never be tried.
-    pub fn trial_loss(
+    /// Returns the loss of slack that a filling image with a share of the executor causes.
+    pub fn loss_with(
         &self,
+        faint: FaintLoss,
         now: MonotonicTime,
         victim: ImageId,
         image: ImageId,
         share: f64,
     ) -> SlackLoss {
-        self.trial_loss_with(FaintLoss::Ignored, now, victim, image, share)
+        self.effect(now, victim, image).loss(share, faint)
     }
 
-    /// Returns the same, with faint losses or without.
-    pub fn trial_loss_with(
+    /// Returns the loss that counts when a filling image is placed. Of an image that has hardly been
+    /// tried only the expected loss counts, or it would never be tried.
+    pub fn trial_loss(
         &self,
         faint: FaintLoss,
         now: MonotonicTime,
@@ -252,17 +253,6 @@
         }
     }
 
-    /// Returns the loss of slack with faint losses counted.
-    pub fn whole_loss(
-        &self,
-        now: MonotonicTime,
-        victim: ImageId,
-        image: ImageId,
-        share: f64,
-    ) -> SlackLoss {
-        self.effect(now, victim, image).loss(share, FaintLoss::Counted)
-    }
-
     /// Returns for each image how much it is sought as a neighbour: each filling image counts once,
     /// divided among the serving images that it does not disturb.
     pub fn demand(&self, now: MonotonicTime) -> Vec<f64> {
--- a/crates/cuminbank-jobs/src/scheduler/pressure.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pressure.rs
@@ -51,8 +51,7 @@
                     FaintLoss::Counted => loss.whole,
                     FaintLoss::Ignored => loss.distinct,
                 };
-                let added =
-                    self.colocation.trial_loss_with(faint, self.now, loss.victim, image, share);
+                let added = self.colocation.trial_loss(faint, self.now, loss.victim, image, share);
                 sum.plus(added).pressure(self.bearable_by(executor, loss.victim, ahead))
             })
             .fold(0.0, f64::max)
@@ -121,10 +120,7 @@
     fn loss_on(&self, executor: &ExecutorState, victim: ImageId, faint: FaintLoss) -> SlackLoss {
         let part = |(image, cpu_millis): &(ImageId, u32)| {
             let share = executor.share_of(*cpu_millis);
-            match faint {
-                FaintLoss::Counted => self.colocation.whole_loss(self.now, victim, *image, share),
-                FaintLoss::Ignored => self.colocation.loss(self.now, victim, *image, share),
-            }
+            self.colocation.loss_with(faint, self.now, victim, *image, share)
         };
         executor.filling_images.iter().map(part).fold(SlackLoss::default(), SlackLoss::plus)
     }
--- a/crates/cuminbank-jobs/src/scheduler/tails.rs
+++ b/crates/cuminbank-jobs/src/scheduler/tails.rs
@@ -39,15 +39,20 @@
         }
         self.update_losses(key);
         self.note_slacks(key, &tails, &filling);
-        let over: Vec<&ServiceTail> = tails.iter().filter(|tail| tail.report.slack < 1.0).collect();
         let executor = &mut self.executors[key];
-        if over.is_empty() {
+        if tails.iter().all(|tail| tail.report.least >= 1.0) {
             executor.over_target_since = None;
             return;
         }
-        let since = *executor.over_target_since.get_or_insert(now);
-        executor.no_filling_until = now + CALM_TIME;
-        self.move_filling(key, &over, now.saturating_sub(since));
+        // One rough figure tells little, but no task may be over its bound for long.
+        let since = now.saturating_sub(*executor.over_target_since.get_or_insert(now));
+        let all_due = since >= self.bounds.harm_time / ALL_SUSPECTS_PART;
+        let is_over = |report: &SlackReport| report.slack < 1.0 || (all_due && report.least < 1.0);
+        let over: Vec<&ServiceTail> = tails.iter().filter(|tail| is_over(&tail.report)).collect();
+        if !over.is_empty() {
+            executor.no_filling_until = now + CALM_TIME;
+            self.move_filling(key, &over, since);
+        }
     }
 
     /// Notes the slack that each service would have without the filling tasks that show in it.
--- a/crates/cuminbank-jobs/src/slack.rs
+++ b/crates/cuminbank-jobs/src/slack.rs
@@ -39,6 +39,8 @@
 pub struct SlackReport {
     /// Mean of their slacks.
     pub slack: f64,
+    /// Slack of the task that is worst off.
+    pub least: f64,
     tasks: u32,
 }
 
@@ -46,6 +48,7 @@
     /// Adds the slack of a task.
     pub fn add(&mut self, slack: f64) {
         let tasks = f64::from(self.tasks);
+        self.least = if self.tasks == 0 { slack } else { self.least.min(slack) };
         self.slack = (self.slack * tasks + slack) / (tasks + 1.0);
         self.tasks += 1;
     }
--- a/crates/cuminbank-jobs/tests/colocation.rs
+++ b/crates/cuminbank-jobs/tests/colocation.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cuminbank_jobs::{
-    colocation::{ColocationModel, ImageId, SlackLoss, MOST_PRESSURE},
+    colocation::{ColocationModel, FaintLoss, ImageId, SlackLoss, MOST_PRESSURE},
     ids::MonotonicTime,
     slack::PEAK_BEARABLE,
 };
@@ -129,7 +129,10 @@
     let mut model = ColocationModel::default();
     let (service, filler) = (model.intern("s"), model.intern("f"));
     let now = Duration::from_secs(1);
-    assert!(model.trial_loss(now, service, filler, 0.15).pressure(PEAK_BEARABLE) < MOST_PRESSURE);
+    assert!(
+        model.trial_loss(FaintLoss::Ignored, now, service, filler, 0.15).pressure(PEAK_BEARABLE)
+            < MOST_PRESSURE
+    );
 }
 
 // Guards against a small task that is kept off large executors for the image that it runs.
@@ -157,7 +160,10 @@
         model.learn(now, service, 2.0, &[(filler, 0.2)]);
     }
     let later = now + Duration::from_secs(600);
-    assert!(model.trial_loss(later, service, filler, 0.1).pressure(PEAK_BEARABLE) < MOST_PRESSURE);
+    assert!(
+        model.trial_loss(FaintLoss::Ignored, later, service, filler, 0.1).pressure(PEAK_BEARABLE)
+            < MOST_PRESSURE
+    );
 }
 
 // Guards against filling work that is kept from idle executors because every image there is put down for
@@ -180,7 +186,9 @@
     assert!(sum.pressure(PEAK_BEARABLE) < MOST_PRESSURE, "{sum:?}");
     // Work that can wait for a better place counts them: together they may take a service over its
     // bound.
-    let lost = fillers.iter().map(|filler| model.whole_loss(now, service, *filler, 0.1));
+    let lost = fillers
+        .iter()
+        .map(|filler| model.loss_with(FaintLoss::Counted, now, service, *filler, 0.1));
     let sum = lost.fold(SlackLoss::default(), SlackLoss::plus);
     assert!(sum.pressure(PEAK_BEARABLE) > MOST_PRESSURE, "{sum:?}");
 }
