--- /dev/null
+++ b/crates/cuminbank-jobs/tests/heavy_day.rs
@@ -0,0 +1,138 @@
+//! Filling work of a heavy day on executors whose services some of it disturbs: what its callers get, and
+//! what the services lose.
+
+use std::time::Duration;
+
+use cuminbank_jobs::{
+    colocation::{ColocationModel, FaintLoss, ImageId, SlackLoss, MOST_PRESSURE},
+    ids::MonotonicTime,
+    slack::{bearable_loss, SlackEstimate, SlackReport},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVICES: usize = 3;
+const FILLERS: usize = 9;
+const EXECUTORS: usize = 18;
+/// Serving tasks of its service on each executor.
+const SERVING: usize = 4;
+/// Filling tasks that an executor has room for.
+const ROOM: usize = 6;
+/// Share of an executor that each takes, and its time in steps.
+const SHARE: f64 = 0.1;
+const LENGTH: usize = 5;
+/// Filling tasks that arrive in a step: nine tenths of what the executors have room for.
+const ARRIVALS: usize = EXECUTORS * ROOM * 9 / (10 * LENGTH);
+const STEP: Duration = Duration::from_millis(500);
+/// Steps until most pairs are known, and in all.
+const LEARNED: usize = 30;
+const STEPS: usize = 150;
+
+/// Loss of slack for a whole executor: a third of the pairs disturb.
+fn effect(service: usize, filler: usize) -> f64 {
+    if (service + filler) % 3 == 0 {
+        10.0
+    } else {
+        0.2
+    }
+}
+
+#[derive(Default)]
+struct FilledExecutor {
+    /// Filling images with the step in which each ends.
+    filling: Vec<(usize, usize)>,
+    /// Undisturbed slack by the last report.
+    slack: f64,
+}
+
+/// Results of a day after the time of learning.
+#[derive(Debug, Default)]
+struct DayResult {
+    /// Filling tasks that arrived, and those that began within a second.
+    arrived: u32,
+    prompt: u32,
+    /// Steps of executors, and those with a service over its bound.
+    steps: u32,
+    over: u32,
+}
+
+fn play_day(seed: u64) -> DayResult {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut model = ColocationModel::default();
+    let services: Vec<ImageId> = (0..SERVICES).map(|n| model.intern(&format!("s{n}"))).collect();
+    let fillers: Vec<ImageId> = (0..FILLERS).map(|n| model.intern(&format!("f{n}"))).collect();
+    let mut estimates = [SlackEstimate::new(); SERVICES];
+    let mut executors: Vec<FilledExecutor> = Vec::new();
+    executors.resize_with(EXECUTORS, FilledExecutor::default);
+    let mut queue: Vec<(usize, usize)> = Vec::new();
+    let mut result = DayResult::default();
+    for step in 0..STEPS {
+        let now: MonotonicTime = STEP * (step as u32 + 1);
+        for (number, executor) in executors.iter_mut().enumerate() {
+            let service = number % SERVICES;
+            let phase = now.as_secs_f64() / 14.0 + service as f64 / 3.0;
+            let load = 0.45 * (1.0 + 0.5 * (phase * std::f64::consts::TAU).sin());
+            let lost = |(filler, _): &(usize, usize)| {
+                effect(service, *filler) * SHARE * random.random_range(0.5..1.5)
+            };
+            let slack =
+                (5.0 * (1.0 - load) - executor.filling.iter().map(lost).sum::<f64>()).max(0.2);
+            if step >= LEARNED {
+                result.steps += 1;
+                result.over += u32::from(slack < 1.0);
+            }
+            let mut report = SlackReport::default();
+            for _ in 0..SERVING {
+                report.add(slack * random.random_range(0.8..1.2));
+            }
+            let filling: Vec<(ImageId, f64)> =
+                executor.filling.iter().map(|(filler, _)| (fillers[*filler], SHARE)).collect();
+            let expected = filling
+                .iter()
+                .map(|(image, share)| model.loss(now, services[service], *image, *share))
+                .fold(SlackLoss::default(), SlackLoss::plus);
+            estimates[service].update(now, &report, expected);
+            let loss = estimates[service].loss_of(now, &report);
+            model.learn_estimate(now, services[service], loss, &filling);
+            executor.slack = report.slack + expected.mean;
+            executor.filling.retain(|(_, ends)| *ends > step);
+        }
+        queue.extend((0..ARRIVALS).map(|_| (random.random_range(0..FILLERS), step)));
+        queue.retain(|(filler, arrived)| {
+            let pressure = |(number, executor): (usize, &FilledExecutor)| {
+                let victim = services[number % SERVICES];
+                let bearable = bearable_loss(executor.slack, Duration::ZERO, STEP * LENGTH as u32);
+                let others = executor.filling.iter();
+                let others =
+                    others.map(|(other, _)| model.loss(now, victim, fillers[*other], SHARE));
+                let added =
+                    model.trial_loss(FaintLoss::Ignored, now, victim, fillers[*filler], SHARE);
+                (others.fold(added, SlackLoss::plus).pressure(bearable), number)
+            };
+            let room = executors.iter().enumerate();
+            let room = room.filter(|(_, executor)| executor.filling.len() < ROOM);
+            let best = room.map(pressure).min_by(|left, right| left.0.total_cmp(&right.0));
+            let placed = best.filter(|(pressure, _)| *pressure <= MOST_PRESSURE);
+            if let Some((_, number)) = placed {
+                executors[number].filling.push((*filler, step + LENGTH));
+            }
+            if *arrived >= LEARNED && *arrived + 2 < STEPS {
+                result.arrived += u32::from(*arrived == step);
+                result.prompt += u32::from(placed.is_some() && *arrived + 2 >= step);
+            }
+            placed.is_none()
+        });
+    }
+    result
+}
+
+// Guards against filling work that waits beside idle executors on a heavy day, since the model takes pairs
+// for disturbing that are not, and against services that pay for work that it takes for harmless.
+#[test]
+fn filling_work_is_served_beside_services_that_bear_it() {
+    for seed in 0..8 {
+        let result = play_day(seed);
+        assert!(result.prompt * 10 >= result.arrived * 9, "seed {seed}: {result:?}");
+        assert!(result.over * 10 <= result.steps, "seed {seed}: {result:?}");
+    }
+}
