--- a/crates/cuminbank-jobs/tests/scheduling.rs
+++ b/crates/cuminbank-jobs/tests/scheduling.rs
@@ -339,3 +339,30 @@
     world.play_until(SUBMITTED + Duration::from_secs(3));
     assert_eq!(world.running(400), 6);
 }
+
+// Guards against running work that is started again elsewhere, or given up, because its executor was only
+// cut off for some seconds: leases of 5 s ended before the cut did.
+#[test]
+fn running_work_outlasts_a_cut_of_some_seconds() {
+    let plan = |_, _| (Some(Duration::from_secs(9)), RunEnd::Done);
+    let seen = SeenStarts::default();
+    let noted = Rc::clone(&seen);
+    let plan = move |task, run| {
+        noted.borrow_mut().push((task, run));
+        plan(task, run)
+    };
+    let mut world = FakeWorld::new(3, 1, 6).with_plan(Box::new(plan));
+    world.play_until(SUBMITTED);
+    world.submit(1, job(vec![step(12, &[])]));
+    world.play_until(SUBMITTED + Duration::from_secs(1));
+    let cut = WorldFault::CutFromExecutors {
+        instance: 0,
+        executors: vec![0, 1, 2],
+        span: Duration::from_millis(4_800),
+    };
+    world.fault_at(world.now, cut);
+    world.play_until(SUBMITTED + Duration::from_secs(12));
+    assert_eq!(seen.borrow().len(), 12, "{:?}", seen.borrow());
+    assert_eq!(world.phase(1), ended(JobOutcome::Completed));
+    assert_clean(&world);
+}
