Count the time over a bound through figures within it, and close executors at once

Its figures, rough by an eighth, were within the bound at times, and each such report ended the time over the bound, after half of which all that presses on it is moved; and a filling task was started there 0.2 s after the bound was passed, since only the mean of a job's tasks closed the executor.

Change: only 0.9 s without a figure over the bound ends the time (BoundTimer, with a test that the code before could not pass, as it kept no such time); one task over its bound closes the executor to filling work.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -18,6 +18,7 @@
     order::{ExecutorReport, HoldReport, OrderFailure, OrderReply, OrderRequest},
     placement::ExecutorRecord,
     roster::RosterEntry,
+    slack::BoundTimer,
 };
 
 /// Lease that a hold asks for. It outlasts the change of an owner, about 3 s; work on an executor
@@ -126,7 +127,7 @@
             full_until: MonotonicTime::ZERO,
             record: ExecutorRecord::default(),
             rank,
-            over_target_since: None,
+            bound_timer: BoundTimer::default(),
             serving_images: Vec::new(),
             filling_images: Vec::new(),
             losses: Vec::new(),
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -17,7 +17,7 @@
     job::{JobOutcome, JobRecord, TaskLayout, TaskNeeds},
     placement::ExecutorRecord,
     progress::TaskProgress,
-    slack::SlackEstimate,
+    slack::{BoundTimer, SlackEstimate},
 };
 
 new_key_type! {
@@ -262,8 +262,8 @@
     pub(super) full_until: MonotonicTime,
     pub(super) record: ExecutorRecord,
     pub(super) rank: u32,
-    /// Since when a serving task is over its bound.
-    pub(super) over_target_since: Option<MonotonicTime>,
+    /// For how long a serving task has been over its bound.
+    pub(super) bound_timer: BoundTimer,
     /// What serves here, with the number of tasks.
     pub(super) serving_images: Vec<(ImageId, u32)>,
     /// What fills here, with the processor share that it wants in thousandths of a core.
--- a/crates/cuminbank-jobs/src/scheduler/tails.rs
+++ b/crates/cuminbank-jobs/src/scheduler/tails.rs
@@ -40,17 +40,16 @@
         self.update_losses(key);
         self.note_slacks(key, &tails, &filling);
         let executor = &mut self.executors[key];
-        if tails.iter().all(|tail| tail.report.least >= 1.0) {
-            executor.over_target_since = None;
-            return;
+        let any_over = tails.iter().any(|tail| tail.report.least < 1.0);
+        if any_over {
+            executor.no_filling_until = now + CALM_TIME;
         }
-        // One rough figure tells little, but no task may be over its bound for long.
-        let since = now.saturating_sub(*executor.over_target_since.get_or_insert(now));
+        let Some(since) = executor.bound_timer.note(now, any_over) else { return };
         let all_due = since >= self.bounds.harm_time / ALL_SUSPECTS_PART;
-        let is_over = |report: &SlackReport| report.slack < 1.0 || (all_due && report.least < 1.0);
+        let is_over =
+            |report: &SlackReport| report.slack < 1.0 || (all_due && report.least < RELIEVED_SLACK);
         let over: Vec<&ServiceTail> = tails.iter().filter(|tail| is_over(&tail.report)).collect();
         if !over.is_empty() {
-            executor.no_filling_until = now + CALM_TIME;
             self.move_filling(key, &over, since);
         }
     }
--- a/crates/cuminbank-jobs/src/slack.rs
+++ b/crates/cuminbank-jobs/src/slack.rs
@@ -24,6 +24,8 @@
 /// Standard deviation of a reported slack in parts of it, and the least variance of a report.
 const REPORT_DEVIATION: f64 = 0.12;
 const LEAST_REPORT_VARIANCE: f64 = 0.01;
+/// Time without a figure over the bound after which tasks count as within it: two windows of figures.
+const BOUND_PAUSE: Duration = Duration::from_millis(900);
 /// Growth of the variance of an estimate in a second, as the load swings.
 const SLACK_DRIFT: f64 = 0.15;
 
@@ -103,3 +105,28 @@
         Self::new()
     }
 }
+
+/// For how long tasks have been over their bounds. Rough figures of a task that is just over its bound are
+/// within it at times, so that only a while without any ends the time.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BoundTimer {
+    /// First and last time of a figure over the bound.
+    passed: Option<(MonotonicTime, MonotonicTime)>,
+}
+
+impl BoundTimer {
+    /// Takes whether a report shows a task over its bound; returns for how long that has gone on.
+    pub fn note(&mut self, now: MonotonicTime, over: bool) -> Option<Duration> {
+        self.passed = match (self.passed, over) {
+            (Some((first, _)), true) => Some((first, now)),
+            (None, true) => Some((now, now)),
+            (passed, false) => passed.filter(|(_, last)| now < *last + BOUND_PAUSE),
+        };
+        self.passed.map(|(first, _)| now.saturating_sub(first))
+    }
+
+    /// Tells whether a task was over its bound by the last reports.
+    pub fn is_passed(&self) -> bool {
+        self.passed.is_some()
+    }
+}
--- a/crates/cuminbank-jobs/tests/heavy_day.rs
+++ b/crates/cuminbank-jobs/tests/heavy_day.rs
@@ -30,7 +30,7 @@
 
 /// Loss of slack for a whole executor: a third of the pairs disturb.
 fn effect(service: usize, filler: usize) -> f64 {
-    if (service + filler) % 3 == 0 {
+    if (service + filler).is_multiple_of(3) {
         10.0
     } else {
         0.2
--- a/crates/cuminbank-jobs/tests/slack.rs
+++ b/crates/cuminbank-jobs/tests/slack.rs
@@ -4,7 +4,7 @@
 
 use cuminbank_jobs::{
     colocation::SlackLoss,
-    slack::{bearable_loss, SlackEstimate, SlackReport, PEAK_BEARABLE, PEAK_SLACK},
+    slack::{bearable_loss, BoundTimer, SlackEstimate, SlackReport, PEAK_BEARABLE, PEAK_SLACK},
 };
 
 // Guards against work that waits for the peak of a service's load to pass though it will have ended
@@ -99,3 +99,19 @@
     let rough = estimate.loss_of(now, &report(1.15)).variance;
     assert!(estimate.loss_of(now, &together).variance < rough);
 }
+
+// Guards against harm to a service that is just over its bound: a single figure within the bound once
+// counted as the end of the time over it, and what pressed on the service stayed for 4.5 s.
+#[test]
+fn figures_within_the_bound_at_times_do_not_end_the_time_over_it() {
+    let mut timer = BoundTimer::default();
+    let at = |part: u32| Duration::from_secs(10) + Duration::from_millis(500) * part;
+    assert_eq!(timer.note(at(0), false), None);
+    assert_eq!(timer.note(at(1), true), Some(Duration::ZERO));
+    assert_eq!(timer.note(at(2), false), Some(Duration::from_millis(500)));
+    assert_eq!(timer.note(at(3), true), Some(Duration::from_millis(1_000)));
+    assert_eq!(timer.note(at(4), false), Some(Duration::from_millis(1_500)));
+    // Two in a row do.
+    assert_eq!(timer.note(at(5), false), None);
+    assert_eq!(timer.note(at(6), true), Some(Duration::ZERO));
+}
