Read again: remove an unused function, name a check once, say why leases are 7 s

Cause: `SlackLoss::at_share` was left over from the trials of pacing and nothing calls it; the report of waits spelled out what `JobState::is_lasting` tells; the reason of the lease did not name the cuts that it outlasts. Behaviour is the same.

--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -62,11 +62,6 @@
         Self { mean: self.mean + other.mean, variance: self.variance + other.variance }
     }
 
-    /// Returns the loss that a task causes which works at a share of its speed.
-    pub fn at_share(self, share: f64) -> Self {
-        Self { mean: self.mean * share, variance: self.variance * share * share }
-    }
-
     /// Returns the loss in parts of what is bearable, with some caution.
     pub fn pressure(&self, bearable: f64) -> f64 {
         (self.mean + CAUTION * self.variance.sqrt()) / bearable
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -21,8 +21,8 @@
     slack::BoundTimer,
 };
 
-/// Lease that a hold asks for. It outlasts the change of an owner, about 3 s; work on an executor
-/// that is lost, and earlier jobs of a new owner, wait for its end.
+/// Lease that a hold asks for. It outlasts the change of an owner, about 3 s, and a cut of some seconds;
+/// work on an executor that is lost, and earlier jobs of a new owner, wait for its end.
 pub(super) const LEASE_TIME: Duration = Duration::from_millis(7_000);
 /// How long an executor waits for an end before it answers a hold. An executor that has become
 /// unreachable is noticed after this time, and the rest of a lease never falls below
--- a/crates/cuminbank-jobs/src/scheduler/waits.rs
+++ b/crates/cuminbank-jobs/src/scheduler/waits.rs
@@ -29,9 +29,8 @@
     /// Reports lasting tasks that have waited for long.
     pub(super) fn report_waits(&mut self) {
         let now = self.now;
-        let due = |job: &JobState| {
-            job.record.is_long_running() && job.outcome.is_none() && now >= job.next_wait_log
-        };
+        let due =
+            |job: &JobState| job.is_lasting() && job.outcome.is_none() && now >= job.next_wait_log;
         let waiting: Vec<(JobKey, TaskIndex)> = self
             .waiting
             .iter()
