Keep new work out of zones under evacuation

Change: every instance watches op/ instead of op/config alone (same number of calls), keeps the zones under evacuation and passes them to the schedulers of its cells; a new owner starts nothing before it knows them. Executors of such a zone get no starts, unconfirmed starts are withdrawn with their gangs, running work stays. The watch's wait follows the sheet's bounds (config_apply_ms, evacuate_ms).

Tests: jobs/tests/evacuation.rs (guard heeds_evacuations switched off must be found), jobd/tests/processes.rs, platform/tests/translation.rs.

--- a/crates/cuminbank-cli/src/pool_commands.rs
+++ b/crates/cuminbank-cli/src/pool_commands.rs
@@ -1,6 +1,6 @@
 //! The commands `pool`, `job` and `explain`, which query the instances of the job daemon.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use cuminbank_net::client::ClientRequest;
 use serde_json::{json, Value};
@@ -45,13 +45,14 @@
         }
     }
     lines.push(format!(
-        "\n{:>4} {:<20} {:>6} {:>9} {:>7} {:>8} {:>6} {:>7} {:>9} {:>5} {:>12}",
+        "\n{:>4} {:<20} {:>6} {:>9} {:>7} {:>8} {:>9} {:>6} {:>7} {:>9} {:>5} {:>12}",
         "cell",
         "owner",
         "epoch",
         "executors",
         "usable",
         "draining",
+        "evacuated",
         "silent",
         "shunned",
         "unsettled",
@@ -62,13 +63,14 @@
     for (owner, cell) in &cells {
         let tally = |name: &str| number_text(&cell["tally"][name]);
         lines.push(format!(
-            "{:>4} {:<20} {:>6} {:>9} {:>7} {:>8} {:>6} {:>7} {:>9} {:>5} {:>12}",
+            "{:>4} {:<20} {:>6} {:>9} {:>7} {:>8} {:>9} {:>6} {:>7} {:>9} {:>5} {:>12}",
             number_text(&cell["cell"]),
             owner.as_str().unwrap_or("?"),
             number_text(&cell["epoch"]),
             tally("known"),
             tally("usable"),
             tally("draining"),
+            tally("evacuated"),
             tally("silent"),
             tally("shunned"),
             tally("unsettled"),
@@ -76,9 +78,28 @@
             tally("waiting_jobs")
         ));
     }
+    if let Some(zones) = evacuations_text(&answers) {
+        lines.push(zones);
+    }
     Ok(gathered_outcome(&answers, lines.join("\n")))
 }
 
+/// Returns a line with the zones under evacuation, each with the number of instances that know of
+/// it, or `None` if no instance knows of any.
+fn evacuations_text(answers: &[InstanceAnswer]) -> Option<String> {
+    let statuses = || answers.iter().filter_map(|(_, answer)| answer.as_ref().ok());
+    let mut informed: BTreeMap<&str, usize> = BTreeMap::new();
+    for zone in statuses().flat_map(|status| status["evacuated_zones"].as_array()).flatten() {
+        *informed.entry(zone.as_str()?).or_default() += 1;
+    }
+    let total = statuses().count();
+    let zones: Vec<String> = informed
+        .into_iter()
+        .map(|(zone, count)| format!("{zone} (known to {count} of {total} instances)"))
+        .collect();
+    (!zones.is_empty()).then(|| format!("\nzones under evacuation: {}", zones.join(", ")))
+}
+
 /// Shows the phase and progress of a job. The first usable answer is enough, since every instance
 /// passes on the answer of the job's owner.
 pub async fn job(session: &CliSession, id: &str) -> Result<CommandOutcome, CommandOutcome> {
--- a/crates/cuminbank-cli/tests/commands/pool.rs
+++ b/crates/cuminbank-cli/tests/commands/pool.rs
@@ -20,11 +20,12 @@
 fn start_instance(name: &'static str, owns: bool, at_ms: u64) -> String {
     let address = start_server(move |request: ServerRequest| -> ServerAction {
         let cell = json!({ "cell": 0, "owner": "i0", "epoch": 4, "owned_here": owns, "tally": {
-            "known": 66, "usable": 60, "draining": 2, "silent": 1, "shunned": 3, "unsettled": 0,
+            "known": 66, "usable": 60, "draining": 2, "evacuated": 22, "silent": 1, "shunned": 3, "unsettled": 0,
             "runs": 140, "waiting_jobs": 5 } });
         let body: Value = match request.path.as_str() {
             "/v1/status" => json!({ "instance": name, "ready": true, "config_version": 7,
-                "store_silent_ms": 12, "cells": [cell] }),
+                "store_silent_ms": 12, "evacuated_zones": if owns { vec!["b"] } else { vec![] },
+                "cells": [cell] }),
             "/v1/jobs/5c0e7a21d94b36f8" => json!({ "job": JOB, "phase": "running", "cell": cell,
                 "detail": { "queue": "batch-plan", "age_ms": 900, "left_ms": 300,
                     "tasks": { "blocked": 2, "ready": 3, "active": 1, "done": 4 },
@@ -83,7 +84,8 @@
     });
 }
 
-// Guards against cells or instances that are missing from the table.
+// Guards against cells, instances or evacuated zones that are missing from the table, also if only
+// some instances know of the evacuation.
 #[test]
 fn pool_shows_owners_executors_and_instances() {
     runtime::run(async {
@@ -93,6 +95,8 @@
         let rows: Vec<&str> = outcome.text.lines().collect();
         assert_eq!(rows.iter().filter(|row| row.contains("true")).count(), 2, "{}", outcome.text);
         assert!(outcome.text.contains("66") && outcome.text.contains("140"), "{}", outcome.text);
+        let zones = "zones under evacuation: b (known to 1 of 2 instances)";
+        assert!(outcome.text.contains(zones) && outcome.text.contains("22"), "{}", outcome.text);
         let down = run_line(&["--operator", UNREACHABLE_ADDRESS, "pool"]).await;
         assert_eq!(down.status, ExitStatus::Unreachable);
     });
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -17,6 +17,7 @@
 use cuminbank_jobs::{
     cells::{CellLoads, PoolPlan},
     config::ActiveConfig,
+    evacuation::ZoneEvacuations,
     ids::{CellId, ExecutorName, JobId, MonotonicTime, WallTime},
     job::StepId,
     order::{AdviceFailure, AdviceReply, ExecutorOrder, OrderFailure, OrderReply},
@@ -67,6 +68,7 @@
     settings_path: PathBuf,
     pub(crate) store: StoreClient,
     pub(crate) config: RefCell<ActiveConfig>,
+    pub(crate) evacuations: RefCell<ZoneEvacuations>,
     /// Division of the pool into cells; `None` until known.
     pub(crate) plan: RefCell<Option<Rc<PoolPlan>>>,
     /// Cells in id order; empty until the plan is known.
@@ -123,6 +125,7 @@
             "instance": self.settings.instance,
             "zone": self.settings.zone,
             "ready": self.is_ready(),
+            "evacuated_zones": self.evacuations.borrow().zones(),
             "config_version": self.config.borrow().current().map(|config| config.version),
             "cells": cells.iter().map(|cell| cell.status()).collect::<Vec<_>>(),
             "owns_pool": cells.iter().any(|cell| cell.held_epoch().is_some()),
@@ -230,6 +233,7 @@
         let state = DaemonState {
             store: StoreClient::new(settings.store_address),
             config: RefCell::default(),
+            evacuations: RefCell::default(),
             plan: RefCell::default(),
             cells: RefCell::default(),
             loads: RefCell::default(),
@@ -269,7 +273,7 @@
         serve(&state, readiness, ServerGate::default(), operators::handle_readiness);
         serve(&state, operators, ServerGate::default(), operators::handle);
         serve_peers(&state, peers);
-        monoio::spawn(watches::follow_config(Rc::clone(&state)));
+        monoio::spawn(watches::follow_operators(Rc::clone(&state)));
         monoio::spawn(watches::follow_owners(Rc::clone(&state)));
         monoio::spawn(division::propose_plan(Rc::clone(&state)));
         monoio::spawn(division::follow_loads(Rc::clone(&state)));
--- a/crates/cuminbank-jobd/src/store.rs
+++ b/crates/cuminbank-jobd/src/store.rs
@@ -11,7 +11,7 @@
 use cuminbank_net::client::HttpPool;
 use cuminbank_platform::{
     store::{decode_page_reply, decode_reply, decode_watch, encode_call, encode_watch, WatchReply},
-    EXECUTOR_PREFIX,
+    EXECUTOR_PREFIX, OPERATOR_PREFIX,
 };
 
 use crate::clock;
@@ -105,10 +105,14 @@
                 let detail = format!("key={key} revision={}", page.revision);
                 log(DecisionRecord { code: STORE_UNREADABLE, job: None, detail });
             }
-            // Executor entries are written by others and may be left out if unreadable. Of this
-            // system's own records, none may be missing.
-            if !page.unreadable.is_empty() && prefix != EXECUTOR_PREFIX {
-                return Err(StoreFailure::Unknown);
+            match prefix {
+                // Executor entries are written by others and may be left out if unreadable.
+                EXECUTOR_PREFIX => {}
+                // The key alone may matter, and one unreadable item must not hide the others.
+                OPERATOR_PREFIX => items.extend(page.unreadable.iter().map(|key| empty_item(key))),
+                // Of this system's own records, none may be missing.
+                _ if !page.unreadable.is_empty() => return Err(StoreFailure::Unknown),
+                _ => {}
             }
             match page.next {
                 Some(next) => after = Some(next),
@@ -157,3 +161,8 @@
         }
     }
 }
+
+/// Stands for an item whose value cannot be read.
+fn empty_item(key: &str) -> StoreItem {
+    StoreItem { key: key.to_owned(), value: Vec::new(), revision: 0, created: 0 }
+}
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -1,24 +1,35 @@
-//! Store watches: configuration, ownership records, jobs of an owned cell and executor entries.
+//! Store watches: requests of operators, ownership records, jobs of an owned cell and executor
+//! entries.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
 
-use cuminbank::log::{POOL_CONFIG_IN_FORCE, POOL_CONFIG_UNREADABLE};
+use cuminbank::log::{EVACUATIONS_IN_FORCE, POOL_CONFIG_IN_FORCE, POOL_CONFIG_UNREADABLE};
 use cuminbank_jobs::{
-    ids::StoreRevision,
+    ids::{StoreRevision, ZoneName},
     keys::{parse_owner_cell, OWNER_PREFIX, PLAN_KEY},
     order::ExecutorReport,
     pace::WatchPace,
     scheduler::{DecisionRecord, JobEvent},
     store::{StoreCall, StoreChange, StoreItem, StoreReply},
 };
-use cuminbank_platform::{config::decode_config, store::WatchReply, CONFIG_KEY, EXECUTOR_PREFIX};
+use cuminbank_platform::{
+    config::decode_config, evacuated_zone, store::WatchReply, CONFIG_KEY, EXECUTOR_PREFIX,
+    OPERATOR_PREFIX,
+};
 use monoio::time;
 
 use crate::{cell::CellState, daemon::DaemonState};
 
-/// Long-poll timeout of a configuration watch. A change must take effect within 2 s even if the
-/// connection of the watch no longer delivers anything.
-const CONFIG_WAIT: Duration = Duration::from_millis(900);
+/// Longest long-poll timeout of the watch of operators' requests.
+const MAX_OPERATOR_WAIT: Duration = Duration::from_millis(900);
+/// Share of the time until a request has to take effect that the watch may wait, in percent. The
+/// request must take effect in time even if the connection of the watch no longer delivers
+/// anything.
+const OPERATOR_WAIT_PERCENT: u32 = 45;
 /// Long-poll timeout of a watch of the ownership records. Also bounds the time until a dead
 /// connection is detected.
 const OWNER_WAIT: Duration = Duration::from_millis(1_500);
@@ -96,29 +107,62 @@
     }
 }
 
-/// Follows the configuration and activates each new version.
-pub(crate) async fn follow_config(state: Rc<DaemonState>) {
-    follow(&state, CONFIG_KEY, (CONFIG_WAIT, Duration::ZERO), None, |update| {
-        let items: Vec<StoreItem> = match update {
-            WatchUpdate::Snapshot(items, _) => items,
-            WatchUpdate::Changes(changes) => changes.into_iter().filter_map(written_item).collect(),
+/// Follows the requests of operators: activates each new version of the configuration, and begins
+/// and ends the evacuation of zones.
+pub(crate) async fn follow_operators(state: Rc<DaemonState>) {
+    let bound = state.settings.operator_bound() * OPERATOR_WAIT_PERCENT / 100;
+    let wait = bound.min(MAX_OPERATOR_WAIT);
+    follow(&state, OPERATOR_PREFIX, (wait, Duration::ZERO), None, |update| {
+        let changed = match update {
+            WatchUpdate::Snapshot(items, _) => {
+                items.iter().for_each(|item| apply_config(&state, item));
+                let zones = items.iter().filter_map(|item| evacuated_zone(&item.key));
+                let zones: BTreeSet<ZoneName> = zones.map(str::to_owned).collect();
+                state.evacuations.borrow_mut().replace(zones)
+            }
+            WatchUpdate::Changes(changes) => {
+                let mut changed = false;
+                for change in &changes {
+                    changed |= apply_operator_change(&state, change);
+                }
+                changed
+            }
         };
-        for item in items.into_iter().filter(|item| item.key == CONFIG_KEY) {
-            apply_config(&state, &item);
+        if changed {
+            apply_evacuations(&state);
         }
         true
     })
     .await;
 }
 
-fn written_item(change: StoreChange) -> Option<StoreItem> {
-    match change {
-        StoreChange::Written(item) => Some(item),
-        StoreChange::Removed { .. } => None,
+/// Returns whether the change begins or ends the evacuation of a zone.
+fn apply_operator_change(state: &Rc<DaemonState>, change: &StoreChange) -> bool {
+    let (key, evacuated) = match change {
+        StoreChange::Written(item) => {
+            apply_config(state, item);
+            (&item.key, true)
+        }
+        StoreChange::Removed { key, .. } => (key, false),
+    };
+    evacuated_zone(key).is_some_and(|zone| state.evacuations.borrow_mut().update(zone, evacuated))
+}
+
+/// Passes the zones under evacuation to the schedulers of the owned cells.
+fn apply_evacuations(state: &Rc<DaemonState>) {
+    let Some(zones) = state.evacuations.borrow().zones().cloned() else { return };
+    let detail = format!("zones={}", zones.iter().cloned().collect::<Vec<_>>().join(","));
+    state.log(&DecisionRecord { code: EVACUATIONS_IN_FORCE, job: None, detail });
+    for cell in state.all_cells() {
+        cell.apply(state, JobEvent::EvacuationsChanged { zones: zones.clone() });
     }
 }
 
+/// Activates the configuration if the item contains a newer one.
 fn apply_config(state: &Rc<DaemonState>, item: &StoreItem) {
+    if item.key != CONFIG_KEY {
+        return;
+    }
     match decode_config(&item.value) {
         Ok(config) => {
             let detail = format!(
@@ -225,7 +269,13 @@
         if !cell.is_current(generation) {
             return None;
         }
+        // Without the zones under evacuation, the owner could start work in one of them.
+        let Some(zones) = state.evacuations.borrow().zones().cloned() else {
+            time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
         all.extend(items);
+        cell.apply(state, JobEvent::EvacuationsChanged { zones });
         cell.apply(state, JobEvent::Loaded { items: all });
         return Some(revision);
     }
--- a/crates/cuminbank-jobd/tests/processes.rs
+++ b/crates/cuminbank-jobd/tests/processes.rs
@@ -90,6 +90,56 @@
     });
 }
 
+// Guards against an evacuation that the daemons overlook, forget when the owner is killed, or keep
+// after it was taken back.
+#[test]
+fn evacuated_zone_gets_no_starts() {
+    let mut deployment = Deployment::start(3, 50, Stdio::null);
+    let zones = |deployment: &Deployment| -> Vec<Value> {
+        let live = deployment.operators.iter();
+        let statuses = live.filter_map(|operator| call(*operator, "GET", "/v1/status", ""));
+        statuses.map(|(_, status)| status["evacuated_zones"].clone()).collect()
+    };
+    // The values have no meaning, and neither has an evacuation of an unknown zone.
+    for zone in ["z1", "nowhere"] {
+        let path = format!("/standin/evacuate?zone={zone}");
+        call(deployment.store, "GET", &path, "").expect("the stand-in replies");
+    }
+    deployment.wait("an instance does not know of the evacuations", |deployment| {
+        zones(deployment).iter().all(|zones| *zones == json!(["nowhere", "z1"]))
+    });
+    (40..44).for_each(|id| deployment.submit(id, &two_steps()));
+    deployment.wait("one of jobs 40 to 43 is not completed", |deployment| {
+        (40..44).all(|id| deployment.is_completed(id))
+    });
+    let owner = deployment.owner().expect("an instance owns the pool");
+    deployment.instances[owner].kill();
+    (44..48).for_each(|id| deployment.submit(id, &two_steps()));
+    deployment.wait("one of jobs 44 to 47 is not completed", |deployment| {
+        (44..48).all(|id| deployment.is_completed(id))
+    });
+    let starts_by_executor = |deployment: &Deployment| {
+        let answer = call(deployment.store, "GET", "/standin/history", "");
+        let (_, rows) = answer.expect("the stand-in replies");
+        let rows = rows.as_array().cloned().unwrap_or_default();
+        ["i-0", "i-1", "i-2", "i-3"]
+            .map(|executor| rows.iter().filter(|row| row[0] == json!(executor)).count())
+    };
+    let starts = starts_by_executor(&deployment);
+    assert_eq!((starts[0] + starts[1], &starts[2..]), (8 * 8, &[0usize, 0][..]));
+    call(deployment.store, "GET", "/standin/reopen?zone=z1", "").expect("the stand-in replies");
+    deployment.wait("the evacuation of z1 stays in force", |deployment| {
+        zones(deployment).iter().all(|zones| *zones == json!(["nowhere"]))
+    });
+    let wide = json!({ "spec": "p", "steps": [
+        { "count": 32, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 50 },
+    ]});
+    deployment.submit(48, &wide);
+    deployment.wait("job 48 is not completed", |deployment| deployment.is_completed(48));
+    let starts = starts_by_executor(&deployment);
+    assert!(starts[2] > 0 && starts[3] > 0, "{starts:?}");
+}
+
 // Guards against jobs that an instance cannot find because another instance placed them in another
 // cell, and against a job that is accepted in both cells.
 #[test]
--- a/crates/cuminbank-jobs/src/guards.rs
+++ b/crates/cuminbank-jobs/src/guards.rs
@@ -12,10 +12,17 @@
     pub verifies_ownership: bool,
     /// Ended runs are acknowledged to executors only after they are stored.
     pub records_before_ack: bool,
+    /// Executors in a zone under evacuation get no new work.
+    pub heeds_evacuations: bool,
 }
 
 impl Default for JobGuards {
     fn default() -> Self {
-        Self { reconciles_first: true, verifies_ownership: true, records_before_ack: true }
+        Self {
+            reconciles_first: true,
+            verifies_ownership: true,
+            records_before_ack: true,
+            heeds_evacuations: true,
+        }
     }
 }
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -16,7 +16,7 @@
     JobScheduler,
 };
 use crate::{
-    ids::{ExecutorMillis, ExecutorName, MonotonicTime},
+    ids::{ExecutorMillis, ExecutorName, MonotonicTime, ZoneName},
     job::TaskNeeds,
     order::{ExecutorReport, HoldReport, OrderFailure, OrderReply, OrderRequest},
     placement::ExecutorRecord,
@@ -114,6 +114,8 @@
             started_at: entry.started_at,
             capacity: TaskNeeds::default(),
             labels: Vec::new(),
+            zone: ZoneName::new(),
+            evacuated: false,
             draining: false,
             leaves_at: None,
             absent_since: Some(self.now),
@@ -154,6 +156,8 @@
         executor.address = report.address;
         executor.capacity = report.capacity;
         executor.labels = report.labels;
+        executor.evacuated = self.evacuated_zones.contains(&report.zone);
+        executor.zone = report.zone;
         executor.service = report.service;
         executor.draining = report.draining;
         if begins_drain {
@@ -368,11 +372,12 @@
     }
 
     /// Returns whether an executor may get new work if quarantine is ignored: it is listed, in the
-    /// roster, reachable and not draining, and starts on it are not paused.
+    /// roster, reachable, neither draining nor in an evacuated zone, and starts on it are not paused.
     pub(super) fn is_usable(&self, executor: &ExecutorState) -> bool {
         let now = self.now;
         !self.is_absent(executor)
             && !executor.draining
+            && !self.is_evacuated(executor)
             && executor.in_roster
             && executor.contacted
             && executor.clock.is_some()
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod advice;
 mod candidates;
 mod contact;
+mod evacuation;
 mod jobs;
 mod journal;
 mod orders;
@@ -30,7 +31,7 @@
 mod wait_reports;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     time::Duration,
 };
 
@@ -52,7 +53,7 @@
     guards::JobGuards,
     ids::{
         CellId, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, StoreRevision, WallTime,
-        WriteId,
+        WriteId, ZoneName,
     },
     job::{JobOutcome, StepId},
     keys::CellKeys,
@@ -103,6 +104,11 @@
         /// Entries that could be parsed.
         reports: Vec<ExecutorReport>,
     },
+    /// The zones under evacuation changed, or were read for the first time.
+    EvacuationsChanged {
+        /// All zones under evacuation.
+        zones: BTreeSet<ZoneName>,
+    },
     /// An order to an executor completed.
     OrderCompleted {
         /// Id of the order.
@@ -137,6 +143,7 @@
             Self::OwnershipChanged(_) => "tenure_changed",
             Self::PredecessorStopped { .. } => "predecessor_ended",
             Self::Listed { .. } => "listed",
+            Self::EvacuationsChanged { .. } => "evacuations_changed",
             Self::OrderCompleted { .. } => "order_ended",
             Self::AdviceCompleted { .. } => "advice_ended",
             Self::CommitCompleted { .. } => "commit_ended",
@@ -235,6 +242,8 @@
     early_cancels: HashSet<JobId>,
     executors: SlotMap<ExecutorKey, ExecutorState>,
     executor_names: HashMap<ExecutorName, ExecutorKey>,
+    /// Zones under evacuation.
+    evacuated_zones: BTreeSet<ZoneName>,
     runs: SlotMap<RunKey, RunState>,
     orders: HashMap<OrderId, PendingOrder>,
     journal: JournalState,
@@ -306,6 +315,7 @@
             early_cancels: HashSet::new(),
             executors: SlotMap::with_key(),
             executor_names: HashMap::new(),
+            evacuated_zones: BTreeSet::new(),
             runs: SlotMap::with_key(),
             orders: HashMap::new(),
             journal: JournalState::default(),
@@ -372,6 +382,7 @@
             JobEvent::OwnershipChanged(held) => self.on_ownership_changed(&held),
             JobEvent::PredecessorStopped { stopped } => self.on_predecessor_stopped(stopped),
             JobEvent::Listed { reports } => self.on_listed(reports),
+            JobEvent::EvacuationsChanged { zones } => self.on_evacuations_changed(zones),
             JobEvent::OrderCompleted { id, result } => self.on_order_completed(id, result),
             JobEvent::AdviceCompleted { id, result } => self.on_advice_completed(id, result),
             JobEvent::CommitCompleted { id, result } => self.on_commit_completed(id, result),
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -12,7 +12,7 @@
     colocation::{ImageId, SlackLoss},
     ids::{
         ExecutorMillis, ExecutorName, JobId, MonotonicTime, OrderId, RunNumber, ServiceName,
-        StartMillis, TaskIndex, WallTime,
+        StartMillis, TaskIndex, WallTime, ZoneName,
     },
     job::{JobOutcome, JobRecord, TaskLayout, TaskNeeds},
     placement::ExecutorRecord,
@@ -238,6 +238,9 @@
     pub(super) started_at: Option<StartMillis>,
     pub(super) capacity: TaskNeeds,
     pub(super) labels: Vec<String>,
+    pub(super) zone: ZoneName,
+    /// Whether its zone is under evacuation.
+    pub(super) evacuated: bool,
     pub(super) draining: bool,
     pub(super) leaves_at: Option<MonotonicTime>,
     /// Time since which the platform's list of executors has not contained it.
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -28,6 +28,8 @@
     pub usable: usize,
     /// Executors that are draining.
     pub draining: usize,
+    /// Executors in a zone under evacuation.
+    pub evacuated: usize,
     /// Executors whose last hold failed.
     pub silent: usize,
     /// Executors that are quarantined.
@@ -156,6 +158,7 @@
             known: self.executors.len(),
             usable: count(&|executor| self.is_placeable(executor)),
             draining: count(&|executor| executor.draining),
+            evacuated: count(&|executor| executor.evacuated),
             silent: count(&|executor| executor.hold.failures > 0),
             shunned: count(&|executor| executor.record.is_quarantined(self.now)),
             unsettled: self.unreconciled.len(),
--- a/crates/cuminbank-jobs/src/scheduler/wait_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/wait_reports.rs
@@ -23,6 +23,7 @@
     paused: u32,
     unreachable: u32,
     leaving: u32,
+    evacuated: u32,
     limit: u32,
     usable: u32,
 }
@@ -59,13 +60,14 @@
                 paused,
                 unreachable,
                 leaving,
+                evacuated,
                 limit,
                 usable,
             } = causes;
             let detail = format!(
                 "task={task} waited_ms={} cpu={} memory_mb={} with_room={with_capacity} \
                  shunned={quarantined} paused={paused} unreachable={unreachable} leaving={leaving} \
-                 limit={limit} usable={usable}",
+                 evacuated={evacuated} limit={limit} usable={usable}",
                 waited.as_millis(),
                 needs.cpu_millis,
                 needs.memory_mb,
@@ -100,6 +102,8 @@
     ) -> &'a mut u32 {
         if executor.draining || self.is_absent(executor) {
             &mut causes.leaving
+        } else if self.is_evacuated(executor) {
+            &mut causes.evacuated
         } else if executor.hold.failures > 0 || !executor.contacted {
             &mut causes.unreachable
         } else if executor.record.is_quarantined(self.now) {
--- a/crates/cuminbank-jobs/src/settings.rs
+++ b/crates/cuminbank-jobs/src/settings.rs
@@ -42,6 +42,12 @@
     /// Longest time for which best-effort tasks may keep a tail latency above its target, in
     /// milliseconds.
     pub harm_ms: u64,
+    /// Longest time until a change of the configuration takes effect, in milliseconds.
+    #[serde(default = "default_config_apply_ms")]
+    pub config_apply_ms: u64,
+    /// Longest time until the evacuation of a zone takes effect, in milliseconds.
+    #[serde(default = "default_evacuate_ms")]
+    pub evacuate_ms: u64,
     /// Share of a core available to the instance, from 0.01 to 64.
     pub processor_share: f64,
     /// Link bandwidth of the instance in Mbit/s, from 0.1 to 1,000,000.
@@ -64,6 +70,14 @@
     400
 }
 
+fn default_config_apply_ms() -> u64 {
+    2_000
+}
+
+fn default_evacuate_ms() -> u64 {
+    5_000
+}
+
 impl JobSettings {
     /// Reads and validates a settings file. Errors include the path of the file.
     pub fn read(path: &Path) -> Result<Self, String> {
@@ -113,6 +127,11 @@
         Duration::from_millis(self.min_store_ttl_ms)
     }
 
+    /// Returns the longest time until a request of an operator takes effect, whichever kind it is.
+    pub fn operator_bound(&self) -> Duration {
+        Duration::from_millis(self.config_apply_ms.min(self.evacuate_ms))
+    }
+
     /// Returns the grace period between the request to shut down and the kill.
     pub fn grace(&self) -> Duration {
         Duration::from_millis(self.grace_ms)
@@ -124,6 +143,8 @@
         check_range("grace_ms", self.grace_ms, 500, 600_000)?;
         check_range("min_store_ttl_ms", self.min_store_ttl_ms, 1, 600_000)?;
         check_range("harm_ms", self.harm_ms, 100, 600_000)?;
+        check_range("config_apply_ms", self.config_apply_ms, 500, 600_000)?;
+        check_range("evacuate_ms", self.evacuate_ms, 500, 600_000)?;
         if !(0.01..=64.0).contains(&self.processor_share) {
             return Err(DocumentError {
                 path: "processor_share".to_owned(),
--- a/crates/cuminbank-jobs/tests/support/simulation/executors.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/executors.rs
@@ -8,7 +8,7 @@
 };
 use rand::Rng;
 
-use super::{Action, PendingHold, SimulatedPool, ADVANCE_INTERVAL};
+use super::{Action, PendingHold, SimulatedPool, ADVANCE_INTERVAL, EVACUATION_BOUND};
 
 impl SimulatedPool {
     pub(super) fn send_order(&mut self, number: usize, order: ExecutorOrder) {
@@ -19,6 +19,7 @@
         else {
             return;
         };
+        self.check_evacuation(number, executor_index, &order);
         let timeout = self.now + order.timeout;
         let cut =
             self.instances[number].executors_cut.get(&executor_index).copied().unwrap_or_default();
@@ -52,6 +53,21 @@
         self.push(arrives, action);
     }
 
+    /// Checks that no start is sent to a zone under evacuation after the bound. A process that was
+    /// suspended or cut off from the store meanwhile may not know of the evacuation.
+    fn check_evacuation(&mut self, number: usize, executor_index: usize, order: &ExecutorOrder) {
+        let instance = &self.instances[number];
+        let since = self.evacuations.get(&self.executors[executor_index].zone);
+        let informed = since.map(|since| {
+            (*since).max(instance.store_cut_until).max(instance.frozen_until) + EVACUATION_BOUND
+        });
+        let is_start = matches!(order.request, OrderRequest::Start { .. });
+        if is_start && informed.is_some_and(|informed| self.now > informed) {
+            let (now, name) = (self.now, &order.executor);
+            self.checks.violations.push(format!("{now:?}: start sent to {name}, being evacuated"));
+        }
+    }
+
     pub(super) fn order_arrives(
         &mut self,
         from: usize,
--- a/crates/cuminbank-jobs/tests/support/simulation/faults.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/faults.rs
@@ -58,6 +58,14 @@
                     }
                 }
             }
+            InjectedFault::EvacuateZone { zone, span } => {
+                self.evacuations.insert(zone.clone(), self.now);
+                let reopen = InjectedFault::ReopenZone { zone };
+                self.push(self.now + span, Action::Fault(reopen));
+            }
+            InjectedFault::ReopenZone { zone } => {
+                self.evacuations.remove(&zone);
+            }
             InjectedFault::DrainExecutor { executor } => {
                 self.executors[executor].draining = true;
                 self.push(
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -13,7 +13,7 @@
 
 use cuminbank_jobs::{
     guards::JobGuards,
-    ids::{JobId, MonotonicTime, OrderId, StoreRevision, WriteId},
+    ids::{JobId, MonotonicTime, OrderId, StoreRevision, WriteId, ZoneName},
     job::{JobOutcome, JobPhase, JobRecord},
     keys::{accepted_key, CellKeys},
     order::{AdviceFailure, AdviceReply, ExecutorOrder, OrderFailure, OrderReply, RunEnd},
@@ -36,6 +36,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 const ADVANCE_INTERVAL: Duration = Duration::from_millis(10);
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which nothing may be sent to the executors of a zone under evacuation.
+const EVACUATION_BOUND: Duration = Duration::from_secs(5);
 /// Time after which the list of executors no longer contains an executor that is down.
 const LIST_EXPIRY: Duration = Duration::from_millis(3_300);
 
@@ -56,6 +58,8 @@
     frozen_until: MonotonicTime,
     store_cut_until: MonotonicTime,
     executors_cut: BTreeMap<usize, MonotonicTime>,
+    /// Zones under evacuation, as last read from the store.
+    evacuated_zones: BTreeSet<ZoneName>,
 }
 
 enum Action {
@@ -146,6 +150,10 @@
     CrashExecutor { executor: usize, down: Option<Duration> },
     /// Drains an executor, which leaves for good 4 s later.
     DrainExecutor { executor: usize },
+    /// Begins the evacuation of a zone, and takes it back after `span`.
+    EvacuateZone { zone: ZoneName, span: Duration },
+    /// Takes the evacuation of a zone back.
+    ReopenZone { zone: ZoneName },
     /// Drains a process, kills it 3 s later and restarts it after `down`.
     StopInstance { instance: usize, down: Duration },
 }
@@ -184,6 +192,8 @@
     silent_since: Vec<Option<MonotonicTime>>,
     removed_executors: BTreeSet<usize>,
     checked_end_numbers: Vec<u64>,
+    /// Zones under evacuation, each with the time at which it began.
+    evacuations: BTreeMap<ZoneName, MonotonicTime>,
     holds: Vec<PendingHold>,
     queue: BTreeMap<(MonotonicTime, u64), Action>,
     actions: u64,
@@ -225,6 +235,7 @@
             silent_since: vec![None; executors],
             removed_executors: BTreeSet::new(),
             checked_end_numbers: vec![0; executors],
+            evacuations: BTreeMap::new(),
             holds: Vec::new(),
             queue: BTreeMap::new(),
             actions: 0,
@@ -368,6 +379,7 @@
             frozen_until: Duration::ZERO,
             store_cut_until: Duration::ZERO,
             executors_cut: BTreeMap::new(),
+            evacuated_zones: BTreeSet::new(),
         }
     }
 
--- a/crates/cuminbank-jobs/tests/support/simulation/watches.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/watches.rs
@@ -1,6 +1,8 @@
 //! Delivery of store watches and executor lists to the instances.
 
-use cuminbank_jobs::{keys::CellKeys, scheduler::JobEvent, store::StoreChange};
+use std::collections::BTreeSet;
+
+use cuminbank_jobs::{ids::ZoneName, keys::CellKeys, scheduler::JobEvent, store::StoreChange};
 
 use super::{key_of, revision_of, SimulatedPool, LIST_EXPIRY, LIST_INTERVAL};
 
@@ -11,6 +13,11 @@
 
     pub(super) fn watch(&mut self, number: usize) {
         let (keys, revision) = (CellKeys::new(0), self.store.revision);
+        let zones: BTreeSet<ZoneName> = self.evacuations.keys().cloned().collect();
+        if self.instances[number].evacuated_zones != zones {
+            self.instances[number].evacuated_zones.clone_from(&zones);
+            self.apply(number, JobEvent::EvacuationsChanged { zones });
+        }
         let owner = self.store.read(&keys.owner).into_iter().next();
         let Some(watched) = self.instances[number].owner_watch_revision else {
             self.instances[number].owner_watch_revision = Some(revision);
@@ -51,6 +58,8 @@
             self.instances[number].pool_watch_revision = self.store.revision;
             let mut items = self.store.read(&keys.ledger_prefix);
             items.extend(self.store.read(&keys.pool_prefix));
+            let zones = self.instances[number].evacuated_zones.clone();
+            self.apply(number, JobEvent::EvacuationsChanged { zones });
             self.apply(number, JobEvent::Loaded { items });
         }
         if self.instances[number].pool_read_due.is_some() {
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -121,6 +121,9 @@
     STORE_UNREADABLE = (757, Error, "An item in the store cannot be decoded.");
     POOL_DIVIDED = (758, Info, "A division of the pool into cells was proposed or adopted.");
     STARTS_NOT_RELAYED = (759, Warn, "Another instance did not relay starts or report their results.");
+    EVACUATIONS_IN_FORCE = (760, Info, "The zones under evacuation have changed.");
+    ZONE_EVACUATED = (761, Info, "The owner of a cell starts nothing more in a zone under evacuation.");
+    ZONE_REOPENED = (762, Info, "The evacuation of a zone was taken back.");
 }
 
 impl LogRecord {
