Blame executors on which long-running tasks fail at once

Cause: a failed long-running task left no trace: neither the executor nor the task's list of failures recorded it, and on probation all candidates were equally suspect, so that the emptiest one, which fails everything, was chosen each time. Two tests failed first: no run at all beside a healthy executor, and 752 runs in 20 s on two failing ones.

Change: a long-running task that fails within 1 s counts against the executor (while it failed on at most two) and goes elsewhere first; a failure of the task itself costs more than a suspect executor; the pause before a trial on a quarantined executor doubles with each failure, up to 3 s; a task that becomes ready ends the series.

--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -34,9 +34,10 @@
     pub rank: u32,
     /// Recent run time in percent of the estimate; 100 means as estimated.
     pub slowness: u32,
-    /// Whether this task failed here before, or the executor is suspect (see
-    /// [`ExecutorRecord::is_suspect`]).
+    /// Whether the executor is suspect (see [`ExecutorRecord::is_suspect`]).
     pub suspect: bool,
+    /// Whether this task failed here before.
+    pub failed_here: bool,
 }
 
 /// Requirements of a task, as far as placement depends on them.
@@ -57,6 +58,10 @@
 /// Cost of a pressure of 1 on latency-critical tasks. The unit of all costs is a ten-thousandth of
 /// a fully used executor.
 const PRESSURE_COST: f64 = 20_000.0;
+/// Cost of an executor that is suspect, and of one on which the task failed before. The latter is
+/// higher, since all quarantined executors are suspect.
+const SUSPECT_COST: u64 = 1_000_000;
+const FAILED_HERE_COST: u64 = 2_000_000;
 /// Cost of a best-effort task on an executor without latency-critical tasks, and of a task that
 /// reserves CPU on an executor with them.
 const NO_SERVICE_COST: u64 = 10_000;
@@ -115,7 +120,10 @@
     pub fn cost(&self, demand: &TaskDemand) -> u64 {
         let mut cost = 0;
         if self.suspect {
-            cost += 1_000_000;
+            cost += SUSPECT_COST;
+        }
+        if self.failed_here {
+            cost += FAILED_HERE_COST;
         }
         cost += u64::from(self.slowness.saturating_sub(130)) * 2_000;
         if demand.prefers_rack && !self.near_data {
@@ -169,6 +177,8 @@
 pub struct ExecutorRecord {
     failures: u32,
     quarantined_until: MonotonicTime,
+    /// Earliest time at which a long-running task may be tried here during the quarantine.
+    probation_from: MonotonicTime,
     slowness_percent: f64,
 }
 
@@ -178,6 +188,11 @@
 const QUARANTINE_FAILURES: u32 = 2;
 /// How long an executor is quarantined. A series of failures lasts about as long.
 const QUARANTINE_TIME: Duration = Duration::from_secs(4);
+/// Pause after a failure before a long-running task is tried on a quarantined executor. It doubles
+/// with each further failure, up to [`MAX_PROBATION_DOUBLINGS`] times: an executor that fails
+/// everything at once is always empty and would otherwise be chosen each time.
+const PROBATION_PAUSE: Duration = Duration::from_millis(750);
+const MAX_PROBATION_DOUBLINGS: u32 = 2;
 /// Weight of the latest run in the moving average of the slowness.
 const SLOWNESS_WEIGHT: f64 = 0.35;
 
@@ -196,9 +211,21 @@
         self.failures += 1;
         if self.failures >= QUARANTINE_FAILURES {
             self.quarantined_until = now + QUARANTINE_TIME;
+            let doublings = (self.failures - QUARANTINE_FAILURES).min(MAX_PROBATION_DOUBLINGS);
+            self.probation_from = now + PROBATION_PAUSE * (1 << doublings);
         }
     }
 
+    /// Records that a long-running task has become ready, which ends a series of failures.
+    pub fn record_ready(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Returns whether a long-running task may be tried here despite a quarantine.
+    pub fn allows_probation(&self, now: MonotonicTime) -> bool {
+        now >= self.probation_from
+    }
+
     /// Quarantines the executor at once, because it is unhealthy or a run on it made no progress.
     pub fn quarantine(&mut self, now: MonotonicTime) {
         self.quarantined_until = now + QUARANTINE_TIME;
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -1,5 +1,7 @@
 //! Processing of reports from executors: ended runs, progress, and runs missing from a report.
 
+use std::time::Duration;
+
 use cuminbank::log::{RUN_ADOPTED, RUN_ENDED, RUN_LOST, RUN_UNKNOWN};
 
 use super::{
@@ -13,6 +15,13 @@
     order::{EndReport, HoldReport, OrderRequest, RunEnd, RunReport},
 };
 
+/// Run time of a long-running task below which its failure counts against the executor.
+const EARLY_FAILURE_TIME: Duration = Duration::from_secs(1);
+/// Number of executors on which a long-running task has failed early up to which these executors
+/// are blamed, instead of the task.
+const MAX_BLAMED_EXECUTORS: usize = 2;
+/// Maximum number of executors remembered on which a long-running task has failed early.
+const MAX_FAILED_ON: usize = 8;
 /// Maximum number of ended runs in one report. If it is reached, more runs may have ended.
 const MAX_END_REPORTS: usize = 500;
 /// Highest valid run number. Each takeover raises the numbers by 1000, so no owner uses a number
@@ -119,6 +128,7 @@
                 self.fail_task(key, job_key, task, end.run);
                 changed = true;
             }
+            RunEnd::Failed => self.fail_long_running(key, job_key, task, ran),
             _ => self.requeue_task(job_key, task),
         }
         if changed {
@@ -154,6 +164,31 @@
         self.requeue_task(job_key, task);
     }
 
+    /// Makes a failed long-running task ready again. Such a task may fail at any time by itself, so
+    /// only a failure soon after the start counts against the executor, and only while the task has
+    /// failed on few executors.
+    fn fail_long_running(
+        &mut self,
+        key: ExecutorKey,
+        job_key: JobKey,
+        task: TaskIndex,
+        ran: Option<Duration>,
+    ) {
+        if ran.is_none_or(|ran| ran < EARLY_FAILURE_TIME) {
+            let name = self.executors[key].name.clone();
+            let failed_on = &mut self.jobs[job_key].tasks[task as usize].failed_on;
+            failed_on.retain(|other| *other != name);
+            failed_on.push(name);
+            if failed_on.len() > MAX_FAILED_ON {
+                failed_on.remove(0);
+            }
+            if failed_on.len() <= MAX_BLAMED_EXECUTORS {
+                self.executors[key].record.record_failure(self.now);
+            }
+        }
+        self.requeue_task(job_key, task);
+    }
+
     fn apply_running(&mut self, key: ExecutorKey, run_report: &RunReport) -> Option<RunKey> {
         let Some((job_key, task)) = self.find_task(run_report.task, run_report.run) else {
             self.stop_unknown_run(key, run_report);
@@ -171,6 +206,9 @@
         if run.percent != run_report.percent {
             run.percent = run_report.percent;
             run.progressed_at = now;
+            if run.long_running && run.percent == 100 {
+                self.executors[key].record.record_ready();
+            }
         }
         let run_number = run.number;
         let state = &mut self.jobs[job_key].tasks[task as usize];
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -311,6 +311,7 @@
     pub(super) needs: TaskNeeds,
     pub(super) best_effort: bool,
     pub(super) latency_critical: bool,
+    pub(super) long_running: bool,
     pub(super) image: ImageId,
     /// Last reported tail latency in milliseconds, and when it was received.
     pub(super) tail: Option<(u64, MonotonicTime)>,
@@ -352,6 +353,7 @@
             needs: clamp_needs(&step.needs),
             best_effort: step.fills,
             latency_critical: step.long_running && step.tail_target_ms > 0,
+            long_running: step.long_running,
             image: job.images[step_number],
             tail: None,
             ticket: None,
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -300,6 +300,7 @@
         if !executor.may_have_capacity_for(spec)
             || !self.is_usable(executor)
             || executor.record.is_quarantined(self.now) != search.rules.on_probation
+            || (search.rules.on_probation && !executor.record.allows_probation(self.now))
             || !self.fits_labels(job, spec, key)
             || !within_limit(spec, search.counts, key)
         {
@@ -358,7 +359,8 @@
             near_data,
             rank: executor.rank,
             slowness: executor.record.slowness(),
-            suspect: executor.record.is_suspect() || failed_on.contains(&executor.name),
+            suspect: executor.record.is_suspect(),
+            failed_here: failed_on.contains(&executor.name),
         }
     }
 }
--- a/crates/cuminbank-jobs/tests/scheduling.rs
+++ b/crates/cuminbank-jobs/tests/scheduling.rs
@@ -321,6 +321,47 @@
     assert_eq!(pool.running(3), 1);
 }
 
+// Guards against a long-running task that is started again and again on an executor that fails
+// everything at once and therefore stays empty, while a healthy executor has room.
+#[test]
+fn long_running_task_leaves_failing_executor() {
+    let plan = |task: TaskName, _| match task.job {
+        1 => (Some(Duration::from_millis(200)), RunEnd::Failed),
+        _ => (Some(Duration::from_secs(600)), RunEnd::Done),
+    };
+    let mut pool = SimulatedPool::new(3, 1, 2).with_plan(Box::new(plan));
+    pool.executors[0].failing = true;
+    pool.run_until(SUBMITTED);
+    // Quarantines both executors.
+    pool.submit(1, job(vec![step(16, &[])]));
+    pool.run_until(SUBMITTED + Duration::from_millis(900));
+    let long_running = JobStep { long_running: true, ..step(3, &[]) };
+    pool.submit(2, job(vec![long_running]));
+    let failed = |pool: &SimulatedPool| {
+        pool.executors[0].history.iter().filter(|run| run.task.job == 2).count()
+    };
+    pool.run_until(SUBMITTED + Duration::from_secs(6));
+    assert_eq!((pool.running(2), pool.executors[1].running.len()), (3, 3));
+    assert!(failed(&pool) <= 3, "{} runs on the failing executor", failed(&pool));
+}
+
+// Guards against a task that stays without a run because every executor with room fails it, after
+// one of them has recovered.
+#[test]
+fn long_running_task_returns_to_recovered_executor() {
+    let plan = |_, _| (Some(Duration::from_secs(600)), RunEnd::Done);
+    let mut pool = SimulatedPool::new(3, 1, 2).with_plan(Box::new(plan));
+    pool.executors.iter_mut().for_each(|executor| executor.failing = true);
+    pool.run_until(SUBMITTED);
+    pool.submit(1, job(vec![JobStep { long_running: true, ..step(2, &[]) }]));
+    pool.run_until(SUBMITTED + Duration::from_secs(20));
+    let failed = pool.executors.iter().map(|executor| executor.history.len()).sum::<usize>();
+    assert!(failed <= 40, "{failed} runs in 20 s");
+    pool.executors[1].failing = false;
+    pool.run_until(SUBMITTED + Duration::from_secs(25));
+    assert_eq!(pool.running(1), 2);
+}
+
 // Guards against long-running tasks that never start because a pass over the queue ends before it
 // reaches them: hundreds of jobs ahead of them can still meet their objective but fit on no
 // executor.
