Write the rest of the progress at once when it does not fit one write

Cause: a write holds about 27 changed jobs, and ends are acknowledged only by a write that includes all of them. With more changes per interval that write never came: executors with unacknowledged ends are polled only each 300 ms, so that ends, next steps and completions were noticed up to 300 ms late. Found by comparing one cell with two: with one, batch-plan jobs took 0.2 s longer although they waited for no room.

Change: a write that left jobs out is followed by the next one without the interval.

--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -72,6 +72,8 @@
     /// Executors in the roster that the write stores. Empty if it stores no roster.
     members: Vec<ExecutorKey>,
     has_roster: bool,
+    /// Whether the write includes every job that had changed.
+    complete: bool,
 }
 
 /// Returns the interval between writes of one owner in a pool of `cells` cells.
@@ -182,6 +184,7 @@
             acknowledged,
             members,
             has_roster,
+            complete,
         });
     }
 
@@ -269,7 +272,10 @@
 
     fn finish_flush(&mut self, flush: FlushState, revision: StoreRevision) {
         self.journal.sequence_revision = revision;
-        self.journal.next_at = self.now + flush_interval(self.cells);
+        // Under load more jobs change than fit into one write. What is left follows at once, since
+        // executors are polled at longer intervals until all their ended runs are acknowledged.
+        let interval = if flush.complete { flush_interval(self.cells) } else { Duration::ZERO };
+        self.journal.next_at = self.now + interval;
         self.ownership_confirmed_at = self.ownership_confirmed_at.max(flush.sent_at);
         for (key, outcome) in flush.outcomes {
             if let Some(job) = self.jobs.get_mut(key) {
--- a/crates/cuminbank-jobs/tests/journal.rs
+++ b/crates/cuminbank-jobs/tests/journal.rs
@@ -6,11 +6,17 @@
 
 use cuminbank_jobs::{
     ids::{MonotonicTime, WriteId},
+    job::{JobOutcome, JobPhase},
+    order::RunEnd,
     scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
     store::StoreFailure,
 };
 use cuminbank_platform_standin::executor::FakeExecutor;
-use support::ownership::held_ownership;
+use support::{
+    jobs::{job, step},
+    ownership::held_ownership,
+    simulation::SimulatedPool,
+};
 
 const START: MonotonicTime = Duration::from_secs(10);
 
@@ -52,3 +58,23 @@
     }
     assert!((5..=20).contains(&attempts), "{attempts} attempts in a second");
 }
+
+// Guards against ended runs that are noticed late under load. When more jobs changed than fit into
+// one write, nothing was acknowledged, and executors with unacknowledged ends were polled only every
+// 300 ms.
+#[test]
+fn steps_follow_each_other_when_many_jobs_change() {
+    let plan = |_, _| (Some(Duration::from_millis(400)), RunEnd::Done);
+    let mut pool = SimulatedPool::new(17, 2, 40).with_plan(Box::new(plan));
+    pool.run_until(Duration::from_secs(3));
+    // Four steps of 400 ms on nearly all of the 320 cores.
+    let jobs = 300;
+    for id in 0..jobs {
+        pool.submit(id, job(vec![step(1, &[]), step(1, &[0]), step(1, &[1]), step(1, &[2])]));
+        pool.run_until(pool.now + Duration::from_millis(2));
+    }
+    pool.run_until(Duration::from_secs(3) + Duration::from_millis(2 * jobs + 4 * 500));
+    let done = Some(JobPhase::Ended(JobOutcome::Completed));
+    let completed = (0..jobs).filter(|id| pool.phase(*id) == done).count();
+    assert_eq!(completed as u64, jobs);
+}
