Record the answer of a ticketed call whichever group ran it

Cause: the answer was stored only if the issuing group was owned in the epoch of the group where the call ran. With different epochs, a copy of a request that had run got "unknown". Tests had used epoch 1 for all groups.

Also: PeerPool::exchange and EtcdClient::post gave each connect, exchange and address the whole timeout; now the timeout covers all of them (by reading, no test).

--- a/crates/cuminbank-net/src/etcd.rs
+++ b/crates/cuminbank-net/src/etcd.rs
@@ -1,6 +1,10 @@
 //! Store client for the parts of etcd's v3 JSON gateway that cuminbank uses.
 
-use std::{cell::Cell, net::SocketAddr, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use base64::{engine::general_purpose::STANDARD, Engine};
 use bytes::Bytes;
@@ -75,10 +79,12 @@
         body: &Value,
         timeout: Duration,
     ) -> Result<Value, ExchangeError> {
+        let deadline = Instant::now() + timeout;
         for _ in 0..self.addresses.len() {
             let Some(address) = self.address() else { break };
             let message = ClientRequest::new_post(path, body.to_string());
-            match self.pool.exchange(address, message, timeout).await {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match self.pool.exchange(address, message, left).await {
                 Err(ExchangeError::NotSent) => self.switch_address(),
                 Err(error) => {
                     self.switch_address();
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -38,7 +38,7 @@
         Self::default()
     }
 
-    /// Sends a request and waits for the reply.
+    /// Sends a request and waits for the reply. `timeout` includes the time to connect.
     ///
     /// Fails with [`ExchangeError::NotSent`] if no byte was sent, and with
     /// [`ExchangeError::Lost`] if there is no valid reply within `timeout`.
@@ -68,6 +68,7 @@
         Q: Serialize,
         R: DeserializeOwned,
     {
+        let deadline = Instant::now() + timeout;
         let mut stream = match self.take_idle(to) {
             Some(stream) => ExchangeStream::new(stream),
             None => connect(to, timeout).await?,
@@ -80,8 +81,9 @@
             write_message(stream.stream(), &encode(request)).await?;
             read_message(stream.stream()).await
         };
+        let left = deadline.saturating_duration_since(Instant::now());
         let bytes =
-            time::timeout(timeout, exchange).await.ok().flatten().ok_or(ExchangeError::Lost)?;
+            time::timeout(left, exchange).await.ok().flatten().ok_or(ExchangeError::Lost)?;
         let reply = decode(&bytes).ok_or(ExchangeError::Lost)?;
         self.put_idle(to, stream.finish());
         Ok(reply)
--- a/crates/cuminbank/src/reducer/calls/answers.rs
+++ b/crates/cuminbank/src/reducer/calls/answers.rs
@@ -5,7 +5,6 @@
 use crate::{
     admission::RetrySchedule,
     effect::{CallOutcome, CallerAnswer, EntryEffect, MetricSample, MetricValue},
-    ids::RequestTicket,
     log,
     message::PeerReply,
     reducer::records::{CallSample, RecordPart},
@@ -110,12 +109,12 @@
 
     fn store_ticket_answer(&mut self, record: &CallRecord, answer: &CallerAnswer) {
         let Some(ticket) = &record.call.ticket else { return };
-        let RequestTicket { group, .. } = ticket;
-        if let Some(term) = self.terms.get_mut(group).filter(|term| term.epoch == record.epoch) {
+        // The call may have run in another group, whose epoch says nothing about the ticket. A term
+        // without a state of the ticket ignores the answer.
+        if let Some(term) = self.terms.get_mut(&ticket.group) {
             term.tickets.record_answer(ticket, answer);
-        } else if let Some(term) =
-            self.ended_terms.get_mut(group).filter(|term| term.epoch == record.epoch)
-        {
+        }
+        if let Some(term) = self.ended_terms.get_mut(&ticket.group) {
             term.tickets.record_answer(ticket, answer);
         }
     }
--- a/crates/cuminbank/tests/calls_tickets.rs
+++ b/crates/cuminbank/tests/calls_tickets.rs
@@ -190,12 +190,17 @@
     assert_eq!(&body[..], br#"{"tickets":["dublin-0-1-0","dublin-0-1-1"]}"#);
 }
 
-/// Creates a fixture that owns groups 0 and 1, each with one executor of one slot.
 fn fixture_with_two_groups() -> CallFixture {
+    fixture_with_epochs([1, 1])
+}
+
+/// Creates a fixture that owns groups 0 and 1 in the given epochs, each with one executor of one
+/// slot.
+fn fixture_with_epochs(epochs: [u64; 2]) -> CallFixture {
     let mut fixture = CallFixture::new(Learned);
     fixture.fixed.targets = vec![executor("e1", 0, 1), executor("e2", 1, 1)];
-    fixture.take_group(0, 1, Duration::ZERO, None);
-    fixture.take_group(1, 1, Duration::ZERO, None);
+    fixture.take_group(0, epochs[0], Duration::ZERO, None);
+    fixture.take_group(1, epochs[1], Duration::ZERO, None);
     fixture.run_for(ms(20));
     fixture.answer_probes(&[]);
     fixture
@@ -213,6 +218,25 @@
     assert_eq!(answered[&2].outcome, CallOutcome::Done);
 }
 
+/// Guards against answering "unknown" to a copy of a request that ran in another group than the one
+/// that issued its ticket, if the two groups are owned in different epochs.
+#[test]
+fn copy_gets_the_answer_of_a_run_in_another_group() {
+    for epochs in [[1, 5], [5, 1]] {
+        let mut fixture = fixture_with_epochs(epochs);
+        let tickets = [ticket_of(&mut fixture, 0), ticket_of(&mut fixture, 0)];
+        for (reply, ticket) in (1..).zip(tickets) {
+            let sent = dispatches(&fixture.call(reply, book(Some(ticket.clone()))));
+            let first = answers(&fixture.end_dispatch(sent[0].exchange, done(200)));
+            let copy = answers(&fixture.call(reply + 10, book(Some(ticket))));
+            assert_eq!(copy[&(reply + 10)], first[&reply], "epochs {epochs:?}");
+            // Keeps the slot of the first group busy, so that the next call runs in the other.
+            let busy = ticket_of(&mut fixture, 0);
+            fixture.call(reply + 20, book(Some(busy)));
+        }
+    }
+}
+
 /// Guards against refusing a queued ticketed call when the group it is queued in is lost but the
 /// issuing group is still owned.
 #[test]
