Take a stored plan without cells for unreadable

Cause: a plan with 0 cells divided by zero when a job arrived, at every instance and again after each restart. Change: such a plan is logged as unreadable and not adopted, and the computation cannot panic. Result: plan_without_cells_does_not_panic; it panics on the code before.

--- a/crates/cuminbank-jobd/src/division.rs
+++ b/crates/cuminbank-jobd/src/division.rs
@@ -74,7 +74,9 @@
         if self.plan().is_some() {
             return;
         }
-        let Some(plan) = decode_value::<PoolPlan>(&item.value) else {
+        // A plan without cells would leave every job without a home.
+        let plan = decode_value::<PoolPlan>(&item.value).filter(|plan| plan.cells > 0);
+        let Some(plan) = plan else {
             let detail = format!("error=unreadable bytes={}", item.value.len());
             return self.log(&DecisionRecord { code: POOL_DIVIDED, job: None, detail });
         };
@@ -89,7 +91,7 @@
                 .with_resources(settings.processor_share, settings.link_mbps);
             Rc::new(CellState::new(id, ownership))
         };
-        *self.cells.borrow_mut() = (0..plan.cells.max(1)).map(new_cell).collect();
+        *self.cells.borrow_mut() = (0..plan.cells).map(new_cell).collect();
         *self.plan.borrow_mut() = Some(Rc::new(plan));
     }
 
--- a/crates/cuminbank-jobs/src/cells.rs
+++ b/crates/cuminbank-jobs/src/cells.rs
@@ -124,7 +124,7 @@
         let home = self.cell_for_hash(crc32fast::hash(&bytes));
         let others = u32::from(self.cells.max(2) - 1);
         let step = 1 + crc32fast::hash(&bytes[1..]) % others;
-        (home, ((u32::from(home) + step) % u32::from(self.cells)) as CellId)
+        (home, self.cell_for_hash(u32::from(home) + step))
     }
 
     fn cell_for_hash(&self, hash: u32) -> CellId {
--- a/crates/cuminbank-jobs/tests/cells.rs
+++ b/crates/cuminbank-jobs/tests/cells.rs
@@ -136,6 +136,15 @@
     }
 }
 
+// Guards against a stored plan without cells, written by another version, that ends the process.
+#[test]
+fn plan_without_cells_does_not_panic() {
+    let plan = PoolPlan { cells: 0, racks: BTreeMap::new() };
+    assert_eq!(plan.home_and_fallback(7), (0, 0));
+    assert_eq!(plan.cell_of(&executors(1, 1)[0]), 0);
+    assert_eq!(CellLoads::default().choose(NOW, &plan, 7, &job(vec![step(1, &[])])), 0);
+}
+
 // Guards against settings with which a pool would have no cells or a cell no executors.
 #[test]
 fn settings_of_cells_are_validated() {
