Gather the tasks of a job in one zone

Cause: jobs spread their tasks over all zones, so that a zone cut of 5 to 6.5 s delayed nearly every job in flight; the windows at the cut were the worst ones but for those of a store outage.

Change: placement outside the job's zone costs more than the load of an executor and less than contention.

--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -30,6 +30,8 @@
     pub latency_critical_tasks: u32,
     /// Whether the executor is on the rack of the task's data.
     pub near_data: bool,
+    /// Whether the executor is outside the zone in which the job's tasks are gathered.
+    pub outside_zone: bool,
     /// Number of executors that were known when it was added, used as a tie-breaker.
     pub rank: u32,
     /// Recent run time in percent of the estimate; 100 means as estimated.
@@ -62,6 +64,9 @@
 /// higher, since all quarantined executors are suspect.
 const SUSPECT_COST: u64 = 1_000_000;
 const FAILED_HERE_COST: u64 = 2_000_000;
+/// Cost of an executor outside the zone in which the job's tasks are gathered. Outweighs the load of
+/// executors, but not contention for CPU.
+const OUTSIDE_ZONE_COST: u64 = 30_000;
 /// Cost of a best-effort task on an executor without latency-critical tasks, and of a task that
 /// reserves CPU on an executor with them.
 const NO_SERVICE_COST: u64 = 10_000;
@@ -125,6 +130,9 @@
         if self.failed_here {
             cost += FAILED_HERE_COST;
         }
+        if self.outside_zone {
+            cost += OUTSIDE_ZONE_COST;
+        }
         cost += u64::from(self.slowness.saturating_sub(130)) * 2_000;
         if demand.prefers_rack && !self.near_data {
             cost += 400_000;
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -76,6 +76,7 @@
                 executor.absent_since.get_or_insert(now);
             }
         }
+        self.update_open_zones();
         self.pass_needed = true;
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/evacuation.rs
+++ b/crates/cuminbank-jobs/src/scheduler/evacuation.rs
@@ -40,6 +40,7 @@
             let detail = format!("zone={zone} executors={executors} runs={runs}");
             self.log(ZONE_REOPENED, None, detail);
         }
+        self.update_open_zones();
         // An unfinished pass has chosen its executors before the change.
         self.pass = None;
         self.pass_needed = true;
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -111,6 +111,7 @@
             critical_paths_ms,
             images,
             fresh,
+            zone: None,
             arrived,
             deadline: arrived + Duration::from_millis(objective),
             tasks,
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 mod candidates;
 mod contact;
 mod evacuation;
+mod gathering;
 mod jobs;
 mod journal;
 mod orders;
@@ -244,6 +245,8 @@
     executor_names: HashMap<ExecutorName, ExecutorKey>,
     /// Zones under evacuation.
     evacuated_zones: BTreeSet<ZoneName>,
+    /// Zones in which jobs are gathered.
+    open_zones: BTreeSet<ZoneName>,
     runs: SlotMap<RunKey, RunState>,
     orders: HashMap<OrderId, PendingOrder>,
     journal: JournalState,
@@ -316,6 +319,7 @@
             executors: SlotMap::with_key(),
             executor_names: HashMap::new(),
             evacuated_zones: BTreeSet::new(),
+            open_zones: BTreeSet::new(),
             runs: SlotMap::with_key(),
             orders: HashMap::new(),
             journal: JournalState::default(),
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -197,6 +197,8 @@
         // The job may have ended since the pass began.
         let Some(job) = self.jobs.get(key).filter(|job| job.outcome.is_none()) else { return true };
         let ready: Vec<TaskIndex> = job.ready.iter().copied().collect();
+        self.choose_zone(key);
+        let job = &self.jobs[key];
         let mut idle = job.tasks.iter().all(|task| task.runs.is_empty());
         let mut skipped_step = None;
         let mut candidates = None;
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -87,6 +87,8 @@
     pub(super) images: Vec<ImageId>,
     /// Whether the job was accepted during this ownership, so that no earlier owner started runs.
     pub(super) fresh: bool,
+    /// Zone in which its tasks are gathered, once chosen.
+    pub(super) zone: Option<ZoneName>,
     pub(super) arrived: MonotonicTime,
     pub(super) deadline: MonotonicTime,
     pub(super) tasks: Vec<TaskState>,
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -42,7 +42,7 @@
         let mut suitable: Vec<(u64, ExecutorKey)> = placeable
             .iter()
             .filter(|executor| self.fits_labels(job, spec, **executor))
-            .map(|executor| (*executor, self.load_of(spec, &self.executors[*executor], &[])))
+            .map(|executor| (*executor, self.load_of(job, spec, &self.executors[*executor], &[])))
             .filter(|(_, load)| load.has_capacity_for(&demand))
             .map(|(executor, load)| (load.cost(&demand), executor))
             .collect();
@@ -222,7 +222,7 @@
                     || job_key
                         .is_some_and(|job| self.ticket((job, occurrence, step), **key).is_some())
             })
-            .map(|key| (*key, self.load_of(spec, &self.executors[*key], &[])))
+            .map(|key| (*key, self.load_of(job, spec, &self.executors[*key], &[])))
             .collect();
         let demand = demand_of(spec);
         let mut assignments = Vec::with_capacity(spec.count as usize);
@@ -312,7 +312,7 @@
             return None;
         }
         let demand = demand_of(spec);
-        let mut load = self.load_of(spec, executor, search.failed_on);
+        let mut load = self.load_of(job, spec, executor, search.failed_on);
         if !load.has_capacity_for(&demand) {
             return None;
         }
@@ -341,6 +341,7 @@
 
     fn load_of(
         &self,
+        job: &JobState,
         spec: &JobStep,
         executor: &ExecutorState,
         failed_on: &[String],
@@ -357,6 +358,7 @@
             best_effort_tasks: executor.best_effort_tasks,
             latency_critical_tasks: executor.latency_critical_tasks,
             near_data,
+            outside_zone: job.is_outside_zone(executor),
             rank: executor.rank,
             slowness: executor.record.slowness(),
             suspect: executor.record.is_suspect(),
