Do not wait for changes after a watch without a reply

Cause: a long poll sent to a silent store is given up after its wait and margin, up to 2.3 s in the second try; an instance that heard nothing refused submissions until then, though the store answered others again (open finding: instances hear it 0.4 to 2 s late).

Change: the pace of a watch decides wait and margin too; after a failure a call does not wait for changes.

--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -35,9 +35,6 @@
 const OWNER_WAIT: Duration = Duration::from_millis(1_500);
 /// Long-poll timeout of the owner's watch of its cell.
 const POOL_WAIT: Duration = Duration::from_millis(1_000);
-/// Time that the request of a watch may take beyond its long-poll timeout. A slow store replies
-/// after about 250 ms.
-const WATCH_MARGIN: Duration = Duration::from_millis(450);
 /// Timeout of a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 /// Delay before the next attempt after a read or watch without a reply.
@@ -56,19 +53,16 @@
     Changes(Vec<StoreChange>),
 }
 
-/// Reads a prefix and then watches it, until `consume` returns false. `wait` is the long-poll
-/// timeout of each watch and `pause` the delay before it, unless the watch is behind. With `from`,
-/// watches from that revision instead of reading first.
+/// Reads a prefix and then watches it at a pace, until `consume` returns false. With `from`, watches
+/// from that revision instead of reading first.
 async fn follow(
     state: &Rc<DaemonState>,
     prefix: &str,
-    (wait, pause): (Duration, Duration),
+    mut pace: WatchPace,
     from: Option<StoreRevision>,
     mut consume: impl FnMut(WatchUpdate) -> bool,
 ) {
     let mut after = from;
-    let mut margin = WATCH_MARGIN;
-    let mut pace = WatchPace::new(pause);
     loop {
         let Some(revision) = after else {
             let call = StoreCall::Read { prefix: prefix.to_owned() };
@@ -85,9 +79,8 @@
         };
         let log = |record| state.log(&record);
         time::sleep(pace.pause()).await;
-        match state.store.watch(prefix, revision, wait, margin, log).await {
+        match state.store.watch(prefix, revision, pace.wait(), pace.margin(), log).await {
             Ok(WatchReply::Changes(changes, next)) => {
-                margin = WATCH_MARGIN;
                 after = Some(next.max(revision));
                 pace.record_answer(changes.len());
                 if !consume(WatchUpdate::Changes(changes)) {
@@ -96,8 +89,7 @@
             }
             Ok(WatchReply::Compacted) => after = None,
             Err(_) => {
-                // The store may be slow rather than unresponsive, which needs a longer margin.
-                margin = (margin * 2).min(wait);
+                pace.record_failure();
                 time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -112,7 +104,7 @@
 pub(crate) async fn follow_operators(state: Rc<DaemonState>) {
     let bound = state.settings.operator_bound() * OPERATOR_WAIT_PERCENT / 100;
     let wait = bound.min(MAX_OPERATOR_WAIT);
-    follow(&state, OPERATOR_PREFIX, (wait, Duration::ZERO), None, |update| {
+    follow(&state, OPERATOR_PREFIX, WatchPace::new(wait, Duration::ZERO), None, |update| {
         let changed = match update {
             WatchUpdate::Snapshot(items, _) => {
                 items.iter().for_each(|item| apply_config(&state, item));
@@ -184,7 +176,7 @@
 
 /// Follows the ownership records and the plan of the pool.
 pub(crate) async fn follow_owners(state: Rc<DaemonState>) {
-    follow(&state, OWNER_PREFIX, (OWNER_WAIT, Duration::ZERO), None, |update| {
+    follow(&state, OWNER_PREFIX, WatchPace::new(OWNER_WAIT, Duration::ZERO), None, |update| {
         match update {
             WatchUpdate::Snapshot(items, revision) => state.apply_owners(&items, revision),
             WatchUpdate::Changes(changes) => {
@@ -220,30 +212,36 @@
 /// Loads a cell for its new owner, this process, and follows it until the generation is over.
 pub(crate) async fn follow_pool(state: Rc<DaemonState>, cell: Rc<CellState>, generation: u64) {
     let Some(revision) = load_pool(&state, &cell, generation).await else { return };
-    follow(&state, &cell.keys.pool_prefix, (POOL_WAIT, Duration::ZERO), Some(revision), |update| {
-        let changes = match update {
-            WatchUpdate::Snapshot(items, _) => {
-                items.into_iter().map(StoreChange::Written).collect()
-            }
-            WatchUpdate::Changes(changes) => changes,
-        };
-        // Process changes of the owner first, so that this process accepts no job that was written
-        // after it lost the ownership.
-        for change in &changes {
-            if let StoreChange::Written(item) = change {
-                if cell.keys.is_owner_key(&item.key) {
-                    cell.observe_owner(&state, item.revision, Some(item));
+    follow(
+        &state,
+        &cell.keys.pool_prefix,
+        WatchPace::new(POOL_WAIT, Duration::ZERO),
+        Some(revision),
+        |update| {
+            let changes = match update {
+                WatchUpdate::Snapshot(items, _) => {
+                    items.into_iter().map(StoreChange::Written).collect()
+                }
+                WatchUpdate::Changes(changes) => changes,
+            };
+            // Process changes of the owner first, so that this process accepts no job that was written
+            // after it lost the ownership.
+            for change in &changes {
+                if let StoreChange::Written(item) = change {
+                    if cell.keys.is_owner_key(&item.key) {
+                        cell.observe_owner(&state, item.revision, Some(item));
+                    }
                 }
             }
-        }
-        if !cell.is_current(generation) {
-            return false;
-        }
-        if !changes.is_empty() {
-            cell.apply(&state, JobEvent::PoolChanged { changes });
-        }
-        true
-    })
+            if !cell.is_current(generation) {
+                return false;
+            }
+            if !changes.is_empty() {
+                cell.apply(&state, JobEvent::PoolChanged { changes });
+            }
+            true
+        },
+    )
     .await;
 }
 
@@ -287,36 +285,42 @@
 pub(crate) async fn follow_executors(state: Rc<DaemonState>, cell: Rc<CellState>, generation: u64) {
     let mut entries: BTreeMap<String, ExecutorReport> = BTreeMap::new();
     let mut changed = false;
-    follow(&state, EXECUTOR_PREFIX, (EXECUTORS_WAIT, EXECUTORS_PAUSE), None, |update| {
-        if !cell.is_current(generation) {
-            return false;
-        }
-        match update {
-            WatchUpdate::Snapshot(items, _) => {
-                entries.clear();
-                items.iter().for_each(|item| apply_entry(&mut entries, item));
-                changed = true;
+    follow(
+        &state,
+        EXECUTOR_PREFIX,
+        WatchPace::new(EXECUTORS_WAIT, EXECUTORS_PAUSE),
+        None,
+        |update| {
+            if !cell.is_current(generation) {
+                return false;
             }
-            WatchUpdate::Changes(changes) => {
-                changed |= !changes.is_empty();
-                for change in &changes {
-                    match change {
-                        StoreChange::Written(item) => apply_entry(&mut entries, item),
-                        StoreChange::Removed { key, .. } => {
-                            entries.remove(key);
+            match update {
+                WatchUpdate::Snapshot(items, _) => {
+                    entries.clear();
+                    items.iter().for_each(|item| apply_entry(&mut entries, item));
+                    changed = true;
+                }
+                WatchUpdate::Changes(changes) => {
+                    changed |= !changes.is_empty();
+                    for change in &changes {
+                        match change {
+                            StoreChange::Written(item) => apply_entry(&mut entries, item),
+                            StoreChange::Removed { key, .. } => {
+                                entries.remove(key);
+                            }
                         }
                     }
                 }
             }
-        }
-        if std::mem::take(&mut changed) {
-            state.metrics.count("list.told", "");
-            let own = entries.values().filter(|report| state.is_in_cell(report, cell.id));
-            let reports = own.cloned().collect();
-            cell.apply(&state, JobEvent::Listed { reports });
-        }
-        true
-    })
+            if std::mem::take(&mut changed) {
+                state.metrics.count("list.told", "");
+                let own = entries.values().filter(|report| state.is_in_cell(report, cell.id));
+                let reports = own.cloned().collect();
+                cell.apply(&state, JobEvent::Listed { reports });
+            }
+            true
+        },
+    )
     .await;
 }
 
