Name the paces of watches before they start

Readability only: the closures of the watches keep their indentation, follow_operator_requests says what it follows, and comments fit the line width.

--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -273,7 +273,7 @@
         serve(&state, readiness, ServerGate::default(), operators::handle_readiness);
         serve(&state, operators, ServerGate::default(), operators::handle);
         serve_peers(&state, peers);
-        monoio::spawn(watches::follow_operators(Rc::clone(&state)));
+        monoio::spawn(watches::follow_operator_requests(Rc::clone(&state)));
         monoio::spawn(watches::follow_owners(Rc::clone(&state)));
         monoio::spawn(division::propose_plan(Rc::clone(&state)));
         monoio::spawn(division::follow_loads(Rc::clone(&state)));
--- a/crates/cuminbank-jobd/src/store.rs
+++ b/crates/cuminbank-jobd/src/store.rs
@@ -162,7 +162,7 @@
     }
 }
 
-/// Stands for an item whose value cannot be read.
+/// Returns an item without a value, in place of one whose value cannot be read.
 fn empty_item(key: &str) -> StoreItem {
     StoreItem { key: key.to_owned(), value: Vec::new(), revision: 0, created: 0 }
 }
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -53,8 +53,8 @@
     Changes(Vec<StoreChange>),
 }
 
-/// Reads a prefix and then watches it at a pace, until `consume` returns false. With `from`, watches
-/// from that revision instead of reading first.
+/// Reads a prefix and then watches it, until `consume` returns false. With `from`, watches from that
+/// revision instead of reading first.
 async fn follow(
     state: &Rc<DaemonState>,
     prefix: &str,
@@ -101,10 +101,11 @@
 
 /// Follows the requests of operators: activates each new version of the configuration, and begins
 /// and ends the evacuation of zones.
-pub(crate) async fn follow_operators(state: Rc<DaemonState>) {
+pub(crate) async fn follow_operator_requests(state: Rc<DaemonState>) {
     let bound = state.settings.operator_bound() * OPERATOR_WAIT_PERCENT / 100;
     let wait = bound.min(MAX_OPERATOR_WAIT);
-    follow(&state, OPERATOR_PREFIX, WatchPace::new(wait, Duration::ZERO), None, |update| {
+    let pace = WatchPace::new(wait, Duration::ZERO);
+    follow(&state, OPERATOR_PREFIX, pace, None, |update| {
         let changed = match update {
             WatchUpdate::Snapshot(items, _) => {
                 items.iter().for_each(|item| apply_config(&state, item));
@@ -176,7 +177,8 @@
 
 /// Follows the ownership records and the plan of the pool.
 pub(crate) async fn follow_owners(state: Rc<DaemonState>) {
-    follow(&state, OWNER_PREFIX, WatchPace::new(OWNER_WAIT, Duration::ZERO), None, |update| {
+    let pace = WatchPace::new(OWNER_WAIT, Duration::ZERO);
+    follow(&state, OWNER_PREFIX, pace, None, |update| {
         match update {
             WatchUpdate::Snapshot(items, revision) => state.apply_owners(&items, revision),
             WatchUpdate::Changes(changes) => {
@@ -212,36 +214,31 @@
 /// Loads a cell for its new owner, this process, and follows it until the generation is over.
 pub(crate) async fn follow_pool(state: Rc<DaemonState>, cell: Rc<CellState>, generation: u64) {
     let Some(revision) = load_pool(&state, &cell, generation).await else { return };
-    follow(
-        &state,
-        &cell.keys.pool_prefix,
-        WatchPace::new(POOL_WAIT, Duration::ZERO),
-        Some(revision),
-        |update| {
-            let changes = match update {
-                WatchUpdate::Snapshot(items, _) => {
-                    items.into_iter().map(StoreChange::Written).collect()
-                }
-                WatchUpdate::Changes(changes) => changes,
-            };
-            // Process changes of the owner first, so that this process accepts no job that was written
-            // after it lost the ownership.
-            for change in &changes {
-                if let StoreChange::Written(item) = change {
-                    if cell.keys.is_owner_key(&item.key) {
-                        cell.observe_owner(&state, item.revision, Some(item));
-                    }
-                }
-            }
-            if !cell.is_current(generation) {
-                return false;
+    let pace = WatchPace::new(POOL_WAIT, Duration::ZERO);
+    follow(&state, &cell.keys.pool_prefix, pace, Some(revision), |update| {
+        let changes = match update {
+            WatchUpdate::Snapshot(items, _) => {
+                items.into_iter().map(StoreChange::Written).collect()
             }
-            if !changes.is_empty() {
-                cell.apply(&state, JobEvent::PoolChanged { changes });
+            WatchUpdate::Changes(changes) => changes,
+        };
+        // Process changes of the owner first, so that this process accepts no job that was written
+        // after it lost the ownership.
+        for change in &changes {
+            if let StoreChange::Written(item) = change {
+                if cell.keys.is_owner_key(&item.key) {
+                    cell.observe_owner(&state, item.revision, Some(item));
+                }
             }
-            true
-        },
-    )
+        }
+        if !cell.is_current(generation) {
+            return false;
+        }
+        if !changes.is_empty() {
+            cell.apply(&state, JobEvent::PoolChanged { changes });
+        }
+        true
+    })
     .await;
 }
 
@@ -285,42 +282,37 @@
 pub(crate) async fn follow_executors(state: Rc<DaemonState>, cell: Rc<CellState>, generation: u64) {
     let mut entries: BTreeMap<String, ExecutorReport> = BTreeMap::new();
     let mut changed = false;
-    follow(
-        &state,
-        EXECUTOR_PREFIX,
-        WatchPace::new(EXECUTORS_WAIT, EXECUTORS_PAUSE),
-        None,
-        |update| {
-            if !cell.is_current(generation) {
-                return false;
+    let pace = WatchPace::new(EXECUTORS_WAIT, EXECUTORS_PAUSE);
+    follow(&state, EXECUTOR_PREFIX, pace, None, |update| {
+        if !cell.is_current(generation) {
+            return false;
+        }
+        match update {
+            WatchUpdate::Snapshot(items, _) => {
+                entries.clear();
+                items.iter().for_each(|item| apply_entry(&mut entries, item));
+                changed = true;
             }
-            match update {
-                WatchUpdate::Snapshot(items, _) => {
-                    entries.clear();
-                    items.iter().for_each(|item| apply_entry(&mut entries, item));
-                    changed = true;
-                }
-                WatchUpdate::Changes(changes) => {
-                    changed |= !changes.is_empty();
-                    for change in &changes {
-                        match change {
-                            StoreChange::Written(item) => apply_entry(&mut entries, item),
-                            StoreChange::Removed { key, .. } => {
-                                entries.remove(key);
-                            }
+            WatchUpdate::Changes(changes) => {
+                changed |= !changes.is_empty();
+                for change in &changes {
+                    match change {
+                        StoreChange::Written(item) => apply_entry(&mut entries, item),
+                        StoreChange::Removed { key, .. } => {
+                            entries.remove(key);
                         }
                     }
                 }
             }
-            if std::mem::take(&mut changed) {
-                state.metrics.count("list.told", "");
-                let own = entries.values().filter(|report| state.is_in_cell(report, cell.id));
-                let reports = own.cloned().collect();
-                cell.apply(&state, JobEvent::Listed { reports });
-            }
-            true
-        },
-    )
+        }
+        if std::mem::take(&mut changed) {
+            state.metrics.count("list.told", "");
+            let own = entries.values().filter(|report| state.is_in_cell(report, cell.id));
+            let reports = own.cloned().collect();
+            cell.apply(&state, JobEvent::Listed { reports });
+        }
+        true
+    })
     .await;
 }
 
--- a/crates/cuminbank-jobs/src/pace.rs
+++ b/crates/cuminbank-jobs/src/pace.rs
@@ -2,7 +2,7 @@
 //!
 //! Thousands of executors write heartbeats, and each watch call on their entries returns as soon as
 //! there is a change. Without pauses between the calls, that takes thousands of billed calls. With
-//! fixed pauses the watch falls behind, because the store limits the number of changes in one reply.
+//! fixed pauses the watch falls behind, because the store limits the changes in one reply.
 //!
 //! A watch that got no reply does not wait for changes in its next calls: a long poll sent to a
 //! silent store would only be given up a second or two later, although the store may answer again.
--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -64,8 +64,8 @@
 /// higher, since all quarantined executors are suspect.
 const SUSPECT_COST: u64 = 1_000_000;
 const FAILED_HERE_COST: u64 = 2_000_000;
-/// Cost of an executor outside the zone in which the job's tasks are gathered. Outweighs the load of
-/// executors, but not contention for CPU.
+/// Cost of an executor outside the zone in which the job's tasks are gathered. It outweighs the load
+/// of executors, but not contention for CPU.
 const OUTSIDE_ZONE_COST: u64 = 30_000;
 /// Cost of a best-effort task on an executor without latency-critical tasks, and of a task that
 /// reserves CPU on an executor with them.
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -373,7 +373,7 @@
     }
 
     /// Returns whether an executor may get new work if quarantine is ignored: it is listed, in the
-    /// roster, reachable, neither draining nor in an evacuated zone, and starts on it are not paused.
+    /// roster, reachable, neither draining nor evacuated, and starts on it are not paused.
     pub(super) fn is_usable(&self, executor: &ExecutorState) -> bool {
         let now = self.now;
         !self.is_absent(executor)
--- a/crates/cuminbank-jobs/src/scheduler/evacuation.rs
+++ b/crates/cuminbank-jobs/src/scheduler/evacuation.rs
@@ -51,7 +51,7 @@
         executor.evacuated && self.guards.heeds_evacuations
     }
 
-    /// Returns the unconfirmed starts in a zone, with all other runs of their gangs, which could not
+    /// Returns the unconfirmed starts in a zone, with the other runs of their gangs, which could not
     /// run without them.
     fn unconfirmed_starts(&self, zone: &str) -> BTreeSet<RunKey> {
         if !self.guards.heeds_evacuations {
