Report the placement's own verdict on executors for waiting tasks

EV0724 counted usable executors by conditions of its own, so it could not tell whether the placement refused them or never searched. cost_on returns the reason of a refusal, EV0724 counts executors by it, and says when a search was last made for the job and whose failed search was taken for its own. The lines are no longer dropped with those about runs: at most one in 2 s for each job.

No decision is changed.

--- a/crates/cuminbank-jobd/src/logging.rs
+++ b/crates/cuminbank-jobd/src/logging.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use cuminbank::log::{LogCode, LogLevel, LINES_DROPPED};
+use cuminbank::log::{LogCode, LogLevel, LINES_DROPPED, TASK_WAITS};
 use cuminbank_jobs::{
     ids::{JobId, MonotonicTime, WallTime},
     scheduler::DecisionRecord,
@@ -72,7 +72,8 @@
     pub fn take(&mut self, now: MonotonicTime, code: LogCode) -> bool {
         self.begin_second(now);
         let about_item = ITEM_EVENTS.contains(&code.number);
-        let about_run = RUN_EVENTS.contains(&code.number);
+        // At most one line in two seconds for each job, needed most when many runs are logged.
+        let about_run = RUN_EVENTS.contains(&code.number) && code.number != TASK_WAITS.number;
         let full = self.written >= MAX_LINES_PER_SECOND
             || (about_item && self.items_written >= MAX_ITEM_LINES_PER_SECOND)
             || (about_run && self.runs_written >= MAX_RUN_LINES_PER_SECOND);
--- a/crates/cuminbank-jobs/src/scheduler/candidates.rs
+++ b/crates/cuminbank-jobs/src/scheduler/candidates.rs
@@ -88,9 +88,9 @@
         let counts = self.step_counts(&self.jobs[key], position.0, position.1);
         let mut candidates = StepCandidates { position, rules, counts, by_cost: BinaryHeap::new() };
         let search = candidates.search(key);
-        let costs = placeable
-            .iter()
-            .filter_map(|executor| Some(Reverse((self.cost_on(&search, *executor)?, *executor))));
+        let costs = placeable.iter().filter_map(|executor| {
+            Some(Reverse((self.cost_on(&search, *executor).ok()?, *executor)))
+        });
         let by_cost: BinaryHeap<_> = costs.collect();
         self.charge_units(placeable.len() as u32 + by_cost.len() as u32 * EVALUATION_UNITS);
         candidates.by_cost = by_cost;
@@ -108,9 +108,9 @@
             // The cost may have changed since the search: a start on another executor may have
             // reached the limit on executors for an uncertain image pair.
             match self.cost_on(&candidates.search(key), executor) {
-                Some(now) if now <= cost => return Some(executor),
-                Some(now) => candidates.by_cost.push(Reverse((now, executor))),
-                None => {}
+                Ok(now) if now <= cost => return Some(executor),
+                Ok(now) => candidates.by_cost.push(Reverse((now, executor))),
+                Err(_) => {}
             }
         }
         None
@@ -125,7 +125,7 @@
     ) {
         *candidates.counts.entry(executor).or_default() += 1;
         self.charge_units(START_UNITS);
-        if let Some(cost) = self.cost_on(&candidates.search(key), executor) {
+        if let Ok(cost) = self.cost_on(&candidates.search(key), executor) {
             candidates.by_cost.push(Reverse((cost, executor)));
         }
     }
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -371,18 +371,4 @@
     pub(super) fn is_placeable(&self, executor: &ExecutorState) -> bool {
         self.is_usable(executor) && !executor.record.is_quarantined(self.now)
     }
-
-    /// Returns whether an executor may get new work if quarantine is ignored: it is listed, in the
-    /// roster, reachable, neither draining nor evacuated, and starts on it are not paused.
-    pub(super) fn is_usable(&self, executor: &ExecutorState) -> bool {
-        let now = self.now;
-        !self.is_absent(executor)
-            && !executor.draining
-            && !self.is_evacuated(executor)
-            && executor.in_roster
-            && executor.contacted
-            && executor.clock.is_some()
-            && executor.hold.failures == 0
-            && now >= executor.no_starts_until
-    }
 }
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -123,6 +123,8 @@
             started: started || progress.outcome.is_some(),
             slack: SlackEstimate::new(),
             next_wait_log: MonotonicTime::ZERO,
+            searched_at: None,
+            skipped: None,
             record,
         };
         let detail = format!(
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod orders;
 mod pass;
 mod pressure;
+mod refusals;
 mod run_reports;
 mod run_watchdog;
 mod state;
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     colocation::ImageId,
-    ids::{MonotonicTime, TaskIndex},
+    ids::{JobId, MonotonicTime, TaskIndex},
     job::TaskNeeds,
     priority::{self, JobUrgency},
 };
@@ -62,6 +62,8 @@
 /// it. Later tasks of the same pass that need at least as much are skipped.
 #[derive(Debug)]
 struct UnplacedShape {
+    /// Job of the task, for the log.
+    job: JobId,
     service: String,
     label: Option<String>,
     image: ImageId,
@@ -76,6 +78,7 @@
     fn new(job: &JobState, step: usize, rules: PlacementRules) -> Self {
         let spec = &job.record.steps[step];
         Self {
+            job: job.id,
             service: job.record.terms.service.clone(),
             label: spec.required_label.clone(),
             image: job.images[step],
@@ -231,10 +234,18 @@
                 && !advised
                 && !gang
                 && waited >= PROBATION_WAIT;
-            let known_unplaceable = !advised
-                && !gang
-                && !starving
-                && pass.unplaced.iter().any(|shape| shape.is_no_larger_than(job, step, rules));
+            let failed_search = pass
+                .unplaced
+                .iter()
+                .filter(|_| !advised && !gang && !starving)
+                .find(|shape| shape.is_no_larger_than(job, step, rules))
+                .map(|shape| shape.job);
+            let known_unplaceable = failed_search.is_some();
+            let now = self.now;
+            match failed_search {
+                Some(failed) => self.jobs[key].skipped = Some((now, failed)),
+                None => self.jobs[key].searched_at = Some(now),
+            }
             if (known_unplaceable && !on_probation)
                 || (advised && !self.has_advice(key, task, &pass.placeable))
             {
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -107,6 +107,11 @@
     pub(super) slack: SlackEstimate,
     /// Earliest time of the next log entry about a waiting task.
     pub(super) next_wait_log: MonotonicTime,
+    /// When executors were last searched for one of its tasks.
+    pub(super) searched_at: Option<MonotonicTime>,
+    /// When a pass last left one of its tasks out without a search, and the job whose failed search
+    /// was taken for its own.
+    pub(super) skipped: Option<(MonotonicTime, JobId)>,
 }
 
 impl JobState {
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -6,6 +6,7 @@
 
 use super::{
     candidates::{CandidateSearch, PlacementRules, StepCandidates, EVALUATION_UNITS},
+    refusals::PlacementRefusal,
     state::{ExecutorKey, ExecutorState, JobKey, JobState, RunsPerExecutor, TaskPhase},
     JobScheduler,
 };
@@ -284,37 +285,51 @@
         let counts = self.step_counts(job, position.0, position.1);
         let failed_on = &job.tasks[task as usize].failed_on;
         let search = CandidateSearch { key, position, counts: &counts, failed_on, rules };
-        let costs = placeable.iter().filter_map(|key| Some((self.cost_on(&search, *key)?, *key)));
+        let costs =
+            placeable.iter().filter_map(|key| Some((self.cost_on(&search, *key).ok()?, *key)));
         let best = costs.min();
         self.charge_units(placeable.len() as u32 * EVALUATION_UNITS);
         best.map(|(_, executor)| executor)
     }
 
-    /// Returns the cost of running a task of the searched step on an executor, or `None` if it
-    /// cannot run there.
-    pub(super) fn cost_on(&self, search: &CandidateSearch, key: ExecutorKey) -> Option<u64> {
+    /// Returns the cost of running a task of the searched step on an executor, or why it cannot run
+    /// there.
+    pub(super) fn cost_on(
+        &self,
+        search: &CandidateSearch,
+        key: ExecutorKey,
+    ) -> Result<u64, PlacementRefusal> {
         let job = &self.jobs[search.key];
         let step = search.position.1;
         let spec = &job.record.steps[step];
-        let executor = self.executors.get(key)?;
-        if !executor.may_have_capacity_for(spec)
-            || !self.is_usable(executor)
-            || executor.record.is_quarantined(self.now) != search.rules.on_probation
-            || (search.rules.on_probation && !executor.record.allows_probation(self.now))
-            || !self.fits_labels(job, spec, key)
-            || !within_limit(spec, search.counts, key)
-        {
-            return None;
+        let executor = self.executors.get(key).ok_or(PlacementRefusal::Leaving)?;
+        if !executor.may_have_capacity_for(spec) {
+            return Err(PlacementRefusal::Capacity);
+        }
+        if let Some(refusal) = self.general_refusal(executor) {
+            return Err(refusal);
+        }
+        if executor.record.is_quarantined(self.now) != search.rules.on_probation {
+            return Err(PlacementRefusal::Quarantined);
+        }
+        if search.rules.on_probation && !executor.record.allows_probation(self.now) {
+            return Err(PlacementRefusal::ProbationPause);
+        }
+        if !self.fits_labels(job, spec, key) {
+            return Err(PlacementRefusal::Labels);
+        }
+        if !within_limit(spec, search.counts, key) {
+            return Err(PlacementRefusal::Limit);
         }
         if job.record.terms.advice.is_some()
             && self.ticket((search.key, search.position.0, step), key).is_none()
         {
-            return None;
+            return Err(PlacementRefusal::Ticket);
         }
         let demand = demand_of(spec);
         let mut load = self.load_of(job, spec, executor, search.failed_on);
         if !load.has_capacity_for(&demand) {
-            return None;
+            return Err(PlacementRefusal::Capacity);
         }
         let image = job.images[step];
         if spec.fills {
@@ -322,14 +337,14 @@
             let interferes =
                 load.pressure > MAX_PRESSURE || self.exceeds_trial_limit(executor, image);
             if self.now < executor.no_best_effort_until || (interferes && !search.rules.starving) {
-                return None;
+                return Err(PlacementRefusal::Interference);
             }
         } else if spec.long_running {
             load.pressure = self.pressure_on(executor, image);
         }
         load.neighbour_demand = self.neighbour_demand_on(executor);
         load.same_image = executor.latency_critical_images.iter().any(|(known, _)| *known == image);
-        Some(load.cost(&demand))
+        Ok(load.cost(&demand))
     }
 
     pub(super) fn fits_labels(&self, job: &JobState, spec: &JobStep, key: ExecutorKey) -> bool {
--- a/crates/cuminbank-jobs/src/scheduler/wait_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/wait_reports.rs
@@ -1,14 +1,16 @@
 //! Log entries about long-running tasks that wait for an executor, with the reasons.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use cuminbank::log::TASK_WAITS;
 
 use super::{
-    state::{ExecutorState, JobKey, JobState},
+    candidates::{CandidateSearch, PlacementRules},
+    refusals::PlacementRefusal,
+    state::{JobKey, JobState},
     JobScheduler,
 };
-use crate::{ids::TaskIndex, job::JobStep};
+use crate::ids::{MonotonicTime, TaskIndex};
 
 /// Wait after which a long-running task is logged, and the interval between log entries about a
 /// job.
@@ -19,15 +21,16 @@
 #[derive(Debug, Default)]
 struct WaitCauses {
     with_capacity: u32,
-    quarantined: u32,
-    paused: u32,
-    unreachable: u32,
-    leaving: u32,
-    evacuated: u32,
-    limit: u32,
+    by_refusal: BTreeMap<PlacementRefusal, u32>,
     usable: u32,
 }
 
+impl WaitCauses {
+    fn count(&self, refusal: PlacementRefusal) -> u32 {
+        self.by_refusal.get(&refusal).copied().unwrap_or_default()
+    }
+}
+
 impl JobScheduler {
     /// Logs the long-running tasks that have waited for at least [`REPORTED_WAIT`].
     pub(super) fn report_waits(&mut self) {
@@ -54,66 +57,54 @@
             let needs = job.record.steps[step].needs;
             let waited = now.saturating_sub(job.tasks[task as usize].ready_since);
             let id = job.id;
-            let WaitCauses {
-                with_capacity,
-                quarantined,
-                paused,
-                unreachable,
-                leaving,
-                evacuated,
-                limit,
-                usable,
-            } = causes;
+            let age = |at: MonotonicTime| now.saturating_sub(at).as_millis().to_string();
+            let searched = job.searched_at.map_or_else(|| "never".to_owned(), age);
+            let skipped = job.skipped.map_or_else(
+                || "never".to_owned(),
+                |(at, failed)| format!("{} skipped_for={failed:016x}", age(at)),
+            );
             let detail = format!(
-                "task={task} waited_ms={} cpu={} memory_mb={} with_room={with_capacity} \
-                 shunned={quarantined} paused={paused} unreachable={unreachable} leaving={leaving} \
-                 evacuated={evacuated} limit={limit} usable={usable}",
+                "task={task} waited_ms={} cpu={} memory_mb={} with_room={} shunned={} paused={} \
+                 unreachable={} unlisted={} leaving={} evacuated={} limit={} no_ticket={} usable={} \
+                 searched_ms_ago={searched} skipped_ms_ago={skipped}",
                 waited.as_millis(),
                 needs.cpu_millis,
                 needs.memory_mb,
+                causes.with_capacity,
+                causes.count(PlacementRefusal::Quarantined),
+                causes.count(PlacementRefusal::Paused),
+                causes.count(PlacementRefusal::Unreachable),
+                causes.count(PlacementRefusal::Unlisted),
+                causes.count(PlacementRefusal::Leaving),
+                causes.count(PlacementRefusal::Evacuated),
+                causes.count(PlacementRefusal::Limit),
+                causes.count(PlacementRefusal::Ticket),
+                causes.usable,
             );
             self.log(TASK_WAITS, Some(id), detail);
         }
     }
 
+    /// Evaluates each executor with free capacity in the same way as the placement.
     fn wait_causes(&self, key: JobKey, task: TaskIndex) -> WaitCauses {
         let job = &self.jobs[key];
-        let (occurrence, step) = job.layout.position(task);
-        let spec = &job.record.steps[step];
-        let counts = self.step_counts(job, occurrence, step);
+        let position = job.layout.position(task);
+        let spec = &job.record.steps[position.1];
+        let counts = self.step_counts(job, position.0, position.1);
+        let failed_on = &job.tasks[task as usize].failed_on;
+        let rules = PlacementRules::default();
+        let search = CandidateSearch { key, position, counts: &counts, failed_on, rules };
         let mut causes = WaitCauses::default();
         for (executor_key, executor) in &self.executors {
             if !executor.may_have_capacity_for(spec) || !self.fits_labels(job, spec, executor_key) {
                 continue;
             }
             causes.with_capacity += 1;
-            let step_runs = counts.get(&executor_key).copied().unwrap_or_default();
-            *self.cause_of(executor, spec, step_runs, &mut causes) += 1;
+            match self.cost_on(&search, executor_key) {
+                Ok(_) => causes.usable += 1,
+                Err(refusal) => *causes.by_refusal.entry(refusal).or_default() += 1,
+            }
         }
         causes
     }
-
-    fn cause_of<'a>(
-        &self,
-        executor: &ExecutorState,
-        spec: &JobStep,
-        step_runs: u32,
-        causes: &'a mut WaitCauses,
-    ) -> &'a mut u32 {
-        if executor.draining || self.is_absent(executor) {
-            &mut causes.leaving
-        } else if self.is_evacuated(executor) {
-            &mut causes.evacuated
-        } else if executor.hold.failures > 0 || !executor.contacted {
-            &mut causes.unreachable
-        } else if executor.record.is_quarantined(self.now) {
-            &mut causes.quarantined
-        } else if self.now < executor.no_starts_until {
-            &mut causes.paused
-        } else if spec.max_per_executor > 0 && step_runs >= spec.max_per_executor {
-            &mut causes.limit
-        } else {
-            &mut causes.usable
-        }
-    }
 }
