Do not record failed searches that the limit of a step caused

Callers saw: tasks of long-running jobs without a run for up to 15 s beside executors with room (LOST).

Cause: a failed search is recorded as a shape for the rest of the pass, and tasks that need as much are skipped. A search can also fail because the job's own tasks occupy all executors with room (max_per_executor), which says nothing about other jobs. An early job in the order then hid every later one of the same image, in each pass anew.

Why it works: the shape again holds all that decides. Where the limit decided, the failure stays with the step, whose further tasks are skipped as before.

--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -292,6 +292,29 @@
         best.map(|(_, executor)| executor)
     }
 
+    /// Returns whether some executor can run a task but for the limit of its step, which does not
+    /// apply to other jobs.
+    pub(super) fn is_refused_by_limit(
+        &mut self,
+        key: JobKey,
+        task: TaskIndex,
+        rules: PlacementRules,
+        placeable: &[ExecutorKey],
+    ) -> bool {
+        let job = &self.jobs[key];
+        let position = job.layout.position(task);
+        if job.record.steps[position.1].max_per_executor == 0 {
+            return false;
+        }
+        let counts = self.step_counts(job, position.0, position.1);
+        let search = CandidateSearch { key, position, counts: &counts, failed_on: &[], rules };
+        let refused = placeable
+            .iter()
+            .any(|executor| self.cost_on(&search, *executor) == Err(PlacementRefusal::Limit));
+        self.charge_units(placeable.len() as u32);
+        refused
+    }
+
     /// Returns the cost of running a task of the searched step on an executor, or why it cannot run
     /// there.
     pub(super) fn cost_on(
