Do not record the failed placement of a gang as a shape

Callers would see: single tasks that wait although executors have room, while a gang of the same image waits for room for all its members.

Cause: as with the limit of a step: a gang fails because of its size, but was recorded with the needs of one member. Evidence: waiting_gang_does_not_hide_single_tasks failed before and passes. Gangs were never skipped because of a shape, so they cost no more searches than before.

--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -60,7 +60,8 @@
 
 /// Shape of a task that could not be placed: the properties that decide whether an executor can run
 /// it. Later tasks of the same pass that need at least as much are skipped. A failed search that
-/// depends on more than these, such as the runs of the same step, is not recorded.
+/// depends on more than these, such as the runs of the same step or the size of a gang, is not
+/// recorded.
 #[derive(Debug)]
 struct UnplacedShape {
     /// Job of the task, for the log.
@@ -265,6 +266,7 @@
             if !placed {
                 skipped_step = Some((occurrence, step));
                 if !advised
+                    && !gang
                     && !known_unplaceable
                     && !self.is_refused_by_limit(key, task, rules, &pass.placeable)
                 {
