Place the tasks of a step in the order of their wait

Callers would see: a long-running task that waits although a quarantined executor has room.

Cause: once a task of a step finds no executor, the rest of the step is skipped. Whether a task may start on a quarantined executor, or despite minor losses, depends on its own wait, and tasks were tried by their index: one that has just become ready kept older ones from starting, again with each new failure. Evidence: newly_ready_task_does_not_hide_the_probation_of_another failed before and passes.

--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -201,7 +201,12 @@
     fn place_job(&mut self, key: JobKey, pass: &mut QueuePass) -> bool {
         // The job may have ended since the pass began.
         let Some(job) = self.jobs.get(key).filter(|job| job.outcome.is_none()) else { return true };
-        let ready: Vec<TaskIndex> = job.ready.iter().copied().collect();
+        let mut ready: Vec<TaskIndex> = job.ready.iter().copied().collect();
+        // What a task may do grows with its wait, so the remaining tasks of a step can only be
+        // skipped after one that has waited longest.
+        ready.sort_by_key(|task| {
+            (job.layout.position(*task), job.tasks[*task as usize].ready_since)
+        });
         self.choose_zone(key);
         let job = &self.jobs[key];
         let mut idle = job.tasks.iter().all(|task| task.runs.is_empty());
