Place long-running jobs with a starved task before all others

Cause: jobs that can meet their objective come before long-running ones, without a bound. While such jobs keep arriving, they take all room that becomes free, and executors with room are seen at all times.

Change: a long-running job with a task that has waited for 2 s is starved and comes first, the longest wait before others. At most 100 unplaceable shapes of starved jobs are tried in a pass, so that the other jobs still follow.

--- a/crates/cuminbank-jobs/src/priority.rs
+++ b/crates/cuminbank-jobs/src/priority.rs
@@ -3,11 +3,12 @@
 //! The order matters in bursts, when many jobs arrive at once and not all can meet their latency
 //! objective. Jobs that can still meet it come first, ordered by priority and then by the shortest
 //! remaining time. Long-running jobs come next: each of their tasks occupies its CPU for a minute,
-//! in which the CPU could run many short tasks, and a short wait costs them little. Late jobs
-//! follow, those with the shortest remaining time first. Jobs so late that their results have no
-//! value come last, in order of arrival.
+//! in which the CPU could run many short tasks, and a short wait costs them little. A task that has
+//! waited longer makes its job starved, which puts it before all others, since jobs that can meet
+//! their objective may arrive without end. Late jobs follow, those with the shortest remaining time
+//! first. Jobs so late that their results have no value come last, in order of arrival.
 
-use std::cmp::Ordering;
+use std::{cmp::Ordering, time::Duration};
 
 use crate::ids::MonotonicTime;
 
@@ -17,6 +18,10 @@
 /// count as feasible. Less than 100, because estimates are imprecise.
 const FEASIBLE_PERCENT: u32 = 80;
 
+/// Wait of a long-running task after which its job comes first. A long-running task must not be
+/// without a run for 6 s while executors have room.
+const STARVED_WAIT: Duration = Duration::from_secs(2);
+
 /// Properties of a job that determine its position in the queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct JobUrgency {
@@ -30,11 +35,15 @@
     pub remaining: MonotonicTime,
     /// Whether its tasks run until the job is cancelled.
     pub long_running: bool,
+    /// Since when its ready task with the longest wait has been ready.
+    pub ready_since: MonotonicTime,
 }
 
 /// Tier of a job in the queue, by the outcome it can still reach.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum JobTier {
+    /// Runs until it is cancelled and has a task that has waited too long.
+    Starved,
     /// Can meet its latency objective.
     Feasible,
     /// Runs until it is cancelled.
@@ -49,7 +58,10 @@
     /// Returns the tier of the job at a time.
     pub fn tier(&self, now: MonotonicTime) -> JobTier {
         if self.long_running {
-            return JobTier::LongRunning;
+            return match now >= self.ready_since + STARVED_WAIT {
+                true => JobTier::Starved,
+                false => JobTier::LongRunning,
+            };
         }
         let ready = now + self.remaining * FEASIBLE_PERCENT / 100;
         let objective = self.deadline.saturating_sub(self.arrived);
@@ -70,6 +82,7 @@
         JobTier::Feasible => {
             left.priority.cmp(&right.priority).then(left.remaining.cmp(&right.remaining))
         }
+        JobTier::Starved => left.ready_since.cmp(&right.ready_since),
         JobTier::Late => left.remaining.cmp(&right.remaining),
         JobTier::LongRunning | JobTier::Overdue => left.arrived.cmp(&right.arrived),
     };
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -15,7 +15,7 @@
     colocation::ImageId,
     ids::{JobId, MonotonicTime, TaskIndex},
     job::TaskNeeds,
-    priority::{self, JobUrgency},
+    priority::{self, JobTier, JobUrgency},
 };
 
 /// Number of unplaceable shapes (see [`UnplacedShape`]) after which a pass only considers
@@ -23,6 +23,8 @@
 const MAX_UNPLACED_SHAPES: usize = 150;
 /// Number of unplaceable shapes after which a pass ends.
 const MAX_UNPLACED_SHAPES_TOTAL: usize = 250;
+/// Number of unplaceable shapes of starved jobs after which the other jobs follow.
+const MAX_STARVED_SHAPES: usize = 100;
 /// Wait after which a long-running task may start on a quarantined executor. Such a task must not
 /// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
 const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
@@ -48,12 +50,16 @@
 /// Pass that has not finished.
 #[derive(Debug, Default)]
 pub(super) struct QueuePass {
-    /// Jobs still to be considered, most urgent first.
+    /// Starved jobs still to be considered, the one with the longest wait first.
+    starved: VecDeque<JobKey>,
+    /// Other jobs still to be considered, most urgent first.
     jobs: VecDeque<JobKey>,
     placeable: Vec<ExecutorKey>,
     /// Executors that are usable but quarantined.
     quarantined: Vec<ExecutorKey>,
     unplaced: Vec<UnplacedShape>,
+    /// Number of [`Self::unplaced`] that are of starved jobs.
+    starved_shapes: usize,
     /// Whether only long-running jobs are considered from now on.
     long_running_only: bool,
 }
@@ -122,22 +128,30 @@
             None if self.pass_needed => self.begin_pass(),
             None => return,
         };
-        while let Some(key) = pass.jobs.pop_front() {
+        while let Some(key) = pass.starved.front().or(pass.jobs.front()).copied() {
             if self.starts_in_flight >= self.max_starts_in_flight {
                 // The next reply to a start triggers a new pass, with the urgencies at that time.
                 self.next_pass_at = self.now + PASS_INTERVAL;
                 return;
             }
             if !self.place_job(key, &mut pass) {
-                pass.jobs.push_front(key);
                 self.pass = Some(pass);
                 self.next_pass_at = self.now + SLICE_PAUSE;
                 return;
             }
-            if pass.unplaced.len() >= MAX_UNPLACED_SHAPES_TOTAL {
+            if pass.starved.pop_front().is_some() {
+                pass.starved_shapes = pass.unplaced.len();
+                if pass.starved_shapes >= MAX_STARVED_SHAPES {
+                    pass.starved.clear();
+                }
+                continue;
+            }
+            pass.jobs.pop_front();
+            let unplaced = pass.unplaced.len() - pass.starved_shapes;
+            if unplaced >= MAX_UNPLACED_SHAPES_TOTAL {
                 break;
             }
-            if pass.unplaced.len() >= MAX_UNPLACED_SHAPES && !pass.long_running_only {
+            if unplaced >= MAX_UNPLACED_SHAPES && !pass.long_running_only {
                 pass.long_running_only = true;
                 let jobs = &self.jobs;
                 pass.jobs.retain(|key| jobs.get(*key).is_some_and(JobState::is_long_running));
@@ -191,8 +205,10 @@
             .map(|(key, _)| key)
             .partition(|key| self.executors[*key].record.is_quarantined(now));
         self.charge_units((waiting.len() + self.executors.len()) as u32);
-        let jobs = waiting.into_iter().map(|(key, _)| key).collect();
-        QueuePass { jobs, placeable, quarantined, ..QueuePass::default() }
+        let starved = waiting.partition_point(|(_, job)| job.tier(now) == JobTier::Starved);
+        let mut jobs: VecDeque<JobKey> = waiting.into_iter().map(|(key, _)| key).collect();
+        let rest = jobs.split_off(starved);
+        QueuePass { starved: jobs, jobs: rest, placeable, quarantined, ..QueuePass::default() }
     }
 
     /// Starts the ready tasks of a job and records the shapes that could not be placed. Returns
@@ -290,9 +306,16 @@
         deadline: job.deadline,
         remaining: remaining_time(job),
         long_running: job.record.is_long_running(),
+        ready_since: longest_wait_since(job),
     }
 }
 
+/// Returns since when the ready task with the longest wait has been ready.
+fn longest_wait_since(job: &JobState) -> MonotonicTime {
+    let since = job.ready.iter().map(|task| job.tasks[*task as usize].ready_since);
+    since.min().unwrap_or_default()
+}
+
 /// Returns the estimated length of the longest critical path from an unfinished step.
 fn remaining_time(job: &JobState) -> MonotonicTime {
     let steps = job.record.steps.len();
--- a/crates/cuminbank-jobs/tests/priority.rs
+++ b/crates/cuminbank-jobs/tests/priority.rs
@@ -43,6 +43,7 @@
             deadline: now + objective,
             remaining: estimate,
             long_running: false,
+            ready_since: now,
         };
         jobs.push(BurstJob { urgency, work, value: if urgent { 0.389 } else { 0.915 } });
     }
@@ -115,6 +116,7 @@
         deadline: Duration::from_secs(deadline),
         remaining: Duration::from_secs(2),
         long_running,
+        ready_since: Duration::from_secs(13),
     };
     let now = Duration::from_secs(14);
     assert_eq!(job(false, 18).tier(now), JobTier::Feasible);
@@ -124,3 +126,23 @@
     assert_eq!(compare(now, &job(false, 18), &job(true, 11)), Ordering::Less);
     assert_eq!(compare(now, &job(true, 11), &job(false, 13)), Ordering::Less);
 }
+
+// Guards against long-running tasks that wait without end because jobs that can still meet their
+// objective keep arriving.
+#[test]
+fn starved_long_running_job_comes_first() {
+    let now = Duration::from_secs(14);
+    let job = |long_running, waited| JobUrgency {
+        priority: 0,
+        arrived: now,
+        deadline: now + Duration::from_secs(5),
+        remaining: Duration::from_secs(1),
+        long_running,
+        ready_since: now - Duration::from_millis(waited),
+    };
+    assert_eq!(job(true, 1_900).tier(now), JobTier::LongRunning);
+    assert_eq!(job(true, 2_000).tier(now), JobTier::Starved);
+    assert_eq!(job(false, 2_000).tier(now), JobTier::Feasible);
+    assert_eq!(compare(now, &job(true, 2_000), &job(false, 2_000)), Ordering::Less);
+    assert_eq!(compare(now, &job(true, 3_000), &job(true, 2_000)), Ordering::Less);
+}
--- a/crates/cuminbank-jobs/tests/waiting.rs
+++ b/crates/cuminbank-jobs/tests/waiting.rs
@@ -123,17 +123,21 @@
 // room.
 #[test]
 fn jobs_without_room_do_not_hide_later_ones() {
-    const LATER_JOB: JobId = 1_000;
+    const CANCELLED_JOB: JobId = 1_000;
+    const LATER_JOB: JobId = 1_001;
     let mut pool = pool(2, |_| LASTING);
-    let large = JobStep { needs: cores(6), ..long_running(2) };
-    submit(&mut pool, 0, large.clone());
+    let large = JobStep { needs: cores(6), ..long_running(1) };
+    submit(&mut pool, 0, JobStep { count: 2, ..large.clone() });
+    submit(&mut pool, CANCELLED_JOB, long_running(4));
     pool.run_until(SUBMITTED + Duration::from_millis(500));
     for id in 1..400 {
         let image = format!("image-{id}");
-        submit(&mut pool, id, JobStep { image, count: 1, ..large.clone() });
+        submit(&mut pool, id, JobStep { image, ..large.clone() });
     }
-    pool.run_until(pool.now + Duration::from_millis(500));
     submit(&mut pool, LATER_JOB, long_running(1));
     pool.run_until(pool.now + START_LIMIT);
+    assert_eq!(pool.running(LATER_JOB), 0);
+    pool.cancel(CANCELLED_JOB);
+    pool.run_until(pool.now + START_LIMIT);
     assert_eq!(pool.running(LATER_JOB), 1);
 }
