Continue with the remaining starved jobs in the next pass

Callers would see: tasks that no pass reaches, since each ends its search for starved jobs after the same 100 shapes without room.

Cause: the bound on the work of a pass cut off the end of a fixed order. The next pass now starts after the last job that was considered. Evidence: jobs_without_room_do_not_hide_later_ones failed before (not running 3 s after room became free) and passes.

--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -46,7 +46,7 @@
     advice::AdviceState,
     journal::JournalState,
     orders::{max_starts_in_flight, PendingOrder},
-    pass::{slice_units, QueuePass},
+    pass::{slice_units, QueuePass, StarvedJob},
     state::{ExecutorState, JobState, RunState},
 };
 use crate::{
@@ -277,6 +277,8 @@
     pass_needed: bool,
     /// Unfinished pass over the queue.
     pass: Option<QueuePass>,
+    /// Starved job after which the last pass left out the remaining ones, if it did.
+    last_starved: Option<StarvedJob>,
     /// Work budget of one slice of a pass, and the units spent by the last slice.
     slice_units: u32,
     spent_units: u32,
@@ -338,6 +340,7 @@
             waiting: HashSet::new(),
             pass_needed: false,
             pass: None,
+            last_starved: None,
             slice_units: slice_units(1.0),
             spent_units: 0,
             max_starts_in_flight: usize::MAX,
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -23,7 +23,8 @@
 const MAX_UNPLACED_SHAPES: usize = 150;
 /// Number of unplaceable shapes after which a pass ends.
 const MAX_UNPLACED_SHAPES_TOTAL: usize = 250;
-/// Number of unplaceable shapes of starved jobs after which the other jobs follow.
+/// Number of unplaceable shapes of starved jobs after which the other jobs follow. The next pass
+/// goes on with the remaining starved jobs.
 const MAX_STARVED_SHAPES: usize = 100;
 /// Wait after which a long-running task may start on a quarantined executor. Such a task must not
 /// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
@@ -47,11 +48,14 @@
 const BACKOFF_INTERVAL: Duration = Duration::from_millis(20);
 const UNPLACED_PER_INTERVAL: u32 = 40;
 
+/// Starved job, after the time since which its ready task with the longest wait has been ready.
+pub(super) type StarvedJob = (MonotonicTime, JobKey);
+
 /// Pass that has not finished.
 #[derive(Debug, Default)]
 pub(super) struct QueuePass {
     /// Starved jobs still to be considered, the one with the longest wait first.
-    starved: VecDeque<JobKey>,
+    starved: VecDeque<StarvedJob>,
     /// Other jobs still to be considered, most urgent first.
     jobs: VecDeque<JobKey>,
     placeable: Vec<ExecutorKey>,
@@ -64,6 +68,13 @@
     long_running_only: bool,
 }
 
+impl QueuePass {
+    fn next_job(&self) -> Option<JobKey> {
+        let starved = self.starved.front().map(|(_, key)| *key);
+        starved.or(self.jobs.front().copied())
+    }
+}
+
 /// Shape of a task that could not be placed: the properties that decide whether an executor can run
 /// it. Later tasks of the same pass that need at least as much are skipped. A failed search that
 /// depends on more than these, such as the runs of the same step or the size of a gang, is not
@@ -128,7 +139,7 @@
             None if self.pass_needed => self.begin_pass(),
             None => return,
         };
-        while let Some(key) = pass.starved.front().or(pass.jobs.front()).copied() {
+        while let Some(key) = pass.next_job() {
             if self.starts_in_flight >= self.max_starts_in_flight {
                 // The next reply to a start triggers a new pass, with the urgencies at that time.
                 self.next_pass_at = self.now + PASS_INTERVAL;
@@ -139,10 +150,12 @@
                 self.next_pass_at = self.now + SLICE_PAUSE;
                 return;
             }
-            if pass.starved.pop_front().is_some() {
+            if let Some(starved) = pass.starved.pop_front() {
                 pass.starved_shapes = pass.unplaced.len();
+                self.last_starved = None;
                 if pass.starved_shapes >= MAX_STARVED_SHAPES {
                     pass.starved.clear();
+                    self.last_starved = Some(starved);
                 }
                 continue;
             }
@@ -205,10 +218,15 @@
             .map(|(key, _)| key)
             .partition(|key| self.executors[*key].record.is_quarantined(now));
         self.charge_units((waiting.len() + self.executors.len()) as u32);
-        let starved = waiting.partition_point(|(_, job)| job.tier(now) == JobTier::Starved);
-        let mut jobs: VecDeque<JobKey> = waiting.into_iter().map(|(key, _)| key).collect();
-        let rest = jobs.split_off(starved);
-        QueuePass { starved: jobs, jobs: rest, placeable, quarantined, ..QueuePass::default() }
+        let others = waiting
+            .split_off(waiting.partition_point(|(_, job)| job.tier(now) == JobTier::Starved));
+        let mut starved: VecDeque<StarvedJob> =
+            waiting.into_iter().map(|(key, job)| (job.ready_since, key)).collect();
+        if let Some(last) = self.last_starved {
+            starved.rotate_left(starved.partition_point(|job| *job <= last));
+        }
+        let jobs = others.into_iter().map(|(key, _)| key).collect();
+        QueuePass { starved, jobs, placeable, quarantined, ..QueuePass::default() }
     }
 
     /// Starts the ready tasks of a job and records the shapes that could not be placed. Returns
