--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -15,7 +15,7 @@
     colocation::ImageId,
     ids::{JobId, MonotonicTime, TaskIndex},
     job::TaskNeeds,
-    priority::{self, JobUrgency},
+    priority::{self, JobTier, JobUrgency},
 };
 
 /// Number of unplaceable shapes (see [`UnplacedShape`]) after which a pass only considers
@@ -23,6 +23,9 @@
 const MAX_UNPLACED_SHAPES: usize = 150;
 /// Number of unplaceable shapes after which a pass ends.
 const MAX_UNPLACED_SHAPES_TOTAL: usize = 250;
+/// Number of unplaceable shapes of starved jobs after which the other jobs follow. The next pass
+/// goes on with the remaining starved jobs.
+const MAX_STARVED_SHAPES: usize = 100;
 /// Wait after which a long-running task may start on a quarantined executor. Such a task must not
 /// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
 const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
@@ -45,21 +48,37 @@
 const BACKOFF_INTERVAL: Duration = Duration::from_millis(20);
 const UNPLACED_PER_INTERVAL: u32 = 40;
 
+/// Starved job, after the time since which its ready task with the longest wait has been ready.
+pub(super) type StarvedJob = (MonotonicTime, JobKey);
+
 /// Pass that has not finished.
 #[derive(Debug, Default)]
 pub(super) struct QueuePass {
-    /// Jobs still to be considered, most urgent first.
+    /// Starved jobs still to be considered, the one with the longest wait first.
+    starved: VecDeque<StarvedJob>,
+    /// Other jobs still to be considered, most urgent first.
     jobs: VecDeque<JobKey>,
     placeable: Vec<ExecutorKey>,
     /// Executors that are usable but quarantined.
     quarantined: Vec<ExecutorKey>,
     unplaced: Vec<UnplacedShape>,
+    /// Number of [`Self::unplaced`] that are of starved jobs.
+    starved_shapes: usize,
     /// Whether only long-running jobs are considered from now on.
     long_running_only: bool,
 }
 
+impl QueuePass {
+    fn next_job(&self) -> Option<JobKey> {
+        let starved = self.starved.front().map(|(_, key)| *key);
+        starved.or(self.jobs.front().copied())
+    }
+}
+
 /// Shape of a task that could not be placed: the properties that decide whether an executor can run
-/// it. Later tasks of the same pass that need at least as much are skipped.
+/// it. Later tasks of the same pass that need at least as much are skipped. A failed search that
+/// depends on more than these, such as the runs of the same step or the size of a gang, is not
+/// recorded.
 #[derive(Debug)]
 struct UnplacedShape {
     /// Job of the task, for the log.
@@ -120,22 +139,32 @@
             None if self.pass_needed => self.begin_pass(),
             None => return,
         };
-        while let Some(key) = pass.jobs.pop_front() {
+        while let Some(key) = pass.next_job() {
             if self.starts_in_flight >= self.max_starts_in_flight {
                 // The next reply to a start triggers a new pass, with the urgencies at that time.
                 self.next_pass_at = self.now + PASS_INTERVAL;
                 return;
             }
             if !self.place_job(key, &mut pass) {
-                pass.jobs.push_front(key);
                 self.pass = Some(pass);
                 self.next_pass_at = self.now + SLICE_PAUSE;
                 return;
             }
-            if pass.unplaced.len() >= MAX_UNPLACED_SHAPES_TOTAL {
+            if let Some(starved) = pass.starved.pop_front() {
+                pass.starved_shapes = pass.unplaced.len();
+                self.last_starved = None;
+                if pass.starved_shapes >= MAX_STARVED_SHAPES {
+                    pass.starved.clear();
+                    self.last_starved = Some(starved);
+                }
+                continue;
+            }
+            pass.jobs.pop_front();
+            let unplaced = pass.unplaced.len() - pass.starved_shapes;
+            if unplaced >= MAX_UNPLACED_SHAPES_TOTAL {
                 break;
             }
-            if pass.unplaced.len() >= MAX_UNPLACED_SHAPES && !pass.long_running_only {
+            if unplaced >= MAX_UNPLACED_SHAPES && !pass.long_running_only {
                 pass.long_running_only = true;
                 let jobs = &self.jobs;
                 pass.jobs.retain(|key| jobs.get(*key).is_some_and(JobState::is_long_running));
@@ -189,8 +218,15 @@
             .map(|(key, _)| key)
             .partition(|key| self.executors[*key].record.is_quarantined(now));
         self.charge_units((waiting.len() + self.executors.len()) as u32);
-        let jobs = waiting.into_iter().map(|(key, _)| key).collect();
-        QueuePass { jobs, placeable, quarantined, ..QueuePass::default() }
+        let others = waiting
+            .split_off(waiting.partition_point(|(_, job)| job.tier(now) == JobTier::Starved));
+        let mut starved: VecDeque<StarvedJob> =
+            waiting.into_iter().map(|(key, job)| (job.ready_since, key)).collect();
+        if let Some(last) = self.last_starved {
+            starved.rotate_left(starved.partition_point(|job| *job <= last));
+        }
+        let jobs = others.into_iter().map(|(key, _)| key).collect();
+        QueuePass { starved, jobs, placeable, quarantined, ..QueuePass::default() }
     }
 
     /// Starts the ready tasks of a job and records the shapes that could not be placed. Returns
@@ -199,7 +235,12 @@
     fn place_job(&mut self, key: JobKey, pass: &mut QueuePass) -> bool {
         // The job may have ended since the pass began.
         let Some(job) = self.jobs.get(key).filter(|job| job.outcome.is_none()) else { return true };
-        let ready: Vec<TaskIndex> = job.ready.iter().copied().collect();
+        let mut ready: Vec<TaskIndex> = job.ready.iter().copied().collect();
+        // What a task may do grows with its wait, so the remaining tasks of a step can only be
+        // skipped after one that has waited longest.
+        ready.sort_by_key(|task| {
+            (job.layout.position(*task), job.tasks[*task as usize].ready_since)
+        });
         self.choose_zone(key);
         let job = &self.jobs[key];
         let mut idle = job.tasks.iter().all(|task| task.runs.is_empty());
@@ -263,7 +304,11 @@
             idle &= !placed;
             if !placed {
                 skipped_step = Some((occurrence, step));
-                if !advised && !known_unplaceable {
+                if !advised
+                    && !gang
+                    && !known_unplaceable
+                    && !self.is_refused_by_limit(key, task, rules, &pass.placeable)
+                {
                     pass.unplaced.push(UnplacedShape::new(&self.jobs[key], step, rules));
                 }
             }
@@ -279,9 +324,16 @@
         deadline: job.deadline,
         remaining: remaining_time(job),
         long_running: job.record.is_long_running(),
+        ready_since: longest_wait_since(job),
     }
 }
 
+/// Returns since when the ready task with the longest wait has been ready.
+fn longest_wait_since(job: &JobState) -> MonotonicTime {
+    let since = job.ready.iter().map(|task| job.tasks[*task as usize].ready_since);
+    since.min().unwrap_or_default()
+}
+
 /// Returns the estimated length of the longest critical path from an unfinished step.
 fn remaining_time(job: &JobState) -> MonotonicTime {
     let steps = job.record.steps.len();
