--- /dev/null
+++ b/crates/cuminbank-jobs/tests/waiting_review.rs
@@ -0,0 +1,182 @@
+//! Tests of further tasks that wait although executors have room for them.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminbank_jobs::{
+    ids::JobId,
+    job::{AdviceTerms, JobRecord, JobStep, TaskName, TaskNeeds},
+    order::RunEnd,
+};
+use support::{
+    jobs::{job, step},
+    simulation::SimulatedPool,
+};
+
+const SUBMITTED: Duration = Duration::from_secs(3);
+/// Time after which a long-running task must have started if executors have room for it.
+const START_LIMIT: Duration = Duration::from_secs(3);
+/// Run time of a task that goes on beyond the end of each test.
+const LASTING: Duration = Duration::from_secs(600);
+const LASTING_JOB: JobId = 1_000;
+const LATER_JOB: JobId = 2_000;
+const SHORT_JOB: JobId = 3_000;
+
+fn needs(cpu_millis: u32) -> TaskNeeds {
+    TaskNeeds { cpu_millis, memory_mb: 10, gpus: 0 }
+}
+
+fn long_running(count: u32) -> JobStep {
+    JobStep { long_running: true, ..step(count, &[]) }
+}
+
+/// Returns a job that is accepted now, so that it can still meet its objective.
+fn record(pool: &SimulatedPool, step: JobStep) -> JobRecord {
+    // The wall clock of the simulation starts at 1,000 s.
+    let accepted_at = Duration::from_secs(1_000) + pool.now;
+    JobRecord { accepted_at, ..job(vec![step]) }
+}
+
+fn submit(pool: &mut SimulatedPool, id: JobId, step: JobStep) {
+    let record = record(pool, step);
+    pool.submit(id, record);
+}
+
+fn with_lengths(pool: SimulatedPool, length: fn(TaskName) -> Duration) -> SimulatedPool {
+    let plan = move |task, _| (Some(length(task)), RunEnd::Done);
+    let mut pool = pool.with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    pool
+}
+
+// Guards against a step with a limit of tasks per executor that requests no further tickets while
+// it has tickets for executors on which it has reached the limit.
+#[test]
+fn advised_step_at_its_limit_requests_further_tickets() {
+    // More than one request to the advice service may contain.
+    const TASKS: u32 = 35;
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 40), |_| LASTING);
+    pool.advised = pool.executors.iter().map(|executor| executor.name.clone()).collect();
+    let mut record = record(&pool, JobStep { max_per_executor: 1, ..long_running(TASKS) });
+    record.terms.advice = Some(AdviceTerms { decision_ms: 5, per_executor_ms: 1, valid_ms: 3_000 });
+    pool.submit(1, record);
+    pool.run_until(SUBMITTED + START_LIMIT * 4);
+    assert_eq!(pool.running(1), TASKS as usize, "requests: {:?}", pool.advice_requests);
+}
+
+// Guards against starts that come to nothing and begin the wait of a long-running task anew, which
+// then never counts as starved.
+#[test]
+fn rejected_starts_do_not_reset_the_wait() {
+    const REJECTED_RUNS: u32 = 3;
+    /// Time without a run after which the task is lost.
+    const RUN_LIMIT: Duration = Duration::from_secs(6);
+    let length = |task: TaskName| match task.job {
+        LASTING_JOB => LASTING,
+        _ => Duration::from_millis(400),
+    };
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 2), length);
+    let task = TaskName { job: LASTING_JOB, occurrence: 0, step: 0, index: 0 };
+    for executor in &mut pool.executors {
+        executor.closed.insert(task, REJECTED_RUNS);
+    }
+    // Twice the capacity of 16 cores.
+    for id in 0..200 {
+        submit(&mut pool, id, step(8, &[]));
+        if id == 20 {
+            submit(&mut pool, LASTING_JOB, long_running(1));
+        }
+        pool.run_until(pool.now + Duration::from_millis(100));
+        if id == 20 + RUN_LIMIT.as_millis() as u64 / 100 {
+            assert_eq!(pool.running(LASTING_JOB), 1);
+        }
+    }
+}
+
+// Guards against the same as jobs_without_room_do_not_hide_later_ones, for jobs that are not
+// long-running, in a pool of which less than half is in use.
+#[test]
+fn short_jobs_without_room_do_not_hide_later_ones() {
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 2), |_| LASTING);
+    submit(&mut pool, LASTING_JOB, JobStep { max_per_executor: 1, ..long_running(2) });
+    pool.run_until(SUBMITTED + Duration::from_millis(500));
+    assert_eq!(pool.running(LASTING_JOB), 2);
+    for id in 1..200 {
+        let image = format!("image-{id}");
+        submit(&mut pool, id, JobStep { image, needs: needs(8_000), ..step(1, &[]) });
+    }
+    submit(&mut pool, LATER_JOB, step(1, &[]));
+    pool.run_until(pool.now + START_LIMIT);
+    assert_eq!(pool.running(LATER_JOB), 1);
+}
+
+/// Returns a pool of an instance with a small share of a core, with 500 long-running jobs that each
+/// have a task which waits because of the limit of its step.
+fn pool_with_jobs_at_their_limit() -> SimulatedPool {
+    const EXECUTORS: usize = 500;
+    const JOBS: u64 = 500;
+    const SHARE: f64 = 0.12;
+    let length = |task: TaskName| match task.job {
+        SHORT_JOB => Duration::from_millis(400),
+        _ => LASTING,
+    };
+    let pool = SimulatedPool::new(4, 1, EXECUTORS).with_processor_share(SHARE);
+    let mut pool = with_lengths(pool, length);
+    for executor in &mut pool.executors[..2] {
+        executor.capacity = TaskNeeds { cpu_millis: 128_000, memory_mb: 64_000, gpus: 0 };
+        executor.labels.insert(0, "large".to_owned());
+    }
+    pool.run_until(SUBMITTED + Duration::from_secs(2));
+    for id in 1..=JOBS {
+        let step = JobStep {
+            max_per_executor: 1,
+            required_label: Some("large".to_owned()),
+            needs: needs(100),
+            image: format!("image-{id}"),
+            ..long_running(3)
+        };
+        submit(&mut pool, id, step);
+    }
+    pool.run_until(pool.now + Duration::from_secs(10));
+    assert_eq!((1..=JOBS).map(|id| pool.running(id)).sum::<usize>() as u64, JOBS * 2);
+    pool
+}
+
+/// Returns after what time a job has a run, if it has one within 10 s.
+fn time_to_start(pool: &mut SimulatedPool, id: JobId) -> Option<Duration> {
+    let submitted = pool.now;
+    while pool.running(id) == 0 && pool.now < submitted + Duration::from_secs(10) {
+        pool.run_until(pool.now + Duration::from_millis(10));
+    }
+    (pool.running(id) > 0).then_some(pool.now - submitted)
+}
+
+// Guards against jobs that miss their objective although executors have room, because each pass
+// first searches for many starved jobs that have reached their limit.
+#[test]
+fn starved_jobs_at_their_limit_do_not_delay_urgent_ones() {
+    // The objective of the job is 1,050 ms, of which it runs for 400 ms.
+    const URGENT_START: Duration = Duration::from_millis(650);
+    let mut pool = pool_with_jobs_at_their_limit();
+    submit(&mut pool, SHORT_JOB, step(1, &[]));
+    let started = time_to_start(&mut pool, SHORT_JOB);
+    assert!(started.is_some_and(|after| after <= URGENT_START), "{started:?}");
+}
+
+// Guards against long-running tasks that wait for the end of a long pass over starved jobs that
+// have reached their limit.
+#[test]
+fn starved_jobs_at_their_limit_do_not_delay_long_running_ones() {
+    let mut pool = pool_with_jobs_at_their_limit();
+    let started: Vec<Option<Duration>> = (0..3)
+        .map(|number| {
+            // The passes and the jobs are to begin at different times.
+            pool.run_until(pool.now + Duration::from_millis(700));
+            submit(&mut pool, LATER_JOB + number, long_running(1));
+            time_to_start(&mut pool, LATER_JOB + number)
+        })
+        .collect();
+    let in_time = |after: &Option<Duration>| after.is_some_and(|after| after <= START_LIMIT);
+    assert!(started.iter().all(in_time), "{started:?}");
+}
