Let the wait of a task go on if its start came to nothing

Callers would see: a long-running task without a run for 12 s and more during a burst, since each rejected or lost start puts it back behind all urgent work for 2 s.

Cause: requeue_task set the begin of the wait anew whether or not a run had begun, and with it the times after which a task counts as starved, may use a quarantined executor or accepts minor losses. Only a run that an executor has reported ends a wait now.

--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -191,16 +191,25 @@
         self.pass_needed = true;
     }
 
-    /// Makes a task ready again if it has neither runs nor a result.
+    /// Makes a task whose run has ended ready again if it has neither runs nor a result.
     pub(super) fn requeue_task(&mut self, key: JobKey, task: TaskIndex) {
-        let now = self.now;
+        self.requeue_since(key, task, self.now);
+    }
+
+    /// Makes a task ready again whose run never began, if it has neither runs nor a result. Its wait
+    /// goes on.
+    pub(super) fn requeue_unstarted_task(&mut self, key: JobKey, task: TaskIndex) {
+        self.requeue_since(key, task, self.jobs[key].tasks[task as usize].ready_since);
+    }
+
+    fn requeue_since(&mut self, key: JobKey, task: TaskIndex, ready_since: MonotonicTime) {
         let job = &mut self.jobs[key];
         let state = &mut job.tasks[task as usize];
         if state.phase != TaskPhase::Active || !state.runs.is_empty() {
             return;
         }
         state.phase = TaskPhase::Ready;
-        state.ready_since = now;
+        state.ready_since = ready_since;
         if job.outcome.is_none() {
             job.ready.insert(task);
             self.waiting.insert(key);
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -281,7 +281,7 @@
             return self.stop_run(key, "an earlier copy of its start may still arrive");
         }
         let Some(run) = self.remove_run(key) else { return };
-        self.requeue_task(run.job, run.task);
+        self.requeue_unstarted_task(run.job, run.task);
     }
 
     /// Sends the stop of a run. Its resources are released when the executor reports that the run
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -203,6 +203,7 @@
         let logical_time = self.next_logical_time();
         let run = &mut self.runs[run_key];
         run.confirm(now, logical_time);
+        run.reported = true;
         if run.percent != run_report.percent {
             run.percent = run_report.percent;
             run.progressed_at = now;
@@ -294,6 +295,9 @@
         let id = self.jobs[run.job].id;
         let detail = format!("task={} run={} reason={reason}", run.task, run.number);
         self.log(RUN_LOST, Some(id), detail);
-        self.requeue_task(run.job, run.task);
+        match run.reported {
+            true => self.requeue_task(run.job, run.task),
+            false => self.requeue_unstarted_task(run.job, run.task),
+        }
     }
 }
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -330,6 +330,8 @@
     pub(super) sends: u32,
     /// Logical time at which the executor first confirmed the run or its stop.
     pub(super) confirmed: Option<u64>,
+    /// Whether the executor has reported it as running.
+    pub(super) reported: bool,
     /// Start or stop in flight.
     pub(super) order: Option<OrderId>,
     /// Earliest time to resend a start or a stop.
@@ -367,6 +369,7 @@
             since: now,
             sends: 0,
             confirmed: None,
+            reported: false,
             order: None,
             next_order_at: now,
             stop_confirmed: false,
