Bound the searches for starved jobs, not the shapes

Callers would see: urgent jobs that start after seconds on an instance with a small share of a core, while hundreds of long-running jobs wait for the limit of their steps.

Cause: new with the tier of starved jobs. Only recorded shapes were counted, and a failure because of a limit records none, so each pass searched for all of them first. 32 failed searches end that part now, and the next pass goes on after the last one.

--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -23,9 +23,9 @@
 const MAX_UNPLACED_SHAPES: usize = 150;
 /// Number of unplaceable shapes after which a pass ends.
 const MAX_UNPLACED_SHAPES_TOTAL: usize = 250;
-/// Number of unplaceable shapes of starved jobs after which the other jobs follow. The next pass
+/// Number of failed searches for starved jobs after which the other jobs follow. The next pass
 /// goes on with the remaining starved jobs.
-const MAX_STARVED_SHAPES: usize = 100;
+const MAX_STARVED_SEARCHES: u32 = 32;
 /// Wait after which a long-running task may start on a quarantined executor. Such a task must not
 /// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
 const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
@@ -64,6 +64,8 @@
     unplaced: Vec<UnplacedShape>,
     /// Number of [`Self::unplaced`] that are of starved jobs.
     starved_shapes: usize,
+    /// Number of searches that found no executor.
+    failed_searches: u32,
     /// Whether only long-running jobs are considered from now on.
     long_running_only: bool,
 }
@@ -153,7 +155,7 @@
             if let Some(starved) = pass.starved.pop_front() {
                 pass.starved_shapes = pass.unplaced.len();
                 self.last_starved = None;
-                if pass.starved_shapes >= MAX_STARVED_SHAPES {
+                if pass.failed_searches >= MAX_STARVED_SEARCHES {
                     pass.starved.clear();
                     self.last_starved = Some(starved);
                 }
@@ -304,6 +306,7 @@
             idle &= !placed;
             if !placed {
                 skipped_step = Some((occurrence, step));
+                pass.failed_searches += u32::from(!known_unplaceable || on_probation);
                 if !advised
                     && !gang
                     && !known_unplaceable
