Ask for tickets of executors below the limit of the step

Callers would see: a step of a queue with advice of which no more tasks start than the first answer allowed, one for each executor, although further executors have room.

Cause: has_advice counted tickets for executors on which the step has reached its limit, so it neither placed the task nor asked about others.

--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -29,7 +29,7 @@
 
 impl JobScheduler {
     /// Returns whether there are valid tickets for enough executors with free capacity for a task,
-    /// or for all tasks of its gang. Otherwise requests more tickets from the advice service.
+    /// or for all tasks of its gang, within the limit of its step. Otherwise requests more tickets from the advice service.
     pub(super) fn has_advice(
         &mut self,
         key: JobKey,
@@ -40,9 +40,11 @@
         let (occurrence, step) = job.layout.position(task);
         let spec = &job.record.steps[step];
         let demand = demand_of(spec);
+        let counts = self.step_counts(job, occurrence, step);
         let mut suitable: Vec<(u64, ExecutorKey)> = placeable
             .iter()
             .filter(|executor| self.fits_labels(job, spec, **executor))
+            .filter(|executor| within_limit(spec, &counts, **executor))
             .map(|executor| (*executor, self.load_of(job, spec, &self.executors[*executor], &[])))
             .filter(|(_, load)| load.has_capacity_for(&demand))
             .map(|(executor, load)| (load.cost(&demand), executor))
