Do not start the tasks of a job whose progress cannot be read

Callers saw a task that had ended with a result run again after a change of owner, if the new owner could not read the progress of its job, for example since a build with another format had written it.

Cause: on_loaded took unreadable progress for missing, so all tasks of the job were ready. The next write would also have replaced the progress.

Evidence: tasks_of_a_job_with_unreadable_progress_do_not_start failed with "TaskName { job: 7, occurrence: 0, step: 0, index: 0 } started after its result was acknowledged".

An owner that can read the progress continues the job.

--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use cuminbank::log::{JOB_CANCELLED, JOB_ENDED, JOB_LOADED};
+use cuminbank::log::{JOB_CANCELLED, JOB_ENDED, JOB_LOADED, JOB_UNREADABLE};
 
 use super::{
     state::{arrival_time, JobKey, JobState, RunPhase, TaskPhase, TaskState},
@@ -51,16 +51,14 @@
         progress: Option<JobProgress>,
     ) {
         let Some(id) = parse_job_id(key, &self.keys.job_prefix) else { return };
-        if self.job_ids.contains_key(&id) || self.ended_jobs.contains_key(&id) {
+        if self.job_ids.contains_key(&id)
+            || self.ended_jobs.contains_key(&id)
+            || self.unreadable_jobs.contains(&id)
+        {
             return;
         }
         let Some(record) = decode_value::<JobRecord>(value) else {
-            self.log(
-                cuminbank::log::JOB_UNREADABLE,
-                Some(id),
-                format!("key={key} bytes={}", value.len()),
-            );
-            return;
+            return self.log_unreadable_job(id, key, value);
         };
         let fresh = created > self.start_revision;
         self.add_job(id, record, fresh, progress.unwrap_or_default());
@@ -69,6 +67,10 @@
         }
     }
 
+    pub(super) fn log_unreadable_job(&mut self, id: JobId, key: &str, value: &[u8]) {
+        self.log(JOB_UNREADABLE, Some(id), format!("key={key} bytes={}", value.len()));
+    }
+
     fn add_job(&mut self, id: JobId, record: JobRecord, fresh: bool, progress: JobProgress) {
         let layout = TaskLayout::new(&record);
         let count = record.tasks_per_occurrence() * record.occurrences();
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -240,6 +240,8 @@
     /// Outcome of jobs whose details have been dropped, with the time at which they were dropped
     /// or, if the outcome was loaded from the store, at which the job ended.
     ended_jobs: HashMap<JobId, (JobOutcome, WallTime)>,
+    /// Accepted jobs whose record or progress cannot be read. Their tasks are not started.
+    unreadable_jobs: HashSet<JobId>,
     /// Jobs whose cancel request arrived before their record.
     early_cancels: HashSet<JobId>,
     executors: SlotMap<ExecutorKey, ExecutorState>,
@@ -316,6 +318,7 @@
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             ended_jobs: HashMap::new(),
+            unreadable_jobs: HashSet::new(),
             early_cancels: HashSet::new(),
             executors: SlotMap::with_key(),
             executor_names: HashMap::new(),
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -1,7 +1,10 @@
 //! Start of an ownership: loads the stored state and waits until all runs of earlier owners are
 //! known or have ended.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED};
 
@@ -29,19 +32,18 @@
         self.loaded = true;
         let keys = self.keys.clone();
         let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
+        let mut unreadable: HashSet<JobId> = HashSet::new();
         let mut roster = ExecutorRoster::default();
         for item in &items {
             if let Some(job) = parse_job_id(&item.key, &keys.progress_prefix) {
-                // Unreadable progress is treated as missing, so the tasks of its job run again.
                 match decode_value(&item.value) {
                     Some(record) => {
                         progress.insert(job, record);
                     }
-                    None => self.log(
-                        cuminbank::log::JOB_UNREADABLE,
-                        Some(job),
-                        format!("key={} bytes={}", item.key, item.value.len()),
-                    ),
+                    None => {
+                        unreadable.insert(job);
+                        self.log_unreadable_job(job, &item.key, &item.value);
+                    }
                 }
             } else if item.key == keys.roster {
                 roster = decode_value(&item.value).unwrap_or_default();
@@ -67,8 +69,10 @@
         }
         for item in &items {
             if item.key.starts_with(&keys.job_prefix) {
-                let known = parse_job_id(&item.key, &keys.job_prefix);
-                let known = known.and_then(|job| progress.remove(&job));
+                let job = parse_job_id(&item.key, &keys.job_prefix);
+                // Without a job record, the job has ended, and nothing is left to withhold.
+                self.unreadable_jobs.extend(job.filter(|job| unreadable.contains(job)));
+                let known = job.and_then(|job| progress.remove(&job));
                 self.add_job_item(&item.key, &item.value, item.created, known);
             }
         }
--- /dev/null
+++ b/crates/cuminbank-jobs/tests/unreadable.rs
@@ -0,0 +1,73 @@
+//! Tests with records in the store that the owner cannot read, as a build with other formats or a
+//! damaged value would leave them.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminbank_jobs::{
+    ids::JobId,
+    job::TaskName,
+    keys::CellKeys,
+    order::RunEnd,
+    store::{StoreCall, StorePut, StoreTxn},
+};
+use support::{
+    jobs::{job, step},
+    simulation::{InjectedFault, SimulatedPool},
+};
+
+const JOB: JobId = 7;
+/// Not a record of any kind: its first byte is neither an option nor a length of what follows.
+const UNREADABLE: [u8; 2] = [0xff, 0xff];
+/// Time within which a new owner takes over, and runs everything that it may run.
+const TAKEOVER_TIME: Duration = Duration::from_secs(25);
+
+fn replace(pool: &mut SimulatedPool, key: &str, value: &[u8]) {
+    let puts = vec![StorePut::new(key, value.to_vec())];
+    let txn = StoreTxn { puts, ..StoreTxn::default() };
+    pool.store.call(pool.now, &StoreCall::Commit(txn));
+}
+
+fn stored(pool: &SimulatedPool, key: &str) -> Option<Vec<u8>> {
+    pool.store.read(key).into_iter().next().map(|item| item.value)
+}
+
+/// Kills the owner for a second and replaces a record while the cell has no owner. Returns the
+/// record that was replaced.
+fn take_over_with(pool: &mut SimulatedPool, key: &str, value: &[u8]) -> Vec<u8> {
+    let instance = pool.owner().expect("the cell has an owner");
+    pool.fault_at(pool.now, InjectedFault::KillInstance { instance, down: Duration::from_secs(1) });
+    pool.run_until(pool.now + Duration::from_millis(100));
+    let before = stored(pool, key).expect("the record exists");
+    replace(pool, key, value);
+    before
+}
+
+/// Returns a pool in which the first task of a job has ended and the second one, which takes ten
+/// seconds, is running.
+fn pool_with_progress() -> SimulatedPool {
+    let plan = |task: TaskName, _| {
+        let length = if task.step == 0 { 300 } else { 10_000 };
+        (Some(Duration::from_millis(length)), RunEnd::Done)
+    };
+    let mut pool = SimulatedPool::new(5, 2, 3).with_plan(Box::new(plan));
+    pool.run_until(Duration::from_secs(4));
+    pool.submit(JOB, job(vec![step(1, &[]), step(1, &[0])]));
+    pool.run_until(Duration::from_secs(6));
+    assert_eq!(pool.running(JOB), 1);
+    pool
+}
+
+// Guards against a task that runs again after its result was acknowledged: a successor took progress
+// that it could not read for missing.
+#[test]
+fn tasks_of_a_job_with_unreadable_progress_do_not_start() {
+    let mut pool = pool_with_progress();
+    let key = CellKeys::new(0).progress(JOB);
+    take_over_with(&mut pool, &key, &UNREADABLE);
+    pool.run_until(pool.now + TAKEOVER_TIME);
+    assert_eq!(pool.checks.violations, Vec::<String>::new());
+    assert_eq!(pool.phase(JOB), None);
+    assert_eq!(stored(&pool, &key).as_deref(), Some(&UNREADABLE[..]));
+}
