Leave the runs of a job that cannot be read alone

Callers saw work lost, and tasks run twice, after a change of owner to a build that could not read the record or the progress of a job.

Cause: the owner did not know the job, so it stopped its runs as unknown, and acknowledged the reports of their ends, which the executors then deleted. An owner that could read the job later found no trace of the result and started the task again.

Evidence: runs_of_a_job_with_unreadable_progress_keep_their_results and runs_of_a_job_with_an_unreadable_record_keep_their_results failed with "the run of an unreadable job was stopped, left: 0, right: 1".

Runs of such a job now continue under the lease of their executor. The first end of one sets a limit to what the owner acknowledges to this executor, so the report is still there for an owner that can record it. The price: the executor keeps the reports of later ends as well, and is polled at the interval for unrecorded ends.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -127,6 +127,7 @@
             hold: HoldState { next_at: self.now, ..HoldState::default() },
             last_end_number: 0,
             acknowledged: 0,
+            unreadable_end: None,
             runs: Vec::new(),
             reserved: TaskNeeds::default(),
             latency_critical_cpu: 0,
@@ -321,6 +322,7 @@
         if restarted {
             executor.last_end_number = 0;
             executor.acknowledged = 0;
+            executor.unreadable_end = None;
             let detail = format!("executor={name} runs={}", executor.runs.len());
             self.log(EXECUTOR_RESTARTED, None, detail);
         }
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -58,6 +58,7 @@
             return;
         }
         let Some(record) = decode_value::<JobRecord>(value) else {
+            self.unreadable_jobs.insert(id);
             return self.log_unreadable_job(id, key, value);
         };
         let fresh = created > self.start_revision;
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -207,8 +207,8 @@
     fn unrecorded_end_reports(&self) -> Vec<(ExecutorKey, Option<StartMillis>, u64)> {
         self.executors
             .iter()
-            .filter(|(_, executor)| executor.last_end_number > executor.acknowledged)
-            .map(|(key, executor)| (key, executor.started_at, executor.last_end_number))
+            .filter(|(_, executor)| executor.recordable_end() > executor.acknowledged)
+            .map(|(key, executor)| (key, executor.started_at, executor.recordable_end()))
             .collect()
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -240,7 +240,8 @@
     /// Outcome of jobs whose details have been dropped, with the time at which they were dropped
     /// or, if the outcome was loaded from the store, at which the job ended.
     ended_jobs: HashMap<JobId, (JobOutcome, WallTime)>,
-    /// Accepted jobs whose record or progress cannot be read. Their tasks are not started.
+    /// Accepted jobs whose record or progress cannot be read. Their tasks are not started, and
+    /// their runs are left alone.
     unreadable_jobs: HashSet<JobId>,
     /// Jobs whose cancel request arrived before their record.
     early_cancels: HashSet<JobId>,
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cuminbank::log::{RUN_ADOPTED, RUN_ENDED, RUN_LOST, RUN_UNKNOWN};
+use cuminbank::log::{JOB_UNREADABLE, RUN_ADOPTED, RUN_ENDED, RUN_LOST, RUN_UNKNOWN};
 
 use super::{
     orders::{OrderKind, PendingOrder, ORDER_TIMEOUT},
@@ -81,6 +81,12 @@
 
     fn apply_end(&mut self, key: ExecutorKey, end: &EndReport) {
         let name = self.executors[key].name.clone();
+        if self.unreadable_jobs.contains(&end.task.job) {
+            // The executor keeps the report for an owner that can record what follows from it.
+            self.executors[key].unreadable_end.get_or_insert(end.number);
+            let detail = format!("executor={name} end={end:?}");
+            return self.log(JOB_UNREADABLE, Some(end.task.job), detail);
+        }
         let Some((job_key, task)) = self.find_task(end.task, end.run) else {
             let detail = format!("executor={name} end={end:?}");
             return self.log(RUN_UNKNOWN, Some(end.task.job), detail);
@@ -261,8 +267,12 @@
         run_key
     }
 
-    /// Stops a reported run that belongs to no known task or has an invalid number.
+    /// Stops a reported run that belongs to no known task or has an invalid number, unless its job
+    /// cannot be read.
     fn stop_unknown_run(&mut self, key: ExecutorKey, run_report: &RunReport) {
+        if self.unreadable_jobs.contains(&run_report.task.job) {
+            return;
+        }
         let detail = format!("executor={} row={run_report:?}", self.executors[key].name);
         self.log(RUN_UNKNOWN, Some(run_report.task.job), detail);
         let request = OrderRequest::Stop { task: run_report.task, run: run_report.run };
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -137,6 +137,12 @@
         f64::from(cpu_millis) / f64::from(self.capacity.cpu_millis.max(1))
     }
 
+    /// Returns the highest number of an ended run that may be acknowledged once it is recorded.
+    pub(super) fn recordable_end(&self) -> u64 {
+        let limit = self.unreadable_end.map_or(u64::MAX, |number| number.saturating_sub(1));
+        self.last_end_number.min(limit)
+    }
+
     /// Reserves the resources of a run.
     pub(super) fn reserve(&mut self, run: &RunState) {
         let needs = run.reserved_needs();
@@ -265,6 +271,8 @@
     /// Highest [`EndReport::number`](crate::order::EndReport::number) that is recorded in the
     /// store, so that the executor may delete the reports up to it.
     pub(super) acknowledged: u64,
+    /// Lowest number of an ended run whose job cannot be read. It must not be acknowledged.
+    pub(super) unreadable_end: Option<u64>,
     pub(super) runs: Vec<RunKey>,
     pub(super) reserved: TaskNeeds,
     /// CPU reserved by latency-critical tasks, in thousandths of a core.
--- a/crates/cuminbank-jobs/tests/unreadable.rs
+++ b/crates/cuminbank-jobs/tests/unreadable.rs
@@ -7,7 +7,7 @@
 
 use cuminbank_jobs::{
     ids::JobId,
-    job::TaskName,
+    job::{JobOutcome, JobPhase, TaskName},
     keys::CellKeys,
     order::RunEnd,
     store::{StoreCall, StorePut, StoreTxn},
@@ -71,3 +71,33 @@
     assert_eq!(pool.phase(JOB), None);
     assert_eq!(stored(&pool, &key).as_deref(), Some(&UNREADABLE[..]));
 }
+
+/// Lets an owner that cannot read a record keep the cell until the second task of the job has ended,
+/// and then one that can.
+fn continue_after(key: &str) {
+    let mut pool = pool_with_progress();
+    let record = take_over_with(&mut pool, key, &UNREADABLE);
+    pool.run_until(pool.now + Duration::from_secs(4));
+    assert_eq!(pool.running(JOB), 1, "the run of an unreadable job was stopped");
+    pool.run_until(pool.now + TAKEOVER_TIME);
+    assert_eq!(pool.running(JOB), 0);
+    take_over_with(&mut pool, key, &record);
+    pool.run_until(pool.now + TAKEOVER_TIME);
+    assert_eq!(pool.checks.violations, Vec::<String>::new());
+    assert_eq!(pool.phase(JOB), Some(JobPhase::Ended(JobOutcome::Completed)));
+    let starts = pool.executors.iter().flat_map(|executor| &executor.history).count();
+    assert_eq!(starts, 2, "a task was started again");
+}
+
+// Guards against work that is lost because an owner that cannot read a job stopped its runs, and
+// against a task that runs twice because that owner acknowledged its end.
+#[test]
+fn runs_of_a_job_with_unreadable_progress_keep_their_results() {
+    continue_after(&CellKeys::new(0).progress(JOB));
+}
+
+// The same for a job whose record cannot be read.
+#[test]
+fn runs_of_a_job_with_an_unreadable_record_keep_their_results() {
+    continue_after(&CellKeys::new(0).job(JOB));
+}
