Wait for all leases if the roster cannot be read

Callers saw two runs of a task at the same time after a change of owner to a build that could not read the roster of executors.

Cause: on_loaded took an unreadable roster for an empty one, without a log line. The new owner had no executor to wait for, started every task whose run it did not see, and replaced the roster.

Any executor may now have a lease of an earlier owner: tasks are held back until the longest lease must have expired, as for an executor that does not answer. The roster is not replaced before, so an owner that can read it loses nothing, and jobs accepted meanwhile wait too, since they may only start on executors in the stored roster.

--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -93,7 +93,9 @@
         if !self.guards.records_before_ack {
             self.acknowledge(self.unrecorded_end_reports());
         }
-        let other_changes = self.journal.roster_dirty
+        // An unreadable roster may name executors with leases that this owner does not know of.
+        let has_roster = self.journal.roster_dirty && !self.roster_unreadable;
+        let other_changes = has_roster
             || self.journal.ownership_check_needed
             || !self.journal.expired_jobs.is_empty();
         if self.journal.dirty.is_empty() && !other_changes {
@@ -141,7 +143,6 @@
             puts.push(StorePut::new(self.keys.progress(job.id), encode_value(&progress)));
             outcomes.push((key, job.outcome));
         }
-        let has_roster = self.journal.roster_dirty;
         let mut members = Vec::new();
         if has_roster {
             self.journal.roster_dirty = false;
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -235,6 +235,8 @@
     loaded: bool,
     /// Executors of the stored roster that may still run tasks started in an earlier epoch.
     unreconciled: HashSet<ExecutorName>,
+    /// Whether the stored roster cannot be read and leases of earlier owners may not have expired.
+    roster_unreadable: bool,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<JobId, JobKey>,
     /// Outcome of jobs whose details have been dropped, with the time at which they were dropped
@@ -316,6 +318,7 @@
             predecessor_stopped_at: None,
             loaded: false,
             unreconciled: HashSet::new(),
+            roster_unreadable: false,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             ended_jobs: HashMap::new(),
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED};
+use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED, STORE_UNREADABLE};
 
 use super::{contact::LEASE_TIME, JobScheduler};
 use crate::{
@@ -46,7 +46,13 @@
                     }
                 }
             } else if item.key == keys.roster {
-                roster = decode_value(&item.value).unwrap_or_default();
+                match decode_value(&item.value) {
+                    Some(stored) => roster = stored,
+                    None => {
+                        self.roster_unreadable = self.guards.reconciles_first;
+                        self.log_unreadable(&item.key, &item.value);
+                    }
+                }
             } else if item.key == keys.colocation {
                 if let Some(model) = decode_value::<ColocationModel>(&item.value) {
                     self.colocation = model.with_time(self.now);
@@ -94,7 +100,11 @@
 
     /// Returns whether all runs of earlier owners are known or have ended.
     pub(super) fn is_reconciled(&self) -> bool {
-        self.unreconciled.is_empty()
+        self.unreconciled.is_empty() && !self.roster_unreadable
+    }
+
+    fn log_unreadable(&mut self, key: &str, value: &[u8]) {
+        self.log(STORE_UNREADABLE, None, format!("key={key} bytes={}", value.len()));
     }
 
     pub(super) fn mark_reconciled(&mut self, name: &ExecutorName) {
@@ -113,9 +123,9 @@
     /// Stops waiting for unreachable executors once all leases granted by earlier owners must have
     /// expired. The previous owner sends no orders after it has confirmed that it stopped, and none
     /// later than [`MAX_STORE_SILENCE`] after this ownership began. No lease is longer than
-    /// [`LEASE_TIME`].
+    /// [`LEASE_TIME`]. If the roster cannot be read, any executor may have such a lease.
     pub(super) fn reconcile_by_timeout(&mut self) {
-        if self.unreconciled.is_empty() {
+        if self.is_reconciled() {
             return;
         }
         let slowest_lease = LEASE_TIME.min(self.bounds.max_lease) * 100 / 98;
@@ -123,6 +133,7 @@
             self.predecessor_stopped_at.unwrap_or(self.started_at + MAX_STORE_SILENCE);
         if self.now >= latest_order_at + slowest_lease + self.bounds.stop_timeout + RECONCILE_MARGIN
         {
+            self.roster_unreadable = false;
             let missing: Vec<ExecutorName> = self.unreconciled.drain().collect();
             let named = missing.iter().take(MAX_NAMED).cloned().collect::<Vec<_>>().join(",");
             let reason = format!(
--- a/crates/cuminbank-jobs/tests/unreadable.rs
+++ b/crates/cuminbank-jobs/tests/unreadable.rs
@@ -12,6 +12,7 @@
     order::RunEnd,
     store::{StoreCall, StorePut, StoreTxn},
 };
+use cuminbank_platform_standin::executor::FakeExecutor;
 use support::{
     jobs::{job, step},
     simulation::{InjectedFault, SimulatedPool},
@@ -101,3 +102,30 @@
 fn runs_of_a_job_with_an_unreadable_record_keep_their_results() {
     continue_after(&CellKeys::new(0).job(JOB));
 }
+
+// Guards against two runs of a task at the same time: a successor took a roster that it could not
+// read for empty, and so did not wait for an executor that it could not reach.
+#[test]
+fn unreadable_roster_delays_tasks_until_all_leases_have_expired() {
+    let plan = |_, _| (Some(Duration::from_secs(20)), RunEnd::Done);
+    let mut pool = SimulatedPool::new(5, 2, 3).with_plan(Box::new(plan));
+    pool.run_until(Duration::from_secs(4));
+    pool.submit(JOB, job(vec![step(1, &[])]));
+    pool.run_until(Duration::from_secs(6));
+    let runs = |executor: &FakeExecutor| !executor.running.is_empty();
+    let executor = pool.executors.iter().position(runs).expect("the task is running");
+    let instance = 1 - pool.owner().expect("the cell has an owner");
+    let cut = Duration::from_secs(60);
+    let executors = vec![executor];
+    pool.fault_at(pool.now, InjectedFault::CutFromExecutors { instance, executors, span: cut });
+    let roster = CellKeys::new(0).roster;
+    take_over_with(&mut pool, &roster, &UNREADABLE);
+    pool.run_until(pool.now + Duration::from_secs(5));
+    let kept = stored(&pool, &roster);
+    pool.run_until(pool.now + Duration::from_secs(60));
+    assert_eq!(pool.checks.violations, Vec::<String>::new());
+    // The roster is not replaced while leases of earlier owners may exist.
+    assert_eq!(kept.as_deref(), Some(&UNREADABLE[..]));
+    assert_eq!(pool.phase(JOB), Some(JobPhase::Ended(JobOutcome::Completed)));
+    assert!(pool.trace.iter().any(|line| line.contains("An item in the store cannot be decoded.")));
+}
