Do not claim a cell whose last epoch cannot be read

Callers would have seen a cell in which nothing starts any more: after a build with another format had owned it, the next owner began again at epoch 1, which every executor that had seen a higher epoch rejects. An owner of a higher epoch that had only been paused would have been obeyed.

Cause: claim() took an unreadable epoch record for a missing one, and overwrote it.

Evidence: cell_with_an_unreadable_epoch_is_not_claimed failed: the claim gave HeldOwnership { epoch: 1, revision: Some(4), .. }, expected None.

The instance now leaves the cell to others, logs EV0757 with the key, and tries again every 5 s.

--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use cuminbank::log::{OWNERSHIP_BEGAN, OWNERSHIP_ENDED, OWNERSHIP_RESUMED};
+use cuminbank::log::{OWNERSHIP_BEGAN, OWNERSHIP_ENDED, OWNERSHIP_RESUMED, STORE_UNREADABLE};
 use cuminbank_jobs::{
     ids::{CellId, MonotonicTime, OwnerEpoch, StoreRevision},
     keys::CellKeys,
@@ -250,6 +250,10 @@
                     state.log(&DecisionRecord { code: OWNERSHIP_RESUMED, job: None, detail });
                     self.apply(state, JobEvent::OwnershipChanged(held));
                 }
+                OwnershipEffect::Unreadable { key, bytes } => {
+                    let detail = format!("key={key} bytes={bytes}");
+                    state.log(&DecisionRecord { code: STORE_UNREADABLE, job: None, detail });
+                }
                 OwnershipEffect::Ended(reason) => {
                     *self.scheduler.borrow_mut() = None;
                     self.generation.set(self.generation.get() + 1);
--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -41,6 +41,8 @@
 const MAX_DELAY_FACTOR: f64 = 4.0;
 /// Delay before retrying after a failed claim or renewal.
 pub const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Delay before retrying a claim that failed because the last epoch cannot be read.
+const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// Timeout of a store call that claims, renews or releases the ownership.
 pub const OWNERSHIP_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -99,6 +101,13 @@
     Resumed(HeldOwnership),
     /// This instance no longer owns the cell; the field is the reason for the log.
     Ended(&'static str),
+    /// A record of the ownership cannot be read, so the cell is not claimed.
+    Unreadable {
+        /// Key of the record.
+        key: String,
+        /// Size of the value.
+        bytes: usize,
+    },
 }
 
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -389,7 +398,12 @@
             return self.observe(now, owner.revision, Some(&owner.clone()));
         }
         let last = items.iter().find(|item| item.key == self.keys.epoch);
-        let last_owner = last.and_then(|item| decode_value::<OwnerRecord>(&item.value));
+        let last_owner = last.and_then(|item| decode_owner(item));
+        if let (Some(item), None) = (last, &last_owner) {
+            // Executors reject the orders of a lower epoch, so it must not begin again at 1.
+            self.next_claim = now + UNREADABLE_RETRY_DELAY;
+            return vec![unreadable(item)];
+        }
         let last_epoch = last_owner.as_ref().map_or(0, |owner| owner.epoch);
         let last_revision = last.map_or(0, |item| item.revision);
         let resumes = self.held.is_some_and(|held| held.epoch == last_epoch);
@@ -505,3 +519,12 @@
         OwnershipEffect::Call { id: self.last_call_id, call, timeout: OWNERSHIP_CALL_TIMEOUT }
     }
 }
+
+/// Decodes an ownership record. Returns `None` for one without a possible successor, too.
+fn decode_owner(item: &StoreItem) -> Option<OwnerRecord> {
+    decode_value::<OwnerRecord>(&item.value).filter(|record| record.epoch < OwnerEpoch::MAX)
+}
+
+fn unreadable(item: &StoreItem) -> OwnershipEffect {
+    OwnershipEffect::Unreadable { key: item.key.clone(), bytes: item.value.len() }
+}
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -144,6 +144,9 @@
                 OwnershipEffect::Resumed(held) => {
                     self.apply(number, JobEvent::OwnershipChanged(held));
                 }
+                OwnershipEffect::Unreadable { key, bytes } => {
+                    self.trace.push(format!("{:?} {number} unreadable: {key} {bytes}", self.now));
+                }
                 OwnershipEffect::Ended(reason) => {
                     self.trace.push(format!("{:?} {number} ended: {reason}", self.now));
                     self.instances[number].scheduler = None;
--- a/crates/cuminbank-jobs/tests/tenure.rs
+++ b/crates/cuminbank-jobs/tests/tenure.rs
@@ -9,7 +9,7 @@
         HeldOwnership, OwnershipEffect, OwnershipState, CLAIM_DELAY, MAX_STORE_SILENCE,
         OWNERSHIP_TTL,
     },
-    store::{StoreCall, StoreFailure, StoreTxn},
+    store::{StoreCall, StoreFailure, StorePut, StoreTxn},
 };
 use cuminbank_platform_standin::store::FakeStore;
 
@@ -214,3 +214,29 @@
     assert!(claims_at(0.5) < claims_at(0.25));
     assert!(claims_at(0.25) < claims_at(0.12));
 }
+
+fn write(store: &mut FakeStore, key: &str, value: &[u8]) {
+    let puts = vec![StorePut::new(key, value.to_vec())];
+    store.call(START, &StoreCall::Commit(StoreTxn { puts, ..StoreTxn::default() }));
+}
+
+fn reports_unreadable(effects: &[OwnershipEffect], key: &str) -> bool {
+    let unreadable = |effect: &OwnershipEffect| matches!(effect, OwnershipEffect::Unreadable { key: seen, .. } if seen == key);
+    effects.iter().any(unreadable)
+}
+
+// Guards against an owner whose orders are rejected by every executor, and whose predecessor's are
+// accepted: an epoch record that could not be read counted as epoch 0, so the epochs began again.
+#[test]
+fn cell_with_an_unreadable_epoch_is_not_claimed() {
+    let (mut store, _) = owned();
+    let keys = CellKeys::new(0);
+    write(&mut store, &keys.epoch, &[0xff, 0xff]);
+    let mut other = state("b", 2);
+    let vacant = START + CLAIM_DELAY + OWNERSHIP_TTL + Duration::from_secs(1);
+    observe(&mut store, &mut other, vacant);
+    let effects = tick(&mut store, &mut other, vacant + CLAIM_DELAY);
+    assert_eq!(begun(&effects), None);
+    assert!(reports_unreadable(&effects, &keys.epoch), "{effects:?}");
+    assert_eq!(store.read(&keys.epoch)[0].value, [0xff, 0xff]);
+}
