End the ownership if another build has replaced the record

Callers would have seen two owners send orders for up to 9.5 s: an owner that had lost its cell to an instance with another format ignored the new ownership record, and went on until the store refused its next write or its authority ended. Instances kept asking the replaced owner.

Cause: observe() returned without an effect if it could not read the record.

Evidence: ownership_ends_when_the_record_cannot_be_read failed with "assertion failed: owner.held().is_none()".

A process can read its own record, so one that it cannot read is of another process: the ownership ends, and no owner is known until the record can be read. The cell still counts as owned, so nobody claims it. EV0757 names the key.

--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -264,7 +264,13 @@
             return self.tick(now);
         };
         self.vacant_since = None;
-        let Some(record) = decode_value::<OwnerRecord>(&item.value) else { return Vec::new() };
+        let Some(record) = decode_owner(item) else {
+            // This process can read its own records, so another one has claimed the cell.
+            self.observed = None;
+            let mut effects = self.end(now, "the ownership record cannot be read");
+            effects.push(unreadable(item));
+            return effects;
+        };
         let own = record.instance == self.identity.instance && record.start == self.identity.start;
         self.observed = Some(record.clone());
         if !own {
--- a/crates/cuminbank-jobs/tests/tenure.rs
+++ b/crates/cuminbank-jobs/tests/tenure.rs
@@ -240,3 +240,18 @@
     assert!(reports_unreadable(&effects, &keys.epoch), "{effects:?}");
     assert_eq!(store.read(&keys.epoch)[0].value, [0xff, 0xff]);
 }
+
+// Guards against two owners: a build with another format has claimed the cell, and the replaced owner
+// went on, since it could not read the record.
+#[test]
+fn ownership_ends_when_the_record_cannot_be_read() {
+    let (mut store, mut owner) = owned();
+    let keys = CellKeys::new(0);
+    write(&mut store, &keys.owner, &[0xff, 0xff]);
+    let effects = observe(&mut store, &mut owner, START + CLAIM_DELAY);
+    assert!(owner.held().is_none());
+    assert_eq!(owner.observed(), None);
+    assert!(reports_unreadable(&effects, &keys.owner), "{effects:?}");
+    let later = START + CLAIM_DELAY + Duration::from_secs(2);
+    assert!(tick(&mut store, &mut owner, later).is_empty());
+}
