Treat a record with a rest after the known fields as unreadable

Callers would have seen what a build had added at the end of a record disappear: an owner of another build decoded the fields that it knew, and its next write replaced the record without the rest.

Cause: postcard::from_bytes ignores the bytes after the value.

Evidence: record_with_unknown_fields_at_its_end_is_not_replaced failed: the stored progress was [1, 0, 1, 246, 7, ..] (the outcome as this build writes it), expected [0, 0, 1, 0, 1, 0, 1, 0, 1] as before.

decode_value now requires that all bytes are used, so such a record is handled like every other that cannot be read. The bytes written by this and by all earlier builds end with their last field, so nothing changes for them.

--- a/crates/cuminbank-jobs/src/store.rs
+++ b/crates/cuminbank-jobs/src/store.rs
@@ -153,7 +153,9 @@
     postcard::to_stdvec(value).expect("stored records only contain types that postcard can encode")
 }
 
-/// Decodes a stored value. Returns `None` if it was written in another format.
+/// Decodes a stored value. Returns `None` if it was written in another format, which includes a
+/// value that continues after the known fields: it would lose the rest when it is written again.
 pub fn decode_value<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
-    postcard::from_bytes(bytes).ok()
+    let (value, rest) = postcard::take_from_bytes(bytes).ok()?;
+    rest.is_empty().then_some(value)
 }
--- a/crates/cuminbank-jobs/tests/unreadable.rs
+++ b/crates/cuminbank-jobs/tests/unreadable.rs
@@ -129,3 +129,15 @@
     assert_eq!(pool.phase(JOB), Some(JobPhase::Ended(JobOutcome::Completed)));
     assert!(pool.trace.iter().any(|line| line.contains("An item in the store cannot be decoded.")));
 }
+
+// Guards against the loss of what another build has added to a record: the rest after the known
+// fields was ignored, and the next write of the owner dropped it.
+#[test]
+fn record_with_unknown_fields_at_its_end_is_not_replaced() {
+    let mut pool = pool_with_progress();
+    let key = CellKeys::new(0).progress(JOB);
+    let longer = [stored(&pool, &key).expect("the progress is stored"), vec![1]].concat();
+    take_over_with(&mut pool, &key, &longer);
+    pool.run_until(pool.now + TAKEOVER_TIME);
+    assert_eq!(stored(&pool, &key), Some(longer));
+}
