Do not replace a colocation model that cannot be read

Callers would have seen best-effort tasks placed beside services that they slow down: an owner that could not read the learned model replaced it with its own, so the build that had written it started from nothing.

Cause: on_loaded ignored an unreadable model, and the next write stored the owner's.

The owner starts with an empty model as before, does not store it, and logs EV0757 with the key.

--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -49,7 +49,8 @@
     dirty: VecDeque<JobKey>,
     in_flight: Option<FlushState>,
     next_at: MonotonicTime,
-    colocation_at: MonotonicTime,
+    /// When the colocation model is next stored; never while the stored one cannot be read.
+    pub(super) colocation_at: MonotonicTime,
 }
 
 /// Write that has neither succeeded nor failed yet.
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -11,7 +11,7 @@
 use super::{contact::LEASE_TIME, JobScheduler};
 use crate::{
     colocation::ColocationModel,
-    ids::{ExecutorName, JobId},
+    ids::{ExecutorName, JobId, MonotonicTime},
     keys::parse_job_id,
     ownership::MAX_STORE_SILENCE,
     progress::JobProgress,
@@ -54,8 +54,12 @@
                     }
                 }
             } else if item.key == keys.colocation {
-                if let Some(model) = decode_value::<ColocationModel>(&item.value) {
-                    self.colocation = model.with_time(self.now);
+                match decode_value::<ColocationModel>(&item.value) {
+                    Some(model) => self.colocation = model.with_time(self.now),
+                    None => {
+                        self.journal.colocation_at = MonotonicTime::MAX;
+                        self.log_unreadable(&item.key, &item.value);
+                    }
                 }
             } else if item.key == keys.sequence {
                 self.journal.sequence_revision = item.revision;
--- a/crates/cuminbank-jobs/tests/unreadable.rs
+++ b/crates/cuminbank-jobs/tests/unreadable.rs
@@ -141,3 +141,15 @@
     pool.run_until(pool.now + TAKEOVER_TIME);
     assert_eq!(stored(&pool, &key), Some(longer));
 }
+
+// Guards against the loss of what earlier owners have learned: the owner replaced a model that it
+// could not read with its own.
+#[test]
+fn unreadable_colocation_model_is_not_replaced() {
+    let mut pool = pool_with_progress();
+    let key = CellKeys::new(0).colocation;
+    take_over_with(&mut pool, &key, &UNREADABLE);
+    pool.run_until(pool.now + TAKEOVER_TIME);
+    assert_eq!(pool.phase(JOB), Some(JobPhase::Ended(JobOutcome::Completed)));
+    assert_eq!(stored(&pool, &key).as_deref(), Some(&UNREADABLE[..]));
+}
