Treat a job record that is not a valid job as unreadable

Callers would have seen a cell without an owner for good: a job record of another format that by chance decodes, with a dependency on a step that does not exist or an objective beyond the range of the type, crashed every owner that loaded it, one after the other. A client could do the same with a repeated job whose last occurrence is due after the end of time.

Cause: records in the store were taken as valid, although only submissions are validated, and two sums of values of clients could overflow.

Evidence: garbled_records_do_not_crash_an_owner (20,000 cases) failed with "index out of bounds: the len is 2 but the index is 36" in critical_paths_ms and with "attempt to add with overflow" in add_job.

The owner now validates a record as it does a submission, which every accepted job has passed, and handles an invalid one like any that cannot be read. The sums saturate.

--- a/crates/cuminbank-jobs/src/job.rs
+++ b/crates/cuminbank-jobs/src/job.rs
@@ -170,7 +170,7 @@
     /// Returns the due time of an occurrence, or `None` for a job that is due at once.
     pub fn due(&self, occurrence: u32) -> Option<WallTime> {
         let repeat = self.repeat?;
-        Some(repeat.first_due + repeat.interval * occurrence)
+        Some(repeat.first_due.saturating_add(repeat.interval.saturating_mul(occurrence)))
     }
 
     /// Returns whether any step runs until the job is cancelled.
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -57,7 +57,9 @@
         {
             return;
         }
-        let Some(record) = decode_value::<JobRecord>(value) else {
+        // Submitted jobs were validated, so an invalid one was written in another format.
+        let record = decode_value::<JobRecord>(value).filter(|record| record.check().is_ok());
+        let Some(record) = record else {
             self.unreadable_jobs.insert(id);
             return self.log_unreadable_job(id, key, value);
         };
@@ -78,8 +80,8 @@
         let arrived = arrival_time(self.now, self.wall, record.accepted_at);
         let critical_paths_ms = record.critical_paths_ms();
         let longest = critical_paths_ms.iter().copied().max().unwrap_or_default();
-        let objective = (longest as f64 * record.terms.stretch.max(1.0)) as u64
-            + u64::from(record.terms.target_latency_ms);
+        let objective = ((longest as f64 * record.terms.stretch.max(1.0)) as u64)
+            .saturating_add(u64::from(record.terms.target_latency_ms));
         let mut tasks = vec![TaskState::default(); count as usize];
         let steps = record.steps.len();
         let mut open_tasks = Vec::with_capacity(steps * record.occurrences() as usize);
--- /dev/null
+++ b/crates/cuminbank-jobs/tests/garbled.rs
@@ -0,0 +1,163 @@
+//! Tests of all decoders with truncated and garbled bytes.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminbank::message::decode;
+use cuminbank_jobs::{
+    cells::PoolPlan,
+    job::JobRecord,
+    keys::CellKeys,
+    order::RunEnd,
+    ownership::OwnerRecord,
+    peer::{PeerReply, PeerRequest},
+    scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
+    store::{decode_value, encode_value, StoreItem, TxnOutcome},
+};
+use cuminbank_platform_standin::executor::{FakeExecutor, StartBehavior};
+use proptest::prelude::*;
+use support::ownership::held_ownership;
+
+const START: Duration = Duration::from_secs(10);
+const FIXTURES: &str = include_str!("formats/unversioned.txt");
+
+/// Returns the bytes of the fixtures whose names have a prefix.
+fn fixtures(prefix: &str) -> Vec<Vec<u8>> {
+    let lines = FIXTURES.lines().filter(|line| line.starts_with(prefix));
+    let byte = |pair: &[u8]| {
+        let digits = std::str::from_utf8(pair).expect("fixtures are ASCII");
+        u8::from_str_radix(digits, 16).expect("fixtures are hexadecimal")
+    };
+    let hex = lines.filter_map(|line| line.split_once(' ')).map(|(_, hex)| hex.as_bytes());
+    hex.map(|hex| hex.chunks(2).map(byte).collect()).collect()
+}
+
+/// Returns the values of jobs that are valid as they are.
+fn jobs() -> Vec<Vec<u8>> {
+    let valid = |bytes: Vec<u8>| {
+        let mut job: JobRecord = decode_value(&bytes).expect("fixtures are readable");
+        job.steps.iter_mut().for_each(|step| step.after.retain(|earlier| *earlier == 0));
+        job.steps.iter_mut().for_each(|step| step.required_label = None);
+        assert_eq!(job.check(), Ok(()));
+        encode_value(&job)
+    };
+    fixtures("record.job").into_iter().map(valid).collect()
+}
+
+fn garbled(prefix: &str) -> impl Strategy<Value = Vec<u8>> {
+    garbled_values(fixtures(prefix))
+}
+
+/// Returns a strategy for values that are changed at up to two places, and possibly truncated or
+/// extended.
+fn garbled_values(values: Vec<Vec<u8>>) -> impl Strategy<Value = Vec<u8>> {
+    let edits = proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..3);
+    let length = prop_oneof![2 => Just(None), 1 => any::<prop::sample::Index>().prop_map(Some)];
+    let rest =
+        prop_oneof![3 => Just(Vec::new()), 1 => proptest::collection::vec(any::<u8>(), 1..4)];
+    let value = prop::sample::select(values);
+    (value, edits, length, rest).prop_map(|(mut bytes, edits, length, rest)| {
+        for (place, byte) in edits {
+            let place = place.index(bytes.len());
+            bytes[place] = byte;
+        }
+        if let Some(length) = length {
+            bytes.truncate(length.index(bytes.len() + 1));
+        }
+        bytes.extend(rest);
+        bytes
+    })
+}
+
+/// Loads records into the scheduler of a new owner and lets it work for two seconds.
+fn load(values: Vec<(String, Vec<u8>)>) {
+    let bounds = SchedulerBounds {
+        max_lease: Duration::from_secs(6),
+        stop_timeout: Duration::from_millis(200),
+        max_violation_time: Duration::from_secs(4),
+        retention: Duration::from_secs(120),
+    };
+    let mut scheduler = JobScheduler::new(bounds, &held_ownership(START), START);
+    let item = |(key, value)| StoreItem { key, value, revision: 1, created: 1 };
+    let items = values.into_iter().map(item).collect();
+    let mut executor = FakeExecutor::new("e", 1_000);
+    executor.service = "kiln".to_owned();
+    let reports = vec![executor.report()];
+    let mut events = vec![JobEvent::Listed { reports }, JobEvent::Loaded { items }];
+    let mut now = START;
+    let wall = Duration::from_secs(1_700_000_000);
+    for _ in 0..40 {
+        now += Duration::from_millis(50);
+        let event = events.pop().unwrap_or(JobEvent::Tick);
+        for effect in scheduler.apply(now, wall, event) {
+            match effect {
+                JobEffect::Commit { id, .. } => {
+                    let result = Ok(TxnOutcome::Committed { revision: 2_000 + id });
+                    events.push(JobEvent::CommitCompleted { id, result });
+                }
+                JobEffect::Order(order) => {
+                    let mut plan: StartBehavior =
+                        Box::new(|_, _| (Some(Duration::from_millis(100)), RunEnd::Done));
+                    let result = Ok(executor.handle_order(now, &order, &mut plan));
+                    events.push(JobEvent::OrderCompleted { id: order.id, result });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
+
+    // Guards against a stored record that crashes every owner in turn.
+    #[test]
+    fn garbled_records_do_not_crash_an_owner(
+        job in garbled_values(jobs()),
+        progress in garbled("record.progress"),
+        roster in garbled("record.roster"),
+        colocation in garbled("record.colocation"),
+        sequence in garbled("record.sequence"),
+    ) {
+        let keys = CellKeys::new(0);
+        load(vec![
+            (keys.job(1), job),
+            (keys.progress(1), progress),
+            (keys.roster.clone(), roster),
+            (keys.colocation.clone(), colocation),
+            (keys.sequence, sequence),
+        ]);
+    }
+
+    // The same for progress that does not fit its readable job.
+    #[test]
+    fn garbled_progress_does_not_crash_an_owner(progress in garbled("record.progress")) {
+        let keys = CellKeys::new(0);
+        for job in jobs() {
+            load(vec![(keys.job(1), job), (keys.progress(1), progress.clone())]);
+        }
+    }
+
+    // Guards against a record or message that crashes each instance that reads it.
+    #[test]
+    fn garbled_bytes_do_not_crash_a_decoder(
+        record in garbled("record."),
+        message in garbled("message."),
+        bytes in proptest::collection::vec(any::<u8>(), 0..80),
+    ) {
+        for bytes in [record, message, bytes] {
+            decode_value::<OwnerRecord>(&bytes);
+            decode_value::<u16>(&bytes);
+            decode::<PeerReply>(&bytes);
+            if let Some(PeerRequest::Carry(bundle)) = decode(&bytes) {
+                bundle.wait();
+                bundle.into_orders(START);
+            }
+            if let Some(plan) = decode_value::<PoolPlan>(&bytes).filter(|plan| plan.cells > 0) {
+                plan.cell_of(&FakeExecutor::new("e", 1_000).report());
+                plan.home_and_fallback(7);
+            }
+        }
+    }
+}
