Treat progress that does not fit its job as unreadable

Callers would have seen a cell without an owner for good, or a job reported as completed with tasks that never ran: progress of another format that by chance decodes and names a task twice made the count of open tasks of its step too low.

Cause: add_job applied stored progress without a look at its tasks, and passed over those that the job does not have.

Evidence: progress_of_another_job_is_not_applied failed with "attempt to subtract with overflow" in add_job.

Every build writes the tasks of a job in ascending order. Progress that is in another order, names a task that the job does not have, or has a run number above those that an owner uses is handled like any that cannot be read.

--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -5,6 +5,7 @@
 use cuminbank::log::{JOB_CANCELLED, JOB_ENDED, JOB_LOADED, JOB_UNREADABLE};
 
 use super::{
+    run_reports::MAX_RUN_NUMBER,
     state::{arrival_time, JobKey, JobState, RunPhase, TaskPhase, TaskState},
     JobScheduler,
 };
@@ -63,8 +64,14 @@
             self.unreadable_jobs.insert(id);
             return self.log_unreadable_job(id, key, value);
         };
+        let progress = progress.unwrap_or_default();
+        if !is_progress_of(&progress, &record) {
+            self.unreadable_jobs.insert(id);
+            let detail = format!("key={} tasks={}", self.keys.progress(id), progress.tasks.len());
+            return self.log(JOB_UNREADABLE, Some(id), detail);
+        }
         let fresh = created > self.start_revision;
-        self.add_job(id, record, fresh, progress.unwrap_or_default());
+        self.add_job(id, record, fresh, progress);
         if self.early_cancels.remove(&id) {
             self.cancel_job(id);
         }
@@ -330,3 +337,11 @@
         }
     }
 }
+
+/// Returns whether progress can belong to a job: it names tasks of the job in ascending order, with
+/// valid run numbers.
+fn is_progress_of(progress: &JobProgress, record: &JobRecord) -> bool {
+    let count = record.tasks_per_occurrence() * record.occurrences();
+    progress.tasks.is_sorted_by(|left, right| left.task < right.task)
+        && progress.tasks.iter().all(|task| task.task < count && task.run <= MAX_RUN_NUMBER)
+}
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -26,7 +26,7 @@
 const MAX_END_REPORTS: usize = 500;
 /// Highest valid run number. Each takeover raises the numbers by 1000, so no owner uses a number
 /// above this limit; adopting such a run could leave no number for the task's next run.
-const MAX_RUN_NUMBER: RunNumber = 1 << 30;
+pub(super) const MAX_RUN_NUMBER: RunNumber = 1 << 30;
 
 impl JobScheduler {
     pub(super) fn apply_report(
--- a/crates/cuminbank-jobs/tests/garbled.rs
+++ b/crates/cuminbank-jobs/tests/garbled.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
-use cuminbank::message::decode;
+use cuminbank::{log::JOB_UNREADABLE, message::decode};
 use cuminbank_jobs::{
     cells::PoolPlan,
     job::JobRecord,
@@ -12,6 +12,7 @@
     order::RunEnd,
     ownership::OwnerRecord,
     peer::{PeerReply, PeerRequest},
+    progress::{JobProgress, TaskProgress},
     scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
     store::{decode_value, encode_value, StoreItem, TxnOutcome},
 };
@@ -70,8 +71,10 @@
     })
 }
 
-/// Loads records into the scheduler of a new owner and lets it work for two seconds.
-fn load(values: Vec<(String, Vec<u8>)>) {
+/// Loads records into the scheduler of a new owner and lets it work for two seconds. Returns the
+/// numbers of the logged events.
+fn load(values: Vec<(String, Vec<u8>)>) -> BTreeSet<u16> {
+    let mut logged = BTreeSet::new();
     let bounds = SchedulerBounds {
         max_lease: Duration::from_secs(6),
         stop_timeout: Duration::from_millis(200),
@@ -102,10 +105,14 @@
                     let result = Ok(executor.handle_order(now, &order, &mut plan));
                     events.push(JobEvent::OrderCompleted { id: order.id, result });
                 }
+                JobEffect::Log(record) => {
+                    logged.insert(record.code.number);
+                }
                 _ => {}
             }
         }
     }
+    logged
 }
 
 proptest! {
@@ -161,3 +168,29 @@
         }
     }
 }
+
+/// Returns the progress of a job of two tasks.
+fn progress(tasks: Vec<TaskProgress>) -> Vec<u8> {
+    encode_value(&JobProgress { tasks, ..JobProgress::default() })
+}
+
+// Guards against progress that crashes an owner or ends a job early, since it counts a task twice,
+// and against a run number that leaves none for the next run.
+#[test]
+fn progress_of_another_job_is_not_applied() {
+    let single = fixtures("record.job.single").remove(0);
+    let done = |task, run| TaskProgress { task, done: true, run, ..TaskProgress::default() };
+    let cases = [
+        vec![done(0, 1), done(0, 1), done(1, 1)],
+        vec![done(2, 1)],
+        vec![TaskProgress { done: false, ..done(0, u32::MAX) }],
+    ];
+    let keys = CellKeys::new(0);
+    for tasks in cases {
+        let logged =
+            load(vec![(keys.job(1), single.clone()), (keys.progress(1), progress(tasks.clone()))]);
+        assert!(logged.contains(&JOB_UNREADABLE.number), "{tasks:?}");
+    }
+    let logged = load(vec![(keys.job(1), single), (keys.progress(1), progress(vec![done(1, 1)]))]);
+    assert!(!logged.contains(&JOB_UNREADABLE.number));
+}
