Do not use a colocation model without an estimate for every pair

Callers could have seen a cell without an owner for good: a model of another format that by chance decodes, with images but not their pairs, is indexed by pair when best-effort tasks are placed.

Cause: on_loaded used every model that decodes. The crash was found by reading; no garbled value of the random tests reached it.

Evidence: incomplete_colocation_model_is_not_used failed: a model of two images without pairs was used without a log line.

Such a model, and one with an estimate that is not a finite number, is handled like one that cannot be read: not used, not replaced, EV0757.

--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -164,6 +164,14 @@
         id as ImageId
     }
 
+    /// Returns whether the model has a finite estimate for every pair of its images.
+    pub fn is_complete(&self) -> bool {
+        let count = self.names.len();
+        let is_finite = |pair: &PairEffect| pair.mean.is_finite() && pair.variance.is_finite();
+        self.pairs.len() == count
+            && self.pairs.iter().all(|row| row.len() == count && row.iter().all(is_finite))
+    }
+
     /// Sets the time of every estimate to `now`. Needed for a model loaded from an earlier owner,
     /// whose clock is unrelated to this one.
     pub fn with_time(mut self, now: MonotonicTime) -> Self {
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -54,7 +54,8 @@
                     }
                 }
             } else if item.key == keys.colocation {
-                match decode_value::<ColocationModel>(&item.value) {
+                let model = decode_value::<ColocationModel>(&item.value);
+                match model.filter(ColocationModel::is_complete) {
                     Some(model) => self.colocation = model.with_time(self.now),
                     None => {
                         self.journal.colocation_at = MonotonicTime::MAX;
--- a/crates/cuminbank-jobs/tests/garbled.rs
+++ b/crates/cuminbank-jobs/tests/garbled.rs
@@ -4,7 +4,10 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use cuminbank::{log::JOB_UNREADABLE, message::decode};
+use cuminbank::{
+    log::{JOB_UNREADABLE, STORE_UNREADABLE},
+    message::decode,
+};
 use cuminbank_jobs::{
     cells::PoolPlan,
     job::JobRecord,
@@ -194,3 +197,14 @@
     let logged = load(vec![(keys.job(1), single), (keys.progress(1), progress(vec![done(1, 1)]))]);
     assert!(!logged.contains(&JOB_UNREADABLE.number));
 }
+
+// Guards against a model that crashes an owner when it places tasks: it names two images and has the
+// pairs of none.
+#[test]
+fn incomplete_colocation_model_is_not_used() {
+    let colocation = CellKeys::new(0).colocation;
+    let pairless = encode_value(&(vec!["web", "batch"], Vec::<u8>::new()));
+    assert!(load(vec![(colocation.clone(), pairless)]).contains(&STORE_UNREADABLE.number));
+    let fixture = fixtures("record.colocation").remove(0);
+    assert!(!load(vec![(colocation, fixture)]).contains(&STORE_UNREADABLE.number));
+}
