Treat a message with a rest after the known fields as undecodable

Callers could have seen an answer or a start with other values than its sender meant: of a message to which another build had added fields at the end, the receiver used the first ones and ignored the rest.

Cause: postcard::from_bytes ignores the bytes after the value.

Evidence: message_with_a_rest_is_not_used failed with "left: (Ok(2), 1), right: (Err(Lost), 0)": the handler was called with the first number of a pair.

decode now requires that all bytes are used. Such a request closes the connection and such a reply counts as lost, as for every other undecodable message: the question is unanswered. A second test covers a request with an unknown variant or without its field, which was handled so before.

--- a/crates/cuminbank-net/tests/peers.rs
+++ b/crates/cuminbank-net/tests/peers.rs
@@ -7,19 +7,29 @@
     peer::{self, PeerPool},
     runtime,
 };
+use serde::{de::DeserializeOwned, Serialize};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Starts a peer that answers a number with its successor and counts the requests.
 fn start_peer() -> (SocketAddr, Rc<Cell<u32>>) {
+    start_peer_of(|number: u32| Some(number + 1))
+}
+
+/// Starts a peer with a function that answers requests, and counts those.
+fn start_peer_of<Q, R>(answer: fn(Q) -> Option<R>) -> (SocketAddr, Rc<Cell<u32>>)
+where
+    Q: DeserializeOwned + 'static,
+    R: Serialize + 'static,
+{
     let any = "127.0.0.1:0".parse().expect("the address is valid");
     let listener = runtime::listen(any).expect("loopback has a free port");
     let address = listener.local_addr().expect("the listener has an address");
     let seen = Rc::new(Cell::new(0));
     let counter = Rc::clone(&seen);
-    monoio::spawn(peer::serve(listener, move |number: u32| {
+    monoio::spawn(peer::serve(listener, move |request: Q| {
         counter.set(counter.get() + 1);
-        async move { Some(number + 1) }
+        async move { answer(request) }
     }));
     (address, seen)
 }
@@ -42,3 +52,35 @@
         assert_eq!((refused, seen.get()), (Err(ExchangeError::NotSent), 1));
     });
 }
+
+/// Guards against an instance that breaks on a request of another build: it answers nothing and
+/// serves the next request. The asker sees an unanswered question.
+#[test]
+fn unknown_request_stays_unanswered() {
+    runtime::run(async {
+        let (address, seen) = start_peer_of(|request: Option<bool>| request.map(u32::from));
+        let peers = PeerPool::new();
+        // A variant that the receiver does not know, and one without its field.
+        for request in [2u32, 1] {
+            let lost: Result<u32, _> = peers.exchange(address, &request, TIMEOUT).await;
+            assert_eq!((lost, seen.get()), (Err(ExchangeError::Lost), 0));
+        }
+        let answered: Result<u32, _> = peers.exchange(address, &Some(true), TIMEOUT).await;
+        assert_eq!((answered, seen.get()), (Ok(1), 1));
+    });
+}
+
+/// Guards against a message of another build that is taken for one with other values: its first
+/// bytes were used and the rest was ignored.
+#[test]
+fn message_with_a_rest_is_not_used() {
+    runtime::run(async {
+        let (address, seen) = start_peer();
+        let peers = PeerPool::new();
+        let lost: Result<u32, _> = peers.exchange(address, &(1u32, 7u32), TIMEOUT).await;
+        assert_eq!((lost, seen.get()), (Err(ExchangeError::Lost), 0));
+        let (address, _) = start_peer_of(|number: u32| Some((number, 7u32)));
+        let lost: Result<u32, _> = peers.exchange(address, &1u32, TIMEOUT).await;
+        assert_eq!(lost, Err(ExchangeError::Lost));
+    });
+}
--- a/crates/cuminbank/src/message.rs
+++ b/crates/cuminbank/src/message.rs
@@ -142,7 +142,8 @@
     Bytes::from(bytes)
 }
 
-/// Decodes a message; `None` if the bytes are not a valid message of this type.
+/// Decodes a message; `None` if the bytes are not exactly a valid message of this type.
 pub fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Option<T> {
-    postcard::from_bytes(bytes).ok()
+    let (message, rest) = postcard::take_from_bytes(bytes).ok()?;
+    rest.is_empty().then_some(message)
 }
