--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -404,7 +404,7 @@
             return self.observe(now, owner.revision, Some(&owner.clone()));
         }
         let last = items.iter().find(|item| item.key == self.keys.epoch);
-        let last_owner = last.and_then(|item| decode_owner(item));
+        let last_owner = last.and_then(decode_owner);
         if let (Some(item), None) = (last, &last_owner) {
             // Executors reject the orders of a lower epoch, so it must not begin again at 1.
             self.next_claim = now + UNREADABLE_RETRY_DELAY;
--- a/crates/cuminbank-jobs/tests/formats.rs
+++ b/crates/cuminbank-jobs/tests/formats.rs
@@ -197,7 +197,9 @@
         vec![entry("10.0.0.1:7001", Some(1_700_000_000_000)), entry("[2001:db8::1]:7002", None)];
     check.record("record.roster", ExecutorRoster { executors });
     let mut model = ColocationModel::default();
-    (model.intern("web"), model.intern("batch"));
+    for image in ["web", "batch"] {
+        model.intern(image);
+    }
     check.record("record.colocation", model.with_time(Duration::from_millis(1_500)));
     check.record(
         "record.owner",
