--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -2,9 +2,10 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use cuminbank::log::{JOB_CANCELLED, JOB_ENDED, JOB_LOADED};
+use cuminbank::log::{JOB_CANCELLED, JOB_ENDED, JOB_LOADED, JOB_UNREADABLE};
 
 use super::{
+    run_reports::MAX_RUN_NUMBER,
     state::{arrival_time, JobKey, JobState, RunPhase, TaskPhase, TaskState},
     JobScheduler,
 };
@@ -51,32 +52,43 @@
         progress: Option<JobProgress>,
     ) {
         let Some(id) = parse_job_id(key, &self.keys.job_prefix) else { return };
-        if self.job_ids.contains_key(&id) || self.ended_jobs.contains_key(&id) {
+        if self.job_ids.contains_key(&id)
+            || self.ended_jobs.contains_key(&id)
+            || self.unreadable_jobs.contains(&id)
+        {
             return;
         }
-        let Some(record) = decode_value::<JobRecord>(value) else {
-            self.log(
-                cuminbank::log::JOB_UNREADABLE,
-                Some(id),
-                format!("key={key} bytes={}", value.len()),
-            );
-            return;
+        // Submitted jobs were validated, so an invalid one was written in another format.
+        let record = decode_value::<JobRecord>(value).filter(|record| record.check().is_ok());
+        let Some(record) = record else {
+            self.unreadable_jobs.insert(id);
+            return self.log_unreadable_job(id, key, value);
         };
+        let progress = progress.unwrap_or_default();
+        if !is_progress_of(&progress, &record) {
+            self.unreadable_jobs.insert(id);
+            let detail = format!("key={} tasks={}", self.keys.progress(id), progress.tasks.len());
+            return self.log(JOB_UNREADABLE, Some(id), detail);
+        }
         let fresh = created > self.start_revision;
-        self.add_job(id, record, fresh, progress.unwrap_or_default());
+        self.add_job(id, record, fresh, progress);
         if self.early_cancels.remove(&id) {
             self.cancel_job(id);
         }
     }
 
+    pub(super) fn log_unreadable_job(&mut self, id: JobId, key: &str, value: &[u8]) {
+        self.log(JOB_UNREADABLE, Some(id), format!("key={key} bytes={}", value.len()));
+    }
+
     fn add_job(&mut self, id: JobId, record: JobRecord, fresh: bool, progress: JobProgress) {
         let layout = TaskLayout::new(&record);
         let count = record.tasks_per_occurrence() * record.occurrences();
         let arrived = arrival_time(self.now, self.wall, record.accepted_at);
         let critical_paths_ms = record.critical_paths_ms();
         let longest = critical_paths_ms.iter().copied().max().unwrap_or_default();
-        let objective = (longest as f64 * record.terms.stretch.max(1.0)) as u64
-            + u64::from(record.terms.target_latency_ms);
+        let objective = ((longest as f64 * record.terms.stretch.max(1.0)) as u64)
+            .saturating_add(u64::from(record.terms.target_latency_ms));
         let mut tasks = vec![TaskState::default(); count as usize];
         let steps = record.steps.len();
         let mut open_tasks = Vec::with_capacity(steps * record.occurrences() as usize);
@@ -334,3 +346,11 @@
         }
     }
 }
+
+/// Returns whether progress can belong to a job: it names tasks of the job in ascending order, with
+/// valid run numbers.
+fn is_progress_of(progress: &JobProgress, record: &JobRecord) -> bool {
+    let count = record.tasks_per_occurrence() * record.occurrences();
+    progress.tasks.is_sorted_by(|left, right| left.task < right.task)
+        && progress.tasks.iter().all(|task| task.task < count && task.run <= MAX_RUN_NUMBER)
+}
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -49,7 +49,8 @@
     dirty: VecDeque<JobKey>,
     in_flight: Option<FlushState>,
     next_at: MonotonicTime,
-    colocation_at: MonotonicTime,
+    /// When the colocation model is next stored; never while the stored one cannot be read.
+    pub(super) colocation_at: MonotonicTime,
 }
 
 /// Write that has neither succeeded nor failed yet.
@@ -93,7 +94,9 @@
         if !self.guards.records_before_ack {
             self.acknowledge(self.unrecorded_end_reports());
         }
-        let other_changes = self.journal.roster_dirty
+        // An unreadable roster may name executors with leases that this owner does not know of.
+        let has_roster = self.journal.roster_dirty && !self.roster_unreadable;
+        let other_changes = has_roster
             || self.journal.ownership_check_needed
             || !self.journal.expired_jobs.is_empty();
         if self.journal.dirty.is_empty() && !other_changes {
@@ -141,7 +144,6 @@
             puts.push(StorePut::new(self.keys.progress(job.id), encode_value(&progress)));
             outcomes.push((key, job.outcome));
         }
-        let has_roster = self.journal.roster_dirty;
         let mut members = Vec::new();
         if has_roster {
             self.journal.roster_dirty = false;
@@ -207,8 +209,8 @@
     fn unrecorded_end_reports(&self) -> Vec<(ExecutorKey, Option<StartMillis>, u64)> {
         self.executors
             .iter()
-            .filter(|(_, executor)| executor.last_end_number > executor.acknowledged)
-            .map(|(key, executor)| (key, executor.started_at, executor.last_end_number))
+            .filter(|(_, executor)| executor.recordable_end() > executor.acknowledged)
+            .map(|(key, executor)| (key, executor.started_at, executor.recordable_end()))
             .collect()
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -235,11 +235,16 @@
     loaded: bool,
     /// Executors of the stored roster that may still run tasks started in an earlier epoch.
     unreconciled: HashSet<ExecutorName>,
+    /// Whether the stored roster cannot be read and leases of earlier owners may not have expired.
+    roster_unreadable: bool,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<JobId, JobKey>,
     /// Outcome of jobs whose details have been dropped, with the time at which they were dropped
     /// or, if the outcome was loaded from the store, at which the job ended.
     ended_jobs: HashMap<JobId, (JobOutcome, WallTime)>,
+    /// Accepted jobs whose record or progress cannot be read. Their tasks are not started, and
+    /// their runs are left alone.
+    unreadable_jobs: HashSet<JobId>,
     /// Jobs whose cancel request arrived before their record.
     early_cancels: HashSet<JobId>,
     executors: SlotMap<ExecutorKey, ExecutorState>,
@@ -315,9 +320,11 @@
             predecessor_stopped_at: None,
             loaded: false,
             unreconciled: HashSet::new(),
+            roster_unreadable: false,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             ended_jobs: HashMap::new(),
+            unreadable_jobs: HashSet::new(),
             early_cancels: HashSet::new(),
             executors: SlotMap::with_key(),
             executor_names: HashMap::new(),
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -1,14 +1,17 @@
 //! Start of an ownership: loads the stored state and waits until all runs of earlier owners are
 //! known or have ended.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
-use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED};
+use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED, STORE_UNREADABLE};
 
 use super::{contact::LEASE_TIME, JobScheduler};
 use crate::{
     colocation::ColocationModel,
-    ids::{ExecutorName, JobId},
+    ids::{ExecutorName, JobId, MonotonicTime},
     keys::parse_job_id,
     ownership::MAX_STORE_SILENCE,
     progress::JobProgress,
@@ -29,25 +32,35 @@
         self.loaded = true;
         let keys = self.keys.clone();
         let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
+        let mut unreadable: HashSet<JobId> = HashSet::new();
         let mut roster = ExecutorRoster::default();
         for item in &items {
             if let Some(job) = parse_job_id(&item.key, &keys.progress_prefix) {
-                // Unreadable progress is treated as missing, so the tasks of its job run again.
                 match decode_value(&item.value) {
                     Some(record) => {
                         progress.insert(job, record);
                     }
-                    None => self.log(
-                        cuminbank::log::JOB_UNREADABLE,
-                        Some(job),
-                        format!("key={} bytes={}", item.key, item.value.len()),
-                    ),
+                    None => {
+                        unreadable.insert(job);
+                        self.log_unreadable_job(job, &item.key, &item.value);
+                    }
                 }
             } else if item.key == keys.roster {
-                roster = decode_value(&item.value).unwrap_or_default();
+                match decode_value(&item.value) {
+                    Some(stored) => roster = stored,
+                    None => {
+                        self.roster_unreadable = self.guards.reconciles_first;
+                        self.log_unreadable(&item.key, &item.value);
+                    }
+                }
             } else if item.key == keys.colocation {
-                if let Some(model) = decode_value::<ColocationModel>(&item.value) {
-                    self.colocation = model.with_time(self.now);
+                let model = decode_value::<ColocationModel>(&item.value);
+                match model.filter(ColocationModel::is_complete) {
+                    Some(model) => self.colocation = model.with_time(self.now),
+                    None => {
+                        self.journal.colocation_at = MonotonicTime::MAX;
+                        self.log_unreadable(&item.key, &item.value);
+                    }
                 }
             } else if item.key == keys.sequence {
                 self.journal.sequence_revision = item.revision;
@@ -67,8 +80,10 @@
         }
         for item in &items {
             if item.key.starts_with(&keys.job_prefix) {
-                let known = parse_job_id(&item.key, &keys.job_prefix);
-                let known = known.and_then(|job| progress.remove(&job));
+                let job = parse_job_id(&item.key, &keys.job_prefix);
+                // Without a job record, the job has ended, and nothing is left to withhold.
+                self.unreadable_jobs.extend(job.filter(|job| unreadable.contains(job)));
+                let known = job.and_then(|job| progress.remove(&job));
                 self.add_job_item(&item.key, &item.value, item.created, known);
             }
         }
@@ -90,7 +105,11 @@
 
     /// Returns whether all runs of earlier owners are known or have ended.
     pub(super) fn is_reconciled(&self) -> bool {
-        self.unreconciled.is_empty()
+        self.unreconciled.is_empty() && !self.roster_unreadable
+    }
+
+    fn log_unreadable(&mut self, key: &str, value: &[u8]) {
+        self.log(STORE_UNREADABLE, None, format!("key={key} bytes={}", value.len()));
     }
 
     pub(super) fn mark_reconciled(&mut self, name: &ExecutorName) {
@@ -109,9 +128,9 @@
     /// Stops waiting for unreachable executors once all leases granted by earlier owners must have
     /// expired. The previous owner sends no orders after it has confirmed that it stopped, and none
     /// later than [`MAX_STORE_SILENCE`] after this ownership began. No lease is longer than
-    /// [`LEASE_TIME`].
+    /// [`LEASE_TIME`]. If the roster cannot be read, any executor may have such a lease.
     pub(super) fn reconcile_by_timeout(&mut self) {
-        if self.unreconciled.is_empty() {
+        if self.is_reconciled() {
             return;
         }
         let slowest_lease = LEASE_TIME.min(self.bounds.max_lease) * 100 / 98;
@@ -119,6 +138,7 @@
             self.predecessor_stopped_at.unwrap_or(self.started_at + MAX_STORE_SILENCE);
         if self.now >= latest_order_at + slowest_lease + self.bounds.stop_timeout + RECONCILE_MARGIN
         {
+            self.roster_unreadable = false;
             let missing: Vec<ExecutorName> = self.unreconciled.drain().collect();
             let named = missing.iter().take(MAX_NAMED).cloned().collect::<Vec<_>>().join(",");
             let reason = format!(
