Hand over ticket states after the end of the term

Callers saw: a ticketed call that was queued when its group was released in a planned stop or for balance got "not run" (503), and a repeat of the same request at the next owner got "unknown" (504, "the owner changed while the call ran"), although the call had never been sent.

Cause: the release copied the ticket states during the tick of the group part. In the same step the call part ran its tick after that, which may use a ticket for the first time, and the end of the term then refused the queued calls. None of this was in the copy. It was also kept for further peers when the first did not accept the group, so that answers given meanwhile were missing there as well.

Evidence: `refusals_at_the_end_of_the_term_are_handed_over` (two instances, no executors, a planned stop with a queued call) failed before: left Unknown 504, right NotRun 503.

The reducer now hands the states over after the changes of the step are applied, when the term has ended: no ticket of it can be used any more, and the refusals are recorded. Each further peer gets a fresh copy. The handover still leaves in the same step, so that a takeover takes no longer.

`cargo test -p cuminbank` and `-p cuminbank-standins` (histories) pass.

--- a/crates/cuminbank/src/reducer/calls/mod.rs
+++ b/crates/cuminbank/src/reducer/calls/mod.rs
@@ -294,18 +294,14 @@
 
     /// Returns the next sequence number and the ticket states of a group for its next owner.
     ///
-    /// Call this only when [`GroupChange::Lost`] ends the term in the same step: a ticket first
-    /// used after this call would be missing from the result.
+    /// Call this only after [`GroupChange::Lost`] has ended the term: a ticket first used after
+    /// this call would be missing from the result.
     pub fn handover_state(
         &self,
         group: GroupIndex,
         epoch: OwnerEpoch,
         now: MonotonicTime,
     ) -> (u64, Vec<TicketHandover>) {
-        let active = self.terms.get(&group).filter(|term| term.epoch == epoch);
-        if let Some(term) = active {
-            return term.tickets.handover_state(now);
-        }
         let ended = self.ended_terms.get(&group).filter(|term| term.epoch == epoch);
         ended.map_or((0, Vec::new()), |term| term.tickets.handover_state(now))
     }
--- a/crates/cuminbank/src/reducer/groups/drain.rs
+++ b/crates/cuminbank/src/reducer/groups/drain.rs
@@ -42,18 +42,18 @@
     tried: Vec<PeerIdentity>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 enum ReleasePhase {
     /// The end of the authority is fixed but not reached.
     Announced,
     /// The ownership record is being written without an owner.
     Writing,
-    /// The record names no owner; the ticket states can be sent to a peer.
+    /// The record names no owner.
     Released { epoch: OwnerEpoch },
+    /// The loss of the group is reported; the ticket states can be sent to a peer.
+    Reported { epoch: OwnerEpoch },
     /// The ticket states were sent to a peer, which has not answered yet.
-    Offered { epoch: OwnerEpoch, states: (u64, Vec<TicketHandover>) },
-    /// The peer to which the ticket states were sent last did not accept them.
-    Declined { epoch: OwnerEpoch, states: (u64, Vec<TicketHandover>) },
+    Offered { epoch: OwnerEpoch },
 }
 
 /// Ticket states that the last owner of a group handed over to this instance.
@@ -158,21 +158,20 @@
         }
     }
 
-    pub(super) fn tick_releases(&mut self, step: &mut StepContext, calls: &CallPart) {
+    pub(super) fn tick_releases(&mut self, step: &mut StepContext) {
         self.balance(step.now());
         let groups: Vec<_> = self.releases.keys().copied().collect();
         for group in groups {
-            self.tick_release(step, calls, group);
+            self.tick_release(step, group);
         }
     }
 
-    fn tick_release(&mut self, step: &mut StepContext, calls: &CallPart, group: GroupIndex) {
+    fn tick_release(&mut self, step: &mut StepContext, group: GroupIndex) {
         let now = step.now();
         let Some(release) = self.releases.get_mut(&group) else { return };
-        match std::mem::replace(&mut release.phase, ReleasePhase::Writing) {
+        match release.phase {
             ReleasePhase::Announced => {
                 let ended = now >= release.authority_ends_at;
-                release.phase = ReleasePhase::Announced;
                 if !self.store.is_up(now) {
                     self.cancel_release(group);
                 } else if ended {
@@ -180,15 +179,13 @@
                 }
             }
             ReleasePhase::Released { epoch } => {
-                let states = calls.handover_state(group, epoch, now);
+                release.phase = ReleasePhase::Reported { epoch };
                 step.log(GROUP_RELEASED, format!("group {group} epoch {epoch}"));
                 self.changes.push(GroupChange::Lost { group });
-                self.hand_over(step, group, epoch, states);
-            }
-            ReleasePhase::Declined { epoch, states } => {
-                self.hand_over(step, group, epoch, states);
             }
-            phase => release.phase = phase,
+            ReleasePhase::Writing
+            | ReleasePhase::Reported { .. }
+            | ReleasePhase::Offered { .. } => {}
         }
     }
 
@@ -202,14 +199,28 @@
         self.send_write(step, group, Some(write));
     }
 
+    /// Hands over the groups whose loss is reported. Call this after the changes of the step have
+    /// been taken and applied: the end of a term refuses its queued calls, and these answers belong
+    /// to the ticket states.
+    pub fn hand_over_groups(&mut self, step: &mut StepContext, calls: &CallPart) {
+        let reported = self.releases.iter().filter_map(|(group, release)| match release.phase {
+            ReleasePhase::Reported { epoch } => Some((*group, epoch)),
+            _ => None,
+        });
+        let reported: Vec<_> = reported.collect();
+        for (group, epoch) in reported {
+            self.hand_over(step, calls, group, epoch);
+        }
+    }
+
     /// Sends the ticket states to the live peer with the fewest groups to which they were not sent
     /// before. Without such a peer the release ends.
     fn hand_over(
         &mut self,
         step: &mut StepContext,
+        calls: &CallPart,
         group: GroupIndex,
         epoch: OwnerEpoch,
-        states: (u64, Vec<TicketHandover>),
     ) {
         let Some(release) = self.releases.get_mut(&group) else { return };
         let peers = self.peers.available(&self.zone, step.now());
@@ -220,8 +231,8 @@
         };
         let (to, address) = (peer.heartbeat.from.clone(), peer.heartbeat.address);
         release.tried.push(to.clone());
-        let (next_sequence, tickets) = states.clone();
-        release.phase = ReleasePhase::Offered { epoch, states };
+        release.phase = ReleasePhase::Offered { epoch };
+        let (next_sequence, tickets) = calls.handover_state(group, epoch, step.now());
         let exchange = step.begin_exchange(ReducerPart::Groups);
         self.exchanges.insert(exchange, GroupExchange::HandOver { group, to });
         let request = PeerRequest::HandOver { group, epoch, next_sequence, tickets };
@@ -243,10 +254,9 @@
             self.releases.remove(&group);
             return;
         }
-        release.phase = match std::mem::replace(&mut release.phase, ReleasePhase::Writing) {
-            ReleasePhase::Offered { epoch, states } => ReleasePhase::Declined { epoch, states },
-            phase => phase,
-        };
+        if let ReleasePhase::Offered { epoch } = release.phase {
+            release.phase = ReleasePhase::Reported { epoch };
+        }
     }
 
     /// Begins the release of a group if this instance owns more than its share and a peer that
--- a/crates/cuminbank/src/reducer/groups/mod.rs
+++ b/crates/cuminbank/src/reducer/groups/mod.rs
@@ -324,7 +324,7 @@
         self.tick_lease(step);
         self.tick_peers(step, config, calls);
         self.tick_claims(step, config, started);
-        self.tick_releases(step, calls);
+        self.tick_releases(step);
         self.tick_drain(step, calls);
     }
 
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -133,6 +133,7 @@
             self.groups.observe_target(&mut self.step, &observation);
         }
         self.pass_group_changes();
+        self.groups.hand_over_groups(&mut self.step, &self.calls);
         let effects = self.step.take_effects();
         for effect in &effects {
             if let EntryEffect::Answer { reply, .. } | EntryEffect::AnswerPeer { reply, .. } =
--- a/crates/cuminbank/tests/groups_drain.rs
+++ b/crates/cuminbank/tests/groups_drain.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use cuminbank::{
-    effect::EntryEffect,
-    event::{EntryEvent, StateQuery},
-    ids::RequestTicket,
+    effect::{CallOutcome, EntryEffect},
+    event::{CallRequest, EntryEvent, StateQuery},
+    ids::{ReplyId, RequestTicket},
     message::{PeerReply, TicketHandover},
     profile::WorkProfile,
     reducer::{
@@ -17,6 +17,7 @@
         records::RecordPart,
         step::StepContext,
     },
+    store::PROFILE_PREFIX,
 };
 
 use self::groups_support::{settings, FakeStore, GroupSimulation};
@@ -95,6 +96,47 @@
     assert_eq!(simulation.owned(0).len(), 4);
 }
 
+/// Has an instance issue tickets until one belongs to a group that it owns.
+fn own_ticket(simulation: &mut GroupSimulation, node: usize) -> RequestTicket {
+    let owned = simulation.owned(node);
+    (0..100)
+        .find_map(|reply: ReplyId| {
+            simulation.deliver(node, EntryEvent::TicketsRequested { reply, count: 1 });
+            simulation.run(Duration::from_millis(20));
+            let body = simulation.take_answer(reply)?.body;
+            let issued: serde_json::Value = serde_json::from_slice(&body).ok()?;
+            let ticket: RequestTicket = issued["tickets"][0].as_str()?.parse().ok()?;
+            owned.contains(&u64::from(ticket.group)).then_some(ticket)
+        })
+        .expect("the instance issues tickets of its groups")
+}
+
+/// Guards against ticket states that are copied before the end of the term refuses the queued
+/// calls: the next owner answers a repeated request "unknown" although its caller was told "not
+/// run".
+#[test]
+fn refusals_at_the_end_of_the_term_are_handed_over() {
+    let mut simulation = GroupSimulation::new(2);
+    let profile = r#"{"name":"rush","kind":"urgent","deadline_ms":10000}"#;
+    simulation.store.put(&format!("{PROFILE_PREFIX}rush"), profile);
+    simulation.run(seconds(12));
+    let call = CallRequest {
+        profile: "rush".to_owned(),
+        customer: "griddle".to_owned(),
+        class: "plan".to_owned(),
+        ticket: Some(own_ticket(&mut simulation, 0)),
+        body: bytes::Bytes::from_static(b"{}"),
+    };
+    simulation.deliver(0, EntryEvent::CallArrived { reply: 1_000, call: call.clone() });
+    assert_eq!(simulation.take_answer(1_000), None, "without executors the call is queued");
+    simulation.deliver(0, EntryEvent::DrainRequested);
+    assert!(simulation.run_until(seconds(6), |simulation| simulation.owned(1).len() == 4));
+    let first = simulation.take_answer(1_000).expect("the end of the term ends the queued call");
+    assert_eq!(first.outcome, CallOutcome::NotRun);
+    simulation.deliver(1, EntryEvent::CallArrived { reply: 1_001, call });
+    assert_eq!(simulation.take_answer(1_001), Some(first));
+}
+
 fn rush_profile() -> WorkProfile {
     let text = br#"{"name":"rush","kind":"urgent","deadline_ms":500}"#;
     WorkProfile::from_json(text).expect("the profile is valid")
--- a/crates/cuminbank/tests/groups_support/mod.rs
+++ b/crates/cuminbank/tests/groups_support/mod.rs
@@ -408,6 +408,11 @@
         (answer.status, serde_json::from_slice(&answer.body).expect("the body is JSON"))
     }
 
+    /// Removes the answer to a request of a caller, if there is one.
+    pub fn take_answer(&mut self, reply: ReplyId) -> Option<CallerAnswer> {
+        self.answers.remove(&reply)
+    }
+
     /// Returns the groups over which an instance has authority.
     pub fn owned(&mut self, node: usize) -> Vec<u64> {
         if !self.nodes[node].up {
