Limit the idle connections to each peer

Operators saw: after a burst of exchanges with a peer, all of its connections stayed open for the life of the process, each holding a file descriptor at both ends. Connections to a peer that had ended stayed in the pool as well, since expired ones were only dropped when the next exchange with the same address took them.

Cause: `PeerPool` kept each connection after its exchange without a limit and had no way to close expired ones; `HttpPool` has both.

Evidence: `idle_connections_of_a_peer_are_limited` (100 exchanges at once) failed before with "too many idle connections stay open" after 5 s.

Both pools now keep their connections in one `IdlePool`, at most 64 for each address, and the daemons close the expired connections of peers every 5 s, as they do those of executors. No test covers the call in the daemons.

The doc of `StoreClient::call` still said that the timeout applies to each address; it now says what the code does.

--- a/crates/cuminbank-entry/src/daemon.rs
+++ b/crates/cuminbank-entry/src/daemon.rs
@@ -266,6 +266,7 @@
         if last_idle_check.elapsed() > Duration::from_secs(5) {
             last_idle_check = Instant::now();
             state.executors.close_idle();
+            state.peers.close_idle();
             state.workers.close_idle();
         }
         time::sleep(TICK_INTERVAL).await;
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -327,6 +327,7 @@
         if clock::now().saturating_sub(idle_check) > IDLE_CHECK_INTERVAL {
             idle_check = clock::now();
             state.executors.close_idle();
+            state.peers.close_idle();
         }
         let frequent = cells.iter().any(|cell| cell.needs_frequent_ticks());
         time::sleep(if frequent { TICK_INTERVAL } else { IDLE_TICK_INTERVAL }).await;
--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -1,8 +1,6 @@
 //! HTTP/1.1 client with a connection pool per address.
 
 use std::{
-    cell::RefCell,
-    collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -27,15 +25,10 @@
 };
 
 use crate::{
-    connection::{connect, is_readable, ExchangeStream},
+    connection::{connect, ExchangeStream, IdlePool},
     http_limit::{ByteAllowance, LimitedReader},
 };
 
-/// Idle time after which a pooled connection is closed. It is shorter than the idle timeout of
-/// servers, so that a request does not race with their close.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
-/// Maximum number of idle connections per address.
-const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Maximum size of a response, head and body.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -103,13 +96,7 @@
 /// Pool of keep-alive connections. A connection carries one exchange at a time, without pipelining.
 #[derive(Debug, Default)]
 pub struct HttpPool {
-    idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
-}
-
-#[derive(Debug)]
-struct IdleConnection {
-    stream: TcpStream,
-    since: Instant,
+    idle: IdlePool,
 }
 
 impl HttpPool {
@@ -143,12 +130,12 @@
     ) -> Result<ClientAnswer, ExchangeError> {
         let started = Instant::now();
         let message = request.into_message(address).ok_or(ExchangeError::NotSent)?;
-        let mut stream = match self.take_idle(address) {
+        let mut stream = match self.idle.take(address) {
             Some(stream) => ExchangeStream::new(stream),
             None => connect(address, timeout).await?,
         };
         if !may_send() {
-            self.put_idle(address, stream.finish());
+            self.idle.put(address, stream.finish());
             return Err(ExchangeError::NotSent);
         }
         let remaining = timeout.saturating_sub(started.elapsed());
@@ -158,38 +145,14 @@
         let (answer, reusable) = outcome.map_err(|_| ExchangeError::Lost)??;
         let stream = stream.finish();
         if reusable {
-            self.put_idle(address, stream);
+            self.idle.put(address, stream);
         }
         Ok(answer)
     }
 
-    /// Returns a pooled connection that is not expired and that the server has not closed.
-    fn take_idle(&self, address: SocketAddr) -> Option<TcpStream> {
-        loop {
-            let connection = self.idle.borrow_mut().get_mut(&address)?.pop()?;
-            if connection.since.elapsed() > MAX_IDLE_TIME {
-                continue;
-            }
-            if !is_readable(&connection.stream) {
-                return Some(connection.stream);
-            }
-        }
-    }
-
-    fn put_idle(&self, address: SocketAddr, stream: TcpStream) {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(address).or_default();
-        if connections.len() < MAX_IDLE_CONNECTIONS {
-            connections.push(IdleConnection { stream, since: Instant::now() });
-        }
-    }
-
     /// Closes the pooled connections that have been idle for too long.
     pub fn close_idle(&self) {
-        self.idle.borrow_mut().retain(|_, connections| {
-            connections.retain(|connection| connection.since.elapsed() <= MAX_IDLE_TIME);
-            !connections.is_empty()
-        });
+        self.idle.close_expired();
     }
 }
 
--- a/crates/cuminbank-net/src/connection.rs
+++ b/crates/cuminbank-net/src/connection.rs
@@ -1,6 +1,8 @@
 //! TCP connection helpers: connect, reset on abort, detection of a close, discarding of input.
 
 use std::{
+    cell::RefCell,
+    collections::HashMap,
     net::SocketAddr,
     os::fd::{AsRawFd, RawFd},
     time::{Duration, Instant},
@@ -20,6 +22,58 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for which input is discarded after a rejected request.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Idle time after which a pooled connection is closed. It is shorter than the idle timeout of
+/// servers, so that a request does not race with their close.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
+/// Maximum number of idle connections per address.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+
+/// Idle connections for each address.
+#[derive(Debug, Default)]
+pub(crate) struct IdlePool {
+    idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    stream: TcpStream,
+    since: Instant,
+}
+
+impl IdlePool {
+    /// Takes a connection that is not expired and that the other side has not closed.
+    pub(crate) fn take(&self, address: SocketAddr) -> Option<TcpStream> {
+        loop {
+            let connection = self.idle.borrow_mut().get_mut(&address)?.pop()?;
+            if !connection.is_expired() && !is_readable(&connection.stream) {
+                return Some(connection.stream);
+            }
+        }
+    }
+
+    /// Keeps a connection for the next exchange, or closes it if there are 64 to the address.
+    pub(crate) fn put(&self, address: SocketAddr, stream: TcpStream) {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE_CONNECTIONS {
+            connections.push(IdleConnection { stream, since: Instant::now() });
+        }
+    }
+
+    /// Closes the connections that have been idle for 20 s.
+    pub(crate) fn close_expired(&self) {
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|connection| !connection.is_expired());
+            !connections.is_empty()
+        });
+    }
+}
+
+impl IdleConnection {
+    fn is_expired(&self) -> bool {
+        self.since.elapsed() > MAX_IDLE_TIME
+    }
+}
 
 /// Opens a connection within `timeout` or 1 s, whichever is shorter.
 ///
@@ -101,7 +155,7 @@
 /// Tells whether an idle connection has input or an end of stream to read; it must not be reused
 /// then. Polled with `recv`, as a read with a timeout of zero costs each exchange a timer tick of
 /// the runtime, 1 ms.
-pub(crate) fn is_readable(stream: &TcpStream) -> bool {
+fn is_readable(stream: &TcpStream) -> bool {
     let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
     !matches!(recv(stream.as_raw_fd(), &mut [0], flags), Err(Errno::EAGAIN | Errno::EINTR))
 }
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -1,8 +1,6 @@
 //! Requests between instances: postcard messages with a 4-byte length prefix over TCP.
 
 use std::{
-    cell::RefCell,
-    collections::HashMap,
     future::Future,
     net::SocketAddr,
     time::{Duration, Instant},
@@ -19,17 +17,15 @@
 };
 use serde::{de::DeserializeOwned, Serialize};
 
-use crate::connection::{connect, is_readable, ExchangeStream};
+use crate::connection::{connect, ExchangeStream, IdlePool};
 
 /// Maximum size of a message. The largest is a handover of tickets with their answers.
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
-/// Idle time after which a pooled connection is no longer used.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
 
 /// Pool of connections to peers. A connection carries one exchange at a time.
 #[derive(Debug, Default)]
 pub struct PeerPool {
-    idle: RefCell<HashMap<SocketAddr, Vec<(TcpStream, Instant)>>>,
+    idle: IdlePool,
 }
 
 impl PeerPool {
@@ -69,12 +65,12 @@
         R: DeserializeOwned,
     {
         let deadline = Instant::now() + timeout;
-        let mut stream = match self.take_idle(to) {
+        let mut stream = match self.idle.take(to) {
             Some(stream) => ExchangeStream::new(stream),
             None => connect(to, timeout).await?,
         };
         if !may_send() {
-            self.put_idle(to, stream.finish());
+            self.idle.put(to, stream.finish());
             return Err(ExchangeError::NotSent);
         }
         let exchange = async {
@@ -85,24 +81,13 @@
         let bytes =
             time::timeout(left, exchange).await.ok().flatten().ok_or(ExchangeError::Lost)?;
         let reply = decode(&bytes).ok_or(ExchangeError::Lost)?;
-        self.put_idle(to, stream.finish());
+        self.idle.put(to, stream.finish());
         Ok(reply)
     }
 
-    fn put_idle(&self, to: SocketAddr, stream: TcpStream) {
-        self.idle.borrow_mut().entry(to).or_default().push((stream, Instant::now()));
-    }
-
-    fn take_idle(&self, to: SocketAddr) -> Option<TcpStream> {
-        loop {
-            let (stream, since) = self.idle.borrow_mut().get_mut(&to)?.pop()?;
-            if since.elapsed() > MAX_IDLE_TIME {
-                continue;
-            }
-            if !is_readable(&stream) {
-                return Some(stream);
-            }
-        }
+    /// Closes the pooled connections that have been idle for too long.
+    pub fn close_idle(&self) {
+        self.idle.close_expired();
     }
 }
 
--- a/crates/cuminbank-net/tests/peers.rs
+++ b/crates/cuminbank-net/tests/peers.rs
@@ -1,12 +1,22 @@
 //! Tests of exchanges between instances over the peer transport.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use cuminbank::event::ExchangeError;
 use cuminbank_net::{
     peer::{self, PeerPool},
     runtime,
 };
+use monoio::{
+    io::{AsyncReadRentExt, AsyncWriteRentExt},
+    net::TcpStream,
+    time,
+};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -42,3 +52,74 @@
         assert_eq!((refused, seen.get()), (Err(ExchangeError::NotSent), 1));
     });
 }
+
+/// Number of exchanges that are in progress at the same time in a test.
+const BURST: u32 = 100;
+/// Maximum number of idle connections to one peer.
+const MAX_IDLE: u32 = 64;
+
+async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < TIMEOUT, "{what}");
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Starts a peer that echoes each message once `BURST` connections were made, and counts the
+/// connections that were made and those that are open.
+fn start_counting_peer() -> (SocketAddr, Rc<Cell<u32>>, Rc<Cell<u32>>) {
+    let any = "127.0.0.1:0".parse().expect("the address is valid");
+    let listener = runtime::listen(any).expect("loopback has a free port");
+    let address = listener.local_addr().expect("the listener has an address");
+    let (made, open) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let (made_count, open_count) = (Rc::clone(&made), Rc::clone(&open));
+    monoio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            made_count.set(made_count.get() + 1);
+            open_count.set(open_count.get() + 1);
+            let (made, open) = (Rc::clone(&made_count), Rc::clone(&open_count));
+            monoio::spawn(async move {
+                echo_messages(stream, &made).await;
+                open.set(open.get() - 1);
+            });
+        }
+    });
+    (address, made, open)
+}
+
+/// Echoes messages until the end of the connection.
+async fn echo_messages(mut stream: TcpStream, made: &Cell<u32>) -> Option<()> {
+    loop {
+        let (result, prefix) = stream.read_exact(vec![0; 4]).await;
+        result.ok()?;
+        let length = u32::from_be_bytes(prefix.clone().try_into().ok()?);
+        let (result, bytes) = stream.read_exact(vec![0; length as usize]).await;
+        result.ok()?;
+        wait_until("the connections were not made", || made.get() >= BURST).await;
+        let (result, _) = stream.write_all([prefix, bytes].concat()).await;
+        result.ok()?;
+    }
+}
+
+/// Guards against a burst of exchanges after which all of its connections stay open: each holds a
+/// file descriptor here and at the peer until the process ends.
+#[test]
+fn idle_connections_of_a_peer_are_limited() {
+    runtime::run(async {
+        let (address, made, open) = start_counting_peer();
+        let peers = Rc::new(PeerPool::new());
+        let exchange = |number: u32| {
+            let peers = Rc::clone(&peers);
+            monoio::spawn(async move { peers.exchange(address, &number, TIMEOUT).await })
+        };
+        let exchanges: Vec<_> = (0..BURST).map(exchange).collect();
+        for (number, exchange) in (0..BURST).zip(exchanges) {
+            assert_eq!(exchange.await, Ok(number));
+        }
+        wait_until("too many idle connections stay open", || open.get() <= MAX_IDLE).await;
+        // The others serve the next exchange.
+        assert_eq!(peers.exchange(address, &7u32, TIMEOUT).await, Ok(7u32));
+        assert_eq!((made.get(), open.get()), (BURST, MAX_IDLE));
+    });
+}
