Check the size of watch input before it is kept

Callers saw: `watch_config` took a line of any length if its end came with it, and read a chunk of the response into memory whole, whatever size it announced. A store, or another process at its address, could fill the memory of each instance that watches the configuration.

Cause: the limit was compared with the rest of the buffer after complete lines had been taken out, and the chunk had been appended before that. The decoder of the HTTP library collects a whole chunk and has no limit.

Evidence, before: `line_over_the_limit_ends_the_watch` got revisions [7, 8, 9] where 9 is over the limit; in `chunk_over_the_limit_is_not_read` "the watch took 64 MB of one chunk", all that was sent.

The watch now reads through `LimitedReader`, as the client and the server do, with a new allowance for each chunk, and compares the length of each line before it decodes it.

`cargo test -p cuminbank-net` and `-p cuminbank-entry` pass.

--- a/crates/cuminbank-net/src/watch.rs
+++ b/crates/cuminbank-net/src/watch.rs
@@ -15,13 +15,16 @@
 use monoio_http::{
     common::body::Body,
     h1::{
-        codec::ClientCodec,
+        codec::{decoder::ClientResponseDecoder, encoder::GenericEncoder},
         payload::{FixedPayload, Payload},
     },
 };
 use serde_json::{json, Value};
 
-use crate::etcd::{decode_value, parse_number, prefix_end, to_base64};
+use crate::{
+    etcd::{decode_value, parse_number, prefix_end, to_base64},
+    http_limit::{ByteAllowance, LimitedReader},
+};
 
 /// Timeout for opening the watch.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
@@ -30,9 +33,11 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum length of a line.
 const MAX_LINE_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum number of bytes read for one chunk, which is read as a whole.
+const MAX_CHUNK_BYTES: usize = MAX_LINE_BYTES + 1024;
 
 /// Watches the configuration from revision `from` and calls `on_changes` for each message, until
-/// the watch ends or fails.
+/// the watch ends or fails. A line over 4 MB ends it.
 pub async fn watch_config(
     address: SocketAddr,
     from: StoreRevision,
@@ -44,15 +49,21 @@
         "start_revision": from.to_string(),
         "progress_notify": true,
     }});
-    let opened = time::timeout(OPEN_TIMEOUT, open_watch(address, &request)).await;
+    let allowance = ByteAllowance::default();
+    allowance.set(MAX_CHUNK_BYTES);
+    let opened = time::timeout(OPEN_TIMEOUT, open_watch(address, &request, &allowance)).await;
     let Ok(Some(mut body)) = opened else { return };
     let mut buffer = Vec::new();
     loop {
+        allowance.set(MAX_CHUNK_BYTES);
         let Ok(Some(Ok(chunk))) = time::timeout(SILENCE_TIMEOUT, body.next_data()).await else {
             return;
         };
         buffer.extend_from_slice(&chunk);
         while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
+            if end > MAX_LINE_BYTES {
+                return;
+            }
             let line: Vec<u8> = buffer.drain(..=end).collect();
             let Some((revision, changes)) = decode_line(&line) else { return };
             on_changes(revision, changes);
@@ -66,10 +77,10 @@
 async fn open_watch(
     address: SocketAddr,
     request: &Value,
+    allowance: &ByteAllowance,
 ) -> Option<impl Body<Data = bytes::Bytes, Error = impl Sized>> {
-    let stream = TcpStream::connect_addr(address).await.ok()?;
+    let mut stream = TcpStream::connect_addr(address).await.ok()?;
     let _ = stream.set_nodelay(true);
-    let mut codec = ClientCodec::new(stream);
     let payload: Payload = Payload::Fixed(FixedPayload::new(request.to_string().into()));
     let message = Request::builder()
         .method("POST")
@@ -78,12 +89,14 @@
         .header(header::CONTENT_TYPE, "application/json")
         .body(payload)
         .ok()?;
-    codec.send_and_flush(message).await.ok()?;
-    let response = codec.next().await?.ok()?;
+    GenericEncoder::new(&mut stream).send_and_flush(message).await.ok()?;
+    let reader = LimitedReader::new(stream, allowance.clone());
+    let mut decoder = ClientResponseDecoder::new(reader);
+    let response = decoder.next().await?.ok()?;
     if response.status() != 200 {
         return None;
     }
-    Some(response.into_body().with_io(codec))
+    Some(response.into_body().with_io(decoder))
 }
 
 /// Decodes a line; `None` if it is malformed or the store cancelled the watch.
