Compare the totals of call counters with their minutes

Operators saw: the report called a record sound when its totals contradicted its minutes, or each other.

Cause: `CallCounters::is_consistent` compared `received` with `answered() + unanswered()`. The second is the difference of the other two, so that the comparison only found more answers than calls.

Evidence: `counters_that_contradict_each_other_are_inconsistent` failed before at the second of its eight damages, "a late call in no minute".

It now also compares answers, late, refused, unknown calls and late slots with the sums of the minutes, slots with the calls that had them, and the number of recorded times with the calls done. The fault in the report names the answers in minutes.

It now counts its call with `CallCounters::count`; what it asserts is the same.

--- a/crates/cuminbank-cli/src/report/faults.rs
+++ b/crates/cuminbank-cli/src/report/faults.rs
@@ -125,10 +125,11 @@
     let wrong = wrong.map(|(key, calls)| DayFault {
         kind: FaultKind::InvalidRecord,
         detail: format!(
-            "the counts of {} are inconsistent: {} answers to {} calls.",
+            "the counts of {} are inconsistent: {} answers to {} calls, {} of them in minutes.",
             key_text(key),
             calls.answered(),
-            calls.received
+            calls.received,
+            calls.in_minutes().received
         ),
     });
     unreadable.chain(wrong).collect()
--- a/crates/cuminbank-cli/tests/commands/work.rs
+++ b/crates/cuminbank-cli/tests/commands/work.rs
@@ -9,7 +9,9 @@
 };
 
 use cuminbank::{
-    record::{day_start, record_key, DayRecord, StoredRecord},
+    effect::CallOutcome,
+    record::{day_minute, day_start, record_key, DayRecord, StoredRecord},
+    reducer::records::CallSample,
     store::{StoreRequest, StoreWrite},
 };
 use cuminbank_cli::exit::ExitStatus;
@@ -182,12 +184,21 @@
         let (store, address) = start_store();
         let begin = day_start("2026-12-04").expect("2026-12-04 is a day");
         let at = |index: u64| begin + Duration::from_secs(30 * index);
+        let sample = CallSample {
+            profile: "rush".to_owned(),
+            customer: "cafe".to_owned(),
+            class: "plan".to_owned(),
+            outcome: CallOutcome::Done,
+            on_time: true,
+            confirms_slot: false,
+            elapsed: Duration::from_millis(5),
+        };
         for index in 0..RECORDS {
             let mut record = DayRecord::new("d1", "dublin", 7, at(index));
             record.to = at(index + 1);
             record.is_final = index + 1 == RECORDS;
             record.calls_mut("rush", "cafe").received = 1;
-            record.calls_mut("rush", "cafe").on_time = 1;
+            record.calls_mut("rush", "cafe").count(&sample, day_minute(at(index)));
             let stored = StoredRecord { operation: index.to_string(), record };
             let key = record_key("2026-12-04", "d1", 7, index);
             let put = StoreWrite::Put { key, value: stored.encode().into(), lease: None };
--- a/crates/cuminbank/src/record.rs
+++ b/crates/cuminbank/src/record.rs
@@ -185,9 +185,33 @@
         self.received.saturating_sub(self.answered())
     }
 
-    /// Returns whether no more answers than received calls are counted.
+    /// Returns the counters of all minutes together.
+    pub fn in_minutes(&self) -> MinuteCounters {
+        let mut sum = MinuteCounters::default();
+        for counters in self.minutes.values() {
+            sum.merge(counters);
+        }
+        sum
+    }
+
+    /// Returns whether no more answers than received calls are counted, and the totals agree with
+    /// each other and with the minutes.
     pub fn is_consistent(&self) -> bool {
-        self.received == self.answered() + self.unanswered()
+        let minutes = self.in_minutes();
+        let totals = (self.answered(), self.late, self.refused, self.unknown, self.slots_late);
+        let done = self.on_time + self.late;
+        self.answered() <= self.received
+            && totals
+                == (
+                    minutes.received,
+                    minutes.late,
+                    minutes.refused,
+                    minutes.unknown,
+                    minutes.slots_late,
+                )
+            && self.slots_on_time <= self.on_time
+            && self.slots_late <= self.late
+            && (self.latency.count(), minutes.latency.count()) == (done, done)
     }
 }
 
--- a/crates/cuminbank/tests/records.rs
+++ b/crates/cuminbank/tests/records.rs
@@ -12,8 +12,8 @@
     ids::ExchangeId,
     message::{PeerDatagram, PeerHeartbeat, PeerIdentity},
     record::{
-        day_end, day_minute, day_name, day_prefix, day_start, CounterKey, DayRecord, StoredRecord,
-        MAX_COUNTER_KEYS, OTHER_CUSTOMER,
+        day_end, day_minute, day_name, day_prefix, day_start, CallCounters, CounterKey, DayRecord,
+        StoredRecord, MAX_COUNTER_KEYS, OTHER_CUSTOMER,
     },
     reducer::{
         groups::GroupPart,
@@ -172,6 +172,44 @@
     assert_eq!(in_minutes, 5);
 }
 
+type CounterDamage = fn(&mut CallCounters);
+
+// Guards against a damaged record that passes as sound because only its totals are compared: the
+// report takes late, refused and unknown calls at the peak from the minutes.
+#[test]
+fn counters_that_contradict_each_other_are_inconsistent() {
+    let minute = 720;
+    let mut sound = CallCounters { received: 5, ..CallCounters::default() };
+    for (outcome, on_time) in [
+        (CallOutcome::Done, true),
+        (CallOutcome::Done, false),
+        (CallOutcome::NotRun, true),
+        (CallOutcome::Unknown, false),
+    ] {
+        sound.count(&sample("griddle", outcome, on_time), minute);
+    }
+    assert!(sound.is_consistent(), "one call has no answer yet");
+    let damages: [(&str, CounterDamage); 8] = [
+        ("more answers than calls", |calls| calls.received = 3),
+        ("a late call in no minute", |calls| calls.late += 1),
+        ("a minute without its calls", |calls| calls.minutes.clear()),
+        ("a refusal in no minute", |calls| {
+            (calls.refused, calls.on_time) = (calls.refused + 1, calls.on_time - 1);
+        }),
+        ("an unknown call in no minute", |calls| {
+            (calls.unknown, calls.on_time) = (calls.unknown + 1, calls.on_time - 1);
+        }),
+        ("more slots than calls on time", |calls| calls.slots_on_time = 2),
+        ("a late slot in no minute", |calls| calls.slots_late = 0),
+        ("a completed call without its time", |calls| calls.latency = calls.short_delay.clone()),
+    ];
+    for (what, damage) in damages {
+        let mut counters = sound.clone();
+        damage(&mut counters);
+        assert!(!counters.is_consistent(), "{what}");
+    }
+}
+
 // Guards against losing calls from all counters because the instance crashed before it answered
 // them.
 #[test]
