Play a rolling replacement of job daemons by another build

The clients and checks of the soak move to support/history.rs, and also check the order of steps, tasks that nobody submitted, jobs shown as completed without results, and responses of instances in touch that are cut off or do not know an accepted job.

--- a/crates/cuminbank-jobd/tests/soak.rs
+++ b/crates/cuminbank-jobd/tests/soak.rs
@@ -6,26 +6,21 @@
 mod support;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Mutex,
-    },
+    sync::atomic::{AtomicBool, Ordering},
     thread,
     time::{Duration, Instant},
 };
 
 use nix::sys::signal::Signal;
 use rand::{rngs::StdRng, Rng, SeedableRng};
-use serde_json::json;
 
-use support::{call, proxy::LinkMode, Deployment, PersistentConnection, PoolShape, QUEUE_PREFIX};
+use support::{
+    history::{incomplete_jobs, submit_jobs, violations, wait_for_jobs, LoadRecord, TASK_MS},
+    proxy::LinkMode,
+    Deployment, PoolShape,
+};
 
 const INSTANCES: u16 = 3;
-/// Run time of a task, in milliseconds. Long enough that runs continue across a change of the
-/// owner.
-const TASK_MS: u64 = 1_200;
 /// Duration of the phase in which faults are injected.
 const FAULT_PHASE: Duration = Duration::from_secs(12);
 /// Time limit for completing all accepted jobs after the last fault has ended. A takeover that has
@@ -35,14 +30,6 @@
 /// system's ephemeral range, another test run took them, and the processes could not start again.
 const REGRESSION_SEEDS: [u64; 1] = [321];
 
-/// Outcomes of submissions as the clients know them, by job id.
-#[derive(Default)]
-struct SubmissionRecord {
-    accepted: Mutex<BTreeSet<u64>>,
-    /// Jobs for which every attempt was refused.
-    refused: Mutex<BTreeSet<u64>>,
-}
-
 /// Action that ends a fault, with the number of the instance or executor.
 enum FaultEnd {
     Continue(usize),
@@ -52,52 +39,6 @@
     ExecutorLink(usize),
 }
 
-/// Submits jobs through randomly chosen instances until `stop` is set.
-fn submit_jobs(
-    clients: &[SocketAddr],
-    submissions: &SubmissionRecord,
-    seed: u64,
-    stop: &AtomicBool,
-) {
-    let mut random = StdRng::seed_from_u64(seed);
-    let mut connections: Vec<_> = clients.iter().copied().map(PersistentConnection::new).collect();
-    while !stop.load(Ordering::Relaxed) {
-        let id: u64 = random.random();
-        let steps = match random.random_bool(0.5) {
-            true => json!([{ "count": random.random_range(1..5), "cpu": 1_000, "mem-mb": 100,
-                "estimate-ms": TASK_MS }]),
-            false => json!([
-                { "count": random.random_range(1..5), "cpu": 1_000, "mem-mb": 100,
-                  "estimate-ms": TASK_MS },
-                { "count": 2, "cpu": 1_000, "mem-mb": 100, "estimate-ms": TASK_MS, "after": [0] },
-            ]),
-        };
-        let job = json!({ "spec": "p", "steps": steps }).to_string();
-        let mut all_refused = true;
-        for _ in 0..4 {
-            let connection = random.random_range(0..connections.len());
-            let path = format!("{QUEUE_PREFIX}{id:016x}");
-            match connections[connection].exchange("POST", &path, &job) {
-                Some(200) => {
-                    submissions
-                        .accepted
-                        .lock()
-                        .expect("no thread has panicked with the lock")
-                        .insert(id);
-                    all_refused = false;
-                    break;
-                }
-                Some(503 | 429) => {}
-                _ => all_refused = false,
-            }
-        }
-        if all_refused {
-            submissions.refused.lock().expect("no thread has panicked with the lock").insert(id);
-        }
-        thread::sleep(Duration::from_millis(random.random_range(50..250)));
-    }
-}
-
 /// Starts a random fault. Returns the actions that end it, each with its delay.
 fn begin_fault(deployment: &mut Deployment, random: &mut StdRng) -> Vec<(Duration, FaultEnd)> {
     let instance = random.random_range(0..deployment.instances.len());
@@ -193,75 +134,6 @@
     ends.iter().for_each(|(_, end)| end_fault(deployment, end));
 }
 
-/// Run as recorded by an executor. Times are in milliseconds.
-struct ObservedRun {
-    executor: String,
-    number: u64,
-    started: u64,
-    /// When it ended, if it has.
-    ended: Option<u64>,
-    /// Whether it ended with a result that was acknowledged before the lease expired.
-    done_acknowledged: bool,
-}
-
-fn observed_runs(deployment: &Deployment) -> BTreeMap<String, Vec<ObservedRun>> {
-    let (_, rows) =
-        call(deployment.store, "GET", "/standin/history", "").expect("the stand-in replies");
-    let mut runs: BTreeMap<String, Vec<ObservedRun>> = BTreeMap::new();
-    for row in rows.as_array().expect("the history is a list of rows") {
-        let text = |at: usize| row[at].as_str().unwrap_or_default().to_owned();
-        runs.entry(text(1)).or_default().push(ObservedRun {
-            executor: text(0),
-            number: row[2].as_u64().unwrap_or_default(),
-            started: row[3].as_u64().unwrap_or_default(),
-            ended: row[4].as_u64(),
-            done_acknowledged: row[5] == json!("done") && row[6] == json!(true),
-        });
-    }
-    runs
-}
-
-/// Returns the violated guarantees: two simultaneous runs of a task, a run that starts after an
-/// acknowledged result, or a run of a job that was refused at every attempt.
-fn violations(deployment: &Deployment, submissions: &SubmissionRecord) -> Vec<String> {
-    let mut violations = Vec::new();
-    let refused = submissions.refused.lock().expect("no thread has panicked with the lock");
-    for (task, runs) in &observed_runs(deployment) {
-        let id = task.split('.').next().and_then(|id| u64::from_str_radix(id, 16).ok());
-        if id.is_some_and(|id| refused.contains(&id)) {
-            violations.push(format!("{task} ran although its job was refused"));
-        }
-        for (run, other) in runs.iter().flat_map(|run| runs.iter().map(move |other| (run, other))) {
-            let same = run.number == other.number && run.executor == other.executor;
-            let later = other.started >= run.started && !same;
-            let until = run.ended.unwrap_or(u64::MAX);
-            if later && (other.started < until || run.done_acknowledged) {
-                violations.push(format!(
-                    "{task}: run {} on {} from {} to {until}, run {} on {} from {}",
-                    run.number,
-                    run.executor,
-                    run.started,
-                    other.number,
-                    other.executor,
-                    other.started
-                ));
-            }
-        }
-    }
-    violations
-}
-
-fn open_jobs(deployment: &Deployment, submissions: &SubmissionRecord) -> Vec<u64> {
-    let accepted: Vec<u64> = submissions
-        .accepted
-        .lock()
-        .expect("no thread has panicked with the lock")
-        .iter()
-        .copied()
-        .collect();
-    accepted.into_iter().filter(|id| !deployment.is_completed(*id)).collect()
-}
-
 fn run_seed(seed: u64) {
     // Half of the seeds divide the pool into two cells with separate owners, and half of them make
     // the owners relay their starts.
@@ -270,32 +142,31 @@
         link_mbps: if (seed / 2).is_multiple_of(2) { 2.0 } else { 1_000.0 },
     };
     let mut deployment = Deployment::start_with_proxies(INSTANCES, TASK_MS, shape);
-    let (submissions, stop) = (SubmissionRecord::default(), AtomicBool::new(false));
+    let (record, stop) = (LoadRecord::default(), AtomicBool::new(false));
+    // Faults overlap all the time, so that no response of an instance is certain.
+    (0..usize::from(INSTANCES)).for_each(|instance| record.begin_fault(instance));
     let clients = deployment.clients.clone();
     let mut random = StdRng::seed_from_u64(seed);
     thread::scope(|scope| {
         for client in 0..2 {
-            let (clients, submissions, stop) = (&clients, &submissions, &stop);
-            scope.spawn(move || submit_jobs(clients, submissions, seed ^ (client + 1), stop));
+            let (clients, record, stop) = (&clients, &record, &stop);
+            scope.spawn(move || submit_jobs(clients, record, seed ^ (client + 1), stop));
         }
         inject_faults(&mut deployment, &mut random);
         stop.store(true, Ordering::Relaxed);
     });
     let faults_ended = Instant::now();
-    let mut open = open_jobs(&deployment, &submissions);
-    while !open.is_empty() && faults_ended.elapsed() < COMPLETION_LIMIT {
-        thread::sleep(Duration::from_millis(200));
-        open = open_jobs(&deployment, &submissions);
-    }
-    let accepted = submissions.accepted.lock().expect("no thread has panicked with the lock").len();
-    let refused = submissions.refused.lock().expect("no thread has panicked with the lock").len();
+    let open = wait_for_jobs(&deployment, &record, COMPLETION_LIMIT);
+    let (accepted, refused) = (record.accepted().len(), record.refused());
     println!(
         "seed {seed}: {accepted} jobs accepted, {refused} refused, completed in {:?}",
         faults_ended.elapsed()
     );
     assert!(accepted > 0, "seed {seed}: no job was accepted");
     assert!(open.is_empty(), "seed {seed}: accepted but not completed: {open:x?}");
-    let violations = violations(&deployment, &submissions);
+    let incomplete = incomplete_jobs(&deployment, &record);
+    assert!(incomplete.is_empty(), "seed {seed}: completed without results: {incomplete:x?}");
+    let violations = violations(&deployment, &record);
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -2,15 +2,17 @@
 
 #![allow(dead_code, reason = "each test uses only some of the helpers")]
 
+pub mod build;
+pub mod history;
 #[path = "../../../cuminbank-entry/tests/support/ports.rs"]
 pub mod ports;
 pub mod proxy;
 
 use std::{
     fs,
-    io::{BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -24,7 +26,7 @@
 };
 use serde_json::{json, Value};
 
-use self::{ports::PortBlock, proxy::FaultLink};
+use self::{build::DaemonBuild, ports::PortBlock, proxy::FaultLink};
 
 /// Time limit for a condition to become true.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
@@ -34,28 +36,35 @@
 pub const QUEUE_PREFIX: &str = "/p/";
 /// Timeout of a request on a persistent connection.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Grace period of a planned stop in the settings of the instances, in milliseconds.
+pub const GRACE_MS: u64 = 6_000;
 /// Number of ports of an instance.
 const INSTANCE_PORTS: u16 = 4;
 
 /// Process of an instance, killed when the value is dropped.
 pub struct InstanceProcess {
-    settings: PathBuf,
+    path: PathBuf,
+    settings: Value,
+    build: DaemonBuild,
     child: Child,
 }
 
-fn spawn(settings: &Path, output: Stdio) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_cuminbank-jobd"))
+/// Starts a build with those of the settings that it knows.
+fn spawn(build: &DaemonBuild, path: &PathBuf, settings: &Value, output: Stdio) -> Child {
+    let text = build.select_settings(settings).to_string();
+    fs::write(path, text).expect("the temporary directory is writable");
+    Command::new(build.program())
         .arg("--settings")
-        .arg(settings)
+        .arg(path)
         .stdout(output)
         .spawn()
         .expect("the daemon binary starts")
 }
 
 impl InstanceProcess {
-    fn start(settings: PathBuf, output: Stdio) -> Self {
-        let child = spawn(&settings, output);
-        Self { settings, child }
+    fn start(build: DaemonBuild, path: PathBuf, settings: Value, output: Stdio) -> Self {
+        let child = spawn(&build, &path, &settings, output);
+        Self { path, settings, build, child }
     }
 
     pub fn kill(&mut self) {
@@ -74,9 +83,15 @@
         self.child.try_wait().expect("the process was started here").is_some()
     }
 
-    /// Starts the process again with the same settings.
+    /// Starts the process again with the same build and settings.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.settings, Stdio::null());
+        self.child = spawn(&self.build, &self.path, &self.settings, Stdio::null());
+    }
+
+    /// Starts a build in place of the process, which has exited.
+    pub fn start_build(&mut self, build: &DaemonBuild, output: Stdio) {
+        self.build = build.clone();
+        self.child = spawn(build, &self.path, &self.settings, output);
     }
 }
 
@@ -122,23 +137,44 @@
 impl Deployment {
     /// Starts instances that connect to the platform directly, with the default pool.
     pub fn start(count: u16, task_ms: u64, output: impl Fn() -> Stdio) -> Self {
-        Self::build(count, task_ms, output, false, PoolShape::default())
+        Self::build(
+            &DaemonBuild::current(),
+            count,
+            task_ms,
+            |_| output(),
+            false,
+            PoolShape::default(),
+        )
     }
 
     /// Starts instances that connect to the platform directly, with a pool of the given shape.
     pub fn start_with_shape(count: u16, task_ms: u64, shape: PoolShape) -> Self {
-        Self::build(count, task_ms, Stdio::null, false, shape)
+        Self::build(&DaemonBuild::current(), count, task_ms, |_| Stdio::null(), false, shape)
     }
 
     /// Starts instances that connect to the store and the executors through proxies.
     pub fn start_with_proxies(count: u16, task_ms: u64, shape: PoolShape) -> Self {
-        Self::build(count, task_ms, Stdio::null, true, shape)
+        let output = |_| Stdio::null();
+        Self::build(&DaemonBuild::current(), count, task_ms, output, true, shape)
+    }
+
+    /// Starts instances of a build that connect to the store and the executors through proxies.
+    /// `output` gets the number of the instance.
+    pub fn start_build(
+        build: &DaemonBuild,
+        count: u16,
+        task_ms: u64,
+        output: impl Fn(u16) -> Stdio,
+        shape: PoolShape,
+    ) -> Self {
+        Self::build(build, count, task_ms, output, true, shape)
     }
 
     fn build(
+        build: &DaemonBuild,
         count: u16,
         task_ms: u64,
-        output: impl Fn() -> Stdio,
+        output: impl Fn(u16) -> Stdio,
         proxied: bool,
         shape: PoolShape,
     ) -> Self {
@@ -184,14 +220,15 @@
                 "client_address": loopback(port), "readiness_address": loopback(port + 1),
                 "peer_address": loopback(port + 2), "operator_address": loopback(port + 3),
                 "store_address": store_address, "max_lease_ms": 6_000, "stop_timeout_ms": 200,
-                "grace_ms": 6_000, "min_store_ttl_ms": 1_000, "harm_ms": 4_000,
+                "grace_ms": GRACE_MS, "min_store_ttl_ms": 1_000, "harm_ms": 4_000,
+                "config_apply_ms": 2_000, "evacuate_ms": 5_000,
                 "processor_share": 1.0, "link_mbps": shape.link_mbps, "cells": shape.cells, "retention_ms": 120_000,
             });
             let path = std::env::temp_dir().join(format!("cuminbank-jobd-{port}.json"));
-            fs::write(&path, settings.to_string()).expect("the temporary directory is writable");
             deployment.clients.push(loopback(port));
             deployment.operators.push(loopback(port + 3));
-            deployment.instances.push(InstanceProcess::start(path, output()));
+            let process = InstanceProcess::start(build.clone(), path, settings, output(number));
+            deployment.instances.push(process);
         }
         deployment.wait("a cell has no owner", |deployment| {
             deployment.owner().is_some() && deployment.owned_cells() == usize::from(shape.cells)
@@ -257,14 +294,14 @@
 /// Sends a request on a new connection. Returns the status and the JSON body of the response.
 pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
     let stream = connect(address, Duration::from_secs(5))?;
-    let (_, status, body) = exchange_on(stream, method, path, body)?;
+    let (_, status, body) = exchange_on(stream, method, path, body).ok()?;
     Some((status, serde_json::from_slice(&body).unwrap_or_default()))
 }
 
 /// Returns the body of a page as text.
 pub fn read_text(address: SocketAddr, path: &str) -> Option<String> {
     let stream = connect(address, Duration::from_secs(5))?;
-    let (_, _, body) = exchange_on(stream, "GET", path, "")?;
+    let (_, _, body) = exchange_on(stream, "GET", path, "").ok()?;
     String::from_utf8(body).ok()
 }
 
@@ -285,46 +322,67 @@
         Self { address, stream: None }
     }
 
-    /// Sends a request and returns the status of the response. A connection that has failed is not
-    /// reused.
-    pub fn exchange(&mut self, method: &str, path: &str, body: &str) -> Option<u16> {
+    /// Sends a request and returns the status and the JSON body of the response. A connection that
+    /// has failed is not reused.
+    pub fn request(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Result<(u16, Value), ExchangeFailure> {
         let stream = match self.stream.take() {
             Some(stream) => stream,
-            None => connect(self.address, CLIENT_TIMEOUT)?,
+            None => connect(self.address, CLIENT_TIMEOUT).ok_or(ExchangeFailure::NotConnected)?,
         };
-        let (stream, status, _) = exchange_on(stream, method, path, body)?;
+        let exchange = exchange_on(stream, method, path, body);
+        let (stream, status, body) = exchange.map_err(|error| match error.kind() {
+            io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => ExchangeFailure::TimedOut,
+            _ => ExchangeFailure::Broken,
+        })?;
         self.stream = Some(stream);
-        Some(status)
+        Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
     }
 }
 
+/// Why a request got no response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExchangeFailure {
+    NotConnected,
+    /// The connection ended before the whole response.
+    Broken,
+    TimedOut,
+}
+
 fn exchange_on(
     mut stream: BufReader<TcpStream>,
     method: &str,
     path: &str,
     body: &str,
-) -> Option<(BufReader<TcpStream>, u16, Vec<u8>)> {
+) -> io::Result<(BufReader<TcpStream>, u16, Vec<u8>)> {
     let length = body.len();
     let head = format!(
         "{method} {path} HTTP/1.1\r\nhost: plans.example\r\ncontent-length: {length}\r\n\r\n"
     );
-    stream.get_mut().write_all(format!("{head}{body}").as_bytes()).ok()?;
+    stream.get_mut().write_all(format!("{head}{body}").as_bytes())?;
     let mut line = String::new();
-    stream.read_line(&mut line).ok()?;
-    let status = line.split(' ').nth(1)?.parse().ok()?;
+    stream.read_line(&mut line)?;
+    let status = line.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = status.ok_or(io::ErrorKind::InvalidData)?;
     let mut length = 0;
     loop {
         line.clear();
-        stream.read_line(&mut line).ok()?;
+        if stream.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
         let header = line.trim().to_ascii_lowercase();
         if let Some(value) = header.strip_prefix("content-length: ") {
-            length = value.parse().ok()?;
+            length = value.parse().map_err(|_| io::ErrorKind::InvalidData)?;
         }
         if header.is_empty() {
             break;
         }
     }
     let mut answer = vec![0; length];
-    stream.read_exact(&mut answer).ok()?;
-    Some((stream, status, answer))
+    stream.read_exact(&mut answer)?;
+    Ok((stream, status, answer))
 }
