--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -76,6 +76,18 @@
         let starved = self.starved.front().map(|(_, key)| *key);
         starved.or(self.jobs.front().copied())
     }
+
+    /// Returns the job whose failed search in this pass shows that a task of the step cannot be
+    /// placed.
+    fn find_failed_search(
+        &self,
+        job: &JobState,
+        step: usize,
+        rules: PlacementRules,
+    ) -> Option<JobId> {
+        let shape = self.unplaced.iter().find(|shape| shape.is_no_larger_than(job, step, rules))?;
+        Some(shape.job)
+    }
 }
 
 /// Shape of a task that could not be placed: the properties that decide whether an executor can run
@@ -163,12 +175,12 @@
                 continue;
             }
             pass.jobs.pop_front();
-            let unplaced = pass.unplaced.len() - pass.starved_shapes;
             // Every job must make progress while much of the pool is free, and few tasks are
             // unplaceable then.
             if self.underutilized {
                 continue;
             }
+            let unplaced = pass.unplaced.len() - pass.starved_shapes;
             if unplaced >= MAX_UNPLACED_SHAPES_TOTAL {
                 break;
             }
@@ -283,18 +295,12 @@
                 && !advised
                 && !gang
                 && waited >= PROBATION_WAIT;
-            let failed_search = pass
-                .unplaced
-                .iter()
-                .filter(|_| !advised && !gang && !starving)
-                .find(|shape| shape.is_no_larger_than(job, step, rules))
-                .map(|shape| shape.job);
+            let failed_search = match advised || gang || starving {
+                true => None,
+                false => pass.find_failed_search(job, step, rules),
+            };
             let known_unplaceable = failed_search.is_some();
-            let now = self.now;
-            match failed_search {
-                Some(failed) => self.jobs[key].skipped = Some((now, failed)),
-                None => self.jobs[key].searched_at = Some(now),
-            }
+            self.note_search(key, failed_search);
             if (known_unplaceable && !on_probation)
                 || (advised && !self.has_advice(key, task, &pass.placeable))
             {
@@ -324,6 +330,17 @@
         }
         true
     }
+
+    /// Notes for the log whether a search is made for a task of a job, or the failed search of
+    /// another job is taken for its own.
+    fn note_search(&mut self, key: JobKey, failed_search: Option<JobId>) {
+        let now = self.now;
+        let job = &mut self.jobs[key];
+        match failed_search {
+            Some(failed) => job.skipped = Some((now, failed)),
+            None => job.searched_at = Some(now),
+        }
+    }
 }
 
 fn urgency(job: &JobState) -> JobUrgency {
