Share the jobs and the burst of the tests of waiting tasks

waiting.rs and waiting_bounds.rs each had their own constants, builders and burst; both use support/waiting.rs now. The assertions, times and numbers of jobs are the same.

--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -29,7 +29,8 @@
 
 impl JobScheduler {
     /// Returns whether there are valid tickets for enough executors with free capacity for a task,
-    /// or for all tasks of its gang, within the limit of its step. Otherwise requests more tickets from the advice service.
+    /// or for all tasks of its gang, within the limit of its step. Otherwise requests more tickets
+    /// from the advice service.
     pub(super) fn has_advice(
         &mut self,
         key: JobKey,
--- a/crates/cuminbank-jobs/tests/support/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/mod.rs
@@ -7,3 +7,4 @@
 pub mod jobs;
 pub mod ownership;
 pub mod simulation;
+pub mod waiting;
--- a/crates/cuminbank-jobs/tests/waiting.rs
+++ b/crates/cuminbank-jobs/tests/waiting.rs
@@ -6,41 +6,24 @@
 
 use cuminbank_jobs::{
     ids::JobId,
-    job::{JobRecord, JobStep, TaskName, TaskNeeds},
+    job::{JobStep, TaskName, TaskNeeds},
     order::RunEnd,
 };
 use support::{
-    jobs::{job, step},
+    jobs::step,
     simulation::SimulatedPool,
+    waiting::{
+        burst_length, long_running, play_burst, submit, with_lengths, LASTING, START_LIMIT,
+        SUBMITTED,
+    },
 };
 
-const SUBMITTED: Duration = Duration::from_secs(3);
-/// Time after which a long-running task must have started if executors have room for it.
-const START_LIMIT: Duration = Duration::from_secs(3);
-/// Run time of a task that goes on beyond the end of each test.
-const LASTING: Duration = Duration::from_secs(600);
-
 fn cores(count: u32) -> TaskNeeds {
     TaskNeeds { cpu_millis: count * 1_000, memory_mb: 500, gpus: 0 }
 }
 
-fn long_running(count: u32) -> JobStep {
-    JobStep { long_running: true, ..step(count, &[]) }
-}
-
-/// Submits a job that is accepted now, so that it can still meet its objective.
-fn submit(pool: &mut SimulatedPool, id: JobId, step: JobStep) {
-    // The wall clock of the simulation starts at 1,000 s.
-    let accepted_at = Duration::from_secs(1_000) + pool.now;
-    pool.submit(id, JobRecord { accepted_at, ..job(vec![step]) });
-}
-
-/// Returns a pool whose runs take as long as `length` says.
 fn pool(executors: usize, length: fn(TaskName) -> Duration) -> SimulatedPool {
-    let plan = move |task, _| (Some(length(task)), RunEnd::Done);
-    let mut pool = SimulatedPool::new(4, 1, executors).with_plan(Box::new(plan));
-    pool.run_until(SUBMITTED);
-    pool
+    with_lengths(SimulatedPool::new(4, 1, executors), length)
 }
 
 // Guards against a job that has reached its limit on each executor with room and so makes every
@@ -100,23 +83,7 @@
 // objective.
 #[test]
 fn long_running_task_starts_during_a_burst() {
-    const LASTING_JOB: JobId = 1_000;
-    let length = |task: TaskName| match task.job {
-        LASTING_JOB => LASTING,
-        _ => Duration::from_millis(400),
-    };
-    let mut pool = pool(2, length);
-    // Twice the capacity of 16 cores.
-    for id in 0..100 {
-        submit(&mut pool, id, step(8, &[]));
-        if id == 20 {
-            submit(&mut pool, LASTING_JOB, long_running(1));
-        }
-        pool.run_until(pool.now + Duration::from_millis(100));
-        if id == 20 + START_LIMIT.as_millis() as u64 / 100 {
-            assert_eq!(pool.running(LASTING_JOB), 1);
-        }
-    }
+    play_burst(&mut pool(2, burst_length), 100, START_LIMIT);
 }
 
 // Guards against jobs that no pass reaches, because each pass ends after the same jobs that find no
--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -1,4 +1,4 @@
-//! Tests of further tasks that wait although executors have room for them.
+//! Tests of bounds, limits and rejections that make tasks wait although executors have room.
 
 mod support;
 
@@ -6,20 +6,17 @@
 
 use cuminbank_jobs::{
     ids::JobId,
-    job::{AdviceTerms, JobRecord, JobStep, TaskName, TaskNeeds},
-    order::RunEnd,
+    job::{AdviceTerms, JobStep, TaskName, TaskNeeds},
 };
 use support::{
-    jobs::{job, step},
+    jobs::step,
     simulation::SimulatedPool,
+    waiting::{
+        burst_length, long_running, play_burst, record, submit, with_lengths, LASTING, LASTING_JOB,
+        START_LIMIT, SUBMITTED,
+    },
 };
 
-const SUBMITTED: Duration = Duration::from_secs(3);
-/// Time after which a long-running task must have started if executors have room for it.
-const START_LIMIT: Duration = Duration::from_secs(3);
-/// Run time of a task that goes on beyond the end of each test.
-const LASTING: Duration = Duration::from_secs(600);
-const LASTING_JOB: JobId = 1_000;
 const LATER_JOB: JobId = 2_000;
 const SHORT_JOB: JobId = 3_000;
 
@@ -27,29 +24,6 @@
     TaskNeeds { cpu_millis, memory_mb: 10, gpus: 0 }
 }
 
-fn long_running(count: u32) -> JobStep {
-    JobStep { long_running: true, ..step(count, &[]) }
-}
-
-/// Returns a job that is accepted now, so that it can still meet its objective.
-fn record(pool: &SimulatedPool, step: JobStep) -> JobRecord {
-    // The wall clock of the simulation starts at 1,000 s.
-    let accepted_at = Duration::from_secs(1_000) + pool.now;
-    JobRecord { accepted_at, ..job(vec![step]) }
-}
-
-fn submit(pool: &mut SimulatedPool, id: JobId, step: JobStep) {
-    let record = record(pool, step);
-    pool.submit(id, record);
-}
-
-fn with_lengths(pool: SimulatedPool, length: fn(TaskName) -> Duration) -> SimulatedPool {
-    let plan = move |task, _| (Some(length(task)), RunEnd::Done);
-    let mut pool = pool.with_plan(Box::new(plan));
-    pool.run_until(SUBMITTED);
-    pool
-}
-
 // Guards against a step with a limit of tasks per executor that requests no further tickets while
 // it has tickets for executors on which it has reached the limit.
 #[test]
@@ -72,26 +46,12 @@
     const REJECTED_RUNS: u32 = 3;
     /// Time without a run after which the task is lost.
     const RUN_LIMIT: Duration = Duration::from_secs(6);
-    let length = |task: TaskName| match task.job {
-        LASTING_JOB => LASTING,
-        _ => Duration::from_millis(400),
-    };
-    let mut pool = with_lengths(SimulatedPool::new(4, 1, 2), length);
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 2), burst_length);
     let task = TaskName { job: LASTING_JOB, occurrence: 0, step: 0, index: 0 };
     for executor in &mut pool.executors {
         executor.closed.insert(task, REJECTED_RUNS);
     }
-    // Twice the capacity of 16 cores.
-    for id in 0..200 {
-        submit(&mut pool, id, step(8, &[]));
-        if id == 20 {
-            submit(&mut pool, LASTING_JOB, long_running(1));
-        }
-        pool.run_until(pool.now + Duration::from_millis(100));
-        if id == 20 + RUN_LIMIT.as_millis() as u64 / 100 {
-            assert_eq!(pool.running(LASTING_JOB), 1);
-        }
-    }
+    play_burst(&mut pool, 200, RUN_LIMIT);
 }
 
 // Guards against the same as jobs_without_room_do_not_hide_later_ones, for jobs that are not
--- a/crates/cuminbank-net/src/etcd.rs
+++ b/crates/cuminbank-net/src/etcd.rs
@@ -40,7 +40,8 @@
     /// after [`ExchangeError::Lost`] the request may have taken effect, and the caller has to read
     /// the store to determine the outcome.
     ///
-    /// `timeout` covers the tries at all addresses; a status other than 200 is [`ExchangeError::Refused`].
+    /// `timeout` covers the tries at all addresses; a status other than 200 is
+    /// [`ExchangeError::Refused`].
     pub async fn call(
         &self,
         request: &StoreRequest,
