Do not start test processes while ports are probed

Cause: PortBlock::take binds each port of a block and closes it again. A child that another test thread starts meanwhile holds copies of these sockets until it runs its program, so a port can stay in use for some time after the probe. The eight tests of the binary probe and start processes at the same time. Ruled out: two tests with one block (its first port stays bound), ephemeral ports (from 32768).

Change: processes start under the read side of a lock, blocks are probed under its write side.

--- a/crates/cuminbank-entry/tests/process.rs
+++ b/crates/cuminbank-entry/tests/process.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
-use std::{fs, process::Command};
+use std::{
+    fs,
+    process::{Command, Stdio},
+};
 
 use serde_json::{json, Value};
 
-use support::{entry::write_file, Deployment};
+use support::{entry::write_file, ports, Deployment};
 
 /// Guards against a runtime that selects io_uring, which the production machines forbid.
 #[test]
@@ -34,12 +37,11 @@
 /// Runs the daemon with `--check`; returns its exit code, the settings file and its output.
 fn check(name: &str, settings: &Value) -> (Option<i32>, String, String) {
     let path = write_file(&format!("{name}.json"), &settings.to_string());
-    let output = Command::new(env!("CARGO_BIN_EXE_cuminbank-entry"))
-        .arg("--settings")
-        .arg(&path)
-        .arg("--check")
-        .output()
-        .expect("the daemon was built with the test");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cuminbank-entry"));
+    command.arg("--settings").arg(&path).arg("--check");
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let child = ports::spawn(&mut command).expect("the daemon was built with the test");
+    let output = child.wait_with_output().expect("the process is a child of the test");
     fs::remove_file(&path).expect("the daemon does not delete its settings file");
     let text = [output.stdout, output.stderr].concat();
     (output.status.code(), path.display().to_string(), String::from_utf8_lossy(&text).into_owned())
--- a/crates/cuminbank-entry/tests/support/entry.rs
+++ b/crates/cuminbank-entry/tests/support/entry.rs
@@ -13,7 +13,12 @@
 };
 use serde_json::{json, Value};
 
-use super::{http::get, platform::Platform, ports::PortBlock, wait_for_some};
+use super::{
+    http::get,
+    platform::Platform,
+    ports::{self, PortBlock},
+    wait_for_some,
+};
 
 /// Index of the first port of the entry instances in the block; each instance has two.
 const FIRST_PORT: usize = 20;
@@ -59,14 +64,14 @@
         let http: SocketAddr = text("http_address").parse().expect("the address is valid");
         let path = write_file(&format!("{}.json", http.port()), &settings.to_string());
         let log = path.with_extension("log");
-        let child = Command::new(env!("CARGO_BIN_EXE_cuminbank-entry"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cuminbank-entry"));
+        command
             .arg("--settings")
             .arg(&path)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(File::create(&log).expect("the target folder is writable"))
-            .spawn()
-            .expect("the daemon was built with the test");
+            .stderr(File::create(&log).expect("the target folder is writable"));
+        let child = ports::spawn(&mut command).expect("the daemon was built with the test");
         Self { name: text("instance"), http, child, files: vec![path, log] }
     }
 
--- a/crates/cuminbank-entry/tests/support/ports.rs
+++ b/crates/cuminbank-entry/tests/support/ports.rs
@@ -1,6 +1,11 @@
 //! Allocation of free loopback ports for parallel tests.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    process::{Child, Command},
+    sync::{PoisonError, RwLock},
+};
 
 /// Number of ports in a block. The first stays bound, which reserves the block against other tests.
 const BLOCK_SIZE: u16 = 40;
@@ -8,6 +13,10 @@
 const FIRST_PORT: u16 = 10_000;
 const LAST_PORT: u16 = 32_000;
 
+/// Held for writing while a block is probed, for reading while a process starts. The new process holds
+/// copies of all open sockets until it runs its program, and would keep probed ports in use.
+static PROBE_LOCK: RwLock<()> = RwLock::new(());
+
 /// Block of consecutive free ports, reserved as long as this value exists.
 pub struct PortBlock {
     first: u16,
@@ -17,6 +26,7 @@
 impl PortBlock {
     /// Reserves a free block; panics if there is none.
     pub fn take() -> Self {
+        let _probing = PROBE_LOCK.write().unwrap_or_else(PoisonError::into_inner);
         let blocks = u32::from((LAST_PORT - FIRST_PORT) / BLOCK_SIZE);
         // Each process starts its search at a different block, to reduce collisions.
         let begin = std::process::id().wrapping_mul(7);
@@ -49,6 +59,12 @@
     }
 }
 
+/// Starts a process, not while a block is probed. Fails if the program cannot be started.
+pub fn spawn(command: &mut Command) -> io::Result<Child> {
+    let _starting = PROBE_LOCK.read().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -53,12 +53,9 @@
 fn spawn(build: &DaemonBuild, path: &PathBuf, settings: &Value, output: Stdio) -> Child {
     let text = build.select_settings(settings).to_string();
     fs::write(path, text).expect("the temporary directory is writable");
-    Command::new(build.program())
-        .arg("--settings")
-        .arg(path)
-        .stdout(output)
-        .spawn()
-        .expect("the daemon binary starts")
+    let mut command = Command::new(build.program());
+    command.arg("--settings").arg(path).stdout(output);
+    ports::spawn(&mut command).expect("the daemon binary starts")
 }
 
 impl InstanceProcess {
