Return from a failed search what it shows

After a failed search for a step with a limit of tasks per executor, a pass scanned all executors a second time to find out whether the failure may be recorded as a shape. The searches now return that themselves (SearchFailure), and the refusals by limit, ticket and gang size are told apart in one place. The same searches fail and the same shapes are recorded, except that a failed search of an advised step is recorded if no executor was refused for want of a ticket.

step_at_its_limit_is_searched_once_in_a_pass failed before: a pass over one such job used a unit more per executor.

--- a/crates/cuminbank-jobs/src/scheduler/candidates.rs
+++ b/crates/cuminbank-jobs/src/scheduler/candidates.rs
@@ -8,6 +8,7 @@
 
 use super::{
     pass::START_UNITS,
+    refusals::SearchFailure,
     state::{ExecutorKey, ExecutorState, JobKey, RunsPerExecutor},
     JobScheduler,
 };
@@ -57,6 +58,8 @@
     pub(super) rules: PlacementRules,
     counts: RunsPerExecutor,
     by_cost: BinaryHeap<Reverse<(u64, ExecutorKey)>>,
+    /// What it shows if no executor is left.
+    failure: SearchFailure,
 }
 
 impl StepCandidates {
@@ -86,34 +89,35 @@
         placeable: &[ExecutorKey],
     ) -> StepCandidates {
         let counts = self.step_counts(&self.jobs[key], position.0, position.1);
-        let mut candidates = StepCandidates { position, rules, counts, by_cost: BinaryHeap::new() };
-        let search = candidates.search(key);
-        let costs = placeable.iter().filter_map(|executor| {
-            Some(Reverse((self.cost_on(&search, *executor).ok()?, *executor)))
-        });
-        let by_cost: BinaryHeap<_> = costs.collect();
-        self.charge_units(placeable.len() as u32 + by_cost.len() as u32 * EVALUATION_UNITS);
-        candidates.by_cost = by_cost;
+        let by_cost = BinaryHeap::new();
+        let failure = SearchFailure::default();
+        let mut candidates = StepCandidates { position, rules, counts, by_cost, failure };
+        for executor in placeable {
+            self.evaluate(key, &mut candidates, *executor);
+        }
+        let found = candidates.by_cost.len() as u32;
+        self.charge_units(placeable.len() as u32 + found * EVALUATION_UNITS);
         candidates
     }
 
-    /// Removes and returns the executor with the lowest cost for the next task.
+    /// Removes and returns the executor with the lowest cost for the next task, or what it shows
+    /// that there is none.
     pub(super) fn pop_candidate(
         &mut self,
         key: JobKey,
         candidates: &mut StepCandidates,
-    ) -> Option<ExecutorKey> {
+    ) -> Result<ExecutorKey, SearchFailure> {
         while let Some(Reverse((cost, executor))) = candidates.by_cost.pop() {
             self.charge_units(EVALUATION_UNITS);
             // The cost may have changed since the search: a start on another executor may have
             // reached the limit on executors for an uncertain image pair.
             match self.cost_on(&candidates.search(key), executor) {
-                Ok(now) if now <= cost => return Some(executor),
+                Ok(now) if now <= cost => return Ok(executor),
                 Ok(now) => candidates.by_cost.push(Reverse((now, executor))),
-                Err(_) => {}
+                Err(refusal) => candidates.failure = candidates.failure.max(refusal.failure()),
             }
         }
-        None
+        Err(candidates.failure)
     }
 
     /// Counts a started run on an executor and adds the executor again if it can run another task.
@@ -125,8 +129,14 @@
     ) {
         *candidates.counts.entry(executor).or_default() += 1;
         self.charge_units(START_UNITS);
-        if let Ok(cost) = self.cost_on(&candidates.search(key), executor) {
-            candidates.by_cost.push(Reverse((cost, executor)));
+        self.evaluate(key, candidates, executor);
+    }
+
+    /// Adds an executor if it can run a task of the step.
+    fn evaluate(&self, key: JobKey, candidates: &mut StepCandidates, executor: ExecutorKey) {
+        match self.cost_on(&candidates.search(key), executor) {
+            Ok(cost) => candidates.by_cost.push(Reverse((cost, executor))),
+            Err(refusal) => candidates.failure = candidates.failure.max(refusal.failure()),
         }
     }
 }
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -8,6 +8,7 @@
 
 use super::{
     candidates::PlacementRules,
+    refusals::SearchFailure,
     state::{ExecutorKey, JobKey, JobState, TaskPhase},
     JobScheduler,
 };
@@ -91,9 +92,8 @@
 }
 
 /// Shape of a task that could not be placed: the properties that decide whether an executor can run
-/// it. Later tasks of the same pass that need at least as much are skipped. A failed search that
-/// depends on more than these, such as the runs of the same step or the size of a gang, is not
-/// recorded.
+/// it. Later tasks of the same pass that need at least as much are skipped. Only a search that
+/// failed with [`SearchFailure::Shape`] is recorded.
 #[derive(Debug)]
 struct UnplacedShape {
     /// Job of the task, for the log.
@@ -309,21 +309,19 @@
             }
             let mut placed = match gang {
                 true => self.place_gang(key, occurrence, step, &pass.placeable),
-                false if known_unplaceable => false,
+                false if known_unplaceable => Err(SearchFailure::Step),
                 false => self.place_task(key, task, rules, &pass.placeable, &mut candidates),
             };
-            if !placed && on_probation {
-                placed = self.place_on_probation(key, task, &pass.quarantined);
+            if on_probation {
+                placed = placed.or_else(|failure| {
+                    self.place_on_probation(key, task, &pass.quarantined).map_err(|_| failure)
+                });
             }
-            idle &= !placed;
-            if !placed {
+            idle &= placed.is_err();
+            if let Err(failure) = placed {
                 skipped_step = Some((occurrence, step));
                 pass.failed_searches += u32::from(!known_unplaceable || on_probation);
-                if !advised
-                    && !gang
-                    && !known_unplaceable
-                    && !self.is_refused_by_limit(key, task, rules, &pass.placeable)
-                {
+                if failure == SearchFailure::Shape {
                     pass.unplaced.push(UnplacedShape::new(&self.jobs[key], step, rules));
                 }
             }
--- a/crates/cuminbank-jobs/src/scheduler/refusals.rs
+++ b/crates/cuminbank-jobs/src/scheduler/refusals.rs
@@ -31,6 +31,27 @@
     Interference,
 }
 
+impl PlacementRefusal {
+    /// Returns what a search that ends with this refusal shows.
+    pub(super) fn failure(self) -> SearchFailure {
+        match self {
+            Self::Limit | Self::Ticket => SearchFailure::Step,
+            _ => SearchFailure::Shape,
+        }
+    }
+}
+
+/// What the failure of a search shows. If executors differ, the greatest value counts.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum SearchFailure {
+    /// No executor can run a task of this shape, whichever its job.
+    #[default]
+    Shape,
+    /// Only this step is refused: by its limit of tasks per executor, its tickets or the size of
+    /// its gang.
+    Step,
+}
+
 impl JobScheduler {
     /// Returns why no task of any job may start on an executor, if so.
     pub(super) fn general_refusal(&self, executor: &ExecutorState) -> Option<PlacementRefusal> {
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -6,7 +6,7 @@
 
 use super::{
     candidates::{CandidateSearch, PlacementRules, StepCandidates, EVALUATION_UNITS},
-    refusals::PlacementRefusal,
+    refusals::{PlacementRefusal, SearchFailure},
     state::{ExecutorKey, ExecutorState, JobKey, JobState, RunsPerExecutor, TaskPhase},
     JobScheduler,
 };
@@ -66,8 +66,8 @@
         false
     }
 
-    /// Starts a task on the executor with the lowest cost and returns whether any executor can run
-    /// it. `candidates` caches the suitable executors for the task's step.
+    /// Starts a task on the executor with the lowest cost, or returns what it shows that no executor
+    /// can run it. `candidates` caches the suitable executors for the task's step.
     pub(super) fn place_task(
         &mut self,
         key: JobKey,
@@ -75,14 +75,14 @@
         rules: PlacementRules,
         placeable: &[ExecutorKey],
         candidates: &mut Option<StepCandidates>,
-    ) -> bool {
+    ) -> Result<(), SearchFailure> {
         let job = &self.jobs[key];
         let position = job.layout.position(task);
         let needs_full_search = rules.starving
             || job.record.terms.advice.is_some()
             || !job.tasks[task as usize].failed_on.is_empty();
-        let chosen = match needs_full_search {
-            true => self.find_cheapest(key, task, placeable, rules),
+        let executor = match needs_full_search {
+            true => self.find_cheapest(key, task, placeable, rules)?,
             false => {
                 let known = match candidates
                     .take()
@@ -91,10 +91,9 @@
                     Some(known) => known,
                     None => self.find_candidates(key, position, rules, placeable),
                 };
-                self.pop_candidate(key, candidates.insert(known))
+                self.pop_candidate(key, candidates.insert(known))?
             }
         };
-        let Some(executor) = chosen else { return false };
         if rules.starving {
             self.next_starvation_start_at = self.now + STARVATION_PAUSE;
         }
@@ -104,23 +103,21 @@
             // The cached costs do not include this start.
             _ => *candidates = None,
         }
-        true
+        Ok(())
     }
 
-    /// Starts a long-running task on the quarantined executor with the lowest cost and returns
-    /// whether any of them can run it.
+    /// Starts a long-running task on the quarantined executor with the lowest cost, or returns what
+    /// it shows that none of them can run it.
     pub(super) fn place_on_probation(
         &mut self,
         key: JobKey,
         task: TaskIndex,
         quarantined: &[ExecutorKey],
-    ) -> bool {
+    ) -> Result<(), SearchFailure> {
         let rules = PlacementRules { on_probation: true, ..PlacementRules::default() };
-        let Some(executor) = self.find_cheapest(key, task, quarantined, rules) else {
-            return false;
-        };
+        let executor = self.find_cheapest(key, task, quarantined, rules)?;
         self.start_next_run(key, task, executor);
-        true
+        Ok(())
     }
 
     fn start_next_run(&mut self, key: JobKey, task: TaskIndex, executor: ExecutorKey) {
@@ -159,13 +156,13 @@
         occurrence: u32,
         step: usize,
         placeable: &[ExecutorKey],
-    ) -> bool {
+    ) -> Result<(), SearchFailure> {
         let job = &self.jobs[key];
         let range = job.step_range(occurrence, step);
         let all_ready =
             range.clone().all(|task| job.tasks[task as usize].phase == TaskPhase::Ready);
         if !all_ready {
-            return false;
+            return Err(SearchFailure::Step);
         }
         let assignments = self.assign_gang(job, occurrence, step, placeable);
         self.charge_units((placeable.len() + range.len()) as u32 * EVALUATION_UNITS);
@@ -174,13 +171,13 @@
             let detail = format!("step={step} members={}", range.len());
             let id = job.id;
             self.log(GANG_WAITS, Some(id), detail);
-            return false;
+            return Err(SearchFailure::Step);
         };
         let number = self.next_run(key, range.clone());
         for (task, executor) in range.zip(assignments) {
             self.start_run(key, task, number, executor);
         }
-        true
+        Ok(())
     }
 
     /// Selects an executor for each member of a gang. With `same_rack` it prefers a rack with free
@@ -275,47 +272,33 @@
         counts
     }
 
-    /// Returns the executor with the lowest cost for a task among the given ones.
+    /// Returns the executor with the lowest cost for a task among the given ones, or what it shows
+    /// that there is none.
     fn find_cheapest(
         &mut self,
         key: JobKey,
         task: TaskIndex,
         placeable: &[ExecutorKey],
         rules: PlacementRules,
-    ) -> Option<ExecutorKey> {
+    ) -> Result<ExecutorKey, SearchFailure> {
         let job = &self.jobs[key];
         let position = job.layout.position(task);
         let counts = self.step_counts(job, position.0, position.1);
         let failed_on = &job.tasks[task as usize].failed_on;
         let search = CandidateSearch { key, position, counts: &counts, failed_on, rules };
-        let costs =
-            placeable.iter().filter_map(|key| Some((self.cost_on(&search, *key).ok()?, *key)));
-        let best = costs.min();
-        self.charge_units(placeable.len() as u32 * EVALUATION_UNITS);
-        best.map(|(_, executor)| executor)
-    }
-
-    /// Returns whether some executor can run a task but for the limit of its step, which does not
-    /// apply to other jobs.
-    pub(super) fn is_refused_by_limit(
-        &mut self,
-        key: JobKey,
-        task: TaskIndex,
-        rules: PlacementRules,
-        placeable: &[ExecutorKey],
-    ) -> bool {
-        let job = &self.jobs[key];
-        let position = job.layout.position(task);
-        if job.record.steps[position.1].max_per_executor == 0 {
-            return false;
+        let mut failure = SearchFailure::default();
+        let mut best = None;
+        for executor in placeable {
+            match self.cost_on(&search, *executor) {
+                Ok(cost) if best.is_none_or(|best| (cost, *executor) < best) => {
+                    best = Some((cost, *executor));
+                }
+                Ok(_) => {}
+                Err(refusal) => failure = failure.max(refusal.failure()),
+            }
         }
-        let counts = self.step_counts(job, position.0, position.1);
-        let search = CandidateSearch { key, position, counts: &counts, failed_on: &[], rules };
-        let refused = placeable
-            .iter()
-            .any(|executor| self.cost_on(&search, *executor) == Err(PlacementRefusal::Limit));
-        self.charge_units(placeable.len() as u32);
-        refused
+        self.charge_units(placeable.len() as u32 * EVALUATION_UNITS);
+        best.map(|(_, executor)| executor).ok_or(failure)
     }
 
     /// Returns the cost of running a task of the searched step on an executor, or why it cannot run
--- a/crates/cuminbank-jobs/tests/pass.rs
+++ b/crates/cuminbank-jobs/tests/pass.rs
@@ -81,3 +81,23 @@
     // Each executor has eight cores, and each task needs at least nine tenths of a core.
     assert!(max_runs <= 8, "{max_runs} runs on an executor");
 }
+
+// Guards against a second scan of the executors after a failed search of a step with a limit of
+// tasks per executor.
+#[test]
+fn step_at_its_limit_is_searched_once_in_a_pass() {
+    let plan = |_, _| (Some(Duration::from_secs(600)), RunEnd::Done);
+    let mut pool = SimulatedPool::new(8, 1, EXECUTORS).with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    let count = EXECUTORS as u32 + 1;
+    pool.submit(
+        1,
+        job(vec![JobStep { max_per_executor: 1, long_running: true, ..step(count, &[]) }]),
+    );
+    pool.run_until(SUBMITTED + Duration::from_secs(1));
+    assert_eq!(pool.running(1), EXECUTORS);
+    pool.max_units = 0;
+    pool.run_until(pool.now + Duration::from_secs(1));
+    // A unit for the job, and one per executor when the pass begins and for the search.
+    assert_eq!(pool.max_units, 1 + 2 * EXECUTORS as u32);
+}
