Record the estimate of a best-effort task with its shape

A best-effort task that no executor tolerates made a pass skip all tasks of its image that need as much, although a shorter one would have been accepted: the tolerated loss of slack falls with the estimate, which was not part of the recorded shape. The shape now holds the estimate of best-effort tasks and only applies to tasks that are estimated to run as long.

long_best_effort_task_does_not_hide_shorter_ones failed before: the short task did not start within 200 ms beside a service with slack.

--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -103,6 +103,9 @@
     image: ImageId,
     best_effort: bool,
     needs: TaskNeeds,
+    /// Estimated run time in milliseconds of a best-effort task, and 0 for any other. The longer it
+    /// is, the less interference is tolerated.
+    estimate_ms: u32,
     /// Whether the task had waited so long that minor losses were reduced, which admits more
     /// executors.
     waited: bool,
@@ -118,6 +121,7 @@
             image: job.images[step],
             best_effort: spec.fills,
             needs: spec.needs,
+            estimate_ms: if spec.fills { spec.estimate_ms } else { 0 },
             waited: rules.waited,
         }
     }
@@ -129,6 +133,7 @@
         (self.waited || !rules.waited)
             && self.best_effort == spec.fills
             && self.image == job.images[step]
+            && self.estimate_ms <= spec.estimate_ms
             && self.needs.cpu_millis <= spec.needs.cpu_millis
             && self.needs.memory_mb <= spec.needs.memory_mb
             && self.needs.gpus <= spec.needs.gpus
--- a/crates/cuminbank-jobs/tests/waiting.rs
+++ b/crates/cuminbank-jobs/tests/waiting.rs
@@ -13,7 +13,7 @@
     jobs::step,
     simulation::SimulatedPool,
     waiting::{
-        burst_length, long_running, play_burst, submit, with_lengths, LASTING, START_LIMIT,
+        burst_length, long_running, play_burst, record, submit, with_lengths, LASTING, START_LIMIT,
         SUBMITTED,
     },
 };
@@ -108,3 +108,26 @@
     pool.run_until(pool.now + START_LIMIT);
     assert_eq!(pool.running(LATER_JOB), 1);
 }
+
+// Guards against a long best-effort task that a latency-critical one does not tolerate and that
+// makes shorter ones of its image wait.
+#[test]
+fn long_best_effort_task_does_not_hide_shorter_ones() {
+    const SERVICE_JOB: JobId = 1;
+    let length = |task: TaskName| match task.job {
+        SERVICE_JOB => LASTING,
+        _ => Duration::from_millis(400),
+    };
+    let mut pool = pool(1, length);
+    pool.executors[0].contended_tail_ms = Some(25);
+    submit(&mut pool, SERVICE_JOB, JobStep { tail_target_ms: 100, ..long_running(1) });
+    pool.run_until(SUBMITTED + Duration::from_secs(2));
+    assert_eq!(pool.running(SERVICE_JOB), 1);
+    let short = JobStep { fills: true, image: "f".to_owned(), needs: cores(4), ..step(1, &[]) };
+    submit(&mut pool, 2, JobStep { estimate_ms: 10_000, ..short.clone() });
+    let mut later = record(&pool, short);
+    later.terms.priority = 1;
+    pool.submit(3, later);
+    pool.run_until(pool.now + Duration::from_millis(200));
+    assert_eq!((pool.running(2), pool.running(3)), (0, 1));
+}
