Pause probation after a refusal as unhealthy

An executor that answers a start with 429 or 503 is quarantined, but a task on probation was sent to it again as soon as its wait allowed: a single long-running task was sent 261 times in 6 s. Such a refusal, and a run without progress, now leave the pause that a failed run leaves.

refusal_as_unhealthy_pauses_probation failed before with 261 starts; it allows 8.

--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -234,9 +234,11 @@
         now >= self.probation_from
     }
 
-    /// Quarantines the executor at once, because it is unhealthy or a run on it made no progress.
+    /// Quarantines the executor at once, because it is unhealthy or a run on it made no progress, and
+    /// tries no long-running task there for a pause.
     pub fn quarantine(&mut self, now: MonotonicTime) {
         self.quarantined_until = now + QUARANTINE_TIME;
+        self.probation_from = self.probation_from.max(now + PROBATION_PAUSE);
     }
 
     /// Returns whether the executor is quarantined and so gets no new work.
--- a/crates/cuminbank-jobs/tests/support/simulation/executors.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/executors.rs
@@ -92,6 +92,15 @@
             return;
         }
         self.advance_one(executor_index);
+        let refuses = self.refusing.contains(&order.executor);
+        if refuses && matches!(order.request, OrderRequest::Start { .. }) {
+            self.refused_starts += 1;
+            let result = Err(OrderFailure::Unhealthy);
+            let action =
+                Action::OrderCompletes { to: from, start, ownership_number, id: order.id, result };
+            let at = self.now + self.delay();
+            return self.push(at, action);
+        }
         if let OrderRequest::Hold { acknowledged, .. } = &order.request {
             if order.epoch >= self.executors[executor_index].token {
                 let acknowledged: Vec<_> = self.executors[executor_index]
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -180,6 +180,10 @@
     pub trace: Vec<String>,
     /// Executors for which the advice service issues tickets.
     pub advised: BTreeSet<String>,
+    /// Executors that refuse each start because they count as unhealthy.
+    pub refusing: BTreeSet<String>,
+    /// Starts refused for this reason.
+    pub refused_starts: usize,
     /// Number of executors in each request to the advice service.
     pub advice_requests: Vec<usize>,
     /// Highest number of work units that a scheduler used in one call, and highest number of starts
@@ -226,6 +230,8 @@
             losses: MessageLosses::default(),
             trace: Vec::new(),
             advised: BTreeSet::new(),
+            refusing: BTreeSet::new(),
+            refused_starts: 0,
             advice_requests: Vec::new(),
             max_units: 0,
             max_starts: 0,
--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -141,3 +141,20 @@
     let in_time = |after: &Option<Duration>| after.is_some_and(|after| after <= START_LIMIT);
     assert!(started.iter().all(in_time), "{started:?}");
 }
+
+// Guards against a long-running task that is sent again and again to an executor which refuses it
+// as unhealthy.
+#[test]
+fn refusal_as_unhealthy_pauses_probation() {
+    const TIME: Duration = Duration::from_secs(6);
+    // The start before the quarantine, and one per 0.75 s from then on.
+    const MAX_STARTS: usize = 8;
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 1), |_| LASTING);
+    pool.refusing.insert(pool.executors[0].name.clone());
+    submit(&mut pool, LASTING_JOB, long_running(1));
+    pool.run_until(SUBMITTED + TIME);
+    assert!((2..=MAX_STARTS).contains(&pool.refused_starts), "{} starts", pool.refused_starts);
+    pool.refusing.clear();
+    pool.run_until(pool.now + Duration::from_secs(1));
+    assert_eq!(pool.running(LASTING_JOB), 1);
+}
