Go on after a failed search that exceeds the budget of a slice

A slice that spends its budget ends, and the next one considers the same job again from its first step. If a single search of the job takes more than the budget and its failure is not recorded as a shape (gang, limit, tickets), each slice repeated it, and the pass never reached another job: nothing started in the cell until the gang found room. It takes 480 executors at a share of 0.12 of a core, or jobs with several such steps. The pass now keeps the steps that found no executor over the slices of a job and skips them before it checks the budget, so that each slice considers at least one more step.

waiting_gang_does_not_stop_the_pass failed before: a short job did not start within 10 s beside a gang without room, in a pool of 500 idle executors.

--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -4,7 +4,10 @@
 //! leases and of the ownership for too long. A pass therefore runs in slices with a fixed work
 //! budget; each slice resumes where the previous one stopped.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use super::{
     candidates::PlacementRules,
@@ -60,6 +63,9 @@
     starved: VecDeque<StarvedJob>,
     /// Other jobs still to be considered, most urgent first.
     jobs: VecDeque<JobKey>,
+    /// Occurrence and step of the tasks of the current job that found no executor. Kept over the
+    /// slices of a job, since a single search may exceed the budget of a slice.
+    failed_steps: BTreeSet<(u32, usize)>,
     placeable: Vec<ExecutorKey>,
     /// Executors that are usable but quarantined.
     quarantined: Vec<ExecutorKey>,
@@ -170,6 +176,7 @@
                 self.next_pass_at = self.now + SLICE_PAUSE;
                 return;
             }
+            pass.failed_steps.clear();
             if let Some(starved) = pass.starved.pop_front() {
                 pass.starved_shapes = pass.unplaced.len();
                 self.last_starved = None;
@@ -269,21 +276,20 @@
         self.choose_zone(key);
         let job = &self.jobs[key];
         let mut idle = job.tasks.iter().all(|task| task.runs.is_empty());
-        let mut skipped_step = None;
         let mut candidates = None;
         for task in ready {
-            if self.spent_units >= self.slice_units
-                || self.starts_in_flight >= self.max_starts_in_flight
-            {
-                return false;
-            }
             let job = &self.jobs[key];
             let (occurrence, step) = job.layout.position(task);
-            if skipped_step == Some((occurrence, step))
+            if pass.failed_steps.contains(&(occurrence, step))
                 || job.tasks[task as usize].phase != TaskPhase::Ready
             {
                 continue;
             }
+            if self.spent_units >= self.slice_units
+                || self.starts_in_flight >= self.max_starts_in_flight
+            {
+                return false;
+            }
             // The advice service allows different executors for each step, so if a step cannot be
             // placed, another step of the same shape may still be.
             let advised = job.record.terms.advice.is_some();
@@ -309,7 +315,7 @@
             if (known_unplaceable && !on_probation)
                 || (advised && !self.has_advice(key, task, &pass.placeable))
             {
-                skipped_step = Some((occurrence, step));
+                pass.failed_steps.insert((occurrence, step));
                 continue;
             }
             let mut placed = match gang {
@@ -324,7 +330,7 @@
             }
             idle &= placed.is_err();
             if let Err(failure) = placed {
-                skipped_step = Some((occurrence, step));
+                pass.failed_steps.insert((occurrence, step));
                 pass.failed_searches += u32::from(!known_unplaceable || on_probation);
                 if failure == SearchFailure::Shape {
                     pass.unplaced.push(UnplacedShape::new(&self.jobs[key], step, rules));
--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -104,6 +104,18 @@
     pool
 }
 
+/// Returns a pool of 500 executors of an instance with a small share of a core.
+fn weak_pool(seed: u64) -> SimulatedPool {
+    let length = |task: TaskName| match task.job {
+        SHORT_JOB => Duration::from_millis(400),
+        _ => LASTING,
+    };
+    let pool = SimulatedPool::new(seed, 1, 500).with_processor_share(0.12);
+    let mut pool = with_lengths(pool, length);
+    pool.run_until(SUBMITTED + Duration::from_secs(2));
+    pool
+}
+
 /// Returns after what time a job has a run, if it has one within 10 s.
 fn time_to_start(pool: &mut SimulatedPool, id: JobId) -> Option<Duration> {
     let submitted = pool.now;
@@ -158,3 +170,15 @@
     pool.run_until(pool.now + Duration::from_secs(1));
     assert_eq!(pool.running(LASTING_JOB), 1);
 }
+
+// Guards against a gang without room whose failed search exceeds the budget of a slice, so that the
+// pass searches for it again in each slice and reaches no other job.
+#[test]
+fn waiting_gang_does_not_stop_the_pass() {
+    let mut pool = weak_pool(5);
+    submit(&mut pool, 1, JobStep { gang: true, needs: needs(9_000), ..step(2, &[]) });
+    pool.run_until(pool.now + Duration::from_millis(500));
+    submit(&mut pool, SHORT_JOB, step(1, &[]));
+    let started = time_to_start(&mut pool, SHORT_JOB);
+    assert!(started.is_some_and(|after| after <= Duration::from_millis(650)), "{started:?}");
+}
