Start an advised gang with the tickets of fewer executors than members

An advised gang waited for tickets of as many executors as it has members, so it never started where fewer executors have room for all of them. Whether its tickets suffice is now decided by the assignment of its members.

--- a/crates/cuminbank-jobs/src/scheduler/advice.rs
+++ b/crates/cuminbank-jobs/src/scheduler/advice.rs
@@ -71,7 +71,7 @@
 /// Whether a step has the tickets that it needs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum TicketCheck {
-    /// It has tickets for enough executors that can run its tasks.
+    /// It has tickets for executors that can run a task, or all tasks of its gang.
     Sufficient,
     /// It does not. All executors were searched for further ones to ask about.
     Searched,
@@ -131,8 +131,8 @@
         self.advice.steps.retain(|(key, _, _), _| *key != job);
     }
 
-    /// Checks whether there are valid tickets for enough executors that can run a task, or all tasks
-    /// of its gang. Otherwise requests more tickets from the advice service.
+    /// Checks whether there are valid tickets for executors that can run a task, or all tasks of its
+    /// gang. Otherwise requests more tickets from the advice service.
     pub(super) fn check_tickets(
         &mut self,
         key: JobKey,
@@ -144,15 +144,25 @@
         let position = job.layout.position(task);
         let step = (key, position.0, position.1);
         let spec = &job.record.steps[position.1];
-        let wanted = if spec.gang { spec.count as usize } else { 1 };
+        // The placement of gangs does not check interference.
+        let rules = PlacementRules { starving: rules.starving || spec.gang, ..rules };
         let counts = self.step_counts(job, position.0, position.1);
         let search = CandidateSearch { key, position, counts: &counts, failed_on: &[], rules };
         let known = self.advice.steps.get(&step);
         let ticketed: Vec<ExecutorKey> =
             known.iter().flat_map(|known| known.tickets.keys().copied()).collect();
-        let usable = ticketed.iter().filter(|key| self.cost_on(&search, **key).is_ok()).count();
-        self.charge_units(1 + ticketed.len() as u32 * EVALUATION_UNITS);
-        if usable >= wanted {
+        let (sufficient, evaluated) = match spec.gang && !ticketed.is_empty() {
+            true => {
+                let assigned = self.assign_gang(job, position.0, position.1, placeable);
+                (assigned.is_some(), placeable.len())
+            }
+            false => {
+                let is_usable = |key: &ExecutorKey| self.cost_on(&search, *key).is_ok();
+                (ticketed.iter().any(is_usable), ticketed.len())
+            }
+        };
+        self.charge_units(1 + evaluated as u32 * EVALUATION_UNITS);
+        if sufficient {
             return TicketCheck::Sufficient;
         }
         if !self.advice.may_ask(step, self.now) || !self.advice.count_search(step) {
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -144,7 +144,7 @@
 
     /// Selects an executor for each member of a gang. With `same_rack` it prefers a rack with free
     /// capacity for all members. If there is none, it spreads the members over several racks.
-    fn assign_gang(
+    pub(super) fn assign_gang(
         &self,
         job: &JobState,
         occurrence: u32,
--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -39,6 +39,19 @@
     assert_eq!(pool.running(1), TASKS as usize, "requests: {:?}", pool.advice_requests);
 }
 
+// Guards against an advised gang that waits for tickets of as many executors as it has members,
+// although several members have room on one.
+#[test]
+fn advised_gang_starts_on_fewer_executors_than_members() {
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 2), |_| LASTING);
+    pool.advised = pool.executors.iter().map(|executor| executor.name.clone()).collect();
+    let mut record = record(&pool, JobStep { gang: true, ..step(4, &[]) });
+    record.terms.advice = Some(AdviceTerms { decision_ms: 5, per_executor_ms: 1, valid_ms: 3_000 });
+    pool.submit(1, record);
+    pool.run_until(SUBMITTED + Duration::from_secs(1));
+    assert_eq!(pool.running(1), 4);
+}
+
 // Guards against starts that come to nothing and begin the wait of a long-running task anew, which
 // then never counts as starved.
 #[test]
