Check random pools for tasks left waiting beside executors with room

The scheduler can tell whether the last event led to a complete pass that started nothing, and which ready tasks an executor accepts by cost_on, without anything that a pass remembers.

--- a/crates/cuminbank-jobs/src/scheduler/advice.rs
+++ b/crates/cuminbank-jobs/src/scheduler/advice.rs
@@ -88,8 +88,18 @@
         self.incomplete = false;
     }
 
+    /// Returns whether no search was left out in the current pass.
+    pub(super) fn is_pass_complete(&self) -> bool {
+        !self.incomplete
+    }
+
+    /// Returns whether the service does not allow a step on an executor.
+    pub(super) fn is_refused(&self, step: StepKey, executor: ExecutorKey) -> bool {
+        self.steps.get(&step).is_some_and(|known| known.refused.contains(&executor))
+    }
+
     /// Returns whether a call for a step may be made now.
-    fn may_ask(&self, step: StepKey, now: MonotonicTime) -> bool {
+    pub(super) fn may_ask(&self, step: StepKey, now: MonotonicTime) -> bool {
         let known = self.steps.get(&step);
         self.calls.len() < MAX_CALLS
             && known.is_none_or(|known| known.call.is_none() && now >= known.next_at)
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod gathering;
 mod jobs;
 mod journal;
+mod missed_placements;
 mod orders;
 mod pass;
 mod pressure;
@@ -40,6 +41,7 @@
 use cuminbank::log::LogCode;
 use slotmap::SlotMap;
 
+pub use missed_placements::MissedPlacement;
 pub use state::{ExecutorKey, JobKey, RunKey};
 
 use self::{
@@ -282,6 +284,8 @@
     pass_needed: bool,
     /// Unfinished pass over the queue.
     pass: Option<QueuePass>,
+    /// Whether a pass took place in the last call and considered all ready tasks.
+    pass_complete: bool,
     /// Starved job after which the last pass left out the remaining ones, if it did.
     last_starved: Option<StarvedJob>,
     /// Work budget of one slice of a pass, and the units spent by the last slice.
@@ -347,6 +351,7 @@
             waiting: HashSet::new(),
             pass_needed: false,
             pass: None,
+            pass_complete: false,
             last_starved: None,
             slice_units: slice_units(1.0),
             spent_units: 0,
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -32,13 +32,6 @@
 /// Number of failed searches for starved jobs after which the other jobs follow. The next pass
 /// goes on with the remaining starved jobs.
 const MAX_STARVED_SEARCHES: u32 = 32;
-/// Wait after which a long-running task may start on a quarantined executor. Such a task must not
-/// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
-const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
-/// Wait below which minor losses count in the placement of a best-effort task. With enough free
-/// capacity the task finds a suitable executor in this time; under heavy load it starts later, with
-/// minor losses reduced towards zero.
-const STRICT_PLACEMENT_TIME: Duration = Duration::from_millis(800);
 /// Work units per slice for an instance with one core. A unit is about the cost of checking an
 /// executor without free capacity, 20 ns; a slice takes about 5 ms of the instance's CPU share.
 const SLICE_UNITS_PER_CORE: f64 = 32_000.0;
@@ -77,6 +70,8 @@
     failed_searches: u32,
     /// Whether only long-running jobs are considered from now on.
     long_running_only: bool,
+    /// Whether a bound has left out jobs.
+    is_cut: bool,
 }
 
 impl QueuePass {
@@ -157,10 +152,12 @@
 impl JobScheduler {
     /// Runs the next slice of the current pass, or starts a new pass if one is due.
     pub(super) fn run_pass(&mut self) {
+        self.pass_complete = false;
         if !self.loaded || self.now < self.next_pass_at {
             return;
         }
         self.spent_units = 0;
+        let resumed = self.pass.is_some();
         let mut pass = match self.pass.take() {
             Some(pass) => pass,
             None if self.pass_needed => {
@@ -186,6 +183,7 @@
                 self.last_starved = None;
                 if pass.failed_searches >= MAX_STARVED_SEARCHES {
                     pass.starved.clear();
+                    pass.is_cut = true;
                     self.last_starved = Some(starved);
                 }
                 continue;
@@ -198,14 +196,17 @@
             }
             let unplaced = pass.unplaced.len() - pass.starved_shapes;
             if unplaced >= MAX_UNPLACED_SHAPES_TOTAL {
+                pass.is_cut = true;
                 break;
             }
             if unplaced >= MAX_UNPLACED_SHAPES && !pass.long_running_only {
                 pass.long_running_only = true;
+                pass.is_cut = true;
                 let jobs = &self.jobs;
                 pass.jobs.retain(|key| jobs.get(*key).is_some_and(JobState::is_long_running));
             }
         }
+        self.pass_complete = !resumed && !pass.is_cut && self.advice.is_pass_complete();
         let unplaced = pass.unplaced.len() as u32;
         let backoff = BACKOFF_INTERVAL * unplaced.div_ceil(UNPLACED_PER_INTERVAL);
         self.next_pass_at = self.now + PASS_INTERVAL.max(backoff);
@@ -298,19 +299,9 @@
             // placed, another step of the same shape may still be.
             let advised = job.record.terms.advice.is_some();
             let gang = job.record.steps[step].gang;
-            let starving = idle && self.is_starving(job, task);
-            let waited = self.now.saturating_sub(job.tasks[task as usize].ready_since);
-            let rules = PlacementRules {
-                waited: waited >= STRICT_PLACEMENT_TIME,
-                starving,
-                ..PlacementRules::default()
-            };
-            let on_probation = !pass.quarantined.is_empty()
-                && job.is_long_running()
-                && !advised
-                && !gang
-                && waited >= PROBATION_WAIT;
-            let failed_search = match advised || gang || starving {
+            let rules = self.placement_rules(job, task, idle);
+            let on_probation = !pass.quarantined.is_empty() && self.is_allowed_probation(job, task);
+            let failed_search = match advised || gang || rules.starving {
                 true => None,
                 false => pass.find_failed_search(job, step, rules),
             };
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -27,7 +27,42 @@
 /// make progress while up to 50 % are reserved; the difference is a safety margin.
 const UNDERUTILIZED_PERCENT: u64 = 60;
 
+/// Wait after which a long-running task may start on a quarantined executor. Such a task must not
+/// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
+const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
+/// Wait below which minor losses count in the placement of a best-effort task. With enough free
+/// capacity the task finds a suitable executor in this time; under heavy load it starts later, with
+/// minor losses reduced towards zero.
+const STRICT_PLACEMENT_TIME: Duration = Duration::from_millis(800);
+
 impl JobScheduler {
+    /// Returns the rules for placing a task now. `idle` tells whether no task of its job has a run.
+    pub(super) fn placement_rules(
+        &self,
+        job: &JobState,
+        task: TaskIndex,
+        idle: bool,
+    ) -> PlacementRules {
+        PlacementRules {
+            waited: self.wait_of(job, task) >= STRICT_PLACEMENT_TIME,
+            starving: idle && self.is_starving(job, task),
+            ..PlacementRules::default()
+        }
+    }
+
+    /// Returns whether a task may start on a quarantined executor now.
+    pub(super) fn is_allowed_probation(&self, job: &JobState, task: TaskIndex) -> bool {
+        let (_, step) = job.layout.position(task);
+        job.is_long_running()
+            && job.record.terms.advice.is_none()
+            && !job.record.steps[step].gang
+            && self.wait_of(job, task) >= PROBATION_WAIT
+    }
+
+    fn wait_of(&self, job: &JobState, task: TaskIndex) -> Duration {
+        self.now.saturating_sub(job.tasks[task as usize].ready_since)
+    }
+
     /// Starts a task on the executor with the lowest cost, or returns what it shows that no executor
     /// can run it. `candidates` caches the suitable executors for the task's step.
     pub(super) fn place_task(
@@ -96,7 +131,7 @@
     /// late, and [`STARVATION_PAUSE`] must have passed since the last such start.
     pub(super) fn is_starving(&self, job: &JobState, task: TaskIndex) -> bool {
         let (_, step) = job.layout.position(task);
-        let waited = self.now.saturating_sub(job.tasks[task as usize].ready_since);
+        let waited = self.wait_of(job, task);
         let allowed = self.underutilized
             || (self.now > job.deadline && self.now >= self.next_starvation_start_at);
         job.record.steps[step].fills && allowed && waited >= STARVATION_TIME
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -20,6 +20,13 @@
         let effects = scheduler.apply(now, wall, event);
         self.max_units = self.max_units.max(scheduler.spent_units());
         self.max_starts = self.max_starts.max(scheduler.starts_in_flight());
+        if scheduler.is_settled() {
+            self.settled_passes += 1;
+            let missed = scheduler.missed_placements();
+            if !missed.is_empty() {
+                self.checks.violations.push(format!("{now:?}: tasks left waiting: {missed:?}"));
+            }
+        }
         for effect in effects {
             self.execute_effect(number, effect);
         }
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -184,6 +184,8 @@
     pub refusing: BTreeSet<String>,
     /// Starts refused for this reason.
     pub refused_starts: usize,
+    /// Number of passes that were checked for missed placements.
+    pub settled_passes: usize,
     /// Number of executors in each request to the advice service.
     pub advice_requests: Vec<usize>,
     /// Highest number of work units that a scheduler used in one call, and highest number of starts
@@ -232,6 +234,7 @@
             advised: BTreeSet::new(),
             refusing: BTreeSet::new(),
             refused_starts: 0,
+            settled_passes: 0,
             advice_requests: Vec::new(),
             max_units: 0,
             max_starts: 0,
