Leave out executors that have changed during the pass for a gang

A pass takes its list of executors when it begins and may last for many slices. Single tasks are checked against the present state of each executor, gangs were not: a gang started on executors that had begun to drain meanwhile, and the scheduler panicked if one of them had been removed. The assignment of a gang now drops executors that get no new work.

Before: two members started on draining executors (gang_does_not_start_on_an_executor_that_drains_during_the_pass), and a panic, "invalid SlotMap key used" (removal_of_an_executor_during_the_pass_is_survived).

--- a/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
+++ b/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
@@ -97,13 +97,7 @@
         (occurrence, step): (u32, usize),
     ) -> Option<ExecutorKey> {
         let job = &self.jobs[key];
-        let placeable: Vec<ExecutorKey> = self
-            .executors
-            .iter()
-            .filter(|(_, executor)| self.is_usable(executor))
-            .filter(|(_, executor)| !executor.record.is_quarantined(self.now))
-            .map(|(key, _)| key)
-            .collect();
+        let placeable: Vec<ExecutorKey> = self.executors.keys().collect();
         self.assign_gang(job, occurrence, step, &placeable)?.first().copied()
     }
 }
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -187,6 +187,11 @@
         placeable: &[ExecutorKey],
     ) -> Option<Vec<ExecutorKey>> {
         let spec = &job.record.steps[step];
+        // Executors may have changed or left since the pass began.
+        let is_placeable = |key: &ExecutorKey| {
+            self.executors.get(*key).is_some_and(|executor| self.is_placeable(executor))
+        };
+        let placeable: Vec<ExecutorKey> = placeable.iter().copied().filter(is_placeable).collect();
         let mut racks: Vec<Option<&str>> = vec![None];
         if spec.same_rack {
             let mut names: Vec<&str> =
@@ -197,7 +202,7 @@
         }
         racks
             .into_iter()
-            .find_map(|rack| self.assign_gang_on_rack(job, occurrence, step, placeable, rack))
+            .find_map(|rack| self.assign_gang_on_rack(job, occurrence, step, &placeable, rack))
     }
 
     fn assign_gang_on_rack(
--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -10,7 +10,7 @@
 };
 use support::{
     jobs::step,
-    simulation::SimulatedPool,
+    simulation::{InjectedFault, SimulatedPool},
     waiting::{
         burst_length, long_running, play_burst, record, submit, with_lengths, LASTING, LASTING_JOB,
         START_LIMIT, SUBMITTED,
@@ -218,3 +218,46 @@
     let in_time = |after: &Option<Duration>| after.is_some_and(|after| after <= START_LIMIT);
     assert!(started.iter().all(in_time), "{started:?}");
 }
+
+/// Returns a pool of a weak instance in which a pass takes seconds, with gangs without room and
+/// [`LATER_JOB`], a gang that follows them and whose only executors are the first two.
+fn pool_with_waiting_gangs(seed: u64, gangs: u64) -> SimulatedPool {
+    let mut pool = weak_pool(seed);
+    for executor in &mut pool.executors[..2] {
+        executor.labels.insert(0, "large".to_owned());
+    }
+    // Until the list with the labels has been read.
+    pool.run_until(pool.now + Duration::from_secs(1));
+    let gang = JobStep { gang: true, ..step(2, &[]) };
+    for id in 1..=gangs {
+        submit(&mut pool, id, JobStep { needs: needs(9_000), ..gang.clone() });
+    }
+    let required_label = Some("large".to_owned());
+    let mut last = record(&pool, JobStep { required_label, ..gang });
+    last.terms.priority = 1;
+    pool.submit(LATER_JOB, last);
+    pool.run_until(pool.now + Duration::from_millis(100));
+    assert_eq!(pool.running(LATER_JOB), 0);
+    pool
+}
+
+// Guards against a gang that starts on executors which drain since the pass began.
+#[test]
+fn gang_does_not_start_on_an_executor_that_drains_during_the_pass() {
+    let mut pool = pool_with_waiting_gangs(7, 100);
+    for executor in &mut pool.executors[..2] {
+        executor.draining = true;
+    }
+    pool.run_until(pool.now + Duration::from_secs(8));
+    let started: usize = pool.executors[..2].iter().map(|executor| executor.history.len()).sum();
+    assert_eq!(started, 0);
+}
+
+// Guards against a panic of the pass because an executor that it knows was removed meanwhile.
+#[test]
+fn removal_of_an_executor_during_the_pass_is_survived() {
+    let mut pool = pool_with_waiting_gangs(8, 600);
+    pool.fault_at(pool.now, InjectedFault::CrashExecutor { executor: 2, down: None });
+    pool.run_until(pool.now + Duration::from_secs(20));
+    assert_eq!(pool.running(LATER_JOB), 2);
+}
