--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -4,10 +4,15 @@
 //! leases and of the ownership for too long. A pass therefore runs in slices with a fixed work
 //! budget; each slice resumes where the previous one stopped.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use super::{
+    advice::TicketCheck,
     candidates::PlacementRules,
+    refusals::SearchFailure,
     state::{ExecutorKey, JobKey, JobState, TaskPhase},
     JobScheduler,
 };
@@ -27,13 +32,6 @@
 /// Number of failed searches for starved jobs after which the other jobs follow. The next pass
 /// goes on with the remaining starved jobs.
 const MAX_STARVED_SEARCHES: u32 = 32;
-/// Wait after which a long-running task may start on a quarantined executor. Such a task must not
-/// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
-const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
-/// Wait below which minor losses count in the placement of a best-effort task. With enough free
-/// capacity the task finds a suitable executor in this time; under heavy load it starts later, with
-/// minor losses reduced towards zero.
-const STRICT_PLACEMENT_TIME: Duration = Duration::from_millis(800);
 /// Work units per slice for an instance with one core. A unit is about the cost of checking an
 /// executor without free capacity, 20 ns; a slice takes about 5 ms of the instance's CPU share.
 const SLICE_UNITS_PER_CORE: f64 = 32_000.0;
@@ -59,6 +57,9 @@
     starved: VecDeque<StarvedJob>,
     /// Other jobs still to be considered, most urgent first.
     jobs: VecDeque<JobKey>,
+    /// Occurrence and step of the tasks of the current job that found no executor. Kept over the
+    /// slices of a job, since a single search may exceed the budget of a slice.
+    failed_steps: BTreeSet<(u32, usize)>,
     placeable: Vec<ExecutorKey>,
     /// Executors that are usable but quarantined.
     quarantined: Vec<ExecutorKey>,
@@ -69,6 +70,8 @@
     failed_searches: u32,
     /// Whether only long-running jobs are considered from now on.
     long_running_only: bool,
+    /// Whether a bound has left out jobs.
+    is_cut: bool,
 }
 
 impl QueuePass {
@@ -91,9 +94,8 @@
 }
 
 /// Shape of a task that could not be placed: the properties that decide whether an executor can run
-/// it. Later tasks of the same pass that need at least as much are skipped. A failed search that
-/// depends on more than these, such as the runs of the same step or the size of a gang, is not
-/// recorded.
+/// it. Later tasks of the same pass that need at least as much are skipped. Only a search that
+/// failed with [`SearchFailure::Shape`] is recorded.
 #[derive(Debug)]
 struct UnplacedShape {
     /// Job of the task, for the log.
@@ -103,6 +105,9 @@
     image: ImageId,
     best_effort: bool,
     needs: TaskNeeds,
+    /// Estimated run time in milliseconds of a best-effort task, and 0 for any other. The longer it
+    /// is, the less interference is tolerated.
+    estimate_ms: u32,
     /// Whether the task had waited so long that minor losses were reduced, which admits more
     /// executors.
     waited: bool,
@@ -118,6 +123,7 @@
             image: job.images[step],
             best_effort: spec.fills,
             needs: spec.needs,
+            estimate_ms: if spec.fills { spec.estimate_ms } else { 0 },
             waited: rules.waited,
         }
     }
@@ -129,6 +135,7 @@
         (self.waited || !rules.waited)
             && self.best_effort == spec.fills
             && self.image == job.images[step]
+            && self.estimate_ms <= spec.estimate_ms
             && self.needs.cpu_millis <= spec.needs.cpu_millis
             && self.needs.memory_mb <= spec.needs.memory_mb
             && self.needs.gpus <= spec.needs.gpus
@@ -145,13 +152,18 @@
 impl JobScheduler {
     /// Runs the next slice of the current pass, or starts a new pass if one is due.
     pub(super) fn run_pass(&mut self) {
+        self.pass_complete = false;
         if !self.loaded || self.now < self.next_pass_at {
             return;
         }
         self.spent_units = 0;
+        let resumed = self.pass.is_some();
         let mut pass = match self.pass.take() {
             Some(pass) => pass,
-            None if self.pass_needed => self.begin_pass(),
+            None if self.pass_needed => {
+                self.advice.begin_pass();
+                self.begin_pass()
+            }
             None => return,
         };
         while let Some(key) = pass.next_job() {
@@ -165,11 +177,13 @@
                 self.next_pass_at = self.now + SLICE_PAUSE;
                 return;
             }
+            pass.failed_steps.clear();
             if let Some(starved) = pass.starved.pop_front() {
                 pass.starved_shapes = pass.unplaced.len();
                 self.last_starved = None;
                 if pass.failed_searches >= MAX_STARVED_SEARCHES {
                     pass.starved.clear();
+                    pass.is_cut = true;
                     self.last_starved = Some(starved);
                 }
                 continue;
@@ -182,14 +196,17 @@
             }
             let unplaced = pass.unplaced.len() - pass.starved_shapes;
             if unplaced >= MAX_UNPLACED_SHAPES_TOTAL {
+                pass.is_cut = true;
                 break;
             }
             if unplaced >= MAX_UNPLACED_SHAPES && !pass.long_running_only {
                 pass.long_running_only = true;
+                pass.is_cut = true;
                 let jobs = &self.jobs;
                 pass.jobs.retain(|key| jobs.get(*key).is_some_and(JobState::is_long_running));
             }
         }
+        self.pass_complete = !resumed && !pass.is_cut && self.advice.is_pass_complete();
         let unplaced = pass.unplaced.len() as u32;
         let backoff = BACKOFF_INTERVAL * unplaced.div_ceil(UNPLACED_PER_INTERVAL);
         self.next_pass_at = self.now + PASS_INTERVAL.max(backoff);
@@ -264,66 +281,59 @@
         self.choose_zone(key);
         let job = &self.jobs[key];
         let mut idle = job.tasks.iter().all(|task| task.runs.is_empty());
-        let mut skipped_step = None;
         let mut candidates = None;
         for task in ready {
-            if self.spent_units >= self.slice_units
-                || self.starts_in_flight >= self.max_starts_in_flight
-            {
-                return false;
-            }
             let job = &self.jobs[key];
             let (occurrence, step) = job.layout.position(task);
-            if skipped_step == Some((occurrence, step))
+            if pass.failed_steps.contains(&(occurrence, step))
                 || job.tasks[task as usize].phase != TaskPhase::Ready
             {
                 continue;
             }
+            if self.spent_units >= self.slice_units
+                || self.starts_in_flight >= self.max_starts_in_flight
+            {
+                return false;
+            }
             // The advice service allows different executors for each step, so if a step cannot be
             // placed, another step of the same shape may still be.
             let advised = job.record.terms.advice.is_some();
             let gang = job.record.steps[step].gang;
-            let starving = idle && self.is_starving(job, task);
-            let waited = self.now.saturating_sub(job.tasks[task as usize].ready_since);
-            let rules = PlacementRules {
-                waited: waited >= STRICT_PLACEMENT_TIME,
-                starving,
-                ..PlacementRules::default()
-            };
-            let on_probation = !pass.quarantined.is_empty()
-                && job.is_long_running()
-                && !advised
-                && !gang
-                && waited >= PROBATION_WAIT;
-            let failed_search = match advised || gang || starving {
+            let rules = self.placement_rules(job, task, idle);
+            let on_probation = !pass.quarantined.is_empty() && self.is_allowed_probation(job, task);
+            let failed_search = match advised || gang || rules.starving {
                 true => None,
                 false => pass.find_failed_search(job, step, rules),
             };
             let known_unplaceable = failed_search.is_some();
             self.note_search(key, failed_search);
-            if (known_unplaceable && !on_probation)
-                || (advised && !self.has_advice(key, task, &pass.placeable))
-            {
-                skipped_step = Some((occurrence, step));
+            if known_unplaceable && !on_probation {
+                pass.failed_steps.insert((occurrence, step));
                 continue;
             }
+            if advised {
+                let check = self.check_tickets(key, task, rules, &pass.placeable);
+                if check != TicketCheck::Sufficient {
+                    pass.failed_searches += u32::from(check == TicketCheck::Searched);
+                    pass.failed_steps.insert((occurrence, step));
+                    continue;
+                }
+            }
             let mut placed = match gang {
                 true => self.place_gang(key, occurrence, step, &pass.placeable),
-                false if known_unplaceable => false,
+                false if known_unplaceable => Err(SearchFailure::Step),
                 false => self.place_task(key, task, rules, &pass.placeable, &mut candidates),
             };
-            if !placed && on_probation {
-                placed = self.place_on_probation(key, task, &pass.quarantined);
+            if on_probation {
+                placed = placed.or_else(|failure| {
+                    self.place_on_probation(key, task, &pass.quarantined).map_err(|_| failure)
+                });
             }
-            idle &= !placed;
-            if !placed {
-                skipped_step = Some((occurrence, step));
+            idle &= placed.is_err();
+            if let Err(failure) = placed {
+                pass.failed_steps.insert((occurrence, step));
                 pass.failed_searches += u32::from(!known_unplaceable || on_probation);
-                if !advised
-                    && !gang
-                    && !known_unplaceable
-                    && !self.is_refused_by_limit(key, task, rules, &pass.placeable)
-                {
+                if failure == SearchFailure::Shape {
                     pass.unplaced.push(UnplacedShape::new(&self.jobs[key], step, rules));
                 }
             }
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -6,7 +6,7 @@
 
 use super::{
     candidates::{CandidateSearch, PlacementRules, StepCandidates, EVALUATION_UNITS},
-    refusals::PlacementRefusal,
+    refusals::{PlacementRefusal, SearchFailure},
     state::{ExecutorKey, ExecutorState, JobKey, JobState, RunsPerExecutor, TaskPhase},
     JobScheduler,
 };
@@ -27,47 +27,44 @@
 /// make progress while up to 50 % are reserved; the difference is a safety margin.
 const UNDERUTILIZED_PERCENT: u64 = 60;
 
+/// Wait after which a long-running task may start on a quarantined executor. Such a task must not
+/// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
+const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
+/// Wait below which minor losses count in the placement of a best-effort task. With enough free
+/// capacity the task finds a suitable executor in this time; under heavy load it starts later, with
+/// minor losses reduced towards zero.
+const STRICT_PLACEMENT_TIME: Duration = Duration::from_millis(800);
+
 impl JobScheduler {
-    /// Returns whether there are valid tickets for enough executors with free capacity for a task,
-    /// or for all tasks of its gang, within the limit of its step. Otherwise requests more tickets
-    /// from the advice service.
-    pub(super) fn has_advice(
-        &mut self,
-        key: JobKey,
+    /// Returns the rules for placing a task now. `idle` tells whether no task of its job has a run.
+    pub(super) fn placement_rules(
+        &self,
+        job: &JobState,
         task: TaskIndex,
-        placeable: &[ExecutorKey],
-    ) -> bool {
-        let job = &self.jobs[key];
-        let (occurrence, step) = job.layout.position(task);
-        let spec = &job.record.steps[step];
-        let demand = demand_of(spec);
-        let counts = self.step_counts(job, occurrence, step);
-        let mut suitable: Vec<(u64, ExecutorKey)> = placeable
-            .iter()
-            .filter(|executor| self.fits_labels(job, spec, **executor))
-            .filter(|executor| within_limit(spec, &counts, **executor))
-            .map(|executor| (*executor, self.load_of(job, spec, &self.executors[*executor], &[])))
-            .filter(|(_, load)| load.has_capacity_for(&demand))
-            .map(|(executor, load)| (load.cost(&demand), executor))
-            .collect();
-        let position = (key, occurrence, step);
-        let ticketed = suitable
-            .iter()
-            .filter(|(_, executor)| self.ticket(position, *executor).is_some())
-            .count();
-        let wanted = if spec.gang { spec.count as usize } else { 1 };
-        if ticketed >= wanted {
-            return true;
+        idle: bool,
+    ) -> PlacementRules {
+        PlacementRules {
+            waited: self.wait_of(job, task) >= STRICT_PLACEMENT_TIME,
+            starving: idle && self.is_starving(job, task),
+            ..PlacementRules::default()
         }
-        self.charge_units(placeable.len() as u32 * EVALUATION_UNITS);
-        suitable.sort_unstable();
-        let keys: Vec<ExecutorKey> = suitable.into_iter().map(|(_, executor)| executor).collect();
-        self.ask_advice(position, &keys);
-        false
     }
 
-    /// Starts a task on the executor with the lowest cost and returns whether any executor can run
-    /// it. `candidates` caches the suitable executors for the task's step.
+    /// Returns whether a task may start on a quarantined executor now.
+    pub(super) fn is_allowed_probation(&self, job: &JobState, task: TaskIndex) -> bool {
+        let (_, step) = job.layout.position(task);
+        job.is_long_running()
+            && job.record.terms.advice.is_none()
+            && !job.record.steps[step].gang
+            && self.wait_of(job, task) >= PROBATION_WAIT
+    }
+
+    fn wait_of(&self, job: &JobState, task: TaskIndex) -> Duration {
+        self.now.saturating_sub(job.tasks[task as usize].ready_since)
+    }
+
+    /// Starts a task on the executor with the lowest cost, or returns what it shows that no executor
+    /// can run it. `candidates` caches the suitable executors for the task's step.
     pub(super) fn place_task(
         &mut self,
         key: JobKey,
@@ -75,14 +72,14 @@
         rules: PlacementRules,
         placeable: &[ExecutorKey],
         candidates: &mut Option<StepCandidates>,
-    ) -> bool {
+    ) -> Result<(), SearchFailure> {
         let job = &self.jobs[key];
         let position = job.layout.position(task);
         let needs_full_search = rules.starving
             || job.record.terms.advice.is_some()
             || !job.tasks[task as usize].failed_on.is_empty();
-        let chosen = match needs_full_search {
-            true => self.find_cheapest(key, task, placeable, rules),
+        let executor = match needs_full_search {
+            true => self.find_cheapest(key, task, placeable, rules)?,
             false => {
                 let known = match candidates
                     .take()
@@ -91,10 +88,9 @@
                     Some(known) => known,
                     None => self.find_candidates(key, position, rules, placeable),
                 };
-                self.pop_candidate(key, candidates.insert(known))
+                self.pop_candidate(key, candidates.insert(known))?
             }
         };
-        let Some(executor) = chosen else { return false };
         if rules.starving {
             self.next_starvation_start_at = self.now + STARVATION_PAUSE;
         }
@@ -104,23 +100,21 @@
             // The cached costs do not include this start.
             _ => *candidates = None,
         }
-        true
+        Ok(())
     }
 
-    /// Starts a long-running task on the quarantined executor with the lowest cost and returns
-    /// whether any of them can run it.
+    /// Starts a long-running task on the quarantined executor with the lowest cost, or returns what
+    /// it shows that none of them can run it.
     pub(super) fn place_on_probation(
         &mut self,
         key: JobKey,
         task: TaskIndex,
         quarantined: &[ExecutorKey],
-    ) -> bool {
+    ) -> Result<(), SearchFailure> {
         let rules = PlacementRules { on_probation: true, ..PlacementRules::default() };
-        let Some(executor) = self.find_cheapest(key, task, quarantined, rules) else {
-            return false;
-        };
+        let executor = self.find_cheapest(key, task, quarantined, rules)?;
         self.start_next_run(key, task, executor);
-        true
+        Ok(())
     }
 
     fn start_next_run(&mut self, key: JobKey, task: TaskIndex, executor: ExecutorKey) {
@@ -137,7 +131,7 @@
     /// late, and [`STARVATION_PAUSE`] must have passed since the last such start.
     pub(super) fn is_starving(&self, job: &JobState, task: TaskIndex) -> bool {
         let (_, step) = job.layout.position(task);
-        let waited = self.now.saturating_sub(job.tasks[task as usize].ready_since);
+        let waited = self.wait_of(job, task);
         let allowed = self.underutilized
             || (self.now > job.deadline && self.now >= self.next_starvation_start_at);
         job.record.steps[step].fills && allowed && waited >= STARVATION_TIME
@@ -159,13 +153,13 @@
         occurrence: u32,
         step: usize,
         placeable: &[ExecutorKey],
-    ) -> bool {
+    ) -> Result<(), SearchFailure> {
         let job = &self.jobs[key];
         let range = job.step_range(occurrence, step);
         let all_ready =
             range.clone().all(|task| job.tasks[task as usize].phase == TaskPhase::Ready);
         if !all_ready {
-            return false;
+            return Err(SearchFailure::Step);
         }
         let assignments = self.assign_gang(job, occurrence, step, placeable);
         self.charge_units((placeable.len() + range.len()) as u32 * EVALUATION_UNITS);
@@ -174,18 +168,18 @@
             let detail = format!("step={step} members={}", range.len());
             let id = job.id;
             self.log(GANG_WAITS, Some(id), detail);
-            return false;
+            return Err(SearchFailure::Step);
         };
         let number = self.next_run(key, range.clone());
         for (task, executor) in range.zip(assignments) {
             self.start_run(key, task, number, executor);
         }
-        true
+        Ok(())
     }
 
     /// Selects an executor for each member of a gang. With `same_rack` it prefers a rack with free
     /// capacity for all members. If there is none, it spreads the members over several racks.
-    fn assign_gang(
+    pub(super) fn assign_gang(
         &self,
         job: &JobState,
         occurrence: u32,
@@ -193,6 +187,11 @@
         placeable: &[ExecutorKey],
     ) -> Option<Vec<ExecutorKey>> {
         let spec = &job.record.steps[step];
+        // Executors may have changed or left since the pass began.
+        let is_placeable = |key: &ExecutorKey| {
+            self.executors.get(*key).is_some_and(|executor| self.is_placeable(executor))
+        };
+        let placeable: Vec<ExecutorKey> = placeable.iter().copied().filter(is_placeable).collect();
         let mut racks: Vec<Option<&str>> = vec![None];
         if spec.same_rack {
             let mut names: Vec<&str> =
@@ -203,7 +202,7 @@
         }
         racks
             .into_iter()
-            .find_map(|rack| self.assign_gang_on_rack(job, occurrence, step, placeable, rack))
+            .find_map(|rack| self.assign_gang_on_rack(job, occurrence, step, &placeable, rack))
     }
 
     fn assign_gang_on_rack(
@@ -275,47 +274,33 @@
         counts
     }
 
-    /// Returns the executor with the lowest cost for a task among the given ones.
+    /// Returns the executor with the lowest cost for a task among the given ones, or what it shows
+    /// that there is none.
     fn find_cheapest(
         &mut self,
         key: JobKey,
         task: TaskIndex,
         placeable: &[ExecutorKey],
         rules: PlacementRules,
-    ) -> Option<ExecutorKey> {
+    ) -> Result<ExecutorKey, SearchFailure> {
         let job = &self.jobs[key];
         let position = job.layout.position(task);
         let counts = self.step_counts(job, position.0, position.1);
         let failed_on = &job.tasks[task as usize].failed_on;
         let search = CandidateSearch { key, position, counts: &counts, failed_on, rules };
-        let costs =
-            placeable.iter().filter_map(|key| Some((self.cost_on(&search, *key).ok()?, *key)));
-        let best = costs.min();
-        self.charge_units(placeable.len() as u32 * EVALUATION_UNITS);
-        best.map(|(_, executor)| executor)
-    }
-
-    /// Returns whether some executor can run a task but for the limit of its step, which does not
-    /// apply to other jobs.
-    pub(super) fn is_refused_by_limit(
-        &mut self,
-        key: JobKey,
-        task: TaskIndex,
-        rules: PlacementRules,
-        placeable: &[ExecutorKey],
-    ) -> bool {
-        let job = &self.jobs[key];
-        let position = job.layout.position(task);
-        if job.record.steps[position.1].max_per_executor == 0 {
-            return false;
+        let mut failure = SearchFailure::default();
+        let mut best = None;
+        for executor in placeable {
+            match self.cost_on(&search, *executor) {
+                Ok(cost) if best.is_none_or(|best| (cost, *executor) < best) => {
+                    best = Some((cost, *executor));
+                }
+                Ok(_) => {}
+                Err(refusal) => failure = failure.max(refusal.failure()),
+            }
         }
-        let counts = self.step_counts(job, position.0, position.1);
-        let search = CandidateSearch { key, position, counts: &counts, failed_on: &[], rules };
-        let refused = placeable
-            .iter()
-            .any(|executor| self.cost_on(&search, *executor) == Err(PlacementRefusal::Limit));
-        self.charge_units(placeable.len() as u32);
-        refused
+        self.charge_units(placeable.len() as u32 * EVALUATION_UNITS);
+        best.map(|(_, executor)| executor).ok_or(failure)
     }
 
     /// Returns the cost of running a task of the searched step on an executor, or why it cannot run
@@ -324,6 +309,21 @@
         &self,
         search: &CandidateSearch,
         key: ExecutorKey,
+    ) -> Result<u64, PlacementRefusal> {
+        let cost = self.cost_with_ticket(search, key)?;
+        let step = (search.key, search.position.0, search.position.1);
+        let advised = self.jobs[search.key].record.terms.advice.is_some();
+        if advised && self.ticket(step, key).is_none() {
+            return Err(PlacementRefusal::Ticket);
+        }
+        Ok(cost)
+    }
+
+    /// Returns the same for a step that needs no ticket or has one for the executor.
+    pub(super) fn cost_with_ticket(
+        &self,
+        search: &CandidateSearch,
+        key: ExecutorKey,
     ) -> Result<u64, PlacementRefusal> {
         let job = &self.jobs[search.key];
         let step = search.position.1;
@@ -347,11 +347,6 @@
         if !within_limit(spec, search.counts, key) {
             return Err(PlacementRefusal::Limit);
         }
-        if job.record.terms.advice.is_some()
-            && self.ticket((search.key, search.position.0, step), key).is_none()
-        {
-            return Err(PlacementRefusal::Ticket);
-        }
         let demand = demand_of(spec);
         let mut load = self.load_of(job, spec, executor, search.failed_on);
         if !load.has_capacity_for(&demand) {
--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -10,7 +10,7 @@
 };
 use support::{
     jobs::step,
-    simulation::SimulatedPool,
+    simulation::{InjectedFault, SimulatedPool},
     waiting::{
         burst_length, long_running, play_burst, record, submit, with_lengths, LASTING, LASTING_JOB,
         START_LIMIT, SUBMITTED,
@@ -39,6 +39,19 @@
     assert_eq!(pool.running(1), TASKS as usize, "requests: {:?}", pool.advice_requests);
 }
 
+// Guards against an advised gang that waits for tickets of as many executors as it has members,
+// although several members have room on one.
+#[test]
+fn advised_gang_starts_on_fewer_executors_than_members() {
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 2), |_| LASTING);
+    pool.advised = pool.executors.iter().map(|executor| executor.name.clone()).collect();
+    let mut record = record(&pool, JobStep { gang: true, ..step(4, &[]) });
+    record.terms.advice = Some(AdviceTerms { decision_ms: 5, per_executor_ms: 1, valid_ms: 3_000 });
+    pool.submit(1, record);
+    pool.run_until(SUBMITTED + Duration::from_secs(1));
+    assert_eq!(pool.running(1), 4);
+}
+
 // Guards against starts that come to nothing and begin the wait of a long-running task anew, which
 // then never counts as starved.
 #[test]
@@ -104,6 +117,18 @@
     pool
 }
 
+/// Returns a pool of 500 executors of an instance with a small share of a core.
+fn weak_pool(seed: u64) -> SimulatedPool {
+    let length = |task: TaskName| match task.job {
+        SHORT_JOB => Duration::from_millis(400),
+        _ => LASTING,
+    };
+    let pool = SimulatedPool::new(seed, 1, 500).with_processor_share(0.12);
+    let mut pool = with_lengths(pool, length);
+    pool.run_until(SUBMITTED + Duration::from_secs(2));
+    pool
+}
+
 /// Returns after what time a job has a run, if it has one within 10 s.
 fn time_to_start(pool: &mut SimulatedPool, id: JobId) -> Option<Duration> {
     let submitted = pool.now;
@@ -141,3 +166,98 @@
     let in_time = |after: &Option<Duration>| after.is_some_and(|after| after <= START_LIMIT);
     assert!(started.iter().all(in_time), "{started:?}");
 }
+
+// Guards against a long-running task that is sent again and again to an executor which refuses it
+// as unhealthy.
+#[test]
+fn refusal_as_unhealthy_pauses_probation() {
+    const TIME: Duration = Duration::from_secs(6);
+    // The start before the quarantine, and one per 0.75 s from then on.
+    const MAX_STARTS: usize = 8;
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 1), |_| LASTING);
+    pool.refusing.insert(pool.executors[0].name.clone());
+    submit(&mut pool, LASTING_JOB, long_running(1));
+    pool.run_until(SUBMITTED + TIME);
+    assert!((2..=MAX_STARTS).contains(&pool.refused_starts), "{} starts", pool.refused_starts);
+    pool.refusing.clear();
+    pool.run_until(pool.now + Duration::from_secs(1));
+    assert_eq!(pool.running(LASTING_JOB), 1);
+}
+
+// Guards against a gang without room whose failed search exceeds the budget of a slice, so that the
+// pass searches for it again in each slice and reaches no other job.
+#[test]
+fn waiting_gang_does_not_stop_the_pass() {
+    let mut pool = weak_pool(5);
+    submit(&mut pool, 1, JobStep { gang: true, needs: needs(9_000), ..step(2, &[]) });
+    pool.run_until(pool.now + Duration::from_millis(500));
+    submit(&mut pool, SHORT_JOB, step(1, &[]));
+    let started = time_to_start(&mut pool, SHORT_JOB);
+    assert!(started.is_some_and(|after| after <= Duration::from_millis(650)), "{started:?}");
+}
+
+// Guards against jobs that start late although executors have room, because each pass searches for
+// tickets for many jobs whose steps the advice service allows nowhere.
+#[test]
+fn searches_for_tickets_do_not_delay_other_jobs() {
+    let mut pool = weak_pool(6);
+    for id in 1..=300 {
+        let mut record = record(&pool, JobStep { needs: needs(100), ..long_running(2) });
+        record.terms.advice =
+            Some(AdviceTerms { decision_ms: 5, per_executor_ms: 1, valid_ms: 3_000 });
+        pool.submit(id, record);
+    }
+    pool.run_until(pool.now + Duration::from_secs(30));
+    let started: Vec<Option<Duration>> = (0..3)
+        .map(|number| {
+            pool.run_until(pool.now + Duration::from_millis(700));
+            submit(&mut pool, LATER_JOB + number, long_running(1));
+            time_to_start(&mut pool, LATER_JOB + number)
+        })
+        .collect();
+    let in_time = |after: &Option<Duration>| after.is_some_and(|after| after <= START_LIMIT);
+    assert!(started.iter().all(in_time), "{started:?}");
+}
+
+/// Returns a pool of a weak instance in which a pass takes seconds, with gangs without room and
+/// [`LATER_JOB`], a gang that follows them and whose only executors are the first two.
+fn pool_with_waiting_gangs(seed: u64, gangs: u64) -> SimulatedPool {
+    let mut pool = weak_pool(seed);
+    for executor in &mut pool.executors[..2] {
+        executor.labels.insert(0, "large".to_owned());
+    }
+    // Until the list with the labels has been read.
+    pool.run_until(pool.now + Duration::from_secs(1));
+    let gang = JobStep { gang: true, ..step(2, &[]) };
+    for id in 1..=gangs {
+        submit(&mut pool, id, JobStep { needs: needs(9_000), ..gang.clone() });
+    }
+    let required_label = Some("large".to_owned());
+    let mut last = record(&pool, JobStep { required_label, ..gang });
+    last.terms.priority = 1;
+    pool.submit(LATER_JOB, last);
+    pool.run_until(pool.now + Duration::from_millis(100));
+    assert_eq!(pool.running(LATER_JOB), 0);
+    pool
+}
+
+// Guards against a gang that starts on executors which drain since the pass began.
+#[test]
+fn gang_does_not_start_on_an_executor_that_drains_during_the_pass() {
+    let mut pool = pool_with_waiting_gangs(7, 100);
+    for executor in &mut pool.executors[..2] {
+        executor.draining = true;
+    }
+    pool.run_until(pool.now + Duration::from_secs(8));
+    let started: usize = pool.executors[..2].iter().map(|executor| executor.history.len()).sum();
+    assert_eq!(started, 0);
+}
+
+// Guards against a panic of the pass because an executor that it knows was removed meanwhile.
+#[test]
+fn removal_of_an_executor_during_the_pass_is_survived() {
+    let mut pool = pool_with_waiting_gangs(8, 600);
+    pool.fault_at(pool.now, InjectedFault::CrashExecutor { executor: 2, down: None });
+    pool.run_until(pool.now + Duration::from_secs(20));
+    assert_eq!(pool.running(LATER_JOB), 2);
+}
