Do not hide workers and tasks behind the bounds of a start search

Cause: choose_worker took the first 64 workers of the index of free cores and dropped unsuitable ones (no accelerator, too little memory, quarantined, failed before) afterwards. With equal sizes both ranges that it chained were the same, so that these were 32 to 64 distinct ones. In the same way least_slowed took the first 8 suitable workers and then dropped those with a predicted slowdown above the limit.

Change: both limits count acceptable workers only. The cost is bounded by MAX_WORKERS_PER_PASS, the workers examined in a pass; the search that reaches it is completed, and the next pass continues with the tasks that were not reached. A task without a worker is not searched for again in the round: room only shrinks within a pass. The second range excludes the first.

next_start ended the scan of a customer at a queued task without a record. Such a task is now removed from the queue and the scan goes on. No test: by reading, no event leaves a task queued without its record (only records of ended tasks are removed, and these leave the queue at their end).

--- a/crates/cuminbank/src/reducer/tasks/group.rs
+++ b/crates/cuminbank/src/reducer/tasks/group.rs
@@ -32,6 +32,7 @@
     queue::StartQueue,
     refused_tickets::RefusedTickets,
     sizes::SizeEstimator,
+    starting::SearchRound,
     workers::WorkerTable,
 };
 
@@ -222,6 +223,7 @@
     /// Whether anything has changed since the last scan of the queue that may allow a start.
     pub(super) scheduling_needed: bool,
     pub(super) next_scheduling_at: MonotonicTime,
+    pub(super) search_round: SearchRound,
     /// The task that has waited longest, if its wait exceeds a limit, and the worker on which no
     /// other task is started until this one has started.
     pub(super) capacity_reservation: Option<(TaskId, TargetName)>,
@@ -260,6 +262,7 @@
             refused: RefusedTickets::default(),
             scheduling_needed: false,
             next_scheduling_at: MonotonicTime::ZERO,
+            search_round: SearchRound::default(),
             capacity_reservation: None,
         }
     }
--- a/crates/cuminbank/src/reducer/tasks/starting.rs
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -1,9 +1,9 @@
 //! Placement and starts: the choice of a task and a worker, and the handling of the answer to a
 //! start.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
-use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use crate::{
     event::ExchangeError,
@@ -28,9 +28,10 @@
 
 /// Priority of a task whose profile was deleted. It equals the default of a profile.
 const DEFAULT_PRIORITY: u8 = 5;
-/// Maximum number of workers to consider for a start. The index returns the best ones first.
-const MAX_WORKERS_SCANNED: usize = 64;
-/// Maximum number of suitable workers to compare by predicted slowdown.
+/// Number of workers after whose examination a pass over the queue ends. The search that reaches it
+/// is completed, and the next pass continues with the remaining tasks.
+const MAX_WORKERS_PER_PASS: usize = 5_000;
+/// Maximum number of acceptable workers to compare by predicted slowdown.
 const MAX_WORKERS_COMPARED: usize = 8;
 /// Wait after which a task is started even where it is predicted to slow latency-critical work too
 /// much. Without this limit, no report would ever correct a prediction that is too high.
@@ -44,6 +45,15 @@
 const UNREACHED_BACKOFF: Duration = Duration::from_secs(1);
 const FULL_BACKOFF: Duration = Duration::from_secs(2);
 
+/// Searches for workers in one round over the queue, which may take several passes.
+#[derive(Debug, Default)]
+pub struct SearchRound {
+    /// Tasks for which no worker was found in the round.
+    without_worker: HashSet<TaskId>,
+    /// Number of workers examined in the current pass.
+    examined: usize,
+}
+
 impl TaskGroup {
     /// Adds the starts that are possible now to a segment. The customer with the least weighted use
     /// comes first.
@@ -64,8 +74,10 @@
             return;
         }
         let mut blocked: Vec<String> = Vec::new();
+        self.search_round.examined = 0;
         loop {
-            if segment.bytes >= super::journal::SEGMENT_BYTES {
+            let pass_ended = self.search_round.examined >= MAX_WORKERS_PER_PASS;
+            if segment.bytes >= super::journal::SEGMENT_BYTES || pass_ended {
                 return;
             }
             let unblocked =
@@ -81,6 +93,7 @@
                 None => blocked.push(customer),
             }
         }
+        self.search_round.without_worker.clear();
         self.scheduling_needed = false;
     }
 
@@ -92,18 +105,32 @@
         customer: &str,
     ) -> Option<(TaskId, Placement)> {
         for task in self.queue.next_tasks(customer) {
-            let record = self.ledger.get(task)?;
+            if self.search_round.without_worker.contains(&task) {
+                continue;
+            }
+            if self.search_round.examined >= MAX_WORKERS_PER_PASS {
+                return None;
+            }
+            let Some(record) = self.ledger.get(task) else {
+                self.queue.remove(task);
+                continue;
+            };
             if !self.workers.fits_any_worker(&record.body.size) {
                 self.queue.park(task);
                 continue;
             }
-            if let Some(placement) = self.choose_worker(step, view, models, task, record) {
+            let (placement, examined) = self.choose_worker(step, view, models, task, record);
+            self.search_round.examined += examined;
+            if let Some(placement) = placement {
                 return Some((task, placement));
             }
+            self.search_round.without_worker.insert(task);
         }
         None
     }
 
+    /// Returns the placement of a task, if a worker can take it now, and the number of workers
+    /// examined.
     fn choose_worker(
         &self,
         step: &mut StepContext,
@@ -111,52 +138,51 @@
         models: &TaskModels,
         task: TaskId,
         record: &TaskRecord,
-    ) -> Option<Placement> {
+    ) -> (Option<Placement>, usize) {
+        let now = step.now();
         let declared = record.body.size;
         let learned = models.sizes.reservation(&record.body.class, &declared);
         let all_workers_failed = !self.has_untried_worker(record);
         let suits = |name: &TargetName, worker: &WorkerState| {
-            worker.can_start(step.now())
+            worker.can_start(now)
                 && declared.fits(&worker.size)
                 && reserved_on(&learned, worker).fits(&worker.free())
                 && (all_workers_failed || !record.failed_on.contains(name))
-                && !self.is_on_avoided_machine(step.now(), task, worker)
+                && !self.is_on_avoided_machine(now, task, worker)
                 && !self.is_reserved_for_other(task, name)
         };
         let at_least = learned.millicores.min(declared.millicores);
-        // The baseline policies do not use the order of the index, so they consider every worker.
-        let scan_limit = match step.settings.policy {
-            PlacementPolicy::Learned => MAX_WORKERS_SCANNED,
-            PlacementPolicy::LeastLoaded | PlacementPolicy::RandomQueue => usize::MAX,
-        };
-        // Workers with enough free cores for the learned size come first. Otherwise workers with
-        // the fewest free cores, too few for the task, could fill the sample and hide empty workers
-        // behind them. Fewer free cores can still suffice where the reservation is capped at the
-        // size of the worker.
-        let suitable: Vec<&TargetName> = self
+        let mut examined = 0;
+        // Fewer free cores than the learned size can still suffice where the reservation is capped
+        // at the size of the worker.
+        let mut suitable = self
             .workers
-            .with_free_cores(learned.millicores)
-            .chain(self.workers.with_free_cores(at_least))
-            .take(scan_limit)
-            .filter(|name| self.workers.get(name).is_some_and(|worker| suits(name, worker)))
-            .collect();
-        let name = match step.settings.policy {
+            .with_free_cores(learned.millicores..u64::MAX)
+            .chain(self.workers.with_free_cores(at_least..learned.millicores))
+            .filter_map(|name| {
+                examined += 1;
+                let worker = self.workers.get(name)?;
+                suits(name, worker).then_some((name, worker))
+            });
+        let chosen = match step.settings.policy {
             PlacementPolicy::Learned => {
-                self.least_slowed(step.now(), view, models, task, record, &suitable)?
+                self.least_slowed(now, view, models, task, record, &mut suitable)
             }
-            PlacementPolicy::LeastLoaded => *suitable
-                .iter()
-                .max_by_key(|name| self.workers.get(name).map(|worker| worker.free().millicores))?,
-            PlacementPolicy::RandomQueue if suitable.is_empty() => return None,
-            PlacementPolicy::RandomQueue => suitable[step.rng.random_range(0..suitable.len())],
+            PlacementPolicy::LeastLoaded => {
+                suitable.max_by_key(|(_, worker)| worker.free().millicores)
+            }
+            PlacementPolicy::RandomQueue => suitable.choose(&mut step.rng),
         };
-        let worker = self.workers.get(name)?;
-        let reserved = reserved_on(&learned, worker);
-        Some(Placement { attempt: record.last_attempt + 1, worker: name.clone(), reserved })
+        let placement = chosen.map(|(name, worker)| Placement {
+            attempt: record.last_attempt + 1,
+            worker: name.clone(),
+            reserved: reserved_on(&learned, worker),
+        });
+        (placement, examined)
     }
 
     /// Returns the worker with the lowest predicted slowdown of latency-critical work, and among
-    /// equal ones the one with the fewest free cores.
+    /// equal ones the one with the fewest free cores. It compares the first acceptable ones.
     fn least_slowed<'a>(
         &self,
         now: MonotonicTime,
@@ -164,25 +190,22 @@
         models: &TaskModels,
         task: TaskId,
         record: &TaskRecord,
-        suitable: &[&'a TargetName],
-    ) -> Option<&'a TargetName> {
+        suitable: impl Iterator<Item = (&'a TargetName, &'a WorkerState)>,
+    ) -> Option<(&'a TargetName, &'a WorkerState)> {
         let added = (record.body.class.as_str(), record.body.size.millicores as f64 / 1_000.0);
         let must_wait =
             self.queue.queued_since(task).is_none_or(|since| now < since + SLOWDOWN_WAIT);
-        let mut best: Option<(f64, u64, &TargetName)> = None;
-        for name in suitable.iter().take(MAX_WORKERS_COMPARED) {
-            let slowdown = self.worst_slowdown(view, models, name, Some(added));
-            if must_wait && slowdown > HIGH_SLOWDOWN {
-                continue;
-            }
-            let free = self.workers.get(name)?.free().millicores;
-            if best.is_none_or(|(least_slowdown, least_free, _)| {
-                (slowdown, free) < (least_slowdown, least_free)
-            }) {
-                best = Some((slowdown, free, name));
-            }
-        }
-        best.map(|(_, _, name)| name)
+        let with_slowdown = suitable.map(|(name, worker)| {
+            (self.worst_slowdown(view, models, name, Some(added)), name, worker)
+        });
+        let acceptable =
+            with_slowdown.filter(|(slowdown, ..)| !must_wait || *slowdown <= HIGH_SLOWDOWN);
+        let best = acceptable.take(MAX_WORKERS_COMPARED).min_by(|(slowdown, _, worker), other| {
+            slowdown
+                .total_cmp(&other.0)
+                .then(worker.free().millicores.cmp(&other.2.free().millicores))
+        });
+        best.map(|(_, name, worker)| (name, worker))
     }
 
     /// Returns whether the task has not failed yet on some live worker that is large enough for it.
--- a/crates/cuminbank/src/reducer/tasks/workers.rs
+++ b/crates/cuminbank/src/reducer/tasks/workers.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
+    ops::Range,
     time::Duration,
 };
 
@@ -244,12 +245,14 @@
         true
     }
 
-    /// Returns the workers with at least these free cores, by ascending slowdown level and then by
+    /// Returns the workers with free millicores in a range, by ascending slowdown level and then by
     /// ascending number of free cores.
-    pub fn with_free_cores(&self, millicores: u64) -> impl Iterator<Item = &TargetName> {
-        (0..=15u8).flat_map(move |level| {
-            let range = (level, millicores, String::new())..(level + 1, 0, String::new());
-            self.free_index.range(range).map(|(_, _, name)| name)
+    pub fn with_free_cores(&self, millicores: Range<u64>) -> impl Iterator<Item = &TargetName> {
+        let levels = if millicores.is_empty() { 0..0 } else { 0..16_u8 };
+        levels.flat_map(move |level| {
+            let from = (level, millicores.start, String::new());
+            let to = (level, millicores.end, String::new());
+            self.free_index.range(from..to).map(|(_, _, name)| name)
         })
     }
 
--- a/crates/cuminbank/tests/tasks_support/mod.rs
+++ b/crates/cuminbank/tests/tasks_support/mod.rs
@@ -85,6 +85,8 @@
     pub store_fault: MessageFault,
     pub workers: BTreeMap<String, FakeWorker>,
     pub latency_critical_classes: Vec<(String, u32)>,
+    /// Machines without latency-critical work.
+    pub quiet_machines: Vec<String>,
     pub profiles: BTreeMap<String, WorkProfile>,
     pub answers: BTreeMap<ReplyId, CallerAnswer>,
     pub samples: Vec<TaskSample>,
@@ -128,6 +130,7 @@
             store_fault: MessageFault::None,
             workers: (0..workers).map(worker).collect(),
             latency_critical_classes: Vec::new(),
+            quiet_machines: Vec::new(),
             profiles: BTreeMap::from([("orders".to_owned(), profile("orders", 3))]),
             answers: BTreeMap::new(),
             samples: Vec::new(),
@@ -160,6 +163,13 @@
         }
     }
 
+    /// Sets the size of a worker and lists it again.
+    pub fn set_size(&mut self, name: &str, size: ResourceSize) {
+        self.workers.get_mut(name).unwrap_or_else(|| panic!("no worker {name}")).size = size;
+        self.set_state(name, TargetState::Live);
+        self.run(secs(1));
+    }
+
     pub fn set_state(&mut self, name: &str, state: TargetState) {
         let target = TargetEntry {
             name: name.to_owned(),
@@ -184,13 +194,21 @@
         index: usize,
         run: impl FnOnce(&mut TaskGroup, &mut StepContext, &mut TaskModels, &GroupView<'_>),
     ) {
-        let (now, profiles, latency_critical_classes, workers) =
-            (self.now, &self.profiles, &self.latency_critical_classes, &self.workers);
+        let (now, profiles, workers) = (self.now, &self.profiles, &self.workers);
+        let (classes, quiet_machines) = (&self.latency_critical_classes, &self.quiet_machines);
+        let classes_on = |machine: &str| {
+            let quiet = quiet_machines.iter().any(|quiet| quiet == machine);
+            if quiet {
+                Vec::new()
+            } else {
+                classes.clone()
+            }
+        };
         let owner = &mut self.owners[index];
         let view = GroupView {
             authority_until: owner.has_authority.then_some(now + secs(2)),
             profile: &|name| profiles.get(name),
-            classes_on: &|_| latency_critical_classes.clone(),
+            classes_on: &classes_on,
             fits_any_worker: &|size| Some(workers.values().any(|worker| size.fits(&worker.size))),
         };
         owner.step.begin(now);
