Log a stored plan that cannot be decoded as unreadable

Operators would see EV0758 (info, a division was proposed or adopted) while the plan of the pool cannot be decoded and no cell gets an owner; an alert on EV0757 (error, an item cannot be decoded) would stay silent.

Cause: adopt_plan logged both cases with POOL_DIVIDED. The unreadable case is now EV0757 with key and size.

Evidence: unreadable_plan_is_not_logged_as_a_division failed before with 'EV0758 ... error=unreadable bytes=7'. The start of the stand-in and the settings of an instance are shared by the test support.

--- a/crates/cuminbank-jobd/src/division.rs
+++ b/crates/cuminbank-jobd/src/division.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use cuminbank::log::POOL_DIVIDED;
+use cuminbank::log::{POOL_DIVIDED, STORE_UNREADABLE};
 use cuminbank_jobs::{
     cells::PoolPlan,
     ids::{CellId, JobId, StoreRevision},
@@ -77,8 +77,8 @@
         // A plan without cells would leave every job without a home.
         let plan = decode_value::<PoolPlan>(&item.value).filter(|plan| plan.cells > 0);
         let Some(plan) = plan else {
-            let detail = format!("error=unreadable bytes={}", item.value.len());
-            return self.log(&DecisionRecord { code: POOL_DIVIDED, job: None, detail });
+            let detail = format!("key={} bytes={}", item.key, item.value.len());
+            return self.log(&DecisionRecord { code: STORE_UNREADABLE, job: None, detail });
         };
         let detail = format!("cells={} revision={}", plan.cells, item.revision);
         self.log(&DecisionRecord { code: POOL_DIVIDED, job: None, detail });
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -13,7 +13,7 @@
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, ChildStdout, Command, Stdio},
     thread,
     time::{Duration, Instant},
 };
@@ -59,7 +59,7 @@
 }
 
 impl InstanceProcess {
-    fn start(build: DaemonBuild, path: PathBuf, settings: Value, output: Stdio) -> Self {
+    pub fn start(build: DaemonBuild, path: PathBuf, settings: Value, output: Stdio) -> Self {
         let child = spawn(&build, &path, &settings, output);
         Self { path, settings, build, child }
     }
@@ -69,6 +69,11 @@
         self.child.wait().expect("the process was started here");
     }
 
+    /// Returns the standard output of the process, if it was started with a pipe.
+    pub fn take_output(&mut self) -> ChildStdout {
+        self.child.stdout.take().expect("the standard output is a pipe")
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id().cast_signed());
@@ -113,7 +118,7 @@
     _ports: PortBlock,
 }
 
-fn loopback(port: u16) -> SocketAddr {
+pub fn loopback(port: u16) -> SocketAddr {
     ([127, 0, 0, 1], port).into()
 }
 
@@ -180,17 +185,7 @@
         let ports = PortBlock::take();
         let first = ports.port(1);
         let store = loopback(first);
-        let settings = StandinSettings {
-            store,
-            executors: EXECUTORS,
-            task_time: Duration::from_millis(task_ms),
-            prefix: QUEUE_PREFIX.to_owned(),
-            entry_offset: if proxied { EXECUTORS } else { 0 },
-        };
-        // The stand-in ends with the test process.
-        thread::spawn(move || {
-            runtime::run(server::run(settings)).expect("the ports of the stand-in are free")
-        });
+        start_standin(store, task_ms, if proxied { EXECUTORS } else { 0 });
         let mut deployment = Self {
             store,
             clients: Vec::new(),
@@ -212,16 +207,8 @@
                 deployment.store_links.push(FaultLink::start(store_address, store));
             }
             let port = first + 1 + EXECUTORS + proxies + number * INSTANCE_PORTS;
-            let settings = json!({
-                "instance": format!("i{number}"), "zone": "z",
-                "client_address": loopback(port), "readiness_address": loopback(port + 1),
-                "peer_address": loopback(port + 2), "operator_address": loopback(port + 3),
-                "store_address": store_address, "max_lease_ms": 6_000, "stop_timeout_ms": 200,
-                "grace_ms": GRACE_MS, "min_store_ttl_ms": 1_000, "harm_ms": 4_000,
-                "config_apply_ms": 2_000, "evacuate_ms": 5_000,
-                "processor_share": 1.0, "link_mbps": shape.link_mbps, "cells": shape.cells, "retention_ms": 120_000,
-            });
-            let path = std::env::temp_dir().join(format!("cuminbank-jobd-{port}.json"));
+            let settings = instance_settings(number, port, store_address, shape);
+            let path = settings_path(port);
             deployment.clients.push(loopback(port));
             deployment.operators.push(loopback(port + 3));
             let process = InstanceProcess::start(build.clone(), path, settings, output(number));
@@ -288,6 +275,39 @@
     }
 }
 
+/// Starts the stand-in for the platform. It ends with the test process.
+pub fn start_standin(store: SocketAddr, task_ms: u64, entry_offset: u16) {
+    let settings = StandinSettings {
+        store,
+        executors: EXECUTORS,
+        task_time: Duration::from_millis(task_ms),
+        prefix: QUEUE_PREFIX.to_owned(),
+        entry_offset,
+    };
+    thread::spawn(move || {
+        runtime::run(server::run(settings)).expect("the ports of the stand-in are free")
+    });
+}
+
+/// Returns the settings of an instance that listens on `port` and the following ones.
+pub fn instance_settings(number: u16, port: u16, store: SocketAddr, shape: PoolShape) -> Value {
+    json!({
+        "instance": format!("i{number}"), "zone": "z",
+        "client_address": loopback(port), "readiness_address": loopback(port + 1),
+        "peer_address": loopback(port + 2), "operator_address": loopback(port + 3),
+        "store_address": store, "max_lease_ms": 6_000, "stop_timeout_ms": 200,
+        "grace_ms": GRACE_MS, "min_store_ttl_ms": 1_000, "harm_ms": 4_000,
+        "config_apply_ms": 2_000, "evacuate_ms": 5_000,
+        "processor_share": 1.0, "link_mbps": shape.link_mbps, "cells": shape.cells,
+        "retention_ms": 120_000,
+    })
+}
+
+/// Returns the path of the settings of the instance on `port`.
+pub fn settings_path(port: u16) -> PathBuf {
+    std::env::temp_dir().join(format!("cuminbank-jobd-{port}.json"))
+}
+
 /// Sends a request on a new connection. Returns the status and the JSON body of the response.
 pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
     let stream = connect(address, Duration::from_secs(5))?;
