End the silence of stand-in connections with the fault

Tests and scripts that set a stand-in silent and then normal would see connections of that time unanswered for good, and their tasks and sockets kept until the process ends, counted in open_connections.

Cause: set_mode moved the border between silent and answering connections and no mode moved it back; a silent connection looked at it every 60 s. Every other mode now ends the silence, as for a path that is open again, and connections check every 100 ms. Waiting requests are then handled.

Evidence: silent_connection_answers_after_the_end_of_the_fault failed before (Lost).

--- a/crates/cuminbank-standins/src/control.rs
+++ b/crates/cuminbank-standins/src/control.rs
@@ -19,8 +19,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
-/// Interval of the timer that keeps the task of a silent connection alive.
-const SILENT_POLL_INTERVAL: Duration = Duration::from_secs(60);
+/// Interval at which a silent connection checks whether the fault has ended.
+const SILENT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Connections of one stand-in are numbered from 0 in the order in which they were opened.
 pub type ConnectionId = u64;
@@ -44,7 +44,8 @@
         /// Share of lost responses in percent.
         percent: u8,
     },
-    /// Connections open at this moment stay open but never respond again; new connections work.
+    /// Connections open at this moment stay open but do not respond until another mode is set; new
+    /// connections work.
     Silent,
     /// No request is handled and no response is sent for a while.
     Pause {
@@ -100,8 +101,10 @@
 
     /// Sets the fault mode.
     pub fn set_mode(&self, mode: FaultMode) {
+        let silences = mode == FaultMode::Silent;
+        self.first_answering.set(if silences { self.next_connection.get() } else { 0 });
         match mode {
-            FaultMode::Silent => self.first_answering.set(self.next_connection.get()),
+            FaultMode::Silent => {}
             FaultMode::Pause { ms } => {
                 self.pause_end.set(Some(Instant::now() + Duration::from_millis(ms)));
             }
@@ -120,7 +123,7 @@
         self.mode.get() == FaultMode::FailAll
     }
 
-    /// Returns whether the connection was silenced by [`FaultMode::Silent`].
+    /// Returns whether [`FaultMode::Silent`] is in force for the connection.
     pub fn is_silent(&self, connection: ConnectionId) -> bool {
         connection < self.first_answering.get()
     }
--- a/crates/cuminbank-standins/tests/servers.rs
+++ b/crates/cuminbank-standins/tests/servers.rs
@@ -59,6 +59,31 @@
     });
 }
 
+/// Guards against connections that stay silent after the fault has ended: a request on one of them
+/// must be answered then, and requests after it too.
+#[test]
+fn silent_connection_answers_after_the_end_of_the_fault() {
+    runtime::run(async {
+        let listener = runtime::listen(([127, 0, 0, 1], 0).into()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = ListServer::new(ListSettings::default(), 1);
+        let control = server.control();
+        monoio::spawn(server.serve(listener, || json!({})));
+        let get = || ClientRequest::new_get("/v1/health/service/cuminbank");
+        let pool = HttpPool::new();
+        pool.exchange(address, get(), TIMEOUT).await.unwrap();
+        control.set_mode(FaultMode::Silent);
+        let end_fault = async {
+            monoio::time::sleep(TIMEOUT / 2).await;
+            control.set_mode(FaultMode::Normal);
+        };
+        let (waiting, ()) = monoio::join!(pool.exchange(address, get(), TIMEOUT * 4), end_fault);
+        assert_eq!(waiting.map(|answer| answer.status), Ok(200), "the waiting request");
+        let later = pool.exchange(address, get(), TIMEOUT).await;
+        assert_eq!(later.map(|answer| answer.status), Ok(200), "the next request");
+    });
+}
+
 /// In silent mode, connections that were open must neither respond nor be closed, and new
 /// connections must work.
 #[test]
