Excuse a repeated task only by faults at the time of its finish

A task that ran again after it had finished would go unnoticed in histories of the harness if any partition began or ended later, even a minute after the finish, or if its worker ended at any later time.

Cause: check_task_repeats compared the time of the last change of any partition with the finish and allowed every later one, and forgot all finishes of a worker that ended. The owner lists each worker every second, so that only faults near the finish can hide it: the finish is excused if a partition is active then, ended up to 15 s before, or begins up to 15 s after, or if the worker ends up to 15 s after. 'all faults ended' ends the partitions. Not narrowed: a partition of other nodes still excuses.

Evidence: repeat_is_not_excused_by_later_faults failed before for the later partition and the later end of the worker by reading, and at the first of these by running.

--- a/crates/cuminbank-standins/src/harness/checks/tasks.rs
+++ b/crates/cuminbank-standins/src/harness/checks/tasks.rs
@@ -9,12 +9,13 @@
 
 use super::{Violation, ViolationKind};
 use crate::{
-    harness::history::{History, HistoryEvent},
+    harness::history::{History, HistoryEvent, ALL_FAULTS_ENDED},
     worker::ExecutionEnd,
 };
 
-/// Time after a partition begins or ends in which the owner may miss that a task finished.
-const PARTITION_EFFECT_TIME: Duration = Duration::from_secs(15);
+/// Time after a partition in which the owner may not learn that a task finished, and time after the
+/// finish in which a partition or the end of the worker may still hide it.
+const FAULT_EFFECT_TIME: Duration = Duration::from_secs(15);
 
 /// Longest time that a start sent before a cancellation takes to reach its worker.
 const MAX_START_TRANSIT: Duration = Duration::from_millis(2_500);
@@ -119,7 +120,7 @@
 /// Accepted tasks end, and a finished task is not started again.
 ///
 /// A finished task may be repeated if its owner could not learn of the finish, because the worker
-/// ended or a partition was active.
+/// ended soon after it, or a partition was active at about the same time.
 pub fn check_tasks_end(history: &History) -> Vec<Violation> {
     let mut violations = check_task_repeats(history);
     let mut tickets: BTreeMap<&str, &str> = BTreeMap::new();
@@ -146,31 +147,77 @@
     violations
 }
 
+/// Last finished attempt of a task.
+struct TaskFinish<'a> {
+    at: Duration,
+    target: &'a str,
+    /// Whether a fault at the time of the finish may have hidden it from the owner.
+    hidden: bool,
+}
+
+/// Partitions that are active, and when the last one ended.
+#[derive(Default)]
+struct PartitionTimes<'a> {
+    active: Vec<&'a str>,
+    last_end: Option<Duration>,
+}
+
+impl<'a> PartitionTimes<'a> {
+    /// Records a fault. Returns whether a partition began.
+    fn record(&mut self, at: Duration, fault: &'a str) -> bool {
+        if let Some(partition) = fault.strip_prefix("Partition(") {
+            self.active.push(partition);
+            return true;
+        }
+        if let Some(partition) = fault.strip_prefix("Heal(") {
+            let Some(index) = self.active.iter().position(|active| *active == partition) else {
+                return false;
+            };
+            self.active.swap_remove(index);
+            self.last_end = Some(at);
+        } else if fault == ALL_FAULTS_ENDED && !self.active.is_empty() {
+            self.active.clear();
+            self.last_end = Some(at);
+        }
+        false
+    }
+
+    fn affects(&self, at: Duration) -> bool {
+        let recent = self.last_end.is_some_and(|end| at <= end + FAULT_EFFECT_TIME);
+        recent || !self.active.is_empty()
+    }
+}
+
 fn check_task_repeats(history: &History) -> Vec<Violation> {
-    let mut finished: BTreeMap<&str, (Duration, &str)> = BTreeMap::new();
+    let mut finished: BTreeMap<&str, TaskFinish<'_>> = BTreeMap::new();
     let mut reported: BTreeSet<&str> = BTreeSet::new();
-    let mut last_partition_change = None;
+    let mut partitions = PartitionTimes::default();
     let mut violations = Vec::new();
     for entry in &history.entries {
+        let is_recent = |finish: &TaskFinish<'_>| entry.at <= finish.at + FAULT_EFFECT_TIME;
         match &entry.event {
             HistoryEvent::TaskEnded { target, task, end: ExecutionEnd::Finished, .. } => {
-                finished.insert(task, (entry.at, target));
+                let hidden = partitions.affects(entry.at);
+                finished.insert(task, TaskFinish { at: entry.at, target, hidden });
             }
             HistoryEvent::TaskResult { task, finished: true } => {
                 reported.insert(task);
             }
-            HistoryEvent::TargetDown(down) => finished.retain(|_, (_, target)| *target != down),
-            HistoryEvent::Fault(text)
-                if text.starts_with("Partition(") || text.starts_with("Heal(") =>
-            {
-                last_partition_change = Some(entry.at);
+            HistoryEvent::TargetDown(down) => {
+                let lost = |finish: &TaskFinish<'_>| finish.target == down && is_recent(finish);
+                finished.values_mut().filter(|finish| lost(finish)).for_each(|finish| {
+                    finish.hidden = true;
+                });
             }
-            HistoryEvent::TaskStarted { task, .. } => {
-                let hidden = finished.get(task.as_str()).is_some_and(|(at, _)| {
-                    last_partition_change
-                        .is_some_and(|partition| partition + PARTITION_EFFECT_TIME >= *at)
+            HistoryEvent::Fault(fault) => {
+                let begins = partitions.record(entry.at, fault);
+                let hides = |finish: &TaskFinish<'_>| begins && is_recent(finish);
+                finished.values_mut().filter(|finish| hides(finish)).for_each(|finish| {
+                    finish.hidden = true;
                 });
-                let again = finished.contains_key(task.as_str()) && !hidden;
+            }
+            HistoryEvent::TaskStarted { task, .. } => {
+                let again = finished.get(task.as_str()).is_some_and(|finish| !finish.hidden);
                 if again || reported.contains(task.as_str()) {
                     let kind = ViolationKind::TaskRepeated { task: task.clone() };
                     violations.push(Violation { at: entry.at, kind });
--- a/crates/cuminbank-standins/src/harness/faults.rs
+++ b/crates/cuminbank-standins/src/harness/faults.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use super::{
-    history::HistoryEvent,
+    history::{HistoryEvent, ALL_FAULTS_ENDED},
     network::{NetworkNode, NetworkPartition},
     queue::{Action, EntryIndex, ReplyOrigin, TargetIndex},
     simulation::{Simulation, LIST_LAG},
@@ -250,7 +250,7 @@
                 None => self.start_entry(entry),
             }
         }
-        self.record(HistoryEvent::Fault("all faults ended".to_owned()));
+        self.record(HistoryEvent::Fault(ALL_FAULTS_ENDED.to_owned()));
     }
 
     fn kill(&mut self, entry: EntryIndex) {
--- a/crates/cuminbank-standins/src/harness/history.rs
+++ b/crates/cuminbank-standins/src/harness/history.rs
@@ -15,6 +15,9 @@
 /// A process of an entry instance.
 pub type ProcessId = (EntryIndex, StartNumber);
 
+/// Text of the fault event that ends all faults.
+pub const ALL_FAULTS_ENDED: &str = "all faults ended";
+
 /// Event of a run.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HistoryEvent {
--- a/crates/cuminbank-standins/tests/history_checks.rs
+++ b/crates/cuminbank-standins/tests/history_checks.rs
@@ -14,18 +14,19 @@
 
 const PROCESS: (usize, u64) = (0, 7);
 
-/// Returns a history with one event per second.
-fn history(events: Vec<HistoryEvent>) -> History {
+/// Returns the violations in a history with one event per second.
+fn found(events: Vec<HistoryEvent>) -> Vec<ViolationKind> {
+    found_at((0..).zip(events))
+}
+
+/// Returns the violations in a history of events at these seconds.
+fn found_at(events: impl IntoIterator<Item = (u64, HistoryEvent)>) -> Vec<ViolationKind> {
     let mut history = History::default();
-    for (second, event) in events.into_iter().enumerate() {
-        history.add(Duration::from_secs(second as u64), event);
+    for (second, event) in events {
+        history.add(Duration::from_secs(second), event);
     }
     history.end = Duration::from_secs(100);
-    history
-}
-
-fn found(events: Vec<HistoryEvent>) -> Vec<ViolationKind> {
-    check_all(&history(events)).into_iter().map(|violation| violation.kind).collect()
+    check_all(&history).into_iter().map(|violation| violation.kind).collect()
 }
 
 fn started(target: &str, attempt: u32, checkpoint: Option<&str>) -> HistoryEvent {
@@ -129,6 +130,54 @@
     assert!(matches!(kinds[..], [ViolationKind::TaskRepeated { .. }]), "{kinds:?}");
 }
 
+fn fault(text: &str) -> HistoryEvent {
+    HistoryEvent::Fault(text.to_owned())
+}
+
+/// Returns the violations of a task that finished at 20 s and starts again at 90 s, with more events.
+fn found_with_repeat(others: Vec<(u64, HistoryEvent)>) -> Vec<ViolationKind> {
+    let task = [
+        (0, started("w1", 1, None)),
+        (20, ended("w1", 1, ExecutionEnd::Finished)),
+        (90, started("w2", 2, None)),
+    ];
+    let mut events = [task.to_vec(), others].concat();
+    events.sort_by_key(|(second, _)| *second);
+    found_at(events)
+}
+
+/// Guards against a check that excuses a repeated task by a partition or the end of its worker long
+/// after its owner could learn that it finished.
+#[test]
+fn repeat_is_not_excused_by_later_faults() {
+    let partition = (80, fault("Partition(Store)"));
+    let early = [(1, fault("Partition(Store)")), (2, fault("Heal(Store)"))];
+    let down = (80, HistoryEvent::TargetDown("w1".to_owned()));
+    for others in [vec![partition], early.to_vec(), vec![down]] {
+        let kinds = found_with_repeat(others.clone());
+        assert!(matches!(kinds[..], [ViolationKind::TaskRepeated { .. }]), "{others:?}: {kinds:?}");
+    }
+}
+
+/// Guards against a check that reports a repeated task although its owner could not learn that it
+/// finished.
+#[test]
+fn repeat_is_excused_by_faults_at_the_finish() {
+    let during = vec![(1, fault("Partition(Store)")), (85, fault("Heal(Store)"))];
+    let overlapping = vec![
+        (1, fault("Partition(Store)")),
+        (2, fault("Partition(Zones(0, 1))")),
+        (3, fault("Heal(Zones(0, 1))")),
+        (85, fault("Heal(Store)")),
+    ];
+    let before = vec![(10, fault("Partition(Store)")), (15, fault("Heal(Store)"))];
+    let after = vec![(25, fault("Partition(Store)")), (30, fault("Heal(Store)"))];
+    let down = vec![(22, HistoryEvent::TargetDown("w1".to_owned()))];
+    for others in [during, overlapping, before, after, down] {
+        assert_eq!(found_with_repeat(others.clone()), [], "{others:?}");
+    }
+}
+
 /// Guards against a check that misses overlapping runs of a task or of a call (I2).
 #[test]
 fn concurrent_runs_are_found() {
