Count a request that no entry instance accepts once, as refused

The load command would show a call that was never sent as an error and once per instance as a refused connection, and a task as one with an unknown outcome; a call whose first instance refused the connection and whose second answered counted as a refused connection too. (64 calls, two refusing instances: 64 errors, 128 refused connections, 0 refused.)

Cause: connections were counted per attempt, although the field counts requests without a response, and a request without any attempt that was sent became RequestOutcome::Error. A failed ticket request had the outcome of that request, although the work itself is not sent without a ticket.

Evidence: request_that_was_not_sent_counts_once_as_refused failed before with the figures above.

--- a/crates/cuminbank-standins/src/load/client.rs
+++ b/crates/cuminbank-standins/src/load/client.rs
@@ -28,6 +28,8 @@
 
 /// Interval and timeout of readiness checks, as the load balancer makes them.
 const READY_INTERVAL: Duration = Duration::from_millis(500);
+/// Reason of a request that was not sent.
+const NO_CONNECTION: &str = "no entry instance accepts connections";
 
 /// Outcome of a request, as its caller sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,6 +46,14 @@
     Error(String),
 }
 
+/// Reason why an entry instance gave no tickets.
+enum TicketFailure {
+    /// The instance accepts no connections.
+    NotSent,
+    /// The request failed or was refused.
+    Failed(String),
+}
+
 /// State of a task, as an entry instance reports it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct TaskState {
@@ -123,7 +133,7 @@
     /// Fetches tickets from every entry instance before the run.
     pub(super) async fn prefetch_tickets(&self) {
         for entry in &self.entries {
-            let _ = self.fetch_tickets(*entry).await;
+            self.refill_tickets(*entry).await;
         }
     }
 
@@ -140,10 +150,10 @@
         if call.ticketed {
             match self.take_ticket(index).await {
                 Ok(ticket) => request = request.with_header("idempotency-key", ticket),
-                Err(result) => return result,
+                Err(reason) => return RequestOutcome::Refused(reason),
             }
         }
-        self.send(index, request).await.map_or_else(RequestOutcome::Error, classify)
+        self.send(index, request).await.map_or_else(|failure| failure, classify)
     }
 
     pub(super) async fn submit(
@@ -155,7 +165,7 @@
     ) -> RequestOutcome {
         let ticket = match self.take_ticket(index).await {
             Ok(ticket) => ticket,
-            Err(result) => return result,
+            Err(reason) => return RequestOutcome::Refused(reason),
         };
         let mut body = task.body.clone();
         // The worker stand-in computes the start delay from this field.
@@ -165,7 +175,7 @@
             .with_header("x-customer", customer)
             .with_header("x-class", task.class.as_str())
             .with_header("idempotency-key", ticket.as_str());
-        match self.send(index, request).await.map_or_else(RequestOutcome::Error, classify) {
+        match self.send(index, request).await.map_or_else(|failure| failure, classify) {
             RequestOutcome::Accepted(_) => RequestOutcome::Accepted(ticket),
             other => other,
         }
@@ -183,15 +193,23 @@
 
     /// Sends a request to the first entry instance of its route, or to the next if nothing could be
     /// sent: the platform's load balancer does not route to an instance that refuses connections.
-    async fn send(&self, index: usize, request: ClientRequest) -> Result<ClientAnswer, String> {
+    /// Returns the outcome of the request if there is no response.
+    async fn send(
+        &self,
+        index: usize,
+        request: ClientRequest,
+    ) -> Result<ClientAnswer, RequestOutcome> {
         for entry in self.route(index) {
             match self.exchange(entry, request.clone()).await {
                 Err(ExchangeError::NotSent) => continue,
                 Ok(answer) => return Ok(answer),
-                Err(error) => return Err(format!("no response: {error:?}")),
+                Err(error) => {
+                    return Err(RequestOutcome::Error(format!("no response: {error:?}")));
+                }
             }
         }
-        Err("no entry instance accepts connections".to_owned())
+        self.count_refused();
+        Err(RequestOutcome::Refused(NO_CONNECTION.to_owned()))
     }
 
     /// Returns the counters of failed connections.
@@ -208,7 +226,8 @@
         let outcome = self.pool.exchange(entry, request, self.timeout).await;
         let mut connections = self.connections.get();
         match &outcome {
-            Err(ExchangeError::NotSent) => connections.refused += 1,
+            // The request may still be sent to another instance.
+            Err(ExchangeError::NotSent) => {}
             Err(_) if sent.elapsed() >= self.timeout => connections.timed_out += 1,
             Err(_) => connections.cut_off += 1,
             Ok(_) => {}
@@ -217,22 +236,35 @@
         outcome
     }
 
-    async fn take_ticket(self: &Rc<Self>, index: usize) -> Result<String, RequestOutcome> {
+    fn count_refused(&self) {
+        let mut connections = self.connections.get();
+        connections.refused += 1;
+        self.connections.set(connections);
+    }
+
+    /// Returns a ticket, or the reason why there is none. Without a ticket the work is not sent.
+    async fn take_ticket(self: &Rc<Self>, index: usize) -> Result<String, String> {
         let entry = self.entries[index % self.entries.len()];
         if let Some(ticket) = self.cached_ticket(entry) {
             return Ok(ticket);
         }
-        let mut result = RequestOutcome::Error("no ticket".to_owned());
+        let mut failed = None;
+        let mut was_sent = false;
         for step in 0..self.entries.len() {
             let entry = self.entries[(index + step) % self.entries.len()];
-            if let Err(failure) = self.fetch_tickets(entry).await {
-                result = failure;
+            match self.fetch_tickets(entry).await {
+                Ok(()) => was_sent = true,
+                Err(TicketFailure::NotSent) => {}
+                Err(TicketFailure::Failed(reason)) => (failed, was_sent) = (Some(reason), true),
             }
             if let Some(ticket) = self.cached_ticket(entry) {
                 return Ok(ticket);
             }
         }
-        Err(result)
+        if !was_sent {
+            self.count_refused();
+        }
+        Err(format!("no ticket: {}", failed.as_deref().unwrap_or(NO_CONNECTION)))
     }
 
     fn cached_ticket(self: &Rc<Self>, entry: SocketAddr) -> Option<String> {
@@ -245,26 +277,36 @@
         if cached.len() < REFILL_THRESHOLD && self.refilling.borrow_mut().insert(entry) {
             let client = Rc::clone(self);
             monoio::spawn(async move {
-                let _ = client.fetch_tickets(entry).await;
+                client.refill_tickets(entry).await;
                 client.refilling.borrow_mut().remove(&entry);
             });
         }
         ticket
     }
 
-    async fn fetch_tickets(&self, entry: SocketAddr) -> Result<(), RequestOutcome> {
+    /// Fetches tickets ahead of their use. A failure shows again when a ticket is needed.
+    async fn refill_tickets(&self, entry: SocketAddr) {
+        if let Err(TicketFailure::NotSent) = self.fetch_tickets(entry).await {
+            self.count_refused();
+        }
+    }
+
+    async fn fetch_tickets(&self, entry: SocketAddr) -> Result<(), TicketFailure> {
         let body = json!({ "count": TICKET_BATCH }).to_string();
         let request = ClientRequest::new_post("/v1/tickets", body);
-        let answer = self.exchange(entry, request).await;
-        let failed = |error| RequestOutcome::Error(format!("no ticket: {error:?}"));
-        let answer = answer.map_err(failed)?;
+        let answer = self.exchange(entry, request).await.map_err(|error| match error {
+            ExchangeError::NotSent => TicketFailure::NotSent,
+            _ => TicketFailure::Failed(format!("no response: {error:?}")),
+        })?;
         let Some(fetched) = read_tickets(&answer.body) else {
-            return Err(match classify(answer) {
-                RequestOutcome::Done(_) => {
-                    RequestOutcome::Error("malformed response to a ticket request".to_owned())
+            return Err(TicketFailure::Failed(match classify(answer) {
+                RequestOutcome::Refused(reason)
+                | RequestOutcome::Unknown(reason)
+                | RequestOutcome::Error(reason) => reason,
+                RequestOutcome::Done(_) | RequestOutcome::Accepted(_) => {
+                    "malformed response to a ticket request".to_owned()
                 }
-                other => other,
-            });
+            }));
         };
         let now = Instant::now();
         let mut tickets = self.tickets.borrow_mut();
--- a/crates/cuminbank-standins/src/load/result.rs
+++ b/crates/cuminbank-standins/src/load/result.rs
@@ -108,7 +108,8 @@
 /// as the platform's load balancer does.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct ConnectionResult {
-    /// No connection could be made, so that nothing was sent.
+    /// No entry instance accepted a connection, so that nothing was sent. Calls and tasks among
+    /// them count as refused.
     pub refused: u64,
     /// The connection was closed after part of the request had been sent and before the response
     /// was complete.
--- a/crates/cuminbank-standins/tests/load.rs
+++ b/crates/cuminbank-standins/tests/load.rs
@@ -125,10 +125,7 @@
         let close = |_| async { ServerAction::Close };
         let (limits, gate) = (ServerLimits::default(), ServerGate::default());
         monoio::spawn(server::serve(listener, limits, gate, close));
-        let refusing =
-            std::net::TcpListener::bind("127.0.0.1:0").expect("no free port on 127.0.0.1");
-        let refused = refusing.local_addr().expect("bound socket has no local address");
-        drop(refusing);
+        let refused = refusing_address();
         let settings = LoadSettings { seconds: 1, ..settings(LoadPlan::Steady, vec![]) };
         let sent = generate_arrivals(&settings).len() as u64;
         let run = |entries| {
@@ -146,3 +143,36 @@
         assert_eq!((connections.refused, connections.cut_off), (0, sent), "{result:?}");
     });
 }
+
+/// Returns an address on which nothing listens.
+fn refusing_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("no free port on 127.0.0.1");
+    listener.local_addr().expect("bound socket has no local address")
+}
+
+/// Guards against requests that no instance accepts and that count once for each instance, or as
+/// calls and tasks that may have run; and against answered requests that count as refused.
+#[test]
+fn request_that_was_not_sent_counts_once_as_refused() {
+    runtime::run(async {
+        let refusing = vec![refusing_address(), refusing_address()];
+        let steady = LoadSettings { seconds: 1, ..settings(LoadPlan::Steady, refusing.clone()) };
+        let sent = generate_arrivals(&steady).len() as u64;
+        let result = run_load(&steady).await;
+        let class = &result.classes["plan"];
+        assert_eq!((class.refused, class.errors), (sent, 0), "{result:?}");
+        assert_eq!(result.connections.refused, sent, "{result:?}");
+
+        let starts = LoadSettings { seconds: 1, ..settings(LoadPlan::Starts, refusing) };
+        let result = run_load(&starts).await;
+        let tasks = &result.tasks;
+        assert!(tasks.sent > 0);
+        assert_eq!((tasks.refused, tasks.unknown), (tasks.sent, 0), "{result:?}");
+
+        let good = spawn_entry(Duration::from_secs(3_600));
+        let entries = vec![refusing_address(), good];
+        let result = run_load(&LoadSettings { entries, ..steady }).await;
+        assert_eq!(result.classes["plan"].on_time, sent, "{result:?}");
+        assert_eq!(result.connections.refused, 0, "{result:?}");
+    });
+}
