Do not count a pass that goes on with searches for tickets as complete

A fault of the check, not of the placement: with more than 32 advised steps without tickets, the last pass of a round searches only the steps that the passes before left out, but counted as complete.

--- a/crates/cuminbank-jobs/src/scheduler/advice.rs
+++ b/crates/cuminbank-jobs/src/scheduler/advice.rs
@@ -64,8 +64,10 @@
     round: u64,
     /// Number of searches in the current pass.
     searches: u32,
-    /// Whether the current pass left out a search.
+    /// Whether the current pass left out a search, and whether the last one did, so that the current
+    /// one goes on with its round.
     incomplete: bool,
+    continues: bool,
 }
 
 /// Whether a step has the tickets that it needs.
@@ -83,14 +85,14 @@
 impl AdviceState {
     /// Resets the bound on searches for a new pass, and begins a round unless the last one goes on.
     pub(super) fn begin_pass(&mut self) {
-        self.round += u64::from(!self.incomplete);
+        self.continues = std::mem::take(&mut self.incomplete);
+        self.round += u64::from(!self.continues);
         self.searches = 0;
-        self.incomplete = false;
     }
 
     /// Returns whether no search was left out in the current pass.
     pub(super) fn is_pass_complete(&self) -> bool {
-        !self.incomplete
+        !self.incomplete && !self.continues
     }
 
     /// Returns whether the service does not allow a step on an executor.
