Evaluate only executors with free capacity for a gang

A pass over many gangs in a full pool delays the jobs that arrive meanwhile.

gang_without_room_costs_one_unit_per_executor failed before. The tests of slow passes now use gangs with a member more than there are executors with room, so that a search still exceeds the budget of a slice.

--- a/crates/cuminbank-jobs/src/scheduler/advice.rs
+++ b/crates/cuminbank-jobs/src/scheduler/advice.rs
@@ -165,8 +165,9 @@
             known.iter().flat_map(|known| known.tickets.keys().copied()).collect();
         let (sufficient, evaluated) = match spec.gang && !ticketed.is_empty() {
             true => {
-                let assigned = self.assign_gang(job, position.0, position.1, placeable);
-                (assigned.is_some(), placeable.len())
+                let executors = self.gang_executors(job, position.1, placeable);
+                let assigned = self.assign_gang(job, position.0, position.1, &executors);
+                (assigned.is_some(), executors.len())
             }
             false => {
                 let is_usable = |key: &ExecutorKey| self.cost_on(&search, *key).is_ok();
--- a/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
+++ b/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
@@ -97,7 +97,12 @@
         (occurrence, step): (u32, usize),
     ) -> Option<ExecutorKey> {
         let job = &self.jobs[key];
-        let placeable: Vec<ExecutorKey> = self.executors.keys().collect();
-        self.assign_gang(job, occurrence, step, &placeable)?.first().copied()
+        let executors: Vec<ExecutorKey> = self
+            .executors
+            .iter()
+            .filter(|(_, executor)| self.is_placeable(executor))
+            .map(|(key, _)| key)
+            .collect();
+        self.assign_gang(job, occurrence, step, &executors)?.first().copied()
     }
 }
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -161,8 +161,10 @@
         if !all_ready {
             return Err(SearchFailure::Step);
         }
-        let assignments = self.assign_gang(job, occurrence, step, placeable);
-        self.charge_units((placeable.len() + range.len()) as u32 * EVALUATION_UNITS);
+        let executors = self.gang_executors(job, step, placeable);
+        let assignments = self.assign_gang(job, occurrence, step, &executors);
+        let evaluated = executors.len() + assignments.as_ref().map_or(0, Vec::len);
+        self.charge_units(placeable.len() as u32 + evaluated as u32 * EVALUATION_UNITS);
         let job = &self.jobs[key];
         let Some(assignments) = assignments else {
             let detail = format!("step={step} members={}", range.len());
@@ -177,32 +179,44 @@
         Ok(())
     }
 
-    /// Selects an executor for each member of a gang. With `same_rack` it prefers a rack with free
-    /// capacity for all members. If there is none, it spreads the members over several racks.
+    /// Returns the executors that may have room for a member of a gang. They may have changed or left
+    /// since the pass began.
+    pub(super) fn gang_executors(
+        &self,
+        job: &JobState,
+        step: usize,
+        placeable: &[ExecutorKey],
+    ) -> Vec<ExecutorKey> {
+        let spec = &job.record.steps[step];
+        let may_run = |key: &ExecutorKey| {
+            self.executors.get(*key).is_some_and(|executor| {
+                executor.may_have_capacity_for(spec) && self.is_placeable(executor)
+            })
+        };
+        placeable.iter().copied().filter(may_run).collect()
+    }
+
+    /// Selects one of [`Self::gang_executors`] for each member of a gang. With `same_rack` it prefers a
+    /// rack with free capacity for all members. If there is none, it spreads them over several racks.
     pub(super) fn assign_gang(
         &self,
         job: &JobState,
         occurrence: u32,
         step: usize,
-        placeable: &[ExecutorKey],
+        executors: &[ExecutorKey],
     ) -> Option<Vec<ExecutorKey>> {
         let spec = &job.record.steps[step];
-        // Executors may have changed or left since the pass began.
-        let is_placeable = |key: &ExecutorKey| {
-            self.executors.get(*key).is_some_and(|executor| self.is_placeable(executor))
-        };
-        let placeable: Vec<ExecutorKey> = placeable.iter().copied().filter(is_placeable).collect();
         let mut racks: Vec<Option<&str>> = vec![None];
         if spec.same_rack {
             let mut names: Vec<&str> =
-                placeable.iter().filter_map(|key| rack_of(&self.executors[*key])).collect();
+                executors.iter().filter_map(|key| rack_of(&self.executors[*key])).collect();
             names.sort_unstable();
             names.dedup();
             racks = names.into_iter().map(Some).chain([None]).collect();
         }
         racks
             .into_iter()
-            .find_map(|rack| self.assign_gang_on_rack(job, occurrence, step, &placeable, rack))
+            .find_map(|rack| self.assign_gang_on_rack(job, occurrence, step, executors, rack))
     }
 
     fn assign_gang_on_rack(
--- a/crates/cuminbank-jobs/tests/pass.rs
+++ b/crates/cuminbank-jobs/tests/pass.rs
@@ -101,3 +101,18 @@
     // A unit for the job, and one per executor when the pass begins and for the search.
     assert_eq!(pool.max_units, 1 + 2 * EXECUTORS as u32);
 }
+
+// Guards against evaluating executors without free capacity in full for a waiting gang, which makes
+// a pass over many gangs slow in a full pool.
+#[test]
+fn gang_without_room_costs_one_unit_per_executor() {
+    let mut pool = SimulatedPool::new(9, 1, EXECUTORS);
+    pool.run_until(SUBMITTED);
+    let needs = TaskNeeds { cpu_millis: 9_000, memory_mb: 500, gpus: 0 };
+    pool.submit(1, job(vec![JobStep { gang: true, needs, ..step(2, &[]) }]));
+    pool.run_until(SUBMITTED + Duration::from_millis(500));
+    pool.max_units = 0;
+    pool.run_until(pool.now + Duration::from_secs(1));
+    // A unit for the job, and one per executor when the pass begins and for the search.
+    assert_eq!(pool.max_units, 1 + 2 * EXECUTORS as u32);
+}
--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -117,13 +117,13 @@
     pool
 }
 
-/// Returns a pool of 500 executors of an instance with a small share of a core.
-fn weak_pool(seed: u64) -> SimulatedPool {
+/// Returns an idle pool of an instance with a small share of a core.
+fn weak_pool(seed: u64, executors: usize, share: f64) -> SimulatedPool {
     let length = |task: TaskName| match task.job {
         SHORT_JOB => Duration::from_millis(400),
         _ => LASTING,
     };
-    let pool = SimulatedPool::new(seed, 1, 500).with_processor_share(0.12);
+    let pool = SimulatedPool::new(seed, 1, executors).with_processor_share(share);
     let mut pool = with_lengths(pool, length);
     pool.run_until(SUBMITTED + Duration::from_secs(2));
     pool
@@ -184,12 +184,21 @@
     assert_eq!(pool.running(LASTING_JOB), 1);
 }
 
+/// Pool in which a single search for [`gang_without_room`] exceeds the budget of a slice.
+const GANG_EXECUTORS: usize = 150;
+const GANG_SHARE: f64 = 0.03;
+
+/// Returns a gang with a member more than there are executors, each of which has room for one.
+fn gang_without_room() -> JobStep {
+    JobStep { gang: true, needs: needs(6_000), ..step(GANG_EXECUTORS as u32 + 1, &[]) }
+}
+
 // Guards against a gang without room whose failed search exceeds the budget of a slice, so that the
 // pass searches for it again in each slice and reaches no other job.
 #[test]
 fn waiting_gang_does_not_stop_the_pass() {
-    let mut pool = weak_pool(5);
-    submit(&mut pool, 1, JobStep { gang: true, needs: needs(9_000), ..step(2, &[]) });
+    let mut pool = weak_pool(5, GANG_EXECUTORS, GANG_SHARE);
+    submit(&mut pool, 1, gang_without_room());
     pool.run_until(pool.now + Duration::from_millis(500));
     submit(&mut pool, SHORT_JOB, step(1, &[]));
     let started = time_to_start(&mut pool, SHORT_JOB);
@@ -200,7 +209,7 @@
 // tickets for many jobs whose steps the advice service allows nowhere.
 #[test]
 fn searches_for_tickets_do_not_delay_other_jobs() {
-    let mut pool = weak_pool(6);
+    let mut pool = weak_pool(6, 500, 0.12);
     for id in 1..=300 {
         let mut record = record(&pool, JobStep { needs: needs(100), ..long_running(2) });
         record.terms.advice =
@@ -222,18 +231,17 @@
 /// Returns a pool of a weak instance in which a pass takes seconds, with gangs without room and
 /// [`LATER_JOB`], a gang that follows them and whose only executors are the first two.
 fn pool_with_waiting_gangs(seed: u64, gangs: u64) -> SimulatedPool {
-    let mut pool = weak_pool(seed);
+    let mut pool = weak_pool(seed, GANG_EXECUTORS, GANG_SHARE);
     for executor in &mut pool.executors[..2] {
         executor.labels.insert(0, "large".to_owned());
     }
     // Until the list with the labels has been read.
     pool.run_until(pool.now + Duration::from_secs(1));
-    let gang = JobStep { gang: true, ..step(2, &[]) };
     for id in 1..=gangs {
-        submit(&mut pool, id, JobStep { needs: needs(9_000), ..gang.clone() });
+        submit(&mut pool, id, gang_without_room());
     }
     let required_label = Some("large".to_owned());
-    let mut last = record(&pool, JobStep { required_label, ..gang });
+    let mut last = record(&pool, JobStep { gang: true, required_label, ..step(2, &[]) });
     last.terms.priority = 1;
     pool.submit(LATER_JOB, last);
     pool.run_until(pool.now + Duration::from_millis(100));
