--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -193,12 +193,14 @@
     JobStep { gang: true, needs: needs(6_000), ..step(GANG_EXECUTORS as u32 + 1, &[]) }
 }
 
-// Guards against a gang without room whose failed search exceeds the budget of a slice, so that the
-// pass searches for it again in each slice and reaches no other job.
+// Guards against gangs without room whose failed search exceeds the budget of a slice, so that the
+// pass searches for the first one again in each slice and reaches no other step or job.
 #[test]
 fn waiting_gang_does_not_stop_the_pass() {
     let mut pool = weak_pool(5, GANG_EXECUTORS, GANG_SHARE);
-    submit(&mut pool, 1, gang_without_room());
+    let mut record = record(&pool, gang_without_room());
+    record.steps.push(gang_without_room());
+    pool.submit(1, record);
     pool.run_until(pool.now + Duration::from_millis(500));
     submit(&mut pool, SHORT_JOB, step(1, &[]));
     let started = time_to_start(&mut pool, SHORT_JOB);
