Keep the versions of stored records in one place, with a floor

Callers saw nothing yet: every record has one version. A field added to a record would have been refused by the build at hand and ignored or garbled by the builds before it, and nothing told which builds were live.

formats.rs lists each record and message with its versions. Values of version 1 are as before, byte for byte.

instances.rs has the entry of an instance, under a key of its own below the prefix that all instances watch already. From the entries follows the floor; the version of the pool is stored, is never lowered, and is raised only if no instance has registered since the entries were read. Writers use no higher version.

--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -250,8 +250,8 @@
                     state.log(&DecisionRecord { code: OWNERSHIP_RESUMED, job: None, detail });
                     self.apply(state, JobEvent::OwnershipChanged(held));
                 }
-                OwnershipEffect::Unreadable { key, bytes } => {
-                    let detail = format!("key={key} bytes={bytes}");
+                OwnershipEffect::Unreadable { key, detail } => {
+                    let detail = format!("key={key} {detail}");
                     state.log(&DecisionRecord { code: STORE_UNREADABLE, job: None, detail });
                 }
                 OwnershipEffect::Ended(reason) => {
--- a/crates/cuminbank-jobs/src/keys.rs
+++ b/crates/cuminbank-jobs/src/keys.rs
@@ -3,10 +3,16 @@
 
 use crate::ids::{CellId, JobId};
 
-/// Prefix of the ownership of all cells and of the pool plan.
+/// Prefix of the ownership of all cells, the pool plan and the entries of the instances.
 pub const OWNER_PREFIX: &str = "cuminbank/owner/";
 /// Key of the pool plan, which divides the pool into cells.
 pub const PLAN_KEY: &str = "cuminbank/owner/plan";
+/// Prefix of the entries of the live instances.
+pub const INSTANCE_PREFIX: &str = "cuminbank/owner/instance/";
+/// Key that every registration of an instance replaces.
+pub const REGISTRATION_KEY: &str = "cuminbank/owner/registration";
+/// Key of the highest format version that any instance may have written.
+pub const FORMAT_KEY: &str = "cuminbank/owner/format";
 /// Prefix of the accepted jobs, whose keys store their cell. A job is accepted by creating its key,
 /// so it is accepted only once.
 const ACCEPTED_PREFIX: &str = "cuminbank/accepted/";
--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    formats::describe_value,
     ids::{CellId, InstanceName, LeaseId, MonotonicTime, OwnerEpoch, StoreRevision, WriteId},
     keys::CellKeys,
     store::{
@@ -105,8 +106,8 @@
     Unreadable {
         /// Key of the record.
         key: String,
-        /// Size of the value.
-        bytes: usize,
+        /// Size and version of the value.
+        detail: String,
     },
 }
 
@@ -532,5 +533,5 @@
 }
 
 fn unreadable(item: &StoreItem) -> OwnershipEffect {
-    OwnershipEffect::Unreadable { key: item.key.clone(), bytes: item.value.len() }
+    OwnershipEffect::Unreadable { key: item.key.clone(), detail: describe_value(&item.value) }
 }
--- a/crates/cuminbank-jobs/src/peer.rs
+++ b/crates/cuminbank-jobs/src/peer.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     cells::CellLoad,
+    formats::FormatVersion,
     ids::{CellId, ExecutorName, JobId, OwnerEpoch, QueueName},
     job::JobPhase,
     relay::{RelayedResult, StartBundle},
@@ -27,6 +28,11 @@
     Answer(OwnerAnswer),
     /// Results of relayed starts, in the order of the starts.
     Carried(Vec<RelayedResult>),
+    /// The receiver cannot read the request and did nothing. Only sent for such a request.
+    Unsupported {
+        /// Newest version that the receiver reads.
+        newest: FormatVersion,
+    },
 }
 
 /// Question of an instance to the owner of a cell.
--- a/crates/cuminbank-jobs/src/relay.rs
+++ b/crates/cuminbank-jobs/src/relay.rs
@@ -232,7 +232,13 @@
 
     /// Returns the number of live instances.
     pub fn count(&self, now: MonotonicTime) -> usize {
-        self.known.iter().filter(|(_, seen)| now <= *seen + RELAY_EXPIRY).count()
+        self.live(now).count()
+    }
+
+    /// Returns the addresses of the live instances.
+    pub fn live(&self, now: MonotonicTime) -> impl Iterator<Item = SocketAddr> + '_ {
+        let live = move |(_, seen): &&(SocketAddr, MonotonicTime)| now <= *seen + RELAY_EXPIRY;
+        self.known.iter().filter(live).map(|(address, _)| *address)
     }
 
     /// Removes an instance that did not reply. A request from it adds it again.
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -10,6 +10,7 @@
     JobScheduler,
 };
 use crate::{
+    formats::describe_value,
     ids::{JobId, MonotonicTime, StoreRevision, TaskIndex, WallTime},
     job::{JobOutcome, JobRecord, TaskLayout},
     keys::parse_job_id,
@@ -78,7 +79,7 @@
     }
 
     pub(super) fn log_unreadable_job(&mut self, id: JobId, key: &str, value: &[u8]) {
-        self.log(JOB_UNREADABLE, Some(id), format!("key={key} bytes={}", value.len()));
+        self.log(JOB_UNREADABLE, Some(id), format!("key={key} {}", describe_value(value)));
     }
 
     fn add_job(&mut self, id: JobId, record: JobRecord, fresh: bool, progress: JobProgress) {
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -11,6 +11,7 @@
 use super::{contact::LEASE_TIME, JobScheduler};
 use crate::{
     colocation::ColocationModel,
+    formats::describe_value,
     ids::{ExecutorName, JobId, MonotonicTime},
     keys::parse_job_id,
     ownership::MAX_STORE_SILENCE,
@@ -109,7 +110,7 @@
     }
 
     fn log_unreadable(&mut self, key: &str, value: &[u8]) {
-        self.log(STORE_UNREADABLE, None, format!("key={key} bytes={}", value.len()));
+        self.log(STORE_UNREADABLE, None, format!("key={key} {}", describe_value(value)));
     }
 
     pub(super) fn mark_reconciled(&mut self, name: &ExecutorName) {
--- a/crates/cuminbank-jobs/src/store.rs
+++ b/crates/cuminbank-jobs/src/store.rs
@@ -4,7 +4,10 @@
 
 use serde::{de::DeserializeOwned, Serialize};
 
-use crate::ids::{LeaseId, StoreRevision};
+use crate::{
+    formats::{split_version, UNVERSIONED},
+    ids::{LeaseId, StoreRevision},
+};
 
 /// Item in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -153,9 +156,12 @@
     postcard::to_stdvec(value).expect("stored records only contain types that postcard can encode")
 }
 
-/// Decodes a stored value. Returns `None` if it was written in another format, which includes a
+/// Decodes a stored value of version 1. Returns `None` if it was written in another format, which includes a
 /// value that continues after the known fields: it would lose the rest when it is written again.
 pub fn decode_value<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    if split_version(bytes).0 != UNVERSIONED {
+        return None;
+    }
     let (value, rest) = postcard::take_from_bytes(bytes).ok()?;
     rest.is_empty().then_some(value)
 }
--- a/crates/cuminbank-jobs/tests/formats.rs
+++ b/crates/cuminbank-jobs/tests/formats.rs
@@ -1,5 +1,6 @@
 //! Tests of the bytes of stored records and of messages between instances. `formats/unversioned.txt`
-//! has them as every build since d68395a writes them.
+//! has them as every build since d68395a writes them; `instance`, `pool_format` and `unsupported` are
+//! of later builds.
 
 use std::{collections::BTreeMap, fmt::Debug, time::Duration};
 
@@ -7,7 +8,9 @@
 use cuminbank_jobs::{
     cells::{CellLoad, PoolPlan},
     colocation::ColocationModel,
+    formats::{FormatSupport, FormatVersion},
     ids::CellId,
+    instances::InstanceEntry,
     job::{
         AdviceTerms, JobOutcome, JobPhase, JobRecord, JobStep, QueueTerms, RepeatPlan, TaskName,
         TaskNeeds,
@@ -214,6 +217,17 @@
     check.record("record.plan", PoolPlan { cells: 2, racks });
     check.record::<CellId>("record.accepted", 300);
     check.record("record.sequence", (7_u64, 1_234_u64));
+    check.record(
+        "record.instance",
+        InstanceEntry {
+            instance: "i1".to_owned(),
+            start: u64::MAX,
+            peer_address: "10.0.0.2:7100".parse().expect("valid socket address"),
+            build: "0.1.0+abcdef0".to_owned(),
+            formats: FormatSupport { oldest: 1, newest: 3, written: 2 },
+        },
+    );
+    check.record::<FormatVersion>("record.pool_format", 2);
     check.finish();
 }
 
@@ -280,6 +294,7 @@
     results.extend(rejections.map(RelayedResult::Rejected));
     results.extend(failures.map(RelayedResult::Failed));
     check.message("message.carried", PeerReply::Carried(results));
+    check.message("message.unsupported", PeerReply::Unsupported { newest: 3 });
     check.finish();
 }
 
@@ -298,7 +313,8 @@
 #[test]
 fn enums_in_messages_and_records_have_the_known_variants() {
     assert_eq!(variants::<PeerRequest>(), 2);
-    assert_eq!(variants::<PeerReply>(), 2);
+    // `Unsupported` only answers a request of a build that knows it, or bytes that are no request.
+    assert_eq!(variants::<PeerReply>(), 3);
     assert_eq!(variants::<OwnerQuestion>(), 5);
     assert_eq!(variants::<OwnerAnswer>(), 7);
     assert_eq!(variants::<JobPhase>(), 3);
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -144,8 +144,8 @@
                 OwnershipEffect::Resumed(held) => {
                     self.apply(number, JobEvent::OwnershipChanged(held));
                 }
-                OwnershipEffect::Unreadable { key, bytes } => {
-                    self.trace.push(format!("{:?} {number} unreadable: {key} {bytes}", self.now));
+                OwnershipEffect::Unreadable { key, detail } => {
+                    self.trace.push(format!("{:?} {number} unreadable: {key} {detail}", self.now));
                 }
                 OwnershipEffect::Ended(reason) => {
                     self.trace.push(format!("{:?} {number} ended: {reason}", self.now));
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -124,6 +124,8 @@
     EVACUATIONS_IN_FORCE = (760, Info, "The zones under evacuation have changed.");
     ZONE_EVACUATED = (761, Info, "The owner of a cell starts nothing more in a zone under evacuation.");
     ZONE_REOPENED = (762, Info, "The evacuation of a zone was taken back.");
+    POOL_FORMAT_CHANGED = (763, Info, "The format version of the pool, or what holds it back, has changed.");
+    POOL_FORMAT_UNSUPPORTED = (764, Error, "The pool's records may have a newer format than this build reads; the instance serves nothing.");
 }
 
 impl LogRecord {
