Register instances with their build and versions; answer unknown requests

Callers would have seen an instance of an older build serve records that it cannot read. An instance that asked for something that the other build does not know saw a closed connection, as after a loss.

An instance whose build reads less than the version of the pool is not ready, answers clients with 503, gives its cells up and claims none (EV0764). EV0763 tells the version and what holds it back.

A request that cannot be decoded is answered with `Unsupported`. Only builds that know the reply send such requests, and garbled bytes. A relay that answers so has sent nothing, so the starts go directly; a question counts as unanswered, as with builds that close the connection.

--- a/crates/cuminbank-entry/src/daemon.rs
+++ b/crates/cuminbank-entry/src/daemon.rs
@@ -17,7 +17,7 @@
     event::EntryEvent,
     ids::{ExchangeId, MonotonicTime, ReplyId, StartNumber},
     log::{LogRecord, PROCESS_STARTED},
-    message::{decode, PeerReply},
+    message::{decode, PeerReply, PeerRequest},
     reducer::{groups::LOAD_BALANCER_DELAY, EntryReducer, TICK_INTERVAL},
     settings::EntrySettings,
 };
@@ -231,9 +231,10 @@
 
 fn serve_peers(state: &Rc<DaemonState>, listener: monoio::net::TcpListener) {
     let state = Rc::clone(state);
-    monoio::spawn(peer::serve(listener, move |request| {
+    monoio::spawn(peer::serve(listener, move |request: Option<PeerRequest>| {
         let state = Rc::clone(&state);
         async move {
+            let request = request?;
             state
                 .wait_for_peer_reply(|reply| EntryEvent::PeerRequestReceived { reply, request })
                 .await
--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -57,6 +57,11 @@
         let max_body_bytes = current.limits.map_or(usize::MAX, |limits| limits.max_body_bytes);
         (current.find(&host, &request.path).cloned(), current.version, max_body_bytes)
     };
+    if state.is_behind() {
+        let answer = ClientAnswer::new(503, "this build cannot read the records of the pool")
+            .with_retry_after();
+        return finish(&state, &request, "", version, arrived, answer);
+    }
     if request.body.len() > max_body_bytes {
         let answer = ClientAnswer::new(413, "the body is larger than the configuration allows");
         return finish(&state, &request, "", version, arrived, answer);
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -18,7 +18,9 @@
     cells::{CellLoads, PoolPlan},
     config::ActiveConfig,
     evacuation::ZoneEvacuations,
+    formats::SUPPORTED_FORMATS,
     ids::{CellId, ExecutorName, JobId, MonotonicTime, WallTime},
+    instances::InstanceRegistry,
     job::StepId,
     order::{AdviceFailure, AdviceReply, ExecutorOrder, OrderFailure, OrderReply},
     peer::{PeerReply, PeerRequest},
@@ -42,8 +44,14 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::{
-    cell::CellState, clients, clock, division, logging::DecisionLog, metrics::JobMetrics,
-    operators, store::StoreClient, watches,
+    cell::CellState,
+    clients, clock, division,
+    logging::DecisionLog,
+    metrics::JobMetrics,
+    operators,
+    registration::{self, BUILD_NAME},
+    store::StoreClient,
+    watches,
 };
 
 /// Time after the start of a planned stop during which the load balancer may still send
@@ -76,6 +84,8 @@
     pub(crate) loads: RefCell<CellLoads>,
     /// Cache of the cells of jobs that are outside their home cell.
     pub(crate) non_home_cells: RefCell<HashMap<JobId, CellId>>,
+    /// Entries of the live instances.
+    pub(crate) registry: RefCell<InstanceRegistry>,
     /// Instances that can relay task starts for this one.
     pub(crate) relays: RefCell<RelayPool>,
     /// Random number that identifies this start of the process.
@@ -115,6 +125,7 @@
         self.draining_since.get().is_none()
             && self.config.borrow().current().is_some()
             && self.plan().is_some()
+            && !self.is_behind()
             && self.store.silence() < MAX_READY_SILENCE
     }
 
@@ -124,6 +135,8 @@
         json!({
             "instance": self.settings.instance,
             "zone": self.settings.zone,
+            "build": BUILD_NAME,
+            "formats": self.format_status(),
             "ready": self.is_ready(),
             "evacuated_zones": self.evacuations.borrow().zones(),
             "config_version": self.config.borrow().current().map(|config| config.version),
@@ -238,6 +251,7 @@
             cells: RefCell::default(),
             loads: RefCell::default(),
             non_home_cells: RefCell::default(),
+            registry: RefCell::new(InstanceRegistry::new(SUPPORTED_FORMATS)),
             relays: RefCell::default(),
             start,
             peers: PeerPool::new(),
@@ -265,7 +279,7 @@
     pub async fn run(self) {
         let Self { state, clients, readiness, peers, operators, stop, reload } = self;
         let detail = format!(
-            "zone={} clients={} store={}",
+            "zone={} build={BUILD_NAME} clients={} store={}",
             state.settings.zone, state.settings.client_address, state.settings.store_address
         );
         state.log(&DecisionRecord { code: PROCESS_STARTED, job: None, detail });
@@ -275,6 +289,7 @@
         serve_peers(&state, peers);
         monoio::spawn(watches::follow_operator_requests(Rc::clone(&state)));
         monoio::spawn(watches::follow_owners(Rc::clone(&state)));
+        monoio::spawn(registration::keep_registered(Rc::clone(&state)));
         monoio::spawn(division::propose_plan(Rc::clone(&state)));
         monoio::spawn(division::follow_loads(Rc::clone(&state)));
         run_ticks(&state, &stop, &reload).await;
@@ -295,9 +310,13 @@
 
 fn serve_peers(state: &Rc<DaemonState>, listener: TcpListener) {
     let state = Rc::clone(state);
-    monoio::spawn(peer::serve(listener, move |request: PeerRequest| {
+    monoio::spawn(peer::serve(listener, move |request: Option<PeerRequest>| {
         let state = Rc::clone(&state);
         async move {
+            let Some(request) = request else {
+                state.metrics.count("peer.unknown_request", "");
+                return Some(PeerReply::Unsupported { newest: SUPPORTED_FORMATS.newest });
+            };
             match request {
                 PeerRequest::Ask(question) => state.answer_peer(&question).map(PeerReply::Answer),
                 PeerRequest::Carry(bundle) => {
--- a/crates/cuminbank-jobd/src/lib.rs
+++ b/crates/cuminbank-jobd/src/lib.rs
@@ -9,6 +9,7 @@
 mod metrics;
 mod operators;
 mod owner;
+mod registration;
 mod relay;
 mod store;
 mod watches;
--- a/crates/cuminbank-jobd/src/relay.rs
+++ b/crates/cuminbank-jobd/src/relay.rs
@@ -73,13 +73,15 @@
         }
         let results = match reply {
             Ok(PeerReply::Carried(results)) if relayed => results,
-            Err(ExchangeError::NotSent) if clock::now() < send_until => {
-                // The relay is unreachable and nothing was sent, so the orders can go directly.
+            Ok(PeerReply::Unsupported { .. }) | Err(ExchangeError::NotSent)
+                if clock::now() < send_until =>
+            {
+                // The relay has sent nothing, so the orders can go directly.
                 return group
                     .into_iter()
                     .for_each(|order| send_one(&state, &cell, generation, order));
             }
-            Err(ExchangeError::NotSent) => {
+            Ok(PeerReply::Unsupported { .. }) | Err(ExchangeError::NotSent) => {
                 vec![RelayedResult::Failed(OrderFailure::NotSent); ids.len()]
             }
             // Each start may have been sent. The scheduler repeats it under the same run number.
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -175,18 +175,23 @@
     }
 }
 
-/// Follows the ownership records and the plan of the pool.
+/// Follows the ownership records, the plan of the pool and the entries of the instances.
 pub(crate) async fn follow_owners(state: Rc<DaemonState>) {
     let pace = WatchPace::new(OWNER_WAIT, Duration::ZERO);
     follow(&state, OWNER_PREFIX, pace, None, |update| {
         match update {
-            WatchUpdate::Snapshot(items, revision) => state.apply_owners(&items, revision),
+            WatchUpdate::Snapshot(items, revision) => {
+                state.apply_instances(&items, revision);
+                state.apply_owners(&items, revision);
+            }
             WatchUpdate::Changes(changes) => {
                 for change in &changes {
+                    state.apply_instance_change(change);
                     apply_owner_change(&state, change);
                 }
             }
         }
+        state.release_if_behind();
         true
     })
     .await;
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -91,13 +91,13 @@
     }
 }
 
-/// Accepts connections of peers and answers their requests with `handler`. A `None` from the
-/// handler closes the connection.
+/// Accepts connections of peers and answers their requests with `handler`, which gets `None` for a
+/// request that cannot be decoded. A `None` from the handler closes the connection.
 pub async fn serve<Q, R, H, F>(listener: TcpListener, handler: H)
 where
     Q: DeserializeOwned + 'static,
     R: Serialize + 'static,
-    H: Fn(Q) -> F + Clone + 'static,
+    H: Fn(Option<Q>) -> F + Clone + 'static,
     F: Future<Output = Option<R>> + 'static,
 {
     loop {
@@ -115,12 +115,11 @@
 where
     Q: DeserializeOwned,
     R: Serialize,
-    H: Fn(Q) -> F,
+    H: Fn(Option<Q>) -> F,
     F: Future<Output = Option<R>>,
 {
     while let Some(bytes) = read_message(&mut stream).await {
-        let Some(request) = decode::<Q>(&bytes) else { return };
-        let Some(reply) = handler(request).await else { return };
+        let Some(reply) = handler(decode(&bytes)).await else { return };
         if write_message(&mut stream, &encode(&reply)).await.is_none() {
             return;
         }
--- a/crates/cuminbank-net/tests/peers.rs
+++ b/crates/cuminbank-net/tests/peers.rs
@@ -37,9 +37,9 @@
     let address = listener.local_addr().expect("the listener has an address");
     let seen = Rc::new(Cell::new(0));
     let counter = Rc::clone(&seen);
-    monoio::spawn(peer::serve(listener, move |request: Q| {
-        counter.set(counter.get() + 1);
-        async move { answer(request) }
+    monoio::spawn(peer::serve(listener, move |request: Option<Q>| {
+        counter.set(counter.get() + u32::from(request.is_some()));
+        async move { request.and_then(answer) }
     }));
     (address, seen)
 }
@@ -165,3 +165,24 @@
         assert_eq!((made.get(), open.get()), (BURST, MAX_IDLE));
     });
 }
+
+/// Guards against an asker that cannot tell a request that the other build does not know from one
+/// that was lost: the handler can answer it, and the connection stays usable.
+#[test]
+fn unknown_request_can_be_answered() {
+    runtime::run(async {
+        let any = "127.0.0.1:0".parse().expect("the address is valid");
+        let listener = runtime::listen(any).expect("loopback has a free port");
+        let address = listener.local_addr().expect("the listener has an address");
+        monoio::spawn(peer::serve(listener, |request: Option<bool>| async move {
+            Some(request.map_or(99u32, u32::from))
+        }));
+        let peers = PeerPool::new();
+        for request in [2u32, 300] {
+            let answered: Result<u32, _> = peers.exchange(address, &request, TIMEOUT).await;
+            assert_eq!(answered, Ok(99));
+        }
+        let answered: Result<u32, _> = peers.exchange(address, &true, TIMEOUT).await;
+        assert_eq!(answered, Ok(1));
+    });
+}
