Show builds and format versions in the command pool

Operators could not see which builds run, what they read, and what holds a new format back. The table of instances has the build and the versions, and a line below it the version in use, the floor, and the instances that hold it. The owner of the first cell decides, since it also sees instances without an entry.

--- a/crates/cuminbank-cli/src/pool_commands.rs
+++ b/crates/cuminbank-cli/src/pool_commands.rs
@@ -20,8 +20,8 @@
 pub async fn pool(session: &CliSession) -> Result<CommandOutcome, CommandOutcome> {
     let answers = query_all(session, "/v1/status").await?;
     let mut lines = vec![format!(
-        "{:<21} {:<20} {:<6} {:>8} {:>13} {:>6}",
-        "instance", "name", "ready", "config", "store silent", "cells"
+        "{:<21} {:<20} {:<6} {:>8} {:>13} {:>6}  {:<16} {:>5} {:>6}",
+        "instance", "name", "ready", "config", "store silent", "cells", "build", "reads", "writes"
     )];
     let mut cells = Vec::new();
     for (address, answer) in &answers {
@@ -31,19 +31,25 @@
                 let owned: Vec<Value> =
                     all.into_iter().filter(|cell| cell["owned_here"] == json!(true)).collect();
                 lines.push(format!(
-                    "{:<21} {:<20} {:<6} {:>8} {:>10} ms {:>6}",
+                    "{:<21} {:<20} {:<6} {:>8} {:>10} ms {:>6}  {:<16} {:>5} {:>6}",
                     address.to_string(),
                     status["instance"].as_str().unwrap_or("?"),
                     status["ready"] == json!(true),
                     number_text(&status["config_version"]),
                     number_text(&status["store_silent_ms"]),
-                    owned.len()
+                    owned.len(),
+                    status["build"].as_str().unwrap_or("-"),
+                    number_text(&status["formats"]["newest"]),
+                    number_text(&status["formats"]["written"])
                 ));
                 cells.extend(owned.into_iter().map(|cell| (status["instance"].clone(), cell)));
             }
             Err(error) => lines.push(format!("{:<21} {error}", address.to_string())),
         }
     }
+    if let Some(formats) = formats_text(&answers) {
+        lines.push(formats);
+    }
     lines.push(format!(
         "\n{:>4} {:<20} {:>6} {:>9} {:>7} {:>8} {:>9} {:>6} {:>7} {:>9} {:>5} {:>12}",
         "cell",
@@ -100,6 +106,32 @@
     (!zones.is_empty()).then(|| format!("\nzones under evacuation: {}", zones.join(", ")))
 }
 
+/// Returns a line with the format version of the pool and what holds it back, as the owner of the
+/// first cell sees it, or else the instance that sees the lowest floor. Returns `None` if no
+/// instance reports versions.
+fn formats_text(answers: &[InstanceAnswer]) -> Option<String> {
+    let owns_first = |status: &Value| {
+        let mut cells = status["cells"].as_array().into_iter().flatten();
+        cells.any(|cell| cell["cell"] == json!(0) && cell["owned_here"] == json!(true))
+    };
+    let statuses = answers.iter().filter_map(|(_, answer)| answer.as_ref().ok());
+    let reporting = statuses.filter(|status| status["formats"].is_object());
+    let best =
+        reporting.min_by_key(|s| (!owns_first(s), s["formats"]["floor"].as_u64().unwrap_or(0)))?;
+    let formats = &best["formats"];
+    let holders = formats["held_by"].as_array().into_iter().flatten();
+    let names: Vec<&str> = holders.filter_map(Value::as_str).collect();
+    let held = match names.is_empty() {
+        true => String::new(),
+        false => format!(", held back by {}", names.join(", ")),
+    };
+    Some(format!(
+        "\nformat version: {} in use, all live instances read {}{held}",
+        number_text(&formats["pool"]),
+        number_text(&formats["floor"])
+    ))
+}
+
 /// Shows the phase and progress of a job. The first usable answer is enough, since every instance
 /// passes on the answer of the job's owner.
 pub async fn job(session: &CliSession, id: &str) -> Result<CommandOutcome, CommandOutcome> {
--- a/crates/cuminbank-cli/tests/commands/pool.rs
+++ b/crates/cuminbank-cli/tests/commands/pool.rs
@@ -24,7 +24,10 @@
             "runs": 140, "waiting_jobs": 5 } });
         let body: Value = match request.path.as_str() {
             "/v1/status" => json!({ "instance": name, "ready": true, "config_version": 7,
-                "store_silent_ms": 12, "evacuated_zones": if owns { vec!["b"] } else { vec![] },
+                "store_silent_ms": 12, "build": "0.1.0+abc",
+                "formats": { "oldest": 1, "newest": 2, "written": 1, "pool": 1,
+                    "floor": if owns { 1 } else { 2 },
+                    "held_by": if owns { vec!["i7"] } else { vec![] } }, "evacuated_zones": if owns { vec!["b"] } else { vec![] },
                 "cells": [cell] }),
             "/v1/jobs/5c0e7a21d94b36f8" => json!({ "job": JOB, "phase": "running", "cell": cell,
                 "detail": { "queue": "batch-plan", "age_ms": 900, "left_ms": 300,
@@ -102,6 +105,20 @@
     });
 }
 
+// Guards against an upgrade whose state is not visible: builds, their versions, and what holds the
+// version back. The owner of the first cell decides, as it sees instances without an entry.
+#[test]
+fn pool_shows_builds_and_what_holds_the_format_back() {
+    runtime::run(async {
+        let (first, second) = (start_instance("i0", false, 1), start_instance("i1", true, 2));
+        let outcome = run_line(&["--operator", &first, "--operator", &second, "pool"]).await;
+        let builds = outcome.text.matches("0.1.0+abc            2      1").count();
+        assert_eq!(builds, 2, "{}", outcome.text);
+        let line = "format version: 1 in use, all live instances read 1, held back by i7";
+        assert!(outcome.text.contains(line), "{}", outcome.text);
+    });
+}
+
 // Guards against a malformed job id that is reported as a missing job.
 #[test]
 fn ids_are_checked_and_missing_jobs_named() {
