Test starts whose relay does not know the request

Guards the way on of an owner whose relay is of another build: one that answers Unsupported, and one that closes the connection. Real process, narrow link.

--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -253,7 +253,7 @@
     }
 
     /// Waits for a condition. Panics with `what` after [`WAIT_LIMIT`].
-    pub fn wait(&self, what: &str, condition: impl Fn(&Self) -> bool) {
+    pub fn wait(&self, what: &str, mut condition: impl FnMut(&Self) -> bool) {
         let started = Instant::now();
         while !condition(self) {
             assert!(started.elapsed() < WAIT_LIMIT, "{what}");
--- a/crates/cuminbank-jobd/tests/versions.rs
+++ b/crates/cuminbank-jobd/tests/versions.rs
@@ -4,8 +4,13 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
     process::Stdio,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    thread,
     time::Duration,
 };
 
@@ -16,7 +21,7 @@
 };
 use serde_json::{json, Value};
 
-use support::{call, Deployment};
+use support::{call, Deployment, PoolShape};
 
 fn job() -> Value {
     json!({ "spec": "p", "steps": [
@@ -99,7 +104,7 @@
     deployment.wait("the late instance serves", |deployment| serves_nothing(deployment, 1));
     let before = records(&deployment);
     // Longer than a claim takes.
-    std::thread::sleep(Duration::from_secs(2));
+    thread::sleep(Duration::from_secs(2));
     for client in &deployment.clients {
         let answer = call(*client, "POST", "/p/0000000000000002", &job().to_string());
         assert_eq!(answer.map(|(status, _)| status), Some(503));
@@ -108,6 +113,66 @@
     assert_eq!(records(&deployment), before);
 }
 
+/// Starts a peer that knows no bundle of starts, and counts those that it gets. It answers with
+/// `reply`, or closes the connection without one.
+fn start_peer(reply: Option<PeerReply>) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let address = listener.local_addr().expect("the listener has an address");
+    let bundles = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&bundles);
+    // The thread ends with the test process.
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, reply) = (stream.expect("the listener accepts"), reply.clone());
+            let counter = Arc::clone(&counter);
+            thread::spawn(move || loop {
+                let mut prefix = [0; 4];
+                if stream.read_exact(&mut prefix).is_err() {
+                    return;
+                }
+                let mut message = vec![0; u32::from_be_bytes(prefix) as usize];
+                stream.read_exact(&mut message).expect("a message has the length that it states");
+                assert!(matches!(decode(&message), Some(PeerRequest::Carry(_))));
+                counter.fetch_add(1, Ordering::SeqCst);
+                let Some(reply) = &reply else { return };
+                let bytes = encode(reply);
+                let length = u32::try_from(bytes.len()).expect("a short reply").to_be_bytes();
+                stream.write_all(&[&length, &bytes[..]].concat()).expect("the owner reads");
+            });
+        }
+    });
+    (address, bundles)
+}
+
+// Guards against starts that are lost or repeated because the relay is of a build that does not
+// know the request: one that says so, and one that closes the connection.
+#[test]
+fn starts_reach_executors_without_a_relay_that_knows_them() {
+    let unsupported = PeerReply::Unsupported { newest: SUPPORTED_FORMATS.newest };
+    for reply in [Some(unsupported), None] {
+        let shape = PoolShape { cells: 1, link_mbps: 2.0 };
+        let deployment = Deployment::start_with_shape(1, 100, shape);
+        let (relay, bundles) = start_peer(reply.clone());
+        let operator = deployment.operators[0];
+        let peer = SocketAddr::new(operator.ip(), operator.port() - 1);
+        let mut stream = TcpStream::connect(peer).expect("the instance listens");
+        let question = OwnerQuestion::Load { cell: 0, asker: relay };
+        let mut jobs = 0;
+        deployment.wait("the relay gets no starts", |deployment| {
+            exchange(&mut stream, &encode(&PeerRequest::Ask(question.clone())));
+            jobs += 1;
+            deployment.submit(jobs, &job());
+            deployment.wait("a job is not completed", |deployment| deployment.is_completed(jobs));
+            bundles.load(Ordering::SeqCst) > 2
+        });
+        let mut starts = deployment.starts();
+        let count = starts.len();
+        starts.sort();
+        starts.dedup();
+        assert_eq!((starts.len(), count), (2 * jobs as usize, 2 * jobs as usize), "{reply:?}");
+    }
+}
+
 /// Returns the records of jobs and their progress.
 fn records(deployment: &Deployment) -> Vec<Value> {
     let read = |prefix: &str| {
