Register again if the entry is gone while its lease is renewed

An entry could be lost unnoticed, for example with the lease of an earlier process of the same name, and the instance would then not hold the format version back. The renewal now also looks for the entry in the watched records.

--- a/crates/cuminbank-jobd/src/registration.rs
+++ b/crates/cuminbank-jobd/src/registration.rs
@@ -46,8 +46,8 @@
             None => Some(false),
         };
         let registered = match kept {
-            Some(true) => true,
-            Some(false) => {
+            Some(true) if state.registry.borrow().contains(&entry) => true,
+            Some(_) => {
                 lease = register(&state, &entry).await;
                 lease.is_some()
             }
--- a/crates/cuminbank-jobs/src/instances.rs
+++ b/crates/cuminbank-jobs/src/instances.rs
@@ -135,6 +135,11 @@
         self.peers = peers.into_iter().collect();
     }
 
+    /// Returns whether the store has this entry.
+    pub fn contains(&self, entry: &InstanceEntry) -> bool {
+        self.entries.get(&entry.instance).is_some_and(|stored| stored.as_ref() == Some(entry))
+    }
+
     /// Returns the version that this instance writes.
     pub fn write_version(&self) -> FormatVersion {
         self.own.written.min(self.pool_version)
--- a/crates/cuminbank-jobs/tests/rollout.rs
+++ b/crates/cuminbank-jobs/tests/rollout.rs
@@ -344,6 +344,7 @@
     let all = registry(&entries);
     assert_eq!((all.floor(), all.holders(), all.raise().is_some()), (2, Vec::new(), true));
     assert_eq!(all.write_version(), 1, "the version was not raised yet");
+    assert!(all.contains(&first) && !all.contains(&entry(0, 2, WRITER)));
     // The owner is another process than the one with the entry.
     let old_owner = registry(&[&entries[..], &[owner_item(&first, 7)]].concat());
     assert_eq!((old_owner.floor(), old_owner.holders()), (1, vec!["i0".to_owned()]));
