Hand cells over while an executor is silent in the play of two builds

Now two owners in each direction are asked to stop while an executor does not answer, so that the successor begins while tasks run there, and one successor of the other build is killed right after its claim.

--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -36,6 +36,8 @@
 pub const QUEUE_PREFIX: &str = "/p/";
 /// Timeout of a request on a persistent connection.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of a request for the status of an instance that may be paused.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Grace period of a planned stop in the settings of the instances, in milliseconds.
 pub const GRACE_MS: u64 = 6_000;
 /// Number of ports of an instance.
@@ -243,6 +245,18 @@
         })
     }
 
+    /// Returns the numbers of the instances that own a cell, of those that reply at once.
+    pub fn live_owners(&self) -> Vec<usize> {
+        let owns = |operator: &SocketAddr| {
+            let stream = connect(*operator, STATUS_TIMEOUT)?;
+            let (_, _, body) = exchange_on(stream, "GET", "/v1/status", "").ok()?;
+            let status: Value = serde_json::from_slice(&body).ok()?;
+            Some(status["owns_pool"] == json!(true))
+        };
+        let owners = self.operators.iter().enumerate();
+        owners.filter(|(_, operator)| owns(operator) == Some(true)).map(|(n, _)| n).collect()
+    }
+
     /// Returns the number of cells with an owner, as known to the first instance that replies.
     pub fn owned_cells(&self) -> usize {
         let status =
--- a/crates/cuminbank-jobd/tests/upgrade.rs
+++ b/crates/cuminbank-jobd/tests/upgrade.rs
@@ -33,6 +33,8 @@
 /// Time after the request to stop at which a process is killed. A second more than the grace period
 /// in the settings.
 const STOP_LIMIT: Duration = Duration::from_millis(GRACE_MS + 1_000);
+/// Time for which an executor is silent while its cell is handed over. Longer than two takeovers.
+const SILENCE: Duration = Duration::from_secs(5);
 /// Interval at which due steps are taken and exited processes are noticed.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
 const FAULT_MODES: [LinkMode; 3] = [LinkMode::Slow, LinkMode::Silent, LinkMode::AnswersHeld];
@@ -54,6 +56,16 @@
         kills: bool,
     },
     Kill(usize, Duration),
+    /// Silences an executor and stops an owner, so that its successor begins while tasks run there.
+    HandOver {
+        executor: usize,
+        kills_successor: bool,
+    },
+    /// Kills the next owner of the other build than `stopped`, or any owner at the deadline.
+    KillSuccessor {
+        stopped: usize,
+        deadline: Instant,
+    },
     Restart(usize),
     Pause(usize, Duration),
     Continue(usize),
@@ -90,6 +102,7 @@
     /// Processes that exited by themselves.
     exits: Vec<String>,
     killed_after_grace: usize,
+    successors_killed: usize,
 }
 
 /// Returns the output of a process: a file of its own, or nothing without a folder.
@@ -195,6 +208,32 @@
                 self.kill(instance);
                 self.schedule(span, PlayStep::Restart(instance));
             }
+            PlayStep::HandOver { executor, kills_successor } => {
+                let Some(owner) = self.deployment.live_owners().first().copied() else { return };
+                self.take_step(PlayStep::ExecutorLink(executor, LinkMode::Silent, SILENCE));
+                self.stop(owner, self.plans[owner].build, false);
+                if kills_successor {
+                    let deadline = Instant::now() + SILENCE;
+                    self.take_step(PlayStep::KillSuccessor { stopped: owner, deadline });
+                }
+            }
+            PlayStep::KillSuccessor { stopped, deadline } => {
+                let late = Instant::now() > deadline;
+                let owners = self.deployment.live_owners();
+                let build = self.plans[stopped].build;
+                let mut others = owners.iter().filter(|owner| **owner != stopped);
+                match others.find(|owner| late || self.plans[**owner].build != build) {
+                    Some(&successor) => {
+                        self.successors_killed += 1;
+                        self.take_step(PlayStep::Kill(successor, Duration::from_millis(300)));
+                    }
+                    None if late => {}
+                    None => {
+                        let step = PlayStep::KillSuccessor { stopped, deadline };
+                        self.schedule(STEP_INTERVAL, step);
+                    }
+                }
+            }
             PlayStep::Restart(instance) => {
                 if !self.is_running(instance) {
                     self.start(instance);
@@ -248,7 +287,8 @@
         }
     }
 
-    /// Replaces the given instances by a build. Meanwhile, one instance is killed, one paused and
+    /// Replaces the given instances by a build. Meanwhile, two owners hand over while an
+    /// executor is silent, one of their successors is killed, one instance is killed, one paused and
     /// the store fails, and up to three further faults begin.
     fn replace_instances(&mut self, instances: &[usize], build: usize, random: &mut StdRng) {
         let mut at = Duration::ZERO;
@@ -258,6 +298,11 @@
             self.schedule(at, PlayStep::Stop { instance, build, kills });
         }
         let span = (at + Duration::from_secs(1)).as_millis() as u64;
+        for kills_successor in [false, true] {
+            let executor = random.random_range(0..self.deployment.executor_links.len());
+            let step = PlayStep::HandOver { executor, kills_successor };
+            self.schedule(millis(random, 500, span), step);
+        }
         let extra = random.random_range(0..4);
         for fault in (0..3).chain((0..extra).map(|_| random.random_range(0..6)).collect::<Vec<_>>())
         {
@@ -323,6 +368,7 @@
         logs: logs.clone(),
         exits: Vec::new(),
         killed_after_grace: 0,
+        successors_killed: 0,
     };
     thread::scope(|scope| {
         for client in 0..2 {
@@ -347,11 +393,12 @@
     }
     println!(
         "seed {seed}: {accepted} jobs accepted, {} refused, {} requests without a response in \
-         time, {} processes killed after the grace period, completed in {completed:?}, {} \
+         time, {} processes killed after the grace period, {} successors killed, completed in {completed:?}, {} \
          violations",
         record.refused(),
         record.timeouts(),
         play.killed_after_grace,
+        play.successors_killed,
         found.len()
     );
     found.iter().for_each(|violation| println!("seed {seed}: {violation}"));
