--- a/crates/cuminbank-jobs/src/instances.rs
+++ b/crates/cuminbank-jobs/src/instances.rs
@@ -178,13 +178,13 @@
         }
         let holds = |entry: &Option<InstanceEntry>| read(entry).unwrap_or(UNVERSIONED) <= floor;
         let entries = self.entries.iter().filter(|(_, entry)| holds(entry));
-        let mut holders: Vec<String> = entries.map(|(name, _)| name.clone()).collect();
-        holders.extend(self.unregistered());
-        holders
+        let mut holders = self.unregistered();
+        holders.extend(entries.map(|(name, _)| name.clone()));
+        holders.into_iter().collect()
     }
 
     /// Returns the live instances without an entry.
-    fn unregistered(&self) -> Vec<String> {
+    fn unregistered(&self) -> BTreeSet<String> {
         let entries = || self.entries.values().flatten();
         let registered = |owner: &OwnerRecord| {
             entries().any(|e| e.instance == owner.instance && e.start == owner.start)
@@ -202,7 +202,7 @@
             self.owners.values().flatten().any(|owner| owner.peer_address == *peer)
         };
         names.extend(self.peers.iter().filter(|p| !known(p) && !named(p)).map(ToString::to_string));
-        names.into_iter().collect()
+        names
     }
 
     /// Returns the write that raises the pool's version, if it can be raised. It fails if an
--- a/crates/cuminbank-jobs/tests/rollout.rs
+++ b/crates/cuminbank-jobs/tests/rollout.rs
@@ -349,6 +349,10 @@
     let old_owner = registry(&[&entries[..], &[owner_item(&first, 7)]].concat());
     assert_eq!((old_owner.floor(), old_owner.holders()), (1, vec!["i0".to_owned()]));
     assert_eq!(registry(&[&entries[..], &[owner_item(&first, 1)]].concat()).floor(), 2);
+    // An instance that is both is named once.
+    let old_entry = entry(1, 2, OLD);
+    let both = registry(&[entry_item(&first), entry_item(&old_entry), owner_item(&old_entry, 9)]);
+    assert_eq!(both.holders(), ["i1"]);
     let garbled = item(&CellKeys::new(0).owner, vec![0xff]);
     assert_eq!(registry(&[&entries[..], &[garbled]].concat()).floor(), 1);
     let mut asked = registry(&entries);
