Show that a crashed executor keeps tasks with known runs waiting

Callers would see long-running tasks without a run for up to 17 s after a change of owner: the owner was killed together with an unrelated executor, the next owner has adopted all runs, and then one is stopped with its draining executor. Its task waits until all leases of earlier owners have expired, although no earlier owner can have started another run of it.

--- /dev/null
+++ b/crates/cuminbank-jobs/tests/waiting_takeover.rs
@@ -0,0 +1,39 @@
+//! Tests of tasks that wait although executors have room, after a change of owner or while most
+//! executors are quarantined.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminbank_jobs::job::JobStep;
+use support::{
+    simulation::{InjectedFault, SimulatedPool},
+    waiting::{long_running, submit, with_lengths, LASTING, LASTING_JOB, START_LIMIT, SUBMITTED},
+};
+
+// Guards against long-running tasks that are stopped with a draining executor after a change of
+// owner, and then wait for 17 s because an unrelated executor has crashed before the change.
+#[test]
+fn crashed_executor_does_not_keep_tasks_with_known_runs_waiting() {
+    const TASKS: u32 = 4;
+    /// Time without a run after which the task is lost.
+    const RUN_LIMIT: Duration = Duration::from_secs(6);
+    let mut pool = with_lengths(SimulatedPool::new(4, 2, TASKS as usize + 2), |_| LASTING);
+    submit(&mut pool, LASTING_JOB, JobStep { max_per_executor: 1, ..long_running(TASKS) });
+    pool.run_until(SUBMITTED + START_LIMIT);
+    assert_eq!(pool.running(LASTING_JOB), TASKS as usize);
+    let idle = pool.executors.iter().position(|executor| executor.running.is_empty());
+    let executor = idle.expect("two executors are idle");
+    let instance = pool.owner().expect("there is an owner");
+    pool.fault_at(pool.now, InjectedFault::CrashExecutor { executor, down: None });
+    let down = Duration::from_secs(60);
+    pool.fault_at(pool.now, InjectedFault::KillInstance { instance, down });
+    // Until the next owner knows the runs.
+    pool.run_until(pool.now + Duration::from_secs(8));
+    assert!(pool.owner().is_some_and(|owner| owner != instance));
+    let busy = pool.executors.iter().position(|executor| !executor.running.is_empty());
+    pool.executors[busy.expect("four executors are busy")].draining = true;
+    pool.run_until(pool.now + RUN_LIMIT);
+    assert_eq!(pool.running(LASTING_JOB), TASKS as usize);
+    assert!(pool.checks.violations.is_empty(), "{:#?}", pool.checks.violations);
+}
