Start tasks with known runs before all earlier runs are known

Callers saw long-running tasks without a run for up to 17 s after a change of owner, if any executor of the roster did not answer: the next owner waited for the end of all leases before it started any task of an earlier job, also tasks whose run it had adopted itself and that ended since, for example with a draining executor.

A task has one run at a time. Once an executor reports a run after the last reply that it can have sent to a hold of an earlier owner, no earlier owner can learn of the end of this run, and so none starts another. Such a task no longer waits for the other executors. Members of gangs still do.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -40,6 +40,12 @@
 const HOLD_MARGIN: Duration = Duration::from_millis(500);
 /// Delay before the next hold after a failed one.
 const HOLD_RETRY: Duration = Duration::from_millis(250);
+/// Longest wait of a hold that an executor accepts.
+const MAX_HOLD_WAIT: Duration = Duration::from_millis(2_000);
+/// Time after the first of an executor's replies from which on each reply was made later than the
+/// last one to a hold of an earlier owner.
+pub(super) const EARLIER_HOLDS_TIME: Duration =
+    MAX_HOLD_WAIT.saturating_add(HOLD_WAIT).saturating_add(HOLD_MARGIN);
 /// Delay between holds, so that one reply reports several runs that end shortly after each other.
 const HOLD_GAP: Duration = Duration::from_millis(15);
 /// Delay between holds while ended runs are unrecorded, since the executor would immediately reply
@@ -122,6 +128,7 @@
             absent_since: Some(self.now),
             in_roster: false,
             contacted: false,
+            in_contact_since: self.now,
             clock: None,
             lease_expires_at: MonotonicTime::ZERO,
             hold: HoldState { next_at: self.now, ..HoldState::default() },
@@ -326,6 +333,9 @@
             let detail = format!("executor={name} runs={}", executor.runs.len());
             self.log(EXECUTOR_RESTARTED, None, detail);
         }
+        if failures > 0 || first || restarted {
+            self.executors[key].in_contact_since = now;
+        }
         if failures > 0 || first {
             let detail = format!(
                 "executor={name} failures={failures} running={} ended={}",
--- a/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
+++ b/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
@@ -32,14 +32,13 @@
     /// Evaluates all executors for each ready task, without anything that a pass remembers. Empty
     /// while [`Self::is_settled`], unless the placement has a fault.
     pub fn missed_placements(&self) -> Vec<MissedPlacement> {
-        let reconciled = self.is_reconciled();
         let mut missed = Vec::new();
         for key in &self.waiting {
             let job = &self.jobs[*key];
-            if job.outcome.is_some() || !(job.fresh || reconciled) {
+            if job.outcome.is_some() {
                 continue;
             }
-            for task in &job.ready {
+            for task in job.ready.iter().filter(|task| self.may_start(job, **task)) {
                 let Some((executor, needs_ticket)) = self.find_missed(*key, *task) else {
                     continue;
                 };
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -230,13 +230,13 @@
     /// Starts a pass with all jobs that have ready tasks, ordered by urgency.
     fn begin_pass(&mut self) -> QueuePass {
         self.pass_needed = false;
-        let (jobs, reconciled) = (&self.jobs, self.is_reconciled());
+        let jobs = &self.jobs;
         self.waiting.retain(|key| !jobs[*key].ready.is_empty());
         let mut waiting: Vec<(JobKey, JobUrgency)> = self
             .waiting
             .iter()
             .map(|key| (*key, &self.jobs[*key]))
-            .filter(|(_, job)| job.fresh || reconciled)
+            .filter(|(_, job)| job.ready.iter().any(|task| self.may_start(job, *task)))
             .map(|(key, job)| (key, urgency(job)))
             .collect();
         if waiting.is_empty() {
@@ -287,6 +287,7 @@
             let (occurrence, step) = job.layout.position(task);
             if pass.failed_steps.contains(&(occurrence, step))
                 || job.tasks[task as usize].phase != TaskPhase::Ready
+                || !self.may_start(job, task)
             {
                 continue;
             }
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -5,6 +5,7 @@
 use cuminbank::log::{JOB_UNREADABLE, RUN_ADOPTED, RUN_ENDED, RUN_LOST, RUN_UNKNOWN};
 
 use super::{
+    contact::EARLIER_HOLDS_TIME,
     orders::{OrderKind, PendingOrder, ORDER_TIMEOUT},
     state::{ExecutorKey, JobKey, RunKey, RunPhase, RunState, TaskPhase},
     JobScheduler,
@@ -218,7 +219,14 @@
             }
         }
         let run_number = run.number;
-        let state = &mut self.jobs[job_key].tasks[task as usize];
+        let job = &mut self.jobs[job_key];
+        let (_, step) = job.layout.position(task);
+        let gang = job.record.steps[step].gang;
+        let state = &mut job.tasks[task as usize];
+        // Only replies to earlier holds could still tell an earlier owner that the run has ended, so
+        // that it starts another one.
+        let in_contact_since = self.executors[key].in_contact_since;
+        state.runs_known |= !gang && now >= in_contact_since + EARLIER_HOLDS_TIME;
         if run_report.checkpoint.is_some()
             && run_number >= state.last_run
             && state.phase != TaskPhase::Done
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -56,6 +56,8 @@
     /// Names of the executors on which it failed.
     pub(super) failed_on: Vec<ExecutorName>,
     pub(super) ready_since: MonotonicTime,
+    /// Whether no earlier owner can have a run of it that is not known here.
+    pub(super) runs_known: bool,
 }
 
 impl TaskState {
@@ -262,6 +264,8 @@
     pub(super) in_roster: bool,
     /// Whether it has replied during this ownership.
     pub(super) contacted: bool,
+    /// Time since which it has replied to each hold.
+    pub(super) in_contact_since: MonotonicTime,
     pub(super) clock: Option<ClockSample>,
     /// Time on this instance's clock by which every lease granted to it has expired.
     pub(super) lease_expires_at: MonotonicTime,
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -129,7 +129,8 @@
         let usable = self.executors.values().any(|executor| {
             executor.service == job.record.terms.service && self.is_placeable(executor)
         });
-        let waits = match (job.ready.is_empty(), job.fresh || self.is_reconciled(), usable) {
+        let may_start = job.ready.iter().any(|task| self.may_start(job, *task));
+        let waits = match (job.ready.is_empty(), may_start, usable) {
             (true, _, _) => None,
             (false, false, _) => Some(WaitReason::EarlierRuns),
             (false, true, false) => Some(WaitReason::NoExecutor),
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -8,10 +8,10 @@
 
 use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED, STORE_UNREADABLE};
 
-use super::{contact::LEASE_TIME, JobScheduler};
+use super::{contact::LEASE_TIME, state::JobState, JobScheduler};
 use crate::{
     colocation::ColocationModel,
-    ids::{ExecutorName, JobId, MonotonicTime},
+    ids::{ExecutorName, JobId, MonotonicTime, TaskIndex},
     keys::parse_job_id,
     ownership::MAX_STORE_SILENCE,
     progress::JobProgress,
@@ -108,6 +108,11 @@
         self.unreconciled.is_empty() && !self.roster_unreadable
     }
 
+    /// Returns whether no earlier owner can have a run of a ready task that is not known here.
+    pub(super) fn may_start(&self, job: &JobState, task: TaskIndex) -> bool {
+        job.fresh || self.is_reconciled() || job.tasks[task as usize].runs_known
+    }
+
     fn log_unreadable(&mut self, key: &str, value: &[u8]) {
         self.log(STORE_UNREADABLE, None, format!("key={key} bytes={}", value.len()));
     }
--- a/crates/cuminbank-jobs/tests/history.rs
+++ b/crates/cuminbank-jobs/tests/history.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use cuminbank_jobs::{guards::JobGuards, order::RunEnd};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use support::{
     jobs::{job, step},
     simulation::{InjectedFault, MessageLosses, SimulatedPool},
@@ -41,20 +43,42 @@
 }
 
 fn simulate(seed: u64, guards: JobGuards, faults: u64) -> SimulatedPool {
+    simulate_jobs(seed, guards, faults, |pool| pool, 1)
+}
+
+/// Simulates runs that outlast a change of owner.
+fn simulate_long_runs(seed: u64) -> SimulatedPool {
+    let mut lengths = ChaCha8Rng::seed_from_u64(seed);
+    let plan = move |_, _| {
+        let end = if lengths.random_range(0..10) == 0 { RunEnd::Failed } else { RunEnd::Done };
+        (Some(Duration::from_millis(lengths.random_range(3_000..9_000))), end)
+    };
+    simulate_jobs(seed, JobGuards::default(), 14, |pool| pool.with_plan(Box::new(plan)), 2)
+}
+
+/// Simulates random faults, and one of `every` jobs.
+fn simulate_jobs(
+    seed: u64,
+    guards: JobGuards,
+    faults: u64,
+    adapt: impl FnOnce(SimulatedPool) -> SimulatedPool,
+    every: usize,
+) -> SimulatedPool {
     let (instances, executors) = (4, 8);
     let losses = match seed % 3 {
         0 => MessageLosses::default(),
         1 => MessageLosses { orders_lost: 5, orders_late: 0, writes_lost: 10 },
         _ => MessageLosses { orders_lost: 3, orders_late: 5, writes_lost: 20 },
     };
-    let mut pool =
+    let pool =
         SimulatedPool::new(seed, instances, executors).with_losses(losses).with_guards(guards);
+    let mut pool = adapt(pool);
     for _ in 0..faults {
         let fault = random_fault(&mut pool, instances as u64, executors as u64);
         let at = Duration::from_millis(pool.random_number(3_000..FAULTS_UNTIL.as_millis() as u64));
         pool.fault_at(at, fault);
     }
-    for id in 0..60 {
+    for id in (0..60).step_by(every) {
         let at = Duration::from_millis(2_000 + id * 450);
         pool.run_until(at);
         let steps = match id % 3 {
@@ -94,6 +118,16 @@
     }
 }
 
+// Guards against the same for runs that the next owner knows and starts again before it knows all
+// runs.
+#[test]
+fn guarantees_are_kept_for_long_runs_under_faults() {
+    for seed in 0..seeds() {
+        let pool = simulate_long_runs(seed);
+        assert!(pool.checks.violations.is_empty(), "{}", describe_violations(seed, &pool));
+    }
+}
+
 // Guards against a simulation that finds no violations because nothing runs.
 #[test]
 fn every_job_ends_without_faults() {
