Show that one failing job closes the pool to other jobs

Callers would see a job without a run for over 3 s although all executors are idle: the tasks of one job that always fails count as failures of different tasks, which quarantines every executor for 4 s.

The test fails: the later job is still queued 3 s after its submission.

--- a/crates/cuminbank-jobs/tests/waiting_takeover.rs
+++ b/crates/cuminbank-jobs/tests/waiting_takeover.rs
@@ -5,8 +5,13 @@
 
 use std::time::Duration;
 
-use cuminbank_jobs::job::JobStep;
+use cuminbank_jobs::{
+    ids::JobId,
+    job::{JobPhase, JobStep, TaskName},
+    order::RunEnd,
+};
 use support::{
+    jobs::step,
     simulation::{InjectedFault, SimulatedPool},
     waiting::{long_running, submit, with_lengths, LASTING, LASTING_JOB, START_LIMIT, SUBMITTED},
 };
@@ -37,3 +42,22 @@
     assert_eq!(pool.running(LASTING_JOB), TASKS as usize);
     assert!(pool.checks.violations.is_empty(), "{:#?}", pool.checks.violations);
 }
+
+// Guards against jobs that wait for the end of the quarantine of all executors, which one job with
+// failing tasks has caused.
+#[test]
+fn failing_job_does_not_close_the_pool_to_other_jobs() {
+    const FAILING_JOB: JobId = 1;
+    const LATER_JOB: JobId = 2;
+    let plan = |task: TaskName, _| match task.job {
+        FAILING_JOB => (Some(Duration::from_millis(50)), RunEnd::Failed),
+        _ => (Some(Duration::from_millis(400)), RunEnd::Done),
+    };
+    let mut pool = SimulatedPool::new(4, 1, 2).with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    submit(&mut pool, FAILING_JOB, step(12, &[]));
+    pool.run_until(SUBMITTED + Duration::from_millis(500));
+    submit(&mut pool, LATER_JOB, step(1, &[]));
+    pool.run_until(pool.now + START_LIMIT);
+    assert_ne!(pool.phase(LATER_JOB), Some(JobPhase::Queued));
+}
