Try quarantined executors for any task while most are quarantined

Callers saw a job without a run for 4 s although all executors were idle: the tasks of one job that always fails had quarantined all of them, and only long-running tasks were tried on quarantined executors. If most usable executors with the service and the label of a step are quarantined, its tasks may now start there after a wait of 1.5 s, with the same pauses after failures.

failing_job_does_not_close_the_pool_to_other_jobs failed before. The random pools (missed_placements) find no task left waiting.

--- a/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
+++ b/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
@@ -76,12 +76,13 @@
                 && evaluate(rules, *executor) == Err(PlacementRefusal::Ticket)
                 && !self.advice.is_refused(step, *executor)
         });
+        let mostly_quarantined = self.is_mostly_quarantined(job, &job.record.steps[position.1]);
         let accepted = match gang {
             true => self.find_missed_gang(key, position),
             false => self.executors.keys().find(|executor| {
                 let probation = PlacementRules { on_probation: true, ..PlacementRules::default() };
                 evaluate(rules, *executor).is_ok()
-                    || (self.is_allowed_probation(job, task)
+                    || (self.is_allowed_probation(job, task, mostly_quarantined)
                         && evaluate(probation, *executor).is_ok())
             }),
         };
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -5,7 +5,7 @@
 //! budget; each slice resumes where the previous one stopped.
 
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -18,7 +18,7 @@
 };
 use crate::{
     colocation::ImageId,
-    ids::{JobId, MonotonicTime, TaskIndex},
+    ids::{JobId, MonotonicTime, ServiceName, TaskIndex},
     job::TaskNeeds,
     priority::{self, JobTier, JobUrgency},
 };
@@ -63,6 +63,8 @@
     placeable: Vec<ExecutorKey>,
     /// Executors that are usable but quarantined.
     quarantined: Vec<ExecutorKey>,
+    /// Whether most executors with a service and a required label are quarantined.
+    mostly_quarantined: BTreeMap<(ServiceName, Option<String>), bool>,
     unplaced: Vec<UnplacedShape>,
     /// Number of [`Self::unplaced`] that are of starved jobs.
     starved_shapes: usize,
@@ -296,12 +298,15 @@
             {
                 return false;
             }
+            let mostly_quarantined = self.check_quarantines(key, step, pass);
+            let job = &self.jobs[key];
             // The advice service allows different executors for each step, so if a step cannot be
             // placed, another step of the same shape may still be.
             let advised = job.record.terms.advice.is_some();
             let gang = job.record.steps[step].gang;
             let rules = self.placement_rules(job, task, idle);
-            let on_probation = !pass.quarantined.is_empty() && self.is_allowed_probation(job, task);
+            let on_probation = !pass.quarantined.is_empty()
+                && self.is_allowed_probation(job, task, mostly_quarantined);
             let failed_search = match advised || gang || rules.starving {
                 true => None,
                 false => pass.find_failed_search(job, step, rules),
@@ -342,6 +347,23 @@
         true
     }
 
+    /// Returns whether most executors for a step are quarantined, as of the first call in a pass.
+    fn check_quarantines(&mut self, key: JobKey, step: usize, pass: &mut QueuePass) -> bool {
+        if pass.quarantined.is_empty() {
+            return false;
+        }
+        let job = &self.jobs[key];
+        let spec = &job.record.steps[step];
+        let kind = (job.record.terms.service.clone(), spec.required_label.clone());
+        if let Some(known) = pass.mostly_quarantined.get(&kind) {
+            return *known;
+        }
+        let mostly_quarantined = self.is_mostly_quarantined(job, spec);
+        pass.mostly_quarantined.insert(kind, mostly_quarantined);
+        self.charge_units(self.executors.len() as u32);
+        mostly_quarantined
+    }
+
     /// Notes for the log whether a search is made for a task of a job, or the failed search of
     /// another job is taken for its own.
     fn note_search(&mut self, key: JobKey, failed_search: Option<JobId>) {
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -27,8 +27,9 @@
 /// make progress while up to 50 % are reserved; the difference is a safety margin.
 const UNDERUTILIZED_PERCENT: u64 = 60;
 
-/// Wait after which a long-running task may start on a quarantined executor. Such a task must not
-/// wait for 3 s while any executor has free capacity, and quarantined executors become idle.
+/// Wait after which a long-running task, or any task while most executors are quarantined, may start
+/// on a quarantined executor. Such a task must not wait for 3 s while any executor has free
+/// capacity, and quarantined executors become idle.
 const PROBATION_WAIT: Duration = Duration::from_millis(1_500);
 /// Wait below which minor losses count in the placement of a best-effort task. With enough free
 /// capacity the task finds a suitable executor in this time; under heavy load it starts later, with
@@ -50,15 +51,36 @@
         }
     }
 
-    /// Returns whether a task may start on a quarantined executor now.
-    pub(super) fn is_allowed_probation(&self, job: &JobState, task: TaskIndex) -> bool {
+    /// Returns whether a task may start on a quarantined executor now, given whether most of its
+    /// executors are quarantined.
+    pub(super) fn is_allowed_probation(
+        &self,
+        job: &JobState,
+        task: TaskIndex,
+        mostly_quarantined: bool,
+    ) -> bool {
         let (_, step) = job.layout.position(task);
-        job.is_long_running()
+        (job.is_long_running() || mostly_quarantined)
             && job.record.terms.advice.is_none()
             && !job.record.steps[step].gang
             && self.wait_of(job, task) >= PROBATION_WAIT
     }
 
+    /// Returns whether most of the usable executors with the service and the label of a step are
+    /// quarantined. Failures on so many executors are more likely caused by the tasks.
+    pub(super) fn is_mostly_quarantined(&self, job: &JobState, spec: &JobStep) -> bool {
+        let (mut quarantined, mut others) = (0, 0);
+        for (key, executor) in &self.executors {
+            if self.is_usable(executor) && self.fits_labels(job, spec, key) {
+                match executor.record.is_quarantined(self.now) {
+                    true => quarantined += 1,
+                    false => others += 1,
+                }
+            }
+        }
+        quarantined > others
+    }
+
     fn wait_of(&self, job: &JobState, task: TaskIndex) -> Duration {
         self.now.saturating_sub(job.tasks[task as usize].ready_since)
     }
@@ -103,7 +125,7 @@
         Ok(())
     }
 
-    /// Starts a long-running task on the quarantined executor with the lowest cost, or returns what
+    /// Starts a task on the quarantined executor with the lowest cost, or returns what
     /// it shows that none of them can run it.
     pub(super) fn place_on_probation(
         &mut self,
