Show that repeated starts use up the limit on starts in flight

Callers behind an owner with a narrow link would see tasks wait although executors are idle: starts that get no reply are repeated without regard to the limit on starts in flight, and new starts are only made in the gaps between two repetitions. Executors that answer holds but get no starts, such as those that a relay does not reach, keep this up for as long as that lasts.

--- a/crates/cuminbank-jobs/tests/support/simulation/executors.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/executors.rs
@@ -28,7 +28,9 @@
         if self.now >= order.valid_until {
             return self.push(self.now, fail(order.id, Err(OrderFailure::NotSent)));
         }
-        if self.now < cut || !self.executors[executor_index].up {
+        let is_start = matches!(order.request, OrderRequest::Start { .. });
+        let lost_start = is_start && self.without_starts.contains(&order.executor);
+        if self.now < cut || !self.executors[executor_index].up || lost_start {
             return self.push(timeout, fail(order.id, Err(OrderFailure::Lost)));
         }
         let late = self.chance(self.losses.orders_late);
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -182,6 +182,8 @@
     pub advised: BTreeSet<String>,
     /// Executors that refuse each start because they count as unhealthy.
     pub refusing: BTreeSet<String>,
+    /// Executors that get no start, as if each was lost.
+    pub without_starts: BTreeSet<String>,
     /// Starts refused for this reason.
     pub refused_starts: usize,
     /// Number of passes that were checked for missed placements.
@@ -233,6 +235,7 @@
             trace: Vec::new(),
             advised: BTreeSet::new(),
             refusing: BTreeSet::new(),
+            without_starts: BTreeSet::new(),
             refused_starts: 0,
             settled_passes: 0,
             advice_requests: Vec::new(),
--- a/crates/cuminbank-jobs/tests/waiting_takeover.rs
+++ b/crates/cuminbank-jobs/tests/waiting_takeover.rs
@@ -1,5 +1,5 @@
-//! Tests of tasks that wait although executors have room, after a change of owner or while most
-//! executors are quarantined.
+//! Tests of tasks that wait although executors have room, after a change of owner or because of
+//! other jobs.
 
 mod support;
 
@@ -7,7 +7,7 @@
 
 use cuminbank_jobs::{
     ids::JobId,
-    job::{JobPhase, JobStep, TaskName},
+    job::{JobPhase, JobStep, TaskName, TaskNeeds},
     order::RunEnd,
 };
 use support::{
@@ -61,3 +61,30 @@
     pool.run_until(pool.now + START_LIMIT);
     assert_ne!(pool.phase(LATER_JOB), Some(JobPhase::Queued));
 }
+
+// Guards against jobs that get no start because starts without a reply are sent again and again and
+// use up the limit on starts in flight.
+#[test]
+fn repeated_starts_leave_room_for_others() {
+    const SILENT: usize = 60;
+    /// Tasks that fill the other two executors.
+    const TASKS: u32 = 16;
+    const LATER_JOB: JobId = 2;
+    let pool = SimulatedPool::new(4, 1, SILENT + 2).with_link(0.3);
+    let mut pool = with_lengths(pool, |_| LASTING);
+    for executor in &mut pool.executors[2..] {
+        executor.labels.insert(0, "silent".to_owned());
+        pool.without_starts.insert(executor.name.clone());
+    }
+    pool.run_until(pool.now + Duration::from_secs(1));
+    for number in 0..SILENT as u64 {
+        let required_label = Some("silent".to_owned());
+        let needs = TaskNeeds { cpu_millis: 8_000, memory_mb: 1_000, gpus: 0 };
+        submit(&mut pool, LASTING_JOB + number, JobStep { required_label, needs, ..step(1, &[]) });
+        pool.run_until(pool.now + Duration::from_millis(50));
+    }
+    pool.run_until(pool.now + Duration::from_secs(5));
+    submit(&mut pool, LATER_JOB, long_running(TASKS));
+    pool.run_until(pool.now + START_LIMIT);
+    assert_eq!(pool.running(LATER_JOB), TASKS as usize);
+}
