Limit repeated starts to half of the starts in flight

Callers behind an owner with a narrow link saw tasks wait although executors are idle. Repeated starts now take at most half of the limit, those due first before others, so that new ones always find room. Repeated ones keep their half in a burst.

repeated_starts_leave_room_for_others failed before.

--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -33,6 +33,9 @@
 const RELAYED_START_BYTES: f64 = 300.0;
 /// Minimum limit on starts in flight, however slow the link is.
 const MIN_STARTS_IN_FLIGHT: usize = 12;
+/// Divisor of the limit on starts in flight for repeated ones, so that executors which do not reply
+/// to starts do not keep others from getting any.
+const REPEATED_STARTS_DIVISOR: usize = 2;
 
 /// Returns how many starts may be in flight on a link of the given bandwidth in Mbit/s.
 pub(super) fn max_starts_in_flight(link_mbps: f64) -> usize {
@@ -322,10 +325,10 @@
         }
     }
 
-    /// Resends starts and stops that got no usable reply.
+    /// Resends starts and stops that got no usable reply, those due first before others.
     pub(super) fn resend_orders(&mut self) {
         let now: MonotonicTime = self.now;
-        let due: Vec<RunKey> = self
+        let mut due: Vec<RunKey> = self
             .runs
             .iter()
             .filter(|(_, run)| run.order.is_none() && now >= run.next_order_at)
@@ -337,9 +340,20 @@
             .filter(|(_, run)| self.executors[run.executor].hold.failures == 0)
             .map(|(key, _)| key)
             .collect();
+        due.sort_by_key(|key| self.runs[*key].next_order_at);
+        let is_repeated = |run: &&RunState| {
+            run.phase == RunPhase::Starting && run.sends > 1 && run.order.is_some()
+        };
+        let repeated = self.runs.values().filter(is_repeated).count();
+        let mut left =
+            (self.max_starts_in_flight / REPEATED_STARTS_DIVISOR).saturating_sub(repeated);
         for key in due {
             match self.runs[key].phase {
-                RunPhase::Starting => self.send_start(key),
+                RunPhase::Starting if left == 0 => {}
+                RunPhase::Starting => {
+                    left -= 1;
+                    self.send_start(key);
+                }
                 _ => self.send_stop(key),
             }
         }
