--- a/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
+++ b/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
@@ -32,14 +32,13 @@
     /// Evaluates all executors for each ready task, without anything that a pass remembers. Empty
     /// while [`Self::is_settled`], unless the placement has a fault.
     pub fn missed_placements(&self) -> Vec<MissedPlacement> {
-        let reconciled = self.is_reconciled();
         let mut missed = Vec::new();
         for key in &self.waiting {
             let job = &self.jobs[*key];
-            if job.outcome.is_some() || !(job.fresh || reconciled) {
+            if job.outcome.is_some() {
                 continue;
             }
-            for task in &job.ready {
+            for task in job.ready.iter().filter(|task| self.may_start(job, **task)) {
                 let Some((executor, needs_ticket)) = self.find_missed(*key, *task) else {
                     continue;
                 };
@@ -77,12 +76,13 @@
                 && evaluate(rules, *executor) == Err(PlacementRefusal::Ticket)
                 && !self.advice.is_refused(step, *executor)
         });
+        let mostly_quarantined = self.is_mostly_quarantined(job, &job.record.steps[position.1]);
         let accepted = match gang {
             true => self.find_missed_gang(key, position),
             false => self.executors.keys().find(|executor| {
                 let probation = PlacementRules { on_probation: true, ..PlacementRules::default() };
                 evaluate(rules, *executor).is_ok()
-                    || (self.is_allowed_probation(job, task)
+                    || (self.is_allowed_probation(job, task, mostly_quarantined)
                         && evaluate(probation, *executor).is_ok())
             }),
         };
