Test the bound on searches for tickets in a pass

searches_for_tickets_do_not_delay_other_jobs also passes without the bound, since executors that the service has refused cost a unit each.

--- a/crates/cuminbank-jobs/tests/pass.rs
+++ b/crates/cuminbank-jobs/tests/pass.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use cuminbank_jobs::{
-    job::{JobStep, TaskNeeds},
+    job::{AdviceTerms, JobStep, TaskNeeds},
     order::RunEnd,
 };
 use support::{
@@ -116,3 +116,27 @@
     // A unit for the job, and one per executor when the pass begins and for the search.
     assert_eq!(pool.max_units, 1 + 2 * EXECUTORS as u32);
 }
+
+// Guards against a pass that searches for tickets for each of many steps that the advice service
+// allows nowhere.
+#[test]
+fn searches_for_tickets_in_a_pass_are_bounded() {
+    const JOBS: u32 = 100;
+    const SEARCHES: u32 = 32;
+    let mut pool = SimulatedPool::new(10, 1, EXECUTORS);
+    pool.run_until(SUBMITTED);
+    for id in 1..=JOBS {
+        let mut record = job(vec![step(1, &[])]);
+        record.terms.advice =
+            Some(AdviceTerms { decision_ms: 5, per_executor_ms: 1, valid_ms: 3_000 });
+        pool.submit(u64::from(id), record);
+    }
+    pool.run_until(SUBMITTED + Duration::from_secs(10));
+    pool.max_units = 0;
+    let requests = pool.advice_requests.len();
+    pool.run_until(pool.now + Duration::from_secs(1));
+    assert_eq!(pool.advice_requests.len(), requests);
+    // Two units per job, and one per executor when the pass begins and for each search.
+    let limit = JOBS * 2 + EXECUTORS as u32 * (1 + SEARCHES);
+    assert!((1..=limit).contains(&pool.max_units), "{} units in a call", pool.max_units);
+}
