Reserve a worker for the next starved task if the first has none

Callers would see large tasks wait without a bound while a task that has waited longer needs a worker that cannot start anything, such as the only one with an accelerator while it is suspect.

Cause: update_capacity_reservation considered only the task that had waited longest and reserved nothing if no usable worker was large enough for it. Same class as the bounds of the start search: one candidate that fails stands for the others. Change: the longest wait of those that a usable worker is large enough for.

--- a/crates/cuminbank/src/reducer/tasks/starting.rs
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -237,9 +237,9 @@
             .is_some_and(|(reserved_for, worker)| worker == name && *reserved_for != task)
     }
 
-    /// Reserves the worker with the most free cores for the task that has waited longest, if it has
-    /// waited for [`CAPACITY_RESERVATION_WAIT`]. The reservation ends when the task has started on
-    /// any worker, or the worker becomes unusable.
+    /// Reserves a worker for the task that has waited longest, of those that have waited for
+    /// [`CAPACITY_RESERVATION_WAIT`] and that some usable worker is large enough for. The
+    /// reservation ends when the task has started on any worker, or the worker becomes unusable.
     fn update_capacity_reservation(&mut self, now: MonotonicTime) {
         if let Some((task, name)) = &self.capacity_reservation {
             let usable = self.workers.get(name).is_some_and(|worker| worker.can_start(now));
@@ -250,20 +250,40 @@
         self.capacity_reservation = None;
         let candidates =
             self.queue.customers().flat_map(|customer| self.queue.next_tasks(customer));
-        let waiting = candidates.filter_map(|task| Some((self.queue.queued_since(task)?, task)));
-        let Some((since, task)) = waiting.min() else { return };
-        let Some(record) = self.ledger.get(task) else { return };
-        if now < since + CAPACITY_RESERVATION_WAIT {
-            return;
+        let mut waiting: Vec<(MonotonicTime, TaskId)> = candidates
+            .filter_map(|task| Some((self.queue.queued_since(task)?, task)))
+            .filter(|(since, _)| now >= *since + CAPACITY_RESERVATION_WAIT)
+            .collect();
+        waiting.sort_unstable();
+        // Tasks of one size without failures differ in nothing that decides on the worker.
+        let mut sizes_without_worker: Vec<ResourceSize> = Vec::new();
+        for (_, task) in waiting {
+            let Some(record) = self.ledger.get(task) else { continue };
+            let size = record.body.size;
+            if record.failed_on.is_empty() && sizes_without_worker.contains(&size) {
+                continue;
+            }
+            if let Some(name) = self.worker_to_reserve(now, record) {
+                self.capacity_reservation = Some((task, name));
+                return;
+            }
+            if record.failed_on.is_empty() {
+                sizes_without_worker.push(size);
+            }
         }
-        let suits = |name: &str, worker: &WorkerState| {
+    }
+
+    /// Returns the usable worker with the most free cores of those that are large enough for a task
+    /// and on which it has not failed.
+    fn worker_to_reserve(&self, now: MonotonicTime, record: &TaskRecord) -> Option<TargetName> {
+        let suits = |name: &TargetName, worker: &WorkerState| {
             worker.can_start(now)
                 && record.body.size.fits(&worker.size)
-                && !record.failed_on.iter().any(|failed| failed == name)
+                && !record.failed_on.contains(name)
         };
         let workers = self.workers.iter().filter(|(name, worker)| suits(name, worker));
         let most = workers.max_by_key(|(name, worker)| (worker.free().millicores, *name));
-        self.capacity_reservation = most.map(|(name, _)| (task, name.clone()));
+        most.map(|(name, _)| name.clone())
     }
 
     /// Returns the reason to give up a queued task after failures; `None` to retry it.
--- a/crates/cuminbank/tests/tasks_hidden.rs
+++ b/crates/cuminbank/tests/tasks_hidden.rs
@@ -4,6 +4,7 @@
 
 use cuminbank::{
     ids::RequestTicket,
+    membership::TargetState,
     worker::{ResourceSize, UsageWindow},
 };
 
@@ -92,3 +93,30 @@
     let waited = simulation.now - submitted_at;
     assert!(waited < millis(2_500), "the last customer waited {waited:?}");
 }
+
+// Guards against a task that waits longest, but for a worker that cannot start anything, and keeps
+// every other task from getting a worker reserved.
+#[test]
+fn task_without_usable_worker_does_not_hide_a_starved_one() {
+    let mut simulation = TaskSimulation::new(2, 1);
+    simulation.set_size("w1", with_accelerator(cores(4)));
+    simulation.set_state("w1", TargetState::Suspect);
+    let stuck = submit_sized(&mut simulation, "griddle", with_accelerator(cores(1)));
+    simulation.run(secs(1));
+    for run_ms in [1_000, 3_000, 5_000, 7_000] {
+        simulation.submit(run_ms);
+    }
+    simulation.run(secs(1));
+    let large = submit_sized(&mut simulation, "griddle", cores(4));
+    let submitted_at = simulation.now;
+    let mut count = 0;
+    while simulation.starts_of(&large).is_empty() {
+        // Different run times keep the tasks from ending at the same time.
+        count += 1;
+        simulation.submit(4_000 + count * 1_700 % 8_000);
+        simulation.run(millis(230));
+        let waited = simulation.now - submitted_at;
+        assert!(waited < secs(80), "the large task has waited {waited:?}");
+    }
+    assert_eq!(simulation.state(&stuck), "queued");
+}
