Tell what an instance does when a process test waits for it in vain

One run of 47 of paused_owner_does_not_act_after_its_right_has_ended ended 90 s after SIGCONT without telling whether the daemon stood still: the status request of the wait may take 90 s too, so that one unanswered request looks the same (shown by leaving out SIGCONT: 1 try).

The waits after SIGCONT now fail with the number of tries, the state of the process and where it waits, the answer on a new connection, the queues of its HTTP sockets and its last log lines. Checks and bounds are unchanged.

Inherited sockets are excluded: eight daemons that started while the test held 107 sockets shared none with it or each other, as all are opened close-on-exec; a copy lives only until the child runs its program. A port in use ends the daemon at once with code 5 (tried for the three sockets), before it serves the calls that the test waits for first. The cause remains unknown.

--- a/crates/cuminbank-entry/tests/ownership.rs
+++ b/crates/cuminbank-entry/tests/ownership.rs
@@ -8,7 +8,7 @@
 
 use support::{
     callers::{self, CallLoad, FinishedCall},
-    wait_for, Deployment,
+    wait_for, wait_for_instance, Deployment,
 };
 
 /// Longest time of a call while the other instance is paused. A silent peer is detected within 5 s,
@@ -98,9 +98,13 @@
         wait_for("the peer serves", || load.done() > before + 5);
         paused.signal(Signal::SIGCONT);
         let name = Some(peer.name.clone());
-        wait_for("the paused instance sees the new owner", || paused.owners() == [name.clone()]);
+        wait_for_instance(paused, "the paused instance sees the new owner", || {
+            paused.owners() == [name.clone()]
+        });
         let before = (load.done(), held.done());
-        wait_for("both serve", || load.done() > before.0 + 100 && held.done() > before.1 + 100);
+        wait_for_instance(paused, "both serve", || {
+            load.done() > before.0 + 100 && held.done() > before.1 + 100
+        });
         sending.join().expect("the sending thread does not panic");
     });
     book_all(&[paused.http, peer.http], &bookings, 1);
--- a/crates/cuminbank-entry/tests/support/entry.rs
+++ b/crates/cuminbank-entry/tests/support/entry.rs
@@ -5,6 +5,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
 };
 
 use nix::{
@@ -14,7 +15,7 @@
 use serde_json::{json, Value};
 
 use super::{
-    http::get,
+    http::{get, get_within},
     platform::Platform,
     ports::{self, PortBlock},
     wait_for_some,
@@ -23,6 +24,13 @@
 /// Index of the first port of the entry instances in the block; each instance has two.
 const FIRST_PORT: usize = 20;
 
+/// Timeout of the request that shows whether an instance answers on a new connection.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
+/// State of a closed socket in `/proc/net/tcp`.
+const TIME_WAIT: &str = "06";
+/// Number of log lines in the message of a failed test.
+const LAST_LOG_LINES: usize = 20;
+
 /// Returns the settings of entry instance `index` of `count`.
 pub fn settings(
     ports: &PortBlock,
@@ -86,6 +94,37 @@
         kill(pid, signal).expect("the process has not been waited for");
     }
 
+    /// Describes for the message of a failed test what the process does: whether it runs, answers on a
+    /// new connection, has unread input on its sockets, and what it logged last.
+    pub fn describe_activity(&self) -> String {
+        let read = |name: &str| {
+            let path = format!("/proc/{}/{name}", self.child.id());
+            fs::read_to_string(&path).unwrap_or_else(|error| format!("{path}: {error}"))
+        };
+        let status = read("status");
+        let fields = ["State:", "Threads:", "SigPnd:", "ShdPnd:", "voluntary", "nonvoluntary"];
+        let state = status.lines().filter(|line| fields.iter().any(|name| line.starts_with(name)));
+        let state: Vec<_> = state.collect();
+        let probe = get_within(PROBE_TIMEOUT, self.http, "/v1/status").map(|answer| answer.status);
+        let sockets = read("net/tcp");
+        let port = format!(":{:04X}", self.http.port());
+        let is_shown = |line: &&str| {
+            let fields: Vec<_> = line.split_whitespace().collect();
+            fields.len() > 3 && fields[1].ends_with(&port) && fields[3] != TIME_WAIT
+        };
+        let sockets: Vec<_> = sockets.lines().filter(is_shown).collect();
+        let log = self.files.last().map(fs::read_to_string);
+        let log =
+            log.map_or_else(String::new, |text| text.unwrap_or_else(|error| error.to_string()));
+        let lines: Vec<_> = log.lines().collect();
+        let last = lines[lines.len().saturating_sub(LAST_LOG_LINES)..].join("\n");
+        format!(
+            "process: {state:?}\nwaits in: {}\nnew connection: {probe:?}\nsockets of the HTTP port: \
+             {sockets:#?}\nlog:\n{last}",
+            read("wchan")
+        )
+    }
+
     /// Waits until the process exits.
     pub fn wait(&mut self) -> ExitStatus {
         wait_for_some("the entry instance ends", || {
--- a/crates/cuminbank-entry/tests/support/http.rs
+++ b/crates/cuminbank-entry/tests/support/http.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
+    time::Duration,
 };
 
 use serde_json::Value;
@@ -36,7 +37,13 @@
 
 /// Sends a GET request.
 pub fn get(address: SocketAddr, path: &str) -> Result<Answer, Failure> {
-    exchange(address, format!("GET {path} HTTP/1.1\r\nconnection: close\r\n\r\n").as_bytes())
+    get_within(MAX_WAIT, address, path)
+}
+
+/// Sends a GET request and waits for each part of the response at most for `timeout`.
+pub fn get_within(timeout: Duration, address: SocketAddr, path: &str) -> Result<Answer, Failure> {
+    let bytes = format!("GET {path} HTTP/1.1\r\nconnection: close\r\n\r\n");
+    exchange_within(timeout, address, bytes.as_bytes())
 }
 
 /// Sends a POST request with a JSON body.
@@ -61,8 +68,16 @@
 
 /// Sends bytes and reads the response until the connection is closed.
 pub fn exchange(address: SocketAddr, bytes: &[u8]) -> Result<Answer, Failure> {
+    exchange_within(MAX_WAIT, address, bytes)
+}
+
+fn exchange_within(
+    timeout: Duration,
+    address: SocketAddr,
+    bytes: &[u8],
+) -> Result<Answer, Failure> {
     let mut stream = TcpStream::connect(address).map_err(|_| Failure::Refused)?;
-    stream.set_read_timeout(Some(MAX_WAIT)).expect("the timeout is not zero");
+    stream.set_read_timeout(Some(timeout)).expect("the timeout is not zero");
     let cut_off = |error: std::io::Error| Failure::CutOff(error.to_string());
     stream.write_all(bytes).map_err(cut_off)?;
     let mut text = Vec::new();
--- a/crates/cuminbank-entry/tests/support/mod.rs
+++ b/crates/cuminbank-entry/tests/support/mod.rs
@@ -26,12 +26,29 @@
 
 /// Timeout of a wait for a condition.
 pub const MAX_WAIT: Duration = Duration::from_secs(90);
+/// Pause between two checks of a condition.
+const WAIT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Waits until a condition holds; panics with `what` after [`MAX_WAIT`].
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
     wait_for_some(what, || condition().then_some(()));
 }
 
+/// Waits until a condition on an instance holds; panics after [`MAX_WAIT`] with `what`, the number of
+/// tries and what the instance does then.
+pub fn wait_for_instance(entry: &EntryProcess, what: &str, mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    let mut tries = 0;
+    while !condition() {
+        tries += 1;
+        if started.elapsed() >= MAX_WAIT {
+            let found = entry.describe_activity();
+            panic!("not reached within {MAX_WAIT:?}, {tries} tries: {what}\n{found}");
+        }
+        thread::sleep(WAIT_INTERVAL);
+    }
+}
+
 /// Waits until `read` returns a value; panics with `what` after [`MAX_WAIT`].
 pub fn wait_for_some<T>(what: &str, mut read: impl FnMut() -> Option<T>) -> T {
     let started = Instant::now();
@@ -40,7 +57,7 @@
             return found;
         }
         assert!(started.elapsed() < MAX_WAIT, "not reached within {MAX_WAIT:?}: {what}");
-        thread::sleep(Duration::from_millis(20));
+        thread::sleep(WAIT_INTERVAL);
     }
 }
 
