--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod advice;
 mod candidates;
 mod contact;
+mod drains;
 mod evacuation;
 mod gathering;
 mod jobs;
@@ -270,6 +271,8 @@
     next_starvation_start_at: MonotonicTime,
     /// When the next summary of the cell is logged.
     next_survey_at: MonotonicTime,
+    /// When room is next searched for long-running tasks on draining executors.
+    next_moves_at: MonotonicTime,
     /// Whether tasks reserved only a small part of the CPU when the last pass began.
     underutilized: bool,
     last_order: OrderId,
@@ -340,6 +343,7 @@
             next_neighbour_demand_at: MonotonicTime::ZERO,
             next_starvation_start_at: MonotonicTime::ZERO,
             next_survey_at: MonotonicTime::ZERO,
+            next_moves_at: MonotonicTime::ZERO,
             underutilized: false,
             last_order: 0,
             last_write: 0,
@@ -427,7 +431,8 @@
         self.open_due_occurrences();
         self.poll_executors();
         self.resend_orders();
-        self.stop_unfit_runs();
+        self.stop_stuck_runs();
+        self.stop_runs_on_draining_executors();
         self.report_waits();
         self.survey_pool();
         self.update_load();
--- a/crates/cuminbank-jobs/src/scheduler/run_watchdog.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_watchdog.rs
@@ -1,4 +1,4 @@
-//! Stops runs without progress, and runs on draining executors.
+//! Stops runs without progress.
 
 use std::time::Duration;
 
@@ -12,17 +12,9 @@
 /// Time without progress after which a run is stopped. Progress is reported in steps of one
 /// percent, so a task that makes less progress would run for minutes.
 const STUCK_TIME: Duration = Duration::from_millis(1_600);
-/// Time before a draining executor leaves at which its runs are stopped, so that they can save
-/// their checkpoints.
-const LEAVE_MARGIN: Duration = Duration::from_millis(500);
 
 impl JobScheduler {
-    pub(super) fn stop_unfit_runs(&mut self) {
-        self.stop_stuck_runs();
-        self.stop_runs_on_draining_executors();
-    }
-
-    fn stop_stuck_runs(&mut self) {
+    pub(super) fn stop_stuck_runs(&mut self) {
         let now = self.now;
         let stuck: Vec<RunKey> = self
             .runs
@@ -65,28 +57,4 @@
             self.stop_run(key, "no progress");
         }
     }
-
-    /// Stops long-running tasks on a draining executor at once, and other tasks shortly before it
-    /// leaves.
-    fn stop_runs_on_draining_executors(&mut self) {
-        let now = self.now;
-        let mut leaving: Vec<RunKey> = Vec::new();
-        for executor in self.executors.values().filter(|executor| executor.draining) {
-            let leaves_at = executor.leaves_at.unwrap_or(now);
-            for key in &executor.runs {
-                let run = &self.runs[*key];
-                let job = &self.jobs[run.job];
-                let (_, step) = job.layout.position(run.task);
-                let long_running = job.record.steps[step].long_running;
-                if run.phase == RunPhase::Running
-                    && (long_running || now + LEAVE_MARGIN >= leaves_at)
-                {
-                    leaving.push(*key);
-                }
-            }
-        }
-        for key in leaving {
-            self.stop_run(key, "executor is draining");
-        }
-    }
 }
