Take the earliest time that an executor reports for its leave

Later reports were not used.

Now each report may move the time forward, never back.

Evidence: late_report_of_a_drain_does_not_delay_the_stop failed before.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -162,8 +162,13 @@
         executor.zone = report.zone;
         executor.service = report.service;
         executor.draining = report.draining;
+        let leaves_at = report.remaining.map(|remaining| now + remaining);
+        executor.leaves_at = match begins_drain {
+            true => leaves_at,
+            // The earlier report may have been received later after it was sent.
+            false => executor.leaves_at.into_iter().chain(leaves_at).min(),
+        };
         if begins_drain {
-            executor.leaves_at = report.remaining.map(|remaining| now + remaining);
             let detail = format!(
                 "executor={} remaining_ms={:?} runs={}",
                 executor.name,
--- a/crates/cuminbank-jobs/tests/drains.rs
+++ b/crates/cuminbank-jobs/tests/drains.rs
@@ -92,3 +92,16 @@
     pool.run_until(leaves_at - Duration::from_millis(100));
     assert!(pool.executors[0].running.is_empty(), "{:?}", pool.executors[0].running);
 }
+
+// Guards against the same if the first report of the drain was received late, with the time that
+// was left when it was sent.
+#[test]
+fn late_report_of_a_drain_does_not_delay_the_stop() {
+    const LATE: Duration = Duration::from_secs(4);
+    let mut pool = full_pool(2, |_| LASTING);
+    drain(&mut pool, 0, Duration::from_secs(10));
+    pool.run_until(pool.now + LIST_DELAY);
+    let leaves_at = drain(&mut pool, 0, Duration::from_secs(9) - LATE);
+    pool.run_until(leaves_at - Duration::from_millis(100));
+    assert!(pool.executors[0].running.is_empty(), "{:?}", pool.executors[0].running);
+}
