Examine up to 20,000 workers in a pass of the start search

With 5,000 a round over 984 tasks without a worker takes 16 passes in a group of 81 workers and 64 in one of 325. With a segment in each pass, one every 300 ms, a task that was searched for at the start of the round would wait for up to 5 and 19 s (computed) for room that has become free meanwhile. With 20,000 these are 4 and 16 passes. The bound is below the worst case before the bound: 128 entries for each of 64 tasks of every customer.

The test of the bound has 250 workers, so that its 120 tasks exceed it. It fails (no start within a minute) if a pass forgets the tasks without a worker of the pass before.

--- a/crates/cuminbank/src/reducer/tasks/starting.rs
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -30,7 +30,7 @@
 const DEFAULT_PRIORITY: u8 = 5;
 /// Number of workers after whose examination a pass over the queue ends. The search that reaches it
 /// is completed, and the next pass continues with the remaining tasks.
-const MAX_WORKERS_PER_PASS: usize = 5_000;
+const MAX_WORKERS_PER_PASS: usize = 20_000;
 /// Maximum number of acceptable workers to compare by predicted slowdown.
 const MAX_WORKERS_COMPARED: usize = 8;
 /// Wait after which a task is started even where it is predicted to slow latency-critical work too
--- a/crates/cuminbank/tests/tasks_hidden.rs
+++ b/crates/cuminbank/tests/tasks_hidden.rs
@@ -77,8 +77,8 @@
 // Guards against a bound on the workers of a pass that always ends it at the same tasks.
 #[test]
 fn tasks_without_room_do_not_hide_those_of_the_last_customer() {
-    let mut simulation = TaskSimulation::new(150, 1);
-    simulation.set_size("w149", with_accelerator(cores(1)));
+    let mut simulation = TaskSimulation::new(250, 1);
+    simulation.set_size("w249", with_accelerator(cores(1)));
     let first = submit_sized(&mut simulation, "accelerated", with_accelerator(cores(1)));
     simulation.run(secs(2));
     assert!(simulation.worker_of(&first).is_some());
