Count the wait of a task from the last report of its silent executor

A long-running task whose executor left or crashed waited until the lease of its run had expired, up to 7 s after the last report, and then as long again as any new task before its job counted as starved: 2 s behind short jobs. Callers saw it without a run for over 9 s although executors had room.

Cause: the run was dropped at the end of its lease, and the wait began at that time. It now begins at the last report of the executor, so that the task is starved when the lease ends. `wait_counts_from_the_last_report_of_a_silent_executor` failed before. The waits in the log and in the metric `task.wait` count from then, too.

--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -214,7 +214,14 @@
         self.requeue_since(key, task, self.jobs[key].tasks[task as usize].ready_since);
     }
 
-    fn requeue_since(&mut self, key: JobKey, task: TaskIndex, ready_since: MonotonicTime) {
+    /// Makes a task ready again that counts as waiting since an earlier time, if it has neither runs
+    /// nor a result.
+    pub(super) fn requeue_since(
+        &mut self,
+        key: JobKey,
+        task: TaskIndex,
+        ready_since: MonotonicTime,
+    ) {
         let job = &mut self.jobs[key];
         let state = &mut job.tasks[task as usize];
         if state.phase != TaskPhase::Active || !state.runs.is_empty() {
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -299,15 +299,21 @@
         }
     }
 
-    /// Removes a run that certainly no longer exists and makes its task ready again.
+    /// Removes a run that certainly no longer exists and makes its task ready again. The wait of a
+    /// long-running task counts from the last report of its executor, since it may have had no run
+    /// from then on.
     pub(super) fn drop_lost_run(&mut self, key: RunKey, reason: &str) {
         let Some(run) = self.remove_run(key) else { return };
         let id = self.jobs[run.job].id;
         let detail = format!("task={} run={} reason={reason}", run.task, run.number);
         self.log(RUN_LOST, Some(id), detail);
-        match run.reported {
-            true => self.requeue_task(run.job, run.task),
-            false => self.requeue_unstarted_task(run.job, run.task),
+        let last_report = self.executors.get(run.executor).and_then(|executor| executor.clock);
+        match (run.reported, last_report) {
+            (true, Some(sample)) if run.long_running => {
+                self.requeue_since(run.job, run.task, sample.at);
+            }
+            (true, _) => self.requeue_task(run.job, run.task),
+            (false, _) => self.requeue_unstarted_task(run.job, run.task),
         }
     }
 }
--- a/crates/cuminbank-jobs/tests/waiting_bounds.rs
+++ b/crates/cuminbank-jobs/tests/waiting_bounds.rs
@@ -10,7 +10,7 @@
 };
 use support::{
     jobs::step,
-    simulation::SimulatedPool,
+    simulation::{InjectedFault, SimulatedPool},
     waiting::{
         burst_length, long_running, play_burst, record, submit, with_lengths, LASTING, LASTING_JOB,
         START_LIMIT, SUBMITTED,
@@ -141,3 +141,23 @@
     let in_time = |after: &Option<Duration>| after.is_some_and(|after| after <= START_LIMIT);
     assert!(started.iter().all(in_time), "{started:?}");
 }
+
+// Guards against a long-running task whose wait begins only when the lease of its silent executor has
+// expired, so that other jobs come first for another 2 s.
+#[test]
+fn wait_counts_from_the_last_report_of_a_silent_executor() {
+    /// Lease of at most 6 s on a clock up to 2 % slow, the time for stops, and a pass.
+    const RESTART_LIMIT: Duration = Duration::from_millis(7_500);
+    let mut pool = with_lengths(SimulatedPool::new(4, 1, 3), burst_length);
+    submit(&mut pool, LASTING_JOB, long_running(1));
+    pool.run_until(pool.now + Duration::from_secs(2));
+    let executor = pool.executors.iter().position(|executor| !executor.running.is_empty());
+    let executor = executor.expect("the task runs");
+    pool.fault_at(pool.now, InjectedFault::CrashExecutor { executor, down: None });
+    let crashed_at = pool.now;
+    for id in 0..RESTART_LIMIT.as_millis() as u64 / 100 {
+        submit(&mut pool, id, step(8, &[]));
+        pool.run_until(crashed_at + Duration::from_millis(100) * (id as u32 + 1));
+    }
+    assert_eq!(pool.running(LASTING_JOB), 1);
+}
