Check in simulations that long-running tasks do not wait beside room

The check samples what the executors run: a task of a long-running job that nobody cancelled must have a run again within 6 s and 3 s of its last one if there was room for two such tasks for 3 s on end, without a fault in these 3 s and the 4 s before. It applies to every simulated pool.

--- a/crates/cuminbank-jobs/tests/support/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/mod.rs
@@ -4,7 +4,9 @@
 #![allow(dead_code, reason = "each test binary uses only some of the helpers")]
 
 pub mod checks;
+pub mod crowded_day;
 pub mod jobs;
+pub mod lost_tasks;
 pub mod ownership;
 pub mod simulation;
 pub mod waiting;
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -89,6 +89,7 @@
                     self.push(timeout, failed);
                     if self.chance(50) {
                         at += Duration::from_millis(self.random.random_range(1_000..6_000));
+                        self.note_late_message(at);
                     }
                 }
                 self.push(
