--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -241,6 +241,9 @@
             .filter(|(_, job)| job.ready.iter().any(|task| self.may_start(job, *task)))
             .map(|(key, job)| (key, urgency(job)))
             .collect();
+        if !self.guards.starved_first {
+            waiting.iter_mut().for_each(|(_, job)| job.ready_since = self.now);
+        }
         if waiting.is_empty() {
             return QueuePass::default();
         }
