--- a/crates/cuminbank-entry/tests/report.rs
+++ b/crates/cuminbank-entry/tests/report.rs
@@ -14,7 +14,7 @@
     callers::{self, CallLoad, FinishedCall},
     entry::EntryProcess,
     http::{get, post},
-    report::{seconds_now, ReadReport},
+    report::{seconds_now, wait_for_day, ReadReport},
     set_mode, wait_for, Deployment,
 };
 
@@ -44,6 +44,7 @@
 /// the loss of the counts that it had saved.
 #[test]
 fn killed_instance_is_a_gap_and_its_saved_counts_stay() {
+    wait_for_day();
     let mut deployment = Deployment::start(2, 2, 1);
     let dying = deployment.owner();
     let addresses = [deployment.entries[0].http, deployment.entries[1].http];
@@ -209,6 +210,7 @@
 /// arrive during planned stops, and evicted tasks.
 #[test]
 fn page_shows_what_callers_and_workers_saw() {
+    wait_for_day();
     let mut deployment = Deployment::start(2, 2, 1);
     let entries = [deployment.entries[0].http, deployment.entries[1].http];
     let mut counts = CallerCounts::new();
--- a/crates/cuminbank-entry/tests/support/report.rs
+++ b/crates/cuminbank-entry/tests/support/report.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    thread,
     time::{Duration, SystemTime},
 };
 
@@ -20,6 +21,16 @@
 };
 use cuminbank_net::runtime;
 
+/// Longest duration of a test that reads the report.
+const MAX_TEST_TIME: Duration = Duration::from_secs(300);
+
+/// Waits until the current day in UTC lasts for [`MAX_TEST_TIME`], since a report covers one day.
+pub fn wait_for_day() {
+    while day_name(SystemTime::now()) != day_name(SystemTime::now() + MAX_TEST_TIME) {
+        thread::sleep(Duration::from_secs(1));
+    }
+}
+
 /// Daily report of the current day, as data and in the formats for operators.
 pub struct ReadReport {
     pub report: DayReport,
