Keep the outcome of a job equally long under each owner

Operators and clients saw the outcome of an ended job for longer if its owner stayed than after a takeover. The owner under which the job ended counted the retention from when it dropped the details of the job, which waits for the end of the job's remaining runs, and a successor from the time in the stored record. Each later write of the ended job, as when one of its remaining runs ended, also replaced that time.

The time in the first write that recorded the outcome is now kept with the outcome in memory, counts for the retention, and stays in later writes. The stored format is unchanged.

outcome_is_kept_as_long_by_each_owner compares both owners for a write that is confirmed after 3 s; it failed before and passes now. The replaced time of later writes was found by reading and has no test.

--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -132,7 +132,9 @@
             opened_occurrences: 0,
             ready: BTreeSet::new(),
             outcome: progress.outcome,
-            recorded_outcome: progress.outcome,
+            recorded_outcome: progress
+                .outcome
+                .map(|outcome| (outcome, progress.ended_at.unwrap_or(self.wall))),
             started: started || progress.outcome.is_some(),
             slack: SlackEstimate::new(),
             next_wait_log: MonotonicTime::ZERO,
@@ -301,8 +303,8 @@
             self.drop_advice(key);
             let Some(job) = self.jobs.remove(key) else { continue };
             self.job_ids.remove(&job.id);
-            if let Some(outcome) = job.recorded_outcome {
-                self.ended_jobs.insert(job.id, (outcome, self.wall));
+            if let Some(recorded) = job.recorded_outcome {
+                self.ended_jobs.insert(job.id, recorded);
             }
         }
         let wall = self.wall;
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -10,7 +10,7 @@
     JobEffect, JobScheduler,
 };
 use crate::{
-    ids::{JobId, MonotonicTime, OwnerEpoch, StartMillis, StoreRevision, WriteId},
+    ids::{JobId, MonotonicTime, OwnerEpoch, StartMillis, StoreRevision, WallTime, WriteId},
     job::JobOutcome,
     keys::accepted_key,
     progress::JobProgress,
@@ -66,7 +66,7 @@
     /// Whether the latest attempt ended without a definite reply.
     unanswered: bool,
     txn: StoreTxn,
-    outcomes: Vec<(JobKey, Option<JobOutcome>)>,
+    outcomes: Vec<(JobKey, Option<(JobOutcome, WallTime)>)>,
     acknowledged: Vec<(ExecutorKey, Option<StartMillis>, u64)>,
     /// Executors in the roster that the write stores. Empty if it stores no roster.
     members: Vec<ExecutorKey>,
@@ -139,10 +139,12 @@
                     numbered.filter_map(|(task, state)| state.progress(task as u32)).collect()
                 }
             };
-            let ended_at = job.outcome.map(|_| self.wall);
+            // An ended job is written again when one of its remaining runs ends.
+            let recorded = job.recorded_outcome.or(job.outcome.map(|outcome| (outcome, self.wall)));
+            let ended_at = recorded.map(|(_, at)| at);
             let progress = JobProgress { outcome: job.outcome, ended_at, tasks };
             puts.push(StorePut::new(self.keys.progress(job.id), encode_value(&progress)));
-            outcomes.push((key, job.outcome));
+            outcomes.push((key, recorded));
         }
         let mut members = Vec::new();
         if has_roster {
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -243,8 +243,7 @@
     roster_unreadable: bool,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<JobId, JobKey>,
-    /// Outcome of jobs whose details have been dropped, with the time at which they were dropped
-    /// or, if the outcome was loaded from the store, at which the job ended.
+    /// Outcome of jobs whose details have been dropped, with the time stored as the end of the job.
     ended_jobs: HashMap<JobId, (JobOutcome, WallTime)>,
     /// Accepted jobs whose record or progress cannot be read. Their tasks are not started, and
     /// their runs are left alone.
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -100,8 +100,8 @@
     pub(super) opened_occurrences: u32,
     pub(super) ready: BTreeSet<TaskIndex>,
     pub(super) outcome: Option<JobOutcome>,
-    /// Outcome confirmed by the store.
-    pub(super) recorded_outcome: Option<JobOutcome>,
+    /// Outcome confirmed by the store, with the time stored as the end of the job.
+    pub(super) recorded_outcome: Option<(JobOutcome, WallTime)>,
     /// Whether any of its tasks has been started.
     pub(super) started: bool,
     /// Estimated slack of its latency-critical tasks without best-effort neighbours. Slack is the
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -109,7 +109,7 @@
         }
         let job = &self.jobs[*self.job_ids.get(&id)?];
         Some(match (job.recorded_outcome, job.started) {
-            (Some(outcome), _) => JobPhase::Ended(outcome),
+            (Some((outcome, _)), _) => JobPhase::Ended(outcome),
             (None, true) => JobPhase::Running,
             (None, false) if job.outcome == Some(JobOutcome::Cancelled) => JobPhase::Running,
             (None, false) => JobPhase::Queued,
--- a/crates/cuminbank-jobs/tests/journal.rs
+++ b/crates/cuminbank-jobs/tests/journal.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use cuminbank_jobs::{
-    ids::{MonotonicTime, WriteId},
+    ids::{JobId, MonotonicTime, WriteId},
     job::{JobOutcome, JobPhase},
+    keys::CellKeys,
     order::RunEnd,
     scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
-    store::StoreFailure,
+    store::{encode_value, StoreChange, StoreFailure, StoreItem, StorePut, StoreTxn, TxnOutcome},
 };
 use cuminbank_platform_standin::executor::FakeExecutor;
 use support::{
@@ -19,6 +20,13 @@
 };
 
 const START: MonotonicTime = Duration::from_secs(10);
+const JOB: JobId = 7;
+const BOUNDS: SchedulerBounds = SchedulerBounds {
+    max_lease: Duration::from_secs(6),
+    stop_timeout: Duration::from_millis(200),
+    max_violation_time: Duration::from_secs(4),
+    retention: Duration::from_secs(120),
+};
 
 fn commits(effects: &[JobEffect]) -> Vec<WriteId> {
     let ids = effects.iter().filter_map(|effect| match effect {
@@ -32,14 +40,8 @@
 // Each call is billed.
 #[test]
 fn write_without_a_reply_is_repeated_after_a_pause() {
-    let bounds = SchedulerBounds {
-        max_lease: Duration::from_secs(6),
-        stop_timeout: Duration::from_millis(200),
-        max_violation_time: Duration::from_secs(4),
-        retention: Duration::from_secs(120),
-    };
     let begun = START + Duration::from_secs(1);
-    let mut scheduler = JobScheduler::new(bounds, &held_ownership(begun), begun);
+    let mut scheduler = JobScheduler::new(BOUNDS, &held_ownership(begun), begun);
     let mut effects = scheduler.apply(begun, begun, JobEvent::Loaded { items: Vec::new() });
     let reports = vec![FakeExecutor::new("e", 1_000).report()];
     effects.extend(scheduler.apply(begun, begun, JobEvent::Listed { reports }));
@@ -78,3 +80,63 @@
     let completed = (0..jobs).filter(|id| pool.phase(*id) == done).count();
     assert_eq!(completed as u64, jobs);
 }
+
+fn transactions(effects: Vec<JobEffect>) -> Vec<(WriteId, StoreTxn)> {
+    let writes = effects.into_iter().filter_map(|effect| match effect {
+        JobEffect::Commit { id, txn } => Some((id, txn)),
+        _ => None,
+    });
+    writes.collect()
+}
+
+fn item(key: String, value: Vec<u8>) -> StoreItem {
+    StoreItem { key, value, revision: 100, created: 100 }
+}
+
+/// Returns a scheduler that has loaded the given items at `now`.
+fn owner_with(items: Vec<StoreItem>, now: MonotonicTime) -> JobScheduler {
+    let mut scheduler = JobScheduler::new(BOUNDS, &held_ownership(now), now);
+    let effects = scheduler.apply(now, now, JobEvent::Loaded { items });
+    assert_eq!(commits(&effects), Vec::<WriteId>::new());
+    scheduler
+}
+
+/// Cancels [`JOB`] and returns the write of its outcome, which is not answered yet.
+fn cancel(scheduler: &mut JobScheduler, now: MonotonicTime) -> (WriteId, StorePut) {
+    let keys = CellKeys::new(0);
+    let record = encode_value(&job(vec![step(1, &[])]));
+    let changes = [item(keys.job(JOB), record), item(keys.cancel(JOB), Vec::new())];
+    let changes = changes.map(StoreChange::Written).to_vec();
+    let effects = scheduler.apply(now, now, JobEvent::PoolChanged { changes });
+    let (id, txn) = transactions(effects).pop().expect("the outcome is written");
+    let outcome = txn.puts.into_iter().find(|put| put.key == keys.progress(JOB));
+    (id, outcome.expect("the write contains the outcome"))
+}
+
+fn commit(scheduler: &mut JobScheduler, now: MonotonicTime, id: WriteId) {
+    let result = Ok(TxnOutcome::Committed { revision: 200 });
+    scheduler.apply(now, now, JobEvent::CommitCompleted { id, result });
+}
+
+/// Returns when the scheduler no longer knows [`JOB`].
+fn forgets_at(scheduler: &mut JobScheduler, mut now: MonotonicTime) -> MonotonicTime {
+    while scheduler.phase(JOB).is_some() {
+        now += Duration::from_millis(500);
+        scheduler.apply(now, now, JobEvent::Tick);
+    }
+    now
+}
+
+// Guards against an outcome that is kept for longer by the owner under which the job ended than by
+// its successor.
+#[test]
+fn outcome_is_kept_as_long_by_each_owner() {
+    let ended = START + Duration::from_secs(1);
+    let recorded = ended + Duration::from_secs(3);
+    let mut first = owner_with(Vec::new(), ended);
+    let (id, outcome) = cancel(&mut first, ended);
+    commit(&mut first, recorded, id);
+    let mut second = owner_with(vec![item(outcome.key, outcome.value)], recorded);
+    let kept = [&mut first, &mut second].map(|scheduler| forgets_at(scheduler, recorded) - ended);
+    assert_eq!(kept, [BOUNDS.retention + Duration::from_millis(500); 2]);
+}
