Define the transit bound, ticket lifetime and attempts once

No behaviour change. TRANSIT_BOUND had three definitions of 1 s, TICKET_LIFETIME two of 600 s, and the number of attempts of a task whose profile was deleted repeated the default of a profile as a literal 3. A change of one would have left the others behind.

--- a/crates/cuminbank/src/profile.rs
+++ b/crates/cuminbank/src/profile.rs
@@ -55,8 +55,12 @@
     5
 }
 
+/// Number of distinct workers on which a task has to fail if its profile does not give it or was
+/// deleted.
+pub(crate) const DEFAULT_MAX_ATTEMPTS: u32 = 3;
+
 fn default_max_attempts() -> u32 {
-    3
+    DEFAULT_MAX_ATTEMPTS
 }
 
 /// Kind of work that a profile applies to.
--- a/crates/cuminbank/src/reducer/calls/dispatch.rs
+++ b/crates/cuminbank/src/reducer/calls/dispatch.rs
@@ -7,12 +7,12 @@
     event::{ExchangeError, ExecutorAnswer},
     ids::{ExchangeId, MonotonicTime},
     placement::ExecutorKey,
-    reducer::step::ReducerPart,
+    reducer::{step::ReducerPart, TRANSIT_BOUND},
 };
 
 use super::{
     state::{CallKey, CallStage, LostCall, PendingDispatch},
-    CallContext, CallPart, TRANSIT_BOUND,
+    CallContext, CallPart,
 };
 
 /// HTTP status by which an executor refuses a call without running it.
--- a/crates/cuminbank/src/reducer/calls/mod.rs
+++ b/crates/cuminbank/src/reducer/calls/mod.rs
@@ -44,9 +44,6 @@
 
 pub use self::state::CallKey;
 
-/// Upper bound on the time between the send and the arrival of bytes.
-pub const TRANSIT_BOUND: Duration = Duration::from_secs(1);
-
 /// State outside the call part that one step reads and writes.
 struct CallContext<'a> {
     step: &'a mut StepContext,
--- a/crates/cuminbank/src/reducer/groups/claims.rs
+++ b/crates/cuminbank/src/reducer/groups/claims.rs
@@ -8,14 +8,12 @@
     log::{GROUP_ACQUIRED, GROUP_LOST, STORE_REACHABLE, STORE_UNREACHABLE},
     message::PeerIdentity,
     ownership::{NumberedWrite, StoredGroup, WriteOutcome, LEASE_TTL},
-    reducer::{config::ConfigPart, step::StepContext},
+    reducer::{config::ConfigPart, step::StepContext, TRANSIT_BOUND},
     store::{epoch_key, group_key, owner_lease_key, StoreReply, StoreRequest, StoreValue},
 };
 
 use super::{GroupChange, GroupExchange, GroupPart};
 
-/// Time after the end of an owner's authority by which all bytes that it sent have arrived.
-pub const TRANSIT_BOUND: Duration = Duration::from_secs(1);
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 const GRANT_RETRY: Duration = Duration::from_millis(500);
 /// Time between reads of the records of a group that has no known owner.
--- a/crates/cuminbank/src/reducer/mod.rs
+++ b/crates/cuminbank/src/reducer/mod.rs
@@ -68,6 +68,10 @@
 /// Interval between two [`EntryEvent::Tick`] events.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Upper bound on the time between the send and the arrival of bytes, also of those sent before a
+/// failure of the connection or before the end of an owner's authority.
+pub const TRANSIT_BOUND: Duration = Duration::from_secs(1);
+
 /// State of an entry instance.
 ///
 /// ```
--- a/crates/cuminbank/src/reducer/tasks/eviction.rs
+++ b/crates/cuminbank/src/reducer/tasks/eviction.rs
@@ -6,14 +6,13 @@
     interference::MitigationAction,
     ledger::{JournalEntry, TaskId},
     log::TASK_THROTTLED,
-    reducer::step::StepContext,
+    reducer::{step::StepContext, TRANSIT_BOUND},
     settings::PlacementPolicy,
     worker::{UsageWindow, WorkerReply, WorkerReport, WorkerRequest},
 };
 
 use super::group::{
     GroupExchange, GroupView, RunPhase, StopReason, TaskGroup, TaskModels, EVICTION_AVOIDANCE,
-    TRANSIT_BOUND,
 };
 
 const THROTTLED_CPU_PERCENT: u8 = 50;
--- a/crates/cuminbank/src/reducer/tasks/group.rs
+++ b/crates/cuminbank/src/reducer/tasks/group.rs
@@ -41,8 +41,6 @@
 /// Time after the last byte of a start or renewal could have been sent by which the worker has
 /// certainly stopped the attempt. It covers lease, clock drift and transit, rounded up from 6.1 s.
 pub const LEASE_EXPIRY_BOUND: Duration = Duration::from_secs(7);
-/// Upper bound on the time that bytes sent before a failure may still be in transit.
-pub const TRANSIT_BOUND: Duration = Duration::from_secs(1);
 /// Time after an eviction within which the task is not placed on the same machine again.
 pub const EVICTION_AVOIDANCE: Duration = Duration::from_secs(60);
 
--- a/crates/cuminbank/src/reducer/tasks/mod.rs
+++ b/crates/cuminbank/src/reducer/tasks/mod.rs
@@ -35,13 +35,13 @@
     worker::{ResourceSize, WorkerReply},
 };
 
-use self::group::{GroupView, TaskGroup, TaskModels, TaskWaiter, TRANSIT_BOUND};
+use self::group::{GroupView, TaskGroup, TaskModels, TaskWaiter};
 
 use super::{
     groups::{GroupChange, GroupPart},
     records::RecordPart,
     step::{ReducerPart, StepContext},
-    TaskView,
+    TaskView, TRANSIT_BOUND,
 };
 
 // Must exceed the time for which the owner may delay its answer to a submission.
--- a/crates/cuminbank/src/reducer/tasks/refused_tickets.rs
+++ b/crates/cuminbank/src/reducer/tasks/refused_tickets.rs
@@ -1,13 +1,8 @@
 //! Tickets of refused submissions.
 
-use std::{
-    collections::{HashSet, VecDeque},
-    time::Duration,
-};
+use std::collections::{HashSet, VecDeque};
 
-use crate::{ids::MonotonicTime, ledger::TaskId};
-
-const TICKET_LIFETIME: Duration = Duration::from_secs(600);
+use crate::{ids::MonotonicTime, ledger::TaskId, reducer::calls::tickets::TICKET_LIFETIME};
 
 /// Tickets whose submission was refused. A refusal is final: after the caller has received the
 /// answer that the task did not run, a delayed copy of the request must not run it.
--- a/crates/cuminbank/src/reducer/tasks/renewing.rs
+++ b/crates/cuminbank/src/reducer/tasks/renewing.rs
@@ -9,7 +9,10 @@
     ledger::{JournalEntry, TaskId, MAX_TEXT_BYTES},
     log::TASK_ADOPTED,
     membership::TargetState,
-    reducer::step::{StepContext, TargetObservation},
+    reducer::{
+        step::{StepContext, TargetObservation},
+        TRANSIT_BOUND,
+    },
     worker::{
         AttemptEnd, EndedTask, ResourceSize, RunningTask, WorkerReply, WorkerReport, WorkerRequest,
     },
@@ -17,7 +20,7 @@
 
 use super::group::{
     GroupExchange, GroupView, RunPhase, StopReason, TaskGroup, TaskModels, TaskRun,
-    LEASE_EXPIRY_BOUND, TRANSIT_BOUND, WORKER_LEASE,
+    LEASE_EXPIRY_BOUND, WORKER_LEASE,
 };
 
 /// Time between two polls of a worker; each poll renews its leases and lists its attempts.
--- a/crates/cuminbank/src/reducer/tasks/starting.rs
+++ b/crates/cuminbank/src/reducer/tasks/starting.rs
@@ -12,15 +12,18 @@
     ledger::{JournalEntry, Placement, TaskId, TaskRecord, TaskState},
     log::WORKER_QUARANTINED,
     membership::TargetState,
-    reducer::step::{StepContext, TargetObservation},
+    profile::DEFAULT_MAX_ATTEMPTS,
+    reducer::{
+        step::{StepContext, TargetObservation},
+        TRANSIT_BOUND,
+    },
     settings::PlacementPolicy,
     worker::{ResourceSize, TaskStart, WorkerReply, WorkerRequest},
 };
 
 use super::{
     group::{
-        GroupExchange, GroupView, RunPhase, TaskGroup, TaskModels, LEASE_EXPIRY_BOUND,
-        TRANSIT_BOUND, WORKER_LEASE,
+        GroupExchange, GroupView, RunPhase, TaskGroup, TaskModels, LEASE_EXPIRY_BOUND, WORKER_LEASE,
     },
     journal::SegmentWrite,
     workers::WorkerState,
@@ -293,7 +296,7 @@
             return None;
         }
         let profile = (view.profile)(&record.body.profile);
-        let allowed = profile.map_or(3, |profile| profile.max_attempts);
+        let allowed = profile.map_or(DEFAULT_MAX_ATTEMPTS, |profile| profile.max_attempts);
         let distinct = record.failed_on.len() as u32;
         // A group may have fewer workers than the number of allowed attempts. A task that failed on
         // all of them is given up only after that number of failures, so that one transient failure
