Use the named clock drift for the wait after a takeover

No behaviour change: the wait for leases of earlier owners had the drift of 2 % as a literal 100 / 98 beside CLOCK_DRIFT_PERCENT.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -55,7 +55,7 @@
 /// computed from a higher value would never expire.
 const MAX_CLOCK: ExecutorMillis = 1 << 48;
 /// Maximum percentage by which an executor's clock runs slower than this instance's clock.
-const CLOCK_DRIFT_PERCENT: u32 = 2;
+pub(super) const CLOCK_DRIFT_PERCENT: u32 = 2;
 /// How long an executor missing from the list may still get work while it replies, and stays known
 /// without work. List entries that expired during a store outage reappear within 2 s of its end.
 const ABSENCE_GRACE: Duration = Duration::from_millis(2_500);
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -8,7 +8,11 @@
 
 use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED, STORE_UNREADABLE};
 
-use super::{contact::LEASE_TIME, state::JobState, JobScheduler};
+use super::{
+    contact::{CLOCK_DRIFT_PERCENT, LEASE_TIME},
+    state::JobState,
+    JobScheduler,
+};
 use crate::{
     colocation::ColocationModel,
     formats::describe_value,
@@ -139,7 +143,8 @@
         if self.is_reconciled() {
             return;
         }
-        let slowest_lease = LEASE_TIME.min(self.bounds.max_lease) * 100 / 98;
+        let slowest_lease =
+            LEASE_TIME.min(self.bounds.max_lease) * 100 / (100 - CLOCK_DRIFT_PERCENT);
         let latest_order_at =
             self.predecessor_stopped_at.unwrap_or(self.started_at + MAX_STORE_SILENCE);
         if self.now >= latest_order_at + slowest_lease + self.bounds.stop_timeout + RECONCILE_MARGIN
