Wait for the end of earlier authority before a known task starts again

Callers could see a task run twice at once after a change of owner.

Cause: starts a task again without waiting for silent executors if its executor has reported its run to the new owner, since that executor rejects earlier owners from then on. A restarted executor has forgotten this.

Change: the executor must have stayed in contact, without a failed hold or a restart, until earlier owners send no more orders. Then none of them has learned of the end of the run, and none starts another.

--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -226,7 +226,9 @@
         // Only replies to earlier holds could still tell an earlier owner that the run has ended, so
         // that it starts another one.
         let in_contact_since = self.executors[key].in_contact_since;
-        state.runs_known |= !gang && now >= in_contact_since + EARLIER_HOLDS_TIME;
+        if !gang && now >= in_contact_since + EARLIER_HOLDS_TIME {
+            state.reported_by = Some((key, in_contact_since));
+        }
         if run_report.checkpoint.is_some()
             && run_number >= state.last_run
             && state.phase != TaskPhase::Done
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -56,8 +56,9 @@
     /// Names of the executors on which it failed.
     pub(super) failed_on: Vec<ExecutorName>,
     pub(super) ready_since: MonotonicTime,
-    /// Whether no earlier owner can have a run of it that is not known here.
-    pub(super) runs_known: bool,
+    /// Executor that reported its run after all its replies to earlier owners, and the time since
+    /// which it has been in contact.
+    pub(super) reported_by: Option<(ExecutorKey, MonotonicTime)>,
 }
 
 impl TaskState {
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -115,7 +115,25 @@
 
     /// Returns whether no earlier owner can have a run of a ready task that is not known here.
     pub(super) fn may_start(&self, job: &JobState, task: TaskIndex) -> bool {
-        job.fresh || self.is_reconciled() || job.tasks[task as usize].runs_known
+        job.fresh || self.is_reconciled() || self.are_runs_known(job, task)
+    }
+
+    /// Returns whether a task has no other run than the one that its executor reported. A restarted
+    /// executor replies to earlier owners again, so it must have stayed in contact until they could
+    /// send no more orders.
+    fn are_runs_known(&self, job: &JobState, task: TaskIndex) -> bool {
+        let Some((key, since)) = job.tasks[task as usize].reported_by else { return false };
+        let in_contact = self.executors.get(key).is_some_and(|executor| {
+            executor.hold.failures == 0 && executor.in_contact_since == since
+        });
+        in_contact && self.now >= self.earlier_orders_until() + RECONCILE_MARGIN
+    }
+
+    /// Returns the time after which earlier owners send no orders. The previous one sends none after
+    /// it has confirmed that it stopped, and none later than [`MAX_STORE_SILENCE`] after this
+    /// ownership began.
+    fn earlier_orders_until(&self) -> MonotonicTime {
+        self.predecessor_stopped_at.unwrap_or(self.started_at + MAX_STORE_SILENCE)
     }
 
     fn log_unreadable(&mut self, key: &str, value: &[u8]) {
@@ -136,19 +154,16 @@
     }
 
     /// Stops waiting for unreachable executors once all leases granted by earlier owners must have
-    /// expired. The previous owner sends no orders after it has confirmed that it stopped, and none
-    /// later than [`MAX_STORE_SILENCE`] after this ownership began. No lease is longer than
-    /// [`LEASE_TIME`]. If the roster cannot be read, any executor may have such a lease.
+    /// expired. No lease is longer than [`LEASE_TIME`]. If the roster cannot be read, any executor may
+    /// have such a lease.
     pub(super) fn reconcile_by_timeout(&mut self) {
         if self.is_reconciled() {
             return;
         }
         let slowest_lease =
             LEASE_TIME.min(self.bounds.max_lease) * 100 / (100 - CLOCK_DRIFT_PERCENT);
-        let latest_order_at =
-            self.predecessor_stopped_at.unwrap_or(self.started_at + MAX_STORE_SILENCE);
-        if self.now >= latest_order_at + slowest_lease + self.bounds.stop_timeout + RECONCILE_MARGIN
-        {
+        let leases_until = self.earlier_orders_until() + slowest_lease + self.bounds.stop_timeout;
+        if self.now >= leases_until + RECONCILE_MARGIN {
             self.roster_unreadable = false;
             let missing: Vec<ExecutorName> = self.unreconciled.drain().collect();
             let named = missing.iter().take(MAX_NAMED).cloned().collect::<Vec<_>>().join(",");
--- /dev/null
+++ b/crates/cuminbank-jobs/tests/earlier_owners.rs
@@ -0,0 +1,99 @@
+//! Tests of earlier owners that still act, cut off from the store and from the executors that their
+//! successors have reached.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminbank_jobs::{
+    job::{JobStep, TaskName},
+    order::RunEnd,
+};
+use support::{
+    jobs::{job, step, terms},
+    simulation::{InjectedFault, SimulatedPool},
+    waiting::{long_running, submit, with_lengths, LASTING, LASTING_JOB, SUBMITTED},
+};
+
+/// Job that keeps the second executor busy, so that tasks prefer it.
+const OTHER_JOB: u64 = 7;
+
+/// Returns a step of tasks that run on the second executor only.
+fn on_second(step: JobStep) -> JobStep {
+    JobStep { required_label: Some("second".to_owned()), ..step }
+}
+
+// Guards against two runs of a task: its executor restarts and forgets the epoch of the next owner, so
+// that the earlier one learns of the end of the run and starts another, unknown to its successor.
+#[test]
+fn restarted_executor_does_not_tell_an_earlier_owner_to_start_again() {
+    for shift in 0..20 {
+        let pool = SimulatedPool::new(4, 2, 2);
+        let mut pool = with_lengths(pool, |_| LASTING);
+        pool.executors[1].labels.insert(0, "second".to_owned());
+        pool.run_until(pool.now + Duration::from_secs(1));
+        submit(&mut pool, LASTING_JOB, long_running(1));
+        pool.run_until(pool.now + Duration::from_millis(500));
+        assert_eq!(pool.executors[0].running.len(), 1);
+        submit(&mut pool, OTHER_JOB, on_second(long_running(1)));
+        pool.run_until(pool.now + Duration::from_secs(1));
+        assert_eq!(pool.executors[1].running.len(), 1);
+        let earlier = pool.owner().expect("there is an owner");
+        let cut_at = pool.now;
+        pool.fault_at(
+            cut_at,
+            InjectedFault::CutFromStore { instance: earlier, span: Duration::from_secs(9) },
+        );
+        pool.fault_at(
+            cut_at,
+            InjectedFault::CutFromExecutors {
+                instance: earlier,
+                executors: vec![0],
+                span: Duration::from_millis(7_800) + Duration::from_millis(50) * shift,
+            },
+        );
+        let next = 1 - earlier;
+        let span = Duration::from_secs(25);
+        let second = InjectedFault::CutFromExecutors { instance: next, executors: vec![1], span };
+        pool.fault_at(cut_at, second);
+        let crash =
+            InjectedFault::CrashExecutor { executor: 0, down: Some(Duration::from_millis(300)) };
+        pool.fault_at(cut_at + Duration::from_millis(7_500), crash);
+        pool.run_until(cut_at + Duration::from_secs(20));
+        assert!(
+            pool.checks.violations.is_empty(),
+            "{shift}: {:#?}\n{:#?}",
+            pool.checks.violations,
+            pool.trace
+        );
+    }
+}
+
+// Guards against a start after the last attempt: the next owner does not know yet that an earlier run
+// of the task has failed too.
+#[test]
+fn unknown_failures_are_waited_for_before_another_attempt() {
+    const FAILING_JOB: u64 = 1;
+    let plan = |task: TaskName, run: u32| match (task.job, run) {
+        (FAILING_JOB, 1) => (Some(Duration::from_millis(2_000)), RunEnd::Failed),
+        (FAILING_JOB, _) => (Some(Duration::from_millis(9_000)), RunEnd::Failed),
+        _ => (Some(LASTING), RunEnd::Done),
+    };
+    let mut pool = SimulatedPool::new(4, 2, 2).with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    let mut record = job(vec![step(1, &[])]);
+    record.terms = terms(2);
+    pool.submit(FAILING_JOB, record);
+    pool.run_until(pool.now + Duration::from_millis(300));
+    let failing = usize::from(pool.executors[0].running.is_empty());
+    let earlier = pool.owner().expect("there is an owner");
+    let cut_at = pool.now;
+    let span = Duration::from_secs(8);
+    pool.fault_at(cut_at, InjectedFault::CutFromStore { instance: earlier, span });
+    let span = Duration::from_secs(13);
+    let next = 1 - earlier;
+    let fault = InjectedFault::CutFromExecutors { instance: next, executors: vec![failing], span };
+    pool.fault_at(cut_at, fault);
+    pool.run_until(cut_at + Duration::from_secs(20));
+    assert!(pool.checks.violations.is_empty(), "{:#?}\n{:#?}", pool.checks.violations, pool.trace);
+}
