--- a/crates/cuminbank-jobs/tests/earlier_owners.rs
+++ b/crates/cuminbank-jobs/tests/earlier_owners.rs
@@ -23,6 +23,13 @@
     JobStep { required_label: Some("second".to_owned()), ..step }
 }
 
+/// Cuts an instance off from the store and from executors.
+fn cut(pool: &mut SimulatedPool, instance: usize, executors: &[usize], span: Duration) {
+    let executors = executors.to_vec();
+    pool.fault_at(pool.now, InjectedFault::CutFromStore { instance, span });
+    pool.fault_at(pool.now, InjectedFault::CutFromExecutors { instance, executors, span });
+}
+
 // Guards against two runs of a task: its executor restarts and forgets the epoch of the next owner, so
 // that the earlier one learns of the end of the run and starts another, unknown to its successor.
 #[test]
@@ -69,6 +76,33 @@
     }
 }
 
+// Guards against two runs of a task: the owner before the last one still renews the leases of
+// executors that only it reaches.
+#[test]
+fn owner_before_the_last_one_is_waited_for() {
+    let mut pool = with_lengths(SimulatedPool::new(4, 3, 2), |_| LASTING);
+    pool.executors[1].labels.insert(0, "second".to_owned());
+    submit(&mut pool, LASTING_JOB, long_running(1));
+    pool.run_until(pool.now + Duration::from_millis(1_500));
+    let busy = usize::from(pool.executors[0].running.is_empty());
+    let first = pool.owner().expect("there is an owner");
+    let cut_at = pool.now;
+    cut(&mut pool, first, &[1 - busy], Duration::from_secs(20));
+    for other in (0..3).filter(|other| *other != first) {
+        let span = Duration::from_secs(40);
+        let fault =
+            InjectedFault::CutFromExecutors { instance: other, executors: vec![busy], span };
+        pool.fault_at(cut_at, fault);
+    }
+    pool.run_until(cut_at + Duration::from_millis(4_000));
+    let second = (0..3).find(|other| *other != first && pool.owns(*other));
+    let second = second.expect("another instance has taken over");
+    let stop = InjectedFault::StopInstance { instance: second, down: Duration::from_secs(60) };
+    pool.fault_at(pool.now, stop);
+    pool.run_until(cut_at + Duration::from_secs(30));
+    assert!(pool.checks.violations.is_empty(), "{:#?}\n{:#?}", pool.checks.violations, pool.trace);
+}
+
 // Guards against a start after the last attempt: the next owner does not know yet that an earlier run
 // of the task has failed too.
 #[test]
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -361,6 +361,13 @@
         self.instances.iter().position(|instance| instance.up && instance.scheduler.is_some())
     }
 
+    /// Returns whether a process is up and acts as the owner of the pool. An earlier owner that is cut
+    /// off may do so beside the current one.
+    pub fn owns(&self, instance: usize) -> bool {
+        let instance = &self.instances[instance];
+        instance.up && instance.scheduler.is_some()
+    }
+
     /// Returns the phase of a job as reported by its owner.
     pub fn phase(&self, id: JobId) -> Option<JobPhase> {
         let owner = &self.instances[self.owner()?];
