--- a/crates/cuminbank-jobs/tests/earlier_owners.rs
+++ b/crates/cuminbank-jobs/tests/earlier_owners.rs
@@ -95,7 +95,7 @@
         pool.fault_at(cut_at, fault);
     }
     pool.run_until(cut_at + Duration::from_millis(4_000));
-    let second = (0..3).find(|other| *other != first && pool.owns(*other));
+    let second = (0..3).find(|other| *other != first && pool.owners().contains(other));
     let second = second.expect("another instance has taken over");
     let stop = InjectedFault::StopInstance { instance: second, down: Duration::from_secs(60) };
     pool.fault_at(pool.now, stop);
