--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -5,8 +5,8 @@
 //!
 //! Starts are not recorded. After a change of owner, the executors in the stored roster report what
 //! they run. Tasks of jobs accepted under an earlier owner are only started once each of these
-//! executors has replied under the new epoch or its leases must have expired, unless a run of the
-//! task is known, since a task has one run at a time.
+//! executors has replied under the new epoch or its leases must have expired. A task whose run is known
+//! only waits until earlier owners can send no more orders, since a task has one run at a time.
 //!
 //! Tasks are of three kinds. Latency-critical tasks run until their job is cancelled and have a
 //! target for their tail latency. Best-effort tasks reserve no CPU and use what the others leave
