Take back the wait for owners before the previous one

After a change of owner at 39.6 s, 19 executors that had left kept the new owner waiting; lengthens this wait by up to 9.5 s after two changes of owner in a short time.

--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -80,9 +80,6 @@
     pub start_revision: StoreRevision,
     /// Time until which this instance may send orders.
     pub authority_until: MonotonicTime,
-    /// When this instance first saw the previous owner, which began before. The time of the claim if
-    /// it has not seen that owner.
-    pub predecessor_since: MonotonicTime,
     lease: LeaseId,
 }
 
@@ -130,8 +127,6 @@
     /// When the last ownership of this process ended and it stopped sending orders.
     stopped_at: Option<MonotonicTime>,
     observed: Option<OwnerRecord>,
-    /// Highest epoch observed, and since when.
-    observed_epoch: (OwnerEpoch, MonotonicTime),
     /// Highest revision observed. Older observations come from a lagging watch and are ignored.
     observed_revision: StoreRevision,
     vacant_since: Option<MonotonicTime>,
@@ -163,7 +158,6 @@
             held: None,
             stopped_at: None,
             observed: None,
-            observed_epoch: (0, Duration::ZERO),
             observed_revision: 0,
             vacant_since: None,
             pending: None,
@@ -279,7 +273,6 @@
             return effects;
         };
         let own = record.instance == self.identity.instance && record.start == self.identity.start;
-        self.note_epoch(now, record.epoch);
         self.observed = Some(record.clone());
         if !own {
             return self.end(now, "another instance owns the cell");
@@ -451,32 +444,20 @@
         let authority_until = now + MAX_STORE_SILENCE;
         let resumed = self.held.filter(|held| held.epoch == epoch);
         let start_revision = resumed.map_or(revision, |held| held.start_revision);
-        let predecessor_epoch = self.predecessor.as_ref().map(|owner| owner.epoch);
-        let (observed_epoch, observed_since) = self.observed_epoch;
-        let seen = predecessor_epoch.is_some_and(|epoch| epoch == observed_epoch);
-        let predecessor_since = if seen { observed_since } else { now };
         let held = HeldOwnership {
             epoch,
             revision: Some(revision),
             start_revision,
             authority_until,
-            predecessor_since: resumed.map_or(predecessor_since, |held| held.predecessor_since),
             lease,
         };
         self.held = Some(held);
-        self.note_epoch(now, epoch);
         match resumed {
             Some(_) => vec![OwnershipEffect::Resumed(held)],
             None => vec![OwnershipEffect::Began(held, self.predecessor.take())],
         }
     }
 
-    fn note_epoch(&mut self, now: MonotonicTime, epoch: OwnerEpoch) {
-        if epoch > self.observed_epoch.0 {
-            self.observed_epoch = (epoch, now);
-        }
-    }
-
     fn end(&mut self, now: MonotonicTime, reason: &'static str) -> Vec<OwnershipEffect> {
         if self.held.take().is_none() {
             return Vec::new();
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -234,8 +234,6 @@
     /// sent.
     ownership_confirmed_at: MonotonicTime,
     started_at: MonotonicTime,
-    /// Time by which the previous owner had begun.
-    predecessor_since: MonotonicTime,
     /// Time since which the previous owner has sent no orders, if known.
     predecessor_stopped_at: Option<MonotonicTime>,
     loaded: bool,
@@ -326,7 +324,6 @@
             authority_until: ownership.authority_until,
             ownership_confirmed_at: now,
             started_at: now,
-            predecessor_since: ownership.predecessor_since,
             predecessor_stopped_at: None,
             loaded: false,
             unreconciled: HashSet::new(),
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -129,13 +129,11 @@
         in_contact && self.now >= self.earlier_orders_until() + RECONCILE_MARGIN
     }
 
-    /// Returns the time after which earlier owners send no orders. An owner sends none after it has
-    /// confirmed that it stopped, and none later than [`MAX_STORE_SILENCE`] after its successor began.
+    /// Returns the time after which earlier owners send no orders. The previous one sends none after
+    /// it has confirmed that it stopped, and none later than [`MAX_STORE_SILENCE`] after this
+    /// ownership began.
     fn earlier_orders_until(&self) -> MonotonicTime {
-        match self.predecessor_stopped_at {
-            Some(stopped_at) => stopped_at.max(self.predecessor_since + MAX_STORE_SILENCE),
-            None => self.started_at + MAX_STORE_SILENCE,
-        }
+        self.predecessor_stopped_at.unwrap_or(self.started_at + MAX_STORE_SILENCE)
     }
 
     fn log_unreadable(&mut self, key: &str, value: &[u8]) {
