Log the age of the configuration and watches without a reply

Cause: neither logs nor metrics could tell a late watch from a lost change, or a retry on a silent connection from one on a new connection.

Change: EV0765 for each watch call without a reply, with the origin of its connection; `config_age_ms` in EV0701 and /v1/status, and the histogram `config.age`. An age is the time since the store was known to have no further change: the time of sending, or the end of the wait of a reply without changes. No decision depends on it yet.

--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -100,16 +100,21 @@
         _ => "read",
     };
     state.metrics.observe(name, queue, took);
+    let config_age = state.config.borrow().age(clock::now());
+    if let Some(age) = config_age {
+        state.metrics.observe("config.age", "", age);
+    }
     // Successful reads change nothing, so they are only measured and not logged.
     if request.method != http::Method::GET || status != 200 {
         let path = request.path.as_str();
         let id = path.rsplit('/').next().and_then(|id| JobId::from_str_radix(id, 16).ok());
         let detail = format!(
             "method={} path={path} queue={queue} status={status} cause={:?} took_ms={} \
-             config_version={version} store_silent_ms={}",
+             config_version={version} config_age_ms={} store_silent_ms={}",
             request.method,
             answer.cause,
             took.as_millis(),
+            config_age.map_or(-1, |age| age.as_millis() as i64),
             state.store.silence().as_millis(),
         );
         state.log(&DecisionRecord { code: JOB_ANSWERED, job: id, detail });
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -132,6 +132,7 @@
     /// Returns the status of the instance for the operator API.
     pub(crate) fn status(&self) -> Value {
         let cells = self.all_cells();
+        let config_age = self.config.borrow().age(clock::now());
         json!({
             "instance": self.settings.instance,
             "zone": self.settings.zone,
@@ -140,6 +141,7 @@
             "ready": self.is_ready(),
             "evacuated_zones": self.evacuations.borrow().zones(),
             "config_version": self.config.borrow().current().map(|config| config.version),
+            "config_age_ms": config_age.map(|age| age.as_millis() as u64),
             "cells": cells.iter().map(|cell| cell.status()).collect::<Vec<_>>(),
             "owns_pool": cells.iter().any(|cell| cell.held_epoch().is_some()),
             "carriers": self.relays.borrow().count(clock::now()),
--- a/crates/cuminbank-jobd/src/store.rs
+++ b/crates/cuminbank-jobd/src/store.rs
@@ -2,13 +2,15 @@
 
 use std::{cell::Cell, net::SocketAddr, time::Duration};
 
-use cuminbank::log::{POOL_STORE_REACHABLE, POOL_STORE_UNREACHABLE, STORE_UNREADABLE};
+use cuminbank::log::{
+    POOL_STORE_REACHABLE, POOL_STORE_UNREACHABLE, STORE_UNREADABLE, WATCH_UNANSWERED,
+};
 use cuminbank_jobs::{
     ids::{MonotonicTime, StoreRevision},
     scheduler::DecisionRecord,
     store::{StoreCall, StoreFailure, StoreItem, StoreReply},
 };
-use cuminbank_net::client::HttpPool;
+use cuminbank_net::client::{ConnectionOrigin, HttpPool};
 use cuminbank_platform::{
     store::{decode_page_reply, decode_reply, decode_watch, encode_call, encode_watch, WatchReply},
     EXECUTOR_PREFIX, OPERATOR_PREFIX,
@@ -26,6 +28,19 @@
 /// Maximum number of pages of one prefix read. A page has about 500 items.
 const MAX_PAGES: usize = 1_000;
 
+/// One watch call.
+pub(crate) struct WatchCall<'a> {
+    pub(crate) prefix: &'a str,
+    /// Revision after which changes are returned.
+    pub(crate) after: StoreRevision,
+    /// Time after which the store replies without changes.
+    pub(crate) wait: Duration,
+    /// Additional time for the reply to arrive.
+    pub(crate) margin: Duration,
+    /// Number of calls before this one that got no reply since the last that did.
+    pub(crate) misses: u32,
+}
+
 /// Connections to the store and the state of recent calls.
 pub(crate) struct StoreClient {
     address: SocketAddr,
@@ -122,22 +137,29 @@
         Err(StoreFailure::Unknown)
     }
 
-    /// Waits for changes under a prefix after a revision. `wait` is the time after which the store
-    /// replies without changes, and `margin` the additional time for the reply to arrive.
+    /// Waits for changes under a prefix after a revision. Logs a call without a reply.
     ///
     /// # Errors
     ///
     /// `NotDone` if the request was not sent or was refused, `Unknown` otherwise.
     pub(crate) async fn watch(
         &self,
-        prefix: &str,
-        after: StoreRevision,
-        wait: Duration,
-        margin: Duration,
+        call: &WatchCall<'_>,
         log: impl Fn(DecisionRecord),
     ) -> Result<WatchReply, StoreFailure> {
-        let request = encode_watch(prefix, after, wait);
-        let result = decode_watch(self.pool.exchange(self.address, request, wait + margin).await);
+        let request = encode_watch(call.prefix, call.after, call.wait);
+        let mut origin = None;
+        let timeout = call.wait + call.margin;
+        let answer = self
+            .pool
+            .exchange_observed(self.address, request, timeout, |connection| {
+                origin = Some(connection);
+            })
+            .await;
+        let result = decode_watch(answer);
+        if let Err(failure) = result {
+            log(describe_failure(call, failure, origin));
+        }
         self.record_call(result.is_ok(), log);
         result
     }
@@ -166,3 +188,25 @@
 fn empty_item(key: &str) -> StoreItem {
     StoreItem { key: key.to_owned(), value: Vec::new(), revision: 0, created: 0 }
 }
+
+fn describe_failure(
+    call: &WatchCall,
+    failure: StoreFailure,
+    origin: Option<ConnectionOrigin>,
+) -> DecisionRecord {
+    let connection = match origin {
+        None => "none".to_owned(),
+        Some(ConnectionOrigin::New) => "new".to_owned(),
+        Some(ConnectionOrigin::Pooled(idle)) => format!("pooled idle_ms={}", idle.as_millis()),
+    };
+    let detail = format!(
+        "prefix={} after={} failure={failure:?} wait_ms={} margin_ms={} misses={} \
+         connection={connection}",
+        call.prefix,
+        call.after,
+        call.wait.as_millis(),
+        call.margin.as_millis(),
+        call.misses + 1,
+    );
+    DecisionRecord { code: WATCH_UNANSWERED, job: None, detail }
+}
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -9,7 +9,7 @@
 
 use cuminbank::log::{EVACUATIONS_IN_FORCE, POOL_CONFIG_IN_FORCE, POOL_CONFIG_UNREADABLE};
 use cuminbank_jobs::{
-    ids::{StoreRevision, ZoneName},
+    ids::{MonotonicTime, StoreRevision, ZoneName},
     keys::{parse_owner_cell, OWNER_PREFIX, PLAN_KEY},
     order::ExecutorReport,
     pace::WatchPace,
@@ -22,7 +22,7 @@
 };
 use monoio::time;
 
-use crate::{cell::CellState, daemon::DaemonState};
+use crate::{cell::CellState, clock, daemon::DaemonState, store::WatchCall};
 
 /// Longest long-poll timeout of the watch of operators' requests.
 const MAX_OPERATOR_WAIT: Duration = Duration::from_millis(900);
@@ -54,22 +54,25 @@
 }
 
 /// Reads a prefix and then watches it, until `consume` returns false. With `from`, watches from that
-/// revision instead of reading first.
+/// revision instead of reading first. `consume` also gets the time at which the store had no further
+/// changes, or `None` if it has not replied.
 async fn follow(
     state: &Rc<DaemonState>,
     prefix: &str,
     mut pace: WatchPace,
     from: Option<StoreRevision>,
-    mut consume: impl FnMut(WatchUpdate) -> bool,
+    mut consume: impl FnMut(WatchUpdate, Option<MonotonicTime>) -> bool,
 ) {
     let mut after = from;
+    let mut misses = 0;
     loop {
         let Some(revision) = after else {
+            let sent_at = clock::now();
             let call = StoreCall::Read { prefix: prefix.to_owned() };
             match state.call_store(&call, READ_TIMEOUT).await {
                 Ok(StoreReply::Items { items, revision }) => {
                     after = Some(revision);
-                    if !consume(WatchUpdate::Snapshot(items, revision)) {
+                    if !consume(WatchUpdate::Snapshot(items, revision), Some(sent_at)) {
                         return;
                     }
                 }
@@ -79,21 +82,31 @@
         };
         let log = |record| state.log(&record);
         time::sleep(pace.pause()).await;
-        match state.store.watch(prefix, revision, pace.wait(), pace.margin(), log).await {
+        let call =
+            WatchCall { prefix, after: revision, wait: pace.wait(), margin: pace.margin(), misses };
+        let sent_at = clock::now();
+        match state.store.watch(&call, log).await {
             Ok(WatchReply::Changes(changes, next)) => {
                 after = Some(next.max(revision));
+                misses = 0;
                 pace.record_answer(changes.len());
-                if !consume(WatchUpdate::Changes(changes)) {
+                // Without changes, the store has replied at the end of the wait.
+                let complete_at = match changes.is_empty() {
+                    true => clock::now().min(sent_at + call.wait),
+                    false => sent_at,
+                };
+                if !consume(WatchUpdate::Changes(changes), Some(complete_at)) {
                     return;
                 }
             }
             Ok(WatchReply::Compacted) => after = None,
             Err(_) => {
+                misses += 1;
                 pace.record_failure();
                 time::sleep(RETRY_PAUSE).await;
             }
         }
-        if !consume(WatchUpdate::Changes(Vec::new())) {
+        if !consume(WatchUpdate::Changes(Vec::new()), None) {
             return;
         }
     }
@@ -105,7 +118,7 @@
     let bound = state.settings.operator_bound() * OPERATOR_WAIT_PERCENT / 100;
     let wait = bound.min(MAX_OPERATOR_WAIT);
     let pace = WatchPace::new(wait, Duration::ZERO);
-    follow(&state, OPERATOR_PREFIX, pace, None, |update| {
+    follow(&state, OPERATOR_PREFIX, pace, None, |update, complete_at| {
         let changed = match update {
             WatchUpdate::Snapshot(items, _) => {
                 items.iter().for_each(|item| apply_config(&state, item));
@@ -121,6 +134,9 @@
                 changed
             }
         };
+        if let Some(at) = complete_at {
+            state.config.borrow_mut().confirm(at);
+        }
         if changed {
             apply_evacuations(&state);
         }
@@ -178,7 +194,7 @@
 /// Follows the ownership records, the plan of the pool and the entries of the instances.
 pub(crate) async fn follow_owners(state: Rc<DaemonState>) {
     let pace = WatchPace::new(OWNER_WAIT, Duration::ZERO);
-    follow(&state, OWNER_PREFIX, pace, None, |update| {
+    follow(&state, OWNER_PREFIX, pace, None, |update, _| {
         match update {
             WatchUpdate::Snapshot(items, revision) => {
                 state.apply_instances(&items, revision);
@@ -220,7 +236,7 @@
 pub(crate) async fn follow_pool(state: Rc<DaemonState>, cell: Rc<CellState>, generation: u64) {
     let Some(revision) = load_pool(&state, &cell, generation).await else { return };
     let pace = WatchPace::new(POOL_WAIT, Duration::ZERO);
-    follow(&state, &cell.keys.pool_prefix, pace, Some(revision), |update| {
+    follow(&state, &cell.keys.pool_prefix, pace, Some(revision), |update, _| {
         let changes = match update {
             WatchUpdate::Snapshot(items, _) => {
                 items.into_iter().map(StoreChange::Written).collect()
@@ -288,7 +304,7 @@
     let mut entries: BTreeMap<String, ExecutorReport> = BTreeMap::new();
     let mut changed = false;
     let pace = WatchPace::new(EXECUTORS_WAIT, EXECUTORS_PAUSE);
-    follow(&state, EXECUTOR_PREFIX, pace, None, |update| {
+    follow(&state, EXECUTOR_PREFIX, pace, None, |update, _| {
         if !cell.is_current(generation) {
             return false;
         }
--- a/crates/cuminbank-jobs/src/config.rs
+++ b/crates/cuminbank-jobs/src/config.rs
@@ -1,7 +1,9 @@
 //! Queue configuration and request limits set by operators.
 
+use std::time::Duration;
+
 use crate::{
-    ids::{QueueName, ServiceName},
+    ids::{MonotonicTime, QueueName, ServiceName},
     job::{AdviceTerms, QueueTerms},
 };
 
@@ -87,6 +89,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ActiveConfig {
     current: Option<PoolConfig>,
+    /// Time at which the store had no newer version.
+    confirmed_at: Option<MonotonicTime>,
 }
 
 impl ActiveConfig {
@@ -104,4 +108,14 @@
     pub fn current(&self) -> Option<&PoolConfig> {
         self.current.as_ref()
     }
+
+    /// Records that everything the store contained at a time has been offered.
+    pub fn confirm(&mut self, at: MonotonicTime) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Returns the time since the configuration was last confirmed; `None` if it never was.
+    pub fn age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_sub(at))
+    }
 }
--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -93,6 +93,15 @@
     }
 }
 
+/// Connection on which a request was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionOrigin {
+    /// Opened for the request.
+    New,
+    /// Taken from the pool after it had been idle for this long.
+    Pooled(Duration),
+}
+
 /// Pool of keep-alive connections. A connection carries one exchange at a time, without pipelining.
 #[derive(Debug, Default)]
 pub struct HttpPool {
@@ -127,13 +136,37 @@
         request: ClientRequest,
         timeout: Duration,
         may_send: impl FnOnce() -> bool,
+    ) -> Result<ClientAnswer, ExchangeError> {
+        self.exchange_on(address, request, timeout, may_send, |_| ()).await
+    }
+
+    /// Like [`Self::exchange`], and calls `on_connection` with the origin of the connection before
+    /// the first write.
+    pub async fn exchange_observed(
+        &self,
+        address: SocketAddr,
+        request: ClientRequest,
+        timeout: Duration,
+        on_connection: impl FnOnce(ConnectionOrigin),
+    ) -> Result<ClientAnswer, ExchangeError> {
+        self.exchange_on(address, request, timeout, || true, on_connection).await
+    }
+
+    async fn exchange_on(
+        &self,
+        address: SocketAddr,
+        request: ClientRequest,
+        timeout: Duration,
+        may_send: impl FnOnce() -> bool,
+        on_connection: impl FnOnce(ConnectionOrigin),
     ) -> Result<ClientAnswer, ExchangeError> {
         let started = Instant::now();
         let message = request.into_message(address).ok_or(ExchangeError::NotSent)?;
-        let mut stream = match self.idle.take(address) {
-            Some(stream) => ExchangeStream::new(stream),
-            None => connect(address, timeout).await?,
+        let (mut stream, origin) = match self.idle.take(address) {
+            Some((stream, idle)) => (ExchangeStream::new(stream), ConnectionOrigin::Pooled(idle)),
+            None => (connect(address, timeout).await?, ConnectionOrigin::New),
         };
+        on_connection(origin);
         if !may_send() {
             self.idle.put(address, stream.finish());
             return Err(ExchangeError::NotSent);
--- a/crates/cuminbank-net/src/connection.rs
+++ b/crates/cuminbank-net/src/connection.rs
@@ -41,12 +41,13 @@
 }
 
 impl IdlePool {
-    /// Takes a connection that is not expired and that the other side has not closed.
-    pub(crate) fn take(&self, address: SocketAddr) -> Option<TcpStream> {
+    /// Takes a connection that is not expired and that the other side has not closed. Returns it
+    /// with the time for which it has been idle.
+    pub(crate) fn take(&self, address: SocketAddr) -> Option<(TcpStream, Duration)> {
         loop {
             let connection = self.idle.borrow_mut().get_mut(&address)?.pop()?;
             if !connection.is_expired() && !is_readable(&connection.stream) {
-                return Some(connection.stream);
+                return Some((connection.stream, connection.since.elapsed()));
             }
         }
     }
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -66,7 +66,7 @@
     {
         let deadline = Instant::now() + timeout;
         let mut stream = match self.idle.take(to) {
-            Some(stream) => ExchangeStream::new(stream),
+            Some((stream, _)) => ExchangeStream::new(stream),
             None => connect(to, timeout).await?,
         };
         if !may_send() {
