Close all idle connections to an address after a timeout

Callers saw: requests for a queue that had been added were answered with 404 up to 11 s after the change, once many connections to the store had gone silent at the same time.

Cause: an exchange without a reply closed its own connection only. The next one took the next idle connection, last in, first out, which the same event had silenced; each cost a whole timeout before a new connection was tried.

Change: an exchange that times out closes all idle connections to the address, in the pools for HTTP (store and executors) and for peers. Whatever is idle afterwards has answered since the timeout.

--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -103,6 +103,8 @@
 }
 
 /// Pool of keep-alive connections. A connection carries one exchange at a time, without pipelining.
+/// After an exchange has timed out, the next one to the same address uses a connection that was opened
+/// or has answered since.
 #[derive(Debug, Default)]
 pub struct HttpPool {
     idle: IdlePool,
@@ -175,7 +177,11 @@
         let outcome = time::timeout(remaining, send_and_read(stream.stream(), message)).await;
         // On any error the stream is dropped, which closes the connection: a late response on it
         // must not be mistaken for the response to another request.
-        let (answer, reusable) = outcome.map_err(|_| ExchangeError::Lost)??;
+        let Ok(outcome) = outcome else {
+            self.idle.close_suspected(address);
+            return Err(ExchangeError::Lost);
+        };
+        let (answer, reusable) = outcome?;
         let stream = stream.finish();
         if reusable {
             self.idle.put(address, stream);
--- a/crates/cuminbank-net/src/connection.rs
+++ b/crates/cuminbank-net/src/connection.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Closes all idle connections to an address after an exchange with it has timed out. What
+    /// silenced its connection may have silenced these as well, and an idle connection does not
+    /// show it.
+    pub(crate) fn close_suspected(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes the connections that have been idle for 20 s.
     pub(crate) fn close_expired(&self) {
         self.idle.borrow_mut().retain(|_, connections| {
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -22,7 +22,8 @@
 /// Maximum size of a message. The largest is a handover of tickets with their answers.
 const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
 
-/// Pool of connections to peers. A connection carries one exchange at a time.
+/// Pool of connections to peers. A connection carries one exchange at a time. After an exchange has
+/// timed out, the next one to the same peer uses a connection that was opened or has answered since.
 #[derive(Debug, Default)]
 pub struct PeerPool {
     idle: IdlePool,
@@ -78,8 +79,11 @@
             read_message(stream.stream()).await
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        let bytes =
-            time::timeout(left, exchange).await.ok().flatten().ok_or(ExchangeError::Lost)?;
+        let Ok(bytes) = time::timeout(left, exchange).await else {
+            self.idle.close_suspected(to);
+            return Err(ExchangeError::Lost);
+        };
+        let bytes = bytes.ok_or(ExchangeError::Lost)?;
         let reply = decode(&bytes).ok_or(ExchangeError::Lost)?;
         self.idle.put(to, stream.finish());
         Ok(reply)
