Answer by a configuration only while it is confirmed

Callers saw: 404 for a queue that had been added, from an instance that had not heard of the configuration for seconds.

Cause: a request was decided by the configuration in memory, however long ago the store had confirmed it. Any delay of the watch, whatever its cause, became a wrong final answer. Class: a cached state without an age in the decision.

Change: `ActiveConfig::route` decides with the time of the last confirmation. Beyond the bound within which a change must take effect (`config_apply_ms`), neither new work nor the answer "no such queue" is allowed. The instance reads the configuration again first, one read at a time, not while the store is known not to reply; if that fails, it refuses at once with Retry-After. States of accepted jobs and cancellations are served as before. A version acknowledged more than the bound before a request was sent is then always part of the decision.

--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -5,7 +5,7 @@
 use cuminbank::log::JOB_ANSWERED;
 use cuminbank_jobs::{
     acceptance::{AcceptState, AcceptStep, ACCEPT_TIMEOUT, RETRY_AFTER_SECONDS, RETRY_PAUSE},
-    config::JobQueue,
+    config::{JobQueue, RouteDecision},
     ids::{CellId, JobId, MonotonicTime, StoreRevision},
     keys::{accepted_key, CellKeys},
     scheduler::DecisionRecord,
@@ -18,10 +18,10 @@
 use monoio::time;
 use serde_json::json;
 
-use crate::{clock, daemon::DaemonState, division::JobLocation, owner::PhaseAnswer};
+use crate::{clock, confirmation, daemon::DaemonState, division::JobLocation, owner::PhaseAnswer};
 
 /// Timeout of one attempt of a store call for a client. A slow store replies after about 250 ms.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(600);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Response to a client, with its cause for the log.
 struct ClientAnswer {
@@ -36,6 +36,11 @@
         Self { response: ServerResponse::new_json(status, body), cause }
     }
 
+    /// Creates a refusal that tells the client when to retry.
+    fn unavailable(cause: &str) -> Self {
+        Self::new(503, cause).with_retry_after()
+    }
+
     /// Adds the header that tells the client when to retry.
     fn with_retry_after(mut self) -> Self {
         self.response = self.response.with_header("retry-after", RETRY_AFTER_SECONDS.to_string());
@@ -46,29 +51,36 @@
 /// Handles a client request and logs and measures the response.
 pub(crate) async fn handle(state: Rc<DaemonState>, request: ServerRequest) -> ServerAction {
     let arrived = clock::now();
-    let host = request.header("host").unwrap_or_default().to_owned();
-    let (queue, version, max_body_bytes) = {
+    confirmation::confirm_config(&state).await;
+    let (decision, version, max_body_bytes) = {
         let config = state.config.borrow();
-        let Some(current) = config.current() else {
-            drop(config);
-            let answer = ClientAnswer::new(503, "no configuration yet").with_retry_after();
-            return finish(&state, &request, "", 0, arrived, answer);
-        };
-        let max_body_bytes = current.limits.map_or(usize::MAX, |limits| limits.max_body_bytes);
-        (current.find(&host, &request.path).cloned(), current.version, max_body_bytes)
+        let target = (request.header("host").unwrap_or_default(), request.path.as_str());
+        let is_new_work = request.method == http::Method::POST;
+        let bound = state.settings.config_apply();
+        let limits = config.current().and_then(|current| current.limits);
+        (
+            config.route(target, is_new_work, clock::now(), bound),
+            config.current().map_or(0, |current| current.version),
+            limits.map_or(usize::MAX, |limits| limits.max_body_bytes),
+        )
     };
-    if state.is_behind() {
-        let answer = ClientAnswer::new(503, "this build cannot read the records of the pool")
-            .with_retry_after();
-        return finish(&state, &request, "", version, arrived, answer);
-    }
-    if request.body.len() > max_body_bytes {
-        let answer = ClientAnswer::new(413, "the body is larger than the configuration allows");
-        return finish(&state, &request, "", version, arrived, answer);
-    }
-    let Some(queue) = queue else {
-        let answer = ClientAnswer::new(404, "no such queue");
-        return finish(&state, &request, "", version, arrived, answer);
+    let queue = match decision {
+        RouteDecision::NoConfig => Err(ClientAnswer::unavailable("no configuration yet")),
+        _ if state.is_behind() => {
+            Err(ClientAnswer::unavailable("this build cannot read the records of the pool"))
+        }
+        RouteDecision::Unconfirmed => {
+            Err(ClientAnswer::unavailable("the configuration is not confirmed"))
+        }
+        _ if request.body.len() > max_body_bytes => {
+            Err(ClientAnswer::new(413, "the body is larger than the configuration allows"))
+        }
+        RouteDecision::NoQueue => Err(ClientAnswer::new(404, "no such queue")),
+        RouteDecision::Queue(queue) => Ok(queue),
+    };
+    let queue = match queue {
+        Ok(queue) => queue,
+        Err(answer) => return finish(&state, &request, "", version, arrived, answer),
     };
     let rest = request.path[queue.prefix.len()..].to_owned();
     let answer = match decode_call(&request.method, &rest) {
@@ -172,7 +184,7 @@
     let mut accept = AcceptState::new(arrived);
     loop {
         let left = ACCEPT_TIMEOUT.saturating_sub(clock::now().saturating_sub(arrived));
-        let result = match state.call_store(&call, WRITE_TIMEOUT.min(left)).await {
+        let result = match state.call_store(&call, CALL_TIMEOUT.min(left)).await {
             Ok(StoreReply::Txn(outcome)) => Ok(outcome),
             Ok(_) => Err(StoreFailure::Unknown),
             Err(failure) => Err(failure),
@@ -251,7 +263,7 @@
 
 async fn read_record(state: &Rc<DaemonState>, cell: CellId, job: JobId) -> RecordLocation {
     let read = StoreCall::ReadKey { key: CellKeys::new(cell).job(job) };
-    match state.call_store(&read, WRITE_TIMEOUT).await {
+    match state.call_store(&read, CALL_TIMEOUT).await {
         Ok(StoreReply::Items { items, .. }) => match items.first() {
             Some(item) => RecordLocation::At(cell, item.revision),
             None => RecordLocation::Missing,
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -45,7 +45,9 @@
 
 use crate::{
     cell::CellState,
-    clients, clock, division,
+    clients, clock,
+    confirmation::ConfirmationTurn,
+    division,
     logging::DecisionLog,
     metrics::JobMetrics,
     operators,
@@ -76,6 +78,7 @@
     settings_path: PathBuf,
     pub(crate) store: StoreClient,
     pub(crate) config: RefCell<ActiveConfig>,
+    pub(crate) confirmation: ConfirmationTurn,
     pub(crate) evacuations: RefCell<ZoneEvacuations>,
     /// Division of the pool into cells; `None` until known.
     pub(crate) plan: RefCell<Option<Rc<PoolPlan>>>,
@@ -248,6 +251,7 @@
         let state = DaemonState {
             store: StoreClient::new(settings.store_address),
             config: RefCell::default(),
+            confirmation: ConfirmationTurn::new(),
             evacuations: RefCell::default(),
             plan: RefCell::default(),
             cells: RefCell::default(),
--- a/crates/cuminbank-jobd/src/lib.rs
+++ b/crates/cuminbank-jobd/src/lib.rs
@@ -3,6 +3,7 @@
 mod cell;
 mod clients;
 pub mod clock;
+mod confirmation;
 pub mod daemon;
 mod division;
 pub mod logging;
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -168,7 +168,7 @@
 }
 
 /// Activates the configuration if the item contains a newer one.
-fn apply_config(state: &Rc<DaemonState>, item: &StoreItem) {
+pub(crate) fn apply_config(state: &Rc<DaemonState>, item: &StoreItem) {
     if item.key != CONFIG_KEY {
         return;
     }
--- a/crates/cuminbank-jobs/src/config.rs
+++ b/crates/cuminbank-jobs/src/config.rs
@@ -85,6 +85,19 @@
     }
 }
 
+/// Decision on which queue receives a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RouteDecision {
+    /// No configuration has been read yet.
+    NoConfig,
+    /// The configuration may be too old for a decision.
+    Unconfirmed,
+    /// No queue receives the request.
+    NoQueue,
+    /// This queue does.
+    Queue(JobQueue),
+}
+
 /// Configuration currently active in this process.
 #[derive(Clone, Debug, Default)]
 pub struct ActiveConfig {
@@ -114,6 +127,30 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// Returns whether the configuration was confirmed within the last `bound`.
+    pub fn is_confirmed(&self, now: MonotonicTime, bound: Duration) -> bool {
+        self.age(now).is_some_and(|age| age <= bound)
+    }
+
+    /// Decides which queue receives a request. If a change of the configuration must take effect
+    /// within `bound`, an older confirmation allows neither new work nor the answer that there is no
+    /// such queue. Requests about accepted jobs are still served: their answers do not depend on it.
+    pub fn route(
+        &self,
+        (host, path): (&str, &str),
+        is_new_work: bool,
+        now: MonotonicTime,
+        bound: Duration,
+    ) -> RouteDecision {
+        let Some(current) = &self.current else { return RouteDecision::NoConfig };
+        let confirmed = self.is_confirmed(now, bound);
+        match current.find(host, path) {
+            Some(queue) if confirmed || !is_new_work => RouteDecision::Queue(queue.clone()),
+            None if confirmed => RouteDecision::NoQueue,
+            _ => RouteDecision::Unconfirmed,
+        }
+    }
+
     /// Returns the time since the configuration was last confirmed; `None` if it never was.
     pub fn age(&self, now: MonotonicTime) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_sub(at))
--- a/crates/cuminbank-jobs/src/settings.rs
+++ b/crates/cuminbank-jobs/src/settings.rs
@@ -127,6 +127,11 @@
         Duration::from_millis(self.min_store_ttl_ms)
     }
 
+    /// Returns the longest time until a change of the configuration takes effect.
+    pub fn config_apply(&self) -> Duration {
+        Duration::from_millis(self.config_apply_ms)
+    }
+
     /// Returns the longest time until a request of an operator takes effect, whichever kind it is.
     pub fn operator_bound(&self) -> Duration {
         Duration::from_millis(self.config_apply_ms.min(self.evacuate_ms))
--- a/crates/cuminbank-jobs/tests/config.rs
+++ b/crates/cuminbank-jobs/tests/config.rs
@@ -1,6 +1,8 @@
 //! Tests of the active configuration.
 
-use cuminbank_jobs::config::{ActiveConfig, JobQueue, PoolConfig};
+use std::time::Duration;
+
+use cuminbank_jobs::config::{ActiveConfig, JobQueue, PoolConfig, RouteDecision};
 
 fn queue(name: &str, prefix: &str) -> JobQueue {
     JobQueue {
@@ -41,3 +43,51 @@
     assert_eq!(find("plans.example", "/c/"), None);
     assert_eq!(find("other.example", "/a/"), None);
 }
+
+const BOUND: Duration = Duration::from_secs(2);
+
+/// Returns a configuration with the queue `/a/`, confirmed at 10 s.
+fn confirmed_config() -> ActiveConfig {
+    let mut active = ActiveConfig::default();
+    active.offer(config(1, vec![queue("a", "/a/")]));
+    active.confirm(Duration::from_secs(10));
+    active
+}
+
+// Guards against a final answer from a configuration that a newer one may have replaced longer ago
+// than the bound: a queue that was added is said not to exist, or a removed one gets new work.
+#[test]
+fn unconfirmed_configuration_refuses_what_it_cannot_decide() {
+    let active = confirmed_config();
+    let route = |path, is_new_work, millis| {
+        let now = Duration::from_millis(millis);
+        active.route(("plans.example", path), is_new_work, now, BOUND)
+    };
+    let found = RouteDecision::Queue(queue("a", "/a/"));
+    for is_new_work in [false, true] {
+        assert_eq!(route("/a/1", is_new_work, 12_000), found);
+        assert_eq!(route("/b/1", is_new_work, 12_000), RouteDecision::NoQueue);
+        assert_eq!(route("/b/1", is_new_work, 12_001), RouteDecision::Unconfirmed);
+    }
+    assert_eq!(route("/a/1", true, 12_001), RouteDecision::Unconfirmed);
+    assert_eq!(route("/a/1", false, 12_001), found);
+}
+
+// Guards against an instance that serves before its first read, and against one that treats a
+// configuration as confirmed by a read that found none.
+#[test]
+fn missing_configuration_decides_nothing() {
+    let mut active = ActiveConfig::default();
+    active.confirm(Duration::from_secs(10));
+    let now = Duration::from_secs(10);
+    let decision = active.route(("plans.example", "/a/1"), false, now, BOUND);
+    assert_eq!(decision, RouteDecision::NoConfig);
+}
+
+// Guards against a late reply that makes the configuration appear older than it is known to be.
+#[test]
+fn earlier_confirmation_does_not_replace_a_later_one() {
+    let mut active = confirmed_config();
+    active.confirm(Duration::from_secs(9));
+    assert_eq!(active.age(Duration::from_secs(11)), Some(Duration::from_secs(1)));
+}
