Keep the bound of the entry daemon's configuration when one read is lost

The same class as in the job daemon, found by reading and shown by a simulation: a watch that has gone silent is noticed by the next full read only. That read waited up to 2 s for its reply and was repeated half a second later, so a change made just after a read was in force after 6.5 s; the promise I9 is 6 s. The bound was computed for one read that is answered, but its pooled connection may be as silent as that of the watch.

Change: full reads every 3 s instead of 4 s, with a timeout of 1 s instead of 2 s: 3 + 1 + 0.5 + 1 s at most.

Cost: computed, 5 reads a second more with 64 instances (docs/CAPACITY.md).

--- a/crates/cuminbank/src/reducer/config.rs
+++ b/crates/cuminbank/src/reducer/config.rs
@@ -27,11 +27,11 @@
     step::{ReducerPart, StepContext},
 };
 
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 const READ_RETRY: Duration = Duration::from_millis(500);
-/// Interval of full reads, which find changes that a watch missed without an error. Together with 2
-/// s for the read itself, a change is active within the required 6 s.
-const READ_INTERVAL: Duration = Duration::from_secs(4);
+/// Interval of full reads, which find changes that a watch missed without an error. A change is active
+/// within the required 6 s even if one read is lost: its connection may be as silent as the watch.
+const READ_INTERVAL: Duration = Duration::from_secs(3);
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 const FETCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without an answer of the store after which the configuration of peers is sufficient to
--- a/crates/cuminbank/tests/config_spread.rs
+++ b/crates/cuminbank/tests/config_spread.rs
@@ -111,6 +111,23 @@
     assert_eq!(simulation.query(1, StateQuery::Ready).0, 200);
 }
 
+/// Guards against a change that is in force too late when the connections to the store go silent: the
+/// watch delivers nothing, and the next full read gets no reply before its timeout (I9).
+#[test]
+fn change_is_in_force_in_time_after_a_lost_read() {
+    // The time of the change covers every phase of the full reads.
+    for tenths in 0..60 {
+        let mut simulation = GroupSimulation::new(1);
+        simulation.run(seconds(3) + Duration::from_millis(tenths * 100));
+        simulation.silence_watch(0);
+        simulation.lost_config_reads = 1;
+        simulation.store.put(&key("rush"), &profile_text("rush", 500));
+        let in_force =
+            simulation.run_until(seconds(6), |simulation| profiles_of(simulation, 0).len() == 1);
+        assert!(in_force, "changed after {} s", 3.0 + tenths as f64 / 10.0);
+    }
+}
+
 /// Guards against missing the changes that were made while the watch was lost.
 #[test]
 fn lost_watch_is_followed_by_a_full_read() {
--- a/crates/cuminbank/tests/groups_support/mod.rs
+++ b/crates/cuminbank/tests/groups_support/mod.rs
@@ -173,6 +173,8 @@
     pub list: Option<Vec<ListedInstance>>,
     /// Number of next transactions whose response is lost although they are applied.
     pub lost_answers: u32,
+    /// Number of next reads of the configuration whose response is lost.
+    pub lost_config_reads: u32,
     /// Pairs of instances that cannot reach each other, the lower index first.
     pub partitions: Vec<(usize, usize)>,
     queue: BTreeMap<(Duration, u64), (usize, EntryEvent)>,
@@ -250,6 +252,11 @@
         self.deliver(node, EntryEvent::WatchLost);
     }
 
+    /// Ends the watch of an instance without notifying it.
+    pub fn silence_watch(&mut self, node: usize) {
+        self.nodes[node].watch_from = None;
+    }
+
     pub fn send(&mut self, node: usize, after: Duration, event: EntryEvent) {
         self.sent += 1;
         self.queue.insert((self.now + after, self.sent), (node, event));
@@ -331,6 +338,15 @@
                         result = Err(ExchangeError::Lost);
                         after = timeout;
                     }
+                    let reads_config = matches!(
+                        &request,
+                        StoreRequest::Range { key, .. } if key == CONFIG_PREFIX
+                    );
+                    if reads_config && self.lost_config_reads > 0 {
+                        self.lost_config_reads -= 1;
+                        result = Err(ExchangeError::Lost);
+                        after = timeout;
+                    }
                 } else {
                     after = timeout;
                 }
