Skip a single odd entry of the platform's list

It can happen in the entry daemon: the list was parsed as a whole, so that one entry with a port above 65,535, a number out of range, deep nesting or a missing field made the fetch fail, and with it the membership of the whole zone. The process did not end.

Change: the list is split into its entries without parsing them (`RawValue`, feature `raw_value` of serde_json), then each is parsed by itself. Bytes that are not UTF-8 are replaced first.

--- a/crates/cuminbank-entry/src/list.rs
+++ b/crates/cuminbank-entry/src/list.rs
@@ -7,6 +7,7 @@
     worker::ResourceSize,
 };
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -25,11 +26,14 @@
     meta: HashMap<String, String>,
 }
 
-/// Parses the list. Entries with an unknown role or invalid fields are skipped; a body that is not
-/// a list in this format gives `None`.
+/// Parses the list. Entries with an unknown role, invalid fields or too deep nesting are skipped; a
+/// body that is not a JSON list gives `None`.
 pub fn parse(body: &[u8]) -> Option<Vec<ListedInstance>> {
-    let entries: Vec<HealthEntry> = serde_json::from_slice(body).ok()?;
-    Some(entries.into_iter().filter_map(|entry| parse_entry(entry.service)).collect())
+    let text = String::from_utf8_lossy(body);
+    // Splits the list without parsing the entries, so that an invalid one does not affect others.
+    let entries: Vec<&RawValue> = serde_json::from_str(&text).ok()?;
+    let parsed = entries.into_iter().filter_map(|entry| serde_json::from_str(entry.get()).ok());
+    Some(parsed.filter_map(|entry: HealthEntry| parse_entry(entry.service)).collect())
 }
 
 fn parse_entry(entry: ServiceEntry) -> Option<ListedInstance> {
