--- a/crates/cuminbank-jobd/tests/processes.rs
+++ b/crates/cuminbank-jobd/tests/processes.rs
@@ -90,6 +90,48 @@
     });
 }
 
+// Guards against an odd entry of another writer among those of the executors that ends the daemons,
+// or after which they no longer follow the list.
+#[test]
+fn odd_entry_of_an_executor_is_passed_over() {
+    let mut deployment = Deployment::start(3, 100, Stdio::null);
+    let entry = |port: &str, cpu: &str, zone: &str| {
+        format!(
+            r#"{{"service":"plans","address":"127.0.0.1:{port}","zone":{zone},"state":"ready",
+                "remaining-ms":18446744073709551615,"born":18446744073709551615,"labels":[],
+                "capacity":{{"cpu":{cpu},"mem-mb":4294967295}}}}"#
+        )
+    };
+    let deep = format!("{}{}", "[".repeat(50_000), "]".repeat(50_000));
+    let odd = [
+        deep.clone(),
+        entry("9", "1000", &deep),
+        entry("65536", "1000", "\"z0\""),
+        entry("9", "1e999", "\"z0\""),
+        entry("9", "4294967296", "\"z0\""),
+        entry("0", "4294967295", "\"z0\""),
+        entry("9", "4294967295", "\"\""),
+    ];
+    for (number, value) in odd.iter().enumerate() {
+        let path = format!("/standin/entry?name=odd-{number}");
+        call(deployment.store, "POST", &path, value).expect("the stand-in replies");
+    }
+    (60..64).for_each(|id| deployment.submit(id, &two_steps()));
+    deployment.wait("one of jobs 60 to 63 is not completed", |deployment| {
+        (60..64).all(|id| deployment.is_completed(id))
+    });
+    // The successor reads the whole list.
+    let owner = deployment.owner().expect("an instance owns the pool");
+    deployment.instances[owner].kill();
+    (64..68).for_each(|id| deployment.submit(id, &two_steps()));
+    deployment.wait("one of jobs 64 to 67 is not completed", |deployment| {
+        (64..68).all(|id| deployment.is_completed(id))
+    });
+    for (number, instance) in deployment.instances.iter_mut().enumerate() {
+        assert!(number == owner || !instance.has_exited(), "instance {number} has exited");
+    }
+}
+
 // Guards against an evacuation that the daemons overlook, forget when the owner is killed, or keep
 // after it was taken back.
 #[test]
--- a/crates/cuminbank-jobs/tests/support/simulation/executors.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/executors.rs
@@ -20,7 +20,10 @@
         let Some(executor_index) =
             self.executors.iter().position(|other| other.name == order.executor)
         else {
-            return;
+            let (to, id, result) = (number, order.id, Err(OrderFailure::NotSent));
+            let refused = Action::OrderCompletes { to, start, ownership_number, id, result };
+            let refused_at = self.now + self.delay();
+            return self.push(refused_at, refused);
         };
         self.check_evacuation(number, executor_index, &order);
         let timeout = self.now + order.timeout;
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -18,7 +18,9 @@
     ids::{JobId, MonotonicTime, OrderId, StoreRevision, WriteId, ZoneName},
     job::{JobOutcome, JobPhase, JobRecord},
     keys::{accepted_key, CellKeys},
-    order::{AdviceFailure, AdviceReply, ExecutorOrder, OrderFailure, OrderReply, RunEnd},
+    order::{
+        AdviceFailure, AdviceReply, ExecutorOrder, ExecutorReport, OrderFailure, OrderReply, RunEnd,
+    },
     ownership::OwnershipState,
     scheduler::{JobEvent, JobScheduler},
     store::{
@@ -203,6 +205,8 @@
     pub trace: Vec<String>,
     /// Executors for which the advice service issues tickets.
     pub advised: BTreeSet<String>,
+    /// Further entries in the list of executors, at whose addresses nothing listens.
+    pub odd_entries: Vec<ExecutorReport>,
     /// Executors that refuse each start because they count as unhealthy.
     pub refusing: BTreeSet<String>,
     /// Executors that get no start, as if each was lost.
@@ -260,6 +264,7 @@
             losses: MessageLosses::default(),
             trace: Vec::new(),
             advised: BTreeSet::new(),
+            odd_entries: Vec::new(),
             refusing: BTreeSet::new(),
             without_starts: BTreeSet::new(),
             refused_starts: 0,
--- a/crates/cuminbank-jobs/tests/support/simulation/watches.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/watches.rs
@@ -89,6 +89,7 @@
                 .zip(listed)
                 .filter(|(_, listed)| *listed)
                 .map(|(executor, _)| executor.report())
+                .chain(self.odd_entries.iter().cloned())
                 .collect();
             self.apply(number, JobEvent::Listed { reports });
         }
