Clamp sums of reported sizes in the entry daemon

A debug build ends with a panic; a release build wraps around, and the worker seems to have room.

Change: the sum is clamped, as the difference already is.

Evidence: sum_of_extreme_sizes_leaves_no_room failed before ("attempt to add with overflow").

--- a/crates/cuminbank/src/worker.rs
+++ b/crates/cuminbank/src/worker.rs
@@ -27,12 +27,12 @@
             && self.accelerators <= free.accelerators
     }
 
-    /// Returns the sum of two sizes.
+    /// Returns the sum of two sizes, with each dimension clamped at its maximum.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            millicores: self.millicores + other.millicores,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
--- a/crates/cuminbank/tests/tasks_workers.rs
+++ b/crates/cuminbank/tests/tasks_workers.rs
@@ -11,7 +11,7 @@
     membership::TargetState,
     reducer::records::TaskEvent,
     settings::PlacementPolicy,
-    worker::{AttemptEnd, EndedTask, UsageWindow},
+    worker::{AttemptEnd, EndedTask, ResourceSize, UsageWindow},
 };
 use tasks_support::{
     cores, millis, secs,
@@ -492,3 +492,14 @@
         assert!(simulation.workers[&name].starts.is_empty(), "{state:?}");
     }
 }
+
+/// Guards against a sum of sizes that overflows, since a worker reports a size near the maximum: the
+/// process ended in a debug build, and the worker seemed to have room in a release build.
+#[test]
+fn sum_of_extreme_sizes_leaves_no_room() {
+    let extreme =
+        ResourceSize { millicores: u64::MAX, memory_mib: u64::MAX, accelerators: u32::MAX };
+    let size = ResourceSize { millicores: 8_000, memory_mib: 16_000, accelerators: 1 };
+    assert_eq!(extreme.plus(&size), extreme);
+    assert!(!size.fits(&size.minus(&extreme.plus(&size))));
+}
