--- a/crates/cuminbank-jobd/tests/configuration.rs
+++ b/crates/cuminbank-jobd/tests/configuration.rs
@@ -6,10 +6,7 @@
 
 use serde_json::json;
 
-use support::{call, proxy::LinkMode, Deployment, PoolShape};
-
-/// Longest time until a change of the configuration takes effect, in the settings of the instances.
-const CONFIG_APPLY_MS: u64 = 2_000;
+use support::{call, proxy::LinkMode, Deployment, PoolShape, CONFIG_APPLY};
 
 fn status_of(client: SocketAddr, method: &str, path: &str) -> Option<u16> {
     let job = json!({ "spec": "p", "steps": [{ "count": 1, "cpu": 1_000, "mem-mb": 100 }] });
@@ -30,7 +27,7 @@
     deployment.wait("the configuration stays confirmed", |deployment| {
         let status = call(deployment.operators[0], "GET", "/v1/status", "");
         let age = status.and_then(|(_, status)| status["config_age_ms"].as_u64());
-        age.is_some_and(|age| age > CONFIG_APPLY_MS)
+        age.is_some_and(|age| u128::from(age) > CONFIG_APPLY.as_millis())
     });
 }
 
--- a/crates/cuminbank-jobd/tests/soak.rs
+++ b/crates/cuminbank-jobd/tests/soak.rs
@@ -6,7 +6,10 @@
 mod support;
 
 use std::{
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Mutex,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -15,6 +18,7 @@
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
 use support::{
+    config_changes::{change_configuration, ConfigRecord},
     history::{incomplete_jobs, submit_jobs, violations, wait_for_jobs, LoadRecord, TASK_MS},
     proxy::LinkMode,
     Deployment, PoolShape,
@@ -145,34 +149,41 @@
     let (record, stop) = (LoadRecord::default(), AtomicBool::new(false));
     // Faults overlap all the time, so that no response of an instance is certain.
     (0..usize::from(INSTANCES)).for_each(|instance| record.begin_fault(instance));
-    let clients = deployment.clients.clone();
+    let (clients, store) = (deployment.clients.clone(), deployment.store);
+    let configs = Mutex::new(ConfigRecord::default());
     let mut random = StdRng::seed_from_u64(seed);
     thread::scope(|scope| {
         for client in 0..2 {
             let (clients, record, stop) = (&clients, &record, &stop);
             scope.spawn(move || submit_jobs(clients, record, seed ^ (client + 1), stop));
         }
+        scope.spawn(|| change_configuration(store, &clients, &configs, &stop));
         inject_faults(&mut deployment, &mut random);
         stop.store(true, Ordering::Relaxed);
     });
     let faults_ended = Instant::now();
     let open = wait_for_jobs(&deployment, &record, COMPLETION_LIMIT);
+    let configs = configs.into_inner().expect("no thread has panicked with the lock");
+    let answered = configs.current;
     let (accepted, refused) = (record.accepted().len(), record.refused());
     println!(
-        "seed {seed}: {accepted} jobs accepted, {refused} refused, completed in {:?}",
+        "seed {seed}: {accepted} jobs accepted, {refused} refused, completed in {:?}; {answered} \
+         answers by the version in force",
         faults_ended.elapsed()
     );
     assert!(accepted > 0, "seed {seed}: no job was accepted");
     assert!(open.is_empty(), "seed {seed}: accepted but not completed: {open:x?}");
     let incomplete = incomplete_jobs(&deployment, &record);
     assert!(incomplete.is_empty(), "seed {seed}: completed without results: {incomplete:x?}");
+    assert!(configs.violations.is_empty(), "seed {seed}: {:#?}", configs.violations);
+    assert!(answered > 0, "seed {seed}: no request was answered by the version in force");
     let violations = violations(&deployment, &record);
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
-// Guards against tasks that are lost, run twice, or run although their job was refused. Meanwhile,
-// processes are killed, stopped and frozen, and links are slow, reset or silent, also at the same
-// time.
+// Guards against tasks that are lost, run twice, or run although their job was refused, and against
+// answers by an older configuration than the bound allows. Meanwhile, processes are killed, stopped
+// and frozen, and links are slow, reset or silent, also at the same time.
 #[test]
 fn guarantees_hold_under_random_faults() {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses only some of the helpers")]
 
 pub mod build;
+pub mod config_changes;
 pub mod history;
 #[path = "../../../cuminbank-entry/tests/support/ports.rs"]
 pub mod ports;
@@ -38,6 +39,8 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of a request for the status of an instance that may be paused.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time until a change of the configuration takes effect, in the settings of the instances.
+pub const CONFIG_APPLY: Duration = Duration::from_secs(2);
 /// Grace period of a planned stop in the settings of the instances, in milliseconds.
 pub const GRACE_MS: u64 = 6_000;
 /// Number of ports of an instance.
@@ -311,7 +314,7 @@
         "peer_address": loopback(port + 2), "operator_address": loopback(port + 3),
         "store_address": store, "max_lease_ms": 6_000, "stop_timeout_ms": 200,
         "grace_ms": GRACE_MS, "min_store_ttl_ms": 1_000, "harm_ms": 4_000,
-        "config_apply_ms": 2_000, "evacuate_ms": 5_000,
+        "config_apply_ms": CONFIG_APPLY.as_millis() as u64, "evacuate_ms": 5_000,
         "processor_share": 1.0, "link_mbps": shape.link_mbps, "cells": shape.cells,
         "retention_ms": 120_000,
     })
