Tell the pending jobs of a queue only by a confirmed configuration

Cause: only new work and the answer "no such queue" required a confirmation. Whether there is a queue is also part of a count of its jobs.

Change: everything but requests about a single job (its state, its cancellation) requires a confirmed configuration. The soak keeps each version for longer and asks more often.

Evidence: unreachable_store_makes_no_queue_unknown also asks for the count (200 before, 503 now); unit test of the decision.

--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -55,11 +55,14 @@
     let (decision, version, max_body_bytes) = {
         let config = state.config.borrow();
         let target = (request.header("host").unwrap_or_default(), request.path.as_str());
-        let is_new_work = request.method == http::Method::POST;
+        let concerns_job = |queue: &JobQueue| {
+            let call = decode_call(&request.method, &request.path[queue.prefix.len()..]);
+            matches!(call, ClientCall::State(_) | ClientCall::Cancel(_))
+        };
         let bound = state.settings.config_apply();
         let limits = config.current().and_then(|current| current.limits);
         (
-            config.route(target, is_new_work, clock::now(), bound),
+            config.route(target, concerns_job, clock::now(), bound),
             config.current().map_or(0, |current| current.version),
             limits.map_or(usize::MAX, |limits| limits.max_body_bytes),
         )
--- a/crates/cuminbank-jobd/tests/configuration.rs
+++ b/crates/cuminbank-jobd/tests/configuration.rs
@@ -32,7 +32,8 @@
 }
 
 // Guards against a final 404 for a queue that was added while an instance could not reach the
-// store, and against a 503 that stays once it reaches it again.
+// store, against an answer about a queue that may have been removed, and against a 503 that stays
+// once it reaches the store again.
 #[test]
 fn unreachable_store_makes_no_queue_unknown() {
     let deployment = Deployment::start_with_proxies(1, 100, PoolShape::default());
@@ -44,6 +45,7 @@
         .expect("the stand-in replies");
     assert_eq!(status_of(client, "GET", "/q/"), Some(503));
     assert_eq!(status_of(client, "POST", "/q/00000000000000a1"), Some(503));
+    assert_eq!(status_of(client, "GET", "/p/"), Some(503));
     deployment.store_links[0].set(LinkMode::Pass);
     wait_for_answer(&deployment, "GET", "/q/", 200);
     wait_for_answer(&deployment, "GET", "/unknown/", 404);
--- a/crates/cuminbank-jobd/tests/support/config_changes.rs
+++ b/crates/cuminbank-jobd/tests/support/config_changes.rs
@@ -15,7 +15,7 @@
 /// Pause between two rounds of requests under the same version.
 const ROUND_PAUSE: Duration = Duration::from_millis(150);
 /// Rounds of requests under each version.
-const ROUNDS: usize = 4;
+const ROUNDS: usize = 12;
 
 /// Answers by an older version, and the number of requests answered by the version in force.
 #[derive(Debug, Default)]
--- a/crates/cuminbank-jobs/src/config.rs
+++ b/crates/cuminbank-jobs/src/config.rs
@@ -133,19 +133,20 @@
     }
 
     /// Decides which queue receives a request. If a change of the configuration must take effect
-    /// within `bound`, an older confirmation allows neither new work nor the answer that there is no
-    /// such queue. Requests about accepted jobs are still served: their answers do not depend on it.
+    /// within `bound`, an older confirmation is not enough to accept new work, to answer about a queue,
+    /// or to say that there is none. Requests about a single job, as told by `concerns_job`, are still
+    /// served: their answers do not depend on the configuration.
     pub fn route(
         &self,
         (host, path): (&str, &str),
-        is_new_work: bool,
+        concerns_job: impl FnOnce(&JobQueue) -> bool,
         now: MonotonicTime,
         bound: Duration,
     ) -> RouteDecision {
         let Some(current) = &self.current else { return RouteDecision::NoConfig };
         let confirmed = self.is_confirmed(now, bound);
         match current.find(host, path) {
-            Some(queue) if confirmed || !is_new_work => RouteDecision::Queue(queue.clone()),
+            Some(queue) if confirmed || concerns_job(queue) => RouteDecision::Queue(queue.clone()),
             None if confirmed => RouteDecision::NoQueue,
             _ => RouteDecision::Unconfirmed,
         }
--- a/crates/cuminbank-jobs/tests/config.rs
+++ b/crates/cuminbank-jobs/tests/config.rs
@@ -55,22 +55,23 @@
 }
 
 // Guards against a final answer from a configuration that a newer one may have replaced longer ago
-// than the bound: a queue that was added is said not to exist, or a removed one gets new work.
+// than the bound: a queue that was added is said not to exist, or a removed one gets new work or is
+// reported on.
 #[test]
 fn unconfirmed_configuration_refuses_what_it_cannot_decide() {
     let active = confirmed_config();
-    let route = |path, is_new_work, millis| {
+    let route = |path, concerns_job, millis| {
         let now = Duration::from_millis(millis);
-        active.route(("plans.example", path), is_new_work, now, BOUND)
+        active.route(("plans.example", path), |_| concerns_job, now, BOUND)
     };
     let found = RouteDecision::Queue(queue("a", "/a/"));
-    for is_new_work in [false, true] {
-        assert_eq!(route("/a/1", is_new_work, 12_000), found);
-        assert_eq!(route("/b/1", is_new_work, 12_000), RouteDecision::NoQueue);
-        assert_eq!(route("/b/1", is_new_work, 12_001), RouteDecision::Unconfirmed);
+    for concerns_job in [false, true] {
+        assert_eq!(route("/a/1", concerns_job, 12_000), found);
+        assert_eq!(route("/b/1", concerns_job, 12_000), RouteDecision::NoQueue);
+        assert_eq!(route("/b/1", concerns_job, 12_001), RouteDecision::Unconfirmed);
     }
-    assert_eq!(route("/a/1", true, 12_001), RouteDecision::Unconfirmed);
-    assert_eq!(route("/a/1", false, 12_001), found);
+    assert_eq!(route("/a/1", false, 12_001), RouteDecision::Unconfirmed);
+    assert_eq!(route("/a/1", true, 12_001), found);
 }
 
 // Guards against an instance that serves before its first read, and against one that treats a
@@ -80,7 +81,7 @@
     let mut active = ActiveConfig::default();
     active.confirm(Duration::from_secs(10));
     let now = Duration::from_secs(10);
-    let decision = active.route(("plans.example", "/a/1"), false, now, BOUND);
+    let decision = active.route(("plans.example", "/a/1"), |_| true, now, BOUND);
     assert_eq!(decision, RouteDecision::NoConfig);
 }
 
