Log the age of the configuration at the decision; split the handling of requests

`find_queue` now decides, `ConfigBasis` is what is logged, and refusals with Retry-After have one constructor. EV0765 also covers watches that the store refuses, and says so. No other change of behaviour.

--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -36,54 +36,37 @@
         Self { response: ServerResponse::new_json(status, body), cause }
     }
 
-    /// Creates a refusal that tells the client when to retry.
-    fn unavailable(cause: &str) -> Self {
-        Self::new(503, cause).with_retry_after()
+    /// Creates a refusal with the header that tells the client when to retry.
+    fn new_unavailable(cause: &str) -> Self {
+        let mut answer = Self::new(503, cause);
+        answer.response =
+            answer.response.with_header("retry-after", RETRY_AFTER_SECONDS.to_string());
+        answer
     }
+}
 
-    /// Adds the header that tells the client when to retry.
-    fn with_retry_after(mut self) -> Self {
-        self.response = self.response.with_header("retry-after", RETRY_AFTER_SECONDS.to_string());
-        self
-    }
+/// Configuration by which a request is decided.
+#[derive(Clone, Copy)]
+struct ConfigBasis {
+    version: u64,
+    /// Time since it was confirmed; `None` if it never was.
+    age: Option<Duration>,
 }
 
 /// Handles a client request and logs and measures the response.
 pub(crate) async fn handle(state: Rc<DaemonState>, request: ServerRequest) -> ServerAction {
     let arrived = clock::now();
     confirmation::confirm_config(&state).await;
-    let (decision, version, max_body_bytes) = {
+    let basis = {
         let config = state.config.borrow();
-        let target = (request.header("host").unwrap_or_default(), request.path.as_str());
-        let concerns_job = |queue: &JobQueue| {
-            let call = decode_call(&request.method, &request.path[queue.prefix.len()..]);
-            matches!(call, ClientCall::State(_) | ClientCall::Cancel(_))
-        };
-        let bound = state.settings.config_apply();
-        let limits = config.current().and_then(|current| current.limits);
-        (
-            config.route(target, concerns_job, clock::now(), bound),
-            config.current().map_or(0, |current| current.version),
-            limits.map_or(usize::MAX, |limits| limits.max_body_bytes),
-        )
-    };
-    let queue = match decision {
-        RouteDecision::NoConfig => Err(ClientAnswer::unavailable("no configuration yet")),
-        _ if state.is_behind() => {
-            Err(ClientAnswer::unavailable("this build cannot read the records of the pool"))
-        }
-        RouteDecision::Unconfirmed => {
-            Err(ClientAnswer::unavailable("the configuration is not confirmed"))
-        }
-        _ if request.body.len() > max_body_bytes => {
-            Err(ClientAnswer::new(413, "the body is larger than the configuration allows"))
+        ConfigBasis {
+            version: config.current().map_or(0, |current| current.version),
+            age: config.age(clock::now()),
         }
-        RouteDecision::NoQueue => Err(ClientAnswer::new(404, "no such queue")),
-        RouteDecision::Queue(queue) => Ok(queue),
     };
-    let queue = match queue {
+    let queue = match find_queue(&state, &request) {
         Ok(queue) => queue,
-        Err(answer) => return finish(&state, &request, "", version, arrived, answer),
+        Err(answer) => return finish(&state, &request, "", basis, arrived, answer),
     };
     let rest = request.path[queue.prefix.len()..].to_owned();
     let answer = match decode_call(&request.method, &rest) {
@@ -94,14 +77,41 @@
         ClientCall::InvalidPath => ClientAnswer::new(410, "the path names no job"),
         ClientCall::UnsupportedMethod => ClientAnswer::new(405, "the method is not known here"),
     };
-    finish(&state, &request, &queue.name, version, arrived, answer)
+    finish(&state, &request, &queue.name, basis, arrived, answer)
+}
+
+/// Returns the queue that receives a request, or the answer if the request cannot be served.
+fn find_queue(state: &DaemonState, request: &ServerRequest) -> Result<JobQueue, ClientAnswer> {
+    let config = state.config.borrow();
+    let target = (request.header("host").unwrap_or_default(), request.path.as_str());
+    let concerns_job = |queue: &JobQueue| {
+        let call = decode_call(&request.method, &request.path[queue.prefix.len()..]);
+        matches!(call, ClientCall::State(_) | ClientCall::Cancel(_))
+    };
+    let decision = config.route(target, concerns_job, clock::now(), state.settings.config_apply());
+    let limits = config.current().and_then(|current| current.limits);
+    let max_body_bytes = limits.map_or(usize::MAX, |limits| limits.max_body_bytes);
+    match decision {
+        RouteDecision::NoConfig => Err(ClientAnswer::new_unavailable("no configuration yet")),
+        _ if state.is_behind() => {
+            Err(ClientAnswer::new_unavailable("this build cannot read the records of the pool"))
+        }
+        RouteDecision::Unconfirmed => {
+            Err(ClientAnswer::new_unavailable("the configuration is not confirmed"))
+        }
+        _ if request.body.len() > max_body_bytes => {
+            Err(ClientAnswer::new(413, "the body is larger than the configuration allows"))
+        }
+        RouteDecision::NoQueue => Err(ClientAnswer::new(404, "no such queue")),
+        RouteDecision::Queue(queue) => Ok(queue),
+    }
 }
 
 fn finish(
     state: &Rc<DaemonState>,
     request: &ServerRequest,
     queue: &str,
-    version: u64,
+    basis: ConfigBasis,
     arrived: MonotonicTime,
     answer: ClientAnswer,
 ) -> ServerAction {
@@ -115,8 +125,7 @@
         _ => "read",
     };
     state.metrics.observe(name, queue, took);
-    let config_age = state.config.borrow().age(clock::now());
-    if let Some(age) = config_age {
+    if let Some(age) = basis.age {
         state.metrics.observe("config.age", "", age);
     }
     // Successful reads change nothing, so they are only measured and not logged.
@@ -125,11 +134,12 @@
         let id = path.rsplit('/').next().and_then(|id| JobId::from_str_radix(id, 16).ok());
         let detail = format!(
             "method={} path={path} queue={queue} status={status} cause={:?} took_ms={} \
-             config_version={version} config_age_ms={} store_silent_ms={}",
+             config_version={} config_age_ms={} store_silent_ms={}",
             request.method,
             answer.cause,
             took.as_millis(),
-            config_age.map_or(-1, |age| age.as_millis() as i64),
+            basis.version,
+            basis.age.map_or(-1, |age| age.as_millis() as i64),
             state.store.silence().as_millis(),
         );
         state.log(&DecisionRecord { code: JOB_ANSWERED, job: id, detail });
@@ -152,8 +162,7 @@
         }
     };
     let Some(cell) = state.choose_cell(job, &record) else {
-        return ClientAnswer::new(503, "not accepted: the pool is not divided yet")
-            .with_retry_after();
+        return ClientAnswer::new_unavailable("not accepted: the pool is not divided yet");
     };
     let txn = StoreTxn {
         // This key is shared by all cells and outlives the job record, since another instance may
@@ -167,9 +176,7 @@
     };
     match write(state, txn, arrived).await {
         AcceptStep::Accepted => ClientAnswer::new(200, "accepted"),
-        AcceptStep::Refused => {
-            ClientAnswer::new(503, "not accepted: the store is away").with_retry_after()
-        }
+        AcceptStep::Refused => ClientAnswer::new_unavailable("not accepted: the store is away"),
         AcceptStep::Unknown | AcceptStep::Retry => {
             ClientAnswer::new(504, "unknown: the store has not answered")
         }
@@ -210,20 +217,20 @@
         }
         PhaseAnswer::Missing => ClientAnswer::new(410, "no such job"),
         PhaseAnswer::Unavailable => {
-            ClientAnswer::new(503, "neither the owner nor the store answers").with_retry_after()
+            ClientAnswer::new_unavailable("neither the owner nor the store answers")
         }
     }
 }
 
 async fn cancel(state: &Rc<DaemonState>, job: JobId, arrived: MonotonicTime) -> ClientAnswer {
     if state.store.is_unresponsive() {
-        return ClientAnswer::new(503, "the store is away").with_retry_after();
+        return ClientAnswer::new_unavailable("the store is away");
     }
     let (keys, revision) = match find_record(state, job).await {
         RecordLocation::At(cell, revision) => (CellKeys::new(cell), revision),
         RecordLocation::Missing => return ClientAnswer::new(410, "no such job, or it has ended"),
         RecordLocation::Unknown => {
-            return ClientAnswer::new(503, "the store does not answer").with_retry_after();
+            return ClientAnswer::new_unavailable("the store does not answer");
         }
     };
     let txn = StoreTxn {
@@ -233,7 +240,7 @@
     };
     match write(state, txn, arrived).await {
         AcceptStep::Accepted => ClientAnswer::new(200, "cancelled"),
-        AcceptStep::Refused => ClientAnswer::new(503, "the store is away").with_retry_after(),
+        AcceptStep::Refused => ClientAnswer::new_unavailable("the store is away"),
         AcceptStep::Unknown | AcceptStep::Retry => {
             ClientAnswer::new(504, "unknown: the store has not answered")
         }
@@ -280,6 +287,6 @@
         Some(count) => {
             ClientAnswer { response: encode_pending(count), cause: "counted".to_owned() }
         }
-        None => ClientAnswer::new(503, "not every owner answers").with_retry_after(),
+        None => ClientAnswer::new_unavailable("not every owner answers"),
     }
 }
--- a/crates/cuminbank-jobd/src/confirmation.rs
+++ b/crates/cuminbank-jobd/src/confirmation.rs
@@ -34,7 +34,7 @@
         return;
     }
     let ConfirmationTurn { turn, failed_at } = &state.confirmation;
-    let Ok(_turn) = turn.acquire().await else { return };
+    let Ok(_permit) = turn.acquire().await else { return };
     if is_confirmed(state) || failed_at.get().is_some_and(|at| at >= arrived) {
         return;
     }
--- a/crates/cuminbank-jobd/src/store.rs
+++ b/crates/cuminbank-jobd/src/store.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, net::SocketAddr, time::Duration};
 
 use cuminbank::log::{
-    POOL_STORE_REACHABLE, POOL_STORE_UNREACHABLE, STORE_UNREADABLE, WATCH_UNANSWERED,
+    POOL_STORE_REACHABLE, POOL_STORE_UNREACHABLE, STORE_UNREADABLE, WATCH_FAILED,
 };
 use cuminbank_jobs::{
     ids::{MonotonicTime, StoreRevision},
@@ -37,7 +37,7 @@
     pub(crate) wait: Duration,
     /// Additional time for the reply to arrive.
     pub(crate) margin: Duration,
-    /// Number of calls before this one that got no reply since the last that did.
+    /// Number of failed calls since the last reply.
     pub(crate) misses: u32,
 }
 
@@ -137,7 +137,7 @@
         Err(StoreFailure::Unknown)
     }
 
-    /// Waits for changes under a prefix after a revision. Logs a call without a reply.
+    /// Waits for changes under a prefix after a revision. Logs a call that fails.
     ///
     /// # Errors
     ///
@@ -158,7 +158,7 @@
             .await;
         let result = decode_watch(answer);
         if let Err(failure) = result {
-            log(describe_failure(call, failure, origin));
+            log(describe_failed_watch(call, failure, origin));
         }
         self.record_call(result.is_ok(), log);
         result
@@ -189,7 +189,7 @@
     StoreItem { key: key.to_owned(), value: Vec::new(), revision: 0, created: 0 }
 }
 
-fn describe_failure(
+fn describe_failed_watch(
     call: &WatchCall,
     failure: StoreFailure,
     origin: Option<ConnectionOrigin>,
@@ -208,5 +208,5 @@
         call.margin.as_millis(),
         call.misses + 1,
     );
-    DecisionRecord { code: WATCH_UNANSWERED, job: None, detail }
+    DecisionRecord { code: WATCH_FAILED, job: None, detail }
 }
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -126,7 +126,7 @@
     ZONE_REOPENED = (762, Info, "The evacuation of a zone was taken back.");
     POOL_FORMAT_CHANGED = (763, Info, "The format version of the pool, or what holds it back, has changed.");
     POOL_FORMAT_UNSUPPORTED = (764, Error, "The pool's records may have a newer format than this build reads; the instance serves nothing.");
-    WATCH_UNANSWERED = (765, Warn, "A watch of the platform's store got no reply.");
+    WATCH_FAILED = (765, Warn, "A watch of the platform's store got no usable reply.");
     POOL_CONFIG_READ_AGAIN = (766, Warn, "A request needed the configuration, which was not confirmed in time.");
 }
 
