--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/release/cuminbank-jobd ] && [ -x review/standin/target/release/review-standin ] || exit 2
-exec review/standin/target/release/review-standin images review/2
+exec review/standin/target/release/review-standin connections review/2
