Limit the connections to an executor, so that the next owner gets through

Cause: an owner opened a connection for each order that found none idle, up to the 64 that an executor accepts, and a machine without power closes none of them. The executor keeps idle ones for 75 s and refuses the next owner's.

Change: an instance opens at most a sixteenth of what executors accept (max-connections of the operators' configuration), so that sixteen owners may be lost before the next one is refused. Orders above that wait for a connection within their timeout; one that only waited counts as not sent.

--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -56,6 +56,8 @@
     watches,
 };
 
+/// Connections to an executor until a configuration has been read.
+const INITIAL_CONNECTION_SHARE: usize = 2;
 /// Time after the start of a planned stop during which the load balancer may still send
 /// connections. It checks readiness once a second and reacts to the second failed check.
 const LOAD_BALANCER_DELAY: Duration = Duration::from_millis(2_600);
@@ -153,6 +155,11 @@
         })
     }
 
+    /// Sets how many connections to an executor this process may open.
+    pub(crate) fn set_connection_share(&self, count: usize) {
+        self.executors.set_max_connections(count);
+    }
+
     /// Sends an order to an executor, unless its validity has expired by the time of sending.
     pub(crate) async fn send_order(
         &self,
@@ -262,7 +269,7 @@
             start,
             peers: PeerPool::new(),
             metrics: JobMetrics::new().map_err(io::Error::other)?,
-            executors: HttpPool::new(),
+            executors: HttpPool::new().with_max_connections(INITIAL_CONNECTION_SHARE),
             log: DecisionLog::new(settings.instance.clone()),
             gate: ServerGate::default(),
             draining_since: Cell::new(None),
--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -180,7 +180,9 @@
                 config.queues.len(),
                 item.revision
             );
+            let share = config.connection_share();
             if state.config.borrow_mut().offer(config) {
+                state.set_connection_share(share);
                 state.log(&DecisionRecord { code: POOL_CONFIG_IN_FORCE, job: None, detail });
             }
         }
--- a/crates/cuminbank-jobs/src/config.rs
+++ b/crates/cuminbank-jobs/src/config.rs
@@ -7,6 +7,15 @@
     job::{AdviceTerms, QueueTerms},
 };
 
+/// Number of instances, with those that are gone, that share the connections of an executor.
+const CONNECTION_SHARES: u32 = 16;
+/// Connections that an executor accepts if the configuration does not say.
+const DEFAULT_EXECUTOR_CONNECTIONS: u32 = 64;
+/// One connection for the hold, which waits, and one for other orders.
+const MIN_CONNECTION_SHARE: usize = 2;
+/// Upper limit of the connections to an executor.
+const MAX_CONNECTION_SHARE: usize = 8;
+
 /// Queue: which requests it receives and the terms for its jobs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobQueue {
@@ -70,9 +79,19 @@
     pub queues: Vec<JobQueue>,
     /// Request limits, if configured.
     pub limits: Option<RequestLimits>,
+    /// Lowest number of connections that the executors of a service accept, if configured.
+    pub executor_connections: Option<u32>,
 }
 
 impl PoolConfig {
+    /// Returns how many connections an instance may open to an executor. An executor keeps those of
+    /// an instance that is gone for good until its idle timeout, which covers several changes of
+    /// owner, and must accept those of the next owner.
+    pub fn connection_share(&self) -> usize {
+        let accepted = self.executor_connections.unwrap_or(DEFAULT_EXECUTOR_CONNECTIONS);
+        ((accepted / CONNECTION_SHARES) as usize).clamp(MIN_CONNECTION_SHARE, MAX_CONNECTION_SHARE)
+    }
+
     /// Returns the queue of a request: the one for this host with the longest matching path prefix.
     pub fn find(&self, host: &str, path: &str) -> Option<&JobQueue> {
         // Ignores the port and the case of the host name.
--- a/crates/cuminbank-jobs/tests/config.rs
+++ b/crates/cuminbank-jobs/tests/config.rs
@@ -20,7 +20,7 @@
 }
 
 fn config(version: u64, queues: Vec<JobQueue>) -> PoolConfig {
-    PoolConfig { version, queues, limits: None }
+    PoolConfig { version, queues, limits: None, executor_connections: None }
 }
 
 // Guards against replacing the configuration by an earlier version.
@@ -92,3 +92,14 @@
     active.confirm(Duration::from_secs(9));
     assert_eq!(active.age(Duration::from_secs(11)), Some(Duration::from_secs(1)));
 }
+
+// Guards against a next owner that executors refuse, because instances that are gone still hold all of
+// their connections.
+#[test]
+fn connections_to_an_executor_leave_room_for_other_owners() {
+    let with_connections =
+        |executor_connections| PoolConfig { executor_connections, ..config(1, Vec::new()) };
+    let shares = [None, Some(0), Some(16), Some(64), Some(4_096)];
+    let shares = shares.map(|accepted| with_connections(accepted).connection_share());
+    assert_eq!(shares, [4, 2, 2, 4, 8]);
+}
--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     connection::{connect, ExchangeStream, IdlePool},
+    exchange_limit::ExchangeLimit,
     http_limit::{ByteAllowance, LimitedReader},
 };
 
@@ -108,6 +109,7 @@
 #[derive(Debug, Default)]
 pub struct HttpPool {
     idle: IdlePool,
+    limit: Option<ExchangeLimit>,
 }
 
 impl HttpPool {
@@ -116,6 +118,20 @@
         Self::default()
     }
 
+    /// Limits the connections to one address. Further exchanges wait until one of them is free; the
+    /// wait is part of their timeout.
+    pub fn with_max_connections(mut self, count: usize) -> Self {
+        self.limit = Some(ExchangeLimit::new(count));
+        self
+    }
+
+    /// Changes the limit of [`Self::with_max_connections`], if the pool has one.
+    pub fn set_max_connections(&self, count: usize) {
+        if let Some(limit) = &self.limit {
+            limit.set(count);
+        }
+    }
+
     /// Sends a request and waits for the complete response.
     ///
     /// Fails with [`ExchangeError::NotSent`] if no byte was sent, and with
@@ -164,9 +180,18 @@
     ) -> Result<ClientAnswer, ExchangeError> {
         let started = Instant::now();
         let message = request.into_message(address).ok_or(ExchangeError::NotSent)?;
+        let _permit = match &self.limit {
+            Some(limit) => {
+                Some(limit.acquire(address, timeout).await.ok_or(ExchangeError::NotSent)?)
+            }
+            None => None,
+        };
         let (mut stream, origin) = match self.idle.take(address) {
             Some((stream, idle)) => (ExchangeStream::new(stream), ConnectionOrigin::Pooled(idle)),
-            None => (connect(address, timeout).await?, ConnectionOrigin::New),
+            None => {
+                let remaining = timeout.saturating_sub(started.elapsed());
+                (connect(address, remaining).await?, ConnectionOrigin::New)
+            }
         };
         on_connection(origin);
         if !may_send() {
@@ -192,6 +217,9 @@
     /// Closes the pooled connections that have been idle for too long.
     pub fn close_idle(&self) {
         self.idle.close_expired();
+        if let Some(limit) = &self.limit {
+            limit.forget_unused();
+        }
     }
 }
 
--- a/crates/cuminbank-net/src/lib.rs
+++ b/crates/cuminbank-net/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 mod connection;
 pub mod etcd;
+mod exchange_limit;
 pub mod http_limit;
 pub mod logging;
 pub mod peer;
