Bound the colocation model, which grew with the square of the images that jobs name

Cause: the model had 32 bytes for each pair of all images that any job had ever named, also of steps whose tasks neither disturb others nor are disturbed, and dropped none. It was encoded several times for a write each 1.5 s.

Change: at most 64 images, only of steps that matter to it; a new one replaces the oldest that no job uses, and images without a place count as unknown. The stored format is unchanged; a larger model of an earlier build is cut.

Tests of the bound, of the replacement and of a stored model without the bound. Without the fix they do not compile: the earlier model had no bound to test.

--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -6,7 +6,7 @@
 //! image the model estimates the loss of slack if the best-effort image used an entire executor,
 //! with a variance. The loss in a report is divided among the images that may have caused it.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +15,11 @@
 /// Index of an image in the model.
 pub type ImageId = u32;
 
+/// Id shared by all images without a place in the model.
+pub const UNMODELLED_IMAGE: ImageId = ImageId::MAX;
+/// Maximum number of images in the model, whose memory and stored size grow with the square.
+pub const MAX_IMAGES: usize = 64;
+
 /// Mean and variance assumed for a pair before any report. Every loss of a pair is stated for a
 /// best-effort image that uses an entire executor. More than half of the pairs lose 3 to 20, the
 /// others almost nothing.
@@ -141,20 +146,60 @@
     }
 }
 
-/// Interference estimates for all pairs of images.
+/// Interference estimates for all pairs of at most [`MAX_IMAGES`] images. Callers choose the names and
+/// the number of images. A new one takes the place of the image that no job uses and whose estimates
+/// are the oldest; if jobs use all of them, it is not modelled: nothing is learned about it, and
+/// its pairs keep the estimate of an unknown pair.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct ColocationModel {
     names: Vec<String>,
     /// Indexed by latency-critical image, then by best-effort image.
     pairs: Vec<Vec<PairEffect>>,
+    /// Number of job steps that use each image.
+    #[serde(skip)]
+    users: HashMap<ImageId, u32>,
 }
 
 impl ColocationModel {
-    /// Returns the index of the image with a name and adds the image if it is new.
+    /// Returns the index of the image with a name, and adds the image if it is new and there is a
+    /// place for it.
     pub fn intern(&mut self, name: &str) -> ImageId {
         if let Some(id) = self.names.iter().position(|known| known == name) {
             return id as ImageId;
         }
+        if self.names.len() < MAX_IMAGES {
+            return self.append(name);
+        }
+        let Some(unused) = self.oldest_unused() else { return UNMODELLED_IMAGE };
+        self.replace(unused, name);
+        unused
+    }
+
+    /// Returns the index of the image of a job step, like [`Self::intern`], and keeps its place until
+    /// [`Self::release`].
+    pub fn acquire(&mut self, name: &str) -> ImageId {
+        let id = self.intern(name);
+        if id != UNMODELLED_IMAGE {
+            *self.users.entry(id).or_default() += 1;
+        }
+        id
+    }
+
+    /// Ends the use of an image by a job step.
+    pub fn release(&mut self, id: ImageId) {
+        let Some(users) = self.users.get_mut(&id) else { return };
+        *users -= 1;
+        if *users == 0 {
+            self.users.remove(&id);
+        }
+    }
+
+    /// Returns the number of images in the model.
+    pub fn image_count(&self) -> usize {
+        self.names.len()
+    }
+
+    fn append(&mut self, name: &str) -> ImageId {
         let id = self.names.len();
         self.names.push(name.to_owned());
         for row in &mut self.pairs {
@@ -164,6 +209,34 @@
         id as ImageId
     }
 
+    fn replace(&mut self, id: ImageId, name: &str) {
+        self.names[id as usize] = name.to_owned();
+        for row in &mut self.pairs {
+            row[id as usize] = PairEffect::new();
+        }
+        self.pairs[id as usize].fill(PairEffect::new());
+    }
+
+    /// Returns the image that no job uses and whose latest estimate is the oldest.
+    fn oldest_unused(&self) -> Option<ImageId> {
+        let unused = (0..self.names.len() as ImageId).filter(|id| !self.users.contains_key(id));
+        unused.min_by_key(|id| self.learned_at(*id))
+    }
+
+    fn learned_at(&self, id: ImageId) -> MonotonicTime {
+        let column = self.pairs.iter().map(|row| row[id as usize].at);
+        let row = self.pairs[id as usize].iter().map(|pair| pair.at);
+        column.chain(row).max().unwrap_or_default()
+    }
+
+    /// Drops the images beyond [`MAX_IMAGES`], which builds without this limit have stored.
+    pub fn with_max_images(mut self) -> Self {
+        self.names.truncate(MAX_IMAGES);
+        self.pairs.truncate(MAX_IMAGES);
+        self.pairs.iter_mut().for_each(|row| row.truncate(MAX_IMAGES));
+        self
+    }
+
     /// Returns whether the model has a finite estimate for every pair of its images.
     pub fn is_complete(&self) -> bool {
         let count = self.names.len();
@@ -203,7 +276,11 @@
         loss: SlackLoss,
         best_effort_shares: &[(ImageId, f64)],
     ) {
-        let row = &mut self.pairs[victim as usize];
+        if best_effort_shares.iter().any(|(image, _)| *image == UNMODELLED_IMAGE) {
+            // Part of the loss is due to an image about which nothing is learned.
+            return;
+        }
+        let Some(row) = self.pairs.get_mut(victim as usize) else { return };
         let estimates: Vec<PairEffect> =
             best_effort_shares.iter().map(|(image, _)| row[*image as usize].at(now)).collect();
         let shares =
@@ -294,6 +371,7 @@
     }
 
     fn effect(&self, now: MonotonicTime, victim: ImageId, image: ImageId) -> PairEffect {
-        self.pairs[victim as usize][image as usize].at(now)
+        let pair = self.pairs.get(victim as usize).and_then(|row| row.get(image as usize));
+        pair.map_or_else(PairEffect::new, |pair| pair.at(now))
     }
 }
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -10,9 +10,10 @@
     JobScheduler,
 };
 use crate::{
+    colocation::UNMODELLED_IMAGE,
     formats::describe_value,
     ids::{JobId, MonotonicTime, StoreRevision, TaskIndex, WallTime},
-    job::{JobOutcome, JobRecord, TaskLayout},
+    job::{JobOutcome, JobRecord, JobStep, TaskLayout},
     keys::parse_job_id,
     progress::JobProgress,
     slack::SlackEstimate,
@@ -117,7 +118,11 @@
                 task.last_run = task.last_run.max(base);
             }
         }
-        let images = record.steps.iter().map(|step| self.colocation.intern(&step.image)).collect();
+        let images = record.steps.iter().map(|step| match is_modelled(step) {
+            true => self.colocation.acquire(&step.image),
+            false => UNMODELLED_IMAGE,
+        });
+        let images = images.collect();
         let job = JobState {
             id,
             layout,
@@ -303,6 +308,7 @@
             self.drop_advice(key);
             let Some(job) = self.jobs.remove(key) else { continue };
             self.job_ids.remove(&job.id);
+            job.images.iter().for_each(|image| self.colocation.release(*image));
             if let Some(recorded) = job.recorded_outcome {
                 self.ended_jobs.insert(job.id, recorded);
             }
@@ -364,3 +370,8 @@
     progress.tasks.is_sorted_by(|left, right| left.task < right.task)
         && progress.tasks.iter().all(|task| task.task < count && task.run <= MAX_RUN_NUMBER)
 }
+
+/// Returns whether the tasks of a step disturb others or are disturbed.
+fn is_modelled(step: &JobStep) -> bool {
+    step.fills || (step.long_running && step.tail_target_ms > 0)
+}
--- a/crates/cuminbank-jobs/src/scheduler/survey.rs
+++ b/crates/cuminbank-jobs/src/scheduler/survey.rs
@@ -56,7 +56,7 @@
         let detail = format!(
             "executors={} usable={} capacity={} reserved={} serving={} filling={} idle={} \
              over_bound={violating} closed={cooling_down} runs={} filling_waits={} filling_cores={} \
-             serving_waits={} serving_cores={} reserving_waits={} reserving_cores={}",
+             serving_waits={} serving_cores={} reserving_waits={} reserving_cores={} images={}",
             self.executors.len(),
             usable().count(),
             cores(|executor| executor.capacity.cpu_millis),
@@ -76,6 +76,7 @@
             long_running.cpu_millis / 1_000,
             batch.tasks,
             batch.cpu_millis / 1_000,
+            self.colocation.image_count(),
         );
         self.log(POOL_SUMMARIZED, None, detail);
     }
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -60,7 +60,9 @@
             } else if item.key == keys.colocation {
                 let model = decode_value::<ColocationModel>(&item.value);
                 match model.filter(ColocationModel::is_complete) {
-                    Some(model) => self.colocation = model.with_time(self.now),
+                    Some(model) => {
+                        self.colocation = model.with_max_images().with_time(self.now);
+                    }
                     None => {
                         self.journal.colocation_at = MonotonicTime::MAX;
                         self.log_unreadable(&item.key, &item.value);
--- a/crates/cuminbank-jobs/tests/colocation.rs
+++ b/crates/cuminbank-jobs/tests/colocation.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use cuminbank_jobs::{
-    colocation::{ColocationModel, ImageId, MinorLoss, SlackLoss, MAX_PRESSURE},
+    colocation::{
+        ColocationModel, ImageId, MinorLoss, SlackLoss, MAX_IMAGES, MAX_PRESSURE, UNMODELLED_IMAGE,
+    },
     ids::MonotonicTime,
     slack::PEAK_TOLERABLE_LOSS,
+    store::{decode_value, encode_value},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -229,3 +232,63 @@
     let sum = lost.fold(SlackLoss::default(), SlackLoss::plus);
     assert!(sum.pressure(PEAK_TOLERABLE_LOSS) > MAX_PRESSURE, "{sum:?}");
 }
+
+/// Largest value that the store accepts.
+const MAX_VALUE_BYTES: usize = 1_048_576;
+
+// Guards against an owner that takes all memory of its machine, and is killed like each next one,
+// because waiting jobs name many images.
+#[test]
+fn model_is_bounded_whatever_images_jobs_name() {
+    let mut model = ColocationModel::default();
+    let ids: Vec<ImageId> =
+        (0..1_500).map(|number| model.acquire(&format!("build-{number}"))).collect();
+    assert_eq!(model.image_count(), MAX_IMAGES);
+    assert!(encode_value(&model).len() < MAX_VALUE_BYTES);
+    let modelled = ids.iter().filter(|id| **id != UNMODELLED_IMAGE);
+    assert_eq!(modelled.count(), MAX_IMAGES);
+    // An image without a place counts as unknown, and nothing is learned about it.
+    let now = Duration::from_secs(1);
+    for _ in 0..10 {
+        model.learn(now, ids[0], 1.0, &[(UNMODELLED_IMAGE, 0.1)]);
+        model.learn(now, UNMODELLED_IMAGE, 1.0, &[(ids[1], 0.1)]);
+    }
+    assert!(model.is_uncertain(now, ids[0], UNMODELLED_IMAGE));
+    assert!(model.is_uncertain(now, UNMODELLED_IMAGE, ids[1]));
+}
+
+// Guards against a model that keeps the images of the first jobs and never learns about later ones,
+// and against estimates that pass from one image to another.
+#[test]
+fn new_image_replaces_the_oldest_unused_one() {
+    let mut model = ColocationModel::default();
+    let ids: Vec<ImageId> =
+        (0..MAX_IMAGES).map(|number| model.acquire(&format!("{number}"))).collect();
+    for (number, id) in ids.iter().enumerate() {
+        let now = Duration::from_secs(100 - number as u64);
+        for _ in 0..5 {
+            model.learn(now, *id, 1.0, &[(*id, 0.1)]);
+        }
+    }
+    assert_eq!(model.acquire("new"), UNMODELLED_IMAGE);
+    model.release(ids[3]);
+    model.release(ids[7]);
+    assert_eq!(model.acquire("new"), ids[7]);
+    assert!(model.is_uncertain(Duration::from_secs(100), ids[7], ids[7]));
+    assert_eq!(model.intern("3"), ids[3]);
+    assert!(!model.is_uncertain(Duration::from_secs(100), ids[3], ids[3]));
+}
+
+// Guards against a model of an earlier build, without a limit, that fills the memory of its next
+// owner.
+#[test]
+fn stored_model_is_cut_to_the_limit() {
+    let names: Vec<String> = (0..100).map(|number| format!("{number}")).collect();
+    let estimate = (2.0_f64, 25.0_f64, Duration::ZERO);
+    let stored = encode_value(&(names, vec![vec![estimate; 100]; 100]));
+    let model: ColocationModel = decode_value(&stored).expect("the format has not changed");
+    assert!(model.is_complete());
+    let model = model.with_max_images();
+    assert!(model.is_complete());
+    assert_eq!(model.image_count(), MAX_IMAGES);
+}
