Let instances that have seen the last owner claim first

Users reported long-running tasks without a run for 9 s on their machines, a report without a case.

Change: such an instance claims 0.5 s later. tenure: vacant_cell_is_claimed_with_a_higher_epoch now observes the owner first, as an instance that runs does; the other case has its own test, which fails before (it claimed at once).

--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -45,6 +45,9 @@
 pub const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Epoch of the first owner of a cell.
 pub const FIRST_EPOCH: OwnerEpoch = 1;
+/// Delay of a claim by an instance that has not seen the last owner. Others know better when that
+/// owner was last confirmed, and so wait for a shorter time until they start tasks.
+const UNINFORMED_CLAIM_DELAY: Duration = Duration::from_millis(500);
 /// Delay before retrying a claim that failed because the last epoch cannot be read.
 const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// Timeout of a store call that claims, renews or releases the ownership.
@@ -439,6 +442,11 @@
             return vec![unreadable(item)];
         }
         let last_epoch = last_owner.as_ref().map_or(0, |owner| owner.epoch);
+        if self.observed_epoch.0 < last_epoch {
+            self.note_epoch(now, last_epoch);
+            self.next_claim = now + UNINFORMED_CLAIM_DELAY;
+            return Vec::new();
+        }
         let last_revision = last.map_or(0, |item| item.revision);
         let resumes = self.held.is_some_and(|held| held.epoch == last_epoch);
         let epoch = if resumes { last_epoch } else { last_epoch + 1 };
--- a/crates/cuminbank-jobs/tests/tenure.rs
+++ b/crates/cuminbank-jobs/tests/tenure.rs
@@ -96,6 +96,7 @@
 fn vacant_cell_is_claimed_with_a_higher_epoch() {
     let (mut store, _) = owned();
     let mut other = state("b", 2);
+    observe(&mut store, &mut other, START + CLAIM_DELAY);
     let vacant = START + CLAIM_DELAY + OWNERSHIP_TTL + Duration::from_secs(1);
     observe(&mut store, &mut other, vacant);
     let effects = tick(&mut store, &mut other, vacant + CLAIM_DELAY);
@@ -255,3 +256,17 @@
     let later = START + CLAIM_DELAY + Duration::from_secs(2);
     assert!(tick(&mut store, &mut owner, later).is_empty());
 }
+
+// Guards against a restarted instance that becomes the owner before those that know when the last owner
+// was confirmed, and then waits for the leases of runs for longer than they would.
+#[test]
+fn instance_that_has_not_seen_the_last_owner_claims_later() {
+    let (mut store, _) = owned();
+    let mut other = state("b", 2);
+    let vacant = START + CLAIM_DELAY + OWNERSHIP_TTL + Duration::from_secs(1);
+    observe(&mut store, &mut other, vacant);
+    let effects = tick(&mut store, &mut other, vacant + CLAIM_DELAY);
+    assert_eq!(begun(&effects).map(|held| held.epoch), None);
+    let effects = tick(&mut store, &mut other, vacant + CLAIM_DELAY * 3);
+    assert_eq!(begun(&effects).map(|held| held.epoch), Some(2));
+}
