Count earlier leases from the last write only, not from the end of the record

A new owner counted the leases of earlier owners from the earlier of two times: when the store had reached the last write, and when its watch had seen the record end. An owner whose record has expired may write it again in the same epoch and go on; a successor whose watch is late then counts from the first end, up to seconds too early, and may start a task whose run goes on.

Change: only the last write counts, at the latest the takeover itself. The vacancy is again only what delays a claim, so that the state that could be wrong no longer exists.

--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -86,8 +86,6 @@
     pub start_revision: StoreRevision,
     /// Time until which this instance may send orders.
     pub authority_until: MonotonicTime,
-    /// Time since which no earlier owner has held the lease.
-    pub vacant_since: MonotonicTime,
     /// Time from which on no owner before the previous one sends orders.
     pub earlier_orders_until: MonotonicTime,
     lease: LeaseId,
@@ -128,21 +126,6 @@
     Claim { lease: LeaseId, epoch: OwnerEpoch },
 }
 
-/// Absence of the ownership record.
-#[derive(Clone, Copy, Debug)]
-struct OwnerVacancy {
-    since: MonotonicTime,
-    /// Store revision at which the record was seen to be absent, if known.
-    revision: Option<StoreRevision>,
-}
-
-impl OwnerVacancy {
-    /// Returns a vacancy at an unknown store revision.
-    fn new(since: MonotonicTime) -> Self {
-        Self { since, revision: None }
-    }
-}
-
 /// State machine that claims, renews and releases the ownership of one cell.
 #[derive(Clone, Debug)]
 pub struct OwnershipState {
@@ -156,15 +139,14 @@
     observed_epoch: (OwnerEpoch, MonotonicTime),
     /// Highest revision observed. Older observations come from a lagging watch and are ignored.
     observed_revision: StoreRevision,
-    vacancy: Option<OwnerVacancy>,
+    vacant_since: Option<MonotonicTime>,
     pending: Option<(WriteId, PendingCall)>,
     renewal: Option<(WriteId, MonotonicTime)>,
     next_renewal: MonotonicTime,
     next_claim: MonotonicTime,
     last_claim: Option<(LeaseId, OwnerEpoch)>,
-    /// Owner of the epoch before the last one claimed, and since when it has not held the lease, if
-    /// known.
-    predecessor: Option<(OwnerRecord, Option<MonotonicTime>)>,
+    /// Owner of the epoch before the last one claimed.
+    predecessor: Option<OwnerRecord>,
     draining: bool,
     ttl: Duration,
     claim_delay: Duration,
@@ -188,7 +170,7 @@
             observed: None,
             observed_epoch: (0, MonotonicTime::ZERO),
             observed_revision: 0,
-            vacancy: None,
+            vacant_since: None,
             pending: None,
             renewal: None,
             next_renewal: Duration::ZERO,
@@ -238,7 +220,7 @@
     /// Returns whether the ownership record is believed not to exist, based on the last
     /// observation, renewal or conditional write.
     pub fn is_vacant(&self) -> bool {
-        self.vacancy.is_some()
+        self.vacant_since.is_some()
     }
 
     /// Returns whether this instance owns the cell or has a claim in progress.
@@ -287,13 +269,13 @@
         self.observed_revision = revision;
         let Some(item) = item else {
             self.observed = None;
-            self.vacancy.get_or_insert(OwnerVacancy { since: now, revision: Some(revision) });
+            self.vacant_since.get_or_insert(now);
             if let Some(held) = &mut self.held {
                 held.revision = None;
             }
             return self.tick(now);
         };
-        self.vacancy = None;
+        self.vacant_since = None;
         let Some(record) = decode_owner(item) else {
             // This process can read its own records, so another one has claimed the cell.
             self.observed = None;
@@ -331,12 +313,12 @@
         if record_exists {
             return self.renew(now);
         }
-        let Some(vacancy) = self.vacancy else { return Vec::new() };
+        let Some(vacant_since) = self.vacant_since else { return Vec::new() };
         let delay = match self.held {
             Some(_) => Duration::ZERO,
             None => self.claim_delay + OTHER_CELL_DELAY * self.other_cells,
         };
-        if self.pending.is_some() || now < vacancy.since + delay || now < self.next_claim {
+        if self.pending.is_some() || now < vacant_since + delay || now < self.next_claim {
             return Vec::new();
         }
         self.start_call(PendingCall::Grant, StoreCall::Grant { ttl: self.ttl })
@@ -414,7 +396,7 @@
             }
             Ok(StoreReply::Kept { alive: false }) => {
                 held.revision = None;
-                self.vacancy.get_or_insert(OwnerVacancy::new(now));
+                self.vacant_since.get_or_insert(now);
                 return self.tick(now);
             }
             // The lease covers several renewal intervals, so a failed renewal can be retried in
@@ -456,10 +438,7 @@
         if !resumes {
             puts.push(StorePut::new(self.keys.epoch.clone(), encode_value(&record)));
             puts.push(StorePut::new(self.keys.epoch_mark.clone(), encode_value(&record)));
-            // The vacancy is that of the last owner's lease if nobody has claimed the cell since.
-            let vacancy = self.vacancy.filter(|vacancy| vacancy.revision >= Some(last_revision));
-            let vacant_since = vacancy.map(|vacancy| vacancy.since);
-            self.predecessor = last_owner.map(|owner| (owner, vacant_since));
+            self.predecessor = last_owner;
         }
         let expected = vec![(self.keys.owner.clone(), 0), (self.keys.epoch.clone(), last_revision)];
         self.last_claim = Some((lease, epoch));
@@ -475,7 +454,7 @@
         revision: StoreRevision,
     ) -> Vec<OwnershipEffect> {
         self.last_claim = None;
-        self.vacancy = None;
+        self.vacant_since = None;
         self.observed_revision = self.observed_revision.max(revision);
         self.observed = Some(OwnerRecord { epoch, ..self.identity.clone() });
         self.next_renewal = now;
@@ -487,12 +466,8 @@
             return vec![OwnershipEffect::Resumed(*held)];
         }
         let predecessor = self.predecessor.take();
-        let vacant_since = match &predecessor {
-            Some((_, vacant_since)) => vacant_since.unwrap_or(now),
-            None => MonotonicTime::ZERO,
-        };
         let earlier_orders_until = match &predecessor {
-            Some((owner, _)) if owner.epoch > FIRST_EPOCH => {
+            Some(owner) if owner.epoch > FIRST_EPOCH => {
                 let (epoch, since) = self.observed_epoch;
                 let began_by = if epoch == owner.epoch { since } else { now };
                 began_by + MAX_STORE_SILENCE
@@ -505,12 +480,11 @@
             revision: Some(revision),
             start_revision: revision,
             authority_until,
-            vacant_since,
             earlier_orders_until,
             lease,
         };
         self.held = Some(held);
-        vec![OwnershipEffect::Began(held, predecessor.map(|(owner, _)| owner))]
+        vec![OwnershipEffect::Began(held, predecessor)]
     }
 
     fn note_epoch(&mut self, now: MonotonicTime, epoch: OwnerEpoch) {
@@ -555,7 +529,7 @@
     pub fn on_record_missing(&mut self, now: MonotonicTime) -> Vec<OwnershipEffect> {
         if let Some(held) = &mut self.held {
             held.revision = None;
-            self.vacancy.get_or_insert(OwnerVacancy::new(now));
+            self.vacant_since.get_or_insert(now);
         }
         self.tick(now)
     }
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -329,11 +329,7 @@
             authority_until: ownership.authority_until,
             started_at: now,
             evidence: OwnershipEvidence::default(),
-            earlier_owners: EarlierOwners {
-                confirmed_by: ownership.vacant_since,
-                replaced_at: now,
-                ..EarlierOwners::default()
-            },
+            earlier_owners: EarlierOwners { replaced_at: now, ..EarlierOwners::default() },
             earlier_orders_until: ownership.earlier_orders_until,
             loaded: false,
             loaded_executors: 0,
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -76,9 +76,9 @@
             }
         }
         self.earlier_owners.bounded |= self.epoch == FIRST_EPOCH;
-        if let Some(written_by) = written_by {
-            let confirmed_by = &mut self.earlier_owners.confirmed_by;
-            *confirmed_by = written_by.min(*confirmed_by);
+        // Without a write, no earlier owner has granted leases.
+        if self.journal.sequence_revision > 0 {
+            self.earlier_owners.confirmed_by = written_by.unwrap_or(self.now);
         }
         self.loaded_executors = roster.executors.len();
         self.journal.possible_rosters = vec![roster.names()];
