Check the arithmetic on the stored mark of bounded leases

Found on reading the change again: a stored epoch of 2^64 - 1 would overflow when the next owner compares it, which ends a build with overflow checks. Release builds wrap, so callers of a release were not affected.

Change: a checked addition. Tests: extreme_mark_of_bounded_leases_is_not_trusted, and the record is among the garbled ones.

--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -72,7 +72,8 @@
                 self.journal.sequence_revision = item.revision;
             } else if item.key == keys.bounded_leases {
                 let marked = decode_value::<OwnerEpoch>(&item.value);
-                self.earlier_owners.bounded |= marked.is_some_and(|epoch| epoch + 1 == self.epoch);
+                let next = marked.and_then(|epoch| epoch.checked_add(1));
+                self.earlier_owners.bounded |= next == Some(self.epoch);
             }
         }
         self.earlier_owners.bounded |= self.epoch == FIRST_EPOCH;
--- a/crates/cuminbank-jobs/tests/earlier_owners.rs
+++ b/crates/cuminbank-jobs/tests/earlier_owners.rs
@@ -10,6 +10,7 @@
     job::{JobStep, TaskName},
     keys::CellKeys,
     order::RunEnd,
+    store::{encode_value, StoreCall, StorePut, StoreTxn},
 };
 use support::{
     jobs::{job, step, terms},
@@ -214,3 +215,18 @@
         .find(|line| line.contains(POOL_LOADED.summary) || line.contains(POOL_RECONCILED.summary));
     last.is_some_and(|line| line.contains(POOL_RECONCILED.summary))
 }
+
+// Guards against a stored epoch that ends the process of each next owner.
+#[test]
+fn extreme_mark_of_bounded_leases_is_not_trusted() {
+    let keys = CellKeys::new(0);
+    let mut pool = with_lengths(SimulatedPool::new(4, 2, 2), |_| LASTING);
+    let instance = pool.owner().expect("there is an owner");
+    let put = StorePut::new(keys.bounded_leases.clone(), encode_value(&u64::MAX));
+    let txn = StoreTxn { puts: vec![put], ..StoreTxn::default() };
+    pool.store.call(pool.now, &StoreCall::Commit(txn));
+    let down = Duration::from_secs(60);
+    pool.fault_at(pool.now, InjectedFault::KillInstance { instance, down });
+    pool.run_until(pool.now + Duration::from_secs(5));
+    assert!(is_reconciled(&pool), "{:#?}", pool.trace);
+}
--- a/crates/cuminbank-jobs/tests/garbled.rs
+++ b/crates/cuminbank-jobs/tests/garbled.rs
@@ -130,6 +130,7 @@
         roster in garbled("record.roster"),
         colocation in garbled("record.colocation"),
         sequence in garbled("record.sequence"),
+        bounded_leases in garbled("record.bounded_leases"),
     ) {
         let keys = CellKeys::new(0);
         load(vec![
@@ -138,6 +139,7 @@
             (keys.roster.clone(), roster),
             (keys.colocation.clone(), colocation),
             (keys.sequence, sequence),
+            (keys.bounded_leases, bounded_leases),
         ]);
     }
 
