--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,7 +8,7 @@
 mod store;
 
 mod cut_counts;
-mod gang;
+mod other_service;
 mod short_owner;
 
 use std::{fs::File, path::Path, process::ExitCode};
@@ -36,7 +36,8 @@
     let pool = Pool::new(record);
     let verdict = match case.as_str() {
         "cut-counts" => cut_counts::play(&pool, trouble),
-        "gang" => gang::play(&pool, trouble),
+        "other-service" => other_service::play(&pool, trouble),
+        "restarts" => short_owner::play_restarts(&pool, trouble),
         "short-owner" => short_owner::play(&pool, trouble),
         _ => Verdict::NotRun,
     };
