--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/cuminbank-jobd ] && [ -x target/review-2/release/review-standin-2 ] || exit 2
-exec target/review-2/release/review-standin-2 cut-counts review/8
+exec target/review-2/release/review-standin-2 short-owner review/8
