--- a/crates/cuminbank-jobd/src/watches.rs
+++ b/crates/cuminbank-jobd/src/watches.rs
@@ -292,11 +292,15 @@
             time::sleep(RETRY_PAUSE).await;
             continue;
         };
-        let sequence = all.iter().find(|item| item.key == cell.keys.sequence);
-        let written_by = sequence.and_then(|item| state.store.reached_by(item.revision));
+        let stored_by = |key: &str| {
+            let item = all.iter().find(|item| item.key == key)?;
+            state.store.reached_by(item.revision)
+        };
+        let written_by = stored_by(&cell.keys.sequence);
+        let handed_over_by = stored_by(&cell.keys.lease_handover);
         all.extend(items);
         cell.apply(state, JobEvent::EvacuationsChanged { zones });
-        cell.apply(state, JobEvent::Loaded { items: all, written_by });
+        cell.apply(state, JobEvent::Loaded { items: all, written_by, handed_over_by });
         return Some(revision);
     }
     None
--- a/crates/cuminbank-jobs/src/formats.rs
+++ b/crates/cuminbank-jobs/src/formats.rs
@@ -18,11 +18,12 @@
 pub const SUPPORTED_FORMATS: FormatSupport = FormatSupport { oldest: 1, newest: 1, written: 1 };
 
 /// Stored records.
-pub const RECORD_FORMATS: [FormatHistory; 9] = [
+pub const RECORD_FORMATS: [FormatHistory; 10] = [
     FormatHistory { name: "accepted", versions: &[1] },
     FormatHistory { name: "bounded_leases", versions: &[1] },
     FormatHistory { name: "colocation", versions: &[1] },
     FormatHistory { name: "job", versions: &[1] },
+    FormatHistory { name: "lease_handover", versions: &[1] },
     FormatHistory { name: "owner", versions: &[1] },
     FormatHistory { name: "plan", versions: &[1] },
     FormatHistory { name: "progress", versions: &[1] },
--- a/crates/cuminbank-jobs/src/guards.rs
+++ b/crates/cuminbank-jobs/src/guards.rs
@@ -12,6 +12,9 @@
     pub verifies_ownership: bool,
     /// Ended runs are acknowledged to executors only after they are stored.
     pub records_before_ack: bool,
+    /// Leases are only granted on an executor once the store no longer tells the next owner that
+    /// there are none.
+    pub hands_over_leases: bool,
     /// Executors in a zone under evacuation get no new work.
     pub heeds_evacuations: bool,
     /// Long-running jobs with a task that has waited for long come before all other jobs.
@@ -24,6 +27,7 @@
             reconciles_first: true,
             verifies_ownership: true,
             records_before_ack: true,
+            hands_over_leases: true,
             heeds_evacuations: true,
             starved_first: true,
         }
--- a/crates/cuminbank-jobs/src/keys.rs
+++ b/crates/cuminbank-jobs/src/keys.rs
@@ -59,6 +59,8 @@
     pub sequence: String,
     /// Epoch of the last owner that bounded its leases, as all owners before it did.
     pub bounded_leases: String,
+    /// Ends of the leases on executors that the owner cannot reach.
+    pub lease_handover: String,
 }
 
 impl CellKeys {
@@ -81,6 +83,7 @@
             colocation: format!("{ledger_prefix}colocation"),
             sequence: format!("{ledger_prefix}sequence"),
             bounded_leases: format!("{ledger_prefix}bounded_leases"),
+            lease_handover: format!("{ledger_prefix}lease_handover"),
             ledger_prefix,
         }
     }
--- a/crates/cuminbank-jobs/src/lease_bounds.rs
+++ b/crates/cuminbank-jobs/src/lease_bounds.rs
@@ -31,8 +31,9 @@
 const UNBOUNDED_LEASE_TIME: Duration = Duration::from_millis(7_000);
 /// Maximum percentage by which an executor's clock runs slower than this instance's clock.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
-/// Number of revisions that a [`RevisionClock`] remembers.
-const MAX_SAMPLES: usize = 64;
+/// Number of revisions that a [`RevisionClock`] remembers, which cover at least the longest wait for
+/// an earlier owner.
+const MAX_SAMPLES: usize = 512;
 /// Minimum interval between two remembered revisions.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -78,6 +79,11 @@
         self.stopped_at.unwrap_or(self.replaced_at + MAX_STORE_SILENCE)
     }
 
+    /// Returns whether [`Self::leases_until`] no longer becomes earlier.
+    pub fn has_final_bound(&self) -> bool {
+        self.quorum_at.is_some() || self.stopped_at.is_some()
+    }
+
     /// Returns the longest lease that they grant, on a slow clock.
     pub fn longest_lease(&self, max_lease: Duration) -> Duration {
         let lease = if self.bounded { LEASE_TIME } else { UNBOUNDED_LEASE_TIME };
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod job;
 pub mod keys;
 pub mod lease_bounds;
+pub mod lease_handover;
 pub mod order;
 pub mod ownership;
 pub mod pace;
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -126,6 +126,8 @@
             accepted_at: MonotonicTime::ZERO,
             clock: None,
             lease_expires_at: MonotonicTime::ZERO,
+            handed_over: None,
+            grants_paused: false,
             hold: HoldState { next_at: self.now, ..HoldState::default() },
             last_end_number: 0,
             acknowledged: 0,
@@ -204,6 +206,8 @@
             if executor.in_roster != self.belongs_in_roster(executor) && executor.contacted {
                 self.journal.roster_dirty = true;
             }
+            self.update_handover(key);
+            let executor = &self.executors[key];
             let absent = self.is_absent(executor);
             let needed = !executor.runs.is_empty()
                 || !lease_over
@@ -243,6 +247,9 @@
     /// Returns the end of a new lease on the executor's clock, and records the latest time on this
     /// instance's clock at which it expires. Returns `None` if no lease may be granted now.
     pub(super) fn grant_lease(&mut self, key: ExecutorKey) -> Option<ExecutorMillis> {
+        if self.executors[key].grants_paused && self.guards.hands_over_leases {
+            return None;
+        }
         let lease_until = self.evidence.lease_until(self.now, self.bounds.max_lease)?;
         let lease = lease_until - self.now;
         let until = self.clock_now(key)? + lease.as_millis() as u64;
@@ -261,7 +268,9 @@
         let lease = self.earlier_owners.longest_lease(self.bounds.max_lease);
         let expires_at = self.now + lease + self.bounds.stop_timeout + HOLD_RETRY;
         let executor = &mut self.executors[key];
-        executor.lease_expires_at = executor.lease_expires_at.max(expires_at);
+        let earlier = self.earlier_leases.remove(&executor.name);
+        let earlier_end = earlier.map_or(MonotonicTime::ZERO, |lease| lease.ends_at);
+        executor.lease_expires_at = executor.lease_expires_at.max(expires_at).max(earlier_end);
     }
 
     /// Sends a hold: it renews the lease, acknowledges the recorded ended runs, and asks the
@@ -358,6 +367,7 @@
         }
         self.apply_report(key, report, sent_logical_time);
         self.mark_reconciled(&name);
+        self.update_handover(key);
         let executor = &mut self.executors[key];
         let unrecorded = executor.last_end_number > executor.acknowledged;
         let gap = if unrecorded { UNRECORDED_GAP } else { HOLD_GAP };
@@ -383,6 +393,9 @@
     fn remove_executor(&mut self, key: ExecutorKey) {
         let Some(executor) = self.executors.remove(key) else { return };
         self.executor_names.remove(&executor.name);
+        if executor.handed_over.is_some() {
+            self.journal.handover.invalidate();
+        }
         self.orders.retain(|_, pending| pending.executor != key);
         let starts = self.orders.values().filter(|pending| pending.kind == OrderKind::Start);
         self.starts_in_flight = starts.count();
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -6,6 +6,7 @@
 use cuminbank::log::{PROGRESS_REFUSED, PROGRESS_UNANSWERED};
 
 use super::{
+    handover::HandoverState,
     state::{ExecutorKey, JobKey},
     JobEffect, JobScheduler,
 };
@@ -36,8 +37,8 @@
 /// of its cancellation request.
 const ENDED_ENTRIES: usize = 3;
 /// Number of transaction entries that belong to no job: two conditions, the sequence, the mark of
-/// bounded leases, the roster and the colocation model.
-const FIXED_ENTRIES: usize = 6;
+/// bounded leases, the roster, the handover and the colocation model.
+const FIXED_ENTRIES: usize = 7;
 /// Maximum number of rosters without a definite reply of the store that are remembered.
 const MAX_POSSIBLE_ROSTERS: usize = 8;
 
@@ -50,6 +51,7 @@
     pub(super) roster_dirty: bool,
     /// Whether the store has this owner's mark of bounded leases.
     leases_marked: bool,
+    pub(super) handover: HandoverState,
     /// Names in each roster that the store may contain, depending on which writes were done; the
     /// latest one last. An empty one stands for an unknown roster.
     pub(super) possible_rosters: Vec<Vec<ExecutorName>>,
@@ -82,6 +84,7 @@
     /// Executors in the roster that the write stores. Empty if it stores no roster.
     members: Vec<ExecutorKey>,
     has_roster: bool,
+    has_handover: bool,
     /// Whether it stores that this owner and all earlier ones bound their leases.
     marks_leases: bool,
     /// Whether the write includes every job that had changed.
@@ -119,6 +122,7 @@
         // An unreadable roster may name executors with leases that this owner does not know of.
         let has_roster = self.journal.roster_dirty && !self.roster_unreadable;
         let other_changes = has_roster
+            || self.journal.handover.is_changed()
             || self.journal.ownership_check_needed
             || self.now >= self.evidence.confirmed_at + CONFIRM_INTERVAL
             || !self.journal.expired_jobs.is_empty();
@@ -190,6 +194,11 @@
             let roster = encode_value(&roster);
             puts.push(StorePut::new(self.keys.roster.clone(), roster));
         }
+        let handover = self.take_handover();
+        let has_handover = handover.is_some();
+        if let Some(record) = handover {
+            puts.push(StorePut::new(self.keys.lease_handover.clone(), encode_value(&record)));
+        }
         if self.now >= self.journal.colocation_at {
             self.journal.colocation_at = self.now + COLOCATION_INTERVAL;
             let learned = encode_value(&self.colocation);
@@ -213,6 +222,7 @@
             acknowledged,
             members,
             has_roster,
+            has_handover,
             marks_leases,
             complete,
         });
@@ -318,6 +328,9 @@
             let latest = self.journal.possible_rosters.len().saturating_sub(1);
             self.journal.possible_rosters.drain(..latest);
         }
+        if flush.has_handover {
+            self.on_handover_stored();
+        }
         for key in flush.members {
             if let Some(executor) = self.executors.get_mut(key) {
                 executor.in_roster = true;
@@ -332,6 +345,9 @@
             self.mark_dirty(key);
         }
         self.journal.roster_dirty |= flush.has_roster;
+        if flush.has_handover {
+            self.journal.handover.invalidate();
+        }
         self.journal.next_at = self.now + FLUSH_RETRY;
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod drains;
 mod evacuation;
 mod gathering;
+mod handover;
 mod jobs;
 mod journal;
 mod missed_placements;
@@ -64,6 +65,7 @@
     job::{JobOutcome, StepId},
     keys::CellKeys,
     lease_bounds::{EarlierOwners, OwnershipEvidence},
+    lease_handover::EarlierLease,
     order::{AdviceFailure, AdviceReply, ExecutorOrder, ExecutorReport, OrderFailure, OrderReply},
     ownership::HeldOwnership,
     store::{StoreChange, StoreFailure, StoreItem, StoreTxn, TxnOutcome},
@@ -94,6 +96,8 @@
         items: Vec<StoreItem>,
         /// Time by which the last write of an earlier owner was done, if known.
         written_by: Option<MonotonicTime>,
+        /// Time by which the store had the handover of an earlier owner, if known.
+        handed_over_by: Option<MonotonicTime>,
     },
     /// Items under the pool prefix changed, according to the watch or to another full read.
     PoolChanged {
@@ -244,6 +248,8 @@
     loaded_executors: usize,
     /// Executors of the stored roster that may still run tasks started in an earlier epoch.
     unreconciled: HashSet<ExecutorName>,
+    /// Leases of earlier owners that their last record tells.
+    earlier_leases: HashMap<ExecutorName, EarlierLease>,
     /// Whether the stored roster cannot be read and leases of earlier owners may not have expired.
     roster_unreadable: bool,
     jobs: SlotMap<JobKey, JobState>,
@@ -334,6 +340,7 @@
             loaded: false,
             loaded_executors: 0,
             unreconciled: HashSet::new(),
+            earlier_leases: HashMap::new(),
             roster_unreadable: false,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
@@ -408,7 +415,9 @@
         self.now = now;
         self.wall = wall;
         match event {
-            JobEvent::Loaded { items, written_by } => self.on_loaded(items, written_by),
+            JobEvent::Loaded { items, written_by, handed_over_by } => {
+                self.on_loaded(items, written_by, handed_over_by);
+            }
             JobEvent::PoolChanged { changes } => self.on_pool_changed(changes),
             JobEvent::OwnershipChanged(held) => self.on_ownership_changed(&held),
             JobEvent::PredecessorStopped { stopped } => self.on_predecessor_stopped(stopped),
--- a/crates/cuminbank-jobs/src/scheduler/refusals.rs
+++ b/crates/cuminbank-jobs/src/scheduler/refusals.rs
@@ -64,7 +64,8 @@
         if !executor.in_roster {
             return Some(PlacementRefusal::Unlisted);
         }
-        if !executor.contacted || executor.clock.is_none() || executor.hold.failures > 0 {
+        let in_contact = executor.contacted && executor.hold.failures == 0;
+        if !in_contact || executor.clock.is_none() || executor.grants_paused {
             return Some(PlacementRefusal::Unreachable);
         }
         (self.now < executor.no_starts_until).then_some(PlacementRefusal::Paused)
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -15,6 +15,7 @@
         StartMillis, TaskIndex, WallTime, ZoneName,
     },
     job::{JobOutcome, JobRecord, TaskLayout, TaskNeeds},
+    lease_handover::GrantState,
     placement::ExecutorRecord,
     progress::TaskProgress,
     slack::{SlackEstimate, ViolationTimer},
@@ -274,6 +275,10 @@
     pub(super) clock: Option<ClockSample>,
     /// Time on this instance's clock by which every lease granted to it has expired.
     pub(super) lease_expires_at: MonotonicTime,
+    /// What the handover that was sent last tells of it.
+    pub(super) handed_over: Option<GrantState>,
+    /// Whether no lease may be granted, since the store may tell the next owner so.
+    pub(super) grants_paused: bool,
     pub(super) hold: HoldState,
     /// Highest [`EndReport::number`](crate::order::EndReport::number) that has been processed.
     pub(super) last_end_number: u64,
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -6,15 +6,18 @@
     time::Duration,
 };
 
-use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED, STORE_UNREADABLE};
+use cuminbank::log::{
+    EXECUTOR_LEASES_EXPIRED, POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED, STORE_UNREADABLE,
+};
 
 use super::{state::JobState, JobScheduler};
 use crate::{
     colocation::ColocationModel,
     formats::describe_value,
-    ids::{ExecutorName, JobId, MonotonicTime, OwnerEpoch, TaskIndex},
+    ids::{ExecutorName, JobId, MonotonicTime, OwnerEpoch, TaskIndex, WriteId},
     keys::parse_job_id,
     lease_bounds::{majority_time, EarlierOwners},
+    lease_handover::{GrantState, LeaseHandover},
     ownership::FIRST_EPOCH,
     progress::JobProgress,
     roster::ExecutorRoster,
@@ -29,7 +32,12 @@
 const MIN_SILENCE: Duration = Duration::from_millis(600);
 
 impl JobScheduler {
-    pub(super) fn on_loaded(&mut self, items: Vec<StoreItem>, written_by: Option<MonotonicTime>) {
+    pub(super) fn on_loaded(
+        &mut self,
+        items: Vec<StoreItem>,
+        written_by: Option<MonotonicTime>,
+        handed_over_by: Option<MonotonicTime>,
+    ) {
         if self.loaded {
             return;
         }
@@ -38,6 +46,8 @@
         let mut progress: HashMap<JobId, JobProgress> = HashMap::new();
         let mut unreadable: HashSet<JobId> = HashSet::new();
         let mut roster = ExecutorRoster::default();
+        let mut handover = LeaseHandover::default();
+        let mut last_writer = None;
         for item in &items {
             if let Some(job) = parse_job_id(&item.key, &keys.progress_prefix) {
                 match decode_value(&item.value) {
@@ -70,6 +80,13 @@
                 }
             } else if item.key == keys.sequence {
                 self.journal.sequence_revision = item.revision;
+                let written = decode_value::<(OwnerEpoch, WriteId)>(&item.value);
+                last_writer = written.map(|(epoch, _)| epoch);
+            } else if item.key == keys.lease_handover {
+                match decode_value(&item.value) {
+                    Some(stored) => handover = stored,
+                    None => self.log_unreadable(&item.key, &item.value),
+                }
             } else if item.key == keys.bounded_leases {
                 let marked = decode_value::<OwnerEpoch>(&item.value);
                 let next = marked.and_then(|epoch| epoch.checked_add(1));
@@ -81,6 +98,10 @@
         if self.journal.sequence_revision > 0 {
             self.earlier_owners.confirmed_by = written_by.unwrap_or(self.now);
         }
+        if self.earlier_owners.bounded {
+            let stored_by = handed_over_by.unwrap_or(self.now);
+            self.earlier_leases = handover.into_leases(last_writer, stored_by);
+        }
         self.loaded_executors = roster.executors.len();
         self.journal.possible_rosters = vec![roster.names()];
         for entry in roster.executors {
@@ -164,29 +185,71 @@
         self.log(PREDECESSOR_ENDED, None, format!("epoch={} stopped_ms={stopped_ms}", self.epoch));
     }
 
+    /// Returns the time by which all leases of earlier owners have expired, wherever they were
+    /// granted.
+    fn earlier_leases_end(&self) -> MonotonicTime {
+        let leases_until = self.earlier_owners.leases_until(self.bounds.max_lease);
+        leases_until + self.bounds.stop_timeout + RECONCILE_MARGIN
+    }
+
+    /// Returns the time by which all leases of earlier owners on an executor have expired that has
+    /// not replied to this one.
+    pub(super) fn earlier_lease_end(&self, name: &ExecutorName) -> MonotonicTime {
+        match self.earlier_leases.get(name) {
+            Some(lease) if lease.grants == GrantState::Paused => lease.ends_at,
+            Some(lease) => self.earlier_leases_end().max(lease.ends_at),
+            None => self.earlier_leases_end(),
+        }
+    }
+
     /// Stops waiting for unreachable executors once all leases granted by earlier owners must have
     /// expired. If the roster cannot be read, any executor may have such a lease.
     pub(super) fn reconcile_by_timeout(&mut self) {
         if self.is_reconciled() {
             return;
         }
-        let leases_until = self.earlier_owners.leases_until(self.bounds.max_lease);
-        if self.now >= leases_until + self.bounds.stop_timeout + RECONCILE_MARGIN {
-            self.roster_unreadable = false;
-            let missing: Vec<ExecutorName> = self.unreconciled.drain().collect();
-            let named = missing.iter().take(MAX_NAMED).cloned().collect::<Vec<_>>().join(",");
-            let EarlierOwners { bounded, confirmed_by, stopped_at, quorum_at, .. } =
-                self.earlier_owners;
-            let age = |at: MonotonicTime| self.now.saturating_sub(at).as_millis();
-            let reason = format!(
-                "leases of earlier owners have expired missing={} executors={named} bounded={bounded} \
-                 confirmed_ms={}                  stopped_ms={:?} quorum_ms={:?}",
-                missing.len(),
-                age(confirmed_by),
-                stopped_at.map(age),
-                quorum_at.map(age)
-            );
+        // A later owner may have reached the executors and renewed the leases of their runs. Only a
+        // successful write of this owner, sent after they expired, rules that out.
+        let verified_at = match self.guards.verifies_ownership {
+            true => self.evidence.confirmed_at,
+            false => self.now,
+        };
+        let ends: Vec<(ExecutorName, MonotonicTime)> = self
+            .unreconciled
+            .iter()
+            .map(|name| (name.clone(), self.earlier_lease_end(name)))
+            .collect();
+        let roster_end = self.roster_unreadable.then(|| self.earlier_leases_end());
+        let is_over = ends.iter().map(|(_, end)| *end).chain(roster_end).any(|end| self.now >= end);
+        if !is_over {
+            return;
+        }
+        let missing: Vec<ExecutorName> =
+            ends.into_iter().filter(|(_, end)| verified_at >= *end).map(|(name, _)| name).collect();
+        self.roster_unreadable &= roster_end.is_some_and(|end| verified_at < end);
+        self.unreconciled.retain(|name| !missing.contains(name));
+        self.journal.ownership_check_needed |= !self.is_reconciled();
+        if missing.is_empty() && !self.is_reconciled() {
+            return;
+        }
+        let named = missing.iter().take(MAX_NAMED).cloned().collect::<Vec<_>>().join(",");
+        let EarlierOwners { bounded, confirmed_by, stopped_at, quorum_at, .. } =
+            self.earlier_owners;
+        let age = |at: MonotonicTime| self.now.saturating_sub(at).as_millis();
+        let handed = missing.iter().filter(|name| self.earlier_leases.contains_key(*name)).count();
+        let reason = format!(
+            "leases of earlier owners have expired missing={} executors={named} handed_over={handed} \
+             left={} bounded={bounded} confirmed_ms={} stopped_ms={:?} quorum_ms={:?}",
+            missing.len(),
+            self.unreconciled.len(),
+            age(confirmed_by),
+            stopped_at.map(age),
+            quorum_at.map(age)
+        );
+        if self.is_reconciled() {
             self.log_reconciled(&reason);
+        } else {
+            self.log(EXECUTOR_LEASES_EXPIRED, None, format!("runs=0 reason={reason}"));
         }
     }
 
--- a/crates/cuminbank-jobs/tests/earlier_owners.rs
+++ b/crates/cuminbank-jobs/tests/earlier_owners.rs
@@ -7,6 +7,7 @@
 
 use cuminbank::log::{POOL_LOADED, POOL_RECONCILED, RUN_STARTED};
 use cuminbank_jobs::{
+    guards::JobGuards,
     job::{JobStep, TaskName},
     keys::CellKeys,
     order::RunEnd,
@@ -163,6 +164,77 @@
     }
 }
 
+// Guards against tasks that stay without a run while owners follow each other: what an owner has learned
+// about lost executors was forgotten with it.
+#[test]
+fn series_of_owners_does_not_restart_the_wait() {
+    const TASKS: u32 = 8;
+    /// Time without a run after which a task is lost.
+    const RUN_LIMIT: Duration = Duration::from_secs(9);
+    for (planned, first_ms, interval_ms) in
+        [(true, 3_500, 3_500), (true, 500, 2_500), (true, 900, 3_000), (false, 500, 5_500)]
+    {
+        let mut pool = with_lengths(SimulatedPool::new(4, 5, 12), |_| LASTING);
+        submit(&mut pool, LASTING_JOB, JobStep { max_per_executor: 1, ..long_running(TASKS) });
+        pool.run_until(pool.now + Duration::from_secs(3));
+        let lost_at = pool.now;
+        let busy = (0..12).filter(|executor| !pool.executors[*executor].running.is_empty());
+        for executor in busy.take(2).collect::<Vec<_>>() {
+            pool.fault_at(lost_at, InjectedFault::CrashExecutor { executor, down: None });
+        }
+        let mut next = lost_at + Duration::from_millis(first_ms);
+        while next < lost_at + RUN_LIMIT {
+            pool.run_until(next);
+            let instance = pool.owner().expect("there is an owner");
+            let down = Duration::from_secs(1);
+            let end = match planned {
+                true => InjectedFault::StopInstance { instance, down },
+                false => InjectedFault::KillInstance { instance, down },
+            };
+            pool.fault_at(next, end);
+            next += Duration::from_millis(interval_ms);
+        }
+        pool.run_until(lost_at + RUN_LIMIT);
+        let case = (planned, first_ms, interval_ms);
+        assert_eq!(pool.running(LASTING_JOB), TASKS as usize, "{case:?}: {:#?}", pool.trace);
+        pool.run_until(lost_at + Duration::from_secs(30));
+        assert!(pool.checks.violations.is_empty(), "{case:?}: {:#?}", pool.checks.violations);
+    }
+}
+
+/// Plays an owner that loses an executor, tells the store so, and reaches it again once it is cut off
+/// from the store. Returns the violations.
+fn play_regained_executor(guards: JobGuards) -> Vec<String> {
+    let mut pool = with_lengths(SimulatedPool::new(4, 2, 4).with_guards(guards), |_| LASTING);
+    submit(&mut pool, LASTING_JOB, long_running(1));
+    pool.run_until(pool.now + Duration::from_millis(1_500));
+    let busy = pool.executors.iter().position(|executor| !executor.running.is_empty());
+    let busy = busy.expect("the task runs");
+    let first = pool.owner().expect("there is an owner");
+    let cut_at = pool.now;
+    let cut_off = |instance, span_ms| InjectedFault::CutFromExecutors {
+        instance,
+        executors: vec![busy],
+        span: Duration::from_millis(span_ms),
+    };
+    pool.fault_at(cut_at, cut_off(first, 2_500));
+    pool.fault_at(cut_at, cut_off(1 - first, 20_000));
+    let span = Duration::from_secs(20);
+    let isolated = InjectedFault::CutFromStore { instance: first, span };
+    pool.fault_at(cut_at + Duration::from_millis(2_300), isolated);
+    pool.run_until(cut_at + Duration::from_secs(30));
+    std::mem::take(&mut pool.checks.violations)
+}
+
+// Guards against two runs of a task: the record says until when leases last on a silent executor, and the
+// owner grants further ones.
+#[test]
+fn no_lease_is_granted_beyond_the_handover() {
+    assert_eq!(play_regained_executor(JobGuards::default()), Vec::<String>::new());
+    let guards = JobGuards { hands_over_leases: false, ..JobGuards::default() };
+    assert!(!play_regained_executor(guards).is_empty());
+}
+
 // Guards against runs that are lost in an outage of the store, although their owner and their
 // executors reach each other.
 #[test]
--- a/crates/cuminbank-jobs/tests/formats.rs
+++ b/crates/cuminbank-jobs/tests/formats.rs
@@ -15,6 +15,7 @@
         AdviceTerms, JobOutcome, JobPhase, JobRecord, JobStep, QueueTerms, RepeatPlan, TaskName,
         TaskNeeds,
     },
+    lease_handover::{GrantState, HandoverEntry, LeaseHandover},
     order::{OrderFailure, RejectReason},
     ownership::OwnerRecord,
     peer::{JobDescription, OwnerAnswer, OwnerQuestion, PeerReply, PeerRequest, WaitReason},
@@ -218,6 +219,14 @@
     check.record::<CellId>("record.accepted", 300);
     check.record("record.sequence", (7_u64, 1_234_u64));
     check.record("record.bounded_leases", 7_u64);
+    let entry = |executor: &str, grants, left_ms| HandoverEntry {
+        executor: executor.to_owned(),
+        grants,
+        left_ms,
+    };
+    let entries =
+        vec![entry("e1/7", GrantState::Paused, 6_570), entry("e2/7", GrantState::Granting, 0)];
+    check.record("record.lease_handover", LeaseHandover { epoch: 300, entries });
     check.record(
         "record.instance",
         InstanceEntry {
@@ -324,4 +333,5 @@
     assert_eq!(variants::<RelayedResult>(), 3);
     assert_eq!(variants::<RejectReason>(), 6);
     assert_eq!(variants::<OrderFailure>(), 5);
+    assert_eq!(variants::<GrantState>(), 2);
 }
--- a/crates/cuminbank-jobs/tests/garbled.rs
+++ b/crates/cuminbank-jobs/tests/garbled.rs
@@ -90,8 +90,10 @@
     let mut executor = FakeExecutor::new("e", 1_000);
     executor.service = "kiln".to_owned();
     let reports = vec![executor.report()];
-    let mut events =
-        vec![JobEvent::Listed { reports }, JobEvent::Loaded { items, written_by: None }];
+    let mut events = vec![
+        JobEvent::Listed { reports },
+        JobEvent::Loaded { items, written_by: None, handed_over_by: None },
+    ];
     let mut now = START;
     let wall = Duration::from_secs(1_700_000_000);
     for _ in 0..40 {
--- a/crates/cuminbank-jobs/tests/journal.rs
+++ b/crates/cuminbank-jobs/tests/journal.rs
@@ -42,8 +42,11 @@
 fn write_without_a_reply_is_repeated_after_a_pause() {
     let begun = START + Duration::from_secs(1);
     let mut scheduler = JobScheduler::new(BOUNDS, &held_ownership(begun), begun);
-    let mut effects =
-        scheduler.apply(begun, begun, JobEvent::Loaded { items: Vec::new(), written_by: None });
+    let mut effects = scheduler.apply(
+        begun,
+        begun,
+        JobEvent::Loaded { items: Vec::new(), written_by: None, handed_over_by: None },
+    );
     let reports = vec![FakeExecutor::new("e", 1_000).report()];
     effects.extend(scheduler.apply(begun, begun, JobEvent::Listed { reports }));
     let mut in_flight = commits(&effects);
@@ -98,13 +101,18 @@
 fn owner_with(items: Vec<StoreItem>, now: MonotonicTime) -> JobScheduler {
     let began = now - Duration::from_millis(100);
     let mut scheduler = JobScheduler::new(BOUNDS, &held_ownership(began), began);
-    let effects = scheduler.apply(began, began, JobEvent::Loaded { items, written_by: None });
+    let effects = scheduler.apply(
+        began,
+        began,
+        JobEvent::Loaded { items, written_by: None, handed_over_by: None },
+    );
     // The first write only confirms the ownership.
     let writes = transactions(effects);
     let [(id, txn)] = writes.as_slice() else { panic!("{writes:?}") };
     let keys = CellKeys::new(0);
     let written: Vec<&str> = txn.puts.iter().map(|put| put.key.as_str()).collect();
-    assert_eq!(written, [&keys.sequence, &keys.bounded_leases, &keys.colocation]);
+    let expected = [&keys.sequence, &keys.bounded_leases, &keys.lease_handover, &keys.colocation];
+    assert_eq!(written, expected);
     assert_eq!(txn.removes, Vec::<String>::new());
     let result = Ok(TxnOutcome::Committed { revision: 100 });
     let effects = scheduler.apply(began, began, JobEvent::CommitCompleted { id: *id, result });
--- a/crates/cuminbank-jobs/tests/malformed.rs
+++ b/crates/cuminbank-jobs/tests/malformed.rs
@@ -89,7 +89,7 @@
             }));
         }
         let mut events = VecDeque::from([
-            JobEvent::Loaded { items: Vec::new(), written_by: None },
+            JobEvent::Loaded { items: Vec::new(), written_by: None, handed_over_by: None },
             JobEvent::Listed { reports: vec![FakeExecutor::new("e", 1_000).report()] },
             JobEvent::PoolChanged { changes },
         ]);
--- a/crates/cuminbank-jobs/tests/support/simulation/watches.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/watches.rs
@@ -66,10 +66,14 @@
             items.extend(self.store.read(&keys.pool_prefix));
             let zones = self.instances[number].evacuated_zones.clone();
             self.apply(number, JobEvent::EvacuationsChanged { zones });
-            let sequence = self.store.read(&keys.sequence).into_iter().next();
             let revisions = &self.instances[number].revisions;
-            let written_by = sequence.and_then(|item| revisions.reached_by(item.revision));
-            self.apply(number, JobEvent::Loaded { items, written_by });
+            let stored_by = |key: &str| {
+                let item = items.iter().find(|item| item.key == key)?;
+                revisions.reached_by(item.revision)
+            };
+            let written_by = stored_by(&keys.sequence);
+            let handed_over_by = stored_by(&keys.lease_handover);
+            self.apply(number, JobEvent::Loaded { items, written_by, handed_over_by });
         }
         if self.instances[number].pool_read_due.is_some() {
             return;
--- a/crates/cuminbank-jobs/tests/versions.rs
+++ b/crates/cuminbank-jobs/tests/versions.rs
@@ -15,6 +15,7 @@
     instances::InstanceEntry,
     job::JobRecord,
     keys::{FORMAT_KEY, INSTANCE_PREFIX, OWNER_PREFIX, REGISTRATION_KEY},
+    lease_handover::LeaseHandover,
     ownership::OwnerRecord,
     peer::{PeerReply, PeerRequest},
     progress::JobProgress,
@@ -62,6 +63,7 @@
         "roster" => record_again::<ExecutorRoster>(bytes),
         "sequence" => record_again::<(u64, u64)>(bytes),
         "bounded_leases" => record_again::<u64>(bytes),
+        "lease_handover" => record_again::<LeaseHandover>(bytes),
         "ask" | "carry" => message_again::<PeerRequest>(bytes),
         "answer" | "carried" | "unsupported" => message_again::<PeerReply>(bytes),
         other => panic!("no reader of {other}"),
@@ -85,7 +87,8 @@
         "ask" | "carry" => reads::<PeerRequest>(bytes),
         "answer" | "carried" => reads::<PeerReply>(bytes),
         // A pair of numbers has no bytes that cannot be decoded, and the others are new.
-        "bounded_leases" | "sequence" | "instance" | "pool_format" | "unsupported" => false,
+        "bounded_leases" | "lease_handover" | "sequence" | "instance" | "pool_format"
+        | "unsupported" => false,
         other => panic!("no reader of {other}"),
     }
 }
