--- a/crates/cuminbank-jobs/src/formats.rs
+++ b/crates/cuminbank-jobs/src/formats.rs
@@ -18,8 +18,9 @@
 pub const SUPPORTED_FORMATS: FormatSupport = FormatSupport { oldest: 1, newest: 1, written: 1 };
 
 /// Stored records.
-pub const RECORD_FORMATS: [FormatHistory; 10] = [
+pub const RECORD_FORMATS: [FormatHistory; 11] = [
     FormatHistory { name: "accepted", versions: &[1] },
+    FormatHistory { name: "bounded_epoch", versions: &[1] },
     FormatHistory { name: "bounded_leases", versions: &[1] },
     FormatHistory { name: "colocation", versions: &[1] },
     FormatHistory { name: "job", versions: &[1] },
--- a/crates/cuminbank-jobs/src/keys.rs
+++ b/crates/cuminbank-jobs/src/keys.rs
@@ -40,6 +40,8 @@
     pub epoch: String,
     /// Prefix that the owner watches.
     pub pool_prefix: String,
+    /// Highest epoch for which its owner and all earlier ones bound their leases.
+    pub bounded_epoch: String,
     /// Copy of [`CellKeys::epoch`] under the prefix that the owner watches. In the watch a replaced
     /// owner thus receives its successor's epoch before any job accepted under the successor.
     pub epoch_mark: String,
@@ -73,6 +75,7 @@
             cell,
             owner: format!("{owner_prefix}record"),
             epoch: format!("{owner_prefix}epoch"),
+            bounded_epoch: format!("{owner_prefix}bounded_epoch"),
             owner_prefix,
             epoch_mark: format!("{pool_prefix}epoch"),
             job_prefix: format!("{pool_prefix}job/"),
--- a/crates/cuminbank-jobs/src/lease_bounds.rs
+++ b/crates/cuminbank-jobs/src/lease_bounds.rs
@@ -40,7 +40,7 @@
 /// Evidence that no successor had begun.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct OwnershipEvidence {
-    /// When the last conditional write was sent that the store has confirmed.
+    /// When the last conditional write was sent that the store has confirmed, or zero.
     pub confirmed_at: MonotonicTime,
     /// Time after which a majority of the executors in the stored roster was sent orders that they
     /// have accepted.
@@ -51,6 +51,9 @@
     /// Returns the time until which a lease may be granted at `now`, or `None` if the evidence is
     /// too old. Executors shorten leases to `max_lease`.
     pub fn lease_until(&self, now: MonotonicTime, max_lease: Duration) -> Option<MonotonicTime> {
+        if self.confirmed_at.is_zero() {
+            return None;
+        }
         let confirmed_until = self.confirmed_at + CONFIRMED_LEASE_TIME;
         let quorum_until = self.quorum_at + QUORUM_LEASE_TIME;
         let until = confirmed_until.max(quorum_until).min(now + LEASE_TIME.min(max_lease));
--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -88,6 +88,8 @@
     pub authority_until: MonotonicTime,
     /// Time from which on no owner before the previous one sends orders.
     pub earlier_orders_until: MonotonicTime,
+    /// Whether the claims show that all earlier owners bound their leases.
+    pub earlier_bounded: bool,
     lease: LeaseId,
 }
 
@@ -147,6 +149,8 @@
     last_claim: Option<(LeaseId, OwnerEpoch)>,
     /// Owner of the epoch before the last one claimed.
     predecessor: Option<OwnerRecord>,
+    /// Whether the owners before the last epoch claimed bound their leases.
+    earlier_bounded: bool,
     draining: bool,
     ttl: Duration,
     claim_delay: Duration,
@@ -177,6 +181,7 @@
             next_claim: Duration::ZERO,
             last_claim: None,
             predecessor: None,
+            earlier_bounded: false,
             draining: false,
             ttl: OWNERSHIP_TTL,
             claim_delay: CLAIM_DELAY,
@@ -436,6 +441,14 @@
         let mut puts =
             vec![StorePut::new(self.keys.owner.clone(), encode_value(&record)).with_lease(lease)];
         if !resumes {
+            // Stored with the claim, since an owner may end before its first write. Owners of builds
+            // without bounded leases do not store it.
+            let bounded = items.iter().find(|item| item.key == self.keys.bounded_epoch);
+            let bounded = bounded.and_then(|item| decode_value::<OwnerEpoch>(&item.value));
+            self.earlier_bounded = last_epoch == 0 || bounded == Some(last_epoch);
+            if self.earlier_bounded {
+                puts.push(StorePut::new(self.keys.bounded_epoch.clone(), encode_value(&epoch)));
+            }
             puts.push(StorePut::new(self.keys.epoch.clone(), encode_value(&record)));
             puts.push(StorePut::new(self.keys.epoch_mark.clone(), encode_value(&record)));
             self.predecessor = last_owner;
@@ -481,6 +494,7 @@
             start_revision: revision,
             authority_until,
             earlier_orders_until,
+            earlier_bounded: self.earlier_bounded,
             lease,
         };
         self.held = Some(held);
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -36,9 +36,9 @@
 /// Number of transaction entries of an ended job: its progress, and the removals of its record and
 /// of its cancellation request.
 const ENDED_ENTRIES: usize = 3;
-/// Number of transaction entries that belong to no job: two conditions, the sequence, the mark of
+/// Number of transaction entries that belong to no job: two conditions, the sequence, two marks of
 /// bounded leases, the roster, the handover and the colocation model.
-const FIXED_ENTRIES: usize = 7;
+const FIXED_ENTRIES: usize = 8;
 /// Maximum number of rosters without a definite reply of the store that are remembered.
 const MAX_POSSIBLE_ROSTERS: usize = 8;
 
@@ -178,6 +178,7 @@
             !self.journal.leases_marked && (self.earlier_owners.bounded || self.is_reconciled());
         if marks_leases {
             let epoch = encode_value(&self.epoch);
+            puts.push(StorePut::new(self.keys.bounded_epoch.clone(), epoch.clone()));
             puts.push(StorePut::new(self.keys.bounded_leases.clone(), epoch));
         }
         let mut members = Vec::new();
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -335,7 +335,11 @@
             authority_until: ownership.authority_until,
             started_at: now,
             evidence: OwnershipEvidence::default(),
-            earlier_owners: EarlierOwners { replaced_at: now, ..EarlierOwners::default() },
+            earlier_owners: EarlierOwners {
+                bounded: ownership.earlier_bounded,
+                replaced_at: now,
+                ..EarlierOwners::default()
+            },
             earlier_orders_until: ownership.earlier_orders_until,
             loaded: false,
             loaded_executors: 0,
--- a/crates/cuminbank-jobs/tests/earlier_owners.rs
+++ b/crates/cuminbank-jobs/tests/earlier_owners.rs
@@ -235,6 +235,37 @@
     assert!(!play_regained_executor(guards).is_empty());
 }
 
+// Guards against tasks that stay without a run for 15 s, because an owner that ended before its first
+// write, and so granted nothing, is taken for one whose leases are not bounded.
+#[test]
+fn owners_without_a_write_do_not_lengthen_the_wait() {
+    const TASKS: u32 = 8;
+    for short_owners in 1..=2 {
+        let mut pool = with_lengths(SimulatedPool::new(4, 5, 12), |_| LASTING);
+        submit(&mut pool, LASTING_JOB, JobStep { max_per_executor: 1, ..long_running(TASKS) });
+        pool.run_until(pool.now + Duration::from_secs(3));
+        let busy = (0..12).find(|executor| !pool.executors[*executor].running.is_empty());
+        let executor = busy.expect("the tasks run");
+        pool.fault_at(pool.now, InjectedFault::CrashExecutor { executor, down: None });
+        let mut down = Duration::from_secs(60);
+        for _ in 0..=short_owners {
+            let instance = pool.owner().expect("there is an owner");
+            pool.fault_at(pool.now, InjectedFault::KillInstance { instance, down });
+            pool.run_until(pool.now + Duration::from_millis(10));
+            while pool.owner().is_none() {
+                pool.run_until(pool.now + Duration::from_micros(200));
+            }
+            down = Duration::from_secs(1);
+        }
+        // The leases end 5.1 s after the contact with a majority, or earlier.
+        let last_began = pool.now;
+        pool.run_until(last_began + Duration::from_secs(7));
+        assert_eq!(pool.running(LASTING_JOB), TASKS as usize, "{short_owners}: {:#?}", pool.trace);
+        pool.run_until(last_began + Duration::from_secs(30));
+        assert!(pool.checks.violations.is_empty(), "{:#?}", pool.checks.violations);
+    }
+}
+
 // Guards against runs that are lost in an outage of the store, although their owner and their
 // executors reach each other.
 #[test]
@@ -268,6 +299,7 @@
     pool.fault_at(pool.now, crash);
     let down = Duration::from_secs(60);
     pool.fault_at(pool.now, InjectedFault::KillInstance { instance, down });
+    pool.store.remove(&keys.bounded_epoch);
     pool.store.remove(&keys.bounded_leases);
     pool.run_until(pool.now + Duration::from_secs(16));
     assert!(!is_reconciled(&pool), "{:#?}", pool.trace);
--- a/crates/cuminbank-jobs/tests/journal.rs
+++ b/crates/cuminbank-jobs/tests/journal.rs
@@ -111,7 +111,13 @@
     let [(id, txn)] = writes.as_slice() else { panic!("{writes:?}") };
     let keys = CellKeys::new(0);
     let written: Vec<&str> = txn.puts.iter().map(|put| put.key.as_str()).collect();
-    let expected = [&keys.sequence, &keys.bounded_leases, &keys.lease_handover, &keys.colocation];
+    let expected = [
+        &keys.sequence,
+        &keys.bounded_epoch,
+        &keys.bounded_leases,
+        &keys.lease_handover,
+        &keys.colocation,
+    ];
     assert_eq!(written, expected);
     assert_eq!(txn.removes, Vec::<String>::new());
     let result = Ok(TxnOutcome::Committed { revision: 100 });
--- a/crates/cuminbank-jobs/tests/lease_bounds.rs
+++ b/crates/cuminbank-jobs/tests/lease_bounds.rs
@@ -22,6 +22,8 @@
 fn lease_needs_recent_evidence() {
     let evidence = OwnershipEvidence { confirmed_at: millis(10_000), quorum_at: millis(0) };
     assert_eq!(evidence.lease_until(millis(10_000), MAX_LEASE), Some(millis(10_000) + LEASE_TIME));
+    let unconfirmed = OwnershipEvidence { confirmed_at: MonotonicTime::ZERO, ..evidence };
+    assert_eq!(unconfirmed.lease_until(millis(100), MAX_LEASE), None);
     let end = millis(10_000) + CONFIRMED_LEASE_TIME;
     assert_eq!(evidence.lease_until(millis(15_000), MAX_LEASE), Some(end));
     assert_eq!(evidence.lease_until(end, MAX_LEASE), None);
