Send leases only to the incarnation of an executor that they are for (TWICE)

Cause: a restarted executor takes orders for its earlier incarnation. The lease in such an order is a time on the earlier clock, so the executor grants the longest lease that it knows, 10 s, while the owner and its successors count with 6 s.

Change: each connection to an executor is labelled with the executor's clock; an order with a lease on a new connection is preceded by a hold that tells it. An order whose lease ends later than any owner would grant it by that clock is not sent (EV0738). A connection reaches one incarnation only, so the check holds for its whole life. The simulation has silent crashes and executors with longer leases.

--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -13,7 +13,9 @@
     time::Duration,
 };
 
-use cuminbank::log::{DRAIN_ENDED, DRAIN_STARTED, PROCESS_STARTED, SETTINGS_CHECKED};
+use cuminbank::log::{
+    DRAIN_ENDED, DRAIN_STARTED, ORDER_FOR_EARLIER_INCARNATION, PROCESS_STARTED, SETTINGS_CHECKED,
+};
 use cuminbank_jobs::{
     cells::{CellLoads, PoolPlan},
     config::ActiveConfig,
@@ -22,6 +24,7 @@
     ids::{CellId, ExecutorName, JobId, MonotonicTime, WallTime},
     instances::InstanceRegistry,
     job::StepId,
+    lease_bounds::is_lease_for,
     order::{AdviceFailure, AdviceReply, ExecutorOrder, OrderFailure, OrderReply},
     peer::{PeerReply, PeerRequest},
     relay::RelayPool,
@@ -30,14 +33,14 @@
     store::{StoreCall, StoreFailure, StoreReply},
 };
 use cuminbank_net::{
-    client::HttpPool,
+    client::{ClientAnswer, ConnectionLabel, ConnectionLabels, HttpPool, LabelCheck},
     peer::{self, PeerPool},
     runtime,
     server::{self, ServerGate, ServerLimits},
 };
 use cuminbank_platform::{
     advice,
-    order::{decode_reply, encode_order},
+    order::{decode_clock, decode_reply, encode_order},
 };
 use monoio::{net::TcpListener, time};
 use serde_json::{json, Value};
@@ -168,8 +171,38 @@
         let message = encode_order(&order);
         let valid_until = order.valid_until;
         let may_send = || clock::now() < valid_until;
-        let answer =
-            self.executors.exchange_if(order.address, message, order.timeout, may_send).await;
+        // A restarted executor takes orders for its earlier incarnation, but not on a connection that
+        // the earlier one had accepted. The label of a connection is the time at which the clock of
+        // its executor was zero.
+        let now_ms = || clock::now().as_millis() as u64;
+        let read = |answer: &ClientAnswer| Some(now_ms().wrapping_sub(decode_clock(answer)?));
+        let rejected = Cell::new(None);
+        let accepts = |label: ConnectionLabel| {
+            let (executor_clock, lease) =
+                (now_ms().wrapping_sub(label), order.request.lease_until());
+            let accepted = lease.is_none_or(|until| is_lease_for(executor_clock, until));
+            if !accepted {
+                rejected.set(Some(executor_clock));
+            }
+            accepted
+        };
+        let check = order
+            .request
+            .lease_until()
+            .map(|_| LabelCheck { probe: encode_order(&order.clock_probe()), accepts: &accepts });
+        let labels = ConnectionLabels { read: &read, check };
+        let (address, timeout) = (order.address, order.timeout);
+        let exchange =
+            self.executors.exchange_labelled(address, message, timeout, may_send, labels);
+        let answer = exchange.await;
+        if let Some(executor_clock) = rejected.get() {
+            let detail = format!(
+                "executor={} lease_until={:?} clock={executor_clock}",
+                order.executor,
+                order.request.lease_until()
+            );
+            self.log(&DecisionRecord { code: ORDER_FOR_EARLIER_INCARNATION, job: None, detail });
+        }
         decode_reply(&order.request, answer)
     }
 
--- a/crates/cuminbank-jobs/src/lease_bounds.rs
+++ b/crates/cuminbank-jobs/src/lease_bounds.rs
@@ -10,7 +10,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use crate::{
-    ids::{MonotonicTime, StoreRevision},
+    ids::{ExecutorMillis, MonotonicTime, StoreRevision},
     ownership::MAX_STORE_SILENCE,
 };
 
@@ -31,6 +31,8 @@
 const UNBOUNDED_LEASE_TIME: Duration = Duration::from_millis(7_000);
 /// Maximum percentage by which an executor's clock runs slower than this instance's clock.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
+/// Error in the estimate of an executor's clock: the latency of the reply and the drift since.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(200);
 /// Number of revisions that a [`RevisionClock`] remembers, which cover at least the longest wait for
 /// an earlier owner.
 const MAX_SAMPLES: usize = 512;
@@ -61,6 +63,14 @@
     }
 }
 
+/// Returns whether a lease is for the incarnation of an executor whose clock is at `clock`. After a
+/// restart the clock begins anew, so that a lease for an earlier incarnation ends later than any
+/// owner would grant it.
+pub fn is_lease_for(clock: ExecutorMillis, lease_until: ExecutorMillis) -> bool {
+    let latest = LEASE_TIME + CLOCK_TOLERANCE;
+    lease_until <= clock.saturating_add(latest.as_millis() as u64)
+}
+
 /// What a new owner knows of the owners before it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EarlierOwners {
--- a/crates/cuminbank-jobs/src/order.rs
+++ b/crates/cuminbank-jobs/src/order.rs
@@ -78,6 +78,26 @@
     },
 }
 
+impl ExecutorOrder {
+    /// Returns the hold that tells the clock of the executor and changes nothing on it.
+    pub fn clock_probe(&self) -> Self {
+        let request =
+            OrderRequest::Hold { lease_until: None, acknowledged: 0, wait: Duration::ZERO };
+        Self { request, ..self.clone() }
+    }
+}
+
+impl OrderRequest {
+    /// Returns the end of the lease that it grants, on the executor's clock.
+    pub fn lease_until(&self) -> Option<ExecutorMillis> {
+        match self {
+            Self::Start { lease_until, .. } => Some(*lease_until),
+            Self::Hold { lease_until, .. } => *lease_until,
+            Self::Stop { .. } | Self::Pace { .. } => None,
+        }
+    }
+}
+
 /// Reason why an executor rejects an order.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RejectReason {
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -8,7 +8,6 @@
     scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
     store::StoreFailure,
 };
-use cuminbank_platform_standin::executor::MAX_LEASE_MS;
 use rand::Rng;
 
 use super::{Action, MessageFate, MessageKind, SimulatedPool, TICK_INTERVAL};
@@ -159,7 +158,7 @@
                 }
                 OwnershipEffect::Began(held, predecessor) => {
                     let bounds = SchedulerBounds {
-                        max_lease: Duration::from_millis(MAX_LEASE_MS),
+                        max_lease: Duration::from_millis(self.max_lease_ms),
                         stop_timeout: Duration::from_millis(200),
                         max_violation_time: Duration::from_secs(4),
                         retention: Duration::from_secs(600),
--- a/crates/cuminbank-jobs/tests/support/simulation/executors.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/executors.rs
@@ -4,6 +4,7 @@
 
 use cuminbank_jobs::{
     job::TaskName,
+    lease_bounds::is_lease_for,
     order::{ExecutorOrder, OrderFailure, OrderReply, OrderRequest, RejectReason},
 };
 use rand::Rng;
@@ -13,6 +14,9 @@
     ADVANCE_INTERVAL, EVACUATION_BOUND,
 };
 
+/// Time after the wait of a hold at which its sender gives up.
+const HOLD_MARGIN: Duration = Duration::from_millis(500);
+
 impl SimulatedPool {
     pub(super) fn send_order(&mut self, number: usize, order: ExecutorOrder) {
         let (start, ownership_number) =
@@ -39,6 +43,11 @@
         if self.now < cut || !self.executors[executor_index].up || lost_start {
             return self.push(timeout, fail(order.id, Err(OrderFailure::Lost)));
         }
+        let clock = self.executors[executor_index].clock(self.now);
+        let lease = order.request.lease_until().filter(|_| self.binds_leases);
+        if lease.is_some_and(|until| !is_lease_for(clock, until)) {
+            return self.push(self.now, fail(order.id, Err(OrderFailure::NotSent)));
+        }
         let late = self.chance(self.losses.orders_late);
         let lost = late || self.chance(self.losses.orders_lost);
         let mut arrives = self.now + self.delay();
@@ -234,7 +243,10 @@
             let executor = &self.executors[executor_index];
             let cut =
                 self.instances[to].executors_cut.get(&executor_index).copied().unwrap_or_default();
-            if !executor.up || executor.born != incarnation {
+            let gone = !executor.up || executor.born != incarnation;
+            if gone && self.silent_crashes && self.now < until + HOLD_MARGIN {
+                self.holds.push(hold);
+            } else if gone {
                 // The crash has closed the connection.
                 let result = Err(OrderFailure::Lost);
                 self.push(
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -30,7 +30,7 @@
     },
 };
 use cuminbank_platform_standin::{
-    executor::{FakeExecutor, StartBehavior},
+    executor::{FakeExecutor, StartBehavior, MAX_LEASE_MS},
     store::FakeStore,
 };
 use rand::{Rng, SeedableRng};
@@ -78,7 +78,7 @@
         start: u64,
         ownership_number: u64,
         executor_index: usize,
-        /// Start time of the incarnation of the executor that the order is for.
+        /// Start time of the incarnation of the executor that received the order.
         incarnation: MonotonicTime,
         order: ExecutorOrder,
         lost: bool,
@@ -217,12 +217,17 @@
     pub refused_starts: usize,
     /// Number of passes that were checked for missed placements.
     pub settled_passes: usize,
+    /// Whether a crash leaves the holds of the executor unanswered instead of failing them.
+    pub silent_crashes: bool,
+    /// Whether orders with a lease are only sent on connections whose executor's clock fits.
+    pub binds_leases: bool,
     /// Number of executors in each request to the advice service.
     pub advice_requests: Vec<usize>,
     /// Highest number of work units that a scheduler used in one call, and highest number of starts
     /// that one had in flight.
     pub max_units: u32,
     pub max_starts: usize,
+    max_lease_ms: u64,
     processor_share: f64,
     link_mbps: f64,
     instances: Vec<FakeInstance>,
@@ -271,6 +276,9 @@
             without_starts: BTreeSet::new(),
             refused_starts: 0,
             settled_passes: 0,
+            silent_crashes: false,
+            binds_leases: true,
+            max_lease_ms: MAX_LEASE_MS,
             advice_requests: Vec::new(),
             max_units: 0,
             max_starts: 0,
@@ -313,6 +321,13 @@
         self
     }
 
+    /// Sets the longest lease that executors grant.
+    pub fn with_max_lease(mut self, max_lease: Duration) -> Self {
+        self.max_lease_ms = max_lease.as_millis() as u64;
+        self.executors.iter_mut().for_each(|executor| executor.max_lease_ms = self.max_lease_ms);
+        self
+    }
+
     /// Sets the share of a core of each instance.
     pub fn with_processor_share(mut self, share: f64) -> Self {
         self.processor_share = share;
--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -30,6 +30,8 @@
     http_limit::{ByteAllowance, LimitedReader},
 };
 
+/// Lowest status of a response that reports an error.
+const FIRST_ERROR_STATUS: u16 = 400;
 /// Maximum size of a response, head and body.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -103,6 +105,25 @@
     Pooled(Duration),
 }
 
+/// Value that the user of a pool attaches to a connection.
+pub type ConnectionLabel = u64;
+
+/// Requirement on the connection of an exchange.
+pub struct LabelCheck<'a> {
+    /// Request that is sent first on a connection without a label, for its response.
+    pub probe: ClientRequest,
+    /// Returns whether the exchange may take place on a connection with this label.
+    pub accepts: &'a dyn Fn(ConnectionLabel) -> bool,
+}
+
+/// Labels of the connections to one address.
+pub struct ConnectionLabels<'a> {
+    /// Returns the label of a connection from the first response on it, if it has one.
+    pub read: &'a dyn Fn(&ClientAnswer) -> Option<ConnectionLabel>,
+    /// What the exchange requires of the connection, if anything.
+    pub check: Option<LabelCheck<'a>>,
+}
+
 /// Pool of keep-alive connections. A connection carries one exchange at a time, without pipelining.
 /// After an exchange has timed out, the next one to the same address uses a connection that was opened
 /// or has answered since.
@@ -155,7 +176,21 @@
         timeout: Duration,
         may_send: impl FnOnce() -> bool,
     ) -> Result<ClientAnswer, ExchangeError> {
-        self.exchange_on(address, request, timeout, may_send, |_| ()).await
+        self.exchange_on(address, request, timeout, may_send, |_| (), None).await
+    }
+
+    /// Like [`Self::exchange_if`], on a connection whose label passes the check. A connection that
+    /// does not pass is closed, and the exchange fails with [`ExchangeError::NotSent`]. If the probe
+    /// is answered with an error status, that answer is returned, and the request is not sent.
+    pub async fn exchange_labelled(
+        &self,
+        address: SocketAddr,
+        request: ClientRequest,
+        timeout: Duration,
+        may_send: impl FnOnce() -> bool,
+        labels: ConnectionLabels<'_>,
+    ) -> Result<ClientAnswer, ExchangeError> {
+        self.exchange_on(address, request, timeout, may_send, |_| (), Some(labels)).await
     }
 
     /// Like [`Self::exchange`], and calls `on_connection` with the origin of the connection before
@@ -167,7 +202,7 @@
         timeout: Duration,
         on_connection: impl FnOnce(ConnectionOrigin),
     ) -> Result<ClientAnswer, ExchangeError> {
-        self.exchange_on(address, request, timeout, || true, on_connection).await
+        self.exchange_on(address, request, timeout, || true, on_connection, None).await
     }
 
     async fn exchange_on(
@@ -177,6 +212,7 @@
         timeout: Duration,
         may_send: impl FnOnce() -> bool,
         on_connection: impl FnOnce(ConnectionOrigin),
+        labels: Option<ConnectionLabels<'_>>,
     ) -> Result<ClientAnswer, ExchangeError> {
         let started = Instant::now();
         let message = request.into_message(address).ok_or(ExchangeError::NotSent)?;
@@ -186,16 +222,38 @@
             }
             None => None,
         };
-        let (mut stream, origin) = match self.idle.take(address) {
-            Some((stream, idle)) => (ExchangeStream::new(stream), ConnectionOrigin::Pooled(idle)),
+        let (mut stream, origin, mut label) = match self.idle.take(address) {
+            Some(pooled) => {
+                let stream = ExchangeStream::new(pooled.stream);
+                (stream, ConnectionOrigin::Pooled(pooled.idle), pooled.label)
+            }
             None => {
                 let remaining = timeout.saturating_sub(started.elapsed());
-                (connect(address, remaining).await?, ConnectionOrigin::New)
+                (connect(address, remaining).await?, ConnectionOrigin::New, None)
             }
         };
         on_connection(origin);
+        if let Some(ConnectionLabels { read, check: Some(check) }) = &labels {
+            if label.is_none() {
+                let remaining = timeout.saturating_sub(started.elapsed());
+                let message =
+                    check.probe.clone().into_message(address).ok_or(ExchangeError::NotSent)?;
+                let exchange = send_and_read(stream.stream(), message);
+                let Ok(Ok((answer, reusable))) = time::timeout(remaining, exchange).await else {
+                    self.idle.close_suspected(address);
+                    return Err(ExchangeError::NotSent);
+                };
+                if answer.status >= FIRST_ERROR_STATUS {
+                    return Ok(answer);
+                }
+                label = read(&answer).filter(|_| reusable);
+            }
+            if !label.is_some_and(check.accepts) {
+                return Err(ExchangeError::NotSent);
+            }
+        }
         if !may_send() {
-            self.idle.put(address, stream.finish());
+            self.idle.put(address, stream.finish(), label);
             return Err(ExchangeError::NotSent);
         }
         let remaining = timeout.saturating_sub(started.elapsed());
@@ -209,7 +267,8 @@
         let (answer, reusable) = outcome?;
         let stream = stream.finish();
         if reusable {
-            self.idle.put(address, stream);
+            let read = labels.filter(|_| label.is_none()).map(|labels| (labels.read)(&answer));
+            self.idle.put(address, stream, label.or(read.flatten()));
         }
         Ok(answer)
     }
--- a/crates/cuminbank-net/src/connection.rs
+++ b/crates/cuminbank-net/src/connection.rs
@@ -16,6 +16,8 @@
     sys::socket::{recv, setsockopt, sockopt, MsgFlags},
 };
 
+use crate::client::ConnectionLabel;
+
 /// Upper limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which a connection is polled for input or a close.
@@ -38,26 +40,41 @@
 struct IdleConnection {
     stream: TcpStream,
     since: Instant,
+    label: Option<ConnectionLabel>,
+}
+
+/// Connection taken from the pool.
+#[derive(Debug)]
+pub(crate) struct PooledConnection {
+    pub(crate) stream: TcpStream,
+    /// How long it has been idle.
+    pub(crate) idle: Duration,
+    pub(crate) label: Option<ConnectionLabel>,
 }
 
 impl IdlePool {
-    /// Takes a connection that is not expired and that the other side has not closed. Returns it
-    /// with the time for which it has been idle.
-    pub(crate) fn take(&self, address: SocketAddr) -> Option<(TcpStream, Duration)> {
+    /// Takes a connection that is not expired and that the other side has not closed.
+    pub(crate) fn take(&self, address: SocketAddr) -> Option<PooledConnection> {
         loop {
             let connection = self.idle.borrow_mut().get_mut(&address)?.pop()?;
             if !connection.is_expired() && !is_readable(&connection.stream) {
-                return Some((connection.stream, connection.since.elapsed()));
+                let IdleConnection { stream, since, label } = connection;
+                return Some(PooledConnection { stream, idle: since.elapsed(), label });
             }
         }
     }
 
     /// Keeps a connection for the next exchange, or closes it if there are 64 to the address.
-    pub(crate) fn put(&self, address: SocketAddr, stream: TcpStream) {
+    pub(crate) fn put(
+        &self,
+        address: SocketAddr,
+        stream: TcpStream,
+        label: Option<ConnectionLabel>,
+    ) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
-            connections.push(IdleConnection { stream, since: Instant::now() });
+            connections.push(IdleConnection { stream, since: Instant::now(), label });
         }
     }
 
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -67,11 +67,11 @@
     {
         let deadline = Instant::now() + timeout;
         let mut stream = match self.idle.take(to) {
-            Some((stream, _)) => ExchangeStream::new(stream),
+            Some(pooled) => ExchangeStream::new(pooled.stream),
             None => connect(to, timeout).await?,
         };
         if !may_send() {
-            self.idle.put(to, stream.finish());
+            self.idle.put(to, stream.finish(), None);
             return Err(ExchangeError::NotSent);
         }
         let exchange = async {
@@ -85,7 +85,7 @@
         };
         let bytes = bytes.ok_or(ExchangeError::Lost)?;
         let reply = decode(&bytes).ok_or(ExchangeError::Lost)?;
-        self.idle.put(to, stream.finish());
+        self.idle.put(to, stream.finish(), None);
         Ok(reply)
     }
 
