Count the clock of a connection from the time of sending

An instance that is slow to handle a reply took the executor's clock for an earlier one and could refuse orders that were right until the connection was replaced. The label now counts from the time at which the request was sent; then it can only be too lenient, by the round trip.

--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -173,9 +173,13 @@
         let may_send = || clock::now() < valid_until;
         // A restarted executor takes orders for its earlier incarnation, but not on a connection that
         // the earlier one had accepted. The label of a connection is the time at which the clock of
-        // its executor was zero.
+        // its executor was zero. It counts from the time of sending, as this process may get the
+        // response late.
         let now_ms = || clock::now().as_millis() as u64;
-        let read = |answer: &ClientAnswer| Some(now_ms().wrapping_sub(decode_clock(answer)?));
+        let read = |answer: &ClientAnswer, elapsed: Duration| {
+            let sent_ms = now_ms().saturating_sub(elapsed.as_millis() as u64);
+            Some(sent_ms.wrapping_sub(decode_clock(answer)?))
+        };
         let rejected = Cell::new(None);
         let accepts = |label: ConnectionLabel| {
             let (executor_clock, lease) =
--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -118,8 +118,9 @@
 
 /// Labels of the connections to one address.
 pub struct ConnectionLabels<'a> {
-    /// Returns the label of a connection from the first response on it, if it has one.
-    pub read: &'a dyn Fn(&ClientAnswer) -> Option<ConnectionLabel>,
+    /// Returns the label of a connection from the first response on it, if it has one. It also gets
+    /// the time since the request was sent.
+    pub read: &'a dyn Fn(&ClientAnswer, Duration) -> Option<ConnectionLabel>,
     /// What the exchange requires of the connection, if anything.
     pub check: Option<LabelCheck<'a>>,
 }
@@ -238,6 +239,7 @@
                 let remaining = timeout.saturating_sub(started.elapsed());
                 let message =
                     check.probe.clone().into_message(address).ok_or(ExchangeError::NotSent)?;
+                let sent_at = Instant::now();
                 let exchange = send_and_read(stream.stream(), message);
                 let Ok(Ok((answer, reusable))) = time::timeout(remaining, exchange).await else {
                     self.idle.close_suspected(address);
@@ -246,7 +248,7 @@
                 if answer.status >= FIRST_ERROR_STATUS {
                     return Ok(answer);
                 }
-                label = read(&answer).filter(|_| reusable);
+                label = read(&answer, sent_at.elapsed()).filter(|_| reusable);
             }
             if !label.is_some_and(check.accepts) {
                 return Err(ExchangeError::NotSent);
@@ -257,6 +259,7 @@
             return Err(ExchangeError::NotSent);
         }
         let remaining = timeout.saturating_sub(started.elapsed());
+        let sent_at = Instant::now();
         let outcome = time::timeout(remaining, send_and_read(stream.stream(), message)).await;
         // On any error the stream is dropped, which closes the connection: a late response on it
         // must not be mistaken for the response to another request.
@@ -267,8 +270,8 @@
         let (answer, reusable) = outcome?;
         let stream = stream.finish();
         if reusable {
-            let read = labels.filter(|_| label.is_none()).map(|labels| (labels.read)(&answer));
-            self.idle.put(address, stream, label.or(read.flatten()));
+            let read = |labels: ConnectionLabels<'_>| (labels.read)(&answer, sent_at.elapsed());
+            self.idle.put(address, stream, label.or_else(|| labels.and_then(read)));
         }
         Ok(answer)
     }
--- a/crates/cuminbank-net/tests/labels.rs
+++ b/crates/cuminbank-net/tests/labels.rs
@@ -26,7 +26,7 @@
     address
 }
 
-fn read_label(answer: &ClientAnswer) -> Option<ConnectionLabel> {
+fn read_label(answer: &ClientAnswer, _: Duration) -> Option<ConnectionLabel> {
     std::str::from_utf8(&answer.body).ok()?.parse().ok()
 }
 
