Raise the epoch after the restart of an executor, so that late orders are rejected

Cause: such an order starts a run, or sets a lease of the executor's longest time, after the owner has noticed the restart and given the run up. The name of the executor and the epoch of the order are the same in both incarnations.

Change: an owner that notices a restart stores a raised epoch in its next write and gives the executor no work and no lease until it has replied to a hold of that epoch, which rules out all orders sent before. Leases set until then are counted with the executor's longest lease, by this owner and, from the handover, by the next one. A run whose start may still be carried out is given up only then. A rejection of an order of the old epoch no longer ends the ownership. Instances know an owner by its process, whatever its epoch. The run numbers of owners come from a stored number (run_base), since raised epochs would use them up.

--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -144,6 +144,9 @@
                 let effects = self.ownership.borrow_mut().on_fenced(clock::now());
                 self.execute_ownership_effects(state, effects);
             }
+            JobEffect::EpochRaised(epoch) => {
+                self.ownership.borrow_mut().on_epoch_raised(clock::now(), epoch);
+            }
             JobEffect::OwnerSeen(Some(item)) => {
                 self.observe_owner(state, item.revision, Some(&item));
             }
@@ -288,6 +291,7 @@
         let now: MonotonicTime = clock::now();
         let scheduler = JobScheduler::new(bounds, held, now)
             .with_cell(self.id, state.all_cells().len() as CellId)
+            .with_identity(self.ownership.borrow().identity().clone())
             .with_processor_share(settings.processor_share)
             .with_link(settings.link_mbps);
         *self.scheduler.borrow_mut() = Some(scheduler);
--- a/crates/cuminbank-jobs/src/formats.rs
+++ b/crates/cuminbank-jobs/src/formats.rs
@@ -18,7 +18,7 @@
 pub const SUPPORTED_FORMATS: FormatSupport = FormatSupport { oldest: 1, newest: 1, written: 1 };
 
 /// Stored records.
-pub const RECORD_FORMATS: [FormatHistory; 11] = [
+pub const RECORD_FORMATS: [FormatHistory; 12] = [
     FormatHistory { name: "accepted", versions: &[1] },
     FormatHistory { name: "bounded_epoch", versions: &[1] },
     FormatHistory { name: "bounded_leases", versions: &[1] },
@@ -29,6 +29,7 @@
     FormatHistory { name: "plan", versions: &[1] },
     FormatHistory { name: "progress", versions: &[1] },
     FormatHistory { name: "roster", versions: &[1] },
+    FormatHistory { name: "run_base", versions: &[1] },
     FormatHistory { name: "sequence", versions: &[1] },
 ];
 
--- a/crates/cuminbank-jobs/src/guards.rs
+++ b/crates/cuminbank-jobs/src/guards.rs
@@ -15,6 +15,8 @@
     /// Leases are only granted on an executor once the store no longer tells the next owner that
     /// there are none.
     pub hands_over_leases: bool,
+    /// After a restart, an executor only gets work once it rejects orders for its earlier incarnation.
+    pub fences_earlier_orders: bool,
     /// Executors in a zone under evacuation get no new work.
     pub heeds_evacuations: bool,
     /// Long-running jobs with a task that has waited for long come before all other jobs.
@@ -28,6 +30,7 @@
             verifies_ownership: true,
             records_before_ack: true,
             hands_over_leases: true,
+            fences_earlier_orders: true,
             heeds_evacuations: true,
             starved_first: true,
         }
--- a/crates/cuminbank-jobs/src/keys.rs
+++ b/crates/cuminbank-jobs/src/keys.rs
@@ -42,6 +42,8 @@
     pub pool_prefix: String,
     /// Highest epoch for which its owner and all earlier ones bound their leases.
     pub bounded_epoch: String,
+    /// Number below those of all runs of the last owner.
+    pub run_base: String,
     /// Copy of [`CellKeys::epoch`] under the prefix that the owner watches. In the watch a replaced
     /// owner thus receives its successor's epoch before any job accepted under the successor.
     pub epoch_mark: String,
@@ -76,6 +78,7 @@
             owner: format!("{owner_prefix}record"),
             epoch: format!("{owner_prefix}epoch"),
             bounded_epoch: format!("{owner_prefix}bounded_epoch"),
+            run_base: format!("{owner_prefix}run_base"),
             owner_prefix,
             epoch_mark: format!("{pool_prefix}epoch"),
             job_prefix: format!("{pool_prefix}job/"),
--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -7,7 +7,9 @@
 
 use crate::{
     formats::describe_value,
-    ids::{CellId, InstanceName, LeaseId, MonotonicTime, OwnerEpoch, StoreRevision, WriteId},
+    ids::{
+        CellId, InstanceName, LeaseId, MonotonicTime, OwnerEpoch, RunNumber, StoreRevision, WriteId,
+    },
     keys::CellKeys,
     store::{
         decode_value, encode_value, StoreCall, StoreFailure, StoreItem, StorePut, StoreReply,
@@ -43,6 +45,8 @@
 const MAX_DELAY_FACTOR: f64 = 4.0;
 /// Delay before retrying after a failed claim or renewal.
 pub const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Range of run numbers of one owner.
+const RUNS_PER_OWNER: RunNumber = 1_000;
 /// Epoch of the first owner of a cell.
 pub const FIRST_EPOCH: OwnerEpoch = 1;
 /// Delay of a claim by an instance that has not seen the last owner. Others know better when that
@@ -90,6 +94,8 @@
     pub earlier_orders_until: MonotonicTime,
     /// Whether the claims show that all earlier owners bound their leases.
     pub earlier_bounded: bool,
+    /// Number above those of all runs of earlier owners.
+    pub run_base: RunNumber,
     lease: LeaseId,
 }
 
@@ -137,8 +143,10 @@
     /// When the last ownership of this process ended and it stopped sending orders.
     stopped_at: Option<MonotonicTime>,
     observed: Option<OwnerRecord>,
-    /// Highest epoch observed, and since when.
+    /// Highest epoch observed, and since when its owner owns the cell.
     observed_epoch: (OwnerEpoch, MonotonicTime),
+    /// Process that owned the cell in that epoch.
+    observed_process: Option<(InstanceName, u64)>,
     /// Highest revision observed. Older observations come from a lagging watch and are ignored.
     observed_revision: StoreRevision,
     vacant_since: Option<MonotonicTime>,
@@ -151,6 +159,7 @@
     predecessor: Option<OwnerRecord>,
     /// Whether the owners before the last epoch claimed bound their leases.
     earlier_bounded: bool,
+    run_base: RunNumber,
     draining: bool,
     ttl: Duration,
     claim_delay: Duration,
@@ -173,6 +182,7 @@
             stopped_at: None,
             observed: None,
             observed_epoch: (0, MonotonicTime::ZERO),
+            observed_process: None,
             observed_revision: 0,
             vacant_since: None,
             pending: None,
@@ -182,6 +192,7 @@
             last_claim: None,
             predecessor: None,
             earlier_bounded: false,
+            run_base: 0,
             draining: false,
             ttl: OWNERSHIP_TTL,
             claim_delay: CLAIM_DELAY,
@@ -288,8 +299,8 @@
             effects.push(unreadable(item));
             return effects;
         };
-        self.note_epoch(now, record.epoch);
-        let own = record.instance == self.identity.instance && record.start == self.identity.start;
+        self.note_epoch(now, &record);
+        let own = self.is_own(&record);
         self.observed = Some(record.clone());
         if !own {
             return self.end(now, "another instance owns the cell");
@@ -429,12 +440,21 @@
             return vec![unreadable(item)];
         }
         let last_epoch = last_owner.as_ref().map_or(0, |owner| owner.epoch);
-        if self.observed_epoch.0 < last_epoch {
-            self.note_epoch(now, last_epoch);
-            self.next_claim = now + UNINFORMED_CLAIM_DELAY;
-            return Vec::new();
+        if let Some(owner) = last_owner.as_ref().filter(|owner| owner.epoch > self.observed_epoch.0)
+        {
+            self.note_epoch(now, owner);
+            // An owner that has raised its epoch was seen in an earlier one.
+            if self.observed_epoch.1 == now {
+                self.next_claim = now + UNINFORMED_CLAIM_DELAY;
+                return Vec::new();
+            }
         }
         let last_revision = last.map_or(0, |item| item.revision);
+        let own = last_owner.as_ref().is_some_and(|owner| self.is_own(owner));
+        if let Some(held) = self.held.as_mut().filter(|_| own) {
+            // The reply to the write that raised the epoch may be lost.
+            held.epoch = last_epoch;
+        }
         let resumes = self.held.is_some_and(|held| held.epoch == last_epoch);
         let epoch = if resumes { last_epoch } else { last_epoch + 1 };
         let record = OwnerRecord { epoch, ..self.identity.clone() };
@@ -446,6 +466,14 @@
             let bounded = items.iter().find(|item| item.key == self.keys.bounded_epoch);
             let bounded = bounded.and_then(|item| decode_value::<OwnerEpoch>(&item.value));
             self.earlier_bounded = last_epoch == 0 || bounded == Some(last_epoch);
+            let base = items.iter().find(|item| item.key == self.keys.run_base);
+            let base = base.and_then(|item| decode_value::<RunNumber>(&item.value));
+            self.run_base = match base.filter(|_| bounded == Some(last_epoch)) {
+                Some(base) => base.saturating_add(RUNS_PER_OWNER),
+                // The owner before may be of a build that derives its numbers from the epoch.
+                None => (last_epoch as RunNumber).saturating_mul(RUNS_PER_OWNER),
+            };
+            puts.push(StorePut::new(self.keys.run_base.clone(), encode_value(&self.run_base)));
             if self.earlier_bounded {
                 puts.push(StorePut::new(self.keys.bounded_epoch.clone(), encode_value(&epoch)));
             }
@@ -469,7 +497,8 @@
         self.last_claim = None;
         self.vacant_since = None;
         self.observed_revision = self.observed_revision.max(revision);
-        self.observed = Some(OwnerRecord { epoch, ..self.identity.clone() });
+        let record = OwnerRecord { epoch, ..self.identity.clone() };
+        self.observed = Some(record.clone());
         self.next_renewal = now;
         let authority_until = now + MAX_STORE_SILENCE;
         if let Some(held) = self.held.as_mut().filter(|held| held.epoch == epoch) {
@@ -487,7 +516,7 @@
             }
             _ => MonotonicTime::ZERO,
         };
-        self.note_epoch(now, epoch);
+        self.note_epoch(now, &record);
         let held = HeldOwnership {
             epoch,
             revision: Some(revision),
@@ -495,16 +524,38 @@
             authority_until,
             earlier_orders_until,
             earlier_bounded: self.earlier_bounded,
+            run_base: self.run_base,
             lease,
         };
         self.held = Some(held);
         vec![OwnershipEffect::Began(held, predecessor)]
     }
 
-    fn note_epoch(&mut self, now: MonotonicTime, epoch: OwnerEpoch) {
-        if epoch > self.observed_epoch.0 {
-            self.observed_epoch = (epoch, now);
+    fn note_epoch(&mut self, now: MonotonicTime, record: &OwnerRecord) {
+        if record.epoch <= self.observed_epoch.0 {
+            return;
         }
+        let process = Some((record.instance.clone(), record.start));
+        let since = if self.observed_process == process { self.observed_epoch.1 } else { now };
+        self.observed_epoch = (record.epoch, since);
+        self.observed_process = process;
+    }
+
+    fn is_own(&self, record: &OwnerRecord) -> bool {
+        record.instance == self.identity.instance && record.start == self.identity.start
+    }
+
+    /// Returns the record of this process, whose epoch is that of no ownership.
+    pub fn identity(&self) -> &OwnerRecord {
+        &self.identity
+    }
+
+    /// Handles the confirmed write that has raised the epoch of this ownership.
+    pub fn on_epoch_raised(&mut self, now: MonotonicTime, epoch: OwnerEpoch) {
+        let Some(held) = &mut self.held else { return };
+        held.epoch = held.epoch.max(epoch);
+        let record = OwnerRecord { epoch, ..self.identity.clone() };
+        self.note_epoch(now, &record);
     }
 
     fn end(&mut self, now: MonotonicTime, reason: &'static str) -> Vec<OwnershipEffect> {
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -6,17 +6,17 @@
 use std::{collections::HashSet, time::Duration};
 
 use cuminbank::log::{
-    EXECUTOR_DRAINING, EXECUTOR_LEASES_EXPIRED, EXECUTOR_LISTED, EXECUTOR_REACHED,
+    EPOCH_RAISED, EXECUTOR_DRAINING, EXECUTOR_LEASES_EXPIRED, EXECUTOR_LISTED, EXECUTOR_REACHED,
     EXECUTOR_REMOVED, EXECUTOR_RESTARTED, EXECUTOR_UNREACHABLE,
 };
 
 use super::{
     orders::{OrderKind, PendingOrder},
     state::{ClockSample, ExecutorKey, ExecutorState, HoldState},
-    JobScheduler,
+    JobEffect, JobScheduler,
 };
 use crate::{
-    ids::{ExecutorMillis, ExecutorName, MonotonicTime, ZoneName},
+    ids::{ExecutorMillis, ExecutorName, MonotonicTime, OwnerEpoch, ZoneName},
     job::TaskNeeds,
     lease_bounds::slowest,
     order::{ExecutorReport, HoldReport, OrderFailure, OrderReply, OrderRequest},
@@ -126,6 +126,8 @@
             accepted_at: MonotonicTime::ZERO,
             clock: None,
             lease_expires_at: MonotonicTime::ZERO,
+            unfenced_epoch: None,
+            earlier_orders_expire_at: MonotonicTime::ZERO,
             handed_over: None,
             grants_paused: false,
             hold: HoldState { next_at: self.now, ..HoldState::default() },
@@ -247,7 +249,11 @@
     /// Returns the end of a new lease on the executor's clock, and records the latest time on this
     /// instance's clock at which it expires. Returns `None` if no lease may be granted now.
     pub(super) fn grant_lease(&mut self, key: ExecutorKey) -> Option<ExecutorMillis> {
-        if self.executors[key].grants_paused && self.guards.hands_over_leases {
+        let executor = &self.executors[key];
+        if executor.grants_paused && self.guards.hands_over_leases {
+            return None;
+        }
+        if executor.unfenced_epoch.is_some() {
             return None;
         }
         let lease_until = self.evidence.lease_until(self.now, self.bounds.max_lease)?;
@@ -264,13 +270,53 @@
 
     /// Accounts for the leases that earlier owners may have granted until an executor rejected their
     /// orders.
-    fn cover_earlier_leases(&mut self, key: ExecutorKey) {
+    fn cover_earlier_leases(&mut self, key: ExecutorKey, restarted: bool) {
+        let earlier = self.earlier_leases.remove(&self.executors[key].name);
+        if restarted || earlier.is_some() {
+            return self.cover_earlier_orders(key);
+        }
         let lease = self.earlier_owners.longest_lease(self.bounds.max_lease);
         let expires_at = self.now + lease + self.bounds.stop_timeout + HOLD_RETRY;
         let executor = &mut self.executors[key];
-        let earlier = self.earlier_leases.remove(&executor.name);
-        let earlier_end = earlier.map_or(MonotonicTime::ZERO, |lease| lease.ends_at);
-        executor.lease_expires_at = executor.lease_expires_at.max(expires_at).max(earlier_end);
+        executor.lease_expires_at = executor.lease_expires_at.max(expires_at);
+    }
+
+    /// Accounts for the leases in orders for an earlier incarnation that an executor has carried out
+    /// until now. It shortened them to its longest lease.
+    fn cover_earlier_orders(&mut self, key: ExecutorKey) {
+        let expires_at = self.now + slowest(self.bounds.max_lease) + self.bounds.stop_timeout;
+        let executor = &mut self.executors[key];
+        executor.earlier_orders_expire_at = expires_at + HOLD_RETRY;
+        executor.lease_expires_at =
+            executor.lease_expires_at.max(executor.earlier_orders_expire_at);
+    }
+
+    /// Rules out, after a restart, that orders for the earlier incarnation are still carried out: has
+    /// the epoch raised, and waits for a reply to a hold of the new one.
+    fn fence_earlier_orders(&mut self, key: ExecutorKey, restarted: bool) {
+        let executor = &mut self.executors[key];
+        if restarted && self.identity.is_some() && self.guards.fences_earlier_orders {
+            executor.unfenced_epoch = Some(self.epoch);
+            self.journal.epoch_raise_needed = true;
+            return self.cover_earlier_orders(key);
+        }
+        if executor.unfenced_epoch.is_some_and(|epoch| executor.hold.epoch > epoch) {
+            executor.unfenced_epoch = None;
+            self.journal.roster_dirty = true;
+            self.cover_earlier_orders(key);
+        }
+    }
+
+    /// Sends holds of the raised epoch to the executors that wait for it.
+    pub(super) fn on_epoch_raised(&mut self, epoch: OwnerEpoch) {
+        self.epoch = epoch;
+        let mut waiting = 0;
+        for executor in self.executors.values_mut().filter(|it| it.unfenced_epoch.is_some()) {
+            executor.hold.next_at = self.now;
+            waiting += 1;
+        }
+        self.log(EPOCH_RAISED, None, format!("epoch={epoch} executors={waiting}"));
+        self.effects.push(JobEffect::EpochRaised(epoch));
     }
 
     /// Sends a hold: it renews the lease, acknowledges the recorded ended runs, and asks the
@@ -280,7 +326,8 @@
         let reachable = executor.contacted && executor.hold.failures == 0;
         let unrecorded = executor.last_end_number > executor.acknowledged;
         let colocated = executor.latency_critical_tasks > 0 && executor.best_effort_tasks > 0;
-        let waits = reachable && !unrecorded && !executor.grants_paused;
+        let settled = !executor.grants_paused && executor.unfenced_epoch.is_none();
+        let waits = reachable && !unrecorded && settled;
         let wait = match (waits, colocated || self.needs_quorum()) {
             (false, _) => Duration::ZERO,
             (true, true) => SHORT_HOLD_WAIT,
@@ -293,12 +340,13 @@
         // elsewhere as soon as possible.
         let lease_until = if reachable { self.grant_lease(key) } else { None };
         let request = OrderRequest::Hold { lease_until, acknowledged, wait };
-        let pending = PendingOrder { kind: OrderKind::Hold, executor: key, run: None };
+        let pending = PendingOrder::new(OrderKind::Hold, key, None);
         let order = self.send_order(pending, request, wait + HOLD_MARGIN);
         let sent_logical_time = self.next_logical_time();
         let hold = &mut self.executors[key].hold;
         hold.order = Some(order);
         hold.sent_at = self.now;
+        hold.epoch = self.epoch;
         hold.sent_logical_time = sent_logical_time;
     }
 
@@ -353,7 +401,9 @@
             self.log(EXECUTOR_RESTARTED, None, detail);
         }
         if first {
-            self.cover_earlier_leases(key);
+            self.cover_earlier_leases(key, restarted);
+        } else {
+            self.fence_earlier_orders(key, restarted);
         }
         if failures > 0 || first || restarted {
             self.executors[key].in_contact_since = now;
@@ -371,7 +421,8 @@
         self.update_handover(key);
         let executor = &mut self.executors[key];
         let unrecorded = executor.last_end_number > executor.acknowledged;
-        let gap = if unrecorded || executor.grants_paused { UNRECORDED_GAP } else { HOLD_GAP };
+        let settled = !executor.grants_paused && executor.unfenced_epoch.is_none();
+        let gap = if unrecorded || !settled { UNRECORDED_GAP } else { HOLD_GAP };
         executor.hold.next_at = now + if first { Duration::ZERO } else { gap };
         self.pass_needed = true;
         if first {
--- a/crates/cuminbank-jobs/src/scheduler/handover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/handover.rs
@@ -5,7 +5,8 @@
     JobScheduler,
 };
 use crate::{
-    ids::MonotonicTime,
+    ids::{MonotonicTime, OwnerEpoch},
+    lease_bounds::{slowest, LEASE_TIME},
     lease_handover::{GrantState, HandoverEntry, LeaseHandover, HANDOVER_INTERVAL},
 };
 
@@ -47,8 +48,13 @@
             return None;
         }
         if !self.unreconciled.contains(&executor.name) {
-            let silent = executor.hold.failures > 0;
-            return silent.then_some((GrantState::Paused, executor.lease_expires_at));
+            if executor.hold.failures > 0 || executor.unfenced_epoch.is_some() {
+                return Some((GrantState::Paused, executor.lease_expires_at));
+            }
+            // The next owner counts with the leases of this one, which may be shorter.
+            let ends_at = executor.earlier_orders_expire_at;
+            let longer = ends_at > self.now + slowest(LEASE_TIME.min(self.bounds.max_lease));
+            return longer.then_some((GrantState::Granting, ends_at));
         }
         let earlier = self.earlier_leases.get(&executor.name);
         if earlier.is_some_and(|lease| lease.grants == GrantState::Paused) {
@@ -70,7 +76,7 @@
 
     /// Returns the record if the next write is to include it. From now on, no lease is granted on
     /// the executors that it says so of.
-    pub(super) fn take_handover(&mut self) -> Option<LeaseHandover> {
+    pub(super) fn take_handover(&mut self, epoch: OwnerEpoch) -> Option<LeaseHandover> {
         let now = self.now;
         if !self.journal.handover.is_due(now) {
             return None;
@@ -94,7 +100,7 @@
         }
         self.journal.handover =
             HandoverState { sent_at: Some(now), ends_at: latest, changed: false };
-        Some(LeaseHandover { epoch: self.epoch, entries })
+        Some(LeaseHandover { entries, epoch })
     }
 
     /// Permits leases on the executors that the stored record no longer names. No later record has
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -113,9 +113,8 @@
         if !fresh {
             // An earlier owner may have started runs on executors that are now unreachable. Their
             // numbers are unknown, so new runs get numbers above all that it can have used.
-            let base = (self.epoch as u32).saturating_sub(1) * 1_000;
             for task in &mut tasks {
-                task.last_run = task.last_run.max(base);
+                task.last_run = task.last_run.max(self.run_base);
             }
         }
         let images = record.steps.iter().map(|step| match is_modelled(step) {
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -18,6 +18,7 @@
     job::JobOutcome,
     keys::accepted_key,
     lease_bounds::CONFIRM_INTERVAL,
+    ownership::OwnerRecord,
     progress::JobProgress,
     roster::{ExecutorRoster, RosterEntry},
     store::{
@@ -36,9 +37,9 @@
 /// Number of transaction entries of an ended job: its progress, and the removals of its record and
 /// of its cancellation request.
 const ENDED_ENTRIES: usize = 3;
-/// Number of transaction entries that belong to no job: two conditions, the sequence, two marks of
-/// bounded leases, the roster, the handover and the colocation model.
-const FIXED_ENTRIES: usize = 8;
+/// Number of transaction entries that belong to no job: two conditions, the sequence, the epoch, two
+/// marks of bounded leases, the roster, the handover and the colocation model.
+const FIXED_ENTRIES: usize = 9;
 /// Maximum number of rosters without a definite reply of the store that are remembered.
 const MAX_POSSIBLE_ROSTERS: usize = 8;
 
@@ -55,6 +56,8 @@
     /// Names in each roster that the store may contain, depending on which writes were done; the
     /// latest one last. An empty one stands for an unknown roster.
     pub(super) possible_rosters: Vec<Vec<ExecutorName>>,
+    /// Whether the next write is to raise the epoch.
+    pub(super) epoch_raise_needed: bool,
     /// Whether a write is needed to verify the ownership, even if nothing else is to be written.
     pub(super) ownership_check_needed: bool,
     /// Ended jobs whose stored outcomes the next write removes.
@@ -73,6 +76,8 @@
     attempt: WriteId,
     /// Number that the write stores under the sequence key; the same for every attempt.
     number: WriteId,
+    /// Epoch that it stores with the number, which may be a raised one.
+    epoch: OwnerEpoch,
     sent_at: MonotonicTime,
     /// When the latest attempt was sent.
     attempted_at: MonotonicTime,
@@ -123,6 +128,7 @@
         let has_roster = self.journal.roster_dirty && !self.roster_unreadable;
         let other_changes = has_roster
             || self.journal.handover.is_changed()
+            || self.journal.epoch_raise_needed
             || self.journal.ownership_check_needed
             || self.now >= self.evidence.confirmed_at + CONFIRM_INTERVAL
             || !self.journal.expired_jobs.is_empty();
@@ -151,8 +157,13 @@
         let acknowledged = if complete { self.unrecorded_end_reports() } else { Vec::new() };
         self.last_write += 1;
         let number = self.last_write;
-        let sequence = encode_value(&(self.epoch, number));
+        let raised = self.take_raised_epoch();
+        let epoch = raised.as_ref().map_or(self.epoch, |record| record.epoch);
+        let sequence = encode_value(&(epoch, number));
         let mut puts = vec![StorePut::new(self.keys.sequence.clone(), sequence)];
+        if let Some(record) = &raised {
+            puts.push(StorePut::new(self.keys.epoch.clone(), encode_value(record)));
+        }
         let mut outcomes = Vec::with_capacity(jobs.len());
         for key in jobs {
             let Some(job) = self.jobs.get(key) else { continue };
@@ -174,10 +185,10 @@
             outcomes.push((key, recorded));
         }
         // The leases of all earlier owners have expired once their runs are known.
-        let marks_leases =
-            !self.journal.leases_marked && (self.earlier_owners.bounded || self.is_reconciled());
+        let marked = self.journal.leases_marked && raised.is_none();
+        let marks_leases = !marked && (self.earlier_owners.bounded || self.is_reconciled());
         if marks_leases {
-            let epoch = encode_value(&self.epoch);
+            let epoch = encode_value(&epoch);
             puts.push(StorePut::new(self.keys.bounded_epoch.clone(), epoch.clone()));
             puts.push(StorePut::new(self.keys.bounded_leases.clone(), epoch));
         }
@@ -195,7 +206,7 @@
             let roster = encode_value(&roster);
             puts.push(StorePut::new(self.keys.roster.clone(), roster));
         }
-        let handover = self.take_handover();
+        let handover = self.take_handover(epoch);
         let has_handover = handover.is_some();
         if let Some(record) = handover {
             puts.push(StorePut::new(self.keys.lease_handover.clone(), encode_value(&record)));
@@ -215,6 +226,7 @@
         self.journal.in_flight = Some(FlushState {
             attempt: number,
             number,
+            epoch,
             sent_at: self.now,
             attempted_at: self.now,
             unanswered: false,
@@ -229,6 +241,17 @@
         });
     }
 
+    /// Returns the record of this owner with the epoch that the next write is to store, if it is to
+    /// raise the epoch. The records of the old epoch are written again.
+    fn take_raised_epoch(&mut self) -> Option<OwnerRecord> {
+        if !std::mem::take(&mut self.journal.epoch_raise_needed) {
+            return None;
+        }
+        self.journal.handover.invalidate();
+        let record = self.identity.clone()?;
+        Some(OwnerRecord { epoch: self.epoch + 1, ..record })
+    }
+
     fn roster_members(&self) -> Vec<ExecutorKey> {
         let members =
             self.executors.iter().filter(|(_, executor)| self.belongs_in_roster(executor));
@@ -332,6 +355,9 @@
         if flush.has_handover {
             self.on_handover_stored();
         }
+        if flush.epoch > self.epoch {
+            self.on_epoch_raised(flush.epoch);
+        }
         for key in flush.members {
             if let Some(executor) = self.executors.get_mut(key) {
                 executor.in_roster = true;
@@ -349,6 +375,7 @@
         if flush.has_handover {
             self.journal.handover.invalidate();
         }
+        self.journal.epoch_raise_needed |= flush.epoch > self.epoch;
         self.journal.next_at = self.now + FLUSH_RETRY;
     }
 
@@ -356,7 +383,7 @@
         let sequence = items.iter().find(|item| item.key == self.keys.sequence);
         let written = sequence.and_then(|item| decode_value::<(OwnerEpoch, WriteId)>(&item.value));
         if let (Some(item), Some((epoch, number))) = (sequence, written) {
-            if epoch == self.epoch && number == flush.number {
+            if epoch == flush.epoch && number == flush.number {
                 return self.finish_flush(flush, item.revision);
             }
         }
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -59,15 +59,15 @@
     colocation::{ColocationModel, ImageId},
     guards::JobGuards,
     ids::{
-        CellId, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, StoreRevision, WallTime,
-        WriteId, ZoneName,
+        CellId, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, RunNumber, StoreRevision,
+        WallTime, WriteId, ZoneName,
     },
     job::{JobOutcome, StepId},
     keys::CellKeys,
     lease_bounds::{EarlierOwners, OwnershipEvidence},
     lease_handover::EarlierLease,
     order::{AdviceFailure, AdviceReply, ExecutorOrder, ExecutorReport, OrderFailure, OrderReply},
-    ownership::HeldOwnership,
+    ownership::{HeldOwnership, OwnerRecord},
     store::{StoreChange, StoreFailure, StoreItem, StoreTxn, TxnOutcome},
 };
 
@@ -193,6 +193,8 @@
     OwnerSeen(Option<StoreItem>),
     /// An executor has accepted a higher epoch, so this owner has been replaced.
     Fenced,
+    /// This owner has raised its epoch in the store.
+    EpochRaised(OwnerEpoch),
     /// Log a decision.
     Log(DecisionRecord),
     /// Update a metric.
@@ -232,6 +234,10 @@
     next_load_at: MonotonicTime,
     guards: JobGuards,
     epoch: OwnerEpoch,
+    /// Record of this process, without which the epoch cannot be raised.
+    identity: Option<OwnerRecord>,
+    /// Number above those of all runs of earlier owners.
+    run_base: RunNumber,
     /// Store revision at which this ownership began. Jobs created later have no earlier runs.
     start_revision: StoreRevision,
     /// Revision of the ownership record, or `None` while it is not known to exist.
@@ -330,6 +336,8 @@
             next_load_at: MonotonicTime::ZERO,
             guards: JobGuards::default(),
             epoch: ownership.epoch,
+            identity: None,
+            run_base: ownership.run_base,
             start_revision: ownership.start_revision,
             owner_revision: ownership.revision,
             authority_until: ownership.authority_until,
@@ -395,6 +403,12 @@
         self
     }
 
+    /// Sets the record of this process, with which the epoch can be raised.
+    pub fn with_identity(mut self, identity: OwnerRecord) -> Self {
+        self.identity = Some(identity);
+        self
+    }
+
     /// Sets the enabled safety mechanisms, so that tests can show what each of them prevents.
     pub fn with_guards(mut self, guards: JobGuards) -> Self {
         self.guards = guards;
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -10,7 +10,7 @@
     JobEffect, JobScheduler,
 };
 use crate::{
-    ids::{MonotonicTime, OrderId, RunNumber, TaskIndex},
+    ids::{MonotonicTime, OrderId, OwnerEpoch, RunNumber, TaskIndex},
     job::TaskName,
     order::{ExecutorOrder, OrderFailure, OrderReply, OrderRequest, RejectReason},
     relay::uses_relay,
@@ -58,6 +58,15 @@
     pub(super) kind: OrderKind,
     pub(super) executor: ExecutorKey,
     pub(super) run: Option<RunKey>,
+    /// Epoch of the order.
+    pub(super) epoch: OwnerEpoch,
+}
+
+impl PendingOrder {
+    /// Creates an order that has not been sent yet.
+    pub(super) fn new(kind: OrderKind, executor: ExecutorKey, run: Option<RunKey>) -> Self {
+        Self { kind, executor, run, epoch: 0 }
+    }
 }
 
 impl JobScheduler {
@@ -80,7 +89,7 @@
             valid_until: self.authority_until,
         };
         self.starts_in_flight += usize::from(pending.kind == OrderKind::Start);
-        self.orders.insert(id, pending);
+        self.orders.insert(id, PendingOrder { epoch: self.epoch, ..pending });
         self.effects.push(JobEffect::Order(order));
         id
     }
@@ -96,7 +105,11 @@
             // A pass may have ended because of the limit on starts in flight.
             self.pass_needed = true;
         }
-        if matches!(result, Ok(OrderReply::Rejected { reason: RejectReason::Fence })) {
+        let fenced = matches!(result, Ok(OrderReply::Rejected { reason: RejectReason::Fence }));
+        if fenced && pending.epoch < self.epoch {
+            return self.on_order_overtaken(id, pending);
+        }
+        if fenced {
             self.effects.push(JobEffect::Fenced);
             return;
         }
@@ -114,6 +127,20 @@
         }
     }
 
+    /// Has an order sent again that an executor rejected because one of the raised epoch, sent later,
+    /// came first.
+    fn on_order_overtaken(&mut self, id: OrderId, pending: PendingOrder) {
+        let now = self.now;
+        if pending.kind == OrderKind::Hold {
+            let hold = &mut self.executors[pending.executor].hold;
+            (hold.order, hold.next_at) = (None, now);
+        }
+        let Some(run) = pending.run.and_then(|run| self.runs.get_mut(run)) else { return };
+        if run.order == Some(id) {
+            (run.order, run.next_order_at) = (None, now);
+        }
+    }
+
     /// Creates a run of a task on an executor and sends its start.
     pub(super) fn start_run(
         &mut self,
@@ -217,8 +244,7 @@
             checkpoint: job.tasks[run.task as usize].checkpoint.clone(),
             ticket: run.ticket.clone(),
         };
-        let pending =
-            PendingOrder { kind: OrderKind::Start, executor: executor_key, run: Some(key) };
+        let pending = PendingOrder::new(OrderKind::Start, executor_key, Some(key));
         let order = self.send_order(pending, request, ORDER_TIMEOUT);
         let run = &mut self.runs[key];
         run.sends += 1;
@@ -265,7 +291,10 @@
             Err(OrderFailure::Malformed | OrderFailure::Replaced) => {
                 self.give_up_start(key, sent_once, "order malformed or executor replaced");
             }
-            Err(OrderFailure::Lost) => run.next_order_at = now + ORDER_RETRY,
+            Err(OrderFailure::Lost) => {
+                run.lost_sends += 1;
+                run.next_order_at = now + ORDER_RETRY;
+            }
         }
     }
 
@@ -306,8 +335,7 @@
     fn send_stop(&mut self, key: RunKey) {
         let run = &self.runs[key];
         let request = OrderRequest::Stop { task: self.name_of(run), run: run.number };
-        let pending =
-            PendingOrder { kind: OrderKind::Stop, executor: run.executor, run: Some(key) };
+        let pending = PendingOrder::new(OrderKind::Stop, run.executor, Some(key));
         let order = self.send_order(pending, request, ORDER_TIMEOUT);
         self.runs[key].order = Some(order);
     }
--- a/crates/cuminbank-jobs/src/scheduler/refusals.rs
+++ b/crates/cuminbank-jobs/src/scheduler/refusals.rs
@@ -65,7 +65,8 @@
             return Some(PlacementRefusal::Unlisted);
         }
         let in_contact = executor.contacted && executor.hold.failures == 0;
-        if !in_contact || executor.clock.is_none() || executor.grants_paused {
+        let settled = !executor.grants_paused && executor.unfenced_epoch.is_none();
+        if !in_contact || executor.clock.is_none() || !settled {
             return Some(PlacementRefusal::Unreachable);
         }
         (self.now < executor.no_starts_until).then_some(PlacementRefusal::Paused)
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -287,17 +287,20 @@
         let detail = format!("executor={} row={run_report:?}", self.executors[key].name);
         self.log(RUN_UNKNOWN, Some(run_report.task.job), detail);
         let request = OrderRequest::Stop { task: run_report.task, run: run_report.run };
-        let pending = PendingOrder { kind: OrderKind::Stop, executor: key, run: None };
+        let pending = PendingOrder::new(OrderKind::Stop, key, None);
         self.send_order(pending, request, ORDER_TIMEOUT);
     }
 
-    /// Removes runs that were confirmed before the report was requested but are missing from it.
+    /// Removes runs that were confirmed before the report was requested but are missing from it. After
+    /// a restart, copies of their starts may be carried out until the executor is fenced.
     fn drop_missing_runs(&mut self, key: ExecutorKey, seen: &[RunKey], sent_logical_time: u64) {
+        let unfenced = self.executors[key].unfenced_epoch.is_some();
         let missing: Vec<RunKey> = self.executors[key]
             .runs
             .iter()
             .copied()
             .filter(|run| !seen.contains(run))
+            .filter(|run| !unfenced || !self.runs[*run].may_start_late())
             .filter(|run| {
                 self.runs[*run]
                     .confirmed
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -11,8 +11,8 @@
 use crate::{
     colocation::{ImageId, SlackLoss},
     ids::{
-        ExecutorMillis, ExecutorName, JobId, MonotonicTime, OrderId, RunNumber, ServiceName,
-        StartMillis, TaskIndex, WallTime, ZoneName,
+        ExecutorMillis, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, RunNumber,
+        ServiceName, StartMillis, TaskIndex, WallTime, ZoneName,
     },
     job::{JobOutcome, JobRecord, TaskLayout, TaskNeeds},
     lease_handover::GrantState,
@@ -239,6 +239,8 @@
     pub(super) next_at: MonotonicTime,
     /// Number of failed holds since the last reply.
     pub(super) failures: u32,
+    /// Epoch of the last hold.
+    pub(super) epoch: OwnerEpoch,
 }
 
 /// Value of an executor's clock, and the time on this instance's clock at which it was received.
@@ -275,6 +277,11 @@
     pub(super) clock: Option<ClockSample>,
     /// Time on this instance's clock by which every lease granted to it has expired.
     pub(super) lease_expires_at: MonotonicTime,
+    /// Epoch of orders for its earlier incarnation, which this one may carry out until it has replied
+    /// to a hold of a higher epoch. It gets no work and no leases until then.
+    pub(super) unfenced_epoch: Option<OwnerEpoch>,
+    /// Time by which all leases in orders for its earlier incarnations have expired.
+    pub(super) earlier_orders_expire_at: MonotonicTime,
     /// What the handover that was sent last tells of it.
     pub(super) handed_over: Option<GrantState>,
     /// Whether no lease may be granted, since the store may tell the next owner so.
@@ -350,6 +357,8 @@
     pub(super) since: MonotonicTime,
     /// Number of times the start was sent.
     pub(super) sends: u32,
+    /// Number of times the start was sent without a reply.
+    pub(super) lost_sends: u32,
     /// Logical time at which the executor first confirmed the run or its stop.
     pub(super) confirmed: Option<u64>,
     /// Whether the executor has reported it as running.
@@ -390,6 +399,7 @@
             ticket: None,
             since: now,
             sends: 0,
+            lost_sends: 0,
             confirmed: None,
             reported: false,
             order: None,
@@ -400,6 +410,11 @@
         }
     }
 
+    /// Returns whether a copy of its start may still be carried out.
+    pub(super) fn may_start_late(&self) -> bool {
+        self.lost_sends > 0 || (self.phase == RunPhase::Starting && self.order.is_some())
+    }
+
     /// Records that the executor has confirmed the run.
     pub(super) fn confirm(&mut self, now: MonotonicTime, logical_time: u64) {
         self.confirmed.get_or_insert(logical_time);
--- a/crates/cuminbank-jobs/tests/formats.rs
+++ b/crates/cuminbank-jobs/tests/formats.rs
@@ -219,6 +219,7 @@
     check.record::<CellId>("record.accepted", 300);
     check.record("record.sequence", (7_u64, 1_234_u64));
     check.record("record.bounded_epoch", 7_u64);
+    check.record("record.run_base", 7_000_u32);
     check.record("record.bounded_leases", 7_u64);
     let entry = |executor: &str, grants, left_ms| HandoverEntry {
         executor: executor.to_owned(),
--- a/crates/cuminbank-jobs/tests/restarted_executors.rs
+++ b/crates/cuminbank-jobs/tests/restarted_executors.rs
@@ -5,11 +5,15 @@
 
 use std::time::Duration;
 
-use cuminbank_jobs::lease_bounds::{is_lease_for, LEASE_TIME};
+use cuminbank::log::EPOCH_RAISED;
+use cuminbank_jobs::{
+    guards::JobGuards,
+    lease_bounds::{is_lease_for, LEASE_TIME},
+};
 use support::{
     jobs::step,
-    simulation::{InjectedFault, SimulatedPool},
-    waiting::{submit, with_lengths, LASTING},
+    simulation::{InjectedFault, MessageLosses, SimulatedPool},
+    waiting::{long_running, submit, with_lengths, LASTING, LASTING_JOB},
 };
 
 const MAX_LEASE: Duration = Duration::from_secs(10);
@@ -66,3 +70,60 @@
     assert!(!is_lease_for(0, 100_000));
     assert!(is_lease_for(u64::MAX, u64::MAX));
 }
+
+/// Restarts executors one after the other, while many orders are carried out seconds late. Returns the
+/// violations.
+fn play_late_orders(seed: u64, guards: JobGuards) -> Vec<String> {
+    let pool = SimulatedPool::new(seed, 2, 4).with_guards(guards);
+    let mut pool = with_lengths(pool, |_| Duration::from_secs(2));
+    pool.losses = MessageLosses { orders_late: 20, ..MessageLosses::default() };
+    pool.late_orders_cross_restarts = true;
+    for id in 0..20 {
+        submit(&mut pool, id, step(4, &[]));
+        let crash = InjectedFault::CrashExecutor { executor: id as usize % 4, down: Some(DOWN) };
+        pool.fault_at(pool.now + Duration::from_millis(300), crash);
+        pool.run_until(pool.now + Duration::from_millis(700));
+    }
+    pool.run_until(pool.now + Duration::from_secs(20));
+    std::mem::take(&mut pool.checks.violations)
+}
+
+// Guards against a task that runs twice, or again after its end: a restarted executor carries out orders
+// that its earlier incarnation had received, seconds after its owner has noticed the restart.
+#[test]
+fn late_orders_of_an_earlier_incarnation_are_harmless() {
+    for seed in 0..20 {
+        let violations = play_late_orders(seed, JobGuards::default());
+        assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
+    }
+    let guards = JobGuards { fences_earlier_orders: false, ..JobGuards::default() };
+    assert!((0..20).any(|seed| !play_late_orders(seed, guards).is_empty()));
+}
+
+// Guards against an owner that takes the rejection of its own overtaken order for that of a successor, and
+// against instances that take an owner with a raised epoch for one that they have not seen.
+#[test]
+fn raised_epochs_do_not_end_or_delay_an_ownership() {
+    let mut pool = with_lengths(SimulatedPool::new(4, 3, 4), |_| LASTING);
+    submit(&mut pool, LASTING_JOB, long_running(8));
+    pool.run_until(pool.now + Duration::from_secs(1));
+    let instance = pool.owner().expect("there is an owner");
+    for number in 0..12 {
+        let crash = InjectedFault::CrashExecutor { executor: number % 4, down: Some(DOWN) };
+        pool.fault_at(pool.now, crash);
+        pool.run_until(pool.now + Duration::from_millis(400));
+        assert_eq!(pool.owners(), [instance], "{:#?}", pool.trace);
+    }
+    pool.run_until(pool.now + Duration::from_secs(2));
+    assert_eq!(pool.running(LASTING_JOB), 8);
+    let raised = pool.trace.iter().filter(|line| line.contains(EPOCH_RAISED.summary));
+    assert!(raised.count() >= 4, "{:#?}", pool.trace);
+    let down = Duration::from_secs(60);
+    pool.fault_at(pool.now, InjectedFault::KillInstance { instance, down });
+    // The ownership's lease of 1.5 s, and the delay of a claim by an instance that knows the owner.
+    pool.run_until(pool.now + Duration::from_millis(2_100));
+    assert!(pool.owner().is_some(), "{:#?}", pool.trace);
+    pool.run_until(pool.now + Duration::from_secs(2));
+    assert_eq!(pool.running(LASTING_JOB), 8);
+    assert!(pool.checks.violations.is_empty(), "{:#?}", pool.checks.violations);
+}
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -65,6 +65,9 @@
                 let effects = self.instances[number].ownership.on_fenced(self.now);
                 self.execute_ownership_effects(number, effects);
             }
+            JobEffect::EpochRaised(epoch) => {
+                self.instances[number].ownership.on_epoch_raised(self.now, epoch);
+            }
             JobEffect::OwnerSeen(item) => {
                 let effects = match &item {
                     Some(found) => self.instances[number].ownership.observe(
@@ -165,6 +168,7 @@
                     };
                     let scheduler = JobScheduler::new(bounds, &held, self.now)
                         .with_guards(self.guards)
+                        .with_identity(self.instances[number].ownership.identity().clone())
                         .with_processor_share(self.processor_share)
                         .with_link(self.link_mbps);
                     self.trace.push(format!("{:?} {} began {held:?}", self.now, number));
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -39,6 +39,8 @@
 pub use self::fates::{FateDecider, MessageFate, MessageKind};
 use crate::support::checks::HistoryChecks;
 
+/// Time after its start by which an owner has fenced an executor, if nothing delays it.
+const FENCE_TIME: Duration = Duration::from_millis(500);
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 const ADVANCE_INTERVAL: Duration = Duration::from_millis(10);
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -219,6 +221,9 @@
     pub settled_passes: usize,
     /// Whether a crash leaves the holds of the executor unanswered instead of failing them.
     pub silent_crashes: bool,
+    /// Whether an executor that has replied to an owner carries out orders that its earlier
+    /// incarnation had received. Otherwise it rejects them.
+    pub late_orders_cross_restarts: bool,
     /// Whether orders with a lease are only sent on connections whose executor's clock fits.
     pub binds_leases: bool,
     /// Number of executors in each request to the advice service.
@@ -277,6 +282,7 @@
             refused_starts: 0,
             settled_passes: 0,
             silent_crashes: false,
+            late_orders_cross_restarts: false,
             binds_leases: true,
             max_lease_ms: MAX_LEASE_MS,
             advice_requests: Vec::new(),
@@ -508,11 +514,13 @@
                 lost,
                 reply_delay,
             } => {
-                // The order names an incarnation of the executor, and a later one rejects it.
+                // Nobody can prevent what a later incarnation carries out before its first reply.
+                let executor = &self.executors[executor_index];
+                let carries_out = self.late_orders_cross_restarts
+                    && executor.token > 0
+                    && self.now >= executor.born + FENCE_TIME;
                 let result = Err(OrderFailure::Replaced);
-                if self.executors[executor_index].up
-                    && self.executors[executor_index].born != incarnation
-                {
+                if executor.up && executor.born != incarnation && !carries_out {
                     if !lost {
                         let id = order.id;
                         self.push(
--- a/crates/cuminbank-jobs/tests/versions.rs
+++ b/crates/cuminbank-jobs/tests/versions.rs
@@ -63,6 +63,7 @@
         "roster" => record_again::<ExecutorRoster>(bytes),
         "sequence" => record_again::<(u64, u64)>(bytes),
         "bounded_epoch" | "bounded_leases" => record_again::<u64>(bytes),
+        "run_base" => record_again::<u32>(bytes),
         "lease_handover" => record_again::<LeaseHandover>(bytes),
         "ask" | "carry" => message_again::<PeerRequest>(bytes),
         "answer" | "carried" | "unsupported" => message_again::<PeerReply>(bytes),
@@ -87,8 +88,8 @@
         "ask" | "carry" => reads::<PeerRequest>(bytes),
         "answer" | "carried" => reads::<PeerReply>(bytes),
         // A pair of numbers has no bytes that cannot be decoded, and the others are new.
-        "bounded_epoch" | "bounded_leases" | "lease_handover" | "sequence" | "instance"
-        | "pool_format" | "unsupported" => false,
+        "bounded_epoch" | "bounded_leases" | "lease_handover" | "run_base" | "sequence"
+        | "instance" | "pool_format" | "unsupported" => false,
         other => panic!("no reader of {other}"),
     }
 }
