--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -196,9 +196,7 @@
         let key = self.runs.insert(run);
         self.executors[executor_key].runs.push(key);
         self.update_losses(executor_key);
-        let job = &mut self.jobs[job];
-        job.started = true;
-        job.tasks[task as usize].runs.push(key);
+        self.jobs[job].tasks[task as usize].runs.push(key);
         key
     }
 
@@ -263,6 +261,8 @@
             Ok(OrderReply::Done { .. })
             | Ok(OrderReply::Rejected { reason: RejectReason::Stale }) => {
                 run.confirm(now, logical_time);
+                let job = run.job;
+                self.jobs[job].started = true;
             }
             Ok(OrderReply::Held(_)) => {}
             Ok(OrderReply::Rejected { reason }) => {
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -105,6 +105,7 @@
         );
         self.log(RUN_ENDED, Some(end.task.job), detail);
         let job = &mut self.jobs[job_key];
+        job.started = true;
         let (occurrence, step_number) = job.layout.position(task);
         let step = &job.record.steps[step_number];
         let (long_running, gang, estimate) = (step.long_running, step.gang, step.estimate_ms);
@@ -220,6 +221,7 @@
         }
         let run_number = run.number;
         let job = &mut self.jobs[job_key];
+        job.started = true;
         let (_, step) = job.layout.position(task);
         let gang = job.record.steps[step].gang;
         let state = &mut job.tasks[task as usize];
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -104,7 +104,7 @@
     pub(super) outcome: Option<JobOutcome>,
     /// Outcome confirmed by the store, with the time stored as the end of the job.
     pub(super) recorded_outcome: Option<(JobOutcome, WallTime)>,
-    /// Whether any of its tasks has been started.
+    /// Whether an executor has confirmed a run of any of its tasks.
     pub(super) started: bool,
     /// Estimated slack of its latency-critical tasks without best-effort neighbours. Slack is the
     /// latency target divided by the tail latency; below 1 the target is missed.
--- a/crates/cuminbank-jobs/tests/scheduling.rs
+++ b/crates/cuminbank-jobs/tests/scheduling.rs
@@ -385,6 +385,33 @@
     assert_eq!(pool.running(400), 6);
 }
 
+// Guards against a count of waiting jobs without those whose only start went to an executor that is cut
+// off, and has not been carried out.
+#[test]
+fn jobs_whose_start_was_lost_count_as_waiting() {
+    let (mut pool, _) = pool(Duration::from_secs(60), RunEnd::Done);
+    for instance in 0..3 {
+        let span = Duration::from_millis(5_500);
+        let cut = InjectedFault::CutFromExecutors { instance, executors: vec![0], span };
+        pool.fault_at(pool.now, cut);
+    }
+    pool.run_until(pool.now + Duration::from_millis(50));
+    for id in 1..=30 {
+        pool.submit(id, job(vec![step(1, &[])]));
+    }
+    for _ in 0..30 {
+        pool.run_until(pool.now + Duration::from_millis(200));
+        let begun = |id: &u64| pool.running(*id) > 0;
+        let (running, waiting): (Vec<u64>, Vec<u64>) = (1..=30).partition(begun);
+        assert!(!running.is_empty());
+        for id in waiting {
+            assert_eq!(pool.phase(id), Some(JobPhase::Queued), "job {id}, {:?}", pool.now);
+        }
+    }
+    pool.run_until(pool.now + Duration::from_secs(3));
+    assert!((1..=30).all(|id| pool.phase(id) == Some(JobPhase::Running)));
+}
+
 // Guards against losing runs because their executors are unreachable for a few seconds. With leases
 // of 5 s, the leases expired before the connection was restored.
 #[test]
