Count only executors that have replied for the majority of a new owner

What callers saw: nothing yet; found by reading again.

Cause: a new owner took it for contact with a majority when less than half of the roster was still waited for.

Change: replies are counted.

Evidence: executors_without_a_reply_are_no_majority fails before (reconciled 18 s after one of five executors replied, instead of waiting for the authority) and passes."

--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -252,6 +252,8 @@
     loaded: bool,
     /// Number of executors in the roster that was loaded.
     loaded_executors: usize,
+    /// Number of these that have replied, or are known to be gone.
+    reconciled_executors: usize,
     /// Executors of the stored roster that may still run tasks started in an earlier epoch.
     unreconciled: HashSet<ExecutorName>,
     /// Leases of earlier owners that their last record tells.
@@ -351,6 +353,7 @@
             earlier_orders_until: ownership.earlier_orders_until,
             loaded: false,
             loaded_executors: 0,
+            reconciled_executors: 0,
             unreconciled: HashSet::new(),
             earlier_leases: HashMap::new(),
             roster_unreadable: false,
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -170,7 +170,9 @@
         if !self.unreconciled.remove(name) {
             return;
         }
-        if self.unreconciled.len() * 2 < self.loaded_executors {
+        // Executors for which the wait has ended without a reply do not count.
+        self.reconciled_executors += 1;
+        if self.reconciled_executors * 2 > self.loaded_executors {
             self.earlier_owners.quorum_at.get_or_insert(self.now);
         }
         if self.unreconciled.is_empty() {
--- a/crates/cuminbank-jobs/tests/earlier_owners.rs
+++ b/crates/cuminbank-jobs/tests/earlier_owners.rs
@@ -266,6 +266,31 @@
     }
 }
 
+// Guards against a bound that needs the contact with a majority, although the wait for some executors has
+// ended without one.
+#[test]
+fn executors_without_a_reply_are_no_majority() {
+    let mut pool = with_lengths(SimulatedPool::new(4, 2, 5), |_| LASTING);
+    let first = pool.owner().expect("there is an owner");
+    let began = pool.now;
+    let after = |secs| began + Duration::from_secs(secs);
+    let cut_off = |instance, executors: &[usize], secs| InjectedFault::CutFromExecutors {
+        instance,
+        executors: executors.to_vec(),
+        span: Duration::from_secs(secs),
+    };
+    pool.fault_at(began, cut_off(first, &[0, 1, 2], 60));
+    pool.fault_at(began, cut_off(1 - first, &[0, 1, 2, 4], 60));
+    pool.fault_at(began, cut_off(1 - first, &[3], 9));
+    let down = Duration::from_secs(60);
+    pool.fault_at(after(4), InjectedFault::KillInstance { instance: first, down });
+    // The wait for three executors ends after 7 s; one replies after 9 s, and one never.
+    pool.run_until(after(18));
+    assert!(!is_reconciled(&pool), "{:#?}", pool.trace);
+    pool.run_until(after(24));
+    assert!(is_reconciled(&pool), "{:#?}", pool.trace);
+}
+
 // Guards against runs that are lost in an outage of the store, although their owner and their
 // executors reach each other.
 #[test]
