--- a/crates/cuminbank-jobs/src/lease_handover.rs
+++ b/crates/cuminbank-jobs/src/lease_handover.rs
@@ -18,7 +18,7 @@
 pub enum GrantState {
     /// It grants none until the store has a record without the executor.
     Paused,
-    /// It may grant leases, and earlier ones last longer than these.
+    /// It may grant leases. Those in the entry may last longer than these.
     Granting,
 }
 
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -45,7 +45,7 @@
 /// Delay between holds, so that one reply reports several runs that end shortly after each other.
 const HOLD_GAP: Duration = Duration::from_millis(15);
 /// Delay between holds while ended runs are unrecorded, since the executor would immediately reply
-/// with them again.
+/// with them again, and while the executor may get no leases, since these holds do not wait.
 const UNRECORDED_GAP: Duration = Duration::from_millis(300);
 /// Highest valid clock value of an executor in milliseconds, which is thousands of years. A lease
 /// computed from a higher value would never expire.
@@ -311,9 +311,11 @@
     pub(super) fn on_epoch_raised(&mut self, epoch: OwnerEpoch) {
         self.epoch = epoch;
         let mut waiting = 0;
-        for executor in self.executors.values_mut().filter(|it| it.unfenced_epoch.is_some()) {
-            executor.hold.next_at = self.now;
-            waiting += 1;
+        for executor in self.executors.values_mut() {
+            if executor.unfenced_epoch.is_some() {
+                executor.hold.next_at = self.now;
+                waiting += 1;
+            }
         }
         self.log(EPOCH_RAISED, None, format!("epoch={epoch} executors={waiting}"));
         self.effects.push(JobEffect::EpochRaised(epoch));
@@ -326,8 +328,7 @@
         let reachable = executor.contacted && executor.hold.failures == 0;
         let unrecorded = executor.last_end_number > executor.acknowledged;
         let colocated = executor.latency_critical_tasks > 0 && executor.best_effort_tasks > 0;
-        let settled = !executor.grants_paused && executor.unfenced_epoch.is_none();
-        let waits = reachable && !unrecorded && settled;
+        let waits = reachable && !unrecorded && executor.may_get_leases();
         let wait = match (waits, colocated || self.needs_quorum()) {
             (false, _) => Duration::ZERO,
             (true, true) => SHORT_HOLD_WAIT,
@@ -421,8 +422,8 @@
         self.update_handover(key);
         let executor = &mut self.executors[key];
         let unrecorded = executor.last_end_number > executor.acknowledged;
-        let settled = !executor.grants_paused && executor.unfenced_epoch.is_none();
-        let gap = if unrecorded || !settled { UNRECORDED_GAP } else { HOLD_GAP };
+        let short = !unrecorded && executor.may_get_leases();
+        let gap = if short { HOLD_GAP } else { UNRECORDED_GAP };
         executor.hold.next_at = now + if first { Duration::ZERO } else { gap };
         self.pass_needed = true;
         if first {
--- a/crates/cuminbank-jobs/src/scheduler/refusals.rs
+++ b/crates/cuminbank-jobs/src/scheduler/refusals.rs
@@ -13,7 +13,7 @@
     Evacuated,
     /// The stored roster does not contain it yet.
     Unlisted,
-    /// It has not replied during this ownership, or its last holds failed.
+    /// It has not replied during this ownership, its last holds failed, or it may get no leases yet.
     Unreachable,
     /// It recently rejected a start for lack of capacity.
     Paused,
@@ -65,8 +65,7 @@
             return Some(PlacementRefusal::Unlisted);
         }
         let in_contact = executor.contacted && executor.hold.failures == 0;
-        let settled = !executor.grants_paused && executor.unfenced_epoch.is_none();
-        if !in_contact || executor.clock.is_none() || !settled {
+        if !in_contact || executor.clock.is_none() || !executor.may_get_leases() {
             return Some(PlacementRefusal::Unreachable);
         }
         (self.now < executor.no_starts_until).then_some(PlacementRefusal::Paused)
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -141,6 +141,11 @@
         f64::from(cpu_millis) / f64::from(self.capacity.cpu_millis.max(1))
     }
 
+    /// Returns whether leases may be granted, as far as the store and earlier orders allow it.
+    pub(super) fn may_get_leases(&self) -> bool {
+        !self.grants_paused && self.unfenced_epoch.is_none()
+    }
+
     /// Returns the highest number of an ended run that may be acknowledged once it is recorded.
     pub(super) fn recordable_end(&self) -> u64 {
         let limit = self.unreadable_end.map_or(u64::MAX, |number| number.saturating_sub(1));
