--- a/crates/cuminbank-jobs/src/settings.rs
+++ b/crates/cuminbank-jobs/src/settings.rs
@@ -62,6 +62,28 @@
     pub cells: Option<CellId>,
     /// How long the outcome of an ended job is stored, in milliseconds.
     pub retention_ms: u64,
+    /// Memory that the process may use, in MB, from 32 to 1,048,576. Bounds what its connections may
+    /// hold.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Whether submissions are refused while the pool has no room for them.
+    #[serde(default)]
+    pub admission: bool,
+    /// Whether executors are reserved for large tasks that wait.
+    #[serde(default)]
+    pub task_reservations: bool,
+    /// Whether best-effort tasks avoid latency-critical ones whose load swings, as long as other
+    /// executors have room.
+    #[serde(default)]
+    pub calm_placement: bool,
+    /// Whether the division of the pool follows from the registered instances.
+    #[serde(default)]
+    pub adaptive_division: bool,
+}
+
+/// Returns the default of `memory_mb`, the memory of the smallest machines in use.
+fn default_memory_mb() -> u64 {
+    160
 }
 
 /// Returns the default of `cell_executors`. An owner with half a core handles this many with CPU to
@@ -164,6 +186,7 @@
                 allowed: "0.1 to 1000000".to_owned(),
             });
         }
+        check_range("memory_mb", self.memory_mb, 32, 1_048_576)?;
         check_range("cells", u64::from(self.cells.unwrap_or(1)), 1, 64)?;
         check_range("cell_executors", self.cell_executors as u64, 1, 5_000)?;
         check_range("retention_ms", self.retention_ms, 1_000, 86_400_000)
--- a/crates/cuminbank/src/settings.rs
+++ b/crates/cuminbank/src/settings.rs
@@ -51,6 +51,9 @@
     /// milliseconds, 100 to 60,000.
     #[serde(default = "default_request_read_ms")]
     pub request_read_ms: u64,
+    /// Memory that the process may use, in MB, 32 to 1,048,576. Bounds what its connections may hold.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
 }
 
 fn default_groups() -> GroupIndex {
@@ -69,6 +72,11 @@
     10_000
 }
 
+/// Returns the default of `memory_mb`, the memory of the smallest machines in use.
+fn default_memory_mb() -> u64 {
+    160
+}
+
 /// Policy for the choice of a target and the order of waiting calls.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -124,6 +132,9 @@
         if !(100..=60_000).contains(&self.request_read_ms) {
             return Err(range_error("request_read_ms", self.request_read_ms, "100 to 60000"));
         }
+        if !(32..=1_048_576).contains(&self.memory_mb) {
+            return Err(range_error("memory_mb", self.memory_mb, "32 to 1048576"));
+        }
         Ok(())
     }
 }
