--- a/crates/cuminbank-entry/tests/support/entry.rs
+++ b/crates/cuminbank-entry/tests/support/entry.rs
@@ -61,6 +61,7 @@
 pub struct EntryProcess {
     pub name: String,
     pub http: SocketAddr,
+    pub peer: SocketAddr,
     child: Child,
     files: Vec<PathBuf>,
 }
@@ -69,7 +70,9 @@
     /// Starts a daemon with `settings`; its log goes to a file.
     pub fn start(settings: &Value) -> Self {
         let text = |name: &str| settings[name].as_str().expect("the field is text").to_owned();
-        let http: SocketAddr = text("http_address").parse().expect("the address is valid");
+        let address =
+            |name: &str| -> SocketAddr { text(name).parse().expect("the address is valid") };
+        let (http, peer) = (address("http_address"), address("peer_address"));
         let path = write_file(&format!("{}.json", http.port()), &settings.to_string());
         let log = path.with_extension("log");
         let mut command = Command::new(env!("CARGO_BIN_EXE_cuminbank-entry"));
@@ -80,7 +83,7 @@
             .stdout(Stdio::null())
             .stderr(File::create(&log).expect("the target folder is writable"));
         let child = ports::spawn(&mut command).expect("the daemon was built with the test");
-        Self { name: text("instance"), http, child, files: vec![path, log] }
+        Self { name: text("instance"), http, peer, child, files: vec![path, log] }
     }
 
     /// Returns the process id.
@@ -125,6 +128,11 @@
         )
     }
 
+    /// Returns whether the process has exited.
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().expect("the process is a child of the test").is_some()
+    }
+
     /// Waits until the process exits.
     pub fn wait(&mut self) -> ExitStatus {
         wait_for_some("the entry instance ends", || {
--- a/crates/cuminbank-entry/tests/support/mod.rs
+++ b/crates/cuminbank-entry/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test binary uses only some of the helpers")]
 
 pub mod callers;
+pub mod crowd;
 pub mod entry;
 pub mod http;
 pub mod platform;
@@ -15,7 +16,7 @@
     time::{Duration, Instant},
 };
 
-use serde_json::Value;
+use serde_json::{json, Value};
 
 use self::{
     entry::EntryProcess,
@@ -71,8 +72,19 @@
 impl Deployment {
     /// Starts a zone and waits until every group has an owner and each instance serves calls.
     pub fn start(entries: usize, machines: usize, groups: u16) -> Self {
+        Self::start_with(entries, machines, groups, &json!({}))
+    }
+
+    /// Starts a zone like [`Self::start`], with `changes` to the settings of the instances.
+    pub fn start_with(entries: usize, machines: usize, groups: u16, changes: &Value) -> Self {
         let (ports, platform) = start_platform(machines);
-        let settings = |index| entry::settings(&ports, &platform, [index, entries], groups);
+        let settings = |index| {
+            let mut settings = entry::settings(&ports, &platform, [index, entries], groups);
+            for (name, value) in changes.as_object().into_iter().flatten() {
+                settings[name] = value.clone();
+            }
+            settings
+        };
         let entries: Vec<_> =
             (0..entries).map(|index| EntryProcess::start(&settings(index))).collect();
         let deployment = Self { entries, platform, _ports: ports };
--- /dev/null
+++ b/crates/cuminbank-jobd/tests/memory.rs
@@ -0,0 +1,151 @@
+//! Tests of the memory and the descriptors of an instance under clients that do not finish their
+//! requests.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use serde_json::json;
+
+use support::{
+    call,
+    crowd::{take_turn, Crowd, ProcessWatch, UnfinishedInput},
+    Deployment,
+};
+
+/// Memory of the instance in MB, and most descriptors that it may have open.
+const BOUNDS: [u64; 2] = [48, 900];
+/// The same in the test of many connections.
+const SMALL_BOUNDS: [u64; 2] = [32, 700];
+/// Largest body in the configuration.
+const MAX_BODY_BYTES: usize = 262_144;
+/// Path of a job that is never submitted whole.
+const PATH: &str = "/p/00000000000000ee";
+/// Times that a crowd comes. Memory that is not released after the first time is missing later.
+const WAVES: u64 = 2;
+
+/// Ports of an instance.
+struct InstancePorts {
+    client: SocketAddr,
+    readiness: SocketAddr,
+    peer: SocketAddr,
+    operator: SocketAddr,
+}
+
+/// Sends the inputs by `clients` clients, which take them in turn. Checks that the instance stays
+/// alive and within its bounds, and that it runs a job while they hold their connections.
+fn assert_withstands(
+    [memory_mb, descriptors]: [u64; 2],
+    clients: usize,
+    inputs: impl Fn(&InstancePorts) -> Vec<(SocketAddr, UnfinishedInput)>,
+) {
+    let _turn = take_turn();
+    let mut deployment = Deployment::start_with_settings(20, &json!({ "memory_mb": memory_mb }));
+    let (client, operator) = (deployment.clients[0], deployment.operators[0]);
+    let port = |offset| SocketAddr::new(client.ip(), client.port() + offset);
+    let ports = InstancePorts { client, readiness: port(1), peer: port(2), operator };
+    let path = format!("/standin/config?version=2&prefixes=/p/&max-body={MAX_BODY_BYTES}");
+    call(deployment.store, "GET", &path, "").expect("the stand-in replies");
+    deployment.wait("the body limit is not in force", |_| {
+        let status = call(operator, "GET", "/v1/status", "");
+        status.is_some_and(|(_, status)| status["config_version"] == json!(2))
+    });
+    let watch = ProcessWatch::start(deployment.instances[0].pid());
+    let job = json!({ "spec": "p", "steps": [
+        { "count": 2, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 20 },
+    ]});
+    for wave in 0..WAVES {
+        let _crowd = Crowd::send(&inputs(&ports), clients);
+        deployment.submit(wave, &job);
+        deployment.wait("the job is not completed", |deployment| deployment.is_completed(wave));
+    }
+    watch.assert_bounded(memory_mb, descriptors as usize);
+    assert!(!deployment.instances[0].has_exited(), "the instance has ended");
+}
+
+fn whole_body() -> UnfinishedInput {
+    UnfinishedInput::whole_body(PATH, MAX_BODY_BYTES, MAX_BODY_BYTES - 1)
+}
+
+fn chunked_body() -> UnfinishedInput {
+    UnfinishedInput::chunked_body(PATH, 16 * 1024, 15)
+}
+
+fn tiny_chunks() -> UnfinishedInput {
+    UnfinishedInput::chunked_body(PATH, 1, 200_000)
+}
+
+fn peer_message() -> UnfinishedInput {
+    UnfinishedInput::peer_message(60 * 1024 * 1024, 6 * 1024 * 1024)
+}
+
+// Guards against bodies of legal size that are held for as long as their last byte is missing.
+#[test]
+fn unfinished_whole_bodies_are_bounded() {
+    assert_withstands(BOUNDS, 400, |ports| vec![(ports.client, whole_body())]);
+}
+
+// Guards against chunked bodies of legal size that are held for as long as their end is missing.
+#[test]
+fn unfinished_chunked_bodies_are_bounded() {
+    assert_withstands(BOUNDS, 400, |ports| vec![(ports.client, chunked_body())]);
+}
+
+// Guards against chunks that take many times their size in memory.
+#[test]
+fn unfinished_bodies_of_tiny_chunks_are_bounded() {
+    assert_withstands(BOUNDS, 20, |ports| vec![(ports.client, tiny_chunks())]);
+}
+
+// Guards against bodies over the limit of the configuration that are read into memory.
+#[test]
+fn bodies_far_over_the_limit_are_bounded() {
+    let size = 16 * MAX_BODY_BYTES;
+    let announced = UnfinishedInput::whole_body(PATH, size, size - 1);
+    let sent = UnfinishedInput::chunked_body(PATH, 16 * 1024, 1_024);
+    assert_withstands(BOUNDS, 80, |ports| {
+        vec![(ports.client, announced.clone()), (ports.client, sent.clone())]
+    });
+}
+
+// Guards against heads that are held for as long as their end is missing, on any port.
+#[test]
+fn unfinished_large_heads_are_bounded() {
+    let input = UnfinishedInput::head(120_000);
+    assert_withstands(BOUNDS, 500, |ports| {
+        let addresses = [ports.client, ports.readiness, ports.operator];
+        addresses.map(|address| (address, input.clone())).to_vec()
+    });
+}
+
+// Guards against connections that take all descriptors of the machine, on all ports together.
+#[test]
+fn many_connections_are_bounded() {
+    let input = UnfinishedInput::head(1_000);
+    assert_withstands(SMALL_BOUNDS, 900, |ports| {
+        let addresses = [ports.client, ports.readiness, ports.operator, ports.peer];
+        addresses.map(|address| (address, input.clone())).to_vec()
+    });
+}
+
+// Guards against memory that a message of another instance takes before it has arrived, and
+// against messages that never end.
+#[test]
+fn unfinished_peer_messages_are_bounded() {
+    assert_withstands(BOUNDS, 20, |ports| vec![(ports.peer, peer_message())]);
+}
+
+// Guards against a bound that holds for each port and kind of input but not for all together.
+#[test]
+fn unfinished_inputs_of_all_kinds_are_bounded_together() {
+    assert_withstands(BOUNDS, 400, |ports| {
+        vec![
+            (ports.client, whole_body()),
+            (ports.client, chunked_body()),
+            (ports.client, tiny_chunks()),
+            (ports.operator, UnfinishedInput::head(120_000)),
+            (ports.readiness, chunked_body()),
+            (ports.peer, peer_message()),
+        ]
+    });
+}
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod build;
 pub mod config_changes;
+#[path = "../../../cuminbank-entry/tests/support/crowd.rs"]
+pub mod crowd;
 pub mod history;
 #[path = "../../../cuminbank-entry/tests/support/ports.rs"]
 pub mod ports;
@@ -74,6 +76,11 @@
         self.child.wait().expect("the process was started here");
     }
 
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the standard output of the process, if it was started with a pipe.
     pub fn take_output(&mut self) -> ChildStdout {
         self.child.stdout.take().expect("the standard output is a pipe")
@@ -151,18 +158,27 @@
             |_| output(),
             false,
             PoolShape::default(),
+            &json!({}),
         )
     }
 
+    /// Starts an instance that connects to the platform directly, with `changes` to its settings.
+    pub fn start_with_settings(task_ms: u64, changes: &Value) -> Self {
+        let (build, shape) = (DaemonBuild::current(), PoolShape::default());
+        Self::build(&build, 1, task_ms, |_| Stdio::null(), false, shape, changes)
+    }
+
     /// Starts instances that connect to the platform directly, with a pool of the given shape.
     pub fn start_with_shape(count: u16, task_ms: u64, shape: PoolShape) -> Self {
-        Self::build(&DaemonBuild::current(), count, task_ms, |_| Stdio::null(), false, shape)
+        let (build, output) = (DaemonBuild::current(), |_| Stdio::null());
+        Self::build(&build, count, task_ms, output, false, shape, &json!({}))
     }
 
     /// Starts instances that connect to the store and the executors through proxies.
     pub fn start_with_proxies(count: u16, task_ms: u64, shape: PoolShape) -> Self {
         let output = |_| Stdio::null();
-        Self::build(&DaemonBuild::current(), count, task_ms, output, true, shape)
+        let build = DaemonBuild::current();
+        Self::build(&build, count, task_ms, output, true, shape, &json!({}))
     }
 
     /// Starts instances of a build that connect to the store and the executors through proxies.
@@ -174,7 +190,7 @@
         output: impl Fn(u16) -> Stdio,
         shape: PoolShape,
     ) -> Self {
-        Self::build(build, count, task_ms, output, true, shape)
+        Self::build(build, count, task_ms, output, true, shape, &json!({}))
     }
 
     fn build(
@@ -184,6 +200,7 @@
         output: impl Fn(u16) -> Stdio,
         proxied: bool,
         shape: PoolShape,
+        changes: &Value,
     ) -> Self {
         // Ports, in order: the store, the executors, the proxies to both, and the instances.
         let proxies = if proxied { EXECUTORS + count } else { 0 };
@@ -212,7 +229,10 @@
                 deployment.store_links.push(FaultLink::start(store_address, store));
             }
             let port = first + 1 + EXECUTORS + proxies + number * INSTANCE_PORTS;
-            let settings = instance_settings(number, port, store_address, shape);
+            let mut settings = instance_settings(number, port, store_address, shape);
+            for (name, value) in changes.as_object().into_iter().flatten() {
+                settings[name] = value.clone();
+            }
             let path = settings_path(port);
             deployment.clients.push(loopback(port));
             deployment.operators.push(loopback(port + 3));
