--- a/crates/cuminbank-entry/src/daemon.rs
+++ b/crates/cuminbank-entry/src/daemon.rs
@@ -13,7 +13,7 @@
 };
 
 use cuminbank::{
-    effect::CallerAnswer,
+    effect::{CallerAnswer, MetricSample, MetricValue},
     event::EntryEvent,
     ids::{ExchangeId, MonotonicTime, ReplyId, StartNumber},
     log::{LogRecord, PROCESS_STARTED},
@@ -22,12 +22,14 @@
     settings::EntrySettings,
 };
 use cuminbank_net::{
+    budget_watch::{BudgetChange, BudgetWatch},
     client::HttpPool,
     etcd::StoreClient,
+    input_budget::{BudgetLimits, InputBudget, PortKind},
     logging,
     peer::{self, PeerPool},
     runtime,
-    server::{self, ServerGate, ServerLimits},
+    server::{self, ServerBounds, ServerGate, ServerLimits},
 };
 use local_sync::oneshot;
 use monoio::{net::udp::UdpSocket, time};
@@ -43,6 +45,8 @@
 /// State shared by the tasks of the daemon.
 pub(crate) struct DaemonState {
     pub(crate) settings: EntrySettings,
+    /// Memory and connections that the servers and clients of the process share.
+    pub(crate) budget: InputBudget,
     pub(crate) executors: HttpPool,
     pub(crate) workers: HttpPool,
     pub(crate) platform: HttpPool,
@@ -119,6 +123,20 @@
         logging::write(&self.settings.instance, record);
     }
 
+    fn report_budget(&self, change: &BudgetChange) {
+        let counts = [
+            ("connections.cut", change.cut),
+            ("connections.refused", change.refused),
+            ("connections.closed", change.closed),
+        ];
+        for (name, count) in counts.into_iter().filter(|(_, count)| *count > 0) {
+            let (class, customer, value) =
+                (String::new(), String::new(), MetricValue::Count(count));
+            self.metrics.send(&MetricSample { name, class, customer, value });
+        }
+        change.event.iter().for_each(|record| self.log(record));
+    }
+
     /// Starts a planned stop; has no effect if one is in progress.
     pub(crate) fn begin_drain(self: &Rc<Self>) {
         if self.draining_since.get().is_none() {
@@ -173,12 +191,14 @@
         let stop = Arc::new(AtomicBool::new(false));
         signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
         signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
+        let budget = InputBudget::new(BudgetLimits::for_memory(settings.memory_mb));
         let state = DaemonState {
-            executors: HttpPool::new(),
-            workers: HttpPool::new(),
-            platform: HttpPool::new(),
-            store: StoreClient::new(settings.store_addresses.clone()),
-            peers: PeerPool::new(),
+            executors: HttpPool::new().with_budget(&budget),
+            workers: HttpPool::new().with_budget(&budget),
+            platform: HttpPool::new().with_budget(&budget),
+            store: StoreClient::new(settings.store_addresses.clone()).with_budget(&budget),
+            peers: PeerPool::new().with_budget(&budget),
+            budget,
             socket: runtime::bind_udp(settings.peer_address)?,
             metrics: MetricSender::new(settings.metrics_address)?,
             dispatch_aborts: RefCell::default(),
@@ -226,12 +246,13 @@
         cancels_on_disconnect: true,
         ..ServerLimits::default()
     };
-    monoio::spawn(server::serve(listener, limits, state.gate.clone(), handler));
+    let bounds = ServerBounds::new(&state.budget, PortKind::Clients);
+    monoio::spawn(server::serve_within(listener, limits, bounds, state.gate.clone(), handler));
 }
 
 fn serve_peers(state: &Rc<DaemonState>, listener: monoio::net::TcpListener) {
-    let state = Rc::clone(state);
-    monoio::spawn(peer::serve(listener, move |request: Option<PeerRequest>| {
+    let (state, budget) = (Rc::clone(state), state.budget.clone());
+    monoio::spawn(peer::serve_within(listener, budget, move |request: Option<PeerRequest>| {
         let state = Rc::clone(&state);
         async move {
             let request = request?;
@@ -258,6 +279,7 @@
 
 async fn run_ticks(state: &Rc<DaemonState>, stop: &AtomicBool) {
     let mut last_idle_check = Instant::now();
+    let mut watch = BudgetWatch::new(&state.budget);
     while !state.exiting.get() {
         state.apply(EntryEvent::Tick { wall: SystemTime::now() });
         if stop.load(Ordering::Relaxed) {
@@ -270,6 +292,9 @@
             state.peers.close_idle();
             state.workers.close_idle();
         }
+        if let Some(change) = watch.poll() {
+            state.report_budget(&change);
+        }
         time::sleep(TICK_INTERVAL).await;
     }
 }
--- a/crates/cuminbank-entry/src/effects.rs
+++ b/crates/cuminbank-entry/src/effects.rs
@@ -11,7 +11,7 @@
     worker::{WorkerReply, WorkerReport, WorkerRequest},
 };
 use cuminbank_net::{
-    client::{ClientAnswer, ClientRequest},
+    client::{ClientAnswer, ClientRequest, HttpPool},
     watch,
 };
 use local_sync::oneshot;
@@ -95,7 +95,7 @@
             EntryEffect::Probe { exchange, address, timeout } => {
                 // Each probe opens a new connection: it has to detect a dead peer, and a pooled
                 // connection may be half-open without an error.
-                let pool = cuminbank_net::client::HttpPool::new();
+                let pool = HttpPool::new().with_budget(&self.budget);
                 let request = ClientRequest::new_get("/v1/running");
                 let result = pool.exchange(address, request, timeout).await;
                 EntryEvent::ProbeCompleted {
--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -80,6 +80,13 @@
     finish(&state, &request, &queue.name, basis, arrived, answer)
 }
 
+/// Returns the largest body of a request that the configuration in force allows.
+pub(crate) fn body_limit(state: &DaemonState) -> usize {
+    let config = state.config.borrow();
+    let limits = config.current().and_then(|current| current.limits);
+    limits.map_or(usize::MAX, |limits| limits.max_body_bytes)
+}
+
 /// Returns the queue that receives a request, or the answer if the request cannot be served.
 fn find_queue(state: &DaemonState, request: &ServerRequest) -> Result<JobQueue, ClientAnswer> {
     let config = state.config.borrow();
@@ -89,8 +96,7 @@
         matches!(call, ClientCall::State(_) | ClientCall::Cancel(_))
     };
     let decision = config.route(target, concerns_job, clock::now(), state.settings.config_apply());
-    let limits = config.current().and_then(|current| current.limits);
-    let max_body_bytes = limits.map_or(usize::MAX, |limits| limits.max_body_bytes);
+    let max_body_bytes = body_limit(state);
     match decision {
         RouteDecision::NoConfig => Err(ClientAnswer::new_unavailable("no configuration yet")),
         _ if state.is_behind() => {
@@ -99,7 +105,7 @@
         RouteDecision::Unconfirmed => {
             Err(ClientAnswer::new_unavailable("the configuration is not confirmed"))
         }
-        _ if request.body.len() > max_body_bytes => {
+        _ if request.oversized || request.body.len() > max_body_bytes => {
             Err(ClientAnswer::new(413, "the body is larger than the configuration allows"))
         }
         RouteDecision::NoQueue => Err(ClientAnswer::new(404, "no such queue")),
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -33,10 +33,12 @@
     store::{StoreCall, StoreFailure, StoreReply},
 };
 use cuminbank_net::{
+    budget_watch::{BudgetChange, BudgetWatch},
     client::{ClientAnswer, ConnectionLabel, ConnectionLabels, HttpPool, LabelCheck},
+    input_budget::{BudgetLimits, InputBudget, PortKind},
     peer::{self, PeerPool},
     runtime,
-    server::{self, ServerGate, ServerLimits},
+    server::{self, ServerBounds, ServerGate, ServerLimits},
 };
 use cuminbank_platform::{
     advice,
@@ -100,6 +102,8 @@
     pub(crate) start: u64,
     pub(crate) peers: PeerPool,
     pub(crate) metrics: JobMetrics,
+    /// Memory and connections that the servers and clients of the process share.
+    budget: InputBudget,
     executors: HttpPool,
     log: DecisionLog,
     gate: ServerGate,
@@ -225,6 +229,19 @@
         advice::decode_answer(self.executors.exchange(address, question, timeout).await)
     }
 
+    fn report_budget(&self, change: BudgetChange) {
+        let counts = [
+            ("connections.cut", change.cut),
+            ("connections.refused", change.refused),
+            ("connections.closed", change.closed),
+        ];
+        counts.into_iter().for_each(|(name, count)| self.metrics.add(name, "", count));
+        if let Some(record) = change.event {
+            let (code, detail) = (record.code, record.detail);
+            self.log(&DecisionRecord { code, job: None, detail });
+        }
+    }
+
     fn begin_drain(self: &Rc<Self>) {
         if self.draining_since.get().is_some() {
             return;
@@ -292,8 +309,9 @@
         signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
         signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
         signal_hook::flag::register(SIGHUP, Arc::clone(&reload))?;
+        let budget = InputBudget::new(BudgetLimits::for_memory(settings.memory_mb));
         let state = DaemonState {
-            store: StoreClient::new(settings.store_address),
+            store: StoreClient::new(settings.store_address, &budget),
             config: RefCell::default(),
             confirmation: ConfirmationTurn::new(),
             evacuations: RefCell::default(),
@@ -304,9 +322,12 @@
             registry: RefCell::new(InstanceRegistry::new(SUPPORTED_FORMATS)),
             relays: RefCell::default(),
             start,
-            peers: PeerPool::new(),
+            peers: PeerPool::new().with_budget(&budget),
             metrics: JobMetrics::new().map_err(io::Error::other)?,
-            executors: HttpPool::new().with_max_connections(INITIAL_CONNECTION_SHARE),
+            executors: HttpPool::new()
+                .with_max_connections(INITIAL_CONNECTION_SHARE)
+                .with_budget(&budget),
+            budget,
             log: DecisionLog::new(settings.instance.clone()),
             gate: ServerGate::default(),
             draining_since: Cell::new(None),
@@ -333,9 +354,16 @@
             state.settings.zone, state.settings.client_address, state.settings.store_address
         );
         state.log(&DecisionRecord { code: PROCESS_STARTED, job: None, detail });
-        serve(&state, clients, state.gate.clone(), clients::handle);
-        serve(&state, readiness, ServerGate::default(), operators::handle_readiness);
-        serve(&state, operators, ServerGate::default(), operators::handle);
+        let bounds = |port| ServerBounds::new(&state.budget, port);
+        let body_state = Rc::clone(&state);
+        let client_bounds =
+            bounds(PortKind::Clients).with_body_limit(move || clients::body_limit(&body_state));
+        serve(&state, clients, client_bounds, state.gate.clone(), clients::handle);
+        let readiness_bounds = bounds(PortKind::Readiness);
+        let gate = ServerGate::default();
+        serve(&state, readiness, readiness_bounds, gate, operators::handle_readiness);
+        let operator_bounds = bounds(PortKind::Operators);
+        serve(&state, operators, operator_bounds, ServerGate::default(), operators::handle);
         serve_peers(&state, peers);
         monoio::spawn(watches::follow_operator_requests(Rc::clone(&state)));
         monoio::spawn(watches::follow_owners(Rc::clone(&state)));
@@ -347,20 +375,25 @@
     }
 }
 
-fn serve<H, F>(state: &Rc<DaemonState>, listener: TcpListener, gate: ServerGate, handler: H)
-where
+fn serve<H, F>(
+    state: &Rc<DaemonState>,
+    listener: TcpListener,
+    bounds: ServerBounds,
+    gate: ServerGate,
+    handler: H,
+) where
     H: Fn(Rc<DaemonState>, server::ServerRequest) -> F + Copy + 'static,
     F: std::future::Future<Output = server::ServerAction> + 'static,
 {
     let state = Rc::clone(state);
     let limits = ServerLimits::default();
     let answer = move |request| handler(Rc::clone(&state), request);
-    monoio::spawn(server::serve(listener, limits, gate, answer));
+    monoio::spawn(server::serve_within(listener, limits, bounds, gate, answer));
 }
 
 fn serve_peers(state: &Rc<DaemonState>, listener: TcpListener) {
-    let state = Rc::clone(state);
-    monoio::spawn(peer::serve(listener, move |request: Option<PeerRequest>| {
+    let (state, budget) = (Rc::clone(state), state.budget.clone());
+    monoio::spawn(peer::serve_within(listener, budget, move |request: Option<PeerRequest>| {
         let state = Rc::clone(&state);
         async move {
             let Some(request) = request else {
@@ -379,6 +412,7 @@
 
 async fn run_ticks(state: &Rc<DaemonState>, stop: &AtomicBool, reload: &AtomicBool) {
     let mut idle_check = clock::now();
+    let mut watch = BudgetWatch::new(&state.budget);
     while !state.is_drained() {
         let cells = state.all_cells();
         for cell in &cells {
@@ -398,6 +432,9 @@
             state.executors.close_idle();
             state.peers.close_idle();
         }
+        if let Some(change) = watch.poll() {
+            state.report_budget(change);
+        }
         let frequent = cells.iter().any(|cell| cell.needs_frequent_ticks());
         time::sleep(if frequent { TICK_INTERVAL } else { IDLE_TICK_INTERVAL }).await;
     }
--- a/crates/cuminbank-jobd/src/metrics.rs
+++ b/crates/cuminbank-jobd/src/metrics.rs
@@ -51,6 +51,13 @@
         self.counts.with_label_values(&[name, queue]).inc();
     }
 
+    /// Adds to a counter.
+    pub(crate) fn add(&self, name: &str, queue: &str, count: u64) {
+        if count > 0 {
+            self.counts.with_label_values(&[name, queue]).inc_by(count);
+        }
+    }
+
     /// Adds a duration to a histogram.
     pub(crate) fn observe(&self, name: &str, queue: &str, time: Duration) {
         self.times.with_label_values(&[name, queue]).observe(time.as_secs_f64());
--- a/crates/cuminbank-jobd/src/store.rs
+++ b/crates/cuminbank-jobd/src/store.rs
@@ -15,7 +15,10 @@
     scheduler::DecisionRecord,
     store::{StoreCall, StoreFailure, StoreItem, StoreReply, TxnOutcome},
 };
-use cuminbank_net::client::{ConnectionOrigin, HttpPool};
+use cuminbank_net::{
+    client::{ConnectionOrigin, HttpPool},
+    input_budget::InputBudget,
+};
 use cuminbank_platform::{
     store::{decode_page_reply, decode_reply, decode_watch, encode_call, encode_watch, WatchReply},
     EXECUTOR_PREFIX, OPERATOR_PREFIX,
@@ -56,10 +59,10 @@
 }
 
 impl StoreClient {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr, budget: &InputBudget) -> Self {
         Self {
             address,
-            pool: HttpPool::new(),
+            pool: HttpPool::new().with_budget(budget),
             missed: Cell::new(0),
             // The silence is measured from the start of the process, since no call has failed yet.
             answered_at: Cell::new(clock::now()),
--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -13,27 +13,24 @@
     net::TcpStream,
     time,
 };
-use monoio_http::{
-    common::body::BodyExt,
-    h1::{
-        codec::{
-            decoder::{FillPayload, ResponseDecoder},
-            encoder::GenericEncoder,
-        },
-        payload::{FixedPayload, Payload},
-    },
+use monoio_codec::FramedRead;
+use monoio_http::h1::{
+    codec::{decoder::ResponseHeadDecoder, encoder::GenericEncoder},
+    payload::{FixedPayload, Payload},
 };
 
 use crate::{
+    body::{read_body, BodyFraming},
     connection::{connect, ExchangeStream, IdlePool},
     exchange_limit::ExchangeLimit,
     http_limit::{ByteAllowance, LimitedReader},
+    input_budget::InputBudget,
 };
 
 /// Lowest status of a response that reports an error.
 const FIRST_ERROR_STATUS: u16 = 400;
-/// Maximum size of a response, head and body.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Maximum size of the head of a response, with what arrives in the same reads.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
 
 /// Outgoing request.
 #[derive(Clone, Debug)]
@@ -132,6 +129,7 @@
 pub struct HttpPool {
     idle: IdlePool,
     limit: Option<ExchangeLimit>,
+    budget: InputBudget,
 }
 
 impl HttpPool {
@@ -147,6 +145,12 @@
         self
     }
 
+    /// Counts responses towards the budget of the process, which bounds their size.
+    pub fn with_budget(mut self, budget: &InputBudget) -> Self {
+        self.budget = budget.clone();
+        self
+    }
+
     /// Changes the limit of [`Self::with_max_connections`], if the pool has one.
     pub fn set_max_connections(&self, count: usize) {
         if let Some(limit) = &self.limit {
@@ -240,7 +244,7 @@
                 let message =
                     check.probe.clone().into_message(address).ok_or(ExchangeError::NotSent)?;
                 let sent_at = Instant::now();
-                let exchange = send_and_read(stream.stream(), message);
+                let exchange = send_and_read(stream.stream(), message, &self.budget);
                 let Ok(Ok((answer, reusable))) = time::timeout(remaining, exchange).await else {
                     self.idle.close_suspected(address);
                     return Err(ExchangeError::NotSent);
@@ -260,7 +264,8 @@
         }
         let remaining = timeout.saturating_sub(started.elapsed());
         let sent_at = Instant::now();
-        let outcome = time::timeout(remaining, send_and_read(stream.stream(), message)).await;
+        let outcome =
+            time::timeout(remaining, send_and_read(stream.stream(), message, &self.budget)).await;
         // On any error the stream is dropped, which closes the connection: a late response on it
         // must not be mistaken for the response to another request.
         let Ok(outcome) = outcome else {
@@ -288,16 +293,22 @@
 async fn send_and_read(
     stream: &mut TcpStream,
     message: Request<Payload>,
+    budget: &InputBudget,
 ) -> Result<(ClientAnswer, bool), ExchangeError> {
     let lost = |_| ExchangeError::Lost;
     GenericEncoder::new(&mut *stream).send_and_flush(message).await.map_err(lost)?;
     let allowance = ByteAllowance::default();
-    allowance.set(MAX_ANSWER_BYTES);
-    let mut decoder = ResponseDecoder::new(LimitedReader::new(&mut *stream, allowance));
-    let response = decoder.next().await.ok_or(ExchangeError::Lost)?.map_err(lost)?;
-    let (head, payload) = response.into_parts();
-    decoder.fill_payload().await.map_err(lost)?;
-    let body = payload.bytes().await.map_err(|_| ExchangeError::Lost)?;
+    allowance.set(MAX_HEAD_BYTES);
+    let reader = LimitedReader::new(&mut *stream, allowance.clone());
+    let mut framed = FramedRead::new(reader, ResponseHeadDecoder);
+    let head = framed.next().await.ok_or(ExchangeError::Lost)?.map_err(|_| ExchangeError::Lost)?;
+    let framing = BodyFraming::from_headers(&head.headers).ok_or(ExchangeError::Lost)?;
+    let limit = budget.limits().message_bytes;
+    allowance.set(limit);
+    // Held until the response has been read; who asked for it decides how long it stays.
+    let lease = budget.answer_lease();
+    let body = read_body(&mut framed, framing, limit, &lease, 0).await;
+    let body = body.map_err(|_| ExchangeError::Lost)?;
     let closes = head
         .headers
         .get(header::CONNECTION)
--- a/crates/cuminbank-net/src/connection.rs
+++ b/crates/cuminbank-net/src/connection.rs
@@ -24,6 +24,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for which input is discarded after a rejected request.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Size of the buffer for discarded input. Many connections may have one at the same time.
+const DISCARD_BYTES: usize = 4 * 1024;
+/// Reads of discarded input without a pause.
+const DISCARD_READS: usize = 16;
 /// Idle time after which a pooled connection is closed. It is shorter than the idle timeout of
 /// servers, so that a request does not race with their close.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(20);
@@ -165,16 +169,38 @@
 /// a reset, which can reach the peer before the answer that was already written.
 pub(crate) async fn discard_input(socket: RawFd) {
     let started = Instant::now();
-    let mut buffer = vec![0; 64 * 1024];
+    // On the heap: an array would be part of the task of each connection.
+    let mut buffer = vec![0; DISCARD_BYTES];
     while started.elapsed() < DISCARD_TIMEOUT {
-        match recv(socket, &mut buffer, MsgFlags::MSG_DONTWAIT) {
-            Ok(0) => return,
+        match discard_available(socket, &mut buffer) {
+            Discarded::Ended => return,
             // Yields, so that a fast sender does not block the other tasks of the thread.
-            Ok(_) => time::sleep(Duration::from_millis(1)).await,
-            Err(Errno::EAGAIN | Errno::EINTR) => time::sleep(POLL_INTERVAL).await,
-            Err(_) => return,
+            Discarded::More => time::sleep(Duration::from_millis(1)).await,
+            Discarded::All => time::sleep(POLL_INTERVAL).await,
+        }
+    }
+}
+
+enum Discarded {
+    /// Everything that has arrived.
+    All,
+    /// As much as is discarded at once.
+    More,
+    /// The peer has closed the connection, or it has failed.
+    Ended,
+}
+
+/// Discards what has arrived, up to [`DISCARD_READS`] buffers.
+fn discard_available(socket: RawFd, buffer: &mut [u8]) -> Discarded {
+    for _ in 0..DISCARD_READS {
+        match recv(socket, buffer, MsgFlags::MSG_DONTWAIT) {
+            Ok(0) => return Discarded::Ended,
+            Ok(_) => {}
+            Err(Errno::EAGAIN | Errno::EINTR) => return Discarded::All,
+            Err(_) => return Discarded::Ended,
         }
     }
+    Discarded::More
 }
 
 /// Tells whether an idle connection has input or an end of stream to read; it must not be reused
--- a/crates/cuminbank-net/src/etcd.rs
+++ b/crates/cuminbank-net/src/etcd.rs
@@ -14,7 +14,10 @@
 };
 use serde_json::{json, Value};
 
-use crate::client::{ClientRequest, HttpPool};
+use crate::{
+    client::{ClientRequest, HttpPool},
+    input_budget::InputBudget,
+};
 
 /// Store client that switches between the addresses of a cluster.
 #[derive(Debug)]
@@ -31,6 +34,12 @@
         Self { addresses, current: Cell::new(0), pool: HttpPool::new() }
     }
 
+    /// Counts responses towards the budget of the process, which bounds their size.
+    pub fn with_budget(mut self, budget: &InputBudget) -> Self {
+        self.pool = self.pool.with_budget(budget);
+        self
+    }
+
     /// Returns the address in use, or `None` without any addresses.
     pub fn address(&self) -> Option<SocketAddr> {
         self.addresses.get(self.current.get()).copied()
--- a/crates/cuminbank-net/src/lib.rs
+++ b/crates/cuminbank-net/src/lib.rs
@@ -1,11 +1,15 @@
 //! Async runtime, HTTP client and server, peer transport and store client of the daemons.
 
+mod body;
+pub mod budget_watch;
 pub mod client;
 mod connection;
 pub mod etcd;
 mod exchange_limit;
 pub mod http_limit;
+pub mod input_budget;
 pub mod logging;
+mod metered;
 pub mod peer;
 pub mod runtime;
 pub mod server;
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -6,27 +6,29 @@
     time::{Duration, Instant},
 };
 
-use cuminbank::{
-    event::ExchangeError,
-    message::{decode, encode},
-};
+use cuminbank::{event::ExchangeError, message::decode};
 use monoio::{
-    io::{AsyncReadRentExt, AsyncWriteRentExt},
+    buf::IoBufMut,
+    io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
     time,
 };
 use serde::{de::DeserializeOwned, Serialize};
 
-use crate::connection::{connect, ExchangeStream, IdlePool};
+use crate::{
+    connection::{connect, ExchangeStream, IdlePool},
+    input_budget::{InputAccount, InputBudget, InputLease, PortKind, FREE_BYTES},
+};
 
-/// Maximum size of a message. The largest is a handover of tickets with their answers.
-const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+/// Size of the buffer of a message before more of it has arrived.
+const FIRST_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Pool of connections to peers. A connection carries one exchange at a time. After an exchange has
 /// timed out, the next one to the same peer uses a connection that was opened or has answered since.
 #[derive(Debug, Default)]
 pub struct PeerPool {
     idle: IdlePool,
+    budget: InputBudget,
 }
 
 impl PeerPool {
@@ -35,6 +37,12 @@
         Self::default()
     }
 
+    /// Counts replies towards the budget of the process, which bounds the size of messages.
+    pub fn with_budget(mut self, budget: &InputBudget) -> Self {
+        self.budget = budget.clone();
+        self
+    }
+
     /// Sends a request and waits for the reply. `timeout` includes the time to connect.
     ///
     /// Fails with [`ExchangeError::NotSent`] if no byte was sent, and with
@@ -74,9 +82,12 @@
             self.idle.put(to, stream.finish(), None);
             return Err(ExchangeError::NotSent);
         }
+        let limit = self.budget.limits().message_bytes;
+        let lease = self.budget.answer_lease();
         let exchange = async {
-            write_message(stream.stream(), &encode(request)).await?;
-            read_message(stream.stream()).await
+            write_message(stream.stream(), request, limit).await?;
+            let length = read_length(stream.stream(), limit).await?;
+            read_message(stream.stream(), length, &lease).await
         };
         let left = deadline.saturating_duration_since(Instant::now());
         let Ok(bytes) = time::timeout(left, exchange).await else {
@@ -98,6 +109,17 @@
 /// Accepts connections of peers and answers their requests with `handler`, which gets `None` for a
 /// request that cannot be decoded. A `None` from the handler closes the connection.
 pub async fn serve<Q, R, H, F>(listener: TcpListener, handler: H)
+where
+    Q: DeserializeOwned + 'static,
+    R: Serialize + 'static,
+    H: Fn(Option<Q>) -> F + Clone + 'static,
+    F: Future<Output = Option<R>> + 'static,
+{
+    serve_within(listener, InputBudget::default(), handler).await;
+}
+
+/// Like [`serve`], within the budget of the process.
+pub async fn serve_within<Q, R, H, F>(listener: TcpListener, budget: InputBudget, handler: H)
 where
     Q: DeserializeOwned + 'static,
     R: Serialize + 'static,
@@ -110,43 +132,80 @@
             time::sleep(Duration::from_millis(10)).await;
             continue;
         };
+        let Some(lease) = budget.admit(&stream, PortKind::Peers).await else { continue };
         let _ = stream.set_nodelay(true);
-        monoio::spawn(serve_connection(stream, handler.clone()));
+        monoio::spawn(serve_connection(stream, lease, handler.clone()));
     }
 }
 
-async fn serve_connection<Q, R, H, F>(mut stream: TcpStream, handler: H)
+async fn serve_connection<Q, R, H, F>(stream: TcpStream, lease: InputLease, handler: H)
 where
     Q: DeserializeOwned,
     R: Serialize,
     H: Fn(Option<Q>) -> F,
     F: Future<Output = Option<R>>,
 {
-    while let Some(bytes) = read_message(&mut stream).await {
-        let Some(reply) = handler(decode(&bytes)).await else { return };
-        if write_message(&mut stream, &encode(&reply)).await.is_none() {
+    // The lease refers to the descriptor of the connection and is dropped first.
+    let (mut stream, lease) = (stream, lease);
+    let limit = lease.limits().message_bytes;
+    loop {
+        let Some(length) = read_length(&mut stream, limit).await else { return };
+        lease.begin();
+        let Some(bytes) = read_message(&mut stream, length, &lease).await else { return };
+        if !lease.complete(bytes.len()) {
+            return;
+        }
+        let request = decode(&bytes);
+        // Handling may take long, and the request has its own copy.
+        drop(bytes);
+        let Some(reply) = handler(request).await else { return };
+        if write_message(&mut stream, &reply, limit).await.is_none() {
             return;
         }
+        lease.finish(0);
     }
 }
 
-async fn write_message(stream: &mut TcpStream, bytes: &[u8]) -> Option<()> {
-    let length = u32::try_from(bytes.len()).ok().filter(|length| *length <= MAX_MESSAGE_BYTES)?;
-    let mut message = Vec::with_capacity(bytes.len() + 4);
-    message.extend_from_slice(&length.to_be_bytes());
-    message.extend_from_slice(bytes);
-    let (result, _) = stream.write_all(message).await;
+/// Sends a message with its length in one write.
+async fn write_message<T: Serialize>(
+    stream: &mut TcpStream,
+    message: &T,
+    limit: usize,
+) -> Option<()> {
+    let mut bytes = postcard::to_extend(message, vec![0; 4]).ok()?;
+    let length = Some(bytes.len() - 4).filter(|length| *length <= limit)?;
+    bytes[..4].copy_from_slice(&u32::try_from(length).ok()?.to_be_bytes());
+    let (result, _) = stream.write_all(bytes).await;
     result.ok().map(|_| ())
 }
 
-async fn read_message(stream: &mut TcpStream) -> Option<Vec<u8>> {
+/// Reads the length of a message; `None` if it is over `limit` or the connection has ended.
+async fn read_length(stream: &mut TcpStream, limit: usize) -> Option<usize> {
     let (result, prefix) = stream.read_exact(vec![0; 4]).await;
     result.ok()?;
-    let length = u32::from_be_bytes(prefix.try_into().ok()?);
-    if length > MAX_MESSAGE_BYTES {
-        return None;
+    let length = u32::from_be_bytes(prefix.try_into().ok()?) as usize;
+    (length <= limit).then_some(length)
+}
+
+/// Reads a message. The buffer grows with what has arrived, since the length may be a lie.
+async fn read_message(
+    stream: &mut TcpStream,
+    length: usize,
+    account: &impl InputAccount,
+) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    while bytes.len() < length {
+        if bytes.len() == bytes.capacity() {
+            let size = bytes.len().saturating_mul(2).max(FIRST_BUFFER_BYTES).min(length);
+            if size > FREE_BYTES && !account.reserve(size).await {
+                return None;
+            }
+            bytes.reserve_exact(size - bytes.len());
+        }
+        let room = bytes.len()..bytes.capacity().min(length);
+        let (result, filled) = stream.read(bytes.slice_mut(room)).await;
+        bytes = filled.into_inner();
+        result.ok().filter(|count| *count > 0)?;
     }
-    let (result, bytes) = stream.read_exact(vec![0; length as usize]).await;
-    result.ok()?;
     Some(bytes)
 }
--- a/crates/cuminbank-net/src/server.rs
+++ b/crates/cuminbank-net/src/server.rs
@@ -19,23 +19,21 @@
     net::{TcpListener, TcpStream},
     time,
 };
+use monoio_codec::FramedRead;
 use monoio_http::{
-    common::{
-        body::BodyExt,
-        request::{Request, RequestHead},
-    },
+    common::request::RequestHead,
     h1::{
-        codec::{
-            decoder::{FillPayload, RequestDecoder},
-            encoder::GenericEncoder,
-        },
+        codec::{decoder::RequestHeadDecoder, encoder::GenericEncoder},
         payload::{FixedPayload, Payload, StreamPayload},
     },
 };
 
 use crate::{
+    body::{read_body, BodyError, BodyFraming},
     connection::{discard_input, wait_for_close},
     http_limit::{ByteAllowance, LimitedReader},
+    input_budget::{InputBudget, InputLease, PortKind},
+    metered::{begin_request, release_buffer, MeteredReader},
 };
 
 /// Maximum size of the head of a request.
@@ -46,6 +44,9 @@
 const FINAL_ACCEPT_WAIT: Duration = Duration::from_millis(5);
 /// Interval at which waiting tasks check whether the gate is closing.
 const GATE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// After how long a client that was cut off may send its request again. Memory is released within
+/// milliseconds, and the header has whole seconds.
+const CUT_OFF_RETRY: Duration = Duration::from_secs(1);
 
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
@@ -75,6 +76,32 @@
     }
 }
 
+/// What the connections of a server share with the rest of the process.
+#[derive(Clone)]
+pub struct ServerBounds {
+    /// Memory and connections of the process.
+    pub budget: InputBudget,
+    /// Kind of the port.
+    pub port: PortKind,
+    /// Returns the maximum size of a body at present, if it can change while the server runs and may
+    /// be lower than [`ServerLimits::max_body_bytes`]. A larger body is not read, and its request is
+    /// handled as [`ServerRequest::oversized`].
+    pub body_limit: Option<Rc<dyn Fn() -> usize>>,
+}
+
+impl ServerBounds {
+    /// Creates bounds without a changing limit of bodies.
+    pub fn new(budget: &InputBudget, port: PortKind) -> Self {
+        Self { budget: budget.clone(), port, body_limit: None }
+    }
+
+    /// Sets the function that returns the maximum size of a body.
+    pub fn with_body_limit(mut self, body_limit: impl Fn() -> usize + 'static) -> Self {
+        self.body_limit = Some(Rc::new(body_limit));
+        self
+    }
+}
+
 /// Request that was received completely.
 #[derive(Clone, Debug)]
 pub struct ServerRequest {
@@ -88,6 +115,9 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether the body is missing because it was larger than [`ServerBounds::body_limit`]. The
+    /// connection is closed after the answer.
+    pub oversized: bool,
 }
 
 impl ServerRequest {
@@ -197,16 +227,32 @@
 where
     H: Fn(ServerRequest) -> F + Clone + 'static,
     F: Future<Output = ServerAction> + 'static,
+{
+    let bounds = ServerBounds::new(&InputBudget::default(), PortKind::Clients);
+    serve_within(listener, limits, bounds, gate, handler).await;
+}
+
+/// Like [`serve`], within the budget of the process.
+pub async fn serve_within<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    bounds: ServerBounds,
+    gate: ServerGate,
+    handler: H,
+) where
+    H: Fn(ServerRequest) -> F + Clone + 'static,
+    F: Future<Output = ServerAction> + 'static,
 {
     while let Some(stream) = accept(&listener, &gate).await {
         if gate.connections() >= limits.max_connections {
             continue;
         }
+        let Some(lease) = bounds.budget.admit(&stream, bounds.port).await else { continue };
         let _ = stream.set_nodelay(true);
         gate.0.connections.set(gate.0.connections.get() + 1);
-        let (gate, handler) = (gate.clone(), handler.clone());
+        let (bounds, gate, handler) = (bounds.clone(), gate.clone(), handler.clone());
         monoio::spawn(async move {
-            ServerConnection::new(stream, limits, gate.clone()).run(handler).await;
+            ServerConnection::new(stream, limits, bounds, lease, gate.clone()).run(handler).await;
             gate.0.connections.set(gate.0.connections.get() - 1);
         });
     }
@@ -230,35 +276,51 @@
     }
 }
 
-type ConnectionReader = LimitedReader<OwnedReadHalf<TcpStream>>;
+type ConnectionReader = MeteredReader<LimitedReader<OwnedReadHalf<TcpStream>>>;
 
 struct ServerConnection {
-    decoder: RequestDecoder<ConnectionReader>,
+    /// Declared before the halves of the connection, whose descriptor it refers to.
+    lease: Rc<InputLease>,
+    framed: FramedRead<ConnectionReader, RequestHeadDecoder>,
     writer: OwnedWriteHalf<TcpStream>,
     /// File descriptor shared by both halves; valid as long as this value exists.
     socket: RawFd,
     allowance: ByteAllowance,
     limits: ServerLimits,
+    bounds: ServerBounds,
     gate: ServerGate,
 }
 
 enum ReadOutcome {
     Request(ServerRequest, bool),
     Rejected(u16, &'static str),
+    /// The budget of the process had no memory for the request.
+    CutOff,
     Closed,
 }
 
 impl ServerConnection {
-    fn new(stream: TcpStream, limits: ServerLimits, gate: ServerGate) -> Self {
+    fn new(
+        stream: TcpStream,
+        limits: ServerLimits,
+        bounds: ServerBounds,
+        lease: InputLease,
+        gate: ServerGate,
+    ) -> Self {
         let socket = stream.as_raw_fd();
         let (read, write) = stream.into_split();
         let allowance = ByteAllowance::default();
+        let lease = Rc::new(lease);
+        let reader = LimitedReader::new(read, allowance.clone());
+        let reader = MeteredReader::new(reader, Rc::clone(&lease));
         Self {
-            decoder: RequestDecoder::new(LimitedReader::new(read, allowance.clone())),
+            lease,
+            framed: FramedRead::new(reader, RequestHeadDecoder),
             writer: write,
             socket,
             allowance,
             limits,
+            bounds,
             gate,
         }
     }
@@ -276,16 +338,26 @@
                     self.reject(CallerAnswer::new_not_run(status, reason)).await;
                     return;
                 }
+                ReadOutcome::CutOff => {
+                    let reason = "the memory for requests is used up";
+                    self.reject(CallerAnswer::new_busy(reason, CUT_OFF_RETRY)).await;
+                    return;
+                }
                 ReadOutcome::Closed => return,
             };
+            let oversized = request.oversized;
             let requests = &self.gate.clone().0.requests;
             requests.set(requests.get() + 1);
             let action = self.run_handler(handler(request)).await;
-            let open = self.perform(action, keep_alive).await;
+            let open = self.perform(action, keep_alive && !oversized).await;
             requests.set(requests.get() - 1);
+            if oversized {
+                self.end_with_unread_input().await;
+            }
             if !open {
                 return;
             }
+            begin_request(&mut self.framed);
         }
     }
 
@@ -302,25 +374,36 @@
 
     /// Responds to a request that was not read completely, then closes the connection.
     async fn reject(&mut self, answer: CallerAnswer) {
+        release_buffer(&mut self.framed);
         if self.respond(ServerResponse::from_answer(answer), false).await {
-            let _ = self.writer.shutdown().await;
-            discard_input(self.socket).await;
+            self.end_with_unread_input().await;
         }
     }
 
+    /// Ends a connection on which the client may still be sending, so that it gets the response.
+    async fn end_with_unread_input(&mut self) {
+        let _ = self.writer.shutdown().await;
+        discard_input(self.socket).await;
+    }
+
     /// Waits for the head of a request, in steps short enough for an idle connection to notice that
     /// the gate is closing. `None` ends the connection without a response.
-    async fn wait_for_head(&mut self) -> Option<Result<Request, ReadOutcome>> {
+    async fn wait_for_head(&mut self) -> Option<Result<RequestHead, ReadOutcome>> {
         let gate = self.gate.clone();
         let limits = self.limits;
+        let lease = Rc::clone(&self.lease);
         let allowance = self.allowance.clone();
         let initial = allowance.remaining();
-        let mut head = std::pin::pin!(self.decoder.next());
+        let mut head = std::pin::pin!(self.framed.next());
         let (mut idle, mut reading) = (Duration::ZERO, Duration::ZERO);
         loop {
             match time::timeout(GATE_POLL_INTERVAL, head.as_mut()).await {
                 Ok(None) => return None,
                 Ok(Some(Ok(request))) => return Some(Ok(request)),
+                Ok(Some(Err(_))) if lease.is_cut() && allowance.remaining() == initial => {
+                    return None;
+                }
+                Ok(Some(Err(_))) if lease.is_cut() => return Some(Err(ReadOutcome::CutOff)),
                 Ok(Some(Err(_))) if allowance.is_spent() => {
                     return Some(Err(ReadOutcome::Rejected(431, "the head is too large")));
                 }
@@ -345,30 +428,46 @@
     }
 
     async fn read_request(&mut self) -> ReadOutcome {
-        let request = match self.wait_for_head().await {
+        let head = match self.wait_for_head().await {
             None => return ReadOutcome::Closed,
             Some(Err(outcome)) => return outcome,
-            Some(Ok(request)) => request,
+            Some(Ok(head)) => head,
         };
-        let (head, payload) = request.into_parts();
+        self.framed.get_mut().end_head();
+        // Not only when bytes arrive: the head may have been read together with the request before.
+        self.lease.begin();
         if has_conflicting_framing(&head) {
             return ReadOutcome::Rejected(400, "the length of the body is given in two ways");
         }
+        let Some(framing) = BodyFraming::from_headers(&head.headers) else {
+            return ReadOutcome::Rejected(400, "malformed HTTP request");
+        };
+        // Also bounds what chunks may take on the wire in addition to their data.
         self.allowance.set(self.limits.max_body_bytes + MAX_HEAD_BYTES);
-        if content_length(&head).is_some_and(|length| length > self.limits.max_body_bytes) {
-            return ReadOutcome::Rejected(413, "the body is too large");
+        let max_body_bytes = self.limits.max_body_bytes;
+        let present = self.bounds.body_limit.as_ref().map_or(usize::MAX, |limit| limit());
+        let limit = max_body_bytes.min(present);
+        let base = self.lease.held();
+        let reading = read_body(&mut self.framed, framing, limit, &*self.lease, base);
+        let body = match time::timeout(self.limits.read_timeout, reading).await {
+            Ok(body) => body,
+            Err(_) => return ReadOutcome::Rejected(408, "the body did not arrive in time"),
+        };
+        if !self.lease.complete(body.as_ref().map_or(0, Bytes::len)) {
+            return ReadOutcome::CutOff;
         }
-        let body = match time::timeout(self.limits.read_timeout, self.read_body(payload)).await {
-            Ok(Some(body)) => body,
-            Ok(None) if self.allowance.is_spent() => {
+        let spent = self.allowance.is_spent();
+        let (body, oversized) = match body {
+            Ok(body) => (body, false),
+            Err(BodyError::TooLarge) if limit < max_body_bytes => (Bytes::new(), true),
+            Err(BodyError::Malformed) if !spent => {
+                return ReadOutcome::Rejected(400, "the body is incomplete or malformed");
+            }
+            Err(BodyError::TooLarge | BodyError::Malformed) => {
                 return ReadOutcome::Rejected(413, "the body is too large");
             }
-            Ok(None) => return ReadOutcome::Rejected(400, "the body is incomplete or malformed"),
-            Err(_) => return ReadOutcome::Rejected(408, "the body did not arrive in time"),
+            Err(BodyError::NoMemory) => return ReadOutcome::CutOff,
         };
-        if body.len() > self.limits.max_body_bytes {
-            return ReadOutcome::Rejected(413, "the body is too large");
-        }
         let keep_alive = requests_keep_alive(&head);
         let request = ServerRequest {
             path: head.uri.path().to_owned(),
@@ -376,15 +475,11 @@
             method: head.method,
             headers: head.headers,
             body,
+            oversized,
         };
         ReadOutcome::Request(request, keep_alive)
     }
 
-    async fn read_body(&mut self, payload: Payload) -> Option<Bytes> {
-        self.decoder.fill_payload().await.ok()?;
-        payload.bytes().await.ok()
-    }
-
     /// Performs an action; returns whether the connection can be used for another request.
     async fn perform(&mut self, action: ServerAction, keep_alive: bool) -> bool {
         match action {
@@ -413,6 +508,7 @@
         if !keep_alive {
             builder = builder.header(header::CONNECTION, "close");
         }
+        self.lease.begin_response(response.body.len());
         let payload: Payload = Payload::Fixed(FixedPayload::new(response.body));
         let Ok(message) = builder.body(payload) else {
             return false;
@@ -443,10 +539,6 @@
     }
 }
 
-fn content_length(head: &RequestHead) -> Option<usize> {
-    head.headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
 /// Tells whether a request states the length of its body more than once, in conflict. Servers on
 /// the path could disagree about where such a body ends and take the rest for another request
 /// (request smuggling).
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -130,6 +130,8 @@
     POOL_FORMAT_UNSUPPORTED = (764, Error, "The pool's records may have a newer format than this build reads; the instance serves nothing.");
     WATCH_FAILED = (765, Warn, "A watch of the platform's store got no usable reply.");
     POOL_CONFIG_READ_AGAIN = (766, Warn, "A request needed the configuration, which was not confirmed in time.");
+    CONNECTIONS_BOUNDED = (767, Warn, "Connections are cut off or refused, since they need too much memory or are too many.");
+    CONNECTIONS_UNBOUNDED = (768, Info, "No connection was cut off or refused for 10 s.");
 }
 
 impl LogRecord {
