--- a/crates/cuminbank-entry/tests/memory.rs
+++ b/crates/cuminbank-entry/tests/memory.rs
@@ -11,6 +11,7 @@
     callers,
     crowd::{take_turn, Crowd, ProcessWatch, UnfinishedInput},
     entry::EntryProcess,
+    http::post,
     wait_for, Deployment,
 };
 
@@ -122,3 +123,23 @@
         inputs.chain([(entry.peer, peer_message())]).collect()
     });
 }
+
+/// Guards against a bound under which the largest legal body is refused in calm conditions.
+#[test]
+fn largest_body_is_served_with_the_least_memory() {
+    let _turn = take_turn();
+    let deployment = Deployment::start_with(1, 1, 1, &json!({ "memory_mb": 32 }));
+    let profile = json!({ "name": "large", "kind": "urgent", "deadline_ms": 10_000,
+        "idempotent": true, "max_body_bytes": MAX_BODY_BYTES });
+    deployment.platform.put_profile(&profile.to_string());
+    let call = |padding: usize| {
+        let body =
+            json!({ "op": "plan", "key": "large", "work_ms": 1, "pad": "x".repeat(padding) });
+        let headers = [("x-profile", "large"), ("x-customer", "griddle")];
+        post(deployment.entries[0].http, "/v1/calls", &headers, &body)
+    };
+    let is_done = |padding| call(padding).is_ok_and(|answer| answer.outcome() == "done");
+    wait_for("the profile is in force", || is_done(1));
+    let fixed = json!({ "op": "plan", "key": "large", "work_ms": 1, "pad": "" }).to_string().len();
+    wait_for("the largest body is served", || is_done(MAX_BODY_BYTES - fixed));
+}
--- a/crates/cuminbank-entry/tests/support/platform.rs
+++ b/crates/cuminbank-entry/tests/support/platform.rs
@@ -64,7 +64,8 @@
         Some(platform)
     }
 
-    fn put_profile(&self, profile: &str) {
+    /// Stores a profile.
+    pub fn put_profile(&self, profile: &str) {
         let document: Value = serde_json::from_str(profile).expect("the profile is JSON");
         let name = document["name"].as_str().expect("the profile has a name");
         let key = STANDARD.encode(format!("/cuminbank/config/profiles/{name}"));
--- a/crates/cuminbank-net/src/input_budget.rs
+++ b/crates/cuminbank-net/src/input_budget.rs
@@ -23,6 +23,8 @@
 pub(crate) const FREE_BYTES: usize = 8 * 1024;
 /// Interval at which a reader checks whether memory or a connection has been released.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(1);
+/// Longest time that an accepted connection waits for others to close. They take up to 50 ms.
+const MAX_ADMISSION_WAIT: Duration = Duration::from_millis(500);
 /// Connections for each MB of memory, with about 20 KB each for buffers and state.
 const CONNECTIONS_PER_MB: u64 = 12;
 /// Maximum number of accepted connections. The smallest machines have 4,100 descriptors, of which an
@@ -164,6 +166,8 @@
     since: Cell<Instant>,
     phase: Cell<InputPhase>,
     cut: Cell<CutState>,
+    /// Whether a request on the connection was answered.
+    served: Cell<bool>,
 }
 
 impl Default for InputBudget {
@@ -198,8 +202,10 @@
     /// Registers an accepted connection. If there are too many, those that have been idle or
     /// unfinished for the longest time are cut off first; `None` if none can be.
     pub(crate) async fn admit(&self, stream: &TcpStream, port: PortKind) -> Option<InputLease> {
+        let began = Instant::now();
         while self.counts().connections >= self.0.limits.connections {
-            if self.0.closing.get() == 0 && !self.cut_waiting_connections() {
+            let none_waits = self.0.closing.get() == 0 && !self.cut_waiting_connections();
+            if none_waits || began.elapsed() > MAX_ADMISSION_WAIT {
                 self.update(|counts| counts.closed += 1);
                 return None;
             }
@@ -212,6 +218,7 @@
             since: Cell::new(Instant::now()),
             phase: Cell::new(InputPhase::Idle),
             cut: Cell::new(CutState::Open),
+            served: Cell::new(false),
         });
         let key = self.0.holders.borrow_mut().insert(Rc::clone(&holder));
         self.update(|counts| counts.connections += 1);
@@ -274,8 +281,9 @@
         unfinished.min_by_key(|holder| holder.since.get()).cloned()
     }
 
-    /// Cuts off some of the connections that wait for input, on the port with the most connections.
-    /// Returns false if none waits.
+    /// Cuts off some of the connections that wait for their client, on the port with the most
+    /// connections: first those without an answered request, since ordinary clients keep theirs open
+    /// between requests. Returns false if none waits.
     fn cut_waiting_connections(&self) -> bool {
         let kinds = [PortKind::Clients, PortKind::Readiness, PortKind::Operators, PortKind::Peers];
         let Some(port) = kinds.into_iter().max_by_key(|kind| self.port_connections(*kind).get())
@@ -284,7 +292,7 @@
         };
         let waiting = |holder: &&Rc<InputHolder>| holder.port == port && holder.is_cuttable();
         let mut found: Vec<_> = self.0.holders.borrow().values().filter(waiting).cloned().collect();
-        found.sort_by_key(|holder| holder.since.get());
+        found.sort_by_key(|holder| (holder.served.get(), holder.since.get()));
         found.truncate((self.0.limits.connections / CUT_SHARE).max(1));
         for holder in &found {
             self.update(|counts| counts.closed += 1);
@@ -375,6 +383,7 @@
     pub(crate) fn finish(&self, bytes: usize) {
         self.holder.phase.set(InputPhase::Idle);
         self.holder.since.set(Instant::now());
+        self.holder.served.set(true);
         self.shrink(bytes);
     }
 
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -85,7 +85,7 @@
         let limit = self.budget.limits().message_bytes;
         let lease = self.budget.answer_lease();
         let exchange = async {
-            write_message(stream.stream(), request, limit).await?;
+            write_message(stream.stream(), encode_message(request, limit)?).await?;
             let length = read_length(stream.stream(), limit).await?;
             read_message(stream.stream(), length, &lease).await
         };
@@ -159,22 +159,24 @@
         // Handling may take long, and the request has its own copy.
         drop(bytes);
         let Some(reply) = handler(request).await else { return };
-        if write_message(&mut stream, &reply, limit).await.is_none() {
+        let Some(bytes) = encode_message(&reply, limit) else { return };
+        lease.begin_response(bytes.len());
+        if write_message(&mut stream, bytes).await.is_none() {
             return;
         }
         lease.finish(0);
     }
 }
 
-/// Sends a message with its length in one write.
-async fn write_message<T: Serialize>(
-    stream: &mut TcpStream,
-    message: &T,
-    limit: usize,
-) -> Option<()> {
+/// Encodes a message with its length; `None` if it is over `limit`.
+fn encode_message<T: Serialize>(message: &T, limit: usize) -> Option<Vec<u8>> {
     let mut bytes = postcard::to_extend(message, vec![0; 4]).ok()?;
     let length = Some(bytes.len() - 4).filter(|length| *length <= limit)?;
     bytes[..4].copy_from_slice(&u32::try_from(length).ok()?.to_be_bytes());
+    Some(bytes)
+}
+
+async fn write_message(stream: &mut TcpStream, bytes: Vec<u8>) -> Option<()> {
     let (result, _) = stream.write_all(bytes).await;
     result.ok().map(|_| ())
 }
--- a/crates/cuminbank-net/src/server.rs
+++ b/crates/cuminbank-net/src/server.rs
@@ -44,6 +44,8 @@
 const FINAL_ACCEPT_WAIT: Duration = Duration::from_millis(5);
 /// Interval at which waiting tasks check whether the gate is closing.
 const GATE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time for the response to a rejected request.
+const REJECTION_TIMEOUT: Duration = Duration::from_secs(2);
 /// After how long a client that was cut off may send its request again. Memory is released within
 /// milliseconds, and the header has whole seconds.
 const CUT_OFF_RETRY: Duration = Duration::from_secs(1);
@@ -375,7 +377,9 @@
     /// Responds to a request that was not read completely, then closes the connection.
     async fn reject(&mut self, answer: CallerAnswer) {
         release_buffer(&mut self.framed);
-        if self.respond(ServerResponse::from_answer(answer), false).await {
+        let response = self.respond(ServerResponse::from_answer(answer), false);
+        // A client that reads nothing must not hold the connection.
+        if time::timeout(REJECTION_TIMEOUT, response).await == Ok(true) {
             self.end_with_unread_input().await;
         }
     }
