--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -18,11 +18,17 @@
 use monoio::time;
 use serde_json::json;
 
-use crate::{clock, confirmation, daemon::DaemonState, division::JobLocation, owner::PhaseAnswer};
+use crate::{
+    clock, confirmation, daemon::DaemonState, division::JobLocation, logging::shorten,
+    owner::PhaseAnswer,
+};
 
 /// Timeout of one attempt of a store call for a client. A slow store replies after about 250 ms.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Longest text from a request in a log line. An error names what it found, which may be a whole body.
+const MAX_LOGGED_BYTES: usize = 256;
+
 /// Response to a client, with its cause for the log.
 struct ClientAnswer {
     response: ServerResponse,
@@ -137,12 +143,13 @@
     // Successful reads change nothing, so they are only measured and not logged.
     if request.method != http::Method::GET || status != 200 {
         let path = request.path.as_str();
+        let (logged_path, cause) =
+            (shorten(path, MAX_LOGGED_BYTES), shorten(&answer.cause, MAX_LOGGED_BYTES));
         let id = path.rsplit('/').next().and_then(|id| JobId::from_str_radix(id, 16).ok());
         let detail = format!(
-            "method={} path={path} queue={queue} status={status} cause={:?} took_ms={} \
+            "method={} path={logged_path} queue={queue} status={status} cause={cause:?} took_ms={} \
              config_version={} config_age_ms={} store_silent_ms={}",
             request.method,
-            answer.cause,
             took.as_millis(),
             basis.version,
             basis.age.map_or(-1, |age| age.as_millis() as i64),
--- a/crates/cuminbank-jobd/src/logging.rs
+++ b/crates/cuminbank-jobd/src/logging.rs
@@ -34,6 +34,14 @@
 /// Maximum number of decisions about jobs kept for operators, about 200 bytes each.
 const MAX_REMEMBERED_DECISIONS: usize = 3_000;
 
+/// Maximum size of the detail of a kept decision. Texts of clients may be part of it.
+const MAX_REMEMBERED_BYTES: usize = 2_048;
+
+/// Returns the start of a text, at most `max_bytes` of it.
+pub(crate) fn shorten(text: &str, max_bytes: usize) -> &str {
+    &text[..text.floor_char_boundary(max_bytes)]
+}
+
 /// Keeps the log writer alive. Dropping it flushes the buffered lines.
 pub struct LogGuard(
     #[expect(dead_code, reason = "flushes buffered lines when dropped")] WorkerGuard,
@@ -136,7 +144,8 @@
         if recent.len() >= MAX_REMEMBERED_DECISIONS {
             recent.pop_front();
         }
-        recent.push_back((clock::wall(), record.clone()));
+        let detail = shorten(&record.detail, MAX_REMEMBERED_BYTES).to_owned();
+        recent.push_back((clock::wall(), DecisionRecord { detail, ..*record }));
     }
 
     /// Keeps and logs a decision. Logs the dropped lines of the previous second first.
--- a/crates/cuminbank-jobd/tests/memory.rs
+++ b/crates/cuminbank-jobd/tests/memory.rs
@@ -32,6 +32,16 @@
     operator: SocketAddr,
 }
 
+/// Puts [`MAX_BODY_BYTES`] into force.
+fn limit_bodies(deployment: &Deployment) {
+    let path = format!("/standin/config?version=2&prefixes=/p/&max-body={MAX_BODY_BYTES}");
+    call(deployment.store, "GET", &path, "").expect("the stand-in replies");
+    deployment.wait("the body limit is not in force", |_| {
+        let status = call(deployment.operators[0], "GET", "/v1/status", "");
+        status.is_some_and(|(_, status)| status["config_version"] == json!(2))
+    });
+}
+
 /// Sends the inputs by `clients` clients, which take them in turn. Checks that the instance stays
 /// alive and within its bounds, and that it runs a job while they hold their connections.
 fn assert_withstands(
@@ -44,12 +54,7 @@
     let (client, operator) = (deployment.clients[0], deployment.operators[0]);
     let port = |offset| SocketAddr::new(client.ip(), client.port() + offset);
     let ports = InstancePorts { client, readiness: port(1), peer: port(2), operator };
-    let path = format!("/standin/config?version=2&prefixes=/p/&max-body={MAX_BODY_BYTES}");
-    call(deployment.store, "GET", &path, "").expect("the stand-in replies");
-    deployment.wait("the body limit is not in force", |_| {
-        let status = call(operator, "GET", "/v1/status", "");
-        status.is_some_and(|(_, status)| status["config_version"] == json!(2))
-    });
+    limit_bodies(&deployment);
     let watch = ProcessWatch::start(deployment.instances[0].pid());
     let job = json!({ "spec": "p", "steps": [
         { "count": 2, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 20 },
@@ -149,3 +154,48 @@
         ]
     });
 }
+
+// Guards against a bound under which the largest legal job is refused in calm conditions, and
+// against one that is a byte larger and accepted, or answered otherwise than with its cause.
+#[test]
+fn largest_job_is_accepted_with_the_least_memory() {
+    let _turn = take_turn();
+    let deployment = Deployment::start_with_settings(20, &json!({ "memory_mb": 32 }));
+    limit_bodies(&deployment);
+    let job = |size: usize| {
+        let job = json!({ "spec": "p", "steps": [
+            { "count": 2, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 20 },
+        ]});
+        let text = job.to_string();
+        format!("{text}{}", " ".repeat(size - text.len()))
+    };
+    let submit = |id: u64, size: usize| {
+        call(deployment.clients[0], "POST", &format!("/p/{id:016x}"), &job(size))
+    };
+    deployment.wait("the largest job is not accepted", |_| {
+        submit(7, MAX_BODY_BYTES).is_some_and(|(status, _)| status == 200)
+    });
+    deployment.wait("the job is not completed", |deployment| deployment.is_completed(7));
+    let (status, body) = submit(8, MAX_BODY_BYTES + 1).expect("the instance answers");
+    let cause = "the body is larger than the configuration allows";
+    assert_eq!((status, &body["outcome"]), (413, &json!(cause)));
+}
+
+// Guards against refused requests of which the whole text is kept for operators.
+#[test]
+fn refused_submissions_are_not_kept() {
+    let _turn = take_turn();
+    let [memory_mb, descriptors] = BOUNDS;
+    let deployment = Deployment::start_with_settings(20, &json!({ "memory_mb": memory_mb }));
+    limit_bodies(&deployment);
+    let watch = ProcessWatch::start(deployment.instances[0].pid());
+    let body = json!({ "steps": "x".repeat(MAX_BODY_BYTES - 100) }).to_string();
+    let long = format!("/{}/00000000000000ee", "x".repeat(50_000));
+    for (path, body, expected) in [(PATH, body.as_str(), 400), (long.as_str(), "{}", 404)] {
+        for _ in 0..400 {
+            let answer = call(deployment.clients[0], "POST", path, body);
+            assert_eq!(answer.map(|(status, _)| status), Some(expected));
+        }
+    }
+    watch.assert_bounded(memory_mb, descriptors as usize);
+}
