--- a/crates/cuminbank-net/src/body.rs
+++ b/crates/cuminbank-net/src/body.rs
@@ -87,7 +87,7 @@
     while body.len() < length {
         if body.len() == body.capacity() {
             let present = body.len() + framed.read_buffer().len();
-            let size = next_size(body.capacity().max(present), length);
+            let size = present.saturating_mul(2).max(FIRST_GROWTH).min(length);
             grow(&mut body, size, account, base).await?;
         }
         let room = body.len()..body.capacity().min(length);
@@ -122,7 +122,7 @@
     }
 }
 
-/// Returns the next size of a buffer of `size` bytes for a body of at most `limit`.
+/// Returns the next size of a buffer of `size` bytes for a chunked body of at most `limit`.
 fn next_size(size: usize, limit: usize) -> usize {
     let grown = match size {
         0..FREE_BYTES => FREE_BYTES,
--- a/crates/cuminbank-net/src/metered.rs
+++ b/crates/cuminbank-net/src/metered.rs
@@ -19,6 +19,8 @@
     inner: T,
     lease: Rc<InputLease>,
     in_head: bool,
+    /// Whether the head needed a larger buffer than usual.
+    large_head: bool,
     /// Bytes of the request that were read while its head was not complete.
     consumed: usize,
 }
@@ -26,12 +28,13 @@
 impl<T> MeteredReader<T> {
     /// Wraps the reader of a connection.
     pub(crate) fn new(inner: T, lease: Rc<InputLease>) -> Self {
-        Self { inner, lease, in_head: true, consumed: 0 }
+        Self { inner, lease, in_head: true, large_head: false, consumed: 0 }
     }
 
     /// Notes that the head is complete.
     pub(crate) fn end_head(&mut self) {
         self.in_head = false;
+        self.large_head = self.lease.held() > 0;
     }
 
     /// Notes that the next request begins, of which `held` bytes have been read.
@@ -41,11 +44,11 @@
     }
 }
 
-/// Prepares a connection for its next request. A buffer that has grown is replaced.
+/// Prepares a connection for its next request. A buffer that has grown for a head is replaced.
 pub(crate) fn begin_request<T, D>(framed: &mut FramedRead<MeteredReader<T>, D>) {
-    let lease = Rc::clone(&framed.get_ref().lease);
+    let (lease, large_head) = (Rc::clone(&framed.get_ref().lease), framed.get_ref().large_head);
     let buffer = framed.read_buffer_mut();
-    if lease.held() > 0 {
+    if large_head {
         *buffer = BytesMut::from(&buffer[..]);
     }
     let held = buffer.len();
--- a/crates/cuminbank-net/tests/budget.rs
+++ b/crates/cuminbank-net/tests/budget.rs
@@ -166,6 +166,43 @@
     });
 }
 
+/// Guards against a connection on which a large body is served once, but not again.
+#[test]
+fn large_bodies_on_one_connection_are_served() {
+    runtime::run(async {
+        let (address, budget) = spawn_echo(BudgetLimits::for_memory(160));
+        let sender = thread::spawn(move || {
+            let mut stream = connect(address);
+            let body = "x".repeat(250_000);
+            let head = format!("POST /echo HTTP/1.1\r\ncontent-length: {}\r\n\r\n", body.len());
+            let (mut start, mut rest) = ([0; 12], vec![0; 250_000]);
+            (0..20).all(|_| {
+                stream.write_all(format!("{head}{body}").as_bytes()).is_ok()
+                    && stream.read_exact(&mut start).is_ok()
+                    && &start == b"HTTP/1.1 200"
+                    && skip_head(&mut stream)
+                    && stream.read_exact(&mut rest).is_ok()
+            })
+        });
+        wait_until("no answer came", || sender.is_finished()).await;
+        assert!(sender.join().expect("the sender does not panic"));
+        assert_eq!(budget.counts().refused, 0);
+    });
+}
+
+/// Reads up to the end of a head; false if the connection ends before.
+fn skip_head(stream: &mut TcpStream) -> bool {
+    let (mut last, mut byte) = ([0; 4], [0]);
+    while &last != b"\r\n\r\n" {
+        if stream.read_exact(&mut byte).is_err() {
+            return false;
+        }
+        last.rotate_left(1);
+        last[3] = byte[0];
+    }
+    true
+}
+
 /// Guards against a request that is refused because of others that do not end, and against a client
 /// that is cut off without being told that its request did not run.
 #[test]
