--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -18,11 +18,17 @@
 use monoio::time;
 use serde_json::json;
 
-use crate::{clock, confirmation, daemon::DaemonState, division::JobLocation, owner::PhaseAnswer};
+use crate::{
+    clock, confirmation, daemon::DaemonState, division::JobLocation, logging::shorten,
+    owner::PhaseAnswer,
+};
 
 /// Timeout of one attempt of a store call for a client. A slow store replies after about 250 ms.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Longest text from a request in a log line. An error names what it found, which may be a whole body.
+const MAX_LOGGED_BYTES: usize = 256;
+
 /// Response to a client, with its cause for the log.
 struct ClientAnswer {
     response: ServerResponse,
@@ -80,6 +86,13 @@
     finish(&state, &request, &queue.name, basis, arrived, answer)
 }
 
+/// Returns the largest body of a request that the configuration in force allows.
+pub(crate) fn body_limit(state: &DaemonState) -> usize {
+    let config = state.config.borrow();
+    let limits = config.current().and_then(|current| current.limits);
+    limits.map_or(usize::MAX, |limits| limits.max_body_bytes)
+}
+
 /// Returns the queue that receives a request, or the answer if the request cannot be served.
 fn find_queue(state: &DaemonState, request: &ServerRequest) -> Result<JobQueue, ClientAnswer> {
     let config = state.config.borrow();
@@ -89,8 +102,7 @@
         matches!(call, ClientCall::State(_) | ClientCall::Cancel(_))
     };
     let decision = config.route(target, concerns_job, clock::now(), state.settings.config_apply());
-    let limits = config.current().and_then(|current| current.limits);
-    let max_body_bytes = limits.map_or(usize::MAX, |limits| limits.max_body_bytes);
+    let max_body_bytes = body_limit(state);
     match decision {
         RouteDecision::NoConfig => Err(ClientAnswer::new_unavailable("no configuration yet")),
         _ if state.is_behind() => {
@@ -99,7 +111,7 @@
         RouteDecision::Unconfirmed => {
             Err(ClientAnswer::new_unavailable("the configuration is not confirmed"))
         }
-        _ if request.body.len() > max_body_bytes => {
+        _ if request.oversized || request.body.len() > max_body_bytes => {
             Err(ClientAnswer::new(413, "the body is larger than the configuration allows"))
         }
         RouteDecision::NoQueue => Err(ClientAnswer::new(404, "no such queue")),
@@ -131,12 +143,13 @@
     // Successful reads change nothing, so they are only measured and not logged.
     if request.method != http::Method::GET || status != 200 {
         let path = request.path.as_str();
+        let (logged_path, cause) =
+            (shorten(path, MAX_LOGGED_BYTES), shorten(&answer.cause, MAX_LOGGED_BYTES));
         let id = path.rsplit('/').next().and_then(|id| JobId::from_str_radix(id, 16).ok());
         let detail = format!(
-            "method={} path={path} queue={queue} status={status} cause={:?} took_ms={} \
+            "method={} path={logged_path} queue={queue} status={status} cause={cause:?} took_ms={} \
              config_version={} config_age_ms={} store_silent_ms={}",
             request.method,
-            answer.cause,
             took.as_millis(),
             basis.version,
             basis.age.map_or(-1, |age| age.as_millis() as i64),
