--- /dev/null
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -0,0 +1,238 @@
+//! Decision of an instance on a submitted job.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use super::report::{RoomReport, ServiceRoom};
+use crate::{
+    cells::MAX_LOAD_AGE,
+    ids::{CellId, MonotonicTime, ServiceName},
+    job::JobRecord,
+};
+
+/// Multiple of its objective after which the result of a job has no value.
+const LATE_MULTIPLE: u64 = 3;
+
+/// Time before a report arrived from which on an admitted job may be missing in it: the owner
+/// computes the room every 200 ms, and a slow store needs about 250 ms to write a job.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
+/// Part of the reserve that instances may use together before the next report shows it. They do not
+/// know of each other's submissions. With parts of the room alone, most jobs would be refused
+/// although there is room, since few jobs come between two reports and each to one of many
+/// instances. What is left of the reserve covers quick callers at their usual rate, as bursts are up
+/// to 2.5 times that.
+const OVERDRAFT_DIVISOR: i64 = 2;
+/// How many times longer the expected wait of a hopeless job is than its value lasts. Estimated run
+/// times are off by up to 90 %.
+const HOPELESS_EXCESS: u64 = 2;
+/// Bounds of the time after which a refused client returns. Clients try up to four times and give
+/// up after some seconds.
+const MIN_RETURN: Duration = Duration::from_secs(1);
+const MAX_RETURN: Duration = Duration::from_secs(5);
+
+/// Why a job is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalCause {
+    /// Long-running jobs hold all that the reserve leaves.
+    NoRoom,
+    /// The job cannot end before its result has lost its value.
+    Hopeless,
+}
+
+impl RefusalCause {
+    /// Returns the cause for the client and the log. It promises that nothing has run.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::NoRoom => "not accepted, not stored and never run: no room for long-running jobs",
+            Self::Hopeless => {
+                "not accepted, not stored and never run: the work ahead takes too long"
+            }
+        }
+    }
+}
+
+/// Refusal of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AdmissionRefusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// Time after which the client should submit the job again, in whole seconds.
+    pub retry_after_s: u64,
+}
+
+/// Decision on a submitted job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmissionDecision {
+    /// Accept the job.
+    Admit,
+    /// Refuse it, unless it is stored already.
+    Refuse(AdmissionRefusal),
+}
+
+/// Long-running job that this instance has admitted.
+#[derive(Clone, Debug)]
+struct AdmittedJob {
+    at: MonotonicTime,
+    service: ServiceName,
+}
+
+/// What an instance knows of a cell.
+#[derive(Clone, Debug, Default)]
+struct CellRoom {
+    received_at: MonotonicTime,
+    report: RoomReport,
+    /// Long-running jobs that may be missing in the report.
+    admitted: VecDeque<AdmittedJob>,
+    /// Time at which the client refused last returns.
+    last_return: MonotonicTime,
+}
+
+/// Latest room of each cell, and what this instance has admitted since.
+#[derive(Clone, Debug, Default)]
+pub struct AdmissionState {
+    cells: BTreeMap<CellId, CellRoom>,
+}
+
+impl AdmissionState {
+    /// Stores the reported room of a cell.
+    pub fn update(&mut self, now: MonotonicTime, cell: CellId, report: RoomReport) {
+        let room = self.cells.entry(cell).or_default();
+        room.admitted.retain(|job| now < job.at + REPORT_DELAY);
+        (room.received_at, room.report) = (now, report);
+    }
+
+    /// Forgets the room of a cell, whose owner does not know it.
+    pub fn forget(&mut self, cell: CellId) {
+        self.cells.remove(&cell);
+    }
+
+    /// Returns the latest report of a cell that is recent enough to decide by it.
+    pub fn report(&self, now: MonotonicTime, cell: CellId) -> Option<&RoomReport> {
+        self.room(now, cell).map(|room| &room.report)
+    }
+
+    fn room(&self, now: MonotonicTime, cell: CellId) -> Option<&CellRoom> {
+        self.cells.get(&cell).filter(|room| now <= room.received_at + MAX_LOAD_AGE)
+    }
+
+    /// Returns whether a cell is known to admit a job now.
+    pub fn has_room(&self, now: MonotonicTime, cell: CellId, record: &JobRecord) -> bool {
+        self.room(now, cell).is_some_and(|room| room.refusal_cause(record).is_none())
+    }
+
+    /// Decides on a job for a cell. Counts it if it is admitted.
+    pub fn decide(
+        &mut self,
+        now: MonotonicTime,
+        cell: CellId,
+        record: &JobRecord,
+    ) -> AdmissionDecision {
+        let known = self.cells.get_mut(&cell);
+        let Some(room) = known.filter(|room| now <= room.received_at + MAX_LOAD_AGE) else {
+            return AdmissionDecision::Admit;
+        };
+        match room.refusal_cause(record) {
+            Some(cause) => {
+                let retry_after_s = room.next_return(now, cause, record);
+                AdmissionDecision::Refuse(AdmissionRefusal { cause, retry_after_s })
+            }
+            None => {
+                if holds_cpu(record) {
+                    let service = record.terms.service.clone();
+                    room.admitted.push_back(AdmittedJob { at: now, service });
+                }
+                AdmissionDecision::Admit
+            }
+        }
+    }
+}
+
+impl CellRoom {
+    fn refusal_cause(&self, record: &JobRecord) -> Option<RefusalCause> {
+        let room = self.report.service(&record.terms.service)?;
+        if holds_cpu(record) {
+            return (!self.may_admit(room)).then_some(RefusalCause::NoRoom);
+        }
+        self.is_hopeless(room, record).then_some(RefusalCause::Hopeless)
+    }
+
+    /// Returns whether the next long-running job of a service may be admitted, whatever its size.
+    /// Jobs admitted since the report count with the mean size, so that a large job delays the next
+    /// one no longer than a small job does.
+    fn may_admit(&self, room: &ServiceRoom) -> bool {
+        let left = room.long_running_room();
+        if left <= 0 {
+            return false;
+        }
+        let admitted = self.admitted.iter().filter(|job| job.service == room.service).count();
+        let admitted = i64::try_from(admitted).unwrap_or(i64::MAX);
+        let instances = i64::from(self.report.instances.max(1));
+        let mean_job = i64::try_from(room.mean_job).unwrap_or(i64::MAX).max(1);
+        let jobs = left / mean_job;
+        if admitted < jobs / instances {
+            return true;
+        }
+        if admitted > jobs / instances {
+            return false;
+        }
+        // The rest goes to some of the instances, to others with each report.
+        let reserve = i64::try_from(room.reserve).unwrap_or(i64::MAX);
+        let overdraft = (reserve / OVERDRAFT_DIVISOR / mean_job).max(1);
+        let turns = (jobs % instances).saturating_add(overdraft);
+        let place = u64::from(self.report.index).wrapping_add(self.report.number);
+        let place = place % u64::from(self.report.instances.max(1));
+        i64::try_from(place).is_ok_and(|place| place < turns)
+    }
+
+    /// Returns whether a job that ends by itself would clearly end after its result has lost its
+    /// value, if all work that may be placed before it has to run first.
+    fn is_hopeless(&self, room: &ServiceRoom, record: &JobRecord) -> bool {
+        // Best-effort work has no rate by which it drains, and later occurrences wait anyway.
+        if record.repeat.is_some() || record.steps.iter().any(|step| step.fills) {
+            return false;
+        }
+        // Long-running tasks that wait come first. How long they leave no room is not known.
+        let drained = room.usable.saturating_sub(room.long_running_ready);
+        let ahead: u64 = self
+            .report
+            .queues
+            .iter()
+            .filter(|queue| queue.service == room.service)
+            .filter(|queue| queue.priority <= record.terms.priority)
+            .fold(0, |sum, queue| sum.saturating_add(queue.ready_work));
+        let Some(wait_ms) = ahead.checked_div(drained) else { return false };
+        let path_ms = record.critical_paths_ms().into_iter().max().unwrap_or_default();
+        let valued_ms = record.objective_ms().saturating_mul(LATE_MULTIPLE);
+        path_ms.saturating_add(wait_ms / HOPELESS_EXCESS) > valued_ms
+    }
+
+    /// Returns the seconds after which the client of a refused job returns: when room is expected,
+    /// and after those that were refused before.
+    fn next_return(&mut self, now: MonotonicTime, cause: RefusalCause, record: &JobRecord) -> u64 {
+        let service = self.report.service(&record.terms.service);
+        let (wait, pause) = match (cause, service) {
+            (RefusalCause::NoRoom, Some(room)) => {
+                let time_to_end = |cpu_millis: u64| match room.ended_per_second {
+                    0 => MAX_RETURN,
+                    rate => Duration::from_secs_f64(cpu_millis as f64 / rate as f64),
+                };
+                let lacking = room.long_running_room().min(0).unsigned_abs();
+                let wait = if lacking == 0 { MIN_RETURN } else { time_to_end(lacking) };
+                (wait, time_to_end(room.mean_job))
+            }
+            _ => (MAX_RETURN, Duration::ZERO),
+        };
+        let expected = now.saturating_add(wait).max(self.last_return.saturating_add(pause));
+        let delay = expected.saturating_sub(now).clamp(MIN_RETURN, MAX_RETURN);
+        let seconds = delay.as_millis().div_ceil(1_000) as u64;
+        self.last_return = now + Duration::from_secs(seconds);
+        seconds
+    }
+}
+
+/// Returns whether a job reserves CPU until it is cancelled.
+fn holds_cpu(record: &JobRecord) -> bool {
+    record.steps.iter().any(|step| step.long_running && !step.fills && step.needs.cpu_millis > 0)
+}
--- a/crates/cuminbank-jobs/src/cells.rs
+++ b/crates/cuminbank-jobs/src/cells.rs
@@ -37,7 +37,7 @@
 /// Load assumed, in percent, for a cell whose owner has not replied recently. It may have no owner.
 const UNKNOWN_LOAD_PERCENT: u32 = 200;
 /// Maximum age of a reported load.
-const MAX_LOAD_AGE: Duration = Duration::from_millis(1_800);
+pub const MAX_LOAD_AGE: Duration = Duration::from_millis(1_800);
 
 /// Stored division of the pool into cells.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -196,7 +196,7 @@
     /// Returns whether a cell has executors of the job's service, all labels and racks that the job
     /// requires, and enough executors for its limits of tasks per executor. A cell without a known
     /// load is assumed to run only jobs that require no label or rack.
-    fn can_run(&self, cell: CellId, record: &JobRecord) -> bool {
+    pub fn can_run(&self, cell: CellId, record: &JobRecord) -> bool {
         let required = || {
             record.steps.iter().flat_map(|step| [&step.required_label, &step.data_rack]).flatten()
         };
--- a/crates/cuminbank-jobs/src/job.rs
+++ b/crates/cuminbank-jobs/src/job.rs
@@ -178,6 +178,14 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// Returns the latency objective in milliseconds: the time from its submission within which the
+    /// job should complete.
+    pub fn objective_ms(&self) -> u64 {
+        let longest = self.critical_paths_ms().into_iter().max().unwrap_or_default();
+        ((longest as f64 * self.terms.stretch.max(1.0)) as u64)
+            .saturating_add(u64::from(self.terms.target_latency_ms))
+    }
+
     /// Returns the critical path of each step in milliseconds: the estimated run time of the
     /// longest chain of dependent steps that starts with it.
     pub fn critical_paths_ms(&self) -> Vec<u64> {
