--- a/crates/cuminbank-jobs/src/admission/decision.rs
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -18,12 +18,24 @@
 /// Time before a report arrived from which on an admitted job may be missing in it: the owner
 /// computes the room every 200 ms, and a slow store needs about 250 ms to write a job.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
-/// Part of the reserve that instances may use together before the next report shows it. They do not
-/// know of each other's submissions. With parts of the room alone, most jobs would be refused
-/// although there is room, since few jobs come between two reports and each to one of many
-/// instances. What is left of the reserve covers quick callers at their usual rate, as bursts are up
-/// to 2.5 times that.
-const OVERDRAFT_DIVISOR: i64 = 2;
+/// Time in which instances may admit jobs that no report shows: [`REPORT_DELAY`], and 500 ms until the
+/// next report.
+const UNSEEN_TIME: Duration = Duration::from_secs(1);
+/// Part of the reserve that instances may use together in that time, since jobs are admitted whole.
+/// What is left of it covers quick callers at their usual rate, as bursts are up to 2.5 times that.
+const OVERDRAFT_DIVISOR: u64 = 2;
+/// Time over which an instance counts the long-running jobs that it is asked to admit. It concludes
+/// from them how many come to all instances, as a load balancer spreads them evenly. About one comes
+/// per second to several tens of instances, so that a shorter time would often contain none.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(30);
+/// Number of jobs that an instance adds to those that it has counted, since the one to be decided on
+/// is not among them.
+const ARRIVAL_MARGIN: u64 = 1;
+/// Least number of jobs that are expected to come in [`UNSEEN_TIME`]: clients try up to four times, and
+/// those that were refused at the same time return together.
+const MIN_ARRIVALS: u64 = 4;
+/// Maximum number of counted jobs. With so many, all instances count as having been asked.
+const MAX_ARRIVALS: usize = 64;
 /// How many times longer the expected wait of a hopeless job is than its value lasts. Estimated run
 /// times are off by up to 90 %.
 const HOPELESS_EXCESS: u64 = 2;
@@ -85,6 +97,8 @@
     report: RoomReport,
     /// Long-running jobs that may be missing in the report.
     admitted: VecDeque<AdmittedJob>,
+    /// Times at which this instance was asked to admit a long-running job.
+    arrivals: VecDeque<MonotonicTime>,
     /// Time at which the client refused last returns.
     last_return: MonotonicTime,
 }
@@ -119,7 +133,7 @@
 
     /// Returns whether a cell is known to admit a job now.
     pub fn has_room(&self, now: MonotonicTime, cell: CellId, record: &JobRecord) -> bool {
-        self.room(now, cell).is_some_and(|room| room.refusal_cause(record).is_none())
+        self.room(now, cell).is_some_and(|room| room.refusal_cause(now, record).is_none())
     }
 
     /// Decides on a job for a cell. Counts it if it is admitted.
@@ -133,7 +147,11 @@
         let Some(room) = known.filter(|room| now <= room.received_at + MAX_LOAD_AGE) else {
             return AdmissionDecision::Admit;
         };
-        match room.refusal_cause(record) {
+        let cause = room.refusal_cause(now, record);
+        if holds_cpu(record) {
+            room.count_arrival(now);
+        }
+        match cause {
             Some(cause) => {
                 let retry_after_s = room.next_return(now, cause, record);
                 AdmissionDecision::Refuse(AdmissionRefusal { cause, retry_after_s })
@@ -150,10 +168,18 @@
 }
 
 impl CellRoom {
-    fn refusal_cause(&self, record: &JobRecord) -> Option<RefusalCause> {
+    fn count_arrival(&mut self, now: MonotonicTime) {
+        self.arrivals.retain(|at| now < *at + ARRIVAL_WINDOW);
+        self.arrivals.push_back(now);
+        if self.arrivals.len() > MAX_ARRIVALS {
+            self.arrivals.pop_front();
+        }
+    }
+
+    fn refusal_cause(&self, now: MonotonicTime, record: &JobRecord) -> Option<RefusalCause> {
         let room = self.report.service(&record.terms.service)?;
         if holds_cpu(record) {
-            return (!self.may_admit(room)).then_some(RefusalCause::NoRoom);
+            return (!self.may_admit(now, room)).then_some(RefusalCause::NoRoom);
         }
         self.is_hopeless(room, record).then_some(RefusalCause::Hopeless)
     }
@@ -161,40 +187,43 @@
     /// Returns whether the next long-running job of a service may be admitted, whatever its size.
     /// Jobs admitted since the report count with the mean size, so that a large job delays the next
     /// one no longer than a small job does.
-    fn may_admit(&self, room: &ServiceRoom) -> bool {
-        let left = room.long_running_room();
-        if left <= 0 {
-            return false;
-        }
-        let admitted = self.admitted.iter().filter(|job| job.service == room.service).count();
-        let admitted = i64::try_from(admitted).unwrap_or(i64::MAX);
-        let instances = i64::from(self.report.instances.max(1));
-        let mean_job = i64::try_from(room.mean_job).unwrap_or(i64::MAX).max(1);
-        let jobs = left / mean_job;
-        if admitted < jobs / instances {
-            return true;
-        }
-        if admitted > jobs / instances {
+    fn may_admit(&self, now: MonotonicTime, room: &ServiceRoom) -> bool {
+        let Some(left) = u64::try_from(room.long_running_room()).ok().filter(|left| *left > 0)
+        else {
             return false;
-        }
-        // The rest goes to some of the instances, to others with each report.
-        let reserve = i64::try_from(room.reserve).unwrap_or(i64::MAX);
-        let overdraft = (reserve / OVERDRAFT_DIVISOR / mean_job).max(1);
-        let turns = (jobs % instances).saturating_add(overdraft);
-        let place = u64::from(self.report.index).wrapping_add(self.report.number);
-        let place = place % u64::from(self.report.instances.max(1));
-        i64::try_from(place).is_ok_and(|place| place < turns)
+        };
+        let admitted =
+            self.admitted.iter().filter(|job| job.service == room.service).count() as u64;
+        let instances = u64::from(self.report.instances.max(1));
+        let mean_job = room.mean_job.max(1);
+        // Jobs are admitted whole, so that the last one may exceed the room.
+        let overdraft = (room.reserve / OVERDRAFT_DIVISOR / mean_job).max(1);
+        let jobs = (left / mean_job).saturating_add(overdraft);
+        // The room is divided into as many parts as long-running jobs are expected to come to all
+        // instances, and into one part for each instance if more are expected. With a part for each,
+        // most jobs would be refused beside room, as few jobs come to many instances.
+        let recent = self.arrivals.iter().filter(|at| now < **at + ARRIVAL_WINDOW).count() as u64;
+        let window = ARRIVAL_WINDOW.as_secs();
+        let expected = (recent + ARRIVAL_MARGIN) * instances * UNSEEN_TIME.as_secs();
+        // The jobs that come at the start of a pool or after an outage of the store are many at once.
+        let expected = expected.max(room.accepted_recently.saturating_mul(window));
+        let parts = expected.max(MIN_ARRIVALS * window).min(instances * window);
+        let (part, rest) =
+            (jobs.saturating_mul(window) / parts, jobs.saturating_mul(window) % parts);
+        // What cannot be divided goes to some instances, with each report to others.
+        let place = u64::from(self.report.index).wrapping_add(self.report.number) % instances;
+        let has_turn = place < rest * instances / parts;
+        admitted < part.saturating_add(u64::from(has_turn))
     }
 
     /// Returns whether a job that ends by itself would clearly end after its result has lost its
-    /// value, if all work that may be placed before it has to run first.
+    /// value, if all work that may be placed before it has to run first. Long-running tasks that wait
+    /// are not considered, as it is not known for how long they leave less room.
     fn is_hopeless(&self, room: &ServiceRoom, record: &JobRecord) -> bool {
         // Best-effort work has no rate by which it drains, and later occurrences wait anyway.
         if record.repeat.is_some() || record.steps.iter().any(|step| step.fills) {
             return false;
         }
-        // Long-running tasks that wait come first. How long they leave no room is not known.
-        let drained = room.usable.saturating_sub(room.long_running_ready);
         let ahead: u64 = self
             .report
             .queues
@@ -202,7 +231,7 @@
             .filter(|queue| queue.service == room.service)
             .filter(|queue| queue.priority <= record.terms.priority)
             .fold(0, |sum, queue| sum.saturating_add(queue.ready_work));
-        let Some(wait_ms) = ahead.checked_div(drained) else { return false };
+        let Some(wait_ms) = drain_time_ms(room, ahead) else { return false };
         let path_ms = record.critical_paths_ms().into_iter().max().unwrap_or_default();
         let valued_ms = record.objective_ms().saturating_mul(LATE_MULTIPLE);
         path_ms.saturating_add(wait_ms / HOPELESS_EXCESS) > valued_ms
@@ -232,6 +261,19 @@
     }
 }
 
+/// Returns how long work takes that ends by itself, given in thousandths of a core times milliseconds,
+/// if long-running jobs end as recently and no other follows them. `None` if that is not known.
+fn drain_time_ms(room: &ServiceRoom, work: u64) -> Option<u64> {
+    let (usable, work) = (room.usable as f64, work as f64 / 1_000.0);
+    let growth = room.ended_per_second as f64;
+    let seconds = match (room.usable, room.ended_per_second) {
+        (0, 0) => return None,
+        (_, 0) => work / usable,
+        _ => ((usable * usable + 2.0 * growth * work).sqrt() - usable) / growth,
+    };
+    Some((seconds * 1_000.0) as u64)
+}
+
 /// Returns whether a job reserves CPU until it is cancelled.
 fn holds_cpu(record: &JobRecord) -> bool {
     record.steps.iter().any(|step| step.long_running && !step.fills && step.needs.cpu_millis > 0)
--- a/crates/cuminbank-jobs/src/admission/report.rs
+++ b/crates/cuminbank-jobs/src/admission/report.rs
@@ -34,6 +34,8 @@
     pub ended_per_second: u64,
     /// Mean CPU of a long-running job, or 0 if there is none.
     pub mean_job: u64,
+    /// Number of long-running jobs that were accepted in the last second.
+    pub accepted_recently: u64,
 }
 
 impl ServiceRoom {
--- a/crates/cuminbank-jobs/src/peer.rs
+++ b/crates/cuminbank-jobs/src/peer.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    admission::RoomReport,
     cells::CellLoad,
     formats::FormatVersion,
     ids::{CellId, ExecutorName, JobId, OwnerEpoch, QueueName},
@@ -75,6 +76,13 @@
         /// Epoch of the next owner.
         epoch: OwnerEpoch,
     },
+    /// Room of the cell. An owner that does not observe it answers with the load.
+    Room {
+        /// Cell that the question is about.
+        cell: CellId,
+        /// Address of the querying instance. The query shows that it is live.
+        asker: SocketAddr,
+    },
 }
 
 impl OwnerQuestion {
@@ -85,7 +93,8 @@
             | Self::Describe { cell, .. }
             | Self::Pending { cell, .. }
             | Self::Load { cell, .. }
-            | Self::Yield { cell, .. } => *cell,
+            | Self::Yield { cell, .. }
+            | Self::Room { cell, .. } => *cell,
         }
     }
 }
@@ -146,4 +155,6 @@
     },
     /// The instance does not own the cell or is still loading its records.
     NotOwner,
+    /// Room of the cell.
+    Room(RoomReport),
 }
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -73,6 +73,9 @@
             return self.log(JOB_UNREADABLE, Some(id), detail);
         }
         let fresh = created > self.start_revision;
+        if fresh {
+            self.note_accepted(&record);
+        }
         self.add_job(id, record, fresh, progress);
         if self.early_cancels.remove(&id) {
             self.cancel_job(id);
@@ -88,9 +91,7 @@
         let count = record.tasks_per_occurrence() * record.occurrences();
         let arrived = arrival_time(self.now, self.wall, record.accepted_at);
         let critical_paths_ms = record.critical_paths_ms();
-        let longest = critical_paths_ms.iter().copied().max().unwrap_or_default();
-        let objective = ((longest as f64 * record.terms.stretch.max(1.0)) as u64)
-            .saturating_add(u64::from(record.terms.target_latency_ms));
+        let objective = record.objective_ms();
         let mut tasks = vec![TaskState::default(); count as usize];
         let steps = record.steps.len();
         let mut open_tasks = Vec::with_capacity(steps * record.occurrences() as usize);
@@ -267,6 +268,8 @@
         self.waiting.remove(&key);
         let runs: Vec<_> = job.tasks.iter().flat_map(|task| task.runs.iter().copied()).collect();
         let (id, queue) = (job.id, job.record.terms.queue.clone());
+        self.note_room_freed(&runs);
+        let job = &self.jobs[key];
         let age = self.now.saturating_sub(job.arrived);
         let late = self.now > job.deadline;
         let detail = format!(
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod pass;
 mod pressure;
 mod refusals;
+mod room;
 mod run_reports;
 mod run_watchdog;
 mod state;
@@ -52,6 +53,7 @@
     journal::JournalState,
     orders::{max_starts_in_flight, PendingOrder},
     pass::{slice_units, QueuePass, StarvedJob},
+    room::RoomState,
     state::{ExecutorState, JobState, RunState},
 };
 use crate::{
@@ -232,6 +234,8 @@
     /// Load of the cell as reported to other instances, and when it is next computed.
     load: CellLoad,
     next_load_at: MonotonicTime,
+    /// Room of the cell; `None` unless submissions are admitted by it.
+    room: Option<RoomState>,
     guards: JobGuards,
     epoch: OwnerEpoch,
     /// Record of this process, without which the epoch cannot be raised.
@@ -336,6 +340,7 @@
             keys: CellKeys::new(0),
             load: CellLoad::default(),
             next_load_at: MonotonicTime::ZERO,
+            room: None,
             guards: JobGuards::default(),
             epoch: ownership.epoch,
             identity: None,
@@ -418,6 +423,12 @@
         self
     }
 
+    /// Sets whether the room of the cell is reported, so that submissions are admitted by it.
+    pub fn with_admission(mut self, enabled: bool) -> Self {
+        self.room = enabled.then(RoomState::default);
+        self
+    }
+
     /// Sets the share of a CPU core that this instance may use, which limits the work per event.
     pub fn with_processor_share(mut self, share: f64) -> Self {
         self.slice_units = slice_units(share);
@@ -479,6 +490,7 @@
         self.report_waits();
         self.survey_pool();
         self.update_load();
+        self.update_room();
         self.pass_needed = true;
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -379,7 +379,7 @@
     }
 }
 
-fn urgency(job: &JobState) -> JobUrgency {
+pub(super) fn urgency(job: &JobState) -> JobUrgency {
     JobUrgency {
         priority: job.record.terms.priority,
         arrived: job.arrived,
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -95,6 +95,7 @@
                 None => OwnerAnswer::Unknown,
             },
             OwnerQuestion::Load { .. } => OwnerAnswer::Load(self.load.clone()),
+            OwnerQuestion::Room { .. } => self.room_answer(),
             OwnerQuestion::Pending { queue, .. } => OwnerAnswer::Pending(self.pending(queue)),
             // The daemon answers this question itself, since it controls the ownership.
             OwnerQuestion::Yield { .. } => OwnerAnswer::NotOwner,
--- a/crates/cuminbank-jobs/tests/support/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod crowded_day;
 pub mod exploration;
 pub mod extremes;
+pub mod hard_load;
 pub mod jobs;
 pub mod lost_tasks;
 pub mod ownership;
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -23,6 +23,7 @@
         AdviceFailure, AdviceReply, ExecutorOrder, ExecutorReport, OrderFailure, OrderReply, RunEnd,
     },
     ownership::OwnershipState,
+    peer::{OwnerAnswer, OwnerQuestion},
     scheduler::{JobEvent, JobScheduler},
     store::{
         encode_value, StoreCall, StoreChange, StoreFailure, StorePut, StoreReply, StoreTxn,
@@ -235,6 +236,7 @@
     max_lease_ms: u64,
     processor_share: f64,
     link_mbps: f64,
+    admission: bool,
     instances: Vec<FakeInstance>,
     silent_since: Vec<Option<MonotonicTime>>,
     removed_executors: BTreeSet<usize>,
@@ -290,6 +292,7 @@
             max_starts: 0,
             processor_share: 1.0,
             link_mbps: 1_000.0,
+            admission: false,
             instances: Vec::new(),
             silent_since: vec![None; executors],
             removed_executors: BTreeSet::new(),
@@ -346,6 +349,12 @@
         self
     }
 
+    /// Sets whether the owner reports the room of the pool.
+    pub fn with_admission(mut self, enabled: bool) -> Self {
+        self.admission = enabled;
+        self
+    }
+
     /// Sets the enabled safety mechanisms.
     pub fn with_guards(mut self, guards: JobGuards) -> Self {
         self.guards = guards;
@@ -414,6 +423,12 @@
         owner.scheduler.as_ref()?.phase(id)
     }
 
+    /// Asks the owner a question. Returns `None` if there is no owner.
+    pub fn ask_owner(&self, question: &OwnerQuestion) -> Option<OwnerAnswer> {
+        let owner = &self.instances[self.owner()?];
+        Some(owner.scheduler.as_ref()?.answer(question))
+    }
+
     /// Returns the number of runs of a job on executors that are up.
     pub fn running(&self, id: JobId) -> usize {
         let up = self.executors.iter().filter(|executor| executor.up);
