--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -292,6 +292,7 @@
         let scheduler = JobScheduler::new(bounds, held, now)
             .with_cell(self.id, state.all_cells().len() as CellId)
             .with_identity(self.ownership.borrow().identity().clone())
+            .with_admission(settings.admission)
             .with_processor_share(settings.processor_share)
             .with_link(settings.link_mbps);
         *self.scheduler.borrow_mut() = Some(scheduler);
--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -5,6 +5,7 @@
 use cuminbank::log::JOB_ANSWERED;
 use cuminbank_jobs::{
     acceptance::{AcceptState, AcceptStep, ACCEPT_TIMEOUT, RETRY_AFTER_SECONDS, RETRY_PAUSE},
+    admission::AdmissionRefusal,
     config::{JobQueue, RouteDecision},
     ids::{CellId, JobId, MonotonicTime, StoreRevision},
     keys::{accepted_key, CellKeys},
@@ -38,10 +39,17 @@
 
     /// Creates a refusal with the header that tells the client when to retry.
     fn new_unavailable(cause: &str) -> Self {
-        let mut answer = Self::new(503, cause);
-        answer.response =
-            answer.response.with_header("retry-after", RETRY_AFTER_SECONDS.to_string());
-        answer
+        Self::new(503, cause).with_retry_after(RETRY_AFTER_SECONDS)
+    }
+
+    /// Creates the refusal of a job for which there is no room.
+    fn new_refusal(refusal: AdmissionRefusal) -> Self {
+        Self::new(503, refusal.cause.text()).with_retry_after(refusal.retry_after_s)
+    }
+
+    fn with_retry_after(mut self, seconds: u64) -> Self {
+        self.response = self.response.with_header("retry-after", seconds.to_string());
+        self
     }
 }
 
@@ -161,9 +169,23 @@
             return ClientAnswer::new(400, cause);
         }
     };
-    let Some(cell) = state.choose_cell(job, &record) else {
+    let Some(chosen) = state.choose_cell(job, &record) else {
         return ClientAnswer::new_unavailable("not accepted: the pool is not divided yet");
     };
+    let cell = match state.admit(&chosen, job, &record) {
+        Ok(cell) => cell,
+        // The write answers as without admission.
+        Err(_) if state.store.is_unresponsive() => chosen,
+        // An earlier copy of the request may have been accepted.
+        Err(refusal) => match state.find_job(job).await {
+            JobLocation::Cell(_) => return ClientAnswer::new(200, "accepted"),
+            JobLocation::Missing => {
+                state.note_refusal(chosen.id, &record, refusal);
+                return ClientAnswer::new_refusal(refusal);
+            }
+            JobLocation::Unknown => chosen,
+        },
+    };
     let txn = StoreTxn {
         // This key is shared by all cells and outlives the job record, since another instance may
         // choose another cell when the client repeats the request.
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -17,6 +17,7 @@
     DRAIN_ENDED, DRAIN_STARTED, ORDER_FOR_EARLIER_INCARNATION, PROCESS_STARTED, SETTINGS_CHECKED,
 };
 use cuminbank_jobs::{
+    admission::{AdmissionState, RefusalLog},
     cells::{CellLoads, PoolPlan},
     config::ActiveConfig,
     evacuation::ZoneEvacuations,
@@ -47,6 +48,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::{
+    admission,
     cell::CellState,
     clients, clock,
     confirmation::ConfirmationTurn,
@@ -90,6 +92,10 @@
     /// Cells in id order; empty until the plan is known.
     pub(crate) cells: RefCell<Vec<Rc<CellState>>>,
     pub(crate) loads: RefCell<CellLoads>,
+    /// Latest room of each cell; empty unless submissions are admitted by it.
+    pub(crate) admission: RefCell<AdmissionState>,
+    /// Queues whose jobs are being refused.
+    pub(crate) refusals: RefCell<RefusalLog>,
     /// Cache of the cells of jobs that are outside their home cell.
     pub(crate) non_home_cells: RefCell<HashMap<JobId, CellId>>,
     /// Entries of the live instances.
@@ -300,6 +306,8 @@
             plan: RefCell::default(),
             cells: RefCell::default(),
             loads: RefCell::default(),
+            admission: RefCell::default(),
+            refusals: RefCell::default(),
             non_home_cells: RefCell::default(),
             registry: RefCell::new(InstanceRegistry::new(SUPPORTED_FORMATS)),
             relays: RefCell::default(),
@@ -341,7 +349,10 @@
         monoio::spawn(watches::follow_owners(Rc::clone(&state)));
         monoio::spawn(registration::keep_registered(Rc::clone(&state)));
         monoio::spawn(division::propose_plan(Rc::clone(&state)));
-        monoio::spawn(division::follow_loads(Rc::clone(&state)));
+        match state.settings.admission {
+            true => monoio::spawn(admission::follow_rooms(Rc::clone(&state))),
+            false => monoio::spawn(division::follow_loads(Rc::clone(&state))),
+        };
         run_ticks(&state, &stop, &reload).await;
         state.log(&DecisionRecord { code: DRAIN_ENDED, job: None, detail: String::new() });
     }
--- a/crates/cuminbank-jobd/src/division.rs
+++ b/crates/cuminbank-jobd/src/division.rs
@@ -141,7 +141,7 @@
         JobLocation::Cell(cell)
     }
 
-    fn remember(&self, job: JobId, cell: CellId) {
+    pub(crate) fn remember(&self, job: JobId, cell: CellId) {
         let home = self.plan().map(|plan| plan.home_and_fallback(job).0);
         if home == Some(cell) {
             return;
--- a/crates/cuminbank-jobd/src/lib.rs
+++ b/crates/cuminbank-jobd/src/lib.rs
@@ -1,5 +1,6 @@
 //! Job daemon: runs the job scheduler and cell ownership with real sockets, timers and clocks.
 
+mod admission;
 mod cell;
 mod clients;
 pub mod clock;
--- a/crates/cuminbank-jobd/src/metrics.rs
+++ b/crates/cuminbank-jobd/src/metrics.rs
@@ -1,11 +1,11 @@
-//! Prometheus counters and latency histograms.
+//! Prometheus counters, latency histograms and gauges.
 
 use std::time::Duration;
 
 use cuminbank_jobs::scheduler::JobMeasure;
 use prometheus::{
-    exponential_buckets, Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry,
-    TextEncoder,
+    exponential_buckets, Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bound of the first histogram bucket. The 16 bounds double from 1 ms to 32 s.
@@ -13,11 +13,12 @@
 /// Number of histogram buckets.
 const BUCKET_COUNT: usize = 16;
 
-/// Counters and histograms of this process, by name and queue.
+/// Counters and histograms of this process by name and queue, and current values by name and service.
 pub(crate) struct JobMetrics {
     registry: Registry,
     counts: IntCounterVec,
     times: HistogramVec,
+    values: GaugeVec,
 }
 
 impl JobMetrics {
@@ -33,9 +34,14 @@
                 .buckets(buckets),
             &["name", "queue"],
         )?;
+        let values = GaugeVec::new(
+            Opts::new("cuminbank_values", "Current values by name and service."),
+            &["name", "service"],
+        )?;
+        registry.register(Box::new(values.clone()))?;
         registry.register(Box::new(counts.clone()))?;
         registry.register(Box::new(times.clone()))?;
-        Ok(Self { registry, counts, times })
+        Ok(Self { registry, counts, times, values })
     }
 
     /// Records a measure of the scheduler: a duration if it has one, otherwise a count.
@@ -56,6 +62,16 @@
         self.times.with_label_values(&[name, queue]).observe(time.as_secs_f64());
     }
 
+    /// Adds to a current value.
+    pub(crate) fn add_value(&self, name: &str, service: &str, value: f64) {
+        self.values.with_label_values(&[name, service]).add(value);
+    }
+
+    /// Removes all current values.
+    pub(crate) fn clear_values(&self) {
+        self.values.reset();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/cuminbank-jobd/src/owner.rs
+++ b/crates/cuminbank-jobd/src/owner.rs
@@ -39,17 +39,26 @@
     /// Asks the owner of a cell, which may be this instance. Returns [`OwnerAnswer::NotOwner`] if
     /// no owner is known or it does not reply.
     pub(crate) async fn ask_owner(self: &Rc<Self>, question: &OwnerQuestion) -> OwnerAnswer {
-        let Some(cell) = self.cell(question.cell()) else { return OwnerAnswer::NotOwner };
+        self.query_owner(question).await.unwrap_or(OwnerAnswer::NotOwner)
+    }
+
+    /// Asks the owner of a cell, which may be this instance. Returns [`OwnerAnswer::NotOwner`] if
+    /// no owner is known, and `None` if it does not reply or does not know the question.
+    pub(crate) async fn query_owner(
+        self: &Rc<Self>,
+        question: &OwnerQuestion,
+    ) -> Option<OwnerAnswer> {
+        let Some(cell) = self.cell(question.cell()) else { return Some(OwnerAnswer::NotOwner) };
         if cell.owns() {
-            return cell.answer(question);
+            return Some(self.answer_as_owner(&cell, question));
         }
-        let Some(address) = cell.owner_address() else { return OwnerAnswer::NotOwner };
+        let Some(address) = cell.owner_address() else { return Some(OwnerAnswer::NotOwner) };
         let request = PeerRequest::Ask(question.clone());
         match self.peers.exchange(address, &request, OWNER_TIMEOUT).await {
-            Ok(PeerReply::Answer(answer)) => answer,
+            Ok(PeerReply::Answer(answer)) => Some(answer),
             _ => {
                 self.metrics.count("owner.unreachable", "");
-                OwnerAnswer::NotOwner
+                None
             }
         }
     }
@@ -115,13 +124,13 @@
             let stopped = cell.yield_ownership(self, *start, *epoch);
             return Some(OwnerAnswer::Yielded { stopped_ms: stopped.as_millis() as u64 });
         }
-        if let OwnerQuestion::Load { asker, .. } = question {
+        if let OwnerQuestion::Load { asker, .. } | OwnerQuestion::Room { asker, .. } = question {
             if cell.owns() {
                 self.relays.borrow_mut().mark_live(clock::now(), *asker);
             }
         }
         // Only the owner answers. Requests are never forwarded.
-        Some(cell.answer(question))
+        Some(self.answer_as_owner(&cell, question))
     }
 
     /// Asks the previous owner to yield, until it confirms that it sends no more orders or the
