--- a/crates/cuminbank-jobd/tests/soak.rs
+++ b/crates/cuminbank-jobd/tests/soak.rs
@@ -144,6 +144,7 @@
     let shape = PoolShape {
         cells: if seed.is_multiple_of(2) { 2 } else { 1 },
         link_mbps: if (seed / 2).is_multiple_of(2) { 2.0 } else { 1_000.0 },
+        ..PoolShape::default()
     };
     let mut deployment = Deployment::start_with_proxies(INSTANCES, TASK_MS, shape);
     let (record, stop) = (LoadRecord::default(), AtomicBool::new(false));
--- a/crates/cuminbank-jobs/tests/admission.rs
+++ b/crates/cuminbank-jobs/tests/admission.rs
@@ -95,6 +95,10 @@
     assert!(is_admitted(&mut full, &other));
     let old = NOW + MAX_LOAD_AGE + Duration::from_millis(1);
     assert_eq!(full.decide(old, 0, &long_running(14)), AdmissionDecision::Admit);
+    assert!(!full.has_room(NOW, 0, &long_running(14)));
+    assert!(!full.has_room(NOW, 1, &long_running(14)), "another cell is only chosen if known");
+    full.update(NOW, 1, report(1_000_000, 4, 0));
+    assert!(full.has_room(NOW, 1, &long_running(14)) && !full.has_room(old, 1, &long_running(14)));
     full.forget(0);
     assert!(is_admitted(&mut full, &long_running(14)));
 }
