--- a/crates/cuminbank-jobs/src/admission/decision.rs
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -234,7 +234,13 @@
         let Some(wait_ms) = drain_time_ms(room, ahead) else { return false };
         let path_ms = record.critical_paths_ms().into_iter().max().unwrap_or_default();
         let valued_ms = record.objective_ms().saturating_mul(LATE_MULTIPLE);
-        path_ms.saturating_add(wait_ms / HOPELESS_EXCESS) > valued_ms
+        // Estimates may be far too long, so that a task of the queue must have waited for as long.
+        let queue = self.report.queues.iter().find(|queue| queue.queue == record.terms.queue);
+        let waited_ms = queue.map_or(0, |queue| queue.longest_wait.as_millis() as u64);
+        // A job without an estimate has no known objective.
+        path_ms > 0
+            && path_ms.saturating_add(wait_ms / HOPELESS_EXCESS) > valued_ms
+            && path_ms.saturating_add(waited_ms) > valued_ms
     }
 
     /// Returns the seconds after which the client of a refused job returns: when room is expected,
