--- a/crates/cuminbank-jobs/src/admission/decision.rs
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -213,7 +213,9 @@
         // What cannot be divided goes to some instances, with each report to others.
         let place = u64::from(self.report.index).wrapping_add(self.report.number) % instances;
         let has_turn = place < rest * instances / parts;
-        admitted < part.saturating_add(u64::from(has_turn))
+        // Few jobs do not come evenly, so that an instance may be asked twice while most are not.
+        let is_uneven = part > 0 && parts < instances * window;
+        admitted < part.saturating_add(u64::from(has_turn)).saturating_add(u64::from(is_uneven))
     }
 
     /// Returns whether a job that ends by itself would clearly end after its result has lost its
