--- a/crates/cuminbank-jobs/src/admission/decision.rs
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -36,6 +36,8 @@
 const MIN_ARRIVALS: u64 = 4;
 /// Maximum number of counted jobs. With so many, all instances count as having been asked.
 const MAX_ARRIVALS: usize = 64;
+/// Maximum number of instances, so that no figure in a report makes the arithmetic overflow.
+const MAX_INSTANCES: u64 = 10_000;
 /// How many times longer the expected wait of a hopeless job is than its value lasts. Estimated run
 /// times are off by up to 90 %.
 const HOPELESS_EXCESS: u64 = 2;
@@ -194,7 +196,7 @@
         };
         let admitted =
             self.admitted.iter().filter(|job| job.service == room.service).count() as u64;
-        let instances = u64::from(self.report.instances.max(1));
+        let instances = u64::from(self.report.instances).clamp(1, MAX_INSTANCES);
         let mean_job = room.mean_job.max(1);
         // Jobs are admitted whole, so that the last one may exceed the room.
         let overdraft = (room.reserve / OVERDRAFT_DIVISOR / mean_job).max(1);
@@ -251,9 +253,9 @@
         let service = self.report.service(&record.terms.service);
         let (wait, pause) = match (cause, service) {
             (RefusalCause::NoRoom, Some(room)) => {
-                let time_to_end = |cpu_millis: u64| match room.ended_per_second {
-                    0 => MAX_RETURN,
-                    rate => Duration::from_secs_f64(cpu_millis as f64 / rate as f64),
+                let time_to_end = |cpu_millis: u64| {
+                    let seconds = cpu_millis as f64 / room.ended_per_second.max(1) as f64;
+                    Duration::from_secs_f64(seconds.min(MAX_RETURN.as_secs_f64()))
                 };
                 let lacking = room.long_running_room().min(0).unsigned_abs();
                 let wait = if lacking == 0 { MIN_RETURN } else { time_to_end(lacking) };
--- a/crates/cuminbank-jobs/tests/admission.rs
+++ b/crates/cuminbank-jobs/tests/admission.rs
@@ -14,7 +14,7 @@
     ids::MonotonicTime,
     job::{JobRecord, JobStep, RepeatPlan, TaskNeeds},
 };
-use proptest::{prop_assert, proptest};
+use proptest::prelude::{any, prop, prop_assert, prop_oneof, proptest, Just, Strategy};
 use support::jobs::{job, step};
 
 const NOW: MonotonicTime = Duration::from_secs(100);
@@ -377,38 +377,45 @@
     assert!(log.record_refusal(at(16), "bench"));
 }
 
-// Guards against extreme figures in a report that stop the instance.
-#[test]
-fn extreme_figures_are_no_fault() {
-    for extreme in [0, 1, u64::MAX / 2, u64::MAX] {
+fn figure() -> impl Strategy<Value = u64> {
+    prop_oneof![Just(0), 1..40_000_000u64, u64::MAX - 2..=u64::MAX, any::<u64>()]
+}
+
+proptest! {
+    // Guards against figures in a report that stop the instance, or that make a client return never.
+    #[test]
+    fn any_report_leads_to_a_decision(
+        figures in prop::collection::vec(figure(), 11),
+        (instances, index) in (any::<u32>(), any::<u32>()),
+    ) {
         let room = ServiceRoom {
             service: "plans".to_owned(),
-            capacity: extreme,
-            long_running: extreme,
-            long_running_ready: extreme,
-            usable: extreme,
-            fitting: extreme,
-            peak_demand: extreme,
-            reserve: extreme,
-            ended_per_second: extreme,
-            mean_job: extreme,
-            accepted_recently: extreme,
+            capacity: figures[0],
+            long_running: figures[1],
+            long_running_ready: figures[2],
+            usable: figures[3],
+            fitting: figures[4],
+            peak_demand: figures[5],
+            reserve: figures[6],
+            ended_per_second: figures[7],
+            mean_job: figures[8],
+            accepted_recently: figures[9],
         };
-        let queue =
-            QueueRoom { service: "plans".to_owned(), ready_work: extreme, ..QueueRoom::default() };
-        let report = RoomReport {
-            number: extreme,
-            instances: extreme as u32,
-            index: u32::MAX,
-            services: vec![room],
-            queues: vec![queue.clone(), queue],
-            ..RoomReport::default()
+        let queue = QueueRoom {
+            queue: "plans".to_owned(),
+            service: "plans".to_owned(),
+            ready_work: figures[10],
+            longest_wait: Duration::MAX,
+            ..QueueRoom::default()
         };
+        let (services, queues) = (vec![room], vec![queue.clone(), queue]);
+        let number = figures[0];
+        let report =
+            RoomReport { number, instances, index, services, queues, ..RoomReport::default() };
         let mut state = state(report);
-        for record in [quick(), long_running(u32::MAX), best_effort(false)] {
-            let decision = state.decide(NOW, 0, &record);
-            if let AdmissionDecision::Refuse(refusal) = decision {
-                assert!((1..=5).contains(&refusal.retry_after_s));
+        for record in [quick(), long_running(u32::MAX), long_running(1), best_effort(false)] {
+            if let AdmissionDecision::Refuse(refusal) = state.decide(NOW, 0, &record) {
+                prop_assert!((1..=5).contains(&refusal.retry_after_s));
             }
         }
     }
