--- a/crates/cuminbank-jobd/src/logging.rs
+++ b/crates/cuminbank-jobd/src/logging.rs
@@ -31,6 +31,8 @@
 const ITEM_EVENTS: std::ops::Range<u16> = 701..740;
 /// Event numbers about single runs.
 const RUN_EVENTS: std::ops::Range<u16> = 711..731;
+/// Event numbers about reservations of executors, of which there are at most as many as runs.
+const RESERVATION_EVENTS: std::ops::Range<u16> = 775..780;
 /// Maximum number of decisions about jobs kept for operators, about 200 bytes each.
 const MAX_REMEMBERED_DECISIONS: usize = 3_000;
 
@@ -71,9 +73,11 @@
     /// Counts a line against the limits. Returns false if the line has to be dropped.
     pub fn take(&mut self, now: MonotonicTime, code: LogCode) -> bool {
         self.begin_second(now);
-        let about_item = ITEM_EVENTS.contains(&code.number);
+        let about_reservation = RESERVATION_EVENTS.contains(&code.number);
+        let about_item = ITEM_EVENTS.contains(&code.number) || about_reservation;
         // At most one line in two seconds for each job, needed most when many runs are logged.
-        let about_run = RUN_EVENTS.contains(&code.number) && code.number != TASK_WAITS.number;
+        let about_run = (RUN_EVENTS.contains(&code.number) || about_reservation)
+            && code.number != TASK_WAITS.number;
         let full = self.written >= MAX_LINES_PER_SECOND
             || (about_item && self.items_written >= MAX_ITEM_LINES_PER_SECOND)
             || (about_run && self.runs_written >= MAX_RUN_LINES_PER_SECOND);
--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -32,6 +32,8 @@
     pub near_data: bool,
     /// Whether the executor is outside the zone in which the job's tasks are gathered.
     pub outside_zone: bool,
+    /// Cost of the CPU that the task would leave free but unusable for the tasks in demand.
+    pub unusable_cost: u64,
     /// Number of executors that were known when it was added, used as a tie-breaker.
     pub rank: u32,
     /// Recent run time in percent of the estimate; 100 means as estimated.
@@ -123,7 +125,7 @@
 
     /// Returns the cost of placing a task here. The executor with the lowest cost is chosen.
     pub fn cost(&self, demand: &TaskDemand) -> u64 {
-        let mut cost = 0;
+        let mut cost = self.unusable_cost;
         if self.suspect {
             cost += SUSPECT_COST;
         }
--- a/crates/cuminbank-jobs/src/priority.rs
+++ b/crates/cuminbank-jobs/src/priority.rs
@@ -20,7 +20,7 @@
 
 /// Wait of a long-running task after which its job comes first. A long-running task must not be
 /// without a run for 6 s while executors have room.
-const STARVED_WAIT: Duration = Duration::from_secs(2);
+pub const STARVED_WAIT: Duration = Duration::from_secs(2);
 
 /// Properties of a job that determine its position in the queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -143,6 +143,7 @@
             slack: SlackEstimate::new(),
             next_wait_log: MonotonicTime::ZERO,
             searched_at: None,
+            next_room_search: MonotonicTime::ZERO,
             skipped: None,
             record,
         };
--- a/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
+++ b/crates/cuminbank-jobs/src/scheduler/missed_placements.rs
@@ -100,7 +100,9 @@
         let executors: Vec<ExecutorKey> = self
             .executors
             .iter()
-            .filter(|(_, executor)| self.is_placeable(executor))
+            .filter(|(key, executor)| {
+                self.is_placeable(executor) && !self.is_closed_to_gang(job, *key)
+            })
             .map(|(key, _)| key)
             .collect();
         self.assign_gang(job, occurrence, step, &executors)?.first().copied()
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod pass;
 mod pressure;
 mod refusals;
+mod reservations;
 mod run_reports;
 mod run_watchdog;
 mod state;
@@ -52,6 +53,7 @@
     journal::JournalState,
     orders::{max_starts_in_flight, PendingOrder},
     pass::{slice_units, QueuePass, StarvedJob},
+    reservations::ReservationState,
     state::{ExecutorState, JobState, RunState},
 };
 use crate::{
@@ -281,6 +283,8 @@
     /// Number of cells into which the pool is divided.
     cells: CellId,
     advice: AdviceState,
+    /// Reservations for large tasks, if they are enabled.
+    reservations: Option<ReservationState>,
     /// Learned interference of best-effort images with latency-critical images.
     colocation: ColocationModel,
     /// How much best-effort images depend on running next to each image, relative to the highest
@@ -371,6 +375,7 @@
             journal: JournalState::default(),
             cells: 1,
             advice: AdviceState::default(),
+            reservations: None,
             colocation: ColocationModel::default(),
             neighbour_demand: Vec::new(),
             next_neighbour_demand_at: MonotonicTime::ZERO,
@@ -431,6 +436,12 @@
         self
     }
 
+    /// Sets whether executors are reserved for large tasks that wait.
+    pub fn with_task_reservations(mut self, enabled: bool) -> Self {
+        self.reservations = enabled.then(ReservationState::default);
+        self
+    }
+
     /// Applies an event and returns the actions to carry out, in order.
     pub fn apply(&mut self, now: MonotonicTime, wall: WallTime, event: JobEvent) -> Vec<JobEffect> {
         self.now = now;
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -152,9 +152,12 @@
         let now = self.now;
         let (occurrence, step) = self.jobs[job_key].layout.position(task);
         let ticket = self.ticket((job_key, occurrence, step), executor_key).map(str::to_owned);
+        let job = &self.jobs[job_key];
+        let expected = self.expected_run(job, &job.record.steps[step]);
         let job = &mut self.jobs[job_key];
-        let run =
+        let mut run =
             RunState { ticket, ..RunState::new((job_key, job), task, number, executor_key, now) };
+        run.expected = expected.unwrap_or(run.expected);
         let state = &mut job.tasks[task as usize];
         state.phase = TaskPhase::Active;
         state.last_run = state.last_run.max(number);
@@ -184,6 +187,7 @@
         );
         self.log(RUN_STARTED, Some(id), detail);
         self.measure("task.wait", &queue, Some(waited));
+        self.note_reserved_start((job_key, occurrence, step), task, executor_key);
         self.send_start(key);
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -113,6 +113,10 @@
     /// Whether the task had waited so long that minor losses were reduced, which admits more
     /// executors.
     waited: bool,
+    /// Run time that it is unlikely to exceed, and whether it ignored reservations (see
+    /// [`PlacementRules`]). A shorter task may start on more reserved executors.
+    longest_ms: Option<u32>,
+    ignores_reservations: bool,
 }
 
 impl UnplacedShape {
@@ -127,6 +131,8 @@
             needs: spec.needs,
             estimate_ms: if spec.fills { spec.estimate_ms } else { 0 },
             waited: rules.waited,
+            longest_ms: rules.longest_ms,
+            ignores_reservations: rules.ignores_reservations,
         }
     }
 
@@ -135,6 +141,8 @@
     fn is_no_larger_than(&self, job: &JobState, step: usize, rules: PlacementRules) -> bool {
         let spec = &job.record.steps[step];
         (self.waited || !rules.waited)
+            && (self.ignores_reservations || !rules.ignores_reservations)
+            && self.longest_ms.unwrap_or(u32::MAX) <= rules.longest_ms.unwrap_or(u32::MAX)
             && self.best_effort == spec.fills
             && self.image == job.images[step]
             && self.estimate_ms <= spec.estimate_ms
@@ -245,10 +253,12 @@
             waiting.iter_mut().for_each(|(_, job)| job.ready_since = self.now);
         }
         if waiting.is_empty() {
+            self.update_reservations();
             return QueuePass::default();
         }
         self.update_neighbour_demand();
         self.underutilized = self.is_underutilized();
+        self.update_reservations();
         let now = self.now;
         waiting.sort_by(|(left_key, left), (right_key, right)| {
             priority::compare(now, left, right).then(left_key.cmp(right_key))
@@ -316,8 +326,10 @@
             };
             let known_unplaceable = failed_search.is_some();
             self.note_search(key, failed_search);
-            if known_unplaceable && !on_probation {
+            let holder = (key, occurrence, step);
+            if known_unplaceable && !on_probation && !self.holds_reservation(holder) {
                 pass.failed_steps.insert((occurrence, step));
+                self.reserve_room(holder, task, &pass.placeable);
                 continue;
             }
             if advised {
@@ -330,7 +342,7 @@
             }
             let mut placed = match gang {
                 true => self.place_gang(key, occurrence, step, &pass.placeable),
-                false if known_unplaceable => Err(SearchFailure::Step),
+                false if known_unplaceable => self.place_reserved(key, task, rules),
                 false => self.place_task(key, task, rules, &pass.placeable, &mut candidates),
             };
             if on_probation {
@@ -345,6 +357,7 @@
                 if failure == SearchFailure::Shape {
                     pass.unplaced.push(UnplacedShape::new(&self.jobs[key], step, rules));
                 }
+                self.reserve_room(holder, task, &pass.placeable);
             }
         }
         true
@@ -379,7 +392,7 @@
     }
 }
 
-fn urgency(job: &JobState) -> JobUrgency {
+pub(super) fn urgency(job: &JobState) -> JobUrgency {
     JobUrgency {
         priority: job.record.terms.priority,
         arrived: job.arrived,
@@ -391,7 +404,7 @@
 }
 
 /// Returns since when the ready task with the longest wait has been ready.
-fn longest_wait_since(job: &JobState) -> MonotonicTime {
+pub(super) fn longest_wait_since(job: &JobState) -> MonotonicTime {
     let since = job.ready.iter().map(|task| job.tasks[*task as usize].ready_since);
     since.min().unwrap_or_default()
 }
--- a/crates/cuminbank-jobs/src/scheduler/refusals.rs
+++ b/crates/cuminbank-jobs/src/scheduler/refusals.rs
@@ -27,6 +27,8 @@
     Limit,
     /// No valid ticket of the advice service.
     Ticket,
+    /// It is reserved for a task of another step.
+    Reserved,
     /// Best-effort tasks on it may not start now, or would interfere with latency-critical ones.
     Interference,
 }
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -122,6 +122,7 @@
                 if let (Some(ran), false) = (ran, gang) {
                     let ratio = ran.as_secs_f64() * 1_000.0 / f64::from(estimate.max(1));
                     self.executors[key].record.record_completion(ratio);
+                    self.learn_length(job_key, task, ran);
                 }
                 if gang {
                     for member in self.jobs[job_key].step_range(occurrence, step_number) {
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -113,6 +113,8 @@
     pub(super) next_wait_log: MonotonicTime,
     /// When executors were last searched for one of its tasks.
     pub(super) searched_at: Option<MonotonicTime>,
+    /// When room may next be searched that could be reserved for its tasks.
+    pub(super) next_room_search: MonotonicTime,
     /// When a pass last left one of its tasks out without a search, and the job whose failed search
     /// was taken for its own.
     pub(super) skipped: Option<(MonotonicTime, JobId)>,
@@ -354,6 +356,8 @@
     pub(super) latency_critical: bool,
     pub(super) long_running: bool,
     pub(super) image: ImageId,
+    /// Expected run time, unless it is long-running.
+    pub(super) expected: Duration,
     /// Last reported tail latency in milliseconds, and when it was received.
     pub(super) tail: Option<(u64, MonotonicTime)>,
     /// Ticket from the advice service, sent with the start.
@@ -400,6 +404,7 @@
             latency_critical: step.long_running && step.tail_target_ms > 0,
             long_running: step.long_running,
             image: job.images[step_number],
+            expected: Duration::from_millis(u64::from(step.estimate_ms)),
             tail: None,
             ticket: None,
             since: now,
@@ -431,7 +436,7 @@
     }
 
     /// Returns the resources to reserve. Best-effort runs reserve no CPU.
-    fn reserved_needs(&self) -> TaskNeeds {
+    pub(super) fn reserved_needs(&self) -> TaskNeeds {
         let cpu_millis = if self.best_effort { 0 } else { self.needs.cpu_millis };
         TaskNeeds { cpu_millis, ..self.needs }
     }
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -44,11 +44,12 @@
         task: TaskIndex,
         idle: bool,
     ) -> PlacementRules {
-        PlacementRules {
+        let rules = PlacementRules {
             waited: self.wait_of(job, task) >= STRICT_PLACEMENT_TIME,
             starving: idle && self.is_starving(job, task),
             ..PlacementRules::default()
-        }
+        };
+        self.with_reservation_rules(job, task, rules)
     }
 
     /// Returns whether a task may start on a quarantined executor now, given whether most of its
@@ -139,6 +140,21 @@
         Ok(())
     }
 
+    /// Starts a task on one of the executors reserved for its step.
+    pub(super) fn place_reserved(
+        &mut self,
+        key: JobKey,
+        task: TaskIndex,
+        rules: PlacementRules,
+    ) -> Result<(), SearchFailure> {
+        let (occurrence, step) = self.jobs[key].layout.position(task);
+        let reserved = self.reserved_executors((key, occurrence, step));
+        let executor = self.find_cheapest(key, task, &reserved, rules);
+        let executor = executor.map_err(|_| SearchFailure::Step)?;
+        self.start_next_run(key, task, executor);
+        Ok(())
+    }
+
     fn start_next_run(&mut self, key: JobKey, task: TaskIndex, executor: ExecutorKey) {
         let number = self.next_run(key, std::iter::once(task));
         self.start_run(key, task, number, executor);
@@ -212,7 +228,9 @@
         let spec = &job.record.steps[step];
         let may_run = |key: &ExecutorKey| {
             self.executors.get(*key).is_some_and(|executor| {
-                executor.may_have_capacity_for(spec) && self.is_placeable(executor)
+                executor.may_have_capacity_for(spec)
+                    && self.is_placeable(executor)
+                    && !self.is_closed_to_gang(job, *key)
             })
         };
         placeable.iter().copied().filter(may_run).collect()
@@ -388,6 +406,11 @@
         if !load.has_capacity_for(&demand) {
             return Err(PlacementRefusal::Capacity);
         }
+        let holder = (search.key, search.position.0, step);
+        if !self.is_permitted(holder, key, spec, search.rules) {
+            return Err(PlacementRefusal::Reserved);
+        }
+        load.unusable_cost = self.unusable_cost(executor, spec);
         let image = job.images[step];
         if spec.fills {
             load.pressure = self.pressure_with(executor, image, spec, search.rules.minor_loss());
@@ -427,6 +450,7 @@
             pressure: 0.0,
             same_image: false,
             neighbour_demand: 0.0,
+            unusable_cost: 0,
             best_effort_tasks: executor.best_effort_tasks,
             latency_critical_tasks: executor.latency_critical_tasks,
             near_data,
--- a/crates/cuminbank-jobs/src/scheduler/wait_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/wait_reports.rs
@@ -92,7 +92,7 @@
         let spec = &job.record.steps[position.1];
         let counts = self.step_counts(job, position.0, position.1);
         let failed_on = &job.tasks[task as usize].failed_on;
-        let rules = PlacementRules::default();
+        let rules = PlacementRules { ignores_reservations: true, ..PlacementRules::default() };
         let search = CandidateSearch { key, position, counts: &counts, failed_on, rules };
         let mut causes = WaitCauses::default();
         for (executor_key, executor) in &self.executors {
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -170,7 +170,8 @@
                         .with_guards(self.guards)
                         .with_identity(self.instances[number].ownership.identity().clone())
                         .with_processor_share(self.processor_share)
-                        .with_link(self.link_mbps);
+                        .with_link(self.link_mbps)
+                        .with_task_reservations(self.task_reservations);
                     self.trace.push(format!("{:?} {} began {held:?}", self.now, number));
                     let delay = self.delay() * 4;
                     let instance = &mut self.instances[number];
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -235,6 +235,7 @@
     max_lease_ms: u64,
     processor_share: f64,
     link_mbps: f64,
+    task_reservations: bool,
     instances: Vec<FakeInstance>,
     silent_since: Vec<Option<MonotonicTime>>,
     removed_executors: BTreeSet<usize>,
@@ -290,6 +291,7 @@
             max_starts: 0,
             processor_share: 1.0,
             link_mbps: 1_000.0,
+            task_reservations: false,
             instances: Vec::new(),
             silent_since: vec![None; executors],
             removed_executors: BTreeSet::new(),
@@ -346,6 +348,12 @@
         self
     }
 
+    /// Sets whether executors are reserved for large tasks that wait.
+    pub fn with_task_reservations(mut self, enabled: bool) -> Self {
+        self.task_reservations = enabled;
+        self
+    }
+
     /// Sets the enabled safety mechanisms.
     pub fn with_guards(mut self, guards: JobGuards) -> Self {
         self.guards = guards;
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -130,6 +130,9 @@
     POOL_FORMAT_UNSUPPORTED = (764, Error, "The pool's records may have a newer format than this build reads; the instance serves nothing.");
     WATCH_FAILED = (765, Warn, "A watch of the platform's store got no usable reply.");
     POOL_CONFIG_READ_AGAIN = (766, Warn, "A request needed the configuration, which was not confirmed in time.");
+    RESERVATION_MADE = (775, Info, "An executor was reserved for a waiting task.");
+    RESERVATION_USED = (776, Info, "A task started on the executor reserved for it.");
+    RESERVATION_ENDED = (777, Info, "A reservation of an executor was given up.");
 }
 
 impl LogRecord {
