--- a/crates/cuminbank-jobs/src/backfill/mod.rs
+++ b/crates/cuminbank-jobs/src/backfill/mod.rs
@@ -17,7 +17,7 @@
     forecast::{forecast_room, remaining_time, RoomForecast, RunningTask},
     lengths::{RunLengths, TaskLength},
     table::{
-        BackfillTask, ReservationEnd, ReservationHolder, ReservationKey, ReservationTable,
-        TaskReservation,
+        BackfillTask, PoolSize, ReservationEnd, ReservationHolder, ReservationKey,
+        ReservationTable, TaskReservation,
     },
 };
--- a/crates/cuminbank-jobs/src/backfill/table.rs
+++ b/crates/cuminbank-jobs/src/backfill/table.rs
@@ -21,12 +21,24 @@
 const EXECUTORS_PER_RESERVATION: usize = 16;
 /// Number of executors below which none is reserved, since one is a large part of them.
 const MIN_EXECUTORS: usize = 4;
+/// Divisor of the CPU that long-running tasks do not reserve, for the part of it that may be reserved.
+/// In a pool almost full of them, a part of the executors would be most of what other tasks can use.
+const CPU_DIVISOR: u64 = 16;
 /// Number of steps among which the reservations are divided, so that one step cannot have all.
 const STEPS_SHARING: usize = 4;
 /// Time after its expected begin at which a reservation expires, in addition to half of the expected
 /// wait.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(200);
 
+/// What the number of reservations depends on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolSize {
+    /// Number of executors that may get new work.
+    pub executors: usize,
+    /// Their CPU that long-running tasks do not reserve, in thousandths of a core.
+    pub passing_cpu: u64,
+}
+
 /// Job with the occurrence and the step whose tasks may use a reservation.
 pub type ReservationHolder = (JobKey, u32, usize);
 
@@ -90,19 +102,29 @@
     reservations: SlotMap<ReservationKey, TaskReservation>,
     by_executor: SecondaryMap<ExecutorKey, ReservationKey>,
     by_step: BTreeMap<ReservationHolder, Vec<ReservationKey>>,
+    /// CPU of all reservations, in thousandths of a core.
+    reserved_cpu: u64,
 }
 
 impl ReservationTable {
-    /// Returns how many further reservations a step may get in a pool of a size, given the number
-    /// of its ready tasks.
-    pub fn quota(&self, holder: ReservationHolder, executors: usize, ready: usize) -> usize {
-        if executors < MIN_EXECUTORS {
+    /// Returns how many further reservations a step may get, given the CPU that each of its tasks
+    /// needs and the number of its ready tasks. Any pool that is large enough may have one.
+    pub fn quota(
+        &self,
+        holder: ReservationHolder,
+        pool: PoolSize,
+        cpu_millis: u32,
+        ready: usize,
+    ) -> usize {
+        if pool.executors < MIN_EXECUTORS {
             return 0;
         }
-        let limit = (executors / EXECUTORS_PER_RESERVATION).max(1);
-        let held = self.count(holder);
-        let own = limit.div_ceil(STEPS_SHARING).min(ready).saturating_sub(held);
-        own.min(limit.saturating_sub(self.reservations.len()))
+        let limit = (pool.executors / EXECUTORS_PER_RESERVATION).max(1);
+        let own = limit.div_ceil(STEPS_SHARING).min(ready).saturating_sub(self.count(holder));
+        let cpu_left = (pool.passing_cpu / CPU_DIVISOR).saturating_sub(self.reserved_cpu);
+        let by_cpu = (cpu_left / u64::from(cpu_millis.max(1))) as usize;
+        let by_cpu = by_cpu.max(usize::from(self.is_empty()));
+        own.min(limit.saturating_sub(self.len())).min(by_cpu)
     }
 
     /// Adds a reservation of an executor that has none.
@@ -119,6 +141,7 @@
         let reservation = TaskReservation { holder, executor, needs, made_at: now, expires, room };
         let key = self.reservations.insert(reservation);
         self.by_executor.insert(executor, key);
+        self.reserved_cpu += u64::from(needs.cpu_millis);
         self.by_step.entry(holder).or_default().push(key);
         key
     }
@@ -126,6 +149,7 @@
     /// Removes a reservation.
     pub fn remove(&mut self, key: ReservationKey) -> Option<TaskReservation> {
         let reservation = self.reservations.remove(key)?;
+        self.reserved_cpu -= u64::from(reservation.needs.cpu_millis);
         self.by_executor.remove(reservation.executor);
         if let Some(keys) = self.by_step.get_mut(&reservation.holder) {
             keys.retain(|other| *other != key);
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -137,6 +137,7 @@
             runs: Vec::new(),
             reserved: TaskNeeds::default(),
             latency_critical_cpu: 0,
+            long_running_cpu: 0,
             best_effort_cpu: 0,
             best_effort_tasks: 0,
             latency_critical_tasks: 0,
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -253,12 +253,11 @@
             waiting.iter_mut().for_each(|(_, job)| job.ready_since = self.now);
         }
         if waiting.is_empty() {
-            self.update_reservations();
+            self.update_reservations(&[]);
             return QueuePass::default();
         }
         self.update_neighbour_demand();
         self.underutilized = self.is_underutilized();
-        self.update_reservations();
         let now = self.now;
         waiting.sort_by(|(left_key, left), (right_key, right)| {
             priority::compare(now, left, right).then(left_key.cmp(right_key))
@@ -269,6 +268,7 @@
             .filter(|(_, executor)| self.is_usable(executor))
             .map(|(key, _)| key)
             .partition(|key| self.executors[*key].record.is_quarantined(now));
+        self.update_reservations(&placeable);
         self.charge_units((waiting.len() + self.executors.len()) as u32);
         let others = waiting
             .split_off(waiting.partition_point(|(_, job)| job.tier(now) == JobTier::Starved));
--- a/crates/cuminbank-jobs/src/scheduler/reservations.rs
+++ b/crates/cuminbank-jobs/src/scheduler/reservations.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     backfill::{
-        forecast_room, remaining_time, BackfillTask, ReservationEnd, ReservationHolder,
+        forecast_room, remaining_time, BackfillTask, PoolSize, ReservationEnd, ReservationHolder,
         ReservationKey, ReservationTable, RoomForecast, RunLengths, RunningTask, SizeDemand,
     },
     ids::TaskIndex,
@@ -26,9 +26,9 @@
 const RESERVATION_WAIT: Duration = Duration::from_millis(300);
 /// Longest expected wait for room. Later ends of runs cannot be predicted well enough.
 const MAX_LEAD: Duration = Duration::from_secs(5);
-/// Percentage of the demand by smaller tasks from which room is reserved for a task. If fewer tasks
-/// are smaller, each run of its own size that ends leaves room for it.
-const MIN_SMALLER_PERCENT: u32 = 10;
+/// Percentage of the demand by smaller tasks from which room is reserved for a task. With less, each run
+/// of its own size that ends leaves room for it, and the few reservations are left to larger tasks.
+const MIN_SMALLER_PERCENT: u32 = 50;
 /// Number of searches for room to reserve in a pass, and number of executors for which each one makes
 /// a forecast. Among that many, one has room nearly as early as the first of all.
 const MAX_SEARCHES: u32 = 4;
@@ -47,6 +47,8 @@
     demand: SizeDemand,
     lengths: RunLengths,
     table: ReservationTable,
+    /// Size of the pool when the current pass began.
+    pool: PoolSize,
     /// Searches for room that the current pass may still make.
     searches_left: u32,
     /// Number of the executor in the pass at which the next search begins.
@@ -127,9 +129,10 @@
 
     /// Updates the forecasts of the reservations when a pass begins, and ends those that have no
     /// use any more.
-    pub(super) fn update_reservations(&mut self) {
+    pub(super) fn update_reservations(&mut self, placeable: &[ExecutorKey]) {
         let Some(mut state) = self.reservations.take() else { return };
         state.searches_left = MAX_SEARCHES;
+        state.pool = self.pool_size(placeable);
         let keys: Vec<ReservationKey> = state.table.iter().map(|(key, _)| key).collect();
         for key in keys {
             if let Some(end) = self.check_reservation(&mut state, key) {
@@ -142,6 +145,14 @@
         self.reservations = Some(state);
     }
 
+    fn pool_size(&self, placeable: &[ExecutorKey]) -> PoolSize {
+        let passing = placeable.iter().map(|key| {
+            let executor = &self.executors[*key];
+            u64::from(executor.capacity.cpu_millis.saturating_sub(executor.long_running_cpu))
+        });
+        PoolSize { executors: placeable.len(), passing_cpu: passing.sum() }
+    }
+
     /// Updates the forecast of a reservation. Returns why it ends, if it does.
     fn check_reservation(
         &mut self,
@@ -193,7 +204,10 @@
     ) {
         let Some(mut state) = self.reservations.take() else { return };
         let quota = match state.searches_left > 0 && self.deserves_room(&state, holder, task) {
-            true => state.table.quota(holder, placeable.len(), self.ready_tasks(holder)),
+            true => {
+                let cpu_millis = self.jobs[holder.0].record.steps[holder.2].needs.cpu_millis;
+                state.table.quota(holder, state.pool, cpu_millis, self.ready_tasks(holder))
+            }
             false => 0,
         };
         if quota > 0 {
@@ -223,7 +237,12 @@
             && job.record.terms.advice.is_none()
             && !self.underutilized
             && state.demand.smaller_percent(spec.needs.cpu_millis) >= MIN_SMALLER_PERCENT
-            && urgency(job).tier(self.now) != JobTier::Overdue
+            // Long-running work comes after work that can be on time until it is starved, and the
+            // result of an overdue job has no value. Neither may keep room from others.
+            && matches!(
+                urgency(job).tier(self.now),
+                JobTier::Starved | JobTier::Feasible | JobTier::Late
+            )
     }
 
     /// Returns executors that are expected to have room for a task of a step, the earliest first.
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -160,6 +160,9 @@
         self.reserved.cpu_millis += needs.cpu_millis;
         self.reserved.memory_mb += needs.memory_mb;
         self.reserved.gpus += needs.gpus;
+        if run.long_running {
+            self.long_running_cpu += needs.cpu_millis;
+        }
         if run.best_effort {
             self.best_effort_tasks += 1;
             self.best_effort_cpu += run.needs.cpu_millis;
@@ -178,6 +181,9 @@
         self.reserved.cpu_millis -= needs.cpu_millis;
         self.reserved.memory_mb -= needs.memory_mb;
         self.reserved.gpus -= needs.gpus;
+        if run.long_running {
+            self.long_running_cpu -= needs.cpu_millis;
+        }
         if run.best_effort {
             self.best_effort_tasks -= 1;
             self.best_effort_cpu -= run.needs.cpu_millis;
@@ -305,6 +311,8 @@
     pub(super) reserved: TaskNeeds,
     /// CPU reserved by latency-critical tasks, in thousandths of a core.
     pub(super) latency_critical_cpu: u32,
+    /// CPU reserved by long-running tasks, in thousandths of a core.
+    pub(super) long_running_cpu: u32,
     /// CPU requested by best-effort tasks, in thousandths of a core.
     pub(super) best_effort_cpu: u32,
     /// Number of best-effort tasks.
--- a/crates/cuminbank-jobs/tests/backfill.rs
+++ b/crates/cuminbank-jobs/tests/backfill.rs
@@ -5,7 +5,7 @@
 
 use cuminbank_jobs::{
     backfill::{
-        forecast_room, remaining_time, BackfillTask, ReservationHolder, ReservationTable,
+        forecast_room, remaining_time, BackfillTask, PoolSize, ReservationHolder, ReservationTable,
         RoomForecast, RunLengths, RunningTask, SizeDemand,
     },
     job::TaskNeeds,
@@ -143,20 +143,32 @@
     assert!(table.remove(key).is_some() && table.is_empty() && table.count(holder) == 0);
 }
 
-// Guards against reservations that take much of the pool, or that one step takes them all.
+// Guards against reservations that take much of the pool, or much of what long-running tasks leave of
+// it, and against one step that takes them all.
 #[test]
 fn reservations_are_few_and_shared() {
     let (holder, other, executors) = keys(490);
+    let pool = |executors, cores: u64| PoolSize { executors, passing_cpu: cores * 1_000 };
+    let wide = pool(490, 36_000);
     let mut table = ReservationTable::default();
-    assert_eq!(table.quota(holder, 3, 20), 0);
-    assert_eq!(table.quota(holder, 10, 20), 1);
-    assert_eq!(table.quota(holder, 490, 2), 2, "no more than ready tasks");
+    assert_eq!(table.quota(holder, pool(3, 200), 6_000, 20), 0);
+    assert_eq!(table.quota(holder, pool(10, 700), 6_000, 20), 1);
+    assert_eq!(table.quota(holder, wide, 6_000, 2), 2, "no more than ready tasks");
+    assert_eq!(table.quota(holder, pool(490, 480), 6_000, 20), 5, "a sixteenth of 480 cores");
+    assert_eq!(table.quota(holder, pool(490, 48), 6_000, 20), 1, "one at least");
     let room = RoomForecast { begins: NOW, spare: cores(0) };
-    for executor in &executors {
-        if table.quota(holder, 490, 20) == 0 {
-            break;
+    let reserve = |table: &mut ReservationTable, executors: &[ExecutorKey]| {
+        for executor in executors {
+            if table.quota(holder, wide, 6_000, 20) == 0 {
+                break;
+            }
+            table.insert(NOW, holder, *executor, cores(6), room);
         }
-        table.insert(NOW, holder, *executor, cores(6), room);
-    }
-    assert_eq!((table.len(), table.quota(other, 490, 20)), (8, 8));
+    };
+    reserve(&mut table, &executors);
+    assert_eq!((table.len(), table.quota(other, wide, 6_000, 20)), (8, 8));
+    assert_eq!(table.quota(other, pool(490, 800), 6_000, 20), 0, "48 of 50 cores are reserved");
+    let key = table.of_step(holder)[0];
+    assert!(table.remove(key).is_some());
+    assert_eq!(table.quota(other, pool(490, 800), 6_000, 20), 1);
 }
