--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -295,7 +295,8 @@
             .with_admission(settings.admission)
             .with_processor_share(settings.processor_share)
             .with_link(settings.link_mbps)
-            .with_step_spread(settings.step_spread);
+            .with_step_spread(settings.step_spread)
+            .with_task_reservations(settings.task_reservations);
         *self.scheduler.borrow_mut() = Some(scheduler);
         self.generation.set(self.generation.get() + 1);
         let generation = self.generation.get();
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod acceptance;
 pub mod admission;
+pub mod backfill;
 pub mod cells;
 pub mod colocation;
 pub mod config;
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod pass;
 mod pressure;
 mod refusals;
+mod reservations;
 mod room;
 mod run_reports;
 mod run_watchdog;
@@ -53,6 +54,7 @@
     journal::JournalState,
     orders::{max_starts_in_flight, PendingOrder},
     pass::{slice_units, QueuePass, StarvedJob},
+    reservations::ReservationState,
     room::RoomState,
     state::{ExecutorState, JobState, RunState},
 };
@@ -285,6 +287,8 @@
     /// Number of cells into which the pool is divided.
     cells: CellId,
     advice: AdviceState,
+    /// Reservations for large tasks, if they are enabled.
+    reservations: Option<ReservationState>,
     /// Learned interference of best-effort images with latency-critical images.
     colocation: ColocationModel,
     /// How much best-effort images depend on running next to each image, relative to the highest
@@ -378,6 +382,7 @@
             journal: JournalState::default(),
             cells: 1,
             advice: AdviceState::default(),
+            reservations: None,
             colocation: ColocationModel::default(),
             neighbour_demand: Vec::new(),
             next_neighbour_demand_at: MonotonicTime::ZERO,
@@ -451,6 +456,12 @@
         self
     }
 
+    /// Sets whether executors are reserved for large tasks that wait.
+    pub fn with_task_reservations(mut self, enabled: bool) -> Self {
+        self.reservations = enabled.then(ReservationState::default);
+        self
+    }
+
     /// Applies an event and returns the actions to carry out, in order.
     pub fn apply(&mut self, now: MonotonicTime, wall: WallTime, event: JobEvent) -> Vec<JobEffect> {
         self.now = now;
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -172,7 +172,8 @@
                         .with_processor_share(self.processor_share)
                         .with_link(self.link_mbps)
                         .with_step_spread(self.step_spread)
-                        .with_admission(self.admission);
+                        .with_admission(self.admission)
+                        .with_task_reservations(self.task_reservations);
                     self.trace.push(format!("{:?} {} began {held:?}", self.now, number));
                     let delay = self.delay() * 4;
                     let instance = &mut self.instances[number];
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -238,6 +238,7 @@
     link_mbps: f64,
     step_spread: bool,
     admission: bool,
+    task_reservations: bool,
     instances: Vec<FakeInstance>,
     silent_since: Vec<Option<MonotonicTime>>,
     removed_executors: BTreeSet<usize>,
@@ -295,6 +296,7 @@
             link_mbps: 1_000.0,
             step_spread: false,
             admission: false,
+            task_reservations: false,
             instances: Vec::new(),
             silent_since: vec![None; executors],
             removed_executors: BTreeSet::new(),
@@ -363,6 +365,12 @@
         self
     }
 
+    /// Sets whether executors are reserved for large tasks that wait.
+    pub fn with_task_reservations(mut self, enabled: bool) -> Self {
+        self.task_reservations = enabled;
+        self
+    }
+
     /// Sets the enabled safety mechanisms.
     pub fn with_guards(mut self, guards: JobGuards) -> Self {
         self.guards = guards;
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -136,6 +136,9 @@
     ADMISSION_RESUMED = (771, Info, "Jobs of a queue are no longer refused.");
     ROOM_KNOWN = (772, Info, "The room of a cell is known; submissions are admitted by it.");
     ROOM_UNKNOWN = (773, Info, "The room of a cell is not known; all submissions are admitted.");
+    RESERVATION_MADE = (775, Info, "An executor was reserved for a waiting task.");
+    RESERVATION_USED = (776, Info, "A task started on the executor reserved for it.");
+    RESERVATION_ENDED = (777, Info, "A reservation of an executor was given up.");
 }
 
 impl LogRecord {
