--- a/crates/cuminbank-jobd/src/division.rs
+++ b/crates/cuminbank-jobd/src/division.rs
@@ -3,9 +3,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use cuminbank::log::{POOL_DIVIDED, STORE_UNREADABLE};
+use cuminbank::log::{POOL_DIVIDED, POOL_DIVISION_DERIVED, STORE_UNREADABLE};
 use cuminbank_jobs::{
     cells::PoolPlan,
+    division::{DivisionProposal, ProposalStep},
     ids::{CellId, JobId, StoreRevision},
     job::JobRecord,
     keys::{accepted_key, PLAN_KEY},
@@ -158,7 +159,11 @@
 pub(crate) async fn propose_plan(state: Rc<DaemonState>) {
     let settings = &state.settings;
     let factor = claim_delay_factor(settings.processor_share, settings.link_mbps);
-    time::sleep(PLAN_DELAY.mul_f64(factor)).await;
+    let delay = PLAN_DELAY.mul_f64(factor);
+    if settings.adaptive_division {
+        return propose_division(&state, delay).await;
+    }
+    time::sleep(delay).await;
     let (mut last, mut empty) = (None, 0);
     while state.plan().is_none() {
         let call = StoreCall::Read { prefix: EXECUTOR_PREFIX.to_owned() };
@@ -186,6 +191,42 @@
     }
 }
 
+/// Proposes a division that follows from the entries of the instances, until one is known.
+async fn propose_division(state: &Rc<DaemonState>, delay: Duration) {
+    let settings = &state.settings;
+    let mut proposal = DivisionProposal::new(settings.plan_limits(), delay);
+    while state.plan().is_none() {
+        let own = &settings.instance;
+        let entries = || state.registry.borrow().division_entries(own, state.start);
+        if proposal.needs_count(clock::now(), &entries()) {
+            let call = StoreCall::Read { prefix: EXECUTOR_PREFIX.to_owned() };
+            let Ok(StoreReply::Items { items, .. }) = state.call_store(&call, CALL_TIMEOUT).await
+            else {
+                time::sleep(COUNT_PAUSE).await;
+                continue;
+            };
+            let reports: Vec<ExecutorReport> = items.iter().filter_map(decode_entry).collect();
+            let entries = entries();
+            let step = proposal.decide(clock::now(), &entries, &reports);
+            if let ProposalStep::Propose(txn, count) = step {
+                // The watch of owners delivers the plan that was written first. If the store does
+                // not reply, the loop tries again.
+                let written = state.call_store(&StoreCall::Commit(txn), CALL_TIMEOUT).await;
+                let detail = format!(
+                    "proposed={} executors={} entries={} owners={} redundancy={:?} {written:?}",
+                    count.cells,
+                    reports.len(),
+                    entries.resources.len(),
+                    count.owners,
+                    count.redundancy
+                );
+                state.log(&DecisionRecord { code: POOL_DIVISION_DERIVED, job: None, detail });
+            }
+        }
+        time::sleep(COUNT_PAUSE).await;
+    }
+}
+
 /// Asks the owners for the loads of their cells periodically. The request also tells an owner
 /// that this instance is live and can relay its starts, so a pool of one cell needs it too if its
 /// instances use relays.
--- a/crates/cuminbank-jobd/src/registration.rs
+++ b/crates/cuminbank-jobd/src/registration.rs
@@ -21,6 +21,11 @@
 /// Range over which instances spread their registrations and renewals, which are calls to the
 /// store, when many of them start at the same time.
 const REGISTRATION_SPREAD: Duration = Duration::from_secs(3);
+/// Range of the registrations if the division of a new pool waits for them. The calls of 42
+/// instances are then 84 a second.
+const EARLY_SPREAD: Duration = Duration::from_secs(1);
+/// Delay before the next attempt to register while the division of a new pool waits for it.
+const EARLY_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Delay before the next attempt after a failed registration or renewal.
 const RETRY_PAUSE: Duration = Duration::from_secs(3);
 /// Timeout of a store call.
@@ -31,7 +36,8 @@
 pub(crate) async fn keep_registered(state: Rc<DaemonState>) {
     let settings = &state.settings;
     let hash = crc32fast::hash(settings.instance.as_bytes());
-    time::sleep(REGISTRATION_SPREAD.mul_f64(f64::from(hash % 1_000) / 1_000.0)).await;
+    let spread = if settings.adaptive_division { EARLY_SPREAD } else { REGISTRATION_SPREAD };
+    time::sleep(spread.mul_f64(f64::from(hash % 1_000) / 1_000.0)).await;
     let entry = InstanceEntry {
         instance: settings.instance.clone(),
         start: state.start,
@@ -55,7 +61,9 @@
             None => false,
         };
         raise_version(&state).await;
-        time::sleep(if registered { ENTRY_RENEW_INTERVAL } else { RETRY_PAUSE }).await;
+        let awaited = settings.adaptive_division && state.plan().is_none();
+        let retry_pause = if awaited { EARLY_RETRY_PAUSE } else { RETRY_PAUSE };
+        time::sleep(if registered { ENTRY_RENEW_INTERVAL } else { retry_pause }).await;
     }
 }
 
@@ -71,7 +79,12 @@
     let ttl = ENTRY_TTL.max(state.settings.min_store_ttl());
     let granted = state.call_store(&StoreCall::Grant { ttl }, CALL_TIMEOUT).await;
     let Ok(StoreReply::Granted { lease }) = granted else { return None };
-    match commit(state, entry.registration(lease)).await {
+    let settings = &state.settings;
+    let registration = match settings.adaptive_division {
+        true => entry.registration_with(&settings.resources(), lease),
+        false => entry.registration(lease),
+    };
+    match commit(state, registration).await {
         Some(TxnOutcome::Committed { .. }) => Some(lease),
         _ => None,
     }
--- a/crates/cuminbank-jobd/tests/division.rs
+++ b/crates/cuminbank-jobd/tests/division.rs
@@ -3,42 +3,42 @@
 mod support;
 
 use std::{
+    collections::BTreeMap,
     io::{BufRead, BufReader},
+    net::SocketAddr,
     process::Stdio,
     sync::mpsc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cuminbank::log::{POOL_DIVIDED, STORE_UNREADABLE};
 use cuminbank_jobs::{
+    cells::PoolPlan,
     keys::PLAN_KEY,
-    store::{StoreCall, StorePut, StoreTxn},
+    store::{encode_value, StoreCall, StorePut, StoreTxn},
 };
 use cuminbank_net::{client::HttpPool, runtime};
-use cuminbank_platform::store::{decode_reply, encode_call};
+use cuminbank_platform::{
+    store::{decode_reply, encode_call},
+    EXECUTOR_PREFIX,
+};
+use serde_json::{json, Value};
 
 use support::{
-    build::DaemonBuild, instance_settings, loopback, ports::PortBlock, settings_path,
+    build::DaemonBuild, call, instance_settings, loopback, ports::PortBlock, settings_path,
     start_standin, InstanceProcess, PoolShape, EXECUTORS, WAIT_LIMIT,
 };
 
 const ATTEMPTS: u32 = 100;
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(50);
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay of the strong instances. Weak ones propose after 1.9 s if they do not wait for entries, and
+/// after 4 s if they do.
+const STRONG_DELAY: Duration = Duration::from_millis(2_000);
 
-// Guards against a log that reports a division of the pool although the stored plan cannot be
-// decoded.
-#[test]
-fn unreadable_plan_is_not_logged_as_a_division() {
-    let ports = PortBlock::take();
-    let store = loopback(ports.port(1));
-    start_standin(store, 100, 0);
-    let txn = StoreTxn {
-        expected: Vec::new(),
-        puts: vec![StorePut::new(PLAN_KEY, vec![0xff; 7])],
-        removes: Vec::new(),
-    };
+/// Applies a transaction. Panics if the store does not reply.
+fn write(store: SocketAddr, txn: StoreTxn) {
     let written = runtime::run(async move {
         let pool = HttpPool::new();
         let call = StoreCall::Commit(txn);
@@ -52,6 +52,21 @@
         false
     });
     assert!(written, "the store does not reply");
+}
+
+// Guards against a log that reports a division of the pool although the stored plan cannot be
+// decoded.
+#[test]
+fn unreadable_plan_is_not_logged_as_a_division() {
+    let ports = PortBlock::take();
+    let store = loopback(ports.port(1));
+    start_standin(store, 100, 0);
+    let txn = StoreTxn {
+        expected: Vec::new(),
+        puts: vec![StorePut::new(PLAN_KEY, vec![0xff; 7])],
+        removes: Vec::new(),
+    };
+    write(store, txn);
     let port = ports.port(usize::from(2 + EXECUTORS));
     let settings = instance_settings(0, port, store, PoolShape::default());
     let build = DaemonBuild::current();
@@ -68,3 +83,90 @@
     let first = first.expect("the daemon logs neither event");
     assert!(first.contains(&codes[1]) && first.contains(PLAN_KEY), "{first}");
 }
+
+/// Starts two weak instances in a pool of 490 executors, and two strong ones 2 s later, or without
+/// the setting once the pool is divided. Returns the cells of the division as each instance knows
+/// it, and the time until all know it.
+fn divide_pool(adaptive: bool, stored: Option<&PoolPlan>) -> (Vec<usize>, Duration) {
+    let ports = PortBlock::take();
+    let store = loopback(ports.port(1));
+    start_standin(store, 100, 0);
+    // Nothing listens at the addresses of these executors.
+    let entry = |number: usize| {
+        let value = json!({
+            "service": "plans", "address": "127.0.0.1:9", "zone": "z", "version": "v1", "slots": 8,
+            "state": "ready", "cold-remaining-ms": 0, "seq": 1,
+            "labels": ["a", format!("rack-{}", number / 8)],
+            "capacity": { "cpu": 64_000, "mem-mb": 64_000, "gpus": 0 },
+        });
+        StorePut::new(format!("{EXECUTOR_PREFIX}far-{number:03}"), value.to_string().into_bytes())
+    };
+    let puts: Vec<StorePut> = (0..490).map(entry).collect();
+    for puts in puts.chunks(30) {
+        write(store, StoreTxn { puts: puts.to_vec(), ..StoreTxn::default() });
+    }
+    if let Some(plan) = stored {
+        let puts = vec![StorePut::new(PLAN_KEY, encode_value(plan))];
+        write(store, StoreTxn { puts, ..StoreTxn::default() });
+    }
+    let cells = |operator: &SocketAddr| {
+        let (_, status) = call(*operator, "GET", "/v1/status", "")?;
+        status["cells"].as_array().map(Vec::len).filter(|cells| *cells > 0)
+    };
+    let started = Instant::now();
+    let mut processes = Vec::new();
+    let mut operators = Vec::new();
+    for number in 0..4 {
+        let port = ports.port(usize::from(2 + EXECUTORS + number * 4));
+        let mut settings = instance_settings(number, port, store, PoolShape::default());
+        let is_weak = number < 2;
+        settings["cells"] = Value::Null;
+        settings["adaptive_division"] = json!(adaptive);
+        settings["link_mbps"] = json!(if is_weak { 10.0 } else { 200.0 });
+        settings["processor_share"] = json!(if is_weak { 0.25 } else { 0.5 });
+        if number == 2 {
+            thread::sleep(STRONG_DELAY);
+            while !adaptive && cells(&operators[0]).is_none() {
+                assert!(started.elapsed() < WAIT_LIMIT, "the pool is not divided");
+                thread::sleep(ATTEMPT_PAUSE);
+            }
+        }
+        let build = DaemonBuild::current();
+        let path = settings_path(port);
+        processes.push(InstanceProcess::start(build, path, settings, Stdio::null()));
+        operators.push(loopback(port + 3));
+    }
+    loop {
+        let known: Option<Vec<usize>> = operators.iter().map(cells).collect();
+        if let Some(known) = known {
+            return (known, started.elapsed());
+        }
+        assert!(started.elapsed() < WAIT_LIMIT, "the pool is not divided");
+        thread::sleep(ATTEMPT_PAUSE);
+    }
+}
+
+// Guards against a division by whichever instance proposes first: the weak ones need four cells.
+#[test]
+fn late_strong_instances_decide_the_division() {
+    let (cells, elapsed) = divide_pool(true, None);
+    println!("divided after {elapsed:?}");
+    assert_eq!(cells, [1; 4]);
+}
+
+// Guards against a change of the division while the setting is off, and shows that the test above
+// depends on the setting.
+#[test]
+fn first_proposer_decides_the_division_without_the_setting() {
+    let (cells, elapsed) = divide_pool(false, None);
+    println!("divided after {elapsed:?}");
+    assert_eq!(cells, [4; 4]);
+}
+
+// Guards against a pool in use that is divided anew when the setting is switched on.
+#[test]
+fn stored_division_is_kept() {
+    let plan = PoolPlan { cells: 3, racks: BTreeMap::new() };
+    let (cells, _) = divide_pool(true, Some(&plan));
+    assert_eq!(cells, [3; 4]);
+}
--- a/crates/cuminbank-jobs/src/cells.rs
+++ b/crates/cuminbank-jobs/src/cells.rs
@@ -19,10 +19,10 @@
 
 /// Traffic between an owner and one executor in kbit/s under typical load: starts with payload,
 /// holds (see [`crate::order::OrderRequest::Hold`]) and replies.
-const EXECUTOR_KBPS: f64 = 30.0;
+pub(crate) const EXECUTOR_KBPS: f64 = 30.0;
 /// Fraction of its link that an owner may use under typical load. Bursts need more than twice as
 /// much.
-const LINK_FRACTION: f64 = 0.4;
+pub(crate) const LINK_FRACTION: f64 = 0.4;
 /// Minimum number of executors in a cell. A step with anti-affinity between its tasks needs one
 /// executor per task, so its job could never complete in a smaller cell.
 const MIN_CELL_EXECUTORS: usize = 64;
@@ -82,8 +82,19 @@
         let by_count = executors.div_ceil(self.max_executors.max(1));
         let required_kbps = executors as f64 * EXECUTOR_KBPS;
         let by_link = (required_kbps / (self.link_mbps * 1_000.0 * LINK_FRACTION)).ceil() as usize;
-        let max_cells = (executors / MIN_CELL_EXECUTORS).clamp(1, MAX_CELLS);
-        by_count.max(by_link).clamp(1, max_cells) as CellId
+        by_count.max(by_link).clamp(1, usize::from(Self::max_cells(executors))) as CellId
+    }
+
+    /// Returns the minimum number of cells for a pool with this number of executors, whatever the
+    /// resources of the owners.
+    pub fn min_cells(&self, executors: usize) -> CellId {
+        let by_count = executors.div_ceil(self.max_executors.max(1));
+        by_count.clamp(1, usize::from(Self::max_cells(executors))) as CellId
+    }
+
+    /// Returns the maximum number of cells for a pool with this number of executors.
+    pub fn max_cells(executors: usize) -> CellId {
+        (executors / MIN_CELL_EXECUTORS).clamp(1, MAX_CELLS) as CellId
     }
 }
 
--- a/crates/cuminbank-jobs/src/instances.rs
+++ b/crates/cuminbank-jobs/src/instances.rs
@@ -12,6 +12,7 @@
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
 use crate::{
+    division::{DivisionEntries, InstanceResources},
     formats::{FormatSupport, FormatVersion, UNVERSIONED},
     ids::{CellId, InstanceName, LeaseId, StoreRevision},
     keys::{parse_owner_cell, FORMAT_KEY, INSTANCE_PREFIX, REGISTRATION_KEY},
@@ -41,6 +42,14 @@
 }
 
 impl InstanceEntry {
+    /// Returns the write that registers the instance with its resources, which builds before them
+    /// ignore.
+    pub fn registration_with(&self, resources: &InstanceResources, lease: LeaseId) -> StoreTxn {
+        let mut txn = self.registration(lease);
+        txn.puts[0].value.extend(encode_value(resources));
+        txn
+    }
+
     /// Returns the write that registers the instance. It also replaces a value that all
     /// registrations share, so that the pool's version is not raised at the same time.
     pub fn registration(&self, lease: LeaseId) -> StoreTxn {
@@ -61,12 +70,20 @@
     postcard::take_from_bytes(bytes).ok().map(|(value, _)| value)
 }
 
+/// Decodes the resources that follow the fields of an entry, if there are any.
+fn decode_resources(bytes: &[u8]) -> Option<InstanceResources> {
+    let (_, rest) = postcard::take_from_bytes::<InstanceEntry>(bytes).ok()?;
+    decode_shared(rest)
+}
+
 /// Entries of the live instances as seen by one of them.
 #[derive(Clone, Debug)]
 pub struct InstanceRegistry {
     own: FormatSupport,
     /// Entry of each instance; `None` if it cannot be read.
     entries: BTreeMap<InstanceName, Option<InstanceEntry>>,
+    /// Resources of the instances whose entries have them.
+    resources: BTreeMap<InstanceName, InstanceResources>,
     /// Owner of each cell; `None` if its record cannot be read.
     owners: BTreeMap<CellId, Option<OwnerRecord>>,
     /// Addresses of instances that have sent requests.
@@ -84,6 +101,7 @@
         Self {
             own,
             entries: BTreeMap::new(),
+            resources: BTreeMap::new(),
             owners: BTreeMap::new(),
             peers: BTreeSet::new(),
             pool_version: UNVERSIONED,
@@ -108,6 +126,7 @@
             StoreChange::Removed { key, .. } => {
                 if let Some(name) = key.strip_prefix(INSTANCE_PREFIX) {
                     self.entries.remove(name);
+                    self.resources.remove(name);
                 }
                 if let Some(cell) = parse_owner_cell(key) {
                     self.owners.remove(&cell);
@@ -125,6 +144,10 @@
             self.registration_revision = item.revision;
         } else if let Some(name) = item.key.strip_prefix(INSTANCE_PREFIX) {
             self.entries.insert(name.to_owned(), decode_shared(&item.value));
+            match decode_resources(&item.value) {
+                Some(resources) => _ = self.resources.insert(name.to_owned(), resources),
+                None => _ = self.resources.remove(name),
+            }
         } else if let Some(cell) = parse_owner_cell(&item.key) {
             self.owners.insert(cell, decode_value(&item.value));
         }
@@ -140,6 +163,17 @@
         self.entries.get(&entry.instance).is_some_and(|stored| stored.as_ref() == Some(entry))
     }
 
+    /// Returns what the entries say about the division. `instance` and `start` are the name and the
+    /// start number of this process.
+    pub fn division_entries(&self, instance: &InstanceName, start: u64) -> DivisionEntries {
+        let own = self.entries.get(instance).and_then(Option::as_ref);
+        DivisionEntries {
+            resources: self.resources.values().copied().collect(),
+            has_own: own.is_some_and(|entry| entry.start == start),
+            registration: self.registration_revision,
+        }
+    }
+
     /// Returns the version that this instance writes.
     pub fn write_version(&self) -> FormatVersion {
         self.own.written.min(self.pool_version)
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cells;
 pub mod colocation;
 pub mod config;
+pub mod division;
 pub mod evacuation;
 pub mod formats;
 pub mod guards;
--- a/crates/cuminbank-jobs/src/settings.rs
+++ b/crates/cuminbank-jobs/src/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     cells::PlanLimits,
+    division::InstanceResources,
     ids::{CellId, InstanceName, ZoneName},
 };
 
@@ -134,6 +135,11 @@
         PlanLimits { max_executors: cell_executors, link_mbps, cells }
     }
 
+    /// Returns the resources of the instance, which determine the cells that it can own.
+    pub fn resources(&self) -> InstanceResources {
+        InstanceResources::new(self.link_mbps, self.processor_share)
+    }
+
     /// Returns the longest lease of an executor.
     pub fn max_lease(&self) -> Duration {
         Duration::from_millis(self.max_lease_ms)
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -130,6 +130,7 @@
     POOL_FORMAT_UNSUPPORTED = (764, Error, "The pool's records may have a newer format than this build reads; the instance serves nothing.");
     WATCH_FAILED = (765, Warn, "A watch of the platform's store got no usable reply.");
     POOL_CONFIG_READ_AGAIN = (766, Warn, "A request needed the configuration, which was not confirmed in time.");
+    POOL_DIVISION_DERIVED = (780, Info, "A division of the pool was derived from the registered instances and proposed.");
 }
 
 impl LogRecord {
