--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -226,24 +226,38 @@
     if state.store.is_unresponsive() {
         return ClientAnswer::new_unavailable("the store is away");
     }
-    let (keys, revision) = match find_record(state, job).await {
-        RecordLocation::At(cell, revision) => (CellKeys::new(cell), revision),
-        RecordLocation::Missing => return ClientAnswer::new(410, "no such job, or it has ended"),
-        RecordLocation::Unknown => {
-            return ClientAnswer::new_unavailable("the store does not answer");
-        }
-    };
-    let txn = StoreTxn {
-        expected: vec![(keys.cancel(job), 0), (keys.job(job), revision)],
-        puts: vec![StorePut::new(keys.cancel(job), Vec::new())],
-        removes: Vec::new(),
-    };
-    match write(state, txn, arrived).await {
-        AcceptStep::Accepted => ClientAnswer::new(200, "cancelled"),
-        AcceptStep::Refused => ClientAnswer::new_unavailable("the store is away"),
-        AcceptStep::Unknown | AcceptStep::Retry => {
-            ClientAnswer::new(504, "unknown: the store has not answered")
-        }
+    loop {
+        let (cell, revision) = match find_record(state, job).await {
+            RecordLocation::At(cell, revision) => (cell, revision),
+            RecordLocation::Missing => {
+                return ClientAnswer::new(410, "no such job, or it has ended");
+            }
+            RecordLocation::Unknown => {
+                return ClientAnswer::new_unavailable("the store does not answer");
+            }
+        };
+        let keys = CellKeys::new(cell);
+        let txn = StoreTxn {
+            expected: vec![(keys.cancel(job), 0), (keys.job(job), revision)],
+            puts: vec![StorePut::new(keys.cancel(job), Vec::new())],
+            removes: Vec::new(),
+        };
+        let step = match write(state, txn, arrived).await {
+            // A conflict also occurs if the job has moved to another cell, where it is not cancelled.
+            AcceptStep::Accepted => match state.has_left(job, cell).await {
+                Some(true) if clock::now().saturating_sub(arrived) < ACCEPT_TIMEOUT => continue,
+                Some(false) => AcceptStep::Accepted,
+                Some(true) | None => AcceptStep::Unknown,
+            },
+            step => step,
+        };
+        return match step {
+            AcceptStep::Accepted => ClientAnswer::new(200, "cancelled"),
+            AcceptStep::Refused => ClientAnswer::new_unavailable("the store is away"),
+            AcceptStep::Unknown | AcceptStep::Retry => {
+                ClientAnswer::new(504, "unknown: the store has not answered")
+            }
+        };
     }
 }
 
@@ -264,10 +278,30 @@
         RecordLocation::Missing => {}
         location => return location,
     }
-    match state.find_job(job).await {
-        JobLocation::Cell(cell) if cell != likely => read_record(state, cell, job).await,
-        JobLocation::Cell(_) | JobLocation::Missing => RecordLocation::Missing,
-        JobLocation::Unknown => RecordLocation::Unknown,
+    let mut cell = match state.find_job(job).await {
+        JobLocation::Cell(cell) if cell == likely && !state.settings.adaptive_division => {
+            return RecordLocation::Missing;
+        }
+        JobLocation::Cell(cell) => cell,
+        JobLocation::Missing => return RecordLocation::Missing,
+        JobLocation::Unknown => return RecordLocation::Unknown,
+    };
+    // The job may move on between the two reads, but never back.
+    loop {
+        match read_record(state, cell, job).await {
+            RecordLocation::Missing => {}
+            location => return location,
+        }
+        match state.has_left(job, cell).await {
+            Some(true) => {}
+            Some(false) => return RecordLocation::Missing,
+            None => return RecordLocation::Unknown,
+        }
+        match state.find_job(job).await {
+            JobLocation::Cell(found) => cell = found,
+            JobLocation::Missing => return RecordLocation::Missing,
+            JobLocation::Unknown => return RecordLocation::Unknown,
+        }
     }
 }
 
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -53,7 +53,7 @@
     division,
     logging::DecisionLog,
     metrics::JobMetrics,
-    operators,
+    moves, operators,
     registration::{self, BUILD_NAME},
     store::StoreClient,
     watches,
@@ -342,6 +342,7 @@
         monoio::spawn(registration::keep_registered(Rc::clone(&state)));
         monoio::spawn(division::propose_plan(Rc::clone(&state)));
         monoio::spawn(division::follow_loads(Rc::clone(&state)));
+        monoio::spawn(moves::follow_cell_loads(Rc::clone(&state)));
         run_ticks(&state, &stop, &reload).await;
         state.log(&DecisionRecord { code: DRAIN_ENDED, job: None, detail: String::new() });
     }
--- a/crates/cuminbank-jobd/src/lib.rs
+++ b/crates/cuminbank-jobd/src/lib.rs
@@ -8,6 +8,7 @@
 mod division;
 pub mod logging;
 mod metrics;
+mod moves;
 mod operators;
 mod owner;
 mod registration;
--- a/crates/cuminbank-jobd/tests/division.rs
+++ b/crates/cuminbank-jobd/tests/division.rs
@@ -15,8 +15,8 @@
 use cuminbank::log::{POOL_DIVIDED, STORE_UNREADABLE};
 use cuminbank_jobs::{
     cells::PoolPlan,
-    keys::PLAN_KEY,
-    store::{encode_value, StoreCall, StorePut, StoreTxn},
+    keys::{accepted_key, PLAN_KEY},
+    store::{decode_value, encode_value, StoreCall, StorePut, StoreReply, StoreTxn},
 };
 use cuminbank_net::{client::HttpPool, runtime};
 use cuminbank_platform::{
@@ -27,7 +27,7 @@
 
 use support::{
     build::DaemonBuild, call, instance_settings, loopback, ports::PortBlock, settings_path,
-    start_standin, InstanceProcess, PoolShape, EXECUTORS, WAIT_LIMIT,
+    start_standin, Deployment, InstanceProcess, PoolShape, EXECUTORS, WAIT_LIMIT,
 };
 
 const ATTEMPTS: u32 = 100;
@@ -170,3 +170,64 @@
     let (cells, _) = divide_pool(true, Some(&plan));
     assert_eq!(cells, [3; 4]);
 }
+
+/// Returns the cell that the store names for a job.
+fn stored_cell(store: SocketAddr, id: u64) -> Option<u16> {
+    runtime::run(async move {
+        let pool = HttpPool::new();
+        let call = StoreCall::ReadKey { key: accepted_key(id) };
+        let answer = pool.exchange(store, encode_call(&call, None), CALL_TIMEOUT).await;
+        let Ok(StoreReply::Items { items, .. }) = decode_reply(&call, answer) else { return None };
+        decode_value(&items.first()?.value)
+    })
+}
+
+// Guards against jobs that wait in a full cell while another one is idle, and against moved jobs
+// that run twice, are not found by an instance or cannot be cancelled.
+#[test]
+fn waiting_jobs_move_to_an_idle_cell() {
+    let shape = PoolShape { cells: 2, adaptive_division: true, ..PoolShape::default() };
+    let deployment = Deployment::start_with_shape(3, 1_500, shape);
+    // All instances have registered by now, without which no job moves.
+    thread::sleep(Duration::from_secs(2));
+    let plan = PoolPlan { cells: 2, racks: BTreeMap::new() };
+    let homes = (100..).filter(|id| plan.home_and_fallback(*id).0 == 0);
+    let ids: Vec<u64> = homes.take(9).collect();
+    let body = json!({ "spec": "p", "steps": [
+        { "count": 4, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 1_500 },
+        { "count": 1, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 1_500, "after": [0] },
+    ]});
+    // Each cell has 16 cores.
+    ids.iter().for_each(|id| deployment.submit(*id, &body));
+    deployment.wait("no job has moved", |deployment| {
+        ids.iter().any(|id| stored_cell(deployment.store, *id) == Some(1))
+    });
+    let moved: Vec<u64> =
+        ids.iter().copied().filter(|id| stored_cell(deployment.store, *id) == Some(1)).collect();
+    let path = |id: u64| format!("/p/{id:016x}");
+    for client in &deployment.clients {
+        for id in &moved {
+            let answer = call(*client, "GET", &path(*id), "");
+            assert_eq!(answer.map(|(status, _)| status), Some(200), "job {id:x}");
+        }
+    }
+    let cancelled = moved[0];
+    let answer = call(deployment.clients[0], "DELETE", &path(cancelled), "");
+    assert_eq!(answer.map(|(status, _)| status), Some(200));
+    let has_state = |id: u64, state: &str| {
+        deployment.clients.iter().all(|client| {
+            let answer = call(*client, "GET", &path(id), "");
+            answer.is_some_and(|(_, body)| body["state"] == json!(state))
+        })
+    };
+    deployment.wait("a job has not ended everywhere", |_| {
+        has_state(cancelled, "cancelled")
+            && ids.iter().filter(|id| **id != cancelled).all(|id| has_state(*id, "completed"))
+    });
+    let mut starts = deployment.starts();
+    starts.retain(|start| !start.contains(&format!("{cancelled:x}")));
+    let count = starts.len();
+    starts.sort();
+    starts.dedup();
+    assert_eq!((starts.len(), count), ((ids.len() - 1) * 5, (ids.len() - 1) * 5));
+}
--- a/crates/cuminbank-jobd/tests/soak.rs
+++ b/crates/cuminbank-jobd/tests/soak.rs
@@ -139,11 +139,12 @@
 }
 
 fn run_seed(seed: u64) {
-    // Half of the seeds divide the pool into two cells with separate owners, and half of them make
-    // the owners relay their starts.
+    // Half of the seeds divide the pool into two cells with separate owners, half of them make the
+    // owners relay their starts, and half of them let jobs move between the cells.
     let shape = PoolShape {
         cells: if seed.is_multiple_of(2) { 2 } else { 1 },
         link_mbps: if (seed / 2).is_multiple_of(2) { 2.0 } else { 1_000.0 },
+        adaptive_division: !(seed / 4).is_multiple_of(2),
     };
     let mut deployment = Deployment::start_with_proxies(INSTANCES, TASK_MS, shape);
     let (record, stop) = (LoadRecord::default(), AtomicBool::new(false));
@@ -193,6 +194,6 @@
     REGRESSION_SEEDS.into_iter().for_each(run_seed);
     match number("CUMINBANK_SOAK_SEEDS") {
         Some(count) => (0..count).for_each(|_| run_seed(rand::random())),
-        None => [1, 2].into_iter().for_each(run_seed),
+        None => [1, 2, 4].into_iter().for_each(run_seed),
     }
 }
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -133,11 +133,13 @@
     pub cells: u16,
     /// Bandwidth in the settings of the instances, in Mbit/s. Below 25, owners relay their starts.
     pub link_mbps: f64,
+    /// Whether the division follows from the instances, and waiting jobs move between cells.
+    pub adaptive_division: bool,
 }
 
 impl Default for PoolShape {
     fn default() -> Self {
-        Self { cells: 1, link_mbps: 1_000.0 }
+        Self { cells: 1, link_mbps: 1_000.0, adaptive_division: false }
     }
 }
 
@@ -316,7 +318,7 @@
         "grace_ms": GRACE_MS, "min_store_ttl_ms": 1_000, "harm_ms": 4_000,
         "config_apply_ms": CONFIG_APPLY.as_millis() as u64, "evacuate_ms": 5_000,
         "processor_share": 1.0, "link_mbps": shape.link_mbps, "cells": shape.cells,
-        "retention_ms": 120_000,
+        "retention_ms": 120_000, "adaptive_division": shape.adaptive_division,
     })
 }
 
--- a/crates/cuminbank-jobd/tests/upgrade.rs
+++ b/crates/cuminbank-jobd/tests/upgrade.rs
@@ -354,6 +354,7 @@
     let shape = PoolShape {
         cells: if seed.is_multiple_of(2) { 2 } else { 1 },
         link_mbps: if (seed / 2).is_multiple_of(2) { 2.0 } else { 1_000.0 },
+        ..PoolShape::default()
     };
     let first = |number| output(logs.as_deref(), usize::from(number), 0, &builds[0].name);
     let deployment = Deployment::start_build(&builds[0], INSTANCES, TASK_MS, first, shape);
--- a/crates/cuminbank-jobd/tests/versions.rs
+++ b/crates/cuminbank-jobd/tests/versions.rs
@@ -150,7 +150,7 @@
 fn starts_reach_executors_without_a_relay_that_knows_them() {
     let unsupported = PeerReply::Unsupported { newest: SUPPORTED_FORMATS.newest };
     for reply in [Some(unsupported), None] {
-        let shape = PoolShape { cells: 1, link_mbps: 2.0 };
+        let shape = PoolShape { link_mbps: 2.0, ..PoolShape::default() };
         let deployment = Deployment::start_with_shape(1, 100, shape);
         let (relay, bundles) = start_peer(reply.clone());
         let operator = deployment.operators[0];
--- a/crates/cuminbank-jobs/src/cells.rs
+++ b/crates/cuminbank-jobs/src/cells.rs
@@ -3,7 +3,7 @@
 //! An owner sends all orders and leases to its executors over one link and with one share of a
 //! core, and instances with few resources cannot handle hundreds of executors. The rack of an
 //! executor determines its cell, which never changes. A job is assigned to a cell on acceptance and
-//! never moves. Its home cell is derived from its id, so that every instance knows which owner to
+//! stays there unless [`crate::division`] moves it before its first start. Its home cell is derived from its id, so that every instance knows which owner to
 //! query first. A job is assigned to another cell if its home cell has a much higher load or cannot
 //! run it.
 
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    division::CellReport,
     ids::{CellId, JobId, MonotonicTime, ServiceName},
     job::JobRecord,
     order::ExecutorReport,
@@ -30,10 +31,10 @@
 const MAX_CELLS: usize = 64;
 /// Load of the home cell, in percent, up to which jobs are assigned to it, because they hardly
 /// wait.
-const HOME_MAX_LOAD_PERCENT: u32 = 85;
+pub(crate) const HOME_MAX_LOAD_PERCENT: u32 = 85;
 /// How much lower the load of another cell must be for a job to be assigned to it, in percentage
 /// points. Reported loads lag behind the actual ones.
-const MOVE_MARGIN_PERCENT: u32 = 10;
+pub(crate) const MOVE_MARGIN_PERCENT: u32 = 10;
 /// Load assumed, in percent, for a cell whose owner has not replied recently. It may have no owner.
 const UNKNOWN_LOAD_PERCENT: u32 = 200;
 /// Maximum age of a reported load.
@@ -132,7 +133,7 @@
     /// overloaded or cannot run the job.
     pub fn home_and_fallback(&self, job: JobId) -> (CellId, CellId) {
         let bytes = job.to_be_bytes();
-        let home = self.cell_for_hash(crc32fast::hash(&bytes));
+        let home = home_cell(self.cells, job);
         let others = u32::from(self.cells.max(2) - 1);
         let step = 1 + crc32fast::hash(&bytes[1..]) % others;
         (home, self.cell_for_hash(u32::from(home) + step))
@@ -143,6 +144,11 @@
     }
 }
 
+/// Returns the home cell of a job in a pool with this number of cells.
+pub(crate) fn home_cell(cells: CellId, job: JobId) -> CellId {
+    (crc32fast::hash(&job.to_be_bytes()) % u32::from(cells.max(1))) as CellId
+}
+
 /// Returns the rack of an executor, which is its last label. An executor without labels forms its
 /// own rack.
 fn rack_of(report: &ExecutorReport) -> &str {
@@ -208,16 +214,31 @@
     /// requires, and enough executors for its limits of tasks per executor. A cell without a known
     /// load is assumed to run only jobs that require no label or rack.
     fn can_run(&self, cell: CellId, record: &JobRecord) -> bool {
-        let required = || {
-            record.steps.iter().flat_map(|step| [&step.required_label, &step.data_rack]).flatten()
-        };
         match self.loads.get(&cell) {
-            Some((_, load)) => {
-                load.services.contains(&record.terms.service)
-                    && min_executors_for(record) <= load.executors
-                    && required().all(|label| load.labels.contains(label))
-            }
-            None => required().next().is_none(),
+            Some((_, load)) => load.can_run(record),
+            None => required_labels(record).next().is_none(),
         }
     }
+
+    /// Returns the loads that are not too old to be used.
+    pub fn reports(&self, now: MonotonicTime) -> Vec<CellReport> {
+        let recent = self.loads.iter().filter(|(_, (at, _))| now <= *at + MAX_LOAD_AGE);
+        recent
+            .map(|(cell, (at, load))| CellReport { cell: *cell, at: *at, load: load.clone() })
+            .collect()
+    }
+}
+
+impl CellLoad {
+    /// Returns whether the cell has executors of the job's service, all labels and racks that the
+    /// job requires, and enough executors for its limits of tasks per executor.
+    pub fn can_run(&self, record: &JobRecord) -> bool {
+        self.services.contains(&record.terms.service)
+            && min_executors_for(record) <= self.executors
+            && required_labels(record).all(|label| self.labels.contains(label))
+    }
+}
+
+fn required_labels(record: &JobRecord) -> impl Iterator<Item = &String> {
+    record.steps.iter().flat_map(|step| [&step.required_label, &step.data_rack]).flatten()
 }
--- a/crates/cuminbank-jobs/src/instances.rs
+++ b/crates/cuminbank-jobs/src/instances.rs
@@ -163,6 +163,14 @@
         self.entries.get(&entry.instance).is_some_and(|stored| stored.as_ref() == Some(entry))
     }
 
+    /// Returns whether every live instance has an entry with its resources. One without them does not
+    /// know that jobs move between cells.
+    pub fn all_have_resources(&self) -> bool {
+        self.known
+            && self.unregistered().is_empty()
+            && self.entries.keys().all(|name| self.resources.contains_key(name))
+    }
+
     /// Returns what the entries say about the division. `instance` and `start` are the name and the
     /// start number of this process.
     pub fn division_entries(&self, instance: &InstanceName, start: u64) -> DivisionEntries {
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -5,6 +5,7 @@
 use cuminbank::log::{JOB_CANCELLED, JOB_ENDED, JOB_LOADED, JOB_UNREADABLE};
 
 use super::{
+    moves::MovePhase,
     run_reports::MAX_RUN_NUMBER,
     state::{arrival_time, JobKey, JobState, RunPhase, TaskPhase, TaskState},
     JobScheduler,
@@ -57,6 +58,8 @@
         if self.job_ids.contains_key(&id)
             || self.ended_jobs.contains_key(&id)
             || self.unreadable_jobs.contains(&id)
+            // A read that began before the move shows the record once more.
+            || self.moves.has_moved(id)
         {
             return;
         }
@@ -72,8 +75,7 @@
             let detail = format!("key={} tasks={}", self.keys.progress(id), progress.tasks.len());
             return self.log(JOB_UNREADABLE, Some(id), detail);
         }
-        let fresh = created > self.start_revision;
-        self.add_job(id, record, fresh, progress);
+        self.add_job(id, record, created, progress);
         if self.early_cancels.remove(&id) {
             self.cancel_job(id);
         }
@@ -83,7 +85,14 @@
         self.log(JOB_UNREADABLE, Some(id), format!("key={key} {}", describe_value(value)));
     }
 
-    fn add_job(&mut self, id: JobId, record: JobRecord, fresh: bool, progress: JobProgress) {
+    fn add_job(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        created: StoreRevision,
+        progress: JobProgress,
+    ) {
+        let fresh = created > self.start_revision;
         let layout = TaskLayout::new(&record);
         let count = record.tasks_per_occurrence() * record.occurrences();
         let arrived = arrival_time(self.now, self.wall, record.accepted_at);
@@ -128,6 +137,8 @@
             critical_paths_ms,
             images,
             fresh,
+            record_revision: created,
+            move_phase: MovePhase::Local,
             zone: None,
             arrived,
             deadline: arrived + Duration::from_millis(objective),
@@ -245,7 +256,7 @@
 
     /// Cancels a job at the request of its client. The request may arrive before the job.
     pub(super) fn cancel_job(&mut self, id: JobId) {
-        if self.ended_jobs.contains_key(&id) {
+        if self.ended_jobs.contains_key(&id) || self.moves.has_moved(id) {
             return;
         }
         let Some(key) = self.job_ids.get(&id).copied() else {
--- a/crates/cuminbank-jobs/src/scheduler/journal.rs
+++ b/crates/cuminbank-jobs/src/scheduler/journal.rs
@@ -304,6 +304,9 @@
         id: WriteId,
         result: Result<TxnOutcome, StoreFailure>,
     ) {
+        if self.on_move_completed(id, &result) {
+            return;
+        }
         let Some(flush) = self.journal.in_flight.take_if(|flush| flush.attempt == id) else {
             return;
         };
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod jobs;
 mod journal;
 mod missed_placements;
+mod moves;
 mod orders;
 mod pass;
 mod pressure;
@@ -50,6 +51,7 @@
 use self::{
     advice::AdviceState,
     journal::JournalState,
+    moves::MoveState,
     orders::{max_starts_in_flight, PendingOrder},
     pass::{slice_units, QueuePass, StarvedJob},
     state::{ExecutorState, JobState, RunState},
@@ -57,6 +59,7 @@
 use crate::{
     cells::CellLoad,
     colocation::{ColocationModel, ImageId},
+    division::CellReport,
     guards::JobGuards,
     ids::{
         CellId, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, RunNumber, StoreRevision,
@@ -122,6 +125,12 @@
         /// All zones under evacuation.
         zones: BTreeSet<ZoneName>,
     },
+    /// The loads of the cells were read from their owners. Jobs that wait in a full cell then move to
+    /// cells with room.
+    CellsReported {
+        /// Recent reports. A cell without one gets no jobs.
+        reports: Vec<CellReport>,
+    },
     /// An order to an executor completed.
     OrderCompleted {
         /// Id of the order.
@@ -157,6 +166,7 @@
             Self::PredecessorStopped { .. } => "predecessor_ended",
             Self::Listed { .. } => "listed",
             Self::EvacuationsChanged { .. } => "evacuations_changed",
+            Self::CellsReported { .. } => "cells_reported",
             Self::OrderCompleted { .. } => "order_ended",
             Self::AdviceCompleted { .. } => "advice_ended",
             Self::CommitCompleted { .. } => "commit_ended",
@@ -280,6 +290,7 @@
     journal: JournalState,
     /// Number of cells into which the pool is divided.
     cells: CellId,
+    moves: MoveState,
     advice: AdviceState,
     /// Learned interference of best-effort images with latency-critical images.
     colocation: ColocationModel,
@@ -370,6 +381,7 @@
             orders: HashMap::new(),
             journal: JournalState::default(),
             cells: 1,
+            moves: MoveState::default(),
             advice: AdviceState::default(),
             colocation: ColocationModel::default(),
             neighbour_demand: Vec::new(),
@@ -403,6 +415,7 @@
     pub fn with_cell(mut self, cell: CellId, cells: CellId) -> Self {
         self.keys = CellKeys::new(cell);
         self.cells = cells;
+        self.moves = MoveState::new(cell, cells);
         self
     }
 
@@ -444,6 +457,7 @@
             JobEvent::PredecessorStopped { stopped } => self.on_predecessor_stopped(stopped),
             JobEvent::Listed { reports } => self.on_listed(reports),
             JobEvent::EvacuationsChanged { zones } => self.on_evacuations_changed(zones),
+            JobEvent::CellsReported { reports } => self.on_cells_reported(reports),
             JobEvent::OrderCompleted { id, result } => self.on_order_completed(id, result),
             JobEvent::AdviceCompleted { id, result } => self.on_advice_completed(id, result),
             JobEvent::CommitCompleted { id, result } => self.on_commit_completed(id, result),
@@ -474,6 +488,7 @@
         self.open_due_occurrences();
         self.poll_executors();
         self.resend_orders();
+        self.retry_moves();
         self.stop_stuck_runs();
         self.stop_runs_on_draining_executors();
         self.report_waits();
--- a/crates/cuminbank-jobs/src/scheduler/run_reports.rs
+++ b/crates/cuminbank-jobs/src/scheduler/run_reports.rs
@@ -6,6 +6,7 @@
 
 use super::{
     contact::EARLIER_HOLDS_TIME,
+    moves::MovePhase,
     orders::{OrderKind, PendingOrder, ORDER_TIMEOUT},
     state::{ExecutorKey, JobKey, RunKey, RunPhase, RunState, TaskPhase},
     JobScheduler,
@@ -63,6 +64,10 @@
         }
         let key = *self.job_ids.get(&name.job)?;
         let job = &self.jobs[key];
+        // No run of a job that may be in another cell is one of this scheduler.
+        if job.move_phase == MovePhase::InFlight {
+            return None;
+        }
         Some((key, job.layout.index(&job.record, name)?))
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -8,11 +8,12 @@
 
 use slotmap::new_key_type;
 
+use super::moves::MovePhase;
 use crate::{
     colocation::{ImageId, SlackLoss},
     ids::{
         ExecutorMillis, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, RunNumber,
-        ServiceName, StartMillis, TaskIndex, WallTime, ZoneName,
+        ServiceName, StartMillis, StoreRevision, TaskIndex, WallTime, ZoneName,
     },
     job::{JobOutcome, JobRecord, TaskLayout, TaskNeeds},
     lease_handover::GrantState,
@@ -91,6 +92,10 @@
     pub(super) images: Vec<ImageId>,
     /// Whether the job was accepted during this ownership, so that no earlier owner started runs.
     pub(super) fresh: bool,
+    /// Revision at which its record was created in this cell.
+    pub(super) record_revision: StoreRevision,
+    /// Whether it can move to another cell.
+    pub(super) move_phase: MovePhase,
     /// Zone in which its tasks are gathered, once chosen.
     pub(super) zone: Option<ZoneName>,
     pub(super) arrived: MonotonicTime,
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use super::{
+    moves::MovePhase,
     state::{ExecutorState, TaskPhase},
     JobScheduler,
 };
@@ -102,12 +103,16 @@
     }
 
     /// Returns the phase of a job, or `None` if it is unknown. An outcome is only returned once it
-    /// is recorded, since a job reported as ended must not run again after a change of owner.
+    /// is recorded, since a job reported as ended must not run again after a change of owner. A job
+    /// that may have moved to another cell is unknown here.
     pub fn phase(&self, id: JobId) -> Option<JobPhase> {
         if let Some((outcome, _)) = self.ended_jobs.get(&id) {
             return Some(JobPhase::Ended(*outcome));
         }
         let job = &self.jobs[*self.job_ids.get(&id)?];
+        if job.move_phase == MovePhase::InFlight {
+            return None;
+        }
         Some(match (job.recorded_outcome, job.started) {
             (Some((outcome, _)), _) => JobPhase::Ended(outcome),
             (None, true) => JobPhase::Running,
--- a/crates/cuminbank-jobs/src/scheduler/takeover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/takeover.rs
@@ -10,7 +10,7 @@
     EXECUTOR_LEASES_EXPIRED, POOL_LOADED, POOL_RECONCILED, PREDECESSOR_ENDED, STORE_UNREADABLE,
 };
 
-use super::{state::JobState, JobScheduler};
+use super::{moves::MovePhase, state::JobState, JobScheduler};
 use crate::{
     colocation::ColocationModel,
     formats::describe_value,
@@ -146,9 +146,11 @@
         self.unreconciled.is_empty() && !self.roster_unreadable
     }
 
-    /// Returns whether no earlier owner can have a run of a ready task that is not known here.
+    /// Returns whether no earlier owner can have a run of a ready task that is not known here, and the
+    /// job cannot have moved to another cell.
     pub(super) fn may_start(&self, job: &JobState, task: TaskIndex) -> bool {
-        job.fresh || self.is_reconciled() || self.are_runs_known(job, task)
+        job.move_phase != MovePhase::InFlight
+            && (job.fresh || self.is_reconciled() || self.are_runs_known(job, task))
     }
 
     /// Returns whether a task has no other run than the one that its executor reported. A restarted
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -131,6 +131,9 @@
     WATCH_FAILED = (765, Warn, "A watch of the platform's store got no usable reply.");
     POOL_CONFIG_READ_AGAIN = (766, Warn, "A request needed the configuration, which was not confirmed in time.");
     POOL_DIVISION_DERIVED = (780, Info, "A division of the pool was derived from the registered instances and proposed.");
+    JOB_MOVED = (781, Info, "A waiting job moved to a cell with room.");
+    JOB_MOVE_REFUSED = (782, Info, "A waiting job could not move to another cell and stays.");
+    JOB_MOVE_UNANSWERED = (783, Warn, "The move of a job to another cell got no answer; it starts nowhere until the store tells.");
 }
 
 impl LogRecord {
