--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -15,7 +15,9 @@
     order::ExecutorOrder,
     ownership::{HeldOwnership, OwnerRecord, OwnershipEffect, OwnershipState},
     peer::{OwnerAnswer, OwnerQuestion},
-    scheduler::{DecisionRecord, JobEffect, JobEvent, JobScheduler, SchedulerBounds},
+    scheduler::{
+        DecisionRecord, ExecutorTally, JobEffect, JobEvent, JobScheduler, SchedulerBounds,
+    },
     store::{StoreCall, StoreFailure, StoreItem, StoreReply},
 };
 use serde_json::{json, Value};
@@ -70,6 +72,11 @@
         self.ownership.borrow().is_owner_or_claiming()
     }
 
+    /// Returns the numbers of its executors, if this process owns the cell.
+    pub(crate) fn tally(&self) -> Option<ExecutorTally> {
+        self.scheduler.borrow().as_ref().map(JobScheduler::counts)
+    }
+
     /// Returns the peer address of the observed owner.
     pub(crate) fn owner_address(&self) -> Option<SocketAddr> {
         self.ownership.borrow().observed().map(|owner| owner.peer_address)
@@ -82,7 +89,7 @@
 
     /// Returns the status of the cell for the operator API.
     pub(crate) fn status(&self) -> Value {
-        let tally = self.scheduler.borrow().as_ref().map(JobScheduler::counts);
+        let tally = self.tally();
         let ownership = self.ownership.borrow();
         json!({
             "cell": self.id,
@@ -213,6 +220,12 @@
         self.execute_ownership_effects(state, effects);
     }
 
+    /// Releases the ownership so that another instance claims the cell.
+    pub(crate) fn hand_over(self: &Rc<Self>, state: &Rc<DaemonState>) {
+        let effects = self.ownership.borrow_mut().hand_over(clock::now());
+        self.execute_ownership_effects(state, effects);
+    }
+
     /// Ends the ownership for a successor if `start` is this process and its own epoch is lower
     /// than `epoch`. Returns for how long this process has sent no orders under earlier epochs.
     pub(crate) fn yield_ownership(
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -50,7 +50,7 @@
     cell::CellState,
     clients, clock,
     confirmation::ConfirmationTurn,
-    division,
+    division, handover,
     logging::DecisionLog,
     metrics::JobMetrics,
     moves, operators,
@@ -343,6 +343,7 @@
         monoio::spawn(division::propose_plan(Rc::clone(&state)));
         monoio::spawn(division::follow_loads(Rc::clone(&state)));
         monoio::spawn(moves::follow_cell_loads(Rc::clone(&state)));
+        monoio::spawn(handover::hand_over_cells(Rc::clone(&state)));
         run_ticks(&state, &stop, &reload).await;
         state.log(&DecisionRecord { code: DRAIN_ENDED, job: None, detail: String::new() });
     }
--- a/crates/cuminbank-jobd/src/lib.rs
+++ b/crates/cuminbank-jobd/src/lib.rs
@@ -6,6 +6,7 @@
 mod confirmation;
 pub mod daemon;
 mod division;
+mod handover;
 pub mod logging;
 mod metrics;
 mod moves;
--- a/crates/cuminbank-jobd/tests/division.rs
+++ b/crates/cuminbank-jobd/tests/division.rs
@@ -231,3 +231,65 @@
     starts.dedup();
     assert_eq!((starts.len(), count), ((ids.len() - 1) * 5, (ids.len() - 1) * 5));
 }
+
+// Guards against a cell that stays with an owner whose link cannot carry its traffic, and against
+// tasks that run twice or not at all because it is handed over.
+#[test]
+fn weak_owner_hands_its_cell_over() {
+    let ports = PortBlock::take();
+    let store = loopback(ports.port(1));
+    start_standin(store, 3_000, 0);
+    let start = |number: u16, link_mbps: f64| {
+        let port = ports.port(usize::from(2 + EXECUTORS + number * 4));
+        // Four executors need 0.3 Mbit/s.
+        let shape = PoolShape { link_mbps, adaptive_division: true, ..PoolShape::default() };
+        let settings = instance_settings(number, port, store, shape);
+        let path = settings_path(port);
+        let process = InstanceProcess::start(DaemonBuild::current(), path, settings, Stdio::null());
+        (process, loopback(port), loopback(port + 3))
+    };
+    let (_weak, client, operator) = start(0, 0.2);
+    let owner = || {
+        let (_, status) = call(operator, "GET", "/v1/status", "")?;
+        status["cells"][0]["owner"].as_str().map(str::to_owned)
+    };
+    let wait = |what: &str, condition: &dyn Fn() -> bool| {
+        let started = Instant::now();
+        while !condition() {
+            assert!(started.elapsed() < WAIT_LIMIT, "{what}");
+            thread::sleep(ATTEMPT_PAUSE);
+        }
+    };
+    wait("the weak instance does not own the cell", &|| owner().as_deref() == Some("i0"));
+    let (_strong, _, _) = start(1, 1_000.0);
+    let body = json!({ "spec": "p", "steps": [
+        { "count": 3, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 3_000 },
+        { "count": 3, "cpu": 1_000, "mem-mb": 100, "estimate-ms": 3_000, "after": [0] },
+    ]});
+    let mut ids: Vec<u64> = Vec::new();
+    let started = Instant::now();
+    while owner().as_deref() != Some("i1") {
+        assert!(started.elapsed() < WAIT_LIMIT, "the cell is not handed over");
+        let id = 200 + ids.len() as u64;
+        let answer = call(client, "POST", &format!("/p/{id:016x}"), &body.to_string());
+        if answer.is_some_and(|(status, _)| status == 200) {
+            ids.push(id);
+        }
+        thread::sleep(Duration::from_secs(1));
+    }
+    println!("handed over after {:?}", started.elapsed());
+    wait("a job is not completed", &|| {
+        ids.iter().all(|id| {
+            let answer = call(client, "GET", &format!("/p/{id:016x}"), "");
+            answer.is_some_and(|(_, body)| body["state"] == json!("completed"))
+        })
+    });
+    assert_eq!(owner().as_deref(), Some("i1"));
+    let (_, starts) = call(store, "GET", "/standin/starts", "").expect("the stand-in replies");
+    let mut starts: Vec<String> = serde_json::from_value(starts).expect("a list of names");
+    let count = starts.len();
+    starts.sort();
+    starts.dedup();
+    assert!(ids.len() >= 5, "{ids:?}");
+    assert_eq!((starts.len(), count), (ids.len() * 6, ids.len() * 6));
+}
--- a/crates/cuminbank-jobs/src/division/mod.rs
+++ b/crates/cuminbank-jobs/src/division/mod.rs
@@ -6,9 +6,11 @@
 //! that wait in a full cell move to one with room.
 
 mod count;
+mod handover;
 mod proposal;
 mod relocation;
 
 pub use count::{CellCount, InstanceResources, Redundancy};
+pub use handover::{HandoverCandidate, HandoverWatch};
 pub use proposal::{DivisionEntries, DivisionProposal, ProposalStep, ENTRY_WAIT};
 pub use relocation::{cell_position, CellReport, MoveTargets};
--- a/crates/cuminbank-jobs/src/instances.rs
+++ b/crates/cuminbank-jobs/src/instances.rs
@@ -12,7 +12,7 @@
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
 use crate::{
-    division::{DivisionEntries, InstanceResources},
+    division::{DivisionEntries, HandoverCandidate, InstanceResources},
     formats::{FormatSupport, FormatVersion, UNVERSIONED},
     ids::{CellId, InstanceName, LeaseId, StoreRevision},
     keys::{parse_owner_cell, FORMAT_KEY, INSTANCE_PREFIX, REGISTRATION_KEY},
@@ -171,6 +171,23 @@
             && self.entries.keys().all(|name| self.resources.contains_key(name))
     }
 
+    /// Returns the registered instances that have resources in their entries and own no cell.
+    pub fn handover_candidates(&self) -> Vec<HandoverCandidate> {
+        let owns = |entry: &InstanceEntry| {
+            self.owners.values().flatten().any(|owner| owner.instance == entry.instance)
+        };
+        let entries = self.entries.values().flatten().filter(|entry| !owns(entry));
+        let candidates = entries.filter_map(|entry| {
+            Some(HandoverCandidate {
+                instance: entry.instance.clone(),
+                start: entry.start,
+                peer_address: entry.peer_address,
+                resources: *self.resources.get(&entry.instance)?,
+            })
+        });
+        candidates.collect()
+    }
+
     /// Returns what the entries say about the division. `instance` and `start` are the name and the
     /// start number of this process.
     pub fn division_entries(&self, instance: &InstanceName, start: u64) -> DivisionEntries {
--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -52,6 +52,9 @@
 /// Delay of a claim by an instance that has not seen the last owner. Others know better when that
 /// owner was last confirmed, and so wait for a shorter time until they start tasks.
 const UNINFORMED_CLAIM_DELAY: Duration = Duration::from_millis(500);
+/// Time after a hand-over in which its owner does not claim the cell. Longer than the longest claim
+/// delay of an instance without cells and the three calls of a claim.
+pub const HANDOVER_PAUSE: Duration = Duration::from_secs(3);
 /// Delay before retrying a claim that failed because the last epoch cannot be read.
 const UNREADABLE_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// Timeout of a store call that claims, renews or releases the ownership.
@@ -258,8 +261,20 @@
     /// can claim the cell at once. The caller must stop sending orders first.
     pub fn drain(&mut self, now: MonotonicTime) -> Vec<OwnershipEffect> {
         self.draining = true;
+        self.release(now, "planned shutdown")
+    }
+
+    /// Ends the ownership and removes its record, so that another instance can claim the cell at
+    /// once. This one claims it only if none has for [`HANDOVER_PAUSE`]. The caller must stop sending
+    /// orders first.
+    pub fn hand_over(&mut self, now: MonotonicTime) -> Vec<OwnershipEffect> {
+        self.next_claim = now + HANDOVER_PAUSE;
+        self.release(now, "handed over to an instance with a wider link")
+    }
+
+    fn release(&mut self, now: MonotonicTime, reason: &'static str) -> Vec<OwnershipEffect> {
         let Some(held) = self.held else { return Vec::new() };
-        let mut effects = self.end(now, "planned shutdown");
+        let mut effects = self.end(now, reason);
         if let Some(revision) = held.revision {
             let txn = StoreTxn {
                 expected: vec![(self.keys.owner.clone(), revision)],
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -47,6 +47,7 @@
 
 pub use missed_placements::MissedPlacement;
 pub use state::{ExecutorKey, JobKey, RunKey};
+pub use status::ExecutorTally;
 
 use self::{
     advice::AdviceState,
--- a/crates/cuminbank-jobs/tests/division.rs
+++ b/crates/cuminbank-jobs/tests/division.rs
@@ -5,14 +5,15 @@
 use cuminbank_jobs::{
     cells::{PlanLimits, PoolPlan},
     division::{
-        CellCount, DivisionEntries, DivisionProposal, InstanceResources, ProposalStep, Redundancy,
-        ENTRY_WAIT,
+        CellCount, DivisionEntries, DivisionProposal, HandoverCandidate, HandoverWatch,
+        InstanceResources, ProposalStep, Redundancy, ENTRY_WAIT,
     },
     formats::SUPPORTED_FORMATS,
     instances::{InstanceEntry, InstanceRegistry},
     job::TaskNeeds,
-    keys::{PLAN_KEY, REGISTRATION_KEY},
+    keys::{CellKeys, PLAN_KEY, REGISTRATION_KEY},
     order::ExecutorReport,
+    ownership::OwnerRecord,
     store::{decode_value, encode_value, StoreItem, StoreTxn},
 };
 use proptest::prelude::*;
@@ -306,3 +307,70 @@
         }
     }
 }
+
+// Guards against a cell that changes its owner without need, again and again, or to an instance that
+// has just started or is no better.
+#[test]
+fn weak_owner_hands_over_to_a_strong_instance_that_stays() {
+    let candidate = |number: usize, start, own| HandoverCandidate {
+        instance: format!("i{number:02}"),
+        start,
+        peer_address: "127.0.0.1:9".parse().expect("valid socket address"),
+        resources: own,
+    };
+    let weak = resources(10.0, 0.5);
+    let strong = [candidate(1, 1, resources(100.0, 0.5)), candidate(2, 1, resources(200.0, 0.5))];
+    let at = Duration::from_secs;
+    let mut watch = HandoverWatch::new(weak);
+    watch.note(at(100), &strong);
+    assert_eq!(watch.choose(at(105), at(0), POOL, &strong), None, "registered for 5 s");
+    assert_eq!(watch.choose(at(111), at(105), POOL, &strong), None, "owned for 6 s");
+    let chosen = watch.choose(at(111), at(0), POOL, &strong);
+    assert_eq!(chosen.map(|target| target.instance.as_str()), Some("i02"));
+    assert_eq!(watch.choose(at(111), at(0), 64, &strong), None, "the own link suffices");
+    let others = [candidate(3, 1, resources(20.0, 0.5)), candidate(4, 1, resources(200.0, 0.1))];
+    let mut no_better = HandoverWatch::new(weak);
+    no_better.note(at(0), &others);
+    assert_eq!(no_better.choose(at(60), at(0), POOL, &others), None);
+    // A restarted process has to stay for a while, too.
+    let restarted = [candidate(2, 2, resources(200.0, 0.5))];
+    watch.note(at(112), &restarted);
+    assert_eq!(watch.choose(at(113), at(0), POOL, &restarted), None);
+    assert!(watch.choose(at(122), at(0), POOL, &restarted).is_some());
+    watch.on_handed_over(at(122));
+    assert_eq!(watch.choose(at(150), at(0), POOL, &restarted), None);
+}
+
+// Guards against a hand-over to an instance that owns a cell already, or that has no resources in its
+// entry.
+#[test]
+fn owners_are_no_candidates_for_a_hand_over() {
+    let own = resources(200.0, 0.5);
+    let mut registry = InstanceRegistry::new(SUPPORTED_FORMATS);
+    let item = |key: String, value| StoreItem { key, value, revision: 9, created: 9 };
+    let mut items: Vec<StoreItem> = Vec::new();
+    let registrations = [
+        entry(0).registration_with(&own, 5),
+        entry(1).registration_with(&own, 5),
+        entry(2).registration(5),
+    ];
+    for txn in registrations {
+        items.extend(txn.puts.into_iter().map(|put| item(put.key, put.value)));
+    }
+    let entry = entry(0);
+    let record = OwnerRecord {
+        instance: entry.instance,
+        start: entry.start,
+        peer_address: entry.peer_address,
+        epoch: 1,
+    };
+    items.push(item(CellKeys::new(0).owner, encode_value(&record)));
+    registry.replace(&items, 9);
+    let names: Vec<String> =
+        registry.handover_candidates().into_iter().map(|candidate| candidate.instance).collect();
+    assert_eq!(names, ["i01"]);
+    assert!(!registry.all_have_resources());
+    items.retain(|item| !item.key.ends_with("i02"));
+    registry.replace(&items, 9);
+    assert!(registry.all_have_resources());
+}
--- a/crates/cuminbank-jobs/tests/tenure.rs
+++ b/crates/cuminbank-jobs/tests/tenure.rs
@@ -6,8 +6,8 @@
     ids::MonotonicTime,
     keys::CellKeys,
     ownership::{
-        HeldOwnership, OwnershipEffect, OwnershipState, CLAIM_DELAY, MAX_STORE_SILENCE,
-        OWNERSHIP_TTL,
+        HeldOwnership, OwnershipEffect, OwnershipState, CLAIM_DELAY, HANDOVER_PAUSE,
+        MAX_STORE_SILENCE, OWNERSHIP_TTL,
     },
     store::{StoreCall, StoreFailure, StorePut, StoreTxn},
 };
@@ -270,3 +270,37 @@
     let effects = tick(&mut store, &mut other, vacant + CLAIM_DELAY * 3);
     assert_eq!(begun(&effects).map(|held| held.epoch), Some(2));
 }
+
+// Guards against an owner that takes a cell back which it has just handed over, and against a cell
+// without an owner if no other instance claims it.
+#[test]
+fn handed_over_cell_is_left_to_others_for_a_while() {
+    for another in [true, false] {
+        let (mut store, mut owner) = owned();
+        let effects = owner.hand_over(START);
+        assert!(matches!(effects[0], OwnershipEffect::Ended(_)), "orders end before the release");
+        execute_calls(&mut store, &mut owner, START, effects);
+        assert!(store.read(&CellKeys::new(0).owner).is_empty());
+        let mut second = state("b", 2);
+        let mut began = Vec::new();
+        for millis in (0..6_000).step_by(20) {
+            let now = START + Duration::from_millis(millis);
+            let mut instances = vec![("a", &mut owner)];
+            if another {
+                instances.push(("b", &mut second));
+            }
+            for (name, state) in instances {
+                let mut effects = observe(&mut store, state, now);
+                effects.extend(tick(&mut store, state, now));
+                if begun(&effects).is_some() {
+                    began.push((name, now));
+                }
+            }
+        }
+        let [(name, at)] = began.as_slice() else { panic!("{began:?}") };
+        match another {
+            true => assert!(*name == "b" && *at < START + HANDOVER_PAUSE, "{began:?}"),
+            false => assert!(*name == "a" && *at >= START + HANDOVER_PAUSE, "{began:?}"),
+        }
+    }
+}
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -134,6 +134,7 @@
     JOB_MOVED = (781, Info, "A waiting job moved to a cell with room.");
     JOB_MOVE_REFUSED = (782, Info, "A waiting job could not move to another cell and stays.");
     JOB_MOVE_UNANSWERED = (783, Warn, "The move of a job to another cell got no answer; it starts nowhere until the store tells.");
+    CELL_HANDED_OVER = (784, Info, "The owner of a cell hands it over, since its link cannot carry the traffic.");
 }
 
 impl LogRecord {
