--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -54,10 +54,10 @@
     cell::CellState,
     clients, clock,
     confirmation::ConfirmationTurn,
-    division,
+    division, handover,
     logging::DecisionLog,
     metrics::JobMetrics,
-    operators,
+    moves, operators,
     registration::{self, BUILD_NAME},
     store::StoreClient,
     watches,
@@ -381,6 +381,8 @@
             true => monoio::spawn(admission::follow_rooms(Rc::clone(&state))),
             false => monoio::spawn(division::follow_loads(Rc::clone(&state))),
         };
+        monoio::spawn(moves::follow_cell_loads(Rc::clone(&state)));
+        monoio::spawn(handover::hand_over_cells(Rc::clone(&state)));
         run_ticks(&state, &stop, &reload).await;
         state.log(&DecisionRecord { code: DRAIN_ENDED, job: None, detail: String::new() });
     }
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -142,11 +142,13 @@
     pub link_mbps: f64,
     /// Whether the instances admit jobs by the room of the pool.
     pub admission: bool,
+    /// Whether the division follows from the instances, and waiting jobs move between cells.
+    pub adaptive_division: bool,
 }
 
 impl Default for PoolShape {
     fn default() -> Self {
-        Self { cells: 1, link_mbps: 1_000.0, admission: false }
+        Self { cells: 1, link_mbps: 1_000.0, admission: false, adaptive_division: false }
     }
 }
 
@@ -339,6 +341,7 @@
         "config_apply_ms": CONFIG_APPLY.as_millis() as u64, "evacuate_ms": 5_000,
         "processor_share": 1.0, "link_mbps": shape.link_mbps, "cells": shape.cells,
         "retention_ms": 120_000, "admission": shape.admission,
+        "adaptive_division": shape.adaptive_division,
     })
 }
 
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cells;
 pub mod colocation;
 pub mod config;
+pub mod division;
 pub mod evacuation;
 pub mod formats;
 pub mod guards;
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -139,6 +139,11 @@
     RESERVATION_MADE = (775, Info, "An executor was reserved for a waiting task.");
     RESERVATION_USED = (776, Info, "A task started on the executor reserved for it.");
     RESERVATION_ENDED = (777, Info, "A reservation of an executor was given up.");
+    POOL_DIVISION_DERIVED = (780, Info, "A division of the pool was derived from the registered instances and proposed.");
+    JOB_MOVED = (781, Info, "A waiting job moved to a cell with room.");
+    JOB_MOVE_REFUSED = (782, Info, "A waiting job could not move to another cell and stays.");
+    JOB_MOVE_UNANSWERED = (783, Warn, "The move of a job to another cell got no answer; it starts nowhere until the store tells.");
+    CELL_HANDED_OVER = (784, Info, "The owner of a cell hands it over, since its link cannot carry the traffic.");
 }
 
 impl LogRecord {
