--- a/crates/cuminbank-jobs/src/backfill/demand.rs
+++ b/crates/cuminbank-jobs/src/backfill/demand.rs
@@ -42,7 +42,7 @@
 impl SizeDemand {
     /// Counts a started task.
     pub fn record_start(&mut self, cpu_millis: u32) {
-        self.started[class_of(cpu_millis)] += u64::from(cpu_millis);
+        self.started[class_of(cpu_millis)] += weight_of(cpu_millis);
     }
 
     /// Returns whether an update is due.
@@ -56,7 +56,7 @@
         self.started.iter_mut().for_each(|cpu| *cpu -= cpu.div_ceil(FORGOTTEN_DIVISOR));
         let mut demand = self.started;
         for cpu_millis in waiting {
-            demand[class_of(cpu_millis)] += u64::from(cpu_millis);
+            demand[class_of(cpu_millis)] += weight_of(cpu_millis);
         }
         let total = demand.iter().sum::<u64>();
         let part = |cpu: u64| (cpu * WHOLE).checked_div(total).unwrap_or_default();
@@ -87,6 +87,11 @@
     }
 }
 
+/// Returns what a task adds to the demand. Limited, since clients may request any amount.
+fn weight_of(cpu_millis: u32) -> u64 {
+    u64::from(cpu_millis.min(CLASS_MILLIS * CLASSES as u32))
+}
+
 fn class_of(cpu_millis: u32) -> usize {
     (cpu_millis.div_ceil(CLASS_MILLIS) as usize).clamp(1, CLASSES) - 1
 }
--- a/crates/cuminbank-jobs/tests/backfill.rs
+++ b/crates/cuminbank-jobs/tests/backfill.rs
@@ -54,6 +54,21 @@
     assert_eq!((demand.unusable_part(7_000), demand.smaller_percent(7_000)), (0, 0));
 }
 
+// Guards against an overflow, since clients may request any amount.
+#[test]
+fn needs_of_any_size_are_counted() {
+    let mut demand = SizeDemand::default();
+    (0..1_000).for_each(|_| demand.record_start(u32::MAX));
+    demand.update(NOW, std::iter::repeat_n(u32::MAX, 20_000).chain([128_000]));
+    assert_eq!((demand.unusable_part(127_999), demand.smaller_percent(u32::MAX)), (127_999, 0));
+    let mut lengths = RunLengths::default();
+    lengths.record(&String::new(), Duration::ZERO, Duration::MAX);
+    assert!(lengths.expected(&String::new(), Duration::MAX).longest < Duration::MAX);
+    let all = TaskNeeds { cpu_millis: u32::MAX, memory_mb: u32::MAX, gpus: u32::MAX };
+    let mut runs = [RunningTask { ends: NOW, needs: all }; 2];
+    assert!(forecast_room(NOW, all, &mut runs, &all).is_some());
+}
+
 // Guards against a demand that is forgotten as soon as its tasks have started, or never.
 #[test]
 fn recent_starts_count_towards_the_demand() {
