--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -293,7 +293,8 @@
             .with_cell(self.id, state.all_cells().len() as CellId)
             .with_identity(self.ownership.borrow().identity().clone())
             .with_processor_share(settings.processor_share)
-            .with_link(settings.link_mbps);
+            .with_link(settings.link_mbps)
+            .with_calm_placement(settings.calm_placement);
         *self.scheduler.borrow_mut() = Some(scheduler);
         self.generation.set(self.generation.get() + 1);
         let generation = self.generation.get();
--- a/crates/cuminbank-jobs/src/colocation.rs
+++ b/crates/cuminbank-jobs/src/colocation.rs
@@ -332,6 +332,12 @@
         self.effect(now, victim, image).loss(share, minor)
     }
 
+    /// Returns the loss of slack caused by a best-effort task of typical size, with minor losses
+    /// reduced towards zero.
+    pub fn typical_loss(&self, now: MonotonicTime, victim: ImageId, image: ImageId) -> SlackLoss {
+        self.loss(now, victim, image, TYPICAL_SHARE)
+    }
+
     /// Returns the loss to assume when a best-effort image is placed. For an uncertain pair the
     /// variance is ignored, because the pair would otherwise never be colocated and no reports
     /// would reduce it.
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -6,6 +6,7 @@
 //! receives. All durable state is in the platform's store, under the keys of [`keys`].
 
 pub mod acceptance;
+pub mod calm_placement;
 pub mod cells;
 pub mod colocation;
 pub mod config;
--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -16,6 +16,9 @@
     /// Pressure of best-effort tasks on latency-critical ones if the task is placed here. The limit
     /// is 1.
     pub pressure: f64,
+    /// Cost of a best-effort task by the risk for the latency-critical tasks here (see
+    /// [`crate::calm_placement`]); `None` if it is placed by the pressure.
+    pub calm_cost: Option<u64>,
     /// How much best-effort images depend on running next to the latency-critical tasks here, from
     /// 0 to 1. Images that tolerate many others avoid these executors, which leaves them to images
     /// that tolerate few.
@@ -146,14 +149,18 @@
         let fullness = (capacity - idle.saturating_sub(needed)) * 10_000 / capacity;
         // Executors without latency-critical tasks are kept free for best-effort tasks that would
         // interfere with such tasks.
-        cost += match (demand.best_effort, self.latency_critical_tasks) {
-            (true, 0) => NO_SERVICE_COST,
-            (true, _) => {
+        cost += match (demand.best_effort, self.latency_critical_tasks, self.calm_cost) {
+            (true, 0, Some(calm_cost)) => calm_cost,
+            (true, _, Some(calm_cost)) => {
+                calm_cost + (self.neighbour_demand * NEIGHBOUR_DEMAND_COST) as u64
+            }
+            (true, 0, None) => NO_SERVICE_COST,
+            (true, _, None) => {
                 (self.pressure * PRESSURE_COST + self.neighbour_demand * NEIGHBOUR_DEMAND_COST)
                     as u64
             }
-            (false, 0) => 0,
-            (false, _) => BESIDE_SERVICE_COST,
+            (false, 0, _) => 0,
+            (false, _, _) => BESIDE_SERVICE_COST,
         };
         // A task that reserves CPU should not slow down best-effort tasks while other executors
         // have idle CPU.
--- a/crates/cuminbank-jobs/src/scheduler/candidates.rs
+++ b/crates/cuminbank-jobs/src/scheduler/candidates.rs
@@ -97,6 +97,7 @@
         }
         let found = candidates.by_cost.len() as u32;
         self.charge_units(placeable.len() as u32 + found * EVALUATION_UNITS);
+        self.charge_risk_units(key, position.1, found);
         candidates
     }
 
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 //! idle. All other tasks, like the latency-critical ones, reserve the CPU that they need.
 
 mod advice;
+mod calm;
 mod candidates;
 mod contact;
 mod drains;
@@ -49,6 +50,7 @@
 
 use self::{
     advice::AdviceState,
+    calm::CalmState,
     journal::JournalState,
     orders::{max_starts_in_flight, PendingOrder},
     pass::{slice_units, QueuePass, StarvedJob},
@@ -287,6 +289,7 @@
     /// value (see [`ColocationModel::neighbour_demand`]), and when it is next computed.
     neighbour_demand: Vec<f64>,
     next_neighbour_demand_at: MonotonicTime,
+    calm: CalmState,
     /// Earliest time at which the next starving best-effort task may start on an executor where it
     /// interferes with latency-critical ones.
     next_starvation_start_at: MonotonicTime,
@@ -374,6 +377,7 @@
             colocation: ColocationModel::default(),
             neighbour_demand: Vec::new(),
             next_neighbour_demand_at: MonotonicTime::ZERO,
+            calm: CalmState::default(),
             next_starvation_start_at: MonotonicTime::ZERO,
             next_survey_at: MonotonicTime::ZERO,
             next_moves_at: MonotonicTime::ZERO,
@@ -431,6 +435,12 @@
         self
     }
 
+    /// Sets whether best-effort tasks are placed where no latency-critical task is at risk.
+    pub fn with_calm_placement(mut self, enabled: bool) -> Self {
+        self.calm.enabled = enabled;
+        self
+    }
+
     /// Applies an event and returns the actions to carry out, in order.
     pub fn apply(&mut self, now: MonotonicTime, wall: WallTime, event: JobEvent) -> Vec<JobEffect> {
         self.now = now;
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -167,6 +167,7 @@
             (false, false) => "reserving",
         };
         let image = run.image;
+        self.record_calm_start(executor_key, job_key, step);
         let key = self.add_run(run);
         let executor = &self.executors[executor_key];
         let detail = format!(
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -248,6 +248,7 @@
             return QueuePass::default();
         }
         self.update_neighbour_demand();
+        self.update_calm_room();
         self.underutilized = self.is_underutilized();
         let now = self.now;
         waiting.sort_by(|(left_key, left), (right_key, right)| {
--- a/crates/cuminbank-jobs/src/scheduler/pressure.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pressure.rs
@@ -45,25 +45,27 @@
         minor_loss: MinorLoss,
     ) -> f64 {
         let share = executor.share_of(spec.needs.cpu_millis);
-        let ahead = Duration::from_millis(u64::from(spec.estimate_ms)) + START_AND_DECAY_TIME;
         executor
             .losses
             .iter()
             .map(|loss| {
-                let sum = match minor_loss {
-                    MinorLoss::Counted => loss.total,
-                    MinorLoss::Ignored => loss.significant,
-                };
                 let added =
                     self.colocation.trial_loss(minor_loss, self.now, loss.victim, image, share);
-                sum.plus(added).pressure(self.tolerable_loss_on(executor, loss.victim, ahead))
+                let sum = loss.with(minor_loss).plus(added);
+                sum.pressure(self.tolerable_loss_until_end(executor, loss.victim, spec))
             })
             .fold(0.0, f64::max)
     }
 
-    /// Returns the loss of slack that a latency-critical image can tolerate during the time
-    /// `ahead`.
-    fn tolerable_loss_on(&self, executor: &ExecutorState, victim: ImageId, ahead: Duration) -> f64 {
+    /// Returns the loss of slack that a latency-critical image can tolerate until a task of the step
+    /// with this spec would end.
+    pub(super) fn tolerable_loss_until_end(
+        &self,
+        executor: &ExecutorState,
+        victim: ImageId,
+        spec: &JobStep,
+    ) -> f64 {
+        let ahead = Duration::from_millis(u64::from(spec.estimate_ms)) + START_AND_DECAY_TIME;
         let reading = executor.slacks.iter().find(|reading| reading.victim == victim);
         reading.map_or(PEAK_TOLERABLE_LOSS, |reading| {
             tolerable_loss(reading.slack, self.now.saturating_sub(reading.at), ahead)
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -9,7 +9,7 @@
 use slotmap::new_key_type;
 
 use crate::{
-    colocation::{ImageId, SlackLoss},
+    colocation::{ImageId, MinorLoss, SlackLoss},
     ids::{
         ExecutorMillis, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, RunNumber,
         ServiceName, StartMillis, TaskIndex, WallTime, ZoneName,
@@ -213,6 +213,16 @@
     pub(super) total: SlackLoss,
 }
 
+impl VictimLoss {
+    /// Returns the loss, with minor losses as `minor_loss` tells.
+    pub(super) fn with(&self, minor_loss: MinorLoss) -> SlackLoss {
+        match minor_loss {
+            MinorLoss::Counted => self.total,
+            MinorLoss::Ignored => self.significant,
+        }
+    }
+}
+
 /// Slack that a latency-critical image would have on an executor without best-effort tasks.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct SlackReading {
--- a/crates/cuminbank-jobs/src/scheduler/tails.rs
+++ b/crates/cuminbank-jobs/src/scheduler/tails.rs
@@ -138,6 +138,7 @@
             let estimate = &mut self.jobs[tail.job].slack;
             if tail.is_new {
                 estimate.update(now, &tail.report, lost);
+                self.calm.record_slack(now, tail.victim, estimate.mean());
             }
             tail.loss = estimate.loss_of(now, &tail.report);
         }
--- a/crates/cuminbank-jobs/src/scheduler/task_placement.rs
+++ b/crates/cuminbank-jobs/src/scheduler/task_placement.rs
@@ -396,6 +396,7 @@
             if self.now < executor.no_best_effort_until || (interferes && !search.rules.starving) {
                 return Err(PlacementRefusal::Interference);
             }
+            load.calm_cost = self.calm_cost(executor, image, spec, search.rules.minor_loss());
         } else if spec.long_running {
             load.pressure = self.pressure_on(executor, image);
         }
@@ -425,6 +426,7 @@
             latency_critical_cpu: executor.latency_critical_cpu,
             best_effort_cpu: executor.best_effort_cpu,
             pressure: 0.0,
+            calm_cost: None,
             same_image: false,
             neighbour_demand: 0.0,
             best_effort_tasks: executor.best_effort_tasks,
--- a/crates/cuminbank-jobs/src/slack.rs
+++ b/crates/cuminbank-jobs/src/slack.rs
@@ -37,6 +37,12 @@
 /// peak.
 pub fn tolerable_loss(slack: f64, age: Duration, ahead: Duration) -> f64 {
     let lowest = slack - MAX_SLACK_DECLINE * (age + ahead).as_secs_f64();
+    lowest_tolerable_loss(lowest)
+}
+
+/// Returns the loss of slack that a latency-critical task tolerates at the lowest slack that its load
+/// leaves.
+pub fn lowest_tolerable_loss(lowest: f64) -> f64 {
     lowest.max(PEAK_SLACK) - 1.0 - SLACK_RESERVE
 }
 
@@ -93,6 +99,11 @@
         *self = Self { mean: mean.max(PEAK_SLACK), variance: variance * (1.0 - gain), at: now };
     }
 
+    /// Returns the undisturbed slack.
+    pub fn mean(&self) -> f64 {
+        self.mean
+    }
+
     /// Returns the loss of slack that colocated tasks caused in a report.
     pub fn loss_of(&self, now: MonotonicTime, report: &SlackReport) -> SlackLoss {
         let variance = self.variance_at(now) + report.variance();
--- a/crates/cuminbank-jobs/tests/support/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/mod.rs
@@ -11,4 +11,5 @@
 pub mod lost_tasks;
 pub mod ownership;
 pub mod simulation;
+pub mod swinging_load;
 pub mod waiting;
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -170,7 +170,8 @@
                         .with_guards(self.guards)
                         .with_identity(self.instances[number].ownership.identity().clone())
                         .with_processor_share(self.processor_share)
-                        .with_link(self.link_mbps);
+                        .with_link(self.link_mbps)
+                        .with_calm_placement(self.calm_placement);
                     self.trace.push(format!("{:?} {} began {held:?}", self.now, number));
                     let delay = self.delay() * 4;
                     let instance = &mut self.instances[number];
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -235,6 +235,7 @@
     max_lease_ms: u64,
     processor_share: f64,
     link_mbps: f64,
+    calm_placement: bool,
     instances: Vec<FakeInstance>,
     silent_since: Vec<Option<MonotonicTime>>,
     removed_executors: BTreeSet<usize>,
@@ -290,6 +291,7 @@
             max_starts: 0,
             processor_share: 1.0,
             link_mbps: 1_000.0,
+            calm_placement: false,
             instances: Vec::new(),
             silent_since: vec![None; executors],
             removed_executors: BTreeSet::new(),
@@ -346,6 +348,12 @@
         self
     }
 
+    /// Sets whether best-effort tasks are placed where no latency-critical task is at risk.
+    pub fn with_calm_placement(mut self, enabled: bool) -> Self {
+        self.calm_placement = enabled;
+        self
+    }
+
     /// Sets the enabled safety mechanisms.
     pub fn with_guards(mut self, guards: JobGuards) -> Self {
         self.guards = guards;
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -130,6 +130,8 @@
     POOL_FORMAT_UNSUPPORTED = (764, Error, "The pool's records may have a newer format than this build reads; the instance serves nothing.");
     WATCH_FAILED = (765, Warn, "A watch of the platform's store got no usable reply.");
     POOL_CONFIG_READ_AGAIN = (766, Warn, "A request needed the configuration, which was not confirmed in time.");
+    CLEAR_ROOM_AMPLE = (785, Info, "Executors without latency-critical tasks have room for all best-effort work.");
+    CLEAR_ROOM_SHORT = (786, Info, "Executors without latency-critical tasks lack room for some best-effort work.");
 }
 
 impl LogRecord {
