--- a/crates/cuminbank-jobs/src/calm_placement.rs
+++ b/crates/cuminbank-jobs/src/calm_placement.rs
@@ -103,8 +103,8 @@
     idle_cpu: u64,
     /// CPU that each best-effort image leaves to those that fewer other executors tolerate.
     needed_cpu: HashMap<ImageId, u64>,
-    /// Lowest and highest rank of these executors.
-    ranks: Option<(u32, u32)>,
+    /// Lowest and highest opening cost (see [`crate::placement::opening_cost`]) of these executors.
+    opening_costs: Option<(u64, u64)>,
 }
 
 impl ClearRoom {
@@ -128,10 +128,10 @@
 
     /// Adds an executor without latency-critical tasks, with its idle CPU in thousandths of a core.
     /// Only whole tasks of the typical size count.
-    pub fn add_executor(&mut self, rank: u32, idle_cpu: u32, typical_cpu: u32) {
+    pub fn add_executor(&mut self, opening_cost: u64, idle_cpu: u32, typical_cpu: u32) {
         self.idle_cpu += u64::from(idle_cpu - idle_cpu % typical_cpu.max(1));
-        let (lowest, highest) = self.ranks.unwrap_or((rank, rank));
-        self.ranks = Some((lowest.min(rank), highest.max(rank)));
+        let (lowest, highest) = self.opening_costs.unwrap_or((opening_cost, opening_cost));
+        self.opening_costs = Some((lowest.min(opening_cost), highest.max(opening_cost)));
     }
 
     /// Records the start of a best-effort task on one of these executors.
@@ -165,33 +165,35 @@
         };
         match risk {
             NeighbourRisk::Trial => TRIAL_COST,
-            NeighbourRisk::Clear { rank } => clear_cost + self.opening_cost(rank),
+            NeighbourRisk::Clear { opening_cost } => clear_cost + self.space_cost(opening_cost),
             NeighbourRisk::Tolerated { pressure } => tolerated_cost + pressure_cost(pressure),
             NeighbourRisk::Exposed { pressure } => EXPOSED_COST + pressure_cost(pressure),
         }
     }
 
-    /// Returns the cost of an executor by its rank. Latency-critical tasks open executors in the order
-    /// of their ranks, so best-effort tasks fill those of high rank first, and the executor that is
-    /// opened next is without best-effort tasks.
-    fn opening_cost(&self, rank: u32) -> u64 {
-        let Some((lowest, highest)) = self.ranks else { return 0 };
-        let distance = u64::from(highest.saturating_sub(rank.max(lowest)));
-        distance * MAX_OPENING_COST / u64::from(highest - lowest).max(1)
+    /// Returns the cost of taking space that latency-critical tasks may need. Best-effort tasks fill
+    /// the executors first that latency-critical tasks open last, so that the executor that is opened
+    /// next is nearly without best-effort tasks.
+    fn space_cost(&self, opening_cost: u64) -> u64 {
+        let Some((lowest, highest)) = self.opening_costs else { return 0 };
+        let distance = highest.saturating_sub(opening_cost.max(lowest));
+        distance * MAX_SPACE_COST / (highest - lowest).max(1)
     }
 }
 
 /// Costs of an executor without latency-critical tasks, and of one that tolerates the task, with
-/// ample room and without it. The load of an executor costs up to 10,000, one outside the zone of the
-/// job 30,000, and contention for CPU 50,000: a task rather leaves its zone, or slows down other
-/// best-effort tasks, than put a latency-critical task at risk.
+/// ample room and without it. With ample room the second is above the first with the full load and
+/// [`MAX_SPACE_COST`]; without it, a pressure of 1 makes them equal.
 const AMPLE_COSTS: (u64, u64) = (10_000, 40_000);
 const SHORT_COSTS: (u64, u64) = (20_000, 0);
-const EXPOSED_COST: u64 = 120_000;
+/// Cost of an executor whose latency-critical tasks are at risk. The load of an executor costs up to
+/// 10,000, one outside the zone of the job 30,000, contention for CPU 50,000, and one of half speed
+/// 140,000: a task rather takes any of these, as a missed target costs five times its value.
+const EXPOSED_COST: u64 = 200_000;
 const TRIAL_COST: u64 = 5_000;
 /// Cost of the executor that latency-critical tasks open next. At twice the cost of the load, part of
 /// the executors stay empty when best-effort tasks need half of the CPU.
-const MAX_OPENING_COST: u64 = 20_000;
+const MAX_SPACE_COST: u64 = 20_000;
 /// Cost of a pressure of 1.
 const PRESSURE_COST: f64 = 20_000.0;
 
@@ -214,8 +216,8 @@
 pub enum NeighbourRisk {
     /// No latency-critical task.
     Clear {
-        /// Rank of the executor.
-        rank: u32,
+        /// Cost of the executor for a latency-critical task, if it were empty.
+        opening_cost: u64,
     },
     /// First executor of an uncertain pair of images, at a time at which the slack suffices for a
     /// loss within the uncertainty. Without such trials little would be known of the pairs when room
--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -95,6 +95,17 @@
     capacity.saturating_sub(reserved - unused + best_effort)
 }
 
+/// Returns the part of the cost of a latency-critical task on an executor without tasks that differs
+/// between such executors. The one with the lowest is opened first.
+pub fn opening_cost(capacity: u32, needs: u32, rank: u32) -> u64 {
+    fullness_cost(u64::from(capacity.max(1)), u64::from(needs)) + u64::from(rank)
+}
+
+/// Returns the cost by the CPU that a latency-critical task would leave unreserved.
+fn fullness_cost(capacity: u64, used: u64) -> u64 {
+    capacity.saturating_sub(used) * 10_000 / capacity
+}
+
 impl ExecutorLoad {
     /// Returns the CPU that is expected to stay idle, in thousandths of a core.
     pub fn idle_cpu(&self) -> u32 {
@@ -175,7 +186,7 @@
     /// images as possible.
     fn latency_critical_cost(&self, demand: &TaskDemand, capacity: u64) -> u64 {
         let used = u64::from(self.reserved.cpu_millis) + u64::from(demand.needs.cpu_millis);
-        let mut cost = capacity.saturating_sub(used) * 10_000 / capacity;
+        let mut cost = fullness_cost(capacity, used);
         cost += u64::from(self.best_effort_tasks) * BEST_EFFORT_NEIGHBOUR_COST;
         cost += (self.pressure * PRESSURE_COST) as u64;
         cost += match (self.same_image, self.latency_critical_tasks) {
--- a/crates/cuminbank-jobs/src/scheduler/calm.rs
+++ b/crates/cuminbank-jobs/src/scheduler/calm.rs
@@ -14,7 +14,7 @@
     colocation::{ImageId, MinorLoss, SlackLoss, MAX_PRESSURE, UNMODELLED_IMAGE},
     ids::MonotonicTime,
     job::JobStep,
-    placement::idle_cpu,
+    placement::{idle_cpu, opening_cost},
     slack::{lowest_tolerable_loss, PEAK_SLACK},
 };
 
@@ -26,7 +26,7 @@
 /// Work units for the estimate of a pair of images.
 const PAIR_UNITS: u32 = 4;
 /// Work units for the risk on an executor.
-const RISK_UNITS: u32 = 8;
+const RISK_UNITS: u32 = 4;
 /// Minimum time between two log entries about the room, which may be near its limit for long.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -38,6 +38,8 @@
     /// Swings of the latency-critical images, indexed by image.
     swings: Vec<SwingRecord>,
     room: ClearRoom,
+    /// Mean CPU of the latency-critical tasks, in thousandths of a core.
+    latency_critical_cpu: u32,
     next_room_at: MonotonicTime,
     /// Share of the executors with latency-critical tasks that tolerate each best-effort image.
     tolerated_shares: HashMap<ImageId, f64>,
@@ -54,6 +56,10 @@
         lowest_tolerable_loss(swing.and_then(|swing| swing.lowest(now)).unwrap_or(PEAK_SLACK))
     }
 
+    fn opening_cost(&self, executor: &ExecutorState) -> u64 {
+        opening_cost(executor.capacity.cpu_millis, self.latency_critical_cpu, executor.rank)
+    }
+
     fn tolerated_share(&self, image: ImageId) -> f64 {
         self.tolerated_shares.get(&image).copied().unwrap_or_default()
     }
@@ -96,7 +102,7 @@
         minor_loss: MinorLoss,
     ) -> NeighbourRisk {
         if executor.latency_critical_tasks == 0 {
-            return NeighbourRisk::Clear { rank: executor.rank };
+            return NeighbourRisk::Clear { opening_cost: self.calm.opening_cost(executor) };
         }
         let pressure = self.neighbour_pressure(executor, image, spec, minor_loss);
         NeighbourRisk::beside(pressure, || self.is_untried(executor, image))
@@ -171,6 +177,7 @@
             return;
         }
         self.calm.next_room_at = self.now + ROOM_INTERVAL;
+        self.calm.latency_critical_cpu = self.mean_latency_critical_cpu();
         let (demands, tasks) = self.best_effort_demands();
         if self.now >= self.calm.next_tolerance_at {
             self.calm.next_tolerance_at = self.now + TOLERANCE_INTERVAL;
@@ -185,17 +192,32 @@
         let mut room = ClearRoom::new(demands.into_iter().map(with_share).collect());
         for executor in self.executors.values() {
             if executor.latency_critical_tasks == 0 && self.is_placeable(executor) {
-                room.add_executor(executor.rank, executor.idle_cpu(), typical_cpu);
+                room.add_executor(
+                    self.calm.opening_cost(executor),
+                    executor.idle_cpu(),
+                    typical_cpu,
+                );
             }
         }
         self.calm.room = room;
         self.log_calm_room();
     }
 
+    fn mean_latency_critical_cpu(&self) -> u32 {
+        let executors = self.executors.values();
+        let (cpu, tasks) = executors.fold((0, 0), |(cpu, tasks), executor| {
+            (
+                cpu + u64::from(executor.latency_critical_cpu),
+                tasks + u64::from(executor.latency_critical_tasks),
+            )
+        });
+        cpu.checked_div(tasks).unwrap_or_default() as u32
+    }
+
     /// Returns the ready and running best-effort work of each image, and its number of tasks.
     fn best_effort_demands(&mut self) -> (HashMap<ImageId, ImageDemand>, u64) {
         let mut demands: HashMap<ImageId, ImageDemand> = HashMap::new();
-        let (mut tasks, mut looked_at) = (0, self.executors.len());
+        let (mut tasks, mut looked_at) = (0, self.executors.len() * 3);
         for executor in self.executors.values() {
             tasks += u64::from(executor.best_effort_tasks);
             for (image, cpu_millis) in &executor.best_effort_images {
