--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -309,7 +309,8 @@
             .with_processor_share(settings.processor_share)
             .with_link(settings.link_mbps)
             .with_step_spread(settings.step_spread)
-            .with_task_reservations(settings.task_reservations);
+            .with_task_reservations(settings.task_reservations)
+            .with_calm_placement(settings.calm_placement);
         *self.scheduler.borrow_mut() = Some(scheduler);
         self.generation.set(self.generation.get() + 1);
         let generation = self.generation.get();
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod acceptance;
 pub mod admission;
 pub mod backfill;
+pub mod calm_placement;
 pub mod cells;
 pub mod colocation;
 pub mod config;
--- a/crates/cuminbank-jobs/src/placement.rs
+++ b/crates/cuminbank-jobs/src/placement.rs
@@ -16,6 +16,9 @@
     /// Pressure of best-effort tasks on latency-critical ones if the task is placed here. The limit
     /// is 1.
     pub pressure: f64,
+    /// Cost of a best-effort task by the risk for the latency-critical tasks here (see
+    /// [`crate::calm_placement`]); `None` if it is placed by the pressure.
+    pub calm_cost: Option<u64>,
     /// How much best-effort images depend on running next to the latency-critical tasks here, from
     /// 0 to 1. Images that tolerate many others avoid these executors, which leaves them to images
     /// that tolerate few.
@@ -101,6 +104,17 @@
     capacity.saturating_sub(reserved - unused + best_effort)
 }
 
+/// Returns the part of the cost of a latency-critical task on an executor without tasks that differs
+/// between such executors. The one with the lowest is opened first.
+pub fn opening_cost(capacity: u32, needs: u32, rank: u32) -> u64 {
+    fullness_cost(u64::from(capacity.max(1)), u64::from(needs)) + u64::from(rank)
+}
+
+/// Returns the cost by the CPU that a latency-critical task would leave unreserved.
+fn fullness_cost(capacity: u64, used: u64) -> u64 {
+    capacity.saturating_sub(used) * 10_000 / capacity
+}
+
 impl ExecutorLoad {
     /// Returns the CPU that is expected to stay idle, in thousandths of a core.
     pub fn idle_cpu(&self) -> u32 {
@@ -155,14 +169,18 @@
         let fullness = (capacity - idle.saturating_sub(needed)) * 10_000 / capacity;
         // Executors without latency-critical tasks are kept free for best-effort tasks that would
         // interfere with such tasks.
-        cost += match (demand.best_effort, self.latency_critical_tasks) {
-            (true, 0) => NO_SERVICE_COST,
-            (true, _) => {
+        cost += match (demand.best_effort, self.latency_critical_tasks, self.calm_cost) {
+            (true, 0, Some(calm_cost)) => calm_cost,
+            (true, _, Some(calm_cost)) => {
+                calm_cost + (self.neighbour_demand * NEIGHBOUR_DEMAND_COST) as u64
+            }
+            (true, 0, None) => NO_SERVICE_COST,
+            (true, _, None) => {
                 (self.pressure * PRESSURE_COST + self.neighbour_demand * NEIGHBOUR_DEMAND_COST)
                     as u64
             }
-            (false, 0) => 0,
-            (false, _) => BESIDE_SERVICE_COST,
+            (false, 0, _) => 0,
+            (false, _, _) => BESIDE_SERVICE_COST,
         };
         // A task that reserves CPU should not slow down best-effort tasks while other executors
         // have idle CPU.
@@ -177,7 +195,7 @@
     /// images as possible.
     fn latency_critical_cost(&self, demand: &TaskDemand, capacity: u64) -> u64 {
         let used = u64::from(self.reserved.cpu_millis) + u64::from(demand.needs.cpu_millis);
-        let mut cost = capacity.saturating_sub(used) * 10_000 / capacity;
+        let mut cost = fullness_cost(capacity, used);
         cost += u64::from(self.best_effort_tasks) * BEST_EFFORT_NEIGHBOUR_COST;
         cost += u64::from(self.same_step_tasks) * SAME_STEP_COST;
         cost += (self.pressure * PRESSURE_COST) as u64;
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -10,7 +10,7 @@
 
 use super::moves::MovePhase;
 use crate::{
-    colocation::{ImageId, SlackLoss},
+    colocation::{ImageId, MinorLoss, SlackLoss},
     ids::{
         ExecutorMillis, ExecutorName, JobId, MonotonicTime, OrderId, OwnerEpoch, RunNumber,
         ServiceName, StartMillis, StoreRevision, TaskIndex, WallTime, ZoneName,
@@ -226,6 +226,16 @@
     pub(super) total: SlackLoss,
 }
 
+impl VictimLoss {
+    /// Returns the loss, with minor losses as `minor_loss` tells.
+    pub(super) fn with(&self, minor_loss: MinorLoss) -> SlackLoss {
+        match minor_loss {
+            MinorLoss::Counted => self.total,
+            MinorLoss::Ignored => self.significant,
+        }
+    }
+}
+
 /// Slack that a latency-critical image would have on an executor without best-effort tasks.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct SlackReading {
--- a/crates/cuminbank-jobs/tests/support/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/mod.rs
@@ -12,5 +12,6 @@
 pub mod lost_tasks;
 pub mod ownership;
 pub mod simulation;
+pub mod swinging_load;
 pub mod two_cells;
 pub mod waiting;
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -173,7 +173,8 @@
                         .with_link(self.link_mbps)
                         .with_step_spread(self.step_spread)
                         .with_admission(self.admission)
-                        .with_task_reservations(self.task_reservations);
+                        .with_task_reservations(self.task_reservations)
+                        .with_calm_placement(self.calm_placement);
                     self.trace.push(format!("{:?} {} began {held:?}", self.now, number));
                     let delay = self.delay() * 4;
                     let instance = &mut self.instances[number];
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -239,6 +239,7 @@
     step_spread: bool,
     admission: bool,
     task_reservations: bool,
+    calm_placement: bool,
     instances: Vec<FakeInstance>,
     silent_since: Vec<Option<MonotonicTime>>,
     removed_executors: BTreeSet<usize>,
@@ -297,6 +298,7 @@
             step_spread: false,
             admission: false,
             task_reservations: false,
+            calm_placement: false,
             instances: Vec::new(),
             silent_since: vec![None; executors],
             removed_executors: BTreeSet::new(),
@@ -371,6 +373,12 @@
         self
     }
 
+    /// Sets whether best-effort tasks are placed where no latency-critical task is at risk.
+    pub fn with_calm_placement(mut self, enabled: bool) -> Self {
+        self.calm_placement = enabled;
+        self
+    }
+
     /// Sets the enabled safety mechanisms.
     pub fn with_guards(mut self, guards: JobGuards) -> Self {
         self.guards = guards;
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -144,6 +144,8 @@
     JOB_MOVE_REFUSED = (782, Info, "A waiting job could not move to another cell and stays.");
     JOB_MOVE_UNANSWERED = (783, Warn, "The move of a job to another cell got no answer; it starts nowhere until the store tells.");
     CELL_HANDED_OVER = (784, Info, "The owner of a cell hands it over, since its link cannot carry the traffic.");
+    CLEAR_ROOM_AMPLE = (785, Info, "Executors without latency-critical tasks have room for all best-effort work.");
+    CLEAR_ROOM_SHORT = (786, Info, "Executors without latency-critical tasks lack room for some best-effort work.");
 }
 
 impl LogRecord {
