--- a/crates/cuminbank-net/src/input_budget.rs
+++ b/crates/cuminbank-net/src/input_budget.rs
@@ -72,16 +72,16 @@
 }
 
 impl BudgetLimits {
-    /// Returns the limits for a process that may use `memory_mb` of memory. Input gets a quarter and
-    /// answers half as much again: handling a body may take as much memory once more, and the
-    /// allocator does not return all of it at once.
+    /// Returns the limits for a process that may use `memory_mb` of memory. Input gets a fifth and
+    /// answers half as much again. With 160 MB, all connections in use and a quarter for input, the
+    /// job daemon peaked at 120 MB, which leaves an owner too little for the jobs of a large cell.
     pub fn for_memory(memory_mb: u64) -> Self {
         let memory = usize::try_from(memory_mb.saturating_mul(1_000_000)).unwrap_or(usize::MAX);
         let descriptors = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
         let connections = memory_mb.saturating_mul(CONNECTIONS_PER_MB).min(descriptors / 2);
         Self {
-            input_bytes: memory / 4,
-            answer_bytes: memory / 8 * 3,
+            input_bytes: memory / 5,
+            answer_bytes: memory / 10 * 3,
             message_bytes: (memory / 8).clamp(MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES),
             connections: usize::try_from(connections)
                 .unwrap_or(MAX_CONNECTIONS)
