--- a/crates/cuminbank-net/tests/budget.rs
+++ b/crates/cuminbank-net/tests/budget.rs
@@ -10,8 +10,9 @@
     time::{Duration, Instant},
 };
 
-use cuminbank::event::ExchangeError;
+use cuminbank::{event::ExchangeError, log::CONNECTIONS_BOUNDED};
 use cuminbank_net::{
+    budget_watch::BudgetWatch,
     client::{ClientRequest, HttpPool},
     input_budget::{BudgetLimits, InputBudget, PortKind},
     peer, runtime,
@@ -299,12 +300,13 @@
     });
 }
 
-/// Guards against idle connections that keep others out, and against closing one whose request is
-/// being handled.
+/// Guards against idle connections that keep others out, against closing one whose request is being
+/// handled, and against bounds that take effect without an event, or with one for each connection.
 #[test]
 fn longest_idle_connection_gives_way() {
     runtime::run(async {
         let budget = InputBudget::new(BudgetLimits { connections: 4, ..small_limits() });
+        let mut watch = BudgetWatch::new(&budget);
         let released = Rc::new(RefCell::new(false));
         let bounds = ServerBounds::new(&budget, PortKind::Clients);
         let address = spawn_server(bounds, &released);
@@ -320,6 +322,10 @@
         let reader = read_rest(idle.remove(0));
         wait_until("the connection stays open", || reader.is_finished()).await;
         assert_eq!(budget.counts().closed, 1);
+        let change = watch.poll().expect("a connection was closed");
+        let event = change.event.map(|record| record.code);
+        assert_eq!((change.closed, event), (1, Some(CONNECTIONS_BOUNDED)));
+        assert_eq!(watch.poll(), None);
         *released.borrow_mut() = true;
         let reader = read_rest(held);
         wait_until("no answer came", || reader.is_finished()).await;
