--- a/crates/cuminbank-jobs/src/admission/demand.rs
+++ b/crates/cuminbank-jobs/src/admission/demand.rs
@@ -13,9 +13,8 @@
 /// always hold three quarters.
 const MAX_RESERVE_DIVISOR: u64 = 4;
 /// Share of the capacity that is kept until the demand of a whole window is known. Quick callers use
-/// about 5 % of a pool at their usual rate. Their bursts are learned as soon as the first one comes, and
-/// a larger share would be kept for nobody in a pool that mostly runs long-running tasks.
-const INITIAL_RESERVE_DIVISOR: u64 = 20;
+/// about 5 % of a pool at their usual rate, and come at up to 2.5 times that rate in a burst.
+const INITIAL_RESERVE_DIVISOR: u64 = 8;
 
 /// Sum of the needs of several tasks.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
