--- a/crates/cuminbank-jobs/src/scheduler/calm.rs
+++ b/crates/cuminbank-jobs/src/scheduler/calm.rs
@@ -171,9 +171,10 @@
         }
     }
 
-    /// Recomputes, if due, the room on executors without latency-critical tasks.
+    /// Recomputes, if due and best-effort work waits, the room on executors without latency-critical
+    /// tasks.
     pub(super) fn update_calm_room(&mut self) {
-        if !self.calm.enabled || self.now < self.calm.next_room_at {
+        if !self.calm.enabled || self.now < self.calm.next_room_at || !self.best_effort_waits() {
             return;
         }
         self.calm.next_room_at = self.now + ROOM_INTERVAL;
@@ -203,6 +204,11 @@
         self.log_calm_room();
     }
 
+    fn best_effort_waits(&self) -> bool {
+        let mut waiting = self.waiting.iter().map(|key| &self.jobs[*key].record);
+        waiting.any(|record| record.steps.iter().any(|spec| spec.fills))
+    }
+
     fn mean_latency_critical_cpu(&self) -> u32 {
         let executors = self.executors.values();
         let (cpu, tasks) = executors.fold((0, 0), |(cpu, tasks), executor| {
