--- a/crates/cuminbank-net/src/input_budget.rs
+++ b/crates/cuminbank-net/src/input_budget.rs
@@ -62,8 +62,8 @@
 pub struct BudgetLimits {
     /// Bytes that all connections together may hold.
     pub input_bytes: usize,
-    /// Bytes up to which answers from outside may be read on top of the input of connections. It is
-    /// larger than `input_bytes`: an instance whose answers are refused stops working.
+    /// Upper bound on `input_bytes` and answers from outside together. Answers get the difference
+    /// for themselves: an instance whose answers are refused stops working.
     pub answer_bytes: usize,
     /// Maximum size of a message of another instance, and of an answer.
     pub message_bytes: usize,
@@ -98,6 +98,14 @@
             connections: usize::MAX,
         }
     }
+
+    /// Returns the bytes that answers from outside may hold together.
+    fn own_answer_bytes(&self) -> usize {
+        match self.answer_bytes {
+            usize::MAX => usize::MAX,
+            bytes => bytes.saturating_sub(self.input_bytes),
+        }
+    }
 }
 
 /// Counts of a budget since the process started, and what is in use.
@@ -109,8 +117,10 @@
     pub refused: u64,
     /// Connections cut off, or closed on accept, because there were too many.
     pub closed: u64,
-    /// Bytes in use.
+    /// Bytes that connections hold.
     pub used: usize,
+    /// Bytes that answers from outside hold.
+    pub answer_bytes: usize,
     /// Open connections.
     pub connections: usize,
 }
@@ -244,9 +254,9 @@
 
     /// Waits until `bytes` more are within `limit`, and takes them. Cuts off what has been unfinished
     /// for the longest time, which may be `holder` itself. Returns false if nothing can be released.
-    async fn take(&self, bytes: usize, limit: usize, holder: Option<&InputHolder>) -> bool {
+    async fn take(&self, bytes: usize, limit: usize, holder: &InputHolder) -> bool {
         loop {
-            if holder.is_some_and(|holder| holder.cut.get() != CutState::Open) {
+            if holder.cut.get() != CutState::Open {
                 return false;
             }
             let needed = self.counts().used.saturating_add(bytes);
@@ -256,7 +266,7 @@
             }
             if needed - self.0.releasing.get() > limit {
                 match self.find_longest_unfinished(holder) {
-                    Some(other) if !holder.is_some_and(|own| std::ptr::eq(own, &*other)) => {
+                    Some(other) if !std::ptr::eq(holder, &*other) => {
                         self.update(|counts| counts.cut += 1);
                         self.cut(&other);
                     }
@@ -272,11 +282,10 @@
 
     /// Returns the holder with memory whose request has been unfinished for the longest time,
     /// including `own` even without memory.
-    fn find_longest_unfinished(&self, own: Option<&InputHolder>) -> Option<Rc<InputHolder>> {
+    fn find_longest_unfinished(&self, own: &InputHolder) -> Option<Rc<InputHolder>> {
         let holders = self.0.holders.borrow();
         let unfinished = holders.values().filter(|holder| {
-            let is_own = own.is_some_and(|own| std::ptr::eq(own, &***holder));
-            holder.is_cuttable() && (is_own || holder.bytes.get() > 0)
+            holder.is_cuttable() && (std::ptr::eq(own, &***holder) || holder.bytes.get() > 0)
         });
         unfinished.min_by_key(|holder| holder.since.get()).cloned()
     }
@@ -424,7 +433,7 @@
             return !self.is_cut();
         }
         let limit = self.budget.0.limits.input_bytes;
-        if !self.budget.take(total - held, limit, Some(&self.holder)).await {
+        if !self.budget.take(total - held, limit, &self.holder).await {
             if self.holder.cut.get() == CutState::Open {
                 self.holder.cut.set(CutState::Refused);
             }
@@ -449,6 +458,9 @@
 }
 
 /// Account of an answer from outside, which is never cut off. Dropping it releases the memory.
+///
+/// Answers do not count towards the input in use, so that requests in progress, which may wait for
+/// these answers, cannot cause their loss.
 #[derive(Debug)]
 pub(crate) struct AnswerLease {
     budget: InputBudget,
@@ -456,15 +468,20 @@
 }
 
 impl InputAccount for AnswerLease {
+    /// An answer gets its memory within the limit, or if it is the only one that holds any: the
+    /// limit may be smaller than the largest answer.
     async fn reserve(&self, total: usize) -> bool {
         let held = self.bytes.get();
         if total <= held {
             return true;
         }
-        let limit = self.budget.0.limits.answer_bytes;
-        if !self.budget.take(total - held, limit, None).await {
+        let others = self.budget.counts().answer_bytes - held;
+        let needed = others.saturating_add(total);
+        if others > 0 && needed > self.budget.limits().own_answer_bytes() {
+            self.budget.update(|counts| counts.refused += 1);
             return false;
         }
+        self.budget.update(|counts| counts.answer_bytes = needed);
         self.bytes.set(total);
         true
     }
@@ -472,6 +489,6 @@
 
 impl Drop for AnswerLease {
     fn drop(&mut self) {
-        self.budget.give_back(self.bytes.get());
+        self.budget.update(|counts| counts.answer_bytes -= self.bytes.get());
     }
 }
