--- a/crates/cuminbank-net/src/input_budget.rs
+++ b/crates/cuminbank-net/src/input_budget.rs
@@ -62,6 +62,9 @@
 pub struct BudgetLimits {
     /// Bytes that all connections together may hold.
     pub input_bytes: usize,
+    /// Bytes that connections may hold with what handling their complete requests takes. A request
+    /// over it is refused, unless it is the only one in progress.
+    pub handling_bytes: usize,
     /// Upper bound on `input_bytes` and answers from outside together. Answers get the difference
     /// for themselves: an instance whose answers are refused stops working.
     pub answer_bytes: usize,
@@ -75,12 +78,16 @@
     /// Returns the limits for a process that may use `memory_mb` of memory. Input gets a fifth and
     /// answers half as much again. With 160 MB, all connections in use and a quarter for input, the
     /// job daemon peaked at 120 MB, which leaves an owner too little for the jobs of a large cell.
+    /// Requests in progress get two fifths: with a tenth for answers and a quarter for the
+    /// connections themselves, a quarter is left for the rest of the process. With 32 MB, a body of
+    /// 4 MiB fits.
     pub fn for_memory(memory_mb: u64) -> Self {
         let memory = usize::try_from(memory_mb.saturating_mul(1_000_000)).unwrap_or(usize::MAX);
         let descriptors = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
         let connections = memory_mb.saturating_mul(CONNECTIONS_PER_MB).min(descriptors / 2);
         Self {
             input_bytes: memory / 5,
+            handling_bytes: memory / 5 * 2,
             answer_bytes: memory / 10 * 3,
             message_bytes: (memory / 8).clamp(MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES),
             connections: usize::try_from(connections)
@@ -93,6 +100,7 @@
     pub fn unlimited() -> Self {
         Self {
             input_bytes: usize::MAX,
+            handling_bytes: usize::MAX,
             answer_bytes: usize::MAX,
             message_bytes: MAX_MESSAGE_BYTES,
             connections: usize::MAX,
@@ -290,6 +298,15 @@
         unfinished.min_by_key(|holder| holder.since.get()).cloned()
     }
 
+    /// Tells whether a request of another connection than `own` is being handled and holds memory.
+    fn handles_another(&self, own: &InputHolder) -> bool {
+        self.0.holders.borrow().values().any(|holder| {
+            holder.phase.get() == InputPhase::Complete
+                && holder.bytes.get() > 0
+                && !std::ptr::eq(own, &**holder)
+        })
+    }
+
     /// Cuts off some of the connections that wait for their client, on the port with the most
     /// connections: first those without an answered request, since ordinary clients keep theirs open
     /// between requests. Returns false if none waits.
@@ -359,16 +376,22 @@
     }
 
     /// Notes that a request with a body of `body_bytes` was read completely. It is not cut off until
-    /// its response is written. Returns false if it already was.
+    /// its response is written. Returns false if it already was, or if there is no memory to handle
+    /// it; the only request in progress is always handled.
     pub(crate) fn complete(&self, body_bytes: usize) -> bool {
-        self.holder.phase.set(InputPhase::Complete);
-        if self.is_cut() {
-            return false;
-        }
-        if body_bytes > FREE_BYTES {
-            self.charge(self.held() + body_bytes * HANDLING_COPIES);
+        if !self.is_cut() && body_bytes > FREE_BYTES {
+            let copies = body_bytes * HANDLING_COPIES;
+            let needed = self.budget.counts().used.saturating_add(copies);
+            let limit = self.limits().handling_bytes;
+            if needed > limit && self.budget.handles_another(&self.holder) {
+                self.holder.cut.set(CutState::Refused);
+                self.budget.update(|counts| counts.refused += 1);
+                return false;
+            }
+            self.charge(self.held() + copies);
         }
-        true
+        self.holder.phase.set(InputPhase::Complete);
+        !self.is_cut()
     }
 
     /// Notes that the response, with a body of `body_bytes`, begins to be written.
--- a/crates/cuminbank-net/tests/budget.rs
+++ b/crates/cuminbank-net/tests/budget.rs
@@ -37,6 +37,7 @@
 fn small_limits() -> BudgetLimits {
     BudgetLimits {
         input_bytes: 400_000,
+        handling_bytes: 800_000,
         answer_bytes: 500_000,
         message_bytes: 300_000,
         connections: 100,
@@ -446,6 +447,46 @@
     });
 }
 
+/// Guards against bodies that fit while they are read, but not once all of them are complete at the
+/// same time and each is decoded and encoded.
+#[test]
+fn bodies_that_are_completed_together_are_bounded() {
+    runtime::run(async {
+        let budget = InputBudget::new(small_limits());
+        let released = Rc::new(RefCell::new(false));
+        let bounds = ServerBounds::new(&budget, PortKind::Clients);
+        let address = spawn_server(bounds, &released);
+        let text = whole("/held", &"x".repeat(90_000));
+        let mut held = Vec::new();
+        for number in 1..=4 {
+            let mut stream = connect(address);
+            stream.write_all(&text[..text.len() - 1]).expect("the connection is open");
+            wait_until("the body is not read", || budget.counts().used >= number * 90_000).await;
+            held.push(stream);
+        }
+        for stream in &mut held {
+            stream.write_all(b"x").expect("the connection is open");
+        }
+        let readers: Vec<_> = held.into_iter().map(read_rest).collect();
+        // Two bodies with their copies and two that are only read take 720,000 bytes.
+        wait_until("no body is refused", || readers.iter().any(JoinHandle::is_finished)).await;
+        let used = budget.counts().used;
+        assert!(used <= small_limits().handling_bytes, "{used}");
+        *released.borrow_mut() = true;
+        wait_until("no answer came", || readers.iter().all(JoinHandle::is_finished)).await;
+        let answers = readers.into_iter().map(|reader| reader.join().expect("it does not panic"));
+        let (served, refused): (Vec<_>, Vec<_>) =
+            answers.partition(|answer| answer.starts_with("http/1.1 200"));
+        assert!(served.len() >= 2 && !refused.is_empty(), "{} served", served.len());
+        for answer in refused {
+            assert!(answer.starts_with("http/1.1 503"), "{answer:?}");
+            assert!(answer.contains("\r\nretry-after: 1\r\n"), "{answer:?}");
+            assert!(answer.contains("\r\nx-outcome: not_run\r\n"), "{answer:?}");
+        }
+        wait_until("memory stays in use", || budget.counts().used == 0).await;
+    });
+}
+
 /// Guards against a message of another instance whose announced length is allocated or that is over
 /// the bound.
 #[test]
@@ -488,5 +529,11 @@
         assert!(limits.answer_bytes > limits.input_bytes && limits.answer_bytes < memory / 2);
         assert!(limits.message_bytes > ServerLimits::default().max_body_bytes, "{limits:?}");
         assert!(limits.message_bytes < limits.input_bytes, "{limits:?}");
+        let answers = limits.message_bytes.max(limits.answer_bytes - limits.input_bytes);
+        let total = limits.handling_bytes + answers + limits.connections * 20_000;
+        assert!(total < memory / 6 * 5, "{limits:?}");
+        let largest = 3 * ServerLimits::default().max_body_bytes;
+        assert!(limits.handling_bytes > largest, "{limits:?}");
+        assert!((300..=1_920).contains(&limits.connections), "{limits:?}");
     }
 }
