--- a/crates/cuminbank-entry/src/daemon.rs
+++ b/crates/cuminbank-entry/src/daemon.rs
@@ -128,6 +128,7 @@
             ("connections.cut", change.cut),
             ("connections.refused", change.refused),
             ("connections.closed", change.closed),
+            ("connections.lost_answers", change.lost_answers),
         ];
         for (name, count) in counts.into_iter().filter(|(_, count)| *count > 0) {
             let (class, customer, value) =
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -240,6 +240,7 @@
             ("connections.cut", change.cut),
             ("connections.refused", change.refused),
             ("connections.closed", change.closed),
+            ("connections.lost_answers", change.lost_answers),
         ];
         counts.into_iter().for_each(|(name, count)| self.metrics.add(name, "", count));
         if let Some(record) = change.event {
--- a/crates/cuminbank-net/src/budget_watch.rs
+++ b/crates/cuminbank-net/src/budget_watch.rs
@@ -14,10 +14,12 @@
 pub struct BudgetChange {
     /// Connections cut off because others needed the memory.
     pub cut: u64,
-    /// Inputs and answers refused because nothing could be released.
+    /// Inputs refused because nothing could be released.
     pub refused: u64,
     /// Connections cut off or closed because there were too many.
     pub closed: u64,
+    /// Answers from outside given up because they were too large, or because others held the memory.
+    pub lost_answers: u64,
     /// Event to log.
     pub event: Option<LogRecord>,
 }
@@ -45,6 +47,7 @@
             cut: counts.cut - before.cut,
             refused: counts.refused - before.refused,
             closed: counts.closed - before.closed,
+            lost_answers: counts.lost_answers - before.lost_answers,
             event: None,
         };
         if change != BudgetChange::default() {
@@ -52,8 +55,13 @@
             if self.bounded.replace((Instant::now(), first)).is_none() {
                 let limits = self.budget.limits();
                 let detail = format!(
-                    "used_bytes={} allowed_bytes={} connections={} allowed_connections={}",
-                    counts.used, limits.input_bytes, counts.connections, limits.connections
+                    "used_bytes={} allowed_bytes={} connections={} allowed_connections={} \
+                     lost_answers={}",
+                    counts.used,
+                    limits.input_bytes,
+                    counts.connections,
+                    limits.connections,
+                    change.lost_answers
                 );
                 change.event = Some(LogRecord::new(CONNECTIONS_BOUNDED, detail));
             }
@@ -65,10 +73,11 @@
         }
         self.bounded = None;
         let detail = format!(
-            "cut={} refused={} closed={}",
+            "cut={} refused={} closed={} lost_answers={}",
             counts.cut - first.cut,
             counts.refused - first.refused,
-            counts.closed - first.closed
+            counts.closed - first.closed,
+            counts.lost_answers - first.lost_answers
         );
         change.event = Some(LogRecord::new(CONNECTIONS_UNBOUNDED, detail));
         Some(change)
--- a/crates/cuminbank-net/src/client.rs
+++ b/crates/cuminbank-net/src/client.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    body::{read_body, BodyFraming},
+    body::{read_body, BodyError, BodyFraming},
     connection::{connect, ExchangeStream, IdlePool},
     exchange_limit::ExchangeLimit,
     http_limit::{ByteAllowance, LimitedReader},
@@ -301,14 +301,27 @@
     allowance.set(MAX_HEAD_BYTES);
     let reader = LimitedReader::new(&mut *stream, allowance.clone());
     let mut framed = FramedRead::new(reader, ResponseHeadDecoder);
-    let head = framed.next().await.ok_or(ExchangeError::Lost)?.map_err(|_| ExchangeError::Lost)?;
+    let lease = budget.answer_lease();
+    let Some(Ok(head)) = framed.next().await else {
+        if allowance.is_spent() {
+            lease.count_lost();
+        }
+        return Err(ExchangeError::Lost);
+    };
     let framing = BodyFraming::from_headers(&head.headers).ok_or(ExchangeError::Lost)?;
     let limit = budget.limits().message_bytes;
     allowance.set(limit);
-    // Held until the response has been read; who asked for it decides how long it stays.
-    let lease = budget.answer_lease();
-    let body = read_body(&mut framed, framing, limit, &lease, 0).await;
-    let body = body.map_err(|_| ExchangeError::Lost)?;
+    // Memory is held until the response has been read; who asked for it decides how long it stays.
+    let body = match read_body(&mut framed, framing, limit, &lease, 0).await {
+        Ok(body) => body,
+        Err(error) => {
+            let is_cut_short = error == BodyError::Malformed && allowance.is_spent();
+            if error == BodyError::TooLarge || is_cut_short {
+                lease.count_lost();
+            }
+            return Err(ExchangeError::Lost);
+        }
+    };
     let closes = head
         .headers
         .get(header::CONNECTION)
--- a/crates/cuminbank-net/src/input_budget.rs
+++ b/crates/cuminbank-net/src/input_budget.rs
@@ -33,7 +33,8 @@
 /// Maximum size of a message or an answer without a budget.
 const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
 /// Lower bound on the size of a message or an answer that has to fit: a body of 4 MiB that an
-/// instance forwards, with its head.
+/// instance forwards, with its head. The largest answer of the platform's store is smaller: a page
+/// with 1 MB of values, encoded in base64. An owner whose pages were lost could not load its cell.
 const MIN_MESSAGE_BYTES: usize = 5 * 1024 * 1024;
 /// Copies of a body that handling it may take: decoded, and encoded for the store or another instance.
 const HANDLING_COPIES: usize = 2;
@@ -121,10 +122,12 @@
 pub struct BudgetCounts {
     /// Connections cut off because others needed the memory.
     pub cut: u64,
-    /// Inputs and answers refused because nothing could be released.
+    /// Inputs refused because nothing could be released.
     pub refused: u64,
     /// Connections cut off, or closed on accept, because there were too many.
     pub closed: u64,
+    /// Answers from outside given up because they were too large, or because others held the memory.
+    pub lost_answers: u64,
     /// Bytes that connections hold.
     pub used: usize,
     /// Bytes that answers from outside hold.
@@ -490,6 +493,13 @@
     bytes: Cell<usize>,
 }
 
+impl AnswerLease {
+    /// Counts the answer as lost, since it is too large.
+    pub(crate) fn count_lost(&self) {
+        self.budget.update(|counts| counts.lost_answers += 1);
+    }
+}
+
 impl InputAccount for AnswerLease {
     /// An answer gets its memory within the limit, or if it is the only one that holds any: the
     /// limit may be smaller than the largest answer.
@@ -501,7 +511,7 @@
         let others = self.budget.counts().answer_bytes - held;
         let needed = others.saturating_add(total);
         if others > 0 && needed > self.budget.limits().own_answer_bytes() {
-            self.budget.update(|counts| counts.refused += 1);
+            self.count_lost();
             return false;
         }
         self.budget.update(|counts| counts.answer_bytes = needed);
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -86,7 +86,11 @@
         let lease = self.budget.answer_lease();
         let exchange = async {
             write_message(stream.stream(), encode_message(request, limit)?).await?;
-            let length = read_length(stream.stream(), limit).await?;
+            let length = read_length(stream.stream(), usize::MAX).await?;
+            if length > limit {
+                lease.count_lost();
+                return None;
+            }
             read_message(stream.stream(), length, &lease).await
         };
         let left = deadline.saturating_duration_since(Instant::now());
--- a/crates/cuminbank-net/tests/budget.rs
+++ b/crates/cuminbank-net/tests/budget.rs
@@ -383,14 +383,14 @@
     });
 }
 
-/// Answers one request with `text`.
-fn spawn_answer(text: String) -> SocketAddr {
+/// Answers one request with `answer`.
+fn spawn_answer(answer: impl AsRef<[u8]> + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     let address = listener.local_addr().expect("the socket is bound");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("the client connects");
         let _ = stream.read(&mut [0; 1_024]);
-        let _ = stream.write_all(text.as_bytes());
+        let _ = stream.write_all(answer.as_ref());
     });
     address
 }
@@ -414,8 +414,13 @@
         assert_eq!(answer.body, "x".repeat(20_000).as_bytes());
         let endless =
             format!("{chunks}{}", format!("4000\r\n{}\r\n", "x".repeat(16_384)).repeat(20));
-        for text in [length(300_001) + &"x".repeat(300_001), endless] {
+        assert_eq!(budget.counts().lost_answers, 0);
+        let large_head = format!("HTTP/1.1 200 OK\r\nx-large: {}\r\n", "x".repeat(140_000));
+        let mut watch = BudgetWatch::new(&budget);
+        for text in [length(300_001) + &"x".repeat(300_001), endless, large_head] {
             assert_eq!(ask(text).await.map(|_| ()), Err(ExchangeError::Lost));
+            // An answer that is lost each time it is asked for would be invisible otherwise.
+            assert_eq!(watch.poll().map(|change| change.lost_answers), Some(1));
         }
         assert_eq!((budget.counts().used, budget.counts().answer_bytes), (0, 0));
     });
@@ -438,7 +443,7 @@
             format!("HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n{}", "x".repeat(100_000));
         let answer = pool.exchange(spawn_answer(text), ClientRequest::new_get("/"), MAX_WAIT).await;
         assert_eq!(answer.map(|answer| answer.body.len()), Ok(100_000));
-        assert_eq!(budget.counts().refused, 0);
+        assert_eq!(budget.counts().lost_answers, 0);
         *released.borrow_mut() = true;
         let reader = read_rest(held);
         wait_until("no answer came", || reader.is_finished()).await;
@@ -515,6 +520,11 @@
         let large = "x".repeat(300_001);
         let result: Result<u64, _> = peers.exchange(address, &large, MAX_WAIT).await;
         assert_eq!(result, Err(ExchangeError::Lost));
+        assert_eq!(budget.counts().lost_answers, 0);
+        let over = spawn_answer(300_001_u32.to_be_bytes());
+        let result: Result<u64, _> = peers.exchange(over, &"x", MAX_WAIT).await;
+        assert_eq!(result, Err(ExchangeError::Lost));
+        assert_eq!(budget.counts().lost_answers, 1);
     });
 }
 
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -130,8 +130,8 @@
     POOL_FORMAT_UNSUPPORTED = (764, Error, "The pool's records may have a newer format than this build reads; the instance serves nothing.");
     WATCH_FAILED = (765, Warn, "A watch of the platform's store got no usable reply.");
     POOL_CONFIG_READ_AGAIN = (766, Warn, "A request needed the configuration, which was not confirmed in time.");
-    CONNECTIONS_BOUNDED = (767, Warn, "Connections are cut off or refused, since they need too much memory or are too many.");
-    CONNECTIONS_UNBOUNDED = (768, Info, "No connection was cut off or refused for 10 s.");
+    CONNECTIONS_BOUNDED = (767, Warn, "Connections are cut off or refused, since they need too much memory or are too many, or answers from outside are lost, since they are too large.");
+    CONNECTIONS_UNBOUNDED = (768, Info, "No connection was cut off or refused, and no answer lost, for 10 s.");
     ADMISSION_REFUSED = (770, Warn, "Jobs of a queue are refused, as their cell has no room for them.");
     ADMISSION_RESUMED = (771, Info, "Jobs of a queue are no longer refused.");
     ROOM_KNOWN = (772, Info, "The room of a cell is known; submissions are admitted by it.");
