--- a/crates/cuminbank-jobd/tests/memory.rs
+++ b/crates/cuminbank-jobd/tests/memory.rs
@@ -84,6 +84,12 @@
     UnfinishedInput::peer_message(60 * 1024 * 1024, 6 * 1024 * 1024)
 }
 
+/// Message of a length that is still read with the memory of [`BOUNDS`], up to its last byte.
+fn legal_peer_message() -> UnfinishedInput {
+    let length = BOUNDS[0] as u32 * 1_000_000 / 8 - 1;
+    UnfinishedInput::peer_message(length, length as usize - 1)
+}
+
 // Guards against bodies of legal size that are held for as long as their last byte is missing.
 #[test]
 fn unfinished_whole_bodies_are_bounded() {
@@ -140,6 +146,13 @@
     assert_withstands(BOUNDS, 20, |ports| vec![(ports.peer, peer_message())]);
 }
 
+// Guards against messages of another instance that are each within the limit, but not together. Those
+// over it are refused by their length, before they take memory.
+#[test]
+fn unfinished_legal_peer_messages_are_bounded() {
+    assert_withstands(BOUNDS, 20, |ports| vec![(ports.peer, legal_peer_message())]);
+}
+
 // Guards against a bound that holds for each port and kind of input but not for all together.
 #[test]
 fn unfinished_inputs_of_all_kinds_are_bounded_together() {
