--- a/crates/cuminbank-net/src/input_budget.rs
+++ b/crates/cuminbank-net/src/input_budget.rs
@@ -33,7 +33,8 @@
 /// Maximum size of a message or an answer without a budget.
 const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
 /// Lower bound on the size of a message or an answer that has to fit: a body of 4 MiB that an
-/// instance forwards, with its head.
+/// instance forwards, with its head. The largest answer of the platform's store is smaller: a page
+/// with 1 MB of values, encoded in base64. An owner whose pages were lost could not load its cell.
 const MIN_MESSAGE_BYTES: usize = 5 * 1024 * 1024;
 /// Copies of a body that handling it may take: decoded, and encoded for the store or another instance.
 const HANDLING_COPIES: usize = 2;
@@ -62,8 +63,11 @@
 pub struct BudgetLimits {
     /// Bytes that all connections together may hold.
     pub input_bytes: usize,
-    /// Bytes up to which answers from outside may be read on top of the input of connections. It is
-    /// larger than `input_bytes`: an instance whose answers are refused stops working.
+    /// Bytes that connections may hold with what handling their complete requests takes. A request
+    /// over it is refused, unless it is the only one in progress.
+    pub handling_bytes: usize,
+    /// Upper bound on `input_bytes` and answers from outside together. Answers get the difference
+    /// for themselves: an instance whose answers are refused stops working.
     pub answer_bytes: usize,
     /// Maximum size of a message of another instance, and of an answer.
     pub message_bytes: usize,
@@ -75,12 +79,16 @@
     /// Returns the limits for a process that may use `memory_mb` of memory. Input gets a fifth and
     /// answers half as much again. With 160 MB, all connections in use and a quarter for input, the
     /// job daemon peaked at 120 MB, which leaves an owner too little for the jobs of a large cell.
+    /// Requests in progress get two fifths: with a tenth for answers and a quarter for the
+    /// connections themselves, a quarter is left for the rest of the process. With 32 MB, a body of
+    /// 4 MiB fits.
     pub fn for_memory(memory_mb: u64) -> Self {
         let memory = usize::try_from(memory_mb.saturating_mul(1_000_000)).unwrap_or(usize::MAX);
         let descriptors = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
         let connections = memory_mb.saturating_mul(CONNECTIONS_PER_MB).min(descriptors / 2);
         Self {
             input_bytes: memory / 5,
+            handling_bytes: memory / 5 * 2,
             answer_bytes: memory / 10 * 3,
             message_bytes: (memory / 8).clamp(MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES),
             connections: usize::try_from(connections)
@@ -93,11 +101,20 @@
     pub fn unlimited() -> Self {
         Self {
             input_bytes: usize::MAX,
+            handling_bytes: usize::MAX,
             answer_bytes: usize::MAX,
             message_bytes: MAX_MESSAGE_BYTES,
             connections: usize::MAX,
         }
     }
+
+    /// Returns the bytes that answers from outside may hold together.
+    fn own_answer_bytes(&self) -> usize {
+        match self.answer_bytes {
+            usize::MAX => usize::MAX,
+            bytes => bytes.saturating_sub(self.input_bytes),
+        }
+    }
 }
 
 /// Counts of a budget since the process started, and what is in use.
@@ -105,12 +122,16 @@
 pub struct BudgetCounts {
     /// Connections cut off because others needed the memory.
     pub cut: u64,
-    /// Inputs and answers refused because nothing could be released.
+    /// Inputs refused because nothing could be released.
     pub refused: u64,
     /// Connections cut off, or closed on accept, because there were too many.
     pub closed: u64,
-    /// Bytes in use.
+    /// Answers from outside given up because they were too large, or because others held the memory.
+    pub lost_answers: u64,
+    /// Bytes that connections hold.
     pub used: usize,
+    /// Bytes that answers from outside hold.
+    pub answer_bytes: usize,
     /// Open connections.
     pub connections: usize,
 }
@@ -244,9 +265,9 @@
 
     /// Waits until `bytes` more are within `limit`, and takes them. Cuts off what has been unfinished
     /// for the longest time, which may be `holder` itself. Returns false if nothing can be released.
-    async fn take(&self, bytes: usize, limit: usize, holder: Option<&InputHolder>) -> bool {
+    async fn take(&self, bytes: usize, limit: usize, holder: &InputHolder) -> bool {
         loop {
-            if holder.is_some_and(|holder| holder.cut.get() != CutState::Open) {
+            if holder.cut.get() != CutState::Open {
                 return false;
             }
             let needed = self.counts().used.saturating_add(bytes);
@@ -256,7 +277,7 @@
             }
             if needed - self.0.releasing.get() > limit {
                 match self.find_longest_unfinished(holder) {
-                    Some(other) if !holder.is_some_and(|own| std::ptr::eq(own, &*other)) => {
+                    Some(other) if !std::ptr::eq(holder, &*other) => {
                         self.update(|counts| counts.cut += 1);
                         self.cut(&other);
                     }
@@ -272,15 +293,23 @@
 
     /// Returns the holder with memory whose request has been unfinished for the longest time,
     /// including `own` even without memory.
-    fn find_longest_unfinished(&self, own: Option<&InputHolder>) -> Option<Rc<InputHolder>> {
+    fn find_longest_unfinished(&self, own: &InputHolder) -> Option<Rc<InputHolder>> {
         let holders = self.0.holders.borrow();
         let unfinished = holders.values().filter(|holder| {
-            let is_own = own.is_some_and(|own| std::ptr::eq(own, &***holder));
-            holder.is_cuttable() && (is_own || holder.bytes.get() > 0)
+            holder.is_cuttable() && (std::ptr::eq(own, &***holder) || holder.bytes.get() > 0)
         });
         unfinished.min_by_key(|holder| holder.since.get()).cloned()
     }
 
+    /// Tells whether a request of another connection than `own` is being handled and holds memory.
+    fn handles_another(&self, own: &InputHolder) -> bool {
+        self.0.holders.borrow().values().any(|holder| {
+            holder.phase.get() == InputPhase::Complete
+                && holder.bytes.get() > 0
+                && !std::ptr::eq(own, &**holder)
+        })
+    }
+
     /// Cuts off some of the connections that wait for their client, on the port with the most
     /// connections: first those without an answered request, since ordinary clients keep theirs open
     /// between requests. Returns false if none waits.
@@ -350,16 +379,22 @@
     }
 
     /// Notes that a request with a body of `body_bytes` was read completely. It is not cut off until
-    /// its response is written. Returns false if it already was.
+    /// its response is written. Returns false if it already was, or if there is no memory to handle
+    /// it; the only request in progress is always handled.
     pub(crate) fn complete(&self, body_bytes: usize) -> bool {
-        self.holder.phase.set(InputPhase::Complete);
-        if self.is_cut() {
-            return false;
-        }
-        if body_bytes > FREE_BYTES {
-            self.charge(self.held() + body_bytes * HANDLING_COPIES);
+        if !self.is_cut() && body_bytes > FREE_BYTES {
+            let copies = body_bytes * HANDLING_COPIES;
+            let needed = self.budget.counts().used.saturating_add(copies);
+            let limit = self.limits().handling_bytes;
+            if needed > limit && self.budget.handles_another(&self.holder) {
+                self.holder.cut.set(CutState::Refused);
+                self.budget.update(|counts| counts.refused += 1);
+                return false;
+            }
+            self.charge(self.held() + copies);
         }
-        true
+        self.holder.phase.set(InputPhase::Complete);
+        !self.is_cut()
     }
 
     /// Notes that the response, with a body of `body_bytes`, begins to be written.
@@ -424,7 +459,7 @@
             return !self.is_cut();
         }
         let limit = self.budget.0.limits.input_bytes;
-        if !self.budget.take(total - held, limit, Some(&self.holder)).await {
+        if !self.budget.take(total - held, limit, &self.holder).await {
             if self.holder.cut.get() == CutState::Open {
                 self.holder.cut.set(CutState::Refused);
             }
@@ -449,22 +484,37 @@
 }
 
 /// Account of an answer from outside, which is never cut off. Dropping it releases the memory.
+///
+/// Answers do not count towards the input in use, so that requests in progress, which may wait for
+/// these answers, cannot cause their loss.
 #[derive(Debug)]
 pub(crate) struct AnswerLease {
     budget: InputBudget,
     bytes: Cell<usize>,
 }
 
+impl AnswerLease {
+    /// Counts the answer as lost, since it is too large.
+    pub(crate) fn count_lost(&self) {
+        self.budget.update(|counts| counts.lost_answers += 1);
+    }
+}
+
 impl InputAccount for AnswerLease {
+    /// An answer gets its memory within the limit, or if it is the only one that holds any: the
+    /// limit may be smaller than the largest answer.
     async fn reserve(&self, total: usize) -> bool {
         let held = self.bytes.get();
         if total <= held {
             return true;
         }
-        let limit = self.budget.0.limits.answer_bytes;
-        if !self.budget.take(total - held, limit, None).await {
+        let others = self.budget.counts().answer_bytes - held;
+        let needed = others.saturating_add(total);
+        if others > 0 && needed > self.budget.limits().own_answer_bytes() {
+            self.count_lost();
             return false;
         }
+        self.budget.update(|counts| counts.answer_bytes = needed);
         self.bytes.set(total);
         true
     }
@@ -472,6 +522,6 @@
 
 impl Drop for AnswerLease {
     fn drop(&mut self) {
-        self.budget.give_back(self.bytes.get());
+        self.budget.update(|counts| counts.answer_bytes -= self.bytes.get());
     }
 }
--- a/crates/cuminbank-net/tests/budget.rs
+++ b/crates/cuminbank-net/tests/budget.rs
@@ -35,8 +35,13 @@
 }
 
 fn small_limits() -> BudgetLimits {
-    let input_bytes = 400_000;
-    BudgetLimits { input_bytes, answer_bytes: 500_000, message_bytes: 300_000, connections: 100 }
+    BudgetLimits {
+        input_bytes: 400_000,
+        handling_bytes: 800_000,
+        answer_bytes: 500_000,
+        message_bytes: 300_000,
+        connections: 100,
+    }
 }
 
 /// Starts a server that echoes bodies, but answers `/held` only once `released` is set and `/large`
@@ -378,14 +383,14 @@
     });
 }
 
-/// Answers one request with `text`.
-fn spawn_answer(text: String) -> SocketAddr {
+/// Answers one request with `answer`.
+fn spawn_answer(answer: impl AsRef<[u8]> + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
     let address = listener.local_addr().expect("the socket is bound");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("the client connects");
         let _ = stream.read(&mut [0; 1_024]);
-        let _ = stream.write_all(text.as_bytes());
+        let _ = stream.write_all(answer.as_ref());
     });
     address
 }
@@ -409,10 +414,81 @@
         assert_eq!(answer.body, "x".repeat(20_000).as_bytes());
         let endless =
             format!("{chunks}{}", format!("4000\r\n{}\r\n", "x".repeat(16_384)).repeat(20));
-        for text in [length(300_001) + &"x".repeat(300_001), endless] {
+        assert_eq!(budget.counts().lost_answers, 0);
+        let large_head = format!("HTTP/1.1 200 OK\r\nx-large: {}\r\n", "x".repeat(140_000));
+        let mut watch = BudgetWatch::new(&budget);
+        for text in [length(300_001) + &"x".repeat(300_001), endless, large_head] {
             assert_eq!(ask(text).await.map(|_| ()), Err(ExchangeError::Lost));
+            // An answer that is lost each time it is asked for would be invisible otherwise.
+            assert_eq!(watch.poll().map(|change| change.lost_answers), Some(1));
         }
-        assert_eq!(budget.counts().used, 0);
+        assert_eq!((budget.counts().used, budget.counts().answer_bytes), (0, 0));
+    });
+}
+
+/// Guards against answers of the store, of executors or of other instances that are lost because
+/// legal requests are being handled, some of which wait for these answers.
+#[test]
+fn answers_are_read_while_requests_are_handled() {
+    runtime::run(async {
+        let budget = InputBudget::new(small_limits());
+        let released = Rc::new(RefCell::new(false));
+        let bounds = ServerBounds::new(&budget, PortKind::Clients);
+        let address = spawn_server(bounds, &released);
+        let mut held = connect(address);
+        held.write_all(&whole("/held", &"x".repeat(250_000))).expect("the connection is open");
+        wait_until("the request is not handled", || budget.counts().used > 700_000).await;
+        let pool = HttpPool::new().with_budget(&budget);
+        let text =
+            format!("HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n{}", "x".repeat(100_000));
+        let answer = pool.exchange(spawn_answer(text), ClientRequest::new_get("/"), MAX_WAIT).await;
+        assert_eq!(answer.map(|answer| answer.body.len()), Ok(100_000));
+        assert_eq!(budget.counts().lost_answers, 0);
+        *released.borrow_mut() = true;
+        let reader = read_rest(held);
+        wait_until("no answer came", || reader.is_finished()).await;
+        let answer = reader.join().expect("the reader does not panic");
+        assert!(answer.starts_with("http/1.1 200"), "{answer:?}");
+    });
+}
+
+/// Guards against bodies that fit while they are read, but not once all of them are complete at the
+/// same time and each is decoded and encoded.
+#[test]
+fn bodies_that_are_completed_together_are_bounded() {
+    runtime::run(async {
+        let budget = InputBudget::new(small_limits());
+        let released = Rc::new(RefCell::new(false));
+        let bounds = ServerBounds::new(&budget, PortKind::Clients);
+        let address = spawn_server(bounds, &released);
+        let text = whole("/held", &"x".repeat(90_000));
+        let mut held = Vec::new();
+        for number in 1..=4 {
+            let mut stream = connect(address);
+            stream.write_all(&text[..text.len() - 1]).expect("the connection is open");
+            wait_until("the body is not read", || budget.counts().used >= number * 90_000).await;
+            held.push(stream);
+        }
+        for stream in &mut held {
+            stream.write_all(b"x").expect("the connection is open");
+        }
+        let readers: Vec<_> = held.into_iter().map(read_rest).collect();
+        // Two bodies with their copies and two that are only read take 720,000 bytes.
+        wait_until("no body is refused", || readers.iter().any(JoinHandle::is_finished)).await;
+        let used = budget.counts().used;
+        assert!(used <= small_limits().handling_bytes, "{used}");
+        *released.borrow_mut() = true;
+        wait_until("no answer came", || readers.iter().all(JoinHandle::is_finished)).await;
+        let answers = readers.into_iter().map(|reader| reader.join().expect("it does not panic"));
+        let (served, refused): (Vec<_>, Vec<_>) =
+            answers.partition(|answer| answer.starts_with("http/1.1 200"));
+        assert!(served.len() >= 2 && !refused.is_empty(), "{} served", served.len());
+        for answer in refused {
+            assert!(answer.starts_with("http/1.1 503"), "{answer:?}");
+            assert!(answer.contains("\r\nretry-after: 1\r\n"), "{answer:?}");
+            assert!(answer.contains("\r\nx-outcome: not_run\r\n"), "{answer:?}");
+        }
+        wait_until("memory stays in use", || budget.counts().used == 0).await;
     });
 }
 
@@ -444,6 +520,11 @@
         let large = "x".repeat(300_001);
         let result: Result<u64, _> = peers.exchange(address, &large, MAX_WAIT).await;
         assert_eq!(result, Err(ExchangeError::Lost));
+        assert_eq!(budget.counts().lost_answers, 0);
+        let over = spawn_answer(300_001_u32.to_be_bytes());
+        let result: Result<u64, _> = peers.exchange(over, &"x", MAX_WAIT).await;
+        assert_eq!(result, Err(ExchangeError::Lost));
+        assert_eq!(budget.counts().lost_answers, 1);
     });
 }
 
@@ -458,6 +539,11 @@
         assert!(limits.answer_bytes > limits.input_bytes && limits.answer_bytes < memory / 2);
         assert!(limits.message_bytes > ServerLimits::default().max_body_bytes, "{limits:?}");
         assert!(limits.message_bytes < limits.input_bytes, "{limits:?}");
+        let answers = limits.message_bytes.max(limits.answer_bytes - limits.input_bytes);
+        let total = limits.handling_bytes + answers + limits.connections * 20_000;
+        assert!(total < memory / 6 * 5, "{limits:?}");
+        let largest = 3 * ServerLimits::default().max_body_bytes;
+        assert!(limits.handling_bytes > largest, "{limits:?}");
         assert!((300..=1_920).contains(&limits.connections), "{limits:?}");
     }
 }
