--- a/crates/cuminbank-jobs/src/admission/report.rs
+++ b/crates/cuminbank-jobs/src/admission/report.rs
@@ -63,10 +63,11 @@
     pub ready: u64,
     /// Number of its ready tasks.
     pub ready_tasks: u32,
-    /// Longest wait of a ready task.
+    /// Longest wait of the ready tasks that count in [`Self::ready_work`].
     pub longest_wait: Duration,
     /// CPU time of its ready tasks in thousandths of a core times milliseconds. Only tasks that
-    /// reserve CPU, end by themselves and belong to jobs whose result can still have value.
+    /// reserve CPU, have an executor that is large enough, and belong to jobs that end by themselves
+    /// and can still meet their objective, as these are placed before late ones.
     pub ready_work: u64,
 }
 
--- a/crates/cuminbank-jobs/src/scheduler/room.rs
+++ b/crates/cuminbank-jobs/src/scheduler/room.rs
@@ -200,7 +200,7 @@
         queues: &mut BTreeMap<&'a str, QueueRoom>,
     ) {
         for job in self.waiting.iter().filter_map(|key| self.jobs.get(*key)) {
-            let is_overdue = urgency(job).tier(self.now) == JobTier::Overdue;
+            let is_feasible = urgency(job).tier(self.now) == JobTier::Feasible;
             let queue = queue_of(queues, job);
             let mut demand = demands.get_mut(job.record.terms.service.as_str());
             for task in &job.ready {
@@ -210,7 +210,6 @@
                 let wait = self.now.saturating_sub(job.tasks[*task as usize].ready_since);
                 queue.ready += cpu_millis;
                 queue.ready_tasks += 1;
-                queue.longest_wait = queue.longest_wait.max(wait);
                 let Some(demand) = &mut demand else { continue };
                 if spec.fills || !demand.has_executor_for(spec) {
                     continue;
@@ -223,7 +222,9 @@
                     // With enough room, a task that has waited for longer would have ended by now.
                     demand.sample.ending.add(&spec.needs);
                 }
-                if !spec.long_running && !is_overdue {
+                // A new job is placed before those that can only be late, whatever their priority.
+                if is_feasible && cpu_millis > 0 {
+                    queue.longest_wait = queue.longest_wait.max(wait);
                     queue.ready_work = queue
                         .ready_work
                         .saturating_add(cpu_millis.saturating_mul(u64::from(spec.estimate_ms)));
--- a/crates/cuminbank-jobs/tests/room_report.rs
+++ b/crates/cuminbank-jobs/tests/room_report.rs
@@ -170,3 +170,26 @@
     run_for(&mut off, SUBMITTED);
     assert_eq!(answer(&off), Some(OwnerAnswer::Load(CellLoad::default())));
 }
+
+// Guards against the refusal of a quick job for work that is placed after it: late jobs, best-effort
+// tasks, and tasks that no executor can run.
+#[test]
+fn only_feasible_work_counts_as_work_ahead() {
+    let mut pool = pool(4);
+    submit(&mut pool, 1, JobStep { needs: cores(10), ..long_running(4) });
+    run_for(&mut pool, Duration::from_millis(500));
+    let quick = |count| JobStep { needs: cores(4), estimate_ms: 800, ..step(count, &[]) };
+    submit(&mut pool, QUICK_JOB, quick(3));
+    submit(&mut pool, QUICK_JOB + 1, JobStep { needs: cores(11), estimate_ms: 60_000, ..quick(1) });
+    submit(&mut pool, QUICK_JOB + 2, JobStep { fills: true, estimate_ms: 60_000, ..quick(1) });
+    run_for(&mut pool, Duration::from_millis(500));
+    let queue = report(&pool).queues[0].clone();
+    assert_eq!((queue.ready_tasks, queue.ready_work), (5, 3 * 4_000 * 800));
+    // The objective of the first job is over, its result still has value.
+    run_for(&mut pool, Duration::from_millis(1_500));
+    submit(&mut pool, QUICK_JOB + 3, quick(1));
+    run_for(&mut pool, Duration::from_millis(300));
+    let queue = report(&pool).queues[0].clone();
+    assert_eq!((queue.ready_tasks, queue.ready_work), (6, 4_000 * 800));
+    assert!(queue.longest_wait < Duration::from_millis(600), "{queue:?}");
+}
