--- a/crates/cuminbank-jobs/src/admission/report.rs
+++ b/crates/cuminbank-jobs/src/admission/report.rs
@@ -16,9 +16,10 @@
     pub service: ServiceName,
     /// Capacity of the executors that may get new work.
     pub capacity: u64,
-    /// CPU that long-running tasks reserve.
+    /// CPU that long-running tasks reserve on executors that are not being vacated.
     pub long_running: u64,
-    /// CPU requested by long-running tasks that wait for an executor.
+    /// CPU requested by long-running tasks that wait for an executor, or that run on one that drains,
+    /// is under evacuation or is gone from the platform's list. They will need another one.
     pub long_running_ready: u64,
     /// CPU that work that ends by itself can use beside the long-running tasks. On each executor it
     /// is a multiple of the mean needs of such a task, since smaller remainders are of no use to it.
--- a/crates/cuminbank-jobs/src/scheduler/room.rs
+++ b/crates/cuminbank-jobs/src/scheduler/room.rs
@@ -10,7 +10,7 @@
 
 use super::{
     pass::urgency,
-    state::{ExecutorKey, JobState, RunKey},
+    state::{ExecutorKey, ExecutorState, JobState, RunKey},
     JobScheduler,
 };
 use crate::{
@@ -52,7 +52,8 @@
 struct ServiceDemand {
     sample: DemandSample,
     capacity: u64,
-    /// CPU that long-running tasks reserve, and that those ready request.
+    /// CPU that long-running tasks reserve, and that those request which are ready or about to lose
+    /// their executor.
     long_running: u64,
     long_running_ready: u64,
     long_running_jobs: u64,
@@ -131,6 +132,14 @@
         known > 0 && self.unreconciled.is_empty() && (reached || elapsed >= CONTACT_TIME)
     }
 
+    /// Returns whether the long-running tasks on an executor will need another one. They survive a
+    /// short loss of contact, in which the platform still lists the executor, and a gap in the list
+    /// while the executor replies.
+    fn is_vacated(&self, executor: &ExecutorState) -> bool {
+        let is_gone = executor.absent_since.is_some() && executor.hold.failures > 0;
+        executor.draining || is_gone || self.is_absent(executor) || self.is_evacuated(executor)
+    }
+
     /// Returns the capacity by service, and what long-running tasks reserve on each executor.
     fn executor_demands(
         &self,
@@ -186,7 +195,10 @@
             }
             match run.long_running {
                 true => {
-                    demand.long_running += cpu_millis;
+                    match self.is_vacated(&self.executors[run.executor]) {
+                        true => demand.long_running_ready += cpu_millis,
+                        false => demand.long_running += cpu_millis,
+                    }
                     demand.sample.long_running.add(&run.needs);
                 }
                 false => demand.sample.ending.add(&run.needs),
--- a/crates/cuminbank-jobs/tests/room_report.rs
+++ b/crates/cuminbank-jobs/tests/room_report.rs
@@ -193,3 +193,39 @@
     assert_eq!((queue.ready_tasks, queue.ready_work), (6, 4_000 * 800));
     assert!(queue.longest_wait < Duration::from_millis(600), "{queue:?}");
 }
+
+// Guards against room that is given away although long-running tasks need it, which their executors
+// leave them no longer: draining, evacuated and removed ones, but not one that is out of contact.
+#[test]
+fn tasks_that_lose_their_executor_need_room() {
+    let held = |fault: fn(&SimulatedPool) -> InjectedFault, wait| {
+        let mut pool = pool(4);
+        for (number, executor) in pool.executors.iter_mut().enumerate() {
+            executor.zone = format!("z{}", number / 2);
+        }
+        submit(&mut pool, 1, JobStep { needs: cores(9), ..long_running(4) });
+        run_for(&mut pool, Duration::from_millis(500));
+        pool.fault_at(pool.now, fault(&pool));
+        run_for(&mut pool, wait);
+        let report = report(&pool);
+        let room = &report.services[0];
+        assert_eq!((report.queues[0].ready_tasks, room.mean_job), (0, 36_000));
+        (room.capacity, room.long_running, room.long_running_ready)
+    };
+    let wait = Duration::from_secs(1);
+    let drain = |_: &SimulatedPool| InjectedFault::DrainExecutor { executor: 0 };
+    assert_eq!(held(drain, wait), (30_000, 27_000, 9_000));
+    let evacuate = |_: &SimulatedPool| InjectedFault::EvacuateZone {
+        zone: "z0".to_owned(),
+        span: Duration::from_secs(60),
+    };
+    assert_eq!(held(evacuate, wait), (20_000, 18_000, 18_000));
+    let remove = |_: &SimulatedPool| InjectedFault::RemoveExecutor { executor: 0 };
+    assert_eq!(held(remove, 4 * wait), (30_000, 27_000, 9_000));
+    let cut = |pool: &SimulatedPool| InjectedFault::CutFromExecutors {
+        instance: pool.owner().expect("the pool has an owner"),
+        executors: vec![0],
+        span: Duration::from_secs(5),
+    };
+    assert_eq!(held(cut, wait), (30_000, 36_000, 0));
+}
