--- a/crates/cuminbank-jobs/src/admission/decision.rs
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -90,6 +90,7 @@
 struct AdmittedJob {
     at: MonotonicTime,
     service: ServiceName,
+    cpu_millis: u64,
 }
 
 /// What an instance knows of a cell.
@@ -150,7 +151,7 @@
             return AdmissionDecision::Admit;
         };
         let cause = room.refusal_cause(now, record);
-        if holds_cpu(record) {
+        if record.holds_cpu() {
             room.count_arrival(now);
         }
         match cause {
@@ -159,9 +160,10 @@
                 AdmissionDecision::Refuse(AdmissionRefusal { cause, retry_after_s })
             }
             None => {
-                if holds_cpu(record) {
+                if record.holds_cpu() {
                     let service = record.terms.service.clone();
-                    room.admitted.push_back(AdmittedJob { at: now, service });
+                    let cpu_millis = record.held_cpu();
+                    room.admitted.push_back(AdmittedJob { at: now, service, cpu_millis });
                 }
                 AdmissionDecision::Admit
             }
@@ -180,24 +182,33 @@
 
     fn refusal_cause(&self, now: MonotonicTime, record: &JobRecord) -> Option<RefusalCause> {
         let room = self.report.service(&record.terms.service)?;
-        if holds_cpu(record) {
-            return (!self.may_admit(now, room)).then_some(RefusalCause::NoRoom);
+        if record.holds_cpu() {
+            return (!self.may_admit(now, room, record)).then_some(RefusalCause::NoRoom);
         }
         self.is_hopeless(room, record).then_some(RefusalCause::Hopeless)
     }
 
     /// Returns whether the next long-running job of a service may be admitted, whatever its size.
     /// Jobs admitted since the report count with the mean size, so that a large job delays the next
-    /// one no longer than a small job does.
-    fn may_admit(&self, now: MonotonicTime, room: &ServiceRoom) -> bool {
+    /// one no longer than a small job does. Only while no long-running job is known in the cell does
+    /// the size of the submitted ones count.
+    fn may_admit(&self, now: MonotonicTime, room: &ServiceRoom, record: &JobRecord) -> bool {
         let Some(left) = u64::try_from(room.long_running_room()).ok().filter(|left| *left > 0)
         else {
             return false;
         };
-        let admitted =
-            self.admitted.iter().filter(|job| job.service == room.service).count() as u64;
+        let of_service = || self.admitted.iter().filter(|job| job.service == room.service);
+        let admitted = of_service().count() as u64;
         let instances = u64::from(self.report.instances).clamp(1, MAX_INSTANCES);
-        let mean_job = room.mean_job.max(1);
+        let mean_job = match room.mean_job {
+            // The cell has no long-running job yet, whose size could be expected of the next ones.
+            0 => {
+                let known = of_service().map(|job| job.cpu_millis).chain([record.held_cpu()]);
+                known.fold(0, u64::saturating_add) / (admitted + 1)
+            }
+            mean_job => mean_job,
+        };
+        let mean_job = mean_job.max(1);
         // Jobs are admitted whole, so that the last one may exceed the room.
         let overdraft = (room.reserve / OVERDRAFT_DIVISOR / mean_job).max(1);
         let jobs = (left / mean_job).saturating_add(overdraft);
@@ -283,8 +294,3 @@
     };
     Some((seconds * 1_000.0) as u64)
 }
-
-/// Returns whether a job reserves CPU until it is cancelled.
-fn holds_cpu(record: &JobRecord) -> bool {
-    record.steps.iter().any(|step| step.long_running && !step.fills && step.needs.cpu_millis > 0)
-}
--- a/crates/cuminbank-jobs/src/job.rs
+++ b/crates/cuminbank-jobs/src/job.rs
@@ -68,6 +68,13 @@
     pub may_miss: u32,
 }
 
+impl JobStep {
+    /// Returns whether its tasks reserve CPU until the job is cancelled.
+    pub fn holds_cpu(&self) -> bool {
+        self.long_running && !self.fills && self.needs.cpu_millis > 0
+    }
+}
+
 /// Schedule of a job that runs repeatedly.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RepeatPlan {
@@ -178,6 +185,18 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// Returns whether any task reserves CPU until the job is cancelled.
+    pub fn holds_cpu(&self) -> bool {
+        self.steps.iter().any(JobStep::holds_cpu)
+    }
+
+    /// Returns the CPU that its tasks reserve until the job is cancelled, in thousandths of a core.
+    pub fn held_cpu(&self) -> u64 {
+        let cpu_of = |step: &JobStep| u64::from(step.count) * u64::from(step.needs.cpu_millis);
+        let steps = self.steps.iter().filter(|step| step.holds_cpu());
+        steps.fold(0, |sum, step| sum.saturating_add(cpu_of(step)))
+    }
+
     /// Returns the latency objective in milliseconds: the time from its submission within which the
     /// job should complete.
     pub fn objective_ms(&self) -> u64 {
--- a/crates/cuminbank-jobs/src/scheduler/room.rs
+++ b/crates/cuminbank-jobs/src/scheduler/room.rs
@@ -180,7 +180,7 @@
         for job in self.jobs.values().filter(|job| job.outcome.is_none()) {
             queue_of(queues, job);
             if let (true, Some(demand)) =
-                (job.is_long_running(), demands.get_mut(job.record.terms.service.as_str()))
+                (job.record.holds_cpu(), demands.get_mut(job.record.terms.service.as_str()))
             {
                 demand.long_running_jobs += 1;
             }
@@ -287,7 +287,7 @@
     /// Counts a job that was accepted during this ownership.
     pub(super) fn note_accepted(&mut self, record: &JobRecord) {
         let now = self.now;
-        if let (Some(room), true) = (&mut self.room, record.is_long_running()) {
+        if let (Some(room), true) = (&mut self.room, record.holds_cpu()) {
             room.accepted.push_back((now, record.terms.service.clone()));
         }
     }
--- a/crates/cuminbank-jobs/tests/admission.rs
+++ b/crates/cuminbank-jobs/tests/admission.rs
@@ -225,6 +225,32 @@
     }
 }
 
+// Guards against an idle pool whose room does not bound what is admitted, since no long-running job
+// tells how large the next ones are.
+#[test]
+fn room_is_a_bound_before_the_first_long_running_job() {
+    let admitted = |mean_job, instance| {
+        let mut report = report(10 * MEAN_JOB as i64, 4, instance);
+        report.services[0].mean_job = mean_job;
+        let mut state = state(report);
+        (0..200).filter(|_| is_admitted(&mut state, &long_running(14))).count()
+    };
+    for instance in 0..4 {
+        assert_eq!(admitted(0, instance), admitted(MEAN_JOB, instance));
+    }
+    assert!(admitted(0, 0) < 40);
+    // Sizes that differ count with their mean.
+    let mut report = report(10 * MEAN_JOB as i64, 1, 0);
+    report.services[0].mean_job = 0;
+    let mut state = state(report);
+    let mut held = 0;
+    for number in 0..200 {
+        let job = long_running(7 + number % 2 * 14);
+        held += if is_admitted(&mut state, &job) { job.held_cpu() } else { 0 };
+    }
+    assert!(held <= 10 * MEAN_JOB + 3_000_000 + 21 * 13_000, "{held}");
+}
+
 // Guards against jobs that a report does not contain yet and that are no longer counted.
 #[test]
 fn recently_admitted_jobs_count_beside_the_next_report() {
--- a/crates/cuminbank-jobs/tests/room_report.rs
+++ b/crates/cuminbank-jobs/tests/room_report.rs
@@ -229,3 +229,17 @@
     };
     assert_eq!(held(cut, wait), (30_000, 36_000, 0));
 }
+
+// Guards against best-effort jobs that count as long-running ones that hold CPU, which makes the
+// mean job too small and the expected number of jobs too large.
+#[test]
+fn best_effort_jobs_are_no_long_running_jobs() {
+    let mut pool = pool(4);
+    submit(&mut pool, 1, JobStep { needs: cores(5), ..long_running(2) });
+    run_for(&mut pool, Duration::from_millis(1_500));
+    submit(&mut pool, 2, JobStep { needs: cores(1), fills: true, ..long_running(2) });
+    submit(&mut pool, 3, JobStep { needs: cores(0), ..long_running(2) });
+    run_for(&mut pool, Duration::from_millis(500));
+    let room = room(&pool);
+    assert_eq!((room.mean_job, room.accepted_recently), (10_000, 0));
+}
