--- a/crates/cuminbank-jobs/src/admission/decision.rs
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -93,6 +93,16 @@
     cpu_millis: u64,
 }
 
+/// Return of a refused client.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReturnTime {
+    /// When room is expected for its job.
+    expected_at: MonotonicTime,
+    /// The same after rounding up to the whole seconds that the client is told. The time of the next
+    /// client follows from the former, as the roundings would add up. It only may not be earlier.
+    returns_at: MonotonicTime,
+}
+
 /// What an instance knows of a cell.
 #[derive(Clone, Debug, Default)]
 struct CellRoom {
@@ -102,8 +112,8 @@
     admitted: VecDeque<AdmittedJob>,
     /// Times at which this instance was asked to admit a long-running job.
     arrivals: VecDeque<MonotonicTime>,
-    /// Time at which the client refused last returns.
-    last_return: MonotonicTime,
+    /// When the client that was refused last for lack of room returns, by service.
+    last_returns: BTreeMap<ServiceName, ReturnTime>,
 }
 
 /// Latest room of each cell, and what this instance has admitted since.
@@ -259,25 +269,25 @@
     }
 
     /// Returns the seconds after which the client of a refused job returns: when room is expected,
-    /// and after those that were refused before.
+    /// and after those of the service that were refused before.
     fn next_return(&mut self, now: MonotonicTime, cause: RefusalCause, record: &JobRecord) -> u64 {
         let service = self.report.service(&record.terms.service);
-        let (wait, pause) = match (cause, service) {
-            (RefusalCause::NoRoom, Some(room)) => {
-                let time_to_end = |cpu_millis: u64| {
-                    let seconds = cpu_millis as f64 / room.ended_per_second.max(1) as f64;
-                    Duration::from_secs_f64(seconds.min(MAX_RETURN.as_secs_f64()))
-                };
-                let lacking = room.long_running_room().min(0).unsigned_abs();
-                let wait = if lacking == 0 { MIN_RETURN } else { time_to_end(lacking) };
-                (wait, time_to_end(room.mean_job))
-            }
-            _ => (MAX_RETURN, Duration::ZERO),
+        let (RefusalCause::NoRoom, Some(room)) = (cause, service) else {
+            return MAX_RETURN.as_secs();
+        };
+        let time_to_end = |cpu_millis: u64| {
+            let seconds = cpu_millis as f64 / room.ended_per_second.max(1) as f64;
+            Duration::from_secs_f64(seconds.min(MAX_RETURN.as_secs_f64()))
         };
-        let expected = now.saturating_add(wait).max(self.last_return.saturating_add(pause));
-        let delay = expected.saturating_sub(now).clamp(MIN_RETURN, MAX_RETURN);
-        let seconds = delay.as_millis().div_ceil(1_000) as u64;
-        self.last_return = now + Duration::from_secs(seconds);
+        let lacking = room.long_running_room().min(0).unsigned_abs();
+        let wait = if lacking == 0 { MIN_RETURN } else { time_to_end(lacking) };
+        let pause = time_to_end(room.mean_job);
+        let last = self.last_returns.entry(room.service.clone()).or_default();
+        let expected = (now + wait).max(last.expected_at + pause);
+        last.expected_at = expected.clamp(now + MIN_RETURN, now + MAX_RETURN);
+        let delay = last.expected_at.max(last.returns_at).saturating_sub(now);
+        let seconds = (delay.as_millis().div_ceil(1_000) as u64).min(MAX_RETURN.as_secs());
+        last.returns_at = now + Duration::from_secs(seconds);
         seconds
     }
 }
