--- a/crates/cuminbank-jobd/src/admission.rs
+++ b/crates/cuminbank-jobd/src/admission.rs
@@ -12,7 +12,7 @@
 };
 use monoio::time;
 
-use crate::{cell::CellState, clock, daemon::DaemonState};
+use crate::{cell::CellState, clock, daemon::DaemonState, owner::QueryFailure};
 
 /// Interval at which the owners are queried for the room of their cells.
 const ROOM_INTERVAL: Duration = Duration::from_millis(500);
@@ -100,23 +100,25 @@
         }
     }
 
-    /// Processes the answer of an owner to a question for the room; `None` if there is none.
-    fn update_room(&self, cell: CellId, answer: Option<OwnerAnswer>) {
+    /// Processes the answer of an owner to a question for the room.
+    fn update_room(&self, cell: CellId, answer: Result<OwnerAnswer, QueryFailure>) {
         let now = clock::now();
         let mut admission = self.admission.borrow_mut();
         match answer {
-            Some(OwnerAnswer::Room(report)) => {
+            Ok(OwnerAnswer::Room(report)) => {
                 self.loads.borrow_mut().update(now, cell, report.load.clone());
                 admission.update(now, cell, report);
             }
-            Some(answer) => {
+            Ok(answer) => {
                 admission.forget(cell);
                 if let OwnerAnswer::Load(load) = answer {
                     self.loads.borrow_mut().update(now, cell, load);
                 }
             }
+            // The report is that of an earlier owner.
+            Err(QueryFailure::Unsupported) => admission.forget(cell),
             // The last report may still be recent enough.
-            None => {}
+            Err(QueryFailure::NoReply) => {}
         }
     }
 
@@ -168,12 +170,15 @@
             let state = Rc::clone(&state);
             monoio::spawn(async move {
                 let (id, asker) = (cell.id, state.settings.peer_address);
-                let mut answer = state.query_owner(&OwnerQuestion::Room { cell: id, asker }).await;
-                // An owner of an earlier build does not know the question.
-                if answer.is_none() && state.admission.borrow().report(clock::now(), id).is_none() {
-                    answer = state.query_owner(&OwnerQuestion::Load { cell: id, asker }).await;
-                }
+                let answer = state.query_owner(&OwnerQuestion::Room { cell: id, asker }).await;
+                let has_failed = answer.is_err();
                 state.update_room(id, answer);
+                // An owner of an earlier build knows only the question for the load, and may close
+                // the connection at the other one.
+                if has_failed && state.admission.borrow().report(clock::now(), id).is_none() {
+                    let question = OwnerQuestion::Load { cell: id, asker };
+                    state.update_room(id, state.query_owner(&question).await);
+                }
             });
         }
     }
--- a/crates/cuminbank-jobd/src/owner.rs
+++ b/crates/cuminbank-jobd/src/owner.rs
@@ -35,6 +35,15 @@
     Unavailable,
 }
 
+/// Why the owner of a cell gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum QueryFailure {
+    /// It did not reply in time, or with something else than an answer.
+    NoReply,
+    /// It replied that it does not know the question, as an owner of an earlier build does.
+    Unsupported,
+}
+
 impl DaemonState {
     /// Asks the owner of a cell, which may be this instance. Returns [`OwnerAnswer::NotOwner`] if
     /// no owner is known or it does not reply.
@@ -43,22 +52,23 @@
     }
 
     /// Asks the owner of a cell, which may be this instance. Returns [`OwnerAnswer::NotOwner`] if
-    /// no owner is known, and `None` if it does not reply or does not know the question.
+    /// no owner is known.
     pub(crate) async fn query_owner(
         self: &Rc<Self>,
         question: &OwnerQuestion,
-    ) -> Option<OwnerAnswer> {
-        let Some(cell) = self.cell(question.cell()) else { return Some(OwnerAnswer::NotOwner) };
+    ) -> Result<OwnerAnswer, QueryFailure> {
+        let Some(cell) = self.cell(question.cell()) else { return Ok(OwnerAnswer::NotOwner) };
         if cell.owns() {
-            return Some(self.answer_as_owner(&cell, question));
+            return Ok(self.answer_as_owner(&cell, question));
         }
-        let Some(address) = cell.owner_address() else { return Some(OwnerAnswer::NotOwner) };
+        let Some(address) = cell.owner_address() else { return Ok(OwnerAnswer::NotOwner) };
         let request = PeerRequest::Ask(question.clone());
         match self.peers.exchange(address, &request, OWNER_TIMEOUT).await {
-            Ok(PeerReply::Answer(answer)) => Some(answer),
+            Ok(PeerReply::Answer(answer)) => Ok(answer),
+            Ok(PeerReply::Unsupported { .. }) => Err(QueryFailure::Unsupported),
             _ => {
                 self.metrics.count("owner.unreachable", "");
-                None
+                Err(QueryFailure::NoReply)
             }
         }
     }
--- a/crates/cuminbank-jobd/tests/versions.rs
+++ b/crates/cuminbank-jobd/tests/versions.rs
@@ -8,7 +8,7 @@
     process::Stdio,
     sync::{
         atomic::{AtomicUsize, Ordering},
-        Arc,
+        Arc, Mutex,
     },
     thread,
     time::Duration,
@@ -21,7 +21,7 @@
 };
 use serde_json::{json, Value};
 
-use support::{call, Deployment, PoolShape};
+use support::{call, read_text, Deployment, PoolShape};
 
 fn job() -> Value {
     json!({ "spec": "p", "steps": [
@@ -113,6 +113,68 @@
     assert_eq!(records(&deployment), before);
 }
 
+/// Starts a peer at an address that knows no request, and records the questions that it gets.
+fn start_unknowing_peer(address: SocketAddr) -> Arc<Mutex<Vec<OwnerQuestion>>> {
+    let listener = TcpListener::bind(address).expect("the address of the killed instance is free");
+    let questions = Arc::new(Mutex::new(Vec::new()));
+    let asked = Arc::clone(&questions);
+    // The thread ends with the test process.
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, asked) = (stream.expect("the listener accepts"), Arc::clone(&asked));
+            thread::spawn(move || loop {
+                let mut prefix = [0; 4];
+                if stream.read_exact(&mut prefix).is_err() {
+                    return;
+                }
+                let mut message = vec![0; u32::from_be_bytes(prefix) as usize];
+                stream.read_exact(&mut message).expect("a message has the length that it states");
+                if let Some(PeerRequest::Ask(question)) = decode(&message) {
+                    asked.lock().expect("no other thread panics").push(question);
+                }
+                let bytes = encode(&PeerReply::Unsupported { newest: SUPPORTED_FORMATS.newest });
+                let length = u32::try_from(bytes.len()).expect("a short reply").to_be_bytes();
+                if stream.write_all(&[&length, &bytes[..]].concat()).is_err() {
+                    return;
+                }
+            });
+        }
+    });
+    questions
+}
+
+// Guards against decisions by the report of an earlier owner once the owner has replied that it does
+// not know the question for the room.
+#[test]
+fn room_is_unknown_once_the_owner_does_not_know_the_question() {
+    let shape = PoolShape { admission: true, ..PoolShape::default() };
+    let mut deployment = Deployment::start_with_shape(2, 100, shape);
+    let metrics = |deployment: &Deployment, number: usize| {
+        read_text(deployment.operators[number], "/metrics").unwrap_or_default()
+    };
+    deployment.wait("the room is not known", |deployment| {
+        (0..2).all(|number| metrics(deployment, number).contains("admission.room"))
+    });
+    let owner = deployment.owner().expect("an instance owns the pool");
+    let operator = deployment.operators[owner];
+    deployment.instances[owner].kill();
+    let questions = start_unknowing_peer(SocketAddr::new(operator.ip(), operator.port() - 1));
+    // With the last report in use, the instance would go on asking only for the room for 1.8 s.
+    let mut polls = Vec::new();
+    deployment.wait("the owner is not asked", |_| {
+        let asked = questions.lock().expect("no other thread panics");
+        let is_poll = |question: &&OwnerQuestion| {
+            matches!(question, OwnerQuestion::Room { .. } | OwnerQuestion::Load { .. })
+        };
+        polls = asked.iter().filter(is_poll).take(2).cloned().collect();
+        polls.len() == 2
+    });
+    assert!(
+        matches!(polls[..], [OwnerQuestion::Room { .. }, OwnerQuestion::Load { .. }]),
+        "{polls:?}"
+    );
+}
+
 /// Starts a peer that knows no bundle of starts, and counts those that it gets. It answers with
 /// `reply`, or closes the connection without one.
 fn start_peer(reply: Option<PeerReply>) -> (SocketAddr, Arc<AtomicUsize>) {
