--- a/crates/cuminbank-jobs/src/admission/decision.rs
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -90,6 +90,17 @@
 struct AdmittedJob {
     at: MonotonicTime,
     service: ServiceName,
+    cpu_millis: u64,
+}
+
+/// Return of a refused client.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReturnTime {
+    /// When room is expected for its job.
+    expected_at: MonotonicTime,
+    /// The same after rounding up to the whole seconds that the client is told. The time of the next
+    /// client follows from the former, as the roundings would add up. It only may not be earlier.
+    returns_at: MonotonicTime,
 }
 
 /// What an instance knows of a cell.
@@ -101,8 +112,8 @@
     admitted: VecDeque<AdmittedJob>,
     /// Times at which this instance was asked to admit a long-running job.
     arrivals: VecDeque<MonotonicTime>,
-    /// Time at which the client refused last returns.
-    last_return: MonotonicTime,
+    /// When the client that was refused last for lack of room returns, by service.
+    last_returns: BTreeMap<ServiceName, ReturnTime>,
 }
 
 /// Latest room of each cell, and what this instance has admitted since.
@@ -150,7 +161,7 @@
             return AdmissionDecision::Admit;
         };
         let cause = room.refusal_cause(now, record);
-        if holds_cpu(record) {
+        if record.holds_cpu() {
             room.count_arrival(now);
         }
         match cause {
@@ -159,9 +170,10 @@
                 AdmissionDecision::Refuse(AdmissionRefusal { cause, retry_after_s })
             }
             None => {
-                if holds_cpu(record) {
+                if record.holds_cpu() {
                     let service = record.terms.service.clone();
-                    room.admitted.push_back(AdmittedJob { at: now, service });
+                    let cpu_millis = record.held_cpu();
+                    room.admitted.push_back(AdmittedJob { at: now, service, cpu_millis });
                 }
                 AdmissionDecision::Admit
             }
@@ -180,24 +192,33 @@
 
     fn refusal_cause(&self, now: MonotonicTime, record: &JobRecord) -> Option<RefusalCause> {
         let room = self.report.service(&record.terms.service)?;
-        if holds_cpu(record) {
-            return (!self.may_admit(now, room)).then_some(RefusalCause::NoRoom);
+        if record.holds_cpu() {
+            return (!self.may_admit(now, room, record)).then_some(RefusalCause::NoRoom);
         }
         self.is_hopeless(room, record).then_some(RefusalCause::Hopeless)
     }
 
     /// Returns whether the next long-running job of a service may be admitted, whatever its size.
     /// Jobs admitted since the report count with the mean size, so that a large job delays the next
-    /// one no longer than a small job does.
-    fn may_admit(&self, now: MonotonicTime, room: &ServiceRoom) -> bool {
+    /// one no longer than a small job does. Only while no long-running job is known in the cell does
+    /// the size of the submitted ones count.
+    fn may_admit(&self, now: MonotonicTime, room: &ServiceRoom, record: &JobRecord) -> bool {
         let Some(left) = u64::try_from(room.long_running_room()).ok().filter(|left| *left > 0)
         else {
             return false;
         };
-        let admitted =
-            self.admitted.iter().filter(|job| job.service == room.service).count() as u64;
+        let of_service = || self.admitted.iter().filter(|job| job.service == room.service);
+        let admitted = of_service().count() as u64;
         let instances = u64::from(self.report.instances).clamp(1, MAX_INSTANCES);
-        let mean_job = room.mean_job.max(1);
+        let mean_job = match room.mean_job {
+            // The cell has no long-running job yet, whose size could be expected of the next ones.
+            0 => {
+                let known = of_service().map(|job| job.cpu_millis).chain([record.held_cpu()]);
+                known.fold(0, u64::saturating_add) / (admitted + 1)
+            }
+            mean_job => mean_job,
+        };
+        let mean_job = mean_job.max(1);
         // Jobs are admitted whole, so that the last one may exceed the room.
         let overdraft = (room.reserve / OVERDRAFT_DIVISOR / mean_job).max(1);
         let jobs = (left / mean_job).saturating_add(overdraft);
@@ -248,25 +269,25 @@
     }
 
     /// Returns the seconds after which the client of a refused job returns: when room is expected,
-    /// and after those that were refused before.
+    /// and after those of the service that were refused before.
     fn next_return(&mut self, now: MonotonicTime, cause: RefusalCause, record: &JobRecord) -> u64 {
         let service = self.report.service(&record.terms.service);
-        let (wait, pause) = match (cause, service) {
-            (RefusalCause::NoRoom, Some(room)) => {
-                let time_to_end = |cpu_millis: u64| {
-                    let seconds = cpu_millis as f64 / room.ended_per_second.max(1) as f64;
-                    Duration::from_secs_f64(seconds.min(MAX_RETURN.as_secs_f64()))
-                };
-                let lacking = room.long_running_room().min(0).unsigned_abs();
-                let wait = if lacking == 0 { MIN_RETURN } else { time_to_end(lacking) };
-                (wait, time_to_end(room.mean_job))
-            }
-            _ => (MAX_RETURN, Duration::ZERO),
+        let (RefusalCause::NoRoom, Some(room)) = (cause, service) else {
+            return MAX_RETURN.as_secs();
+        };
+        let time_to_end = |cpu_millis: u64| {
+            let seconds = cpu_millis as f64 / room.ended_per_second.max(1) as f64;
+            Duration::from_secs_f64(seconds.min(MAX_RETURN.as_secs_f64()))
         };
-        let expected = now.saturating_add(wait).max(self.last_return.saturating_add(pause));
-        let delay = expected.saturating_sub(now).clamp(MIN_RETURN, MAX_RETURN);
-        let seconds = delay.as_millis().div_ceil(1_000) as u64;
-        self.last_return = now + Duration::from_secs(seconds);
+        let lacking = room.long_running_room().min(0).unsigned_abs();
+        let wait = if lacking == 0 { MIN_RETURN } else { time_to_end(lacking) };
+        let pause = time_to_end(room.mean_job);
+        let last = self.last_returns.entry(room.service.clone()).or_default();
+        let expected = (now + wait).max(last.expected_at + pause);
+        last.expected_at = expected.clamp(now + MIN_RETURN, now + MAX_RETURN);
+        let delay = last.expected_at.max(last.returns_at).saturating_sub(now);
+        let seconds = (delay.as_millis().div_ceil(1_000) as u64).min(MAX_RETURN.as_secs());
+        last.returns_at = now + Duration::from_secs(seconds);
         seconds
     }
 }
@@ -283,8 +304,3 @@
     };
     Some((seconds * 1_000.0) as u64)
 }
-
-/// Returns whether a job reserves CPU until it is cancelled.
-fn holds_cpu(record: &JobRecord) -> bool {
-    record.steps.iter().any(|step| step.long_running && !step.fills && step.needs.cpu_millis > 0)
-}
--- a/crates/cuminbank-jobs/src/scheduler/room.rs
+++ b/crates/cuminbank-jobs/src/scheduler/room.rs
@@ -10,7 +10,7 @@
 
 use super::{
     pass::urgency,
-    state::{ExecutorKey, JobState, RunKey},
+    state::{ExecutorKey, ExecutorState, JobState, RunKey},
     JobScheduler,
 };
 use crate::{
@@ -52,7 +52,8 @@
 struct ServiceDemand {
     sample: DemandSample,
     capacity: u64,
-    /// CPU that long-running tasks reserve, and that those ready request.
+    /// CPU that long-running tasks reserve, and that those request which are ready or about to lose
+    /// their executor.
     long_running: u64,
     long_running_ready: u64,
     long_running_jobs: u64,
@@ -131,6 +132,14 @@
         known > 0 && self.unreconciled.is_empty() && (reached || elapsed >= CONTACT_TIME)
     }
 
+    /// Returns whether the long-running tasks on an executor will need another one. They survive a
+    /// short loss of contact, in which the platform still lists the executor, and a gap in the list
+    /// while the executor replies.
+    fn is_vacated(&self, executor: &ExecutorState) -> bool {
+        let is_gone = executor.absent_since.is_some() && executor.hold.failures > 0;
+        executor.draining || is_gone || self.is_absent(executor) || self.is_evacuated(executor)
+    }
+
     /// Returns the capacity by service, and what long-running tasks reserve on each executor.
     fn executor_demands(
         &self,
@@ -171,7 +180,7 @@
         for job in self.jobs.values().filter(|job| job.outcome.is_none()) {
             queue_of(queues, job);
             if let (true, Some(demand)) =
-                (job.is_long_running(), demands.get_mut(job.record.terms.service.as_str()))
+                (job.record.holds_cpu(), demands.get_mut(job.record.terms.service.as_str()))
             {
                 demand.long_running_jobs += 1;
             }
@@ -186,7 +195,10 @@
             }
             match run.long_running {
                 true => {
-                    demand.long_running += cpu_millis;
+                    match self.is_vacated(&self.executors[run.executor]) {
+                        true => demand.long_running_ready += cpu_millis,
+                        false => demand.long_running += cpu_millis,
+                    }
                     demand.sample.long_running.add(&run.needs);
                 }
                 false => demand.sample.ending.add(&run.needs),
@@ -200,7 +212,7 @@
         queues: &mut BTreeMap<&'a str, QueueRoom>,
     ) {
         for job in self.waiting.iter().filter_map(|key| self.jobs.get(*key)) {
-            let is_overdue = urgency(job).tier(self.now) == JobTier::Overdue;
+            let is_feasible = urgency(job).tier(self.now) == JobTier::Feasible;
             let queue = queue_of(queues, job);
             let mut demand = demands.get_mut(job.record.terms.service.as_str());
             for task in &job.ready {
@@ -210,7 +222,6 @@
                 let wait = self.now.saturating_sub(job.tasks[*task as usize].ready_since);
                 queue.ready += cpu_millis;
                 queue.ready_tasks += 1;
-                queue.longest_wait = queue.longest_wait.max(wait);
                 let Some(demand) = &mut demand else { continue };
                 if spec.fills || !demand.has_executor_for(spec) {
                     continue;
@@ -223,7 +234,9 @@
                     // With enough room, a task that has waited for longer would have ended by now.
                     demand.sample.ending.add(&spec.needs);
                 }
-                if !spec.long_running && !is_overdue {
+                // A new job is placed before those that can only be late, whatever their priority.
+                if is_feasible && cpu_millis > 0 {
+                    queue.longest_wait = queue.longest_wait.max(wait);
                     queue.ready_work = queue
                         .ready_work
                         .saturating_add(cpu_millis.saturating_mul(u64::from(spec.estimate_ms)));
@@ -274,7 +287,7 @@
     /// Counts a job that was accepted during this ownership.
     pub(super) fn note_accepted(&mut self, record: &JobRecord) {
         let now = self.now;
-        if let (Some(room), true) = (&mut self.room, record.is_long_running()) {
+        if let (Some(room), true) = (&mut self.room, record.holds_cpu()) {
             room.accepted.push_back((now, record.terms.service.clone()));
         }
     }
