--- a/crates/cuminbank-jobs/src/backfill/table.rs
+++ b/crates/cuminbank-jobs/src/backfill/table.rs
@@ -39,6 +39,18 @@
     pub passing_cpu: u64,
 }
 
+impl PoolSize {
+    /// Returns the largest number of reservations of a step.
+    pub fn step_limit(self) -> usize {
+        self.limit().div_ceil(STEPS_SHARING)
+    }
+
+    /// Returns the largest number of reservations.
+    fn limit(self) -> usize {
+        (self.executors / EXECUTORS_PER_RESERVATION).max(1)
+    }
+}
+
 /// Job with the occurrence and the step whose tasks may use a reservation.
 pub type ReservationHolder = (JobKey, u32, usize);
 
@@ -119,8 +131,8 @@
         if pool.executors < MIN_EXECUTORS {
             return 0;
         }
-        let limit = (pool.executors / EXECUTORS_PER_RESERVATION).max(1);
-        let own = limit.div_ceil(STEPS_SHARING).min(ready).saturating_sub(self.count(holder));
+        let limit = pool.limit();
+        let own = pool.step_limit().min(ready).saturating_sub(self.count(holder));
         let cpu_left = (pool.passing_cpu / CPU_DIVISOR).saturating_sub(self.reserved_cpu);
         let by_cpu = (cpu_left / u64::from(cpu_millis.max(1))) as usize;
         let by_cpu = by_cpu.max(usize::from(self.is_empty()));
--- a/crates/cuminbank-jobs/src/scheduler/reservations.rs
+++ b/crates/cuminbank-jobs/src/scheduler/reservations.rs
@@ -165,7 +165,7 @@
         if self.underutilized {
             return Some(ReservationEnd::PoolFree);
         }
-        if self.ready_tasks(holder) < state.table.count(holder) {
+        if !self.has_ready_tasks(holder, state.table.count(holder)) {
             return Some(ReservationEnd::NotNeeded);
         }
         if !self.executors.get(executor).is_some_and(|executor| self.is_placeable(executor)) {
@@ -188,10 +188,16 @@
         self.charge_units(tasks);
     }
 
-    /// Returns the number of ready tasks of a step. None once its job has ended.
-    fn ready_tasks(&self, (key, occurrence, step): ReservationHolder) -> usize {
+    /// Returns the number of ready tasks of a step, but at most `limit`, since a step may have 20,000
+    /// of them. None once its job has ended.
+    fn ready_tasks(&self, (key, occurrence, step): ReservationHolder, limit: usize) -> usize {
         let Some(job) = self.jobs.get(key) else { return 0 };
-        job.ready.range(job.step_range(occurrence, step)).count()
+        job.ready.range(job.step_range(occurrence, step)).take(limit).count()
+    }
+
+    /// Returns whether a step has at least `count` ready tasks.
+    fn has_ready_tasks(&self, holder: ReservationHolder, count: usize) -> bool {
+        self.ready_tasks(holder, count) == count
     }
 
     /// Reserves executors for the ready tasks of a step that found none, if the one with the longest
@@ -203,24 +209,28 @@
         placeable: &[ExecutorKey],
     ) {
         let Some(mut state) = self.reservations.take() else { return };
-        let quota = match state.searches_left > 0 && self.deserves_room(&state, holder, task) {
-            true => {
-                let cpu_millis = self.jobs[holder.0].record.steps[holder.2].needs.cpu_millis;
-                state.table.quota(holder, state.pool, cpu_millis, self.ready_tasks(holder))
-            }
-            false => 0,
-        };
-        if quota > 0 {
-            state.searches_left -= 1;
+        if state.searches_left > 0 && self.deserves_room(&state, holder, task) {
             self.jobs[holder.0].next_room_search = self.now + SEARCH_PAUSE;
-            let found = self.search_room(&mut state, holder, placeable);
-            for (room, executor) in found.into_iter().take(quota) {
-                self.add_reservation(&mut state, holder, executor, room);
+            let quota = self.step_quota(&state, holder);
+            if quota > 0 {
+                state.searches_left -= 1;
+                let found = self.search_room(&mut state, holder, placeable);
+                for (room, executor) in found.into_iter().take(quota) {
+                    self.add_reservation(&mut state, holder, executor, room);
+                }
             }
         }
         self.reservations = Some(state);
     }
 
+    /// Returns how many further reservations a step may get.
+    fn step_quota(&mut self, state: &ReservationState, holder: ReservationHolder) -> usize {
+        let cpu_millis = self.jobs[holder.0].record.steps[holder.2].needs.cpu_millis;
+        let ready = self.ready_tasks(holder, state.pool.step_limit());
+        self.charge_units(ready as u32);
+        state.table.quota(holder, state.pool, cpu_millis, ready)
+    }
+
     fn deserves_room(
         &self,
         state: &ReservationState,
@@ -359,8 +369,8 @@
             };
             state.table.note_start(self.now, executor, &task);
             let held = state.table.of_step(holder).first().copied();
-            if let Some(key) = held.filter(|_| self.ready_tasks(holder) < state.table.count(holder))
-            {
+            let count = state.table.count(holder);
+            if let Some(key) = held.filter(|_| !self.has_ready_tasks(holder, count)) {
                 self.end_reservation(&mut state, key, ReservationEnd::NotNeeded);
             }
         }
