--- a/crates/cuminbank-jobs/src/backfill/lengths.rs
+++ b/crates/cuminbank-jobs/src/backfill/lengths.rs
@@ -48,8 +48,12 @@
 }
 
 impl RunLengths {
-    /// Records the run time of a task that has completed.
+    /// Records the run time of a task that has completed. A task without an estimate tells nothing
+    /// about the error of others and is left out.
     pub fn record(&mut self, queue: &QueueName, estimate: Duration, ran: Duration) {
+        if estimate.is_zero() {
+            return;
+        }
         if !self.errors.contains_key(queue) {
             if self.errors.len() >= MAX_QUEUES {
                 return;
@@ -58,7 +62,7 @@
         }
         let Some(error) = self.errors.get_mut(queue) else { return };
         let (lowest, highest) = RATIO_RANGE;
-        let ratio = ran.as_secs_f64() / estimate.as_secs_f64().max(0.001);
+        let ratio = ran.as_secs_f64() / estimate.as_secs_f64();
         let ratio = ratio.clamp(lowest, highest);
         error.deviation += ((ratio - error.ratio).abs() - error.deviation) * RUN_WEIGHT;
         error.ratio += (ratio - error.ratio) * RUN_WEIGHT;
--- a/crates/cuminbank-jobs/src/backfill/table.rs
+++ b/crates/cuminbank-jobs/src/backfill/table.rs
@@ -91,7 +91,8 @@
 pub struct BackfillTask {
     /// Resources that it would reserve.
     pub needs: TaskNeeds,
-    /// Run time that it is unlikely to exceed, unless it runs until its job is cancelled.
+    /// Run time that it is unlikely to exceed. `None` if it runs until its job is cancelled or has no
+    /// estimate.
     pub longest: Option<Duration>,
 }
 
--- a/crates/cuminbank-jobs/src/scheduler/candidates.rs
+++ b/crates/cuminbank-jobs/src/scheduler/candidates.rs
@@ -40,7 +40,7 @@
     /// Whether only quarantined executors are considered, instead of only the others.
     pub(super) on_probation: bool,
     /// Run time in milliseconds that a task is unlikely to exceed. `None` if it runs until its job is
-    /// cancelled, or if no executors are reserved.
+    /// cancelled, has no estimate, or if no executors are reserved.
     pub(super) longest_ms: Option<u32>,
     /// Whether a task may start on executors that are reserved for others.
     pub(super) ignores_reservations: bool,
--- a/crates/cuminbank-jobs/src/scheduler/reservations.rs
+++ b/crates/cuminbank-jobs/src/scheduler/reservations.rs
@@ -433,10 +433,11 @@
     }
 }
 
-/// Returns the run time that a task is unlikely to exceed, unless it runs until its job is cancelled.
+/// Returns the run time that a task is unlikely to exceed. `None` if it runs until its job is
+/// cancelled, or has no estimate: it may then take any time.
 fn longest_run(lengths: &RunLengths, job: &JobState, spec: &JobStep) -> Option<Duration> {
     let length = lengths.expected(&job.record.terms.queue, estimate(spec));
-    (!spec.long_running).then_some(length.longest)
+    (!spec.long_running && spec.estimate_ms > 0).then_some(length.longest)
 }
 
 fn estimate(spec: &JobStep) -> Duration {
--- a/crates/cuminbank-jobs/tests/backfill.rs
+++ b/crates/cuminbank-jobs/tests/backfill.rs
@@ -63,6 +63,7 @@
     assert_eq!((demand.unusable_part(127_999), demand.smaller_percent(u32::MAX)), (127_999, 0));
     let mut lengths = RunLengths::default();
     lengths.record(&String::new(), Duration::ZERO, Duration::MAX);
+    lengths.record(&String::new(), Duration::from_nanos(1), Duration::MAX);
     assert!(lengths.expected(&String::new(), Duration::MAX).longest < Duration::MAX);
     let all = TaskNeeds { cpu_millis: u32::MAX, memory_mb: u32::MAX, gpus: u32::MAX };
     let mut runs = [RunningTask { ends: NOW, needs: all }; 2];
@@ -100,6 +101,17 @@
     assert_eq!(lengths.expected(&"other".to_owned(), estimate).mean, estimate);
 }
 
+// Guards against tasks without an estimate that make all others of their queue look ten times as long
+// as their estimates.
+#[test]
+fn tasks_without_an_estimate_do_not_change_the_error() {
+    let mut lengths = RunLengths::default();
+    let queue = "batch".to_owned();
+    let before = lengths.expected(&queue, millis(1_000));
+    (0..200).for_each(|_| lengths.record(&queue, Duration::ZERO, millis(900)));
+    assert_eq!(lengths.expected(&queue, millis(1_000)), before);
+}
+
 // Guards against a run that has exceeded its estimate and is expected to end at any moment, so that
 // an executor stays reserved behind it.
 #[test]
--- a/crates/cuminbank-jobs/tests/task_reservations.rs
+++ b/crates/cuminbank-jobs/tests/task_reservations.rs
@@ -270,12 +270,14 @@
 }
 
 // Guards against a reserved executor that stays idle although a short task would end in time, because
-// the failed search of a longer task of the same shape stands for it.
+// the failed search of a longer task of the same shape stands for it, and against a task without an
+// estimate that starts there as if it ended at once.
 #[test]
 fn short_task_runs_on_a_reserved_executor_meanwhile() {
     const FEW: usize = 6;
     const LENGTH: Duration = Duration::from_secs(4);
     const SHORT_JOB: JobId = 4;
+    const UNKNOWN_JOB: JobId = 5;
     let plan = |task: TaskName, _| match task.job {
         SHORT_JOB => (Some(Duration::from_millis(400)), RunEnd::Done),
         _ => (Some(LENGTH), RunEnd::Done),
@@ -296,6 +298,10 @@
     submit(&mut pool, 3, long(10, 1));
     pool.run_until(SUBMITTED + Duration::from_millis(700));
     assert_eq!(pool.running(3), FEW - 1, "one task on each of the other executors");
+    let unknown = JobStep { needs: needs(1), estimate_ms: 0, ..step(1, &[]) };
+    submit(&mut pool, UNKNOWN_JOB, unknown);
+    pool.run_until(SUBMITTED + Duration::from_millis(750));
+    assert_eq!(pool.running(UNKNOWN_JOB), 0);
     let mut short = record(&pool, JobStep { needs: needs(1), ..step(1, &[]) });
     short.terms.priority = 1;
     pool.submit(SHORT_JOB, short);
