--- a/crates/cuminbank-jobs/src/backfill/mod.rs
+++ b/crates/cuminbank-jobs/src/backfill/mod.rs
@@ -18,6 +18,6 @@
     lengths::{RunLengths, TaskLength},
     table::{
         BackfillTask, PoolSize, ReservationEnd, ReservationHolder, ReservationKey,
-        ReservationTable, TaskReservation,
+        ReservationTable, SuitableExecutors, TaskReservation,
     },
 };
--- a/crates/cuminbank-jobs/src/backfill/table.rs
+++ b/crates/cuminbank-jobs/src/backfill/table.rs
@@ -19,7 +19,8 @@
 /// Number of executors for each reservation. Capacity that becomes free on a reserved executor stays
 /// idle until the reservation begins, so that few executors may be reserved.
 const EXECUTORS_PER_RESERVATION: usize = 16;
-/// Number of executors below which none is reserved, since one is a large part of them.
+/// Number of executors below which none is reserved, since one is a large part of them. Applies to the
+/// pool and to those of it that suit a step.
 const MIN_EXECUTORS: usize = 4;
 /// Divisor of the CPU that long-running tasks do not reserve, for the part of it that may be reserved.
 /// In a pool almost full of them, a part of the executors would be most of what other tasks can use.
@@ -51,6 +52,26 @@
     }
 }
 
+/// Executors that can run the tasks of a step, as far as its service and label and their state decide.
+/// Few executors of a pool may have a label that all tasks of a kind require.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SuitableExecutors {
+    /// Number of those that may get new work.
+    pub count: usize,
+    /// Number of those that are reserved for any step.
+    pub reserved: usize,
+}
+
+impl SuitableExecutors {
+    /// Returns how many more of them may be reserved.
+    fn quota(self) -> usize {
+        if self.count < MIN_EXECUTORS {
+            return 0;
+        }
+        (self.count / EXECUTORS_PER_RESERVATION).max(1).saturating_sub(self.reserved)
+    }
+}
+
 /// Job with the occurrence and the step whose tasks may use a reservation.
 pub type ReservationHolder = (JobKey, u32, usize);
 
@@ -120,12 +141,14 @@
 }
 
 impl ReservationTable {
-    /// Returns how many further reservations a step may get, given the CPU that each of its tasks
-    /// needs and the number of its ready tasks. Any pool that is large enough may have one.
+    /// Returns how many further reservations a step may get, given the executors that suit it, the CPU
+    /// that each of its tasks needs and the number of its ready tasks. Any pool that is large enough
+    /// may have one.
     pub fn quota(
         &self,
         holder: ReservationHolder,
         pool: PoolSize,
+        suitable: SuitableExecutors,
         cpu_millis: u32,
         ready: usize,
     ) -> usize {
@@ -137,7 +160,7 @@
         let cpu_left = (pool.passing_cpu / CPU_DIVISOR).saturating_sub(self.reserved_cpu);
         let by_cpu = (cpu_left / u64::from(cpu_millis.max(1))) as usize;
         let by_cpu = by_cpu.max(usize::from(self.is_empty()));
-        own.min(limit.saturating_sub(self.len())).min(by_cpu)
+        own.min(limit.saturating_sub(self.len())).min(by_cpu).min(suitable.quota())
     }
 
     /// Adds a reservation of an executor that has none.
--- a/crates/cuminbank-jobs/src/scheduler/reservations.rs
+++ b/crates/cuminbank-jobs/src/scheduler/reservations.rs
@@ -15,6 +15,7 @@
     backfill::{
         forecast_room, remaining_time, BackfillTask, PoolSize, ReservationEnd, ReservationHolder,
         ReservationKey, ReservationTable, RoomForecast, RunLengths, RunningTask, SizeDemand,
+        SuitableExecutors,
     },
     ids::TaskIndex,
     job::{JobStep, TaskNeeds},
@@ -211,7 +212,7 @@
         let Some(mut state) = self.reservations.take() else { return };
         if state.searches_left > 0 && self.deserves_room(&state, holder, task) {
             self.jobs[holder.0].next_room_search = self.now + SEARCH_PAUSE;
-            let quota = self.step_quota(&state, holder);
+            let quota = self.step_quota(&state, holder, placeable);
             if quota > 0 {
                 state.searches_left -= 1;
                 let found = self.search_room(&mut state, holder, placeable);
@@ -224,11 +225,36 @@
     }
 
     /// Returns how many further reservations a step may get.
-    fn step_quota(&mut self, state: &ReservationState, holder: ReservationHolder) -> usize {
+    fn step_quota(
+        &mut self,
+        state: &ReservationState,
+        holder: ReservationHolder,
+        placeable: &[ExecutorKey],
+    ) -> usize {
         let cpu_millis = self.jobs[holder.0].record.steps[holder.2].needs.cpu_millis;
         let ready = self.ready_tasks(holder, state.pool.step_limit());
-        self.charge_units(ready as u32);
-        state.table.quota(holder, state.pool, cpu_millis, ready)
+        self.charge_units((ready + placeable.len() + state.table.len()) as u32);
+        let suitable = self.suitable_executors(state, holder, placeable);
+        state.table.quota(holder, state.pool, suitable, cpu_millis, ready)
+    }
+
+    fn suitable_executors(
+        &self,
+        state: &ReservationState,
+        (key, _, step): ReservationHolder,
+        placeable: &[ExecutorKey],
+    ) -> SuitableExecutors {
+        let job = &self.jobs[key];
+        let spec = &job.record.steps[step];
+        let suits = |key: &ExecutorKey| {
+            self.executors.get(*key).is_some_and(|executor| self.is_placeable(executor))
+                && self.fits_labels(job, spec, *key)
+        };
+        let reserved = state.table.iter().map(|(_, reservation)| reservation.executor);
+        SuitableExecutors {
+            count: placeable.iter().filter(|key| suits(key)).count(),
+            reserved: reserved.filter(suits).count(),
+        }
     }
 
     fn deserves_room(
--- a/crates/cuminbank-jobs/tests/backfill.rs
+++ b/crates/cuminbank-jobs/tests/backfill.rs
@@ -6,7 +6,7 @@
 use cuminbank_jobs::{
     backfill::{
         forecast_room, remaining_time, BackfillTask, PoolSize, ReservationHolder, ReservationTable,
-        RoomForecast, RunLengths, RunningTask, SizeDemand,
+        RoomForecast, RunLengths, RunningTask, SizeDemand, SuitableExecutors,
     },
     job::TaskNeeds,
     scheduler::{ExecutorKey, JobKey},
@@ -186,25 +186,50 @@
     let (holder, other, executors) = keys(490);
     let pool = |executors, cores: u64| PoolSize { executors, passing_cpu: cores * 1_000 };
     let wide = pool(490, 36_000);
+    let all = SuitableExecutors { count: 490, reserved: 0 };
     let mut table = ReservationTable::default();
-    assert_eq!(table.quota(holder, pool(3, 200), 6_000, 20), 0);
-    assert_eq!(table.quota(holder, pool(10, 700), 6_000, 20), 1);
-    assert_eq!(table.quota(holder, wide, 6_000, 2), 2, "no more than ready tasks");
-    assert_eq!(table.quota(holder, pool(490, 480), 6_000, 20), 5, "a sixteenth of 480 cores");
-    assert_eq!(table.quota(holder, pool(490, 48), 6_000, 20), 1, "one at least");
+    assert_eq!(table.quota(holder, pool(3, 200), all, 6_000, 20), 0);
+    assert_eq!(table.quota(holder, pool(10, 700), all, 6_000, 20), 1);
+    assert_eq!(table.quota(holder, wide, all, 6_000, 2), 2, "no more than ready tasks");
+    assert_eq!(table.quota(holder, pool(490, 480), all, 6_000, 20), 5, "a sixteenth of 480 cores");
+    assert_eq!(table.quota(holder, pool(490, 48), all, 6_000, 20), 1, "one at least");
     let room = RoomForecast { begins: NOW, spare: cores(0) };
     let reserve = |table: &mut ReservationTable, executors: &[ExecutorKey]| {
         for executor in executors {
-            if table.quota(holder, wide, 6_000, 20) == 0 {
+            if table.quota(holder, wide, all, 6_000, 20) == 0 {
                 break;
             }
             table.insert(NOW, holder, *executor, cores(6), room);
         }
     };
     reserve(&mut table, &executors);
-    assert_eq!((table.len(), table.quota(other, wide, 6_000, 20)), (8, 8));
-    assert_eq!(table.quota(other, pool(490, 800), 6_000, 20), 0, "48 of 50 cores are reserved");
+    assert_eq!((table.len(), table.quota(other, wide, all, 6_000, 20)), (8, 8));
+    assert_eq!(
+        table.quota(other, pool(490, 800), all, 6_000, 20),
+        0,
+        "48 of 50 cores are reserved"
+    );
     let key = table.of_step(holder)[0];
     assert!(table.remove(key).is_some());
-    assert_eq!(table.quota(other, pool(490, 800), 6_000, 20), 1);
+    assert_eq!(table.quota(other, pool(490, 800), all, 6_000, 20), 1);
+}
+
+// Guards against a step that reserves all of the few executors with the label that it and others
+// require.
+#[test]
+fn reservations_are_few_among_the_executors_that_suit() {
+    let (holder, other, executors) = keys(490);
+    let pool = PoolSize { executors: 490, passing_cpu: 36_000_000 };
+    let mut table = ReservationTable::default();
+    let quota = |table: &ReservationTable, holder, count, reserved| {
+        table.quota(holder, pool, SuitableExecutors { count, reserved }, 6_000, 20)
+    };
+    assert_eq!(quota(&table, holder, 3, 0), 0, "one is a large part of them");
+    assert_eq!(quota(&table, holder, 4, 0), 1);
+    assert_eq!(quota(&table, holder, 40, 0), 2);
+    assert_eq!(quota(&table, holder, 490, 0), 8);
+    let room = RoomForecast { begins: NOW, spare: cores(0) };
+    table.insert(NOW, holder, executors[0], cores(6), room);
+    assert_eq!(quota(&table, other, 4, 1), 0, "reserved for another step");
+    assert_eq!(quota(&table, other, 4, 0), 1, "the reserved one does not suit it");
 }
--- a/crates/cuminbank-jobs/tests/task_reservations.rs
+++ b/crates/cuminbank-jobs/tests/task_reservations.rs
@@ -269,6 +269,29 @@
     assert_eq!(pool.running(2), 1);
 }
 
+// Guards against a step that reserves all of the few executors with the label that it requires.
+#[test]
+fn few_executors_with_a_label_are_reserved() {
+    const WIDE_POOL: usize = 130;
+    const LABELLED: usize = 4;
+    const LENGTH: Duration = Duration::from_secs(2);
+    let plan = |_, _| (Some(LENGTH), RunEnd::Done);
+    let mut pool =
+        SimulatedPool::new(4, 1, WIDE_POOL).with_task_reservations(true).with_plan(Box::new(plan));
+    for executor in pool.executors.iter_mut().take(LABELLED) {
+        executor.labels.push("few".to_owned());
+    }
+    pool.run_until(SUBMITTED);
+    let small = |count| JobStep { needs: needs(1), estimate_ms: 2_000, ..step(count, &[]) };
+    submit(&mut pool, 1, small(WIDE_POOL as u32 * CORES));
+    pool.run_until(SUBMITTED + Duration::from_millis(400));
+    let large = JobStep { needs: needs(LARGE_CORES), estimate_ms: 2_000, ..step(8, &[]) };
+    submit(&mut pool, 2, JobStep { required_label: Some("few".to_owned()), ..large });
+    pool.run_until(SUBMITTED + Duration::from_millis(1_200));
+    let reserved = executors_in(&pool, EVENTS[0]);
+    assert_eq!((reserved.len(), pool.running(2)), (1, 0), "{reserved:?}");
+}
+
 // Guards against a reserved executor that stays idle although a short task would end in time, because
 // the failed search of a longer task of the same shape stands for it, and against a task without an
 // estimate that starts there as if it ended at once.
