--- a/crates/cuminbank-jobs/src/backfill/table.rs
+++ b/crates/cuminbank-jobs/src/backfill/table.rs
@@ -1,6 +1,9 @@
 //! Reservations, and the tasks that may run on reserved executors.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use slotmap::{new_key_type, SecondaryMap, SlotMap};
 
@@ -30,6 +33,10 @@
 /// Time after its expected begin at which a reservation expires, in addition to half of the expected
 /// wait.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(200);
+/// Time after the expiry of a reservation for which the step does not reserve the executor again.
+/// Beside a run that hangs or takes much longer than expected, reservations would otherwise follow each
+/// other without end.
+const REPEAT_PAUSE: Duration = Duration::from_secs(5);
 
 /// What the number of reservations depends on.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -97,7 +104,8 @@
 pub enum ReservationEnd {
     /// The task has started on the executor.
     Used,
-    /// No task of the step waits any more without a reservation for it.
+    /// No task of the step waits any more without a reservation for it, its job is overdue, or its job
+    /// is being moved to another cell.
     NotNeeded,
     /// The executor gets no new work.
     ExecutorLost,
@@ -136,6 +144,10 @@
     reservations: SlotMap<ReservationKey, TaskReservation>,
     by_executor: SecondaryMap<ExecutorKey, ReservationKey>,
     by_step: BTreeMap<ReservationHolder, Vec<ReservationKey>>,
+    /// When the pauses end that follow the expiry of a step's reservation of an executor.
+    pauses: BTreeMap<(ReservationHolder, ExecutorKey), MonotonicTime>,
+    /// The pauses in the order in which they end.
+    pause_order: VecDeque<(ReservationHolder, ExecutorKey)>,
     /// CPU of all reservations, in thousandths of a core.
     reserved_cpu: u64,
 }
@@ -196,6 +208,35 @@
         Some(reservation)
     }
 
+    /// Removes a reservation that has expired.
+    pub fn expire(&mut self, now: MonotonicTime, key: ReservationKey) -> Option<TaskReservation> {
+        let reservation = self.remove(key)?;
+        while let Some(first) = self.pause_order.front() {
+            if self.pauses.get(first).is_some_and(|end| now < *end) {
+                break;
+            }
+            self.pauses.remove(first);
+            self.pause_order.pop_front();
+        }
+        let pause = (reservation.holder, reservation.executor);
+        if self.pauses.insert(pause, now + REPEAT_PAUSE).is_none() {
+            self.pause_order.push_back(pause);
+        }
+        Some(reservation)
+    }
+
+    /// Returns whether a step may reserve an executor: nothing has reserved it, and no reservation of
+    /// the step has recently expired there.
+    pub fn may_reserve(
+        &self,
+        now: MonotonicTime,
+        holder: ReservationHolder,
+        executor: ExecutorKey,
+    ) -> bool {
+        self.on_executor(executor).is_none()
+            && self.pauses.get(&(holder, executor)).is_none_or(|end| now >= *end)
+    }
+
     /// Replaces the forecast of the room. Returns false if the reservation must end, because the room
     /// is not expected before it expires.
     pub fn update(
--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -394,13 +394,23 @@
 }
 
 pub(super) fn urgency(job: &JobState) -> JobUrgency {
+    JobUrgency { ready_since: longest_wait_since(job), ..urgency_without_wait(job) }
+}
+
+/// Returns whether the result of a job has no value any more. Does not go through its ready tasks, of
+/// which there may be many.
+pub(super) fn is_overdue(job: &JobState, now: MonotonicTime) -> bool {
+    urgency_without_wait(job).tier(now) == JobTier::Overdue
+}
+
+fn urgency_without_wait(job: &JobState) -> JobUrgency {
     JobUrgency {
         priority: job.record.terms.priority,
         arrived: job.arrived,
         deadline: job.deadline,
         remaining: remaining_time(job),
         long_running: job.record.is_long_running(),
-        ready_since: longest_wait_since(job),
+        ready_since: MonotonicTime::ZERO,
     }
 }
 
--- a/crates/cuminbank-jobs/src/scheduler/reservations.rs
+++ b/crates/cuminbank-jobs/src/scheduler/reservations.rs
@@ -7,7 +7,8 @@
 
 use super::{
     candidates::PlacementRules,
-    pass::{longest_wait_since, urgency},
+    moves::MovePhase,
+    pass::{is_overdue, longest_wait_since, urgency},
     state::{ExecutorKey, ExecutorState, JobKey, JobState, RunPhase, RunState},
     JobScheduler,
 };
@@ -166,7 +167,7 @@
         if self.underutilized {
             return Some(ReservationEnd::PoolFree);
         }
-        if !self.has_ready_tasks(holder, state.table.count(holder)) {
+        if !self.may_hold_room(holder) || !self.has_ready_tasks(holder, state.table.count(holder)) {
             return Some(ReservationEnd::NotNeeded);
         }
         if !self.executors.get(executor).is_some_and(|executor| self.is_placeable(executor)) {
@@ -260,7 +261,7 @@
     fn deserves_room(
         &self,
         state: &ReservationState,
-        (key, _, step): ReservationHolder,
+        (key, occurrence, step): ReservationHolder,
         task: TaskIndex,
     ) -> bool {
         let job = &self.jobs[key];
@@ -273,21 +274,28 @@
             && job.record.terms.advice.is_none()
             && !self.underutilized
             && state.demand.smaller_percent(spec.needs.cpu_millis) >= MIN_SMALLER_PERCENT
-            // Long-running work comes after work that can be on time until it is starved, and the
-            // result of an overdue job has no value. Neither may keep room from others.
-            && matches!(
-                urgency(job).tier(self.now),
-                JobTier::Starved | JobTier::Feasible | JobTier::Late
-            )
+            // Long-running work comes after work that can be on time until it is starved, so it may not
+            // keep room from others.
+            && urgency(job).tier(self.now) != JobTier::LongRunning
+            && self.may_hold_room((key, occurrence, step))
+    }
+
+    /// Returns whether a step may keep room from others. The result of an overdue job has no value, and
+    /// no task of a job starts here while its move to another cell is in flight.
+    fn may_hold_room(&self, (key, _, _): ReservationHolder) -> bool {
+        self.jobs
+            .get(key)
+            .is_some_and(|job| job.move_phase != MovePhase::InFlight && !is_overdue(job, self.now))
     }
 
     /// Returns executors that are expected to have room for a task of a step, the earliest first.
     fn search_room(
         &mut self,
         state: &mut ReservationState,
-        (key, occurrence, step): ReservationHolder,
+        holder: ReservationHolder,
         placeable: &[ExecutorKey],
     ) -> Vec<(RoomForecast, ExecutorKey)> {
+        let (key, occurrence, step) = holder;
         let job = &self.jobs[key];
         let spec = &job.record.steps[step];
         let counts = self.step_counts(job, occurrence, step);
@@ -306,7 +314,7 @@
             let runs = counts.get(executor_key).copied().unwrap_or_default();
             let suits = spec.needs.cpu_millis <= executor.capacity.cpu_millis
                 && (limit == 0 || runs < limit)
-                && state.table.on_executor(*executor_key).is_none()
+                && state.table.may_reserve(self.now, holder, *executor_key)
                 && self.fits_labels(job, spec, *executor_key)
                 && self.is_placeable(executor);
             if !suits {
@@ -443,7 +451,11 @@
         key: ReservationKey,
         end: ReservationEnd,
     ) {
-        let Some(reservation) = state.table.remove(key) else { return };
+        let removed = match end {
+            ReservationEnd::Expired => state.table.expire(self.now, key),
+            _ => state.table.remove(key),
+        };
+        let Some(reservation) = removed else { return };
         let (job, _, step) = reservation.holder;
         let job = self.jobs.get(job);
         let queue = job.map(|job| job.record.terms.queue.clone()).unwrap_or_default();
--- a/crates/cuminbank-jobs/tests/backfill.rs
+++ b/crates/cuminbank-jobs/tests/backfill.rs
@@ -179,6 +179,25 @@
     assert!(table.remove(key).is_some() && table.is_empty() && table.count(holder) == 0);
 }
 
+// Guards against a step that reserves an executor again and again beside a run that hangs, and against
+// an executor that no other step may reserve after that.
+#[test]
+fn executor_is_not_reserved_again_soon_after_expiry() {
+    let (holder, other, executors) = keys(2);
+    let mut table = ReservationTable::default();
+    let room = RoomForecast { begins: NOW, spare: cores(0) };
+    let key = table.insert(NOW, holder, executors[0], cores(6), room);
+    assert!(!table.may_reserve(NOW, other, executors[0]));
+    assert!(table.expire(NOW, key).is_some() && table.is_empty());
+    assert!(!table.may_reserve(NOW + millis(4_999), holder, executors[0]));
+    assert!(table.may_reserve(NOW, holder, executors[1]));
+    assert!(table.may_reserve(NOW, other, executors[0]));
+    assert!(table.may_reserve(NOW + millis(5_000), holder, executors[0]));
+    let key = table.insert(NOW, holder, executors[1], cores(6), room);
+    assert!(table.remove(key).is_some(), "used");
+    assert!(table.may_reserve(NOW, holder, executors[1]));
+}
+
 // Guards against reservations that take much of the pool, or much of what long-running tasks leave of
 // it, and against one step that takes them all.
 #[test]
--- a/crates/cuminbank-jobs/tests/task_reservations.rs
+++ b/crates/cuminbank-jobs/tests/task_reservations.rs
@@ -269,6 +269,49 @@
     assert_eq!(pool.running(2), 1);
 }
 
+// Guards against an executor that stays reserved for a job whose result has no value any more.
+#[test]
+fn reservation_ends_when_its_job_is_overdue() {
+    const FEW: usize = 6;
+    let plan = |_, _| (Some(Duration::from_secs(2)), RunEnd::Done);
+    let mut pool =
+        SimulatedPool::new(4, 1, FEW).with_task_reservations(true).with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    let small = |count| JobStep { needs: needs(1), estimate_ms: 2_000, ..step(count, &[]) };
+    submit(&mut pool, 1, small(FEW as u32 * CORES));
+    pool.run_until(SUBMITTED + Duration::from_millis(100));
+    // Its objective is about 250 ms, so its result has no value after 750 ms.
+    submit(&mut pool, 2, JobStep { needs: needs(LARGE_CORES), estimate_ms: 1, ..step(1, &[]) });
+    pool.run_until(SUBMITTED + Duration::from_millis(600));
+    let reserved = executors_in(&pool, EVENTS[0]);
+    assert_eq!((reserved.len(), executors_in(&pool, EVENTS[2]).len()), (1, 0), "{reserved:?}");
+    pool.run_until(SUBMITTED + Duration::from_millis(1_200));
+    assert_eq!(executors_in(&pool, "cause=NotNeeded"), reserved);
+    assert_eq!(executors_in(&pool, EVENTS[0]), reserved, "not reserved again");
+}
+
+// Guards against a step that reserves an executor again and again beside runs that hang there.
+#[test]
+fn executor_with_hanging_runs_is_not_reserved_again_and_again() {
+    const FEW: usize = 6;
+    let plan = |_, _| (Some(LASTING), RunEnd::Done);
+    let mut pool =
+        SimulatedPool::new(4, 1, FEW).with_task_reservations(true).with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    let small = |count| JobStep { needs: needs(1), estimate_ms: 400, ..step(count, &[]) };
+    submit(&mut pool, 1, small(FEW as u32 * CORES));
+    pool.run_until(SUBMITTED + Duration::from_millis(100));
+    // Its objective is so long that it does not become overdue.
+    let large = JobStep { needs: needs(LARGE_CORES), estimate_ms: 60_000, ..step(1, &[]) };
+    submit(&mut pool, 2, large);
+    pool.run_until(SUBMITTED + Duration::from_secs(5));
+    let mut reserved = executors_in(&pool, EVENTS[0]);
+    let made = reserved.len();
+    reserved.sort_unstable();
+    reserved.dedup();
+    assert!(made > 0 && made == reserved.len(), "{made} reservations of {reserved:?}");
+}
+
 // Guards against a step that reserves all of the few executors with the label that it requires.
 #[test]
 fn few_executors_with_a_label_are_reserved() {
