--- a/crates/cuminbank-jobs/tests/task_reservations.rs
+++ b/crates/cuminbank-jobs/tests/task_reservations.rs
@@ -245,6 +245,17 @@
 // room there.
 #[test]
 fn reservation_ends_with_its_executor() {
+    check_lost_executor(|executor| InjectedFault::CrashExecutor { executor, down: None });
+}
+
+// Guards against a reservation that stays on an executor which drains and accepts no more tasks.
+#[test]
+fn reservation_ends_when_its_executor_drains() {
+    check_lost_executor(|executor| InjectedFault::DrainExecutor { executor });
+}
+
+/// Checks that another executor is reserved once the first one gets no new work because of a fault.
+fn check_lost_executor(fault: fn(usize) -> InjectedFault) {
     const SMALL_LENGTH: Duration = Duration::from_secs(2);
     const FEW: usize = 6;
     let plan = |_, _| (Some(SMALL_LENGTH), RunEnd::Done);
@@ -260,7 +271,7 @@
     assert_eq!((reserved.len(), pool.running(2)), (1, 0), "{reserved:?}");
     let executor = pool.executors.iter().position(|executor| executor.name == reserved[0]);
     let executor = executor.expect("the reserved executor exists");
-    pool.fault_at(pool.now, InjectedFault::CrashExecutor { executor, down: None });
+    pool.fault_at(pool.now, fault(executor));
     pool.run_until(pool.now + Duration::from_millis(500));
     assert_eq!(executors_in(&pool, "cause=ExecutorLost"), reserved);
     let reserved = executors_in(&pool, EVENTS[0]);
