--- a/crates/cuminbank-jobs/src/scheduler/reservations.rs
+++ b/crates/cuminbank-jobs/src/scheduler/reservations.rs
@@ -71,7 +71,10 @@
         let spec = &job.record.steps[step];
         let wait = self.now.saturating_sub(job.tasks[task as usize].ready_since);
         let starved = job.is_long_running() && wait >= priority::STARVED_WAIT;
-        let longest = longest_run(&state.lengths, job, spec);
+        let longest = match state.table.is_empty() {
+            true => None,
+            false => longest_run(&state.lengths, job, spec),
+        };
         PlacementRules {
             longest_ms: longest.and_then(|longest| u32::try_from(longest.as_millis()).ok()),
             ignores_reservations: starved || rules.starving,
--- a/crates/cuminbank-jobs/tests/task_reservations.rs
+++ b/crates/cuminbank-jobs/tests/task_reservations.rs
@@ -389,6 +389,33 @@
     assert!(pool.checks.violations.is_empty(), "{:#?}", pool.checks.violations);
 }
 
+// Guards against a search of all executors for each estimate although none is reserved.
+#[test]
+fn failed_search_counts_for_shorter_tasks_without_reservations() {
+    const WIDE_POOL: u32 = 300;
+    const JOBS: JobId = 10;
+    let plan = |_, _| (Some(LASTING), RunEnd::Done);
+    let pool = SimulatedPool::new(5, 1, WIDE_POOL as usize).with_task_reservations(true);
+    let mut pool = pool.with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    // Tasks of one size leave no gaps that only smaller ones can use, so that none is reserved.
+    let task =
+        |count, estimate_ms| JobStep { needs: needs(CORES - 1), estimate_ms, ..step(count, &[]) };
+    let filling = JobStep { long_running: true, max_per_executor: 1, ..task(WIDE_POOL, 60_000) };
+    submit(&mut pool, 100, filling);
+    pool.run_until(SUBMITTED + Duration::from_secs(5));
+    pool.max_units = 0;
+    for id in 1..=JOBS {
+        let mut shorter = record(&pool, task(1, 50_000 - id as u32 * 1_000));
+        shorter.terms.priority = id as u32;
+        pool.submit(id, shorter);
+    }
+    pool.run_until(pool.now + Duration::from_secs(2));
+    assert_eq!((pool.running(100), executors_in(&pool, EVENTS[0]).len()), (WIDE_POOL as usize, 0));
+    let units = pool.max_units;
+    assert!((WIDE_POOL..WIDE_POOL * 5).contains(&units), "{units} units for {JOBS} jobs");
+}
+
 // Guards against passes that exceed their budget because of forecasts and demand, on an instance with
 // a small share of a core, 490 executors and 1,000 waiting jobs of many sizes.
 #[test]
