--- a/crates/cuminbank-jobs/src/backfill/table.rs
+++ b/crates/cuminbank-jobs/src/backfill/table.rs
@@ -1,6 +1,9 @@
 //! Reservations, and the tasks that may run on reserved executors.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 use slotmap::{new_key_type, SecondaryMap, SlotMap};
 
@@ -19,7 +22,8 @@
 /// Number of executors for each reservation. Capacity that becomes free on a reserved executor stays
 /// idle until the reservation begins, so that few executors may be reserved.
 const EXECUTORS_PER_RESERVATION: usize = 16;
-/// Number of executors below which none is reserved, since one is a large part of them.
+/// Number of executors below which none is reserved, since one is a large part of them. Applies to the
+/// pool and to those of it that suit a step.
 const MIN_EXECUTORS: usize = 4;
 /// Divisor of the CPU that long-running tasks do not reserve, for the part of it that may be reserved.
 /// In a pool almost full of them, a part of the executors would be most of what other tasks can use.
@@ -29,6 +33,10 @@
 /// Time after its expected begin at which a reservation expires, in addition to half of the expected
 /// wait.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(200);
+/// Time after the expiry of a reservation for which the step does not reserve the executor again.
+/// Beside a run that hangs or takes much longer than expected, reservations would otherwise follow each
+/// other without end.
+const REPEAT_PAUSE: Duration = Duration::from_secs(5);
 
 /// What the number of reservations depends on.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -39,6 +47,38 @@
     pub passing_cpu: u64,
 }
 
+impl PoolSize {
+    /// Returns the largest number of reservations of a step.
+    pub fn step_limit(self) -> usize {
+        self.limit().div_ceil(STEPS_SHARING)
+    }
+
+    /// Returns the largest number of reservations.
+    fn limit(self) -> usize {
+        (self.executors / EXECUTORS_PER_RESERVATION).max(1)
+    }
+}
+
+/// Executors that can run the tasks of a step, as far as its service and label and their state decide.
+/// Few executors of a pool may have a label that all tasks of a kind require.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SuitableExecutors {
+    /// Number of those that may get new work.
+    pub count: usize,
+    /// Number of those that are reserved for any step.
+    pub reserved: usize,
+}
+
+impl SuitableExecutors {
+    /// Returns how many more of them may be reserved.
+    fn quota(self) -> usize {
+        if self.count < MIN_EXECUTORS {
+            return 0;
+        }
+        (self.count / EXECUTORS_PER_RESERVATION).max(1).saturating_sub(self.reserved)
+    }
+}
+
 /// Job with the occurrence and the step whose tasks may use a reservation.
 pub type ReservationHolder = (JobKey, u32, usize);
 
@@ -64,7 +104,8 @@
 pub enum ReservationEnd {
     /// The task has started on the executor.
     Used,
-    /// No task of the step waits any more without a reservation for it.
+    /// No task of the step waits any more without a reservation for it, its job is overdue, or its job
+    /// is being moved to another cell.
     NotNeeded,
     /// The executor gets no new work.
     ExecutorLost,
@@ -79,7 +120,8 @@
 pub struct BackfillTask {
     /// Resources that it would reserve.
     pub needs: TaskNeeds,
-    /// Run time that it is unlikely to exceed, unless it runs until its job is cancelled.
+    /// Run time that it is unlikely to exceed. `None` if it runs until its job is cancelled or has no
+    /// estimate.
     pub longest: Option<Duration>,
 }
 
@@ -102,29 +144,35 @@
     reservations: SlotMap<ReservationKey, TaskReservation>,
     by_executor: SecondaryMap<ExecutorKey, ReservationKey>,
     by_step: BTreeMap<ReservationHolder, Vec<ReservationKey>>,
+    /// When the pauses end that follow the expiry of a step's reservation of an executor.
+    pauses: BTreeMap<(ReservationHolder, ExecutorKey), MonotonicTime>,
+    /// The pauses in the order in which they end.
+    pause_order: VecDeque<(ReservationHolder, ExecutorKey)>,
     /// CPU of all reservations, in thousandths of a core.
     reserved_cpu: u64,
 }
 
 impl ReservationTable {
-    /// Returns how many further reservations a step may get, given the CPU that each of its tasks
-    /// needs and the number of its ready tasks. Any pool that is large enough may have one.
+    /// Returns how many further reservations a step may get, given the executors that suit it, the CPU
+    /// that each of its tasks needs and the number of its ready tasks. Any pool that is large enough
+    /// may have one.
     pub fn quota(
         &self,
         holder: ReservationHolder,
         pool: PoolSize,
+        suitable: SuitableExecutors,
         cpu_millis: u32,
         ready: usize,
     ) -> usize {
         if pool.executors < MIN_EXECUTORS {
             return 0;
         }
-        let limit = (pool.executors / EXECUTORS_PER_RESERVATION).max(1);
-        let own = limit.div_ceil(STEPS_SHARING).min(ready).saturating_sub(self.count(holder));
+        let limit = pool.limit();
+        let own = pool.step_limit().min(ready).saturating_sub(self.count(holder));
         let cpu_left = (pool.passing_cpu / CPU_DIVISOR).saturating_sub(self.reserved_cpu);
         let by_cpu = (cpu_left / u64::from(cpu_millis.max(1))) as usize;
         let by_cpu = by_cpu.max(usize::from(self.is_empty()));
-        own.min(limit.saturating_sub(self.len())).min(by_cpu)
+        own.min(limit.saturating_sub(self.len())).min(by_cpu).min(suitable.quota())
     }
 
     /// Adds a reservation of an executor that has none.
@@ -160,6 +208,35 @@
         Some(reservation)
     }
 
+    /// Removes a reservation that has expired.
+    pub fn expire(&mut self, now: MonotonicTime, key: ReservationKey) -> Option<TaskReservation> {
+        let reservation = self.remove(key)?;
+        while let Some(first) = self.pause_order.front() {
+            if self.pauses.get(first).is_some_and(|end| now < *end) {
+                break;
+            }
+            self.pauses.remove(first);
+            self.pause_order.pop_front();
+        }
+        let pause = (reservation.holder, reservation.executor);
+        if self.pauses.insert(pause, now + REPEAT_PAUSE).is_none() {
+            self.pause_order.push_back(pause);
+        }
+        Some(reservation)
+    }
+
+    /// Returns whether a step may reserve an executor: nothing has reserved it, and no reservation of
+    /// the step has recently expired there.
+    pub fn may_reserve(
+        &self,
+        now: MonotonicTime,
+        holder: ReservationHolder,
+        executor: ExecutorKey,
+    ) -> bool {
+        self.on_executor(executor).is_none()
+            && self.pauses.get(&(holder, executor)).is_none_or(|end| now >= *end)
+    }
+
     /// Replaces the forecast of the room. Returns false if the reservation must end, because the room
     /// is not expected before it expires.
     pub fn update(
--- a/crates/cuminbank-jobs/src/scheduler/reservations.rs
+++ b/crates/cuminbank-jobs/src/scheduler/reservations.rs
@@ -7,7 +7,8 @@
 
 use super::{
     candidates::PlacementRules,
-    pass::{longest_wait_since, urgency},
+    moves::MovePhase,
+    pass::{is_overdue, longest_wait_since, urgency},
     state::{ExecutorKey, ExecutorState, JobKey, JobState, RunPhase, RunState},
     JobScheduler,
 };
@@ -15,6 +16,7 @@
     backfill::{
         forecast_room, remaining_time, BackfillTask, PoolSize, ReservationEnd, ReservationHolder,
         ReservationKey, ReservationTable, RoomForecast, RunLengths, RunningTask, SizeDemand,
+        SuitableExecutors,
     },
     ids::TaskIndex,
     job::{JobStep, TaskNeeds},
@@ -69,7 +71,10 @@
         let spec = &job.record.steps[step];
         let wait = self.now.saturating_sub(job.tasks[task as usize].ready_since);
         let starved = job.is_long_running() && wait >= priority::STARVED_WAIT;
-        let longest = longest_run(&state.lengths, job, spec);
+        let longest = match state.table.is_empty() {
+            true => None,
+            false => longest_run(&state.lengths, job, spec),
+        };
         PlacementRules {
             longest_ms: longest.and_then(|longest| u32::try_from(longest.as_millis()).ok()),
             ignores_reservations: starved || rules.starving,
@@ -165,7 +170,7 @@
         if self.underutilized {
             return Some(ReservationEnd::PoolFree);
         }
-        if self.ready_tasks(holder) < state.table.count(holder) {
+        if !self.may_hold_room(holder) || !self.has_ready_tasks(holder, state.table.count(holder)) {
             return Some(ReservationEnd::NotNeeded);
         }
         if !self.executors.get(executor).is_some_and(|executor| self.is_placeable(executor)) {
@@ -188,10 +193,16 @@
         self.charge_units(tasks);
     }
 
-    /// Returns the number of ready tasks of a step. None once its job has ended.
-    fn ready_tasks(&self, (key, occurrence, step): ReservationHolder) -> usize {
+    /// Returns the number of ready tasks of a step, but at most `limit`, since a step may have 20,000
+    /// of them. None once its job has ended.
+    fn ready_tasks(&self, (key, occurrence, step): ReservationHolder, limit: usize) -> usize {
         let Some(job) = self.jobs.get(key) else { return 0 };
-        job.ready.range(job.step_range(occurrence, step)).count()
+        job.ready.range(job.step_range(occurrence, step)).take(limit).count()
+    }
+
+    /// Returns whether a step has at least `count` ready tasks.
+    fn has_ready_tasks(&self, holder: ReservationHolder, count: usize) -> bool {
+        self.ready_tasks(holder, count) == count
     }
 
     /// Reserves executors for the ready tasks of a step that found none, if the one with the longest
@@ -203,28 +214,57 @@
         placeable: &[ExecutorKey],
     ) {
         let Some(mut state) = self.reservations.take() else { return };
-        let quota = match state.searches_left > 0 && self.deserves_room(&state, holder, task) {
-            true => {
-                let cpu_millis = self.jobs[holder.0].record.steps[holder.2].needs.cpu_millis;
-                state.table.quota(holder, state.pool, cpu_millis, self.ready_tasks(holder))
-            }
-            false => 0,
-        };
-        if quota > 0 {
-            state.searches_left -= 1;
+        if state.searches_left > 0 && self.deserves_room(&state, holder, task) {
             self.jobs[holder.0].next_room_search = self.now + SEARCH_PAUSE;
-            let found = self.search_room(&mut state, holder, placeable);
-            for (room, executor) in found.into_iter().take(quota) {
-                self.add_reservation(&mut state, holder, executor, room);
+            let quota = self.step_quota(&state, holder, placeable);
+            if quota > 0 {
+                state.searches_left -= 1;
+                let found = self.search_room(&mut state, holder, placeable);
+                for (room, executor) in found.into_iter().take(quota) {
+                    self.add_reservation(&mut state, holder, executor, room);
+                }
             }
         }
         self.reservations = Some(state);
     }
 
-    fn deserves_room(
+    /// Returns how many further reservations a step may get.
+    fn step_quota(
+        &mut self,
+        state: &ReservationState,
+        holder: ReservationHolder,
+        placeable: &[ExecutorKey],
+    ) -> usize {
+        let cpu_millis = self.jobs[holder.0].record.steps[holder.2].needs.cpu_millis;
+        let ready = self.ready_tasks(holder, state.pool.step_limit());
+        self.charge_units((ready + placeable.len() + state.table.len()) as u32);
+        let suitable = self.suitable_executors(state, holder, placeable);
+        state.table.quota(holder, state.pool, suitable, cpu_millis, ready)
+    }
+
+    fn suitable_executors(
         &self,
         state: &ReservationState,
         (key, _, step): ReservationHolder,
+        placeable: &[ExecutorKey],
+    ) -> SuitableExecutors {
+        let job = &self.jobs[key];
+        let spec = &job.record.steps[step];
+        let suits = |key: &ExecutorKey| {
+            self.executors.get(*key).is_some_and(|executor| self.is_placeable(executor))
+                && self.fits_labels(job, spec, *key)
+        };
+        let reserved = state.table.iter().map(|(_, reservation)| reservation.executor);
+        SuitableExecutors {
+            count: placeable.iter().filter(|key| suits(key)).count(),
+            reserved: reserved.filter(suits).count(),
+        }
+    }
+
+    fn deserves_room(
+        &self,
+        state: &ReservationState,
+        (key, occurrence, step): ReservationHolder,
         task: TaskIndex,
     ) -> bool {
         let job = &self.jobs[key];
@@ -237,21 +277,28 @@
             && job.record.terms.advice.is_none()
             && !self.underutilized
             && state.demand.smaller_percent(spec.needs.cpu_millis) >= MIN_SMALLER_PERCENT
-            // Long-running work comes after work that can be on time until it is starved, and the
-            // result of an overdue job has no value. Neither may keep room from others.
-            && matches!(
-                urgency(job).tier(self.now),
-                JobTier::Starved | JobTier::Feasible | JobTier::Late
-            )
+            // Long-running work comes after work that can be on time until it is starved, so it may not
+            // keep room from others.
+            && urgency(job).tier(self.now) != JobTier::LongRunning
+            && self.may_hold_room((key, occurrence, step))
+    }
+
+    /// Returns whether a step may keep room from others. The result of an overdue job has no value, and
+    /// no task of a job starts here while its move to another cell is in flight.
+    fn may_hold_room(&self, (key, _, _): ReservationHolder) -> bool {
+        self.jobs
+            .get(key)
+            .is_some_and(|job| job.move_phase != MovePhase::InFlight && !is_overdue(job, self.now))
     }
 
     /// Returns executors that are expected to have room for a task of a step, the earliest first.
     fn search_room(
         &mut self,
         state: &mut ReservationState,
-        (key, occurrence, step): ReservationHolder,
+        holder: ReservationHolder,
         placeable: &[ExecutorKey],
     ) -> Vec<(RoomForecast, ExecutorKey)> {
+        let (key, occurrence, step) = holder;
         let job = &self.jobs[key];
         let spec = &job.record.steps[step];
         let counts = self.step_counts(job, occurrence, step);
@@ -270,7 +317,7 @@
             let runs = counts.get(executor_key).copied().unwrap_or_default();
             let suits = spec.needs.cpu_millis <= executor.capacity.cpu_millis
                 && (limit == 0 || runs < limit)
-                && state.table.on_executor(*executor_key).is_none()
+                && state.table.may_reserve(self.now, holder, *executor_key)
                 && self.fits_labels(job, spec, *executor_key)
                 && self.is_placeable(executor);
             if !suits {
@@ -359,8 +406,8 @@
             };
             state.table.note_start(self.now, executor, &task);
             let held = state.table.of_step(holder).first().copied();
-            if let Some(key) = held.filter(|_| self.ready_tasks(holder) < state.table.count(holder))
-            {
+            let count = state.table.count(holder);
+            if let Some(key) = held.filter(|_| !self.has_ready_tasks(holder, count)) {
                 self.end_reservation(&mut state, key, ReservationEnd::NotNeeded);
             }
         }
@@ -407,7 +454,11 @@
         key: ReservationKey,
         end: ReservationEnd,
     ) {
-        let Some(reservation) = state.table.remove(key) else { return };
+        let removed = match end {
+            ReservationEnd::Expired => state.table.expire(self.now, key),
+            _ => state.table.remove(key),
+        };
+        let Some(reservation) = removed else { return };
         let (job, _, step) = reservation.holder;
         let job = self.jobs.get(job);
         let queue = job.map(|job| job.record.terms.queue.clone()).unwrap_or_default();
@@ -423,10 +474,11 @@
     }
 }
 
-/// Returns the run time that a task is unlikely to exceed, unless it runs until its job is cancelled.
+/// Returns the run time that a task is unlikely to exceed. `None` if it runs until its job is
+/// cancelled, or has no estimate: it may then take any time.
 fn longest_run(lengths: &RunLengths, job: &JobState, spec: &JobStep) -> Option<Duration> {
     let length = lengths.expected(&job.record.terms.queue, estimate(spec));
-    (!spec.long_running).then_some(length.longest)
+    (!spec.long_running && spec.estimate_ms > 0).then_some(length.longest)
 }
 
 fn estimate(spec: &JobStep) -> Duration {
--- a/crates/cuminbank-jobs/tests/backfill.rs
+++ b/crates/cuminbank-jobs/tests/backfill.rs
@@ -6,7 +6,7 @@
 use cuminbank_jobs::{
     backfill::{
         forecast_room, remaining_time, BackfillTask, PoolSize, ReservationHolder, ReservationTable,
-        RoomForecast, RunLengths, RunningTask, SizeDemand,
+        RoomForecast, RunLengths, RunningTask, SizeDemand, SuitableExecutors,
     },
     job::TaskNeeds,
     scheduler::{ExecutorKey, JobKey},
@@ -63,6 +63,7 @@
     assert_eq!((demand.unusable_part(127_999), demand.smaller_percent(u32::MAX)), (127_999, 0));
     let mut lengths = RunLengths::default();
     lengths.record(&String::new(), Duration::ZERO, Duration::MAX);
+    lengths.record(&String::new(), Duration::from_nanos(1), Duration::MAX);
     assert!(lengths.expected(&String::new(), Duration::MAX).longest < Duration::MAX);
     let all = TaskNeeds { cpu_millis: u32::MAX, memory_mb: u32::MAX, gpus: u32::MAX };
     let mut runs = [RunningTask { ends: NOW, needs: all }; 2];
@@ -100,6 +101,17 @@
     assert_eq!(lengths.expected(&"other".to_owned(), estimate).mean, estimate);
 }
 
+// Guards against tasks without an estimate that make all others of their queue look ten times as long
+// as their estimates.
+#[test]
+fn tasks_without_an_estimate_do_not_change_the_error() {
+    let mut lengths = RunLengths::default();
+    let queue = "batch".to_owned();
+    let before = lengths.expected(&queue, millis(1_000));
+    (0..200).for_each(|_| lengths.record(&queue, Duration::ZERO, millis(900)));
+    assert_eq!(lengths.expected(&queue, millis(1_000)), before);
+}
+
 // Guards against a run that has exceeded its estimate and is expected to end at any moment, so that
 // an executor stays reserved behind it.
 #[test]
@@ -167,6 +179,25 @@
     assert!(table.remove(key).is_some() && table.is_empty() && table.count(holder) == 0);
 }
 
+// Guards against a step that reserves an executor again and again beside a run that hangs, and against
+// an executor that no other step may reserve after that.
+#[test]
+fn executor_is_not_reserved_again_soon_after_expiry() {
+    let (holder, other, executors) = keys(2);
+    let mut table = ReservationTable::default();
+    let room = RoomForecast { begins: NOW, spare: cores(0) };
+    let key = table.insert(NOW, holder, executors[0], cores(6), room);
+    assert!(!table.may_reserve(NOW, other, executors[0]));
+    assert!(table.expire(NOW, key).is_some() && table.is_empty());
+    assert!(!table.may_reserve(NOW + millis(4_999), holder, executors[0]));
+    assert!(table.may_reserve(NOW, holder, executors[1]));
+    assert!(table.may_reserve(NOW, other, executors[0]));
+    assert!(table.may_reserve(NOW + millis(5_000), holder, executors[0]));
+    let key = table.insert(NOW, holder, executors[1], cores(6), room);
+    assert!(table.remove(key).is_some(), "used");
+    assert!(table.may_reserve(NOW, holder, executors[1]));
+}
+
 // Guards against reservations that take much of the pool, or much of what long-running tasks leave of
 // it, and against one step that takes them all.
 #[test]
@@ -174,25 +205,50 @@
     let (holder, other, executors) = keys(490);
     let pool = |executors, cores: u64| PoolSize { executors, passing_cpu: cores * 1_000 };
     let wide = pool(490, 36_000);
+    let all = SuitableExecutors { count: 490, reserved: 0 };
     let mut table = ReservationTable::default();
-    assert_eq!(table.quota(holder, pool(3, 200), 6_000, 20), 0);
-    assert_eq!(table.quota(holder, pool(10, 700), 6_000, 20), 1);
-    assert_eq!(table.quota(holder, wide, 6_000, 2), 2, "no more than ready tasks");
-    assert_eq!(table.quota(holder, pool(490, 480), 6_000, 20), 5, "a sixteenth of 480 cores");
-    assert_eq!(table.quota(holder, pool(490, 48), 6_000, 20), 1, "one at least");
+    assert_eq!(table.quota(holder, pool(3, 200), all, 6_000, 20), 0);
+    assert_eq!(table.quota(holder, pool(10, 700), all, 6_000, 20), 1);
+    assert_eq!(table.quota(holder, wide, all, 6_000, 2), 2, "no more than ready tasks");
+    assert_eq!(table.quota(holder, pool(490, 480), all, 6_000, 20), 5, "a sixteenth of 480 cores");
+    assert_eq!(table.quota(holder, pool(490, 48), all, 6_000, 20), 1, "one at least");
     let room = RoomForecast { begins: NOW, spare: cores(0) };
     let reserve = |table: &mut ReservationTable, executors: &[ExecutorKey]| {
         for executor in executors {
-            if table.quota(holder, wide, 6_000, 20) == 0 {
+            if table.quota(holder, wide, all, 6_000, 20) == 0 {
                 break;
             }
             table.insert(NOW, holder, *executor, cores(6), room);
         }
     };
     reserve(&mut table, &executors);
-    assert_eq!((table.len(), table.quota(other, wide, 6_000, 20)), (8, 8));
-    assert_eq!(table.quota(other, pool(490, 800), 6_000, 20), 0, "48 of 50 cores are reserved");
+    assert_eq!((table.len(), table.quota(other, wide, all, 6_000, 20)), (8, 8));
+    assert_eq!(
+        table.quota(other, pool(490, 800), all, 6_000, 20),
+        0,
+        "48 of 50 cores are reserved"
+    );
     let key = table.of_step(holder)[0];
     assert!(table.remove(key).is_some());
-    assert_eq!(table.quota(other, pool(490, 800), 6_000, 20), 1);
+    assert_eq!(table.quota(other, pool(490, 800), all, 6_000, 20), 1);
+}
+
+// Guards against a step that reserves all of the few executors with the label that it and others
+// require.
+#[test]
+fn reservations_are_few_among_the_executors_that_suit() {
+    let (holder, other, executors) = keys(490);
+    let pool = PoolSize { executors: 490, passing_cpu: 36_000_000 };
+    let mut table = ReservationTable::default();
+    let quota = |table: &ReservationTable, holder, count, reserved| {
+        table.quota(holder, pool, SuitableExecutors { count, reserved }, 6_000, 20)
+    };
+    assert_eq!(quota(&table, holder, 3, 0), 0, "one is a large part of them");
+    assert_eq!(quota(&table, holder, 4, 0), 1);
+    assert_eq!(quota(&table, holder, 40, 0), 2);
+    assert_eq!(quota(&table, holder, 490, 0), 8);
+    let room = RoomForecast { begins: NOW, spare: cores(0) };
+    table.insert(NOW, holder, executors[0], cores(6), room);
+    assert_eq!(quota(&table, other, 4, 1), 0, "reserved for another step");
+    assert_eq!(quota(&table, other, 4, 0), 1, "the reserved one does not suit it");
 }
--- a/crates/cuminbank-jobs/tests/task_reservations.rs
+++ b/crates/cuminbank-jobs/tests/task_reservations.rs
@@ -245,6 +245,17 @@
 // room there.
 #[test]
 fn reservation_ends_with_its_executor() {
+    check_lost_executor(|executor| InjectedFault::CrashExecutor { executor, down: None });
+}
+
+// Guards against a reservation that stays on an executor which drains and accepts no more tasks.
+#[test]
+fn reservation_ends_when_its_executor_drains() {
+    check_lost_executor(|executor| InjectedFault::DrainExecutor { executor });
+}
+
+/// Checks that another executor is reserved once the first one gets no new work because of a fault.
+fn check_lost_executor(fault: fn(usize) -> InjectedFault) {
     const SMALL_LENGTH: Duration = Duration::from_secs(2);
     const FEW: usize = 6;
     let plan = |_, _| (Some(SMALL_LENGTH), RunEnd::Done);
@@ -260,7 +271,7 @@
     assert_eq!((reserved.len(), pool.running(2)), (1, 0), "{reserved:?}");
     let executor = pool.executors.iter().position(|executor| executor.name == reserved[0]);
     let executor = executor.expect("the reserved executor exists");
-    pool.fault_at(pool.now, InjectedFault::CrashExecutor { executor, down: None });
+    pool.fault_at(pool.now, fault(executor));
     pool.run_until(pool.now + Duration::from_millis(500));
     assert_eq!(executors_in(&pool, "cause=ExecutorLost"), reserved);
     let reserved = executors_in(&pool, EVENTS[0]);
@@ -269,13 +280,81 @@
     assert_eq!(pool.running(2), 1);
 }
 
+// Guards against an executor that stays reserved for a job whose result has no value any more.
+#[test]
+fn reservation_ends_when_its_job_is_overdue() {
+    const FEW: usize = 6;
+    let plan = |_, _| (Some(Duration::from_secs(2)), RunEnd::Done);
+    let mut pool =
+        SimulatedPool::new(4, 1, FEW).with_task_reservations(true).with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    let small = |count| JobStep { needs: needs(1), estimate_ms: 2_000, ..step(count, &[]) };
+    submit(&mut pool, 1, small(FEW as u32 * CORES));
+    pool.run_until(SUBMITTED + Duration::from_millis(100));
+    // Its objective is about 250 ms, so its result has no value after 750 ms.
+    submit(&mut pool, 2, JobStep { needs: needs(LARGE_CORES), estimate_ms: 1, ..step(1, &[]) });
+    pool.run_until(SUBMITTED + Duration::from_millis(600));
+    let reserved = executors_in(&pool, EVENTS[0]);
+    assert_eq!((reserved.len(), executors_in(&pool, EVENTS[2]).len()), (1, 0), "{reserved:?}");
+    pool.run_until(SUBMITTED + Duration::from_millis(1_200));
+    assert_eq!(executors_in(&pool, "cause=NotNeeded"), reserved);
+    assert_eq!(executors_in(&pool, EVENTS[0]), reserved, "not reserved again");
+}
+
+// Guards against a step that reserves an executor again and again beside runs that hang there.
+#[test]
+fn executor_with_hanging_runs_is_not_reserved_again_and_again() {
+    const FEW: usize = 6;
+    let plan = |_, _| (Some(LASTING), RunEnd::Done);
+    let mut pool =
+        SimulatedPool::new(4, 1, FEW).with_task_reservations(true).with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    let small = |count| JobStep { needs: needs(1), estimate_ms: 400, ..step(count, &[]) };
+    submit(&mut pool, 1, small(FEW as u32 * CORES));
+    pool.run_until(SUBMITTED + Duration::from_millis(100));
+    // Its objective is so long that it does not become overdue.
+    let large = JobStep { needs: needs(LARGE_CORES), estimate_ms: 60_000, ..step(1, &[]) };
+    submit(&mut pool, 2, large);
+    pool.run_until(SUBMITTED + Duration::from_secs(5));
+    let mut reserved = executors_in(&pool, EVENTS[0]);
+    let made = reserved.len();
+    reserved.sort_unstable();
+    reserved.dedup();
+    assert!(made > 0 && made == reserved.len(), "{made} reservations of {reserved:?}");
+}
+
+// Guards against a step that reserves all of the few executors with the label that it requires.
+#[test]
+fn few_executors_with_a_label_are_reserved() {
+    const WIDE_POOL: usize = 130;
+    const LABELLED: usize = 4;
+    const LENGTH: Duration = Duration::from_secs(2);
+    let plan = |_, _| (Some(LENGTH), RunEnd::Done);
+    let mut pool =
+        SimulatedPool::new(4, 1, WIDE_POOL).with_task_reservations(true).with_plan(Box::new(plan));
+    for executor in pool.executors.iter_mut().take(LABELLED) {
+        executor.labels.push("few".to_owned());
+    }
+    pool.run_until(SUBMITTED);
+    let small = |count| JobStep { needs: needs(1), estimate_ms: 2_000, ..step(count, &[]) };
+    submit(&mut pool, 1, small(WIDE_POOL as u32 * CORES));
+    pool.run_until(SUBMITTED + Duration::from_millis(400));
+    let large = JobStep { needs: needs(LARGE_CORES), estimate_ms: 2_000, ..step(8, &[]) };
+    submit(&mut pool, 2, JobStep { required_label: Some("few".to_owned()), ..large });
+    pool.run_until(SUBMITTED + Duration::from_millis(1_200));
+    let reserved = executors_in(&pool, EVENTS[0]);
+    assert_eq!((reserved.len(), pool.running(2)), (1, 0), "{reserved:?}");
+}
+
 // Guards against a reserved executor that stays idle although a short task would end in time, because
-// the failed search of a longer task of the same shape stands for it.
+// the failed search of a longer task of the same shape stands for it, and against a task without an
+// estimate that starts there as if it ended at once.
 #[test]
 fn short_task_runs_on_a_reserved_executor_meanwhile() {
     const FEW: usize = 6;
     const LENGTH: Duration = Duration::from_secs(4);
     const SHORT_JOB: JobId = 4;
+    const UNKNOWN_JOB: JobId = 5;
     let plan = |task: TaskName, _| match task.job {
         SHORT_JOB => (Some(Duration::from_millis(400)), RunEnd::Done),
         _ => (Some(LENGTH), RunEnd::Done),
@@ -296,6 +375,10 @@
     submit(&mut pool, 3, long(10, 1));
     pool.run_until(SUBMITTED + Duration::from_millis(700));
     assert_eq!(pool.running(3), FEW - 1, "one task on each of the other executors");
+    let unknown = JobStep { needs: needs(1), estimate_ms: 0, ..step(1, &[]) };
+    submit(&mut pool, UNKNOWN_JOB, unknown);
+    pool.run_until(SUBMITTED + Duration::from_millis(750));
+    assert_eq!(pool.running(UNKNOWN_JOB), 0);
     let mut short = record(&pool, JobStep { needs: needs(1), ..step(1, &[]) });
     short.terms.priority = 1;
     pool.submit(SHORT_JOB, short);
@@ -306,6 +389,33 @@
     assert!(pool.checks.violations.is_empty(), "{:#?}", pool.checks.violations);
 }
 
+// Guards against a search of all executors for each estimate although none is reserved.
+#[test]
+fn failed_search_counts_for_shorter_tasks_without_reservations() {
+    const WIDE_POOL: u32 = 300;
+    const JOBS: JobId = 10;
+    let plan = |_, _| (Some(LASTING), RunEnd::Done);
+    let pool = SimulatedPool::new(5, 1, WIDE_POOL as usize).with_task_reservations(true);
+    let mut pool = pool.with_plan(Box::new(plan));
+    pool.run_until(SUBMITTED);
+    // Tasks of one size leave no gaps that only smaller ones can use, so that none is reserved.
+    let task =
+        |count, estimate_ms| JobStep { needs: needs(CORES - 1), estimate_ms, ..step(count, &[]) };
+    let filling = JobStep { long_running: true, max_per_executor: 1, ..task(WIDE_POOL, 60_000) };
+    submit(&mut pool, 100, filling);
+    pool.run_until(SUBMITTED + Duration::from_secs(5));
+    pool.max_units = 0;
+    for id in 1..=JOBS {
+        let mut shorter = record(&pool, task(1, 50_000 - id as u32 * 1_000));
+        shorter.terms.priority = id as u32;
+        pool.submit(id, shorter);
+    }
+    pool.run_until(pool.now + Duration::from_secs(2));
+    assert_eq!((pool.running(100), executors_in(&pool, EVENTS[0]).len()), (WIDE_POOL as usize, 0));
+    let units = pool.max_units;
+    assert!((WIDE_POOL..WIDE_POOL * 5).contains(&units), "{units} units for {JOBS} jobs");
+}
+
 // Guards against passes that exceed their budget because of forecasts and demand, on an instance with
 // a small share of a core, 490 executors and 1,000 waiting jobs of many sizes.
 #[test]
