--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -59,7 +59,7 @@
             || self.ended_jobs.contains_key(&id)
             || self.unreadable_jobs.contains(&id)
             // A read that began before the move shows the record once more.
-            || self.moves.has_moved(id)
+            || self.moves.has_moved(id, created)
         {
             return;
         }
@@ -258,10 +258,12 @@
 
     /// Cancels a job at the request of its client. The request may arrive before the job.
     pub(super) fn cancel_job(&mut self, id: JobId) {
-        if self.ended_jobs.contains_key(&id) || self.moves.has_moved(id) {
+        if self.ended_jobs.contains_key(&id) {
             return;
         }
         let Some(key) = self.job_ids.get(&id).copied() else {
+            // A cancelled record does not move, so if one with this id has moved, the request
+            // concerns a later submission.
             self.early_cancels.insert(id);
             return;
         };
--- a/crates/cuminbank-jobs/src/scheduler/moves.rs
+++ b/crates/cuminbank-jobs/src/scheduler/moves.rs
@@ -7,7 +7,7 @@
 //! unknown, no task of the job starts here. docs/design/adaptive-division.md has the argument.
 
 use std::{
-    collections::{HashSet, VecDeque},
+    collections::{HashMap, VecDeque},
     time::Duration,
 };
 
@@ -20,7 +20,8 @@
 use crate::{
     cells::HOME_MAX_LOAD_PERCENT,
     division::{CellReport, MoveTargets},
-    ids::{CellId, JobId, MonotonicTime, StoreRevision, WriteId},
+    ids::{CellId, JobId, MonotonicTime, ServiceName, StoreRevision, WriteId},
+    job::{JobRecord, TaskNeeds},
     keys::{accepted_key, CellKeys},
     store::{decode_value, encode_value, StoreFailure, StoreItem, StorePut, StoreTxn, TxnOutcome},
 };
@@ -37,8 +38,8 @@
 /// owner usually learns the outcome.
 const MIN_AUTHORITY: Duration = Duration::from_secs(2);
 /// Number of moved jobs that are remembered. A read of the cell that began before a move may show
-/// the job once more; it takes a second, in which at most some dozens of jobs move.
-const MAX_REMEMBERED: usize = 100_000;
+/// the job once more. At most 32 jobs a second move, so that the number covers reads of 30 s.
+const MAX_REMEMBERED: usize = 1_000;
 
 /// Whether a job can move to another cell.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -59,9 +60,14 @@
     in_flight: Vec<JobMove>,
     /// Jobs that have moved, in the order of their moves.
     moved: VecDeque<JobId>,
-    moved_ids: HashSet<JobId>,
+    /// The same jobs, with the revision at which the moved record was created in this cell.
+    moved_revisions: HashMap<JobId, StoreRevision>,
 }
 
+/// Sizes of the executors of this cell, by service, with the number of executors of each size.
+#[derive(Debug, Default)]
+struct ExecutorSizes(HashMap<ServiceName, Vec<(TaskNeeds, usize)>>);
+
 /// Move without a definite outcome.
 #[derive(Debug)]
 struct JobMove {
@@ -97,21 +103,49 @@
         Self { targets: MoveTargets::new(own, cells), ..Self::default() }
     }
 
-    /// Returns whether this owner has moved a job to another cell.
-    pub(super) fn has_moved(&self, job: JobId) -> bool {
-        self.moved_ids.contains(&job)
+    /// Returns whether this owner has moved the record that was created at a revision. A record with
+    /// the same id that is created later belongs to another submission.
+    pub(super) fn has_moved(&self, job: JobId, created: StoreRevision) -> bool {
+        self.moved_revisions.get(&job).is_some_and(|moved| created <= *moved)
     }
 
-    fn remember(&mut self, job: JobId) {
-        if self.moved.len() >= MAX_REMEMBERED {
+    fn remember(&mut self, job: JobId, record_revision: StoreRevision) {
+        if self.moved_revisions.insert(job, record_revision).is_none() {
+            self.moved.push_back(job);
+        }
+        if self.moved.len() > MAX_REMEMBERED {
             if let Some(oldest) = self.moved.pop_front() {
-                self.moved_ids.remove(&oldest);
+                self.moved_revisions.remove(&oldest);
             }
         }
-        if self.moved_ids.insert(job) {
-            self.moved.push_back(job);
+    }
+}
+
+impl ExecutorSizes {
+    fn add(&mut self, service: &ServiceName, capacity: TaskNeeds) {
+        let sizes = self.0.entry(service.clone()).or_default();
+        match sizes.iter_mut().find(|(size, _)| *size == capacity) {
+            Some((_, count)) => *count += 1,
+            None => sizes.push((capacity, 1)),
         }
     }
+
+    /// Returns whether another cell probably has executors for a job. Loads do not tell the sizes of
+    /// executors, and each cell gets about the same number of executors of each service, so that
+    /// tasks must fit into at least half of those in this cell. A gang may need the room of one
+    /// rack, which is not known either.
+    fn suit(&self, record: &JobRecord) -> bool {
+        let Some(sizes) = self.0.get(&record.terms.service) else { return false };
+        let all: usize = sizes.iter().map(|(_, count)| count).sum();
+        record.steps.iter().all(|step| {
+            let fits = |size: &TaskNeeds| {
+                step.needs.cpu_millis <= size.cpu_millis
+                    && step.needs.fits_beside(&TaskNeeds::default(), size)
+            };
+            let fitting = sizes.iter().filter(|(size, _)| fits(size));
+            !step.gang && fitting.map(|(_, count)| 2 * count).sum::<usize>() >= all
+        })
+    }
 }
 
 impl JobMove {
@@ -164,11 +198,15 @@
             return;
         }
         let Some(owner_revision) = self.owner_revision else { return };
+        let mut sizes = ExecutorSizes::default();
+        for executor in self.executors.values() {
+            sizes.add(&executor.service, executor.capacity);
+        }
         let mut movable: Vec<(MonotonicTime, JobKey)> = self
             .waiting
             .iter()
             .filter_map(|key| Some((*key, self.jobs.get(*key)?)))
-            .filter(|(_, job)| is_movable(job))
+            .filter(|(_, job)| is_movable(job) && sizes.suit(&job.record))
             .filter_map(|(key, job)| {
                 let since = job.ready.iter().map(|task| job.tasks[*task as usize].ready_since);
                 since.min().map(|since| (since, key))
@@ -311,7 +349,7 @@
 
     /// Forgets a job whose record is no longer in this cell.
     fn finish_move(&mut self, job_move: &JobMove) {
-        self.moves.remember(job_move.job);
+        self.moves.remember(job_move.job, job_move.record_revision);
         self.waiting.remove(&job_move.key);
         self.drop_advice(job_move.key);
         let Some(job) = self.jobs.remove(job_move.key) else { return };
--- a/crates/cuminbank-jobs/tests/moves.rs
+++ b/crates/cuminbank-jobs/tests/moves.rs
@@ -8,9 +8,10 @@
     cells::CellLoad,
     division::{cell_position, CellReport, MoveTargets},
     ids::{CellId, JobId},
-    job::{AdviceTerms, JobOutcome, JobPhase, JobRecord, JobStep, RepeatPlan},
+    job::{AdviceTerms, JobOutcome, JobPhase, JobRecord, JobStep, RepeatPlan, TaskNeeds},
     keys::CellKeys,
 };
+use cuminbank_platform_standin::executor::FakeExecutor;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::{
@@ -289,6 +290,65 @@
     assert!(cells.attempts.is_empty() && completed(&cells, id, 0));
 }
 
+// Guards against a job that moves to a cell which can never run it and from which it does not
+// return: loads do not tell the sizes of executors.
+#[test]
+fn jobs_that_few_executors_can_run_do_not_move() {
+    let needs = step(1, &[]).needs;
+    let larger = [
+        TaskNeeds { cpu_millis: 8_001, ..needs },
+        TaskNeeds { memory_mb: 1_000_000, ..needs },
+        TaskNeeds { gpus: 100, ..needs },
+    ];
+    let large = larger.map(|needs| job(vec![step(1, &[]), JobStep { needs, ..step(1, &[0]) }]));
+    let gang = job(vec![JobStep { gang: true, ..step(2, &[]) }]);
+    for record in large.into_iter().chain([gang]) {
+        let mut cells = TwoCells::new(2);
+        cells.submit_waiting(FULL, &record);
+        cells.run_for(FULL - Duration::from_millis(500));
+        assert!(cells.attempts.is_empty(), "{:?}", record.steps);
+    }
+    // Two of three executors of this cell are smaller, as those of the other cell may be.
+    let mut cells = TwoCells::new(2);
+    for number in 1..3 {
+        let mut small = FakeExecutor::new(&format!("e0-{number}"), 1_000);
+        small.capacity.cpu_millis = 500;
+        cells.executors[0].push(small);
+    }
+    cells.run_for(Duration::from_secs(1));
+    cells.submit_waiting(FULL, &waiting());
+    cells.run_for(FULL - Duration::from_millis(500));
+    assert!(cells.attempts.is_empty());
+}
+
+// Guards against an accepted job that never runs, or a cancellation without effect, because a job
+// with the same id moved before its outcome expired.
+#[test]
+fn id_of_a_moved_job_can_be_submitted_again() {
+    for cancels in [false, true] {
+        let mut cells = TwoCells::new(2);
+        let id = cells.submit_waiting(Duration::from_secs(1), &waiting());
+        cells.run_for(Duration::from_secs(4));
+        assert!(completed(&cells, id, 1));
+        cells.expire(id, 1);
+        assert!(cells.submit(id, 0, waiting()));
+        if cancels {
+            let revision = cells.record_revision(id, 0).expect("the record was just written");
+            let item = |cells: &TwoCells, key: String| cells.item(&key).into_iter();
+            let record = item(&cells, CellKeys::new(0).job(id));
+            assert!(cells.cancel(id, 0, revision));
+            // A read of the cell contains the cancellation first.
+            let cancellation = item(&cells, CellKeys::new(0).cancel(id));
+            cells.deliver_again(0, cancellation.chain(record).collect());
+            assert_eq!(cells.phase(id, 0), Some(JobPhase::Running), "not queued any more");
+        }
+        cells.run_for(Duration::from_secs(2));
+        let outcome = if cancels { JobOutcome::Cancelled } else { JobOutcome::Completed };
+        assert_eq!(cells.phase(id, 0), Some(JobPhase::Ended(outcome)));
+        assert_eq!(cells.starts(id, 0), if cancels { 0 } else { 3 });
+    }
+}
+
 // Guards against a job that returns to a cell that it has left, whose owner would not accept it.
 #[test]
 fn jobs_only_move_forward_in_their_order_of_cells() {
--- a/crates/cuminbank-jobs/tests/support/two_cells.rs
+++ b/crates/cuminbank-jobs/tests/support/two_cells.rs
@@ -237,6 +237,14 @@
         self.push(self.now + CLAIM, Action::Claim(cell));
     }
 
+    /// Removes what the store has of an ended job, as the owner of its cell does after the retention
+    /// time, so that its id can be submitted again.
+    pub fn expire(&mut self, id: JobId, cell: CellId) {
+        let removes = vec![accepted_key(id), CellKeys::new(cell).progress(id)];
+        assert!(self.commits(&StoreTxn { removes, ..StoreTxn::default() }));
+        self.accepted.remove(&id);
+    }
+
     /// Delivers items to the owner of a cell once more, as a read that began earlier does.
     pub fn deliver_again(&mut self, cell: usize, items: Vec<StoreItem>) {
         let changes = items.into_iter().map(StoreChange::Written).collect();
