--- a/crates/cuminbank-jobs/src/ownership.rs
+++ b/crates/cuminbank-jobs/src/ownership.rs
@@ -43,7 +43,7 @@
 /// Limits of the factor by which resources scale the claim delay.
 const MIN_DELAY_FACTOR: f64 = 0.4;
 const MAX_DELAY_FACTOR: f64 = 4.0;
-/// Delay before retrying after a failed claim or renewal.
+/// Delay before retrying after a failed claim, renewal or release for a hand-over.
 pub const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Range of run numbers of one owner.
 const RUNS_PER_OWNER: RunNumber = 1_000;
@@ -171,6 +171,8 @@
     /// Pending removal of the ownership record, retried until the store replies. Without it the
     /// next owner has to wait until the lease expires.
     release: Option<(WriteId, StoreTxn)>,
+    /// Removal of the ownership record that failed at a hand-over, and when it is sent again.
+    failed_release: Option<(MonotonicTime, StoreTxn)>,
     last_call_id: WriteId,
 }
 
@@ -201,6 +203,7 @@
             claim_delay: CLAIM_DELAY,
             other_cells: 0,
             release: None,
+            failed_release: None,
             last_call_id: 0,
         }
     }
@@ -337,6 +340,9 @@
         if self.held.is_some_and(|held| now >= held.authority_until) {
             return self.end(now, "the store has not replied in time to keep the authority");
         }
+        if let Some((_, txn)) = self.failed_release.take_if(|(at, _)| now >= *at) {
+            return vec![self.send_release(txn)];
+        }
         if self.draining {
             return Vec::new();
         }
@@ -369,10 +375,15 @@
             }
         }
         if let Some((_, txn)) = self.release.take_if(|(release, _)| *release == id) {
-            return match result {
-                Ok(_) => Vec::new(),
-                Err(_) => vec![self.send_release(txn)],
-            };
+            if result.is_ok() {
+                return Vec::new();
+            }
+            // A process that stops may have little time left.
+            if self.draining {
+                return vec![self.send_release(txn)];
+            }
+            self.failed_release = Some((now + CLAIM_RETRY_DELAY, txn));
+            return Vec::new();
         }
         let Some((pending_id, pending)) = self.pending.clone() else { return Vec::new() };
         if pending_id != id {
--- a/crates/cuminbank-jobs/tests/tenure.rs
+++ b/crates/cuminbank-jobs/tests/tenure.rs
@@ -6,8 +6,8 @@
     ids::MonotonicTime,
     keys::CellKeys,
     ownership::{
-        HeldOwnership, OwnershipEffect, OwnershipState, CLAIM_DELAY, HANDOVER_PAUSE,
-        MAX_STORE_SILENCE, OWNERSHIP_TTL,
+        HeldOwnership, OwnershipEffect, OwnershipState, CLAIM_DELAY, CLAIM_RETRY_DELAY,
+        HANDOVER_PAUSE, MAX_STORE_SILENCE, OWNERSHIP_TTL,
     },
     store::{StoreCall, StoreFailure, StorePut, StoreTxn},
 };
@@ -304,3 +304,35 @@
         }
     }
 }
+
+// Guards against calls that follow each other without a pause while the store refuses the release
+// of a cell that is handed over, and against a release that is not repeated.
+#[test]
+fn failed_release_for_a_hand_over_is_repeated_after_a_pause() {
+    for failure in [StoreFailure::NotDone, StoreFailure::Unknown] {
+        for stops in [false, true] {
+            let (mut store, mut owner) = owned();
+            let mut effects = owner.hand_over(START);
+            let mut sent = Vec::new();
+            for millis in (0..1_000).step_by(20) {
+                let now = START + Duration::from_millis(millis);
+                effects.extend(owner.tick(now));
+                for effect in std::mem::take(&mut effects) {
+                    if let OwnershipEffect::Call { id, .. } = effect {
+                        sent.push(now);
+                        let next = owner.on_call_completed(now, id, Err(failure));
+                        assert!(next.is_empty(), "{failure:?}");
+                    }
+                }
+            }
+            assert_eq!(sent.len(), 5, "{sent:?}");
+            assert!(sent.windows(2).all(|pair| pair[1] >= pair[0] + CLAIM_RETRY_DELAY));
+            let now = START + Duration::from_secs(1);
+            if stops {
+                assert!(owner.drain(now).is_empty());
+            }
+            tick(&mut store, &mut owner, now);
+            assert!(store.read(&CellKeys::new(0).owner).is_empty());
+        }
+    }
+}
