--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -10,7 +10,7 @@
     ids::{CellId, JobId, MonotonicTime, StoreRevision},
     keys::{accepted_key, CellKeys},
     scheduler::DecisionRecord,
-    store::{encode_value, StoreCall, StoreFailure, StorePut, StoreReply, StoreTxn},
+    store::{encode_value, StoreCall, StoreFailure, StorePut, StoreReply, StoreTxn, TxnOutcome},
 };
 use cuminbank_net::server::{ServerAction, ServerRequest, ServerResponse};
 use cuminbank_platform::client::{
@@ -209,7 +209,7 @@
         ],
         removes: Vec::new(),
     };
-    match write(state, txn, arrived).await {
+    match write(state, txn, arrived).await.step {
         AcceptStep::Accepted => ClientAnswer::new(200, "accepted"),
         AcceptStep::Refused => ClientAnswer::new_unavailable("not accepted: the store is away"),
         AcceptStep::Unknown | AcceptStep::Retry => {
@@ -218,12 +218,19 @@
     }
 }
 
+/// Result of a transaction for a client.
+struct WriteResult {
+    step: AcceptStep,
+    /// Whether the last attempt conflicted, so that the store may differ from what was read before.
+    conflicted: bool,
+}
+
 /// Commits a transaction, with retries until the outcome is known or [`ACCEPT_TIMEOUT`] has passed
 /// since the request arrived.
-async fn write(state: &Rc<DaemonState>, txn: StoreTxn, arrived: MonotonicTime) -> AcceptStep {
+async fn write(state: &Rc<DaemonState>, txn: StoreTxn, arrived: MonotonicTime) -> WriteResult {
     // Nothing has been sent yet, so it is certain that the request was not accepted.
     if state.store.is_unresponsive() {
-        return AcceptStep::Refused;
+        return WriteResult { step: AcceptStep::Refused, conflicted: false };
     }
     let call = StoreCall::Commit(txn);
     let mut accept = AcceptState::new(arrived);
@@ -234,13 +241,14 @@
             Ok(_) => Err(StoreFailure::Unknown),
             Err(failure) => Err(failure),
         };
+        let conflicted = matches!(result, Ok(TxnOutcome::Conflict { .. }));
         match accept.handle_result(clock::now(), &result) {
             // Report the unknown outcome at once, so that the client can ask another instance.
             AcceptStep::Retry if accept.is_uncertain() && state.store.is_unresponsive() => {
-                return AcceptStep::Unknown;
+                return WriteResult { step: AcceptStep::Unknown, conflicted };
             }
             AcceptStep::Retry => time::sleep(RETRY_PAUSE).await,
-            step => return step,
+            step => return WriteResult { step, conflicted },
         }
     }
 }
@@ -277,9 +285,10 @@
             puts: vec![StorePut::new(keys.cancel(job), Vec::new())],
             removes: Vec::new(),
         };
-        let step = match write(state, txn, arrived).await {
+        let written = write(state, txn, arrived).await;
+        let step = match written.step {
             // A conflict also occurs if the job has moved to another cell, where it is not cancelled.
-            AcceptStep::Accepted => match state.has_left(job, cell).await {
+            AcceptStep::Accepted if written.conflicted => match state.has_left(job, cell).await {
                 Some(true) if clock::now().saturating_sub(arrived) < ACCEPT_TIMEOUT => continue,
                 Some(false) => AcceptStep::Accepted,
                 Some(true) | None => AcceptStep::Unknown,
@@ -314,7 +323,7 @@
         location => return location,
     }
     let mut cell = match state.find_job(job).await {
-        JobLocation::Cell(cell) if cell == likely && !state.settings.adaptive_division => {
+        JobLocation::Cell(cell) if cell == likely && !state.has_movable_jobs() => {
             return RecordLocation::Missing;
         }
         JobLocation::Cell(cell) => cell,
--- a/crates/cuminbank-jobd/src/moves.rs
+++ b/crates/cuminbank-jobd/src/moves.rs
@@ -42,10 +42,15 @@
         registry.all_have_resources()
     }
 
+    /// Returns whether jobs can move between cells.
+    pub(crate) fn has_movable_jobs(&self) -> bool {
+        self.settings.adaptive_division && self.plan().is_none_or(|plan| plan.cells > 1)
+    }
+
     /// Returns whether a job has moved from a cell to another one. Jobs never return to a cell.
     /// Returns `None` if the store does not reply.
     pub(crate) async fn has_left(&self, job: JobId, cell: CellId) -> Option<bool> {
-        if !self.settings.adaptive_division {
+        if !self.has_movable_jobs() {
             return Some(false);
         }
         match self.find_job(job).await {
