--- a/crates/cuminbank-jobs/src/scheduler/moves.rs
+++ b/crates/cuminbank-jobs/src/scheduler/moves.rs
@@ -23,6 +23,7 @@
     ids::{CellId, JobId, MonotonicTime, ServiceName, StoreRevision, WriteId},
     job::{JobRecord, TaskNeeds},
     keys::{accepted_key, CellKeys},
+    priority::STARVED_WAIT,
     store::{decode_value, encode_value, StoreFailure, StoreItem, StorePut, StoreTxn, TxnOutcome},
 };
 
@@ -211,7 +212,12 @@
                 let since = job.ready.iter().map(|task| job.tasks[*task as usize].ready_since);
                 since.min().map(|since| (since, key))
             })
-            .filter(|(since, _)| self.now >= *since + MIN_WAIT)
+            .filter(|(since, key)| {
+                // The other cell counts the wait anew, so that a starved job would lose its tier.
+                let starved =
+                    self.jobs[*key].is_long_running() && self.now >= *since + STARVED_WAIT;
+                !starved && self.now >= *since + MIN_WAIT
+            })
             .collect();
         movable.sort_unstable();
         let mut left = free;
--- a/crates/cuminbank-jobs/tests/moves.rs
+++ b/crates/cuminbank-jobs/tests/moves.rs
@@ -321,6 +321,22 @@
     assert!(cells.attempts.is_empty());
 }
 
+// Guards against a starved job that loses its place in the queue, since the other cell counts its
+// wait anew.
+#[test]
+fn starved_jobs_do_not_move() {
+    for (starved, moves) in [(false, 1), (true, 0)] {
+        let mut cells = TwoCells::new(2);
+        cells.reports_loads = !starved;
+        let record = job(vec![JobStep { long_running: true, ..step(1, &[]) }]);
+        cells.submit_waiting(FULL, &record);
+        cells.run_for(Duration::from_millis(2_500));
+        cells.reports_loads = true;
+        cells.run_for(Duration::from_secs(1));
+        assert_eq!(cells.attempts.len(), moves);
+    }
+}
+
 // Guards against an accepted job that never runs, or a cancellation without effect, because a job
 // with the same id moved before its outcome expired.
 #[test]
