--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -47,7 +47,7 @@
     /// Computes the load of the cell if due: the CPU reserved by runs, or requested by best-effort
     /// runs and by ready tasks, as a percentage of the capacity that may get new work.
     pub(super) fn update_load(&mut self) {
-        // The load is only used to choose the cell of a new job.
+        // The load serves to choose between cells: for new jobs, and for waiting jobs that move.
         if self.cells <= 1 || self.now < self.next_load_at {
             return;
         }
