--- a/crates/cuminbank-jobs/src/admission/decision.rs
+++ b/crates/cuminbank-jobs/src/admission/decision.rs
@@ -38,9 +38,9 @@
 const MAX_ARRIVALS: usize = 64;
 /// Maximum number of instances, so that no figure in a report makes the arithmetic overflow.
 const MAX_INSTANCES: u64 = 10_000;
-/// How many times longer the expected wait of a hopeless job is than its value lasts. Estimated run
+/// How many times longer the expected wait of an infeasible job is than its value lasts. Estimated run
 /// times are off by up to 90 %.
-const HOPELESS_EXCESS: u64 = 2;
+const INFEASIBLE_EXCESS: u64 = 2;
 /// Bounds of the time after which a refused client returns. Clients try up to four times and give
 /// up after some seconds.
 const MIN_RETURN: Duration = Duration::from_secs(1);
@@ -52,7 +52,7 @@
     /// Long-running jobs hold all that the reserve leaves.
     NoRoom,
     /// The job cannot end before its result has lost its value.
-    Hopeless,
+    Infeasible,
 }
 
 impl RefusalCause {
@@ -60,7 +60,7 @@
     pub fn text(self) -> &'static str {
         match self {
             Self::NoRoom => "not accepted, not stored and never run: no room for long-running jobs",
-            Self::Hopeless => {
+            Self::Infeasible => {
                 "not accepted, not stored and never run: the work ahead takes too long"
             }
         }
@@ -195,7 +195,7 @@
         if record.holds_cpu() {
             return (!self.may_admit(now, room, record)).then_some(RefusalCause::NoRoom);
         }
-        self.is_hopeless(room, record).then_some(RefusalCause::Hopeless)
+        self.is_infeasible(room, record).then_some(RefusalCause::Infeasible)
     }
 
     /// Returns whether the next long-running job of a service may be admitted, whatever its size.
@@ -244,7 +244,7 @@
     /// Returns whether a job that ends by itself would clearly end after its result has lost its
     /// value, if all work that may be placed before it has to run first. Long-running tasks that wait
     /// are not considered, as it is not known for how long they leave less room.
-    fn is_hopeless(&self, room: &ServiceRoom, record: &JobRecord) -> bool {
+    fn is_infeasible(&self, room: &ServiceRoom, record: &JobRecord) -> bool {
         // Best-effort work has no rate by which it drains, and later occurrences wait anyway.
         if record.repeat.is_some() || record.steps.iter().any(|step| step.fills) {
             return false;
@@ -264,7 +264,7 @@
         let waited_ms = queue.map_or(0, |queue| queue.longest_wait.as_millis() as u64);
         // A job without an estimate has no known objective.
         path_ms > 0
-            && path_ms.saturating_add(wait_ms / HOPELESS_EXCESS) > valued_ms
+            && path_ms.saturating_add(wait_ms / INFEASIBLE_EXCESS) > valued_ms
             && path_ms.saturating_add(waited_ms) > valued_ms
     }
 
--- a/crates/cuminbank-jobs/tests/admission.rs
+++ b/crates/cuminbank-jobs/tests/admission.rs
@@ -312,7 +312,7 @@
     other.service = "other".to_owned();
     crowded.services.push(other);
     let mut state = state(crowded);
-    assert_eq!(refusal(&mut state, NOW, &quick()).cause, RefusalCause::Hopeless);
+    assert_eq!(refusal(&mut state, NOW, &quick()).cause, RefusalCause::Infeasible);
     let mut job = long_running(14);
     job.terms.service = "other".to_owned();
     (0..20).for_each(|_| assert!(!is_admitted(&mut state, &job)));
@@ -343,14 +343,14 @@
 // Guards against quick jobs that are accepted although their result can no longer have any value,
 // and against the refusal of those that may still be late or that nothing has to wait for.
 #[test]
-fn only_clearly_hopeless_jobs_are_refused() {
+fn only_clearly_infeasible_jobs_are_refused() {
     // The objective is 2.25 s and the job runs for 1 s, so that it may wait for 5.75 s.
     let admitted = |report: RoomReport, record: &JobRecord| is_admitted(&mut state(report), record);
     assert!(admitted(backlog(5, 0), &quick()));
     assert!(admitted(backlog(11, 0), &quick()), "not a clear excess");
     assert!(admitted(backlog(60, 1), &quick()), "work of a lower priority waits");
     let refusal = refusal(&mut state(backlog(13, 0)), NOW, &quick());
-    assert_eq!(refusal.cause, RefusalCause::Hopeless);
+    assert_eq!(refusal.cause, RefusalCause::Infeasible);
     assert!((1..=5).contains(&refusal.retry_after_s));
     assert!(admitted(backlog(60, 0), &best_effort(false)));
     let (first_due, interval) = (NOW, Duration::from_secs(60));
