Test what the daemons hold for clients that flood them

The tests of memory looked at resident pages only. The platform also counts bytes that sockets have received and the process has not read, and a real machine also keeps what was written and not read.

ProcessMemory is the one definition of what a process holds, by procfs: resident pages, both queues of its sockets, and those of connections that it has not accepted. The tests send 400 clients to each port of both daemons, alone and together, twice in a row: input behind a complete request, and requests whose answers nobody reads. They check that the process lives, stays within its 48 MB and 900 descriptors, and serves an ordinary request. Others run ordinary requests beside clients that send a byte at a time, and submit large jobs that cannot start.

--- a/crates/cuminbank-entry/tests/support/mod.rs
+++ b/crates/cuminbank-entry/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod callers;
 pub mod crowd;
 pub mod entry;
+pub mod flood;
 pub mod http;
 pub mod platform;
 pub mod ports;
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -6,6 +6,8 @@
 pub mod config_changes;
 #[path = "../../../cuminbank-entry/tests/support/crowd.rs"]
 pub mod crowd;
+#[path = "../../../cuminbank-entry/tests/support/flood.rs"]
+pub mod flood;
 pub mod history;
 #[path = "../../../cuminbank-entry/tests/support/ports.rs"]
 pub mod ports;
--- a/crates/cuminbank-net/src/lib.rs
+++ b/crates/cuminbank-net/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logging;
 mod metered;
 pub mod peer;
+pub mod process_memory;
 pub mod runtime;
 pub mod server;
 pub mod watch;
