Bound what the kernel holds for connections

Callers: under 400 clients that send megabytes behind a complete request, an instance with 48 MB held 54 to 80 MB, and the platform ends a process that exceeds its memory.

Cause: no socket had a size set, so that the kernel held 128 KB and more for each connection, and also for each one in the queues of the listeners, of up to 1,024. The budget counts only what was read. Evidence: the resident pages were 10 to 21 MB in these runs, and all the rest was received and not read. Written bytes that the client does not read came on top, up to 719 KB for one connection in a trial on loopback.

Listeners set the size of both buffers before they listen, so that connections have it before they are accepted, and bound their queues. Responses are written 4 KiB at a time, once most of the buffer is free: the kernel compares the size only when it begins a segment of up to 64 KiB, so that a small buffer alone left 46 to 92 KB unsent (trial). Connections of our own get 32 KiB. MemoryPlan is the one place that divides the memory; all parts add up to no more than it from 48 MB on. Accepted connections become 6 for each MB and at least 300 (before: 12), which no client of the site files comes near.

The tests of the kernel's part alone are in cuminbank-net's memory_plan.rs. The tests with clients that repeat requests still fail.

--- a/crates/cuminbank-entry/src/daemon.rs
+++ b/crates/cuminbank-entry/src/daemon.rs
@@ -27,6 +27,7 @@
     etcd::StoreClient,
     input_budget::{BudgetLimits, InputBudget, PortKind},
     logging,
+    memory_plan::MemoryPlan,
     peer::{self, PeerPool},
     runtime,
     server::{self, ServerBounds, ServerGate, ServerLimits},
@@ -192,7 +193,10 @@
         let stop = Arc::new(AtomicBool::new(false));
         signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
         signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
-        let budget = InputBudget::new(BudgetLimits::for_memory(settings.memory_mb));
+        let plan = MemoryPlan::new(settings.memory_mb);
+        let budget = InputBudget::new(BudgetLimits::new(&plan));
+        let listen =
+            |address, backlog| runtime::listen_bounded(address, backlog, plan.socket_buffer);
         let state = DaemonState {
             executors: HttpPool::new().with_budget(&budget),
             workers: HttpPool::new().with_budget(&budget),
@@ -215,8 +219,8 @@
             settings,
         };
         Ok(Self {
-            http: runtime::listen(state.settings.http_address)?,
-            peer: runtime::listen(state.settings.peer_address)?,
+            http: listen(state.settings.http_address, plan.client_backlog)?,
+            peer: listen(state.settings.peer_address, plan.backlog)?,
             state: Rc::new(state),
             stop,
         })
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -37,6 +37,7 @@
     budget_watch::{BudgetChange, BudgetWatch},
     client::{ClientAnswer, ConnectionLabel, ConnectionLabels, HttpPool, LabelCheck},
     input_budget::{BudgetLimits, InputBudget, PortKind},
+    memory_plan::MemoryPlan,
     peer::{self, PeerPool},
     runtime,
     server::{self, ServerBounds, ServerGate, ServerLimits},
@@ -316,7 +317,10 @@
         signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
         signal_hook::flag::register(SIGINT, Arc::clone(&stop))?;
         signal_hook::flag::register(SIGHUP, Arc::clone(&reload))?;
-        let budget = InputBudget::new(BudgetLimits::for_memory(settings.memory_mb));
+        let plan = MemoryPlan::new(settings.memory_mb);
+        let budget = InputBudget::new(BudgetLimits::new(&plan));
+        let listen =
+            |address, backlog| runtime::listen_bounded(address, backlog, plan.socket_buffer);
         let state = DaemonState {
             store: StoreClient::new(settings.store_address, &budget),
             config: RefCell::default(),
@@ -345,10 +349,10 @@
             settings,
         };
         Ok(Self {
-            clients: runtime::listen(state.settings.client_address)?,
-            readiness: runtime::listen(state.settings.readiness_address)?,
-            peers: runtime::listen(state.settings.peer_address)?,
-            operators: runtime::listen(state.settings.operator_address)?,
+            clients: listen(state.settings.client_address, plan.client_backlog)?,
+            readiness: listen(state.settings.readiness_address, plan.backlog)?,
+            peers: listen(state.settings.peer_address, plan.backlog)?,
+            operators: listen(state.settings.operator_address, plan.backlog)?,
             state: Rc::new(state),
             stop,
             reload,
--- a/crates/cuminbank-net/src/connection.rs
+++ b/crates/cuminbank-net/src/connection.rs
@@ -20,6 +20,9 @@
 
 /// Upper limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Size that the socket buffers of a connection to the store, an executor or another instance are set
+/// to. The kernel takes up to twice as much, and by default megabytes if the other side sends them.
+const OWN_SOCKET_BUFFER: usize = 32 * 1024;
 /// Interval at which a connection is polled for input or a close.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for which input is discarded after a rejected request.
@@ -116,9 +119,17 @@
         return Err(ExchangeError::NotSent);
     };
     let _ = stream.set_nodelay(true);
+    bound_buffers(&stream);
     Ok(ExchangeStream::new(stream))
 }
 
+/// Bounds what the kernel holds for a connection that this process has opened.
+pub(crate) fn bound_buffers(stream: &TcpStream) {
+    // The connection also works with the default sizes.
+    let _ = setsockopt(stream.as_raw_fd(), sockopt::RcvBuf, &OWN_SOCKET_BUFFER);
+    let _ = setsockopt(stream.as_raw_fd(), sockopt::SndBuf, &OWN_SOCKET_BUFFER);
+}
+
 /// Connection with an exchange in progress. Dropping it before [`ExchangeStream::finish`] resets
 /// the connection: after a normal close the kernel would still send its buffer, and abandoned work
 /// could arrive long after its timeout.
--- a/crates/cuminbank-net/src/input_budget.rs
+++ b/crates/cuminbank-net/src/input_budget.rs
@@ -12,12 +12,14 @@
 };
 
 use monoio::{net::TcpStream, time};
-use nix::sys::{
-    resource::{getrlimit, Resource},
-    socket::{shutdown, Shutdown},
+use nix::{
+    libc,
+    sys::socket::{setsockopt, shutdown, sockopt, Shutdown},
 };
 use slotmap::{new_key_type, SlotMap};
 
+use crate::memory_plan::{MemoryPlan, MAX_MESSAGE_BYTES};
+
 /// Input that each connection may hold without being counted. Most requests are smaller, so that
 /// they cost no accounting; the limit on connections bounds the sum.
 pub(crate) const FREE_BYTES: usize = 8 * 1024;
@@ -25,17 +27,6 @@
 const RELEASE_INTERVAL: Duration = Duration::from_millis(1);
 /// Longest time that an accepted connection waits for others to close. They take up to 50 ms.
 const MAX_ADMISSION_WAIT: Duration = Duration::from_millis(500);
-/// Connections for each MB of memory, with about 20 KB each for buffers and state.
-const CONNECTIONS_PER_MB: u64 = 12;
-/// Maximum number of accepted connections. The smallest machines have 4,100 descriptors, of which an
-/// owner with 490 executors and 4 connections to each needs 1,960.
-const MAX_CONNECTIONS: usize = 1_920;
-/// Maximum size of a message or an answer without a budget.
-const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
-/// Lower bound on the size of a message or an answer that has to fit: a body of 4 MiB that an
-/// instance forwards, with its head. The largest answer of the platform's store is smaller: a page
-/// with 1 MB of values, encoded in base64. An owner whose pages were lost could not load its cell.
-const MIN_MESSAGE_BYTES: usize = 5 * 1024 * 1024;
 /// Copies of a body that handling it may take: decoded, and encoded for the store or another instance.
 const HANDLING_COPIES: usize = 2;
 /// Share of the connections that are cut off at once when there are too many. A few at a time spare
@@ -76,24 +67,19 @@
 }
 
 impl BudgetLimits {
-    /// Returns the limits for a process that may use `memory_mb` of memory. Input gets a fifth and
-    /// answers half as much again. With 160 MB, all connections in use and a quarter for input, the
-    /// job daemon peaked at 120 MB, which leaves an owner too little for the jobs of a large cell.
-    /// Requests in progress get two fifths: with a tenth for answers and a quarter for the
-    /// connections themselves, a quarter is left for the rest of the process. With 32 MB, a body of
-    /// 4 MiB fits.
+    /// Returns the limits for a process that may use `memory_mb` MB of memory.
     pub fn for_memory(memory_mb: u64) -> Self {
-        let memory = usize::try_from(memory_mb.saturating_mul(1_000_000)).unwrap_or(usize::MAX);
-        let descriptors = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
-        let connections = memory_mb.saturating_mul(CONNECTIONS_PER_MB).min(descriptors / 2);
+        Self::new(&MemoryPlan::new(memory_mb))
+    }
+
+    /// Returns the limits of a plan.
+    pub fn new(plan: &MemoryPlan) -> Self {
         Self {
-            input_bytes: memory / 5,
-            handling_bytes: memory / 5 * 2,
-            answer_bytes: memory / 10 * 3,
-            message_bytes: (memory / 8).clamp(MIN_MESSAGE_BYTES, MAX_MESSAGE_BYTES),
-            connections: usize::try_from(connections)
-                .unwrap_or(MAX_CONNECTIONS)
-                .min(MAX_CONNECTIONS),
+            input_bytes: plan.input,
+            handling_bytes: plan.handling,
+            answer_bytes: plan.input.saturating_add(plan.answers),
+            message_bytes: plan.message,
+            connections: plan.connections,
         }
     }
 
@@ -335,7 +321,12 @@
         self.0.releasing.set(self.0.releasing.get() + holder.bytes.get());
         self.0.closing.set(self.0.closing.get() + 1);
         let direction = match holder.phase.get() {
-            InputPhase::Writing => Shutdown::Both,
+            InputPhase::Writing => {
+                // The kernel would keep what the client has not read after the close.
+                let reset = libc::linger { l_onoff: 1, l_linger: 0 };
+                let _ = setsockopt(holder.socket, sockopt::Linger, &reset);
+                Shutdown::Both
+            }
             _ => Shutdown::Read,
         };
         // Ends the read or write that the connection waits for. A socket that its client has reset
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -3,13 +3,14 @@
 use std::{
     future::Future,
     net::SocketAddr,
+    os::fd::AsRawFd,
     time::{Duration, Instant},
 };
 
 use cuminbank::{event::ExchangeError, message::decode};
 use monoio::{
     buf::IoBufMut,
-    io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRentExt},
+    io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRent, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
     time,
 };
@@ -18,6 +19,7 @@
 use crate::{
     connection::{connect, ExchangeStream, IdlePool},
     input_budget::{InputAccount, InputBudget, InputLease, PortKind, FREE_BYTES},
+    paced::PacedWriter,
 };
 
 /// Size of the buffer of a message before more of it has arrived.
@@ -165,7 +167,9 @@
         let Some(reply) = handler(request).await else { return };
         let Some(bytes) = encode_message(&reply, limit) else { return };
         lease.begin_response(bytes.len());
-        if write_message(&mut stream, bytes).await.is_none() {
+        let socket = stream.as_raw_fd();
+        let mut writer = PacedWriter::new(&mut stream, socket);
+        if write_message(&mut writer, bytes).await.is_none() {
             return;
         }
         lease.finish(0);
@@ -180,8 +184,8 @@
     Some(bytes)
 }
 
-async fn write_message(stream: &mut TcpStream, bytes: Vec<u8>) -> Option<()> {
-    let (result, _) = stream.write_all(bytes).await;
+async fn write_message(writer: &mut impl AsyncWriteRent, bytes: Vec<u8>) -> Option<()> {
+    let (result, _) = writer.write_all(bytes).await;
     result.ok().map(|_| ())
 }
 
--- a/crates/cuminbank-net/src/runtime.rs
+++ b/crates/cuminbank-net/src/runtime.rs
@@ -27,10 +27,29 @@
 ///
 /// Fails if the address is in use or cannot be bound.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let options = ListenerOpts::new().reuse_addr(true).reuse_port(false);
+    TcpListener::bind_with_config(address, &listener_options())
+}
+
+/// Like [`listen`], with a bound on what the kernel holds for connections: `backlog` connections that
+/// have not been accepted, and socket buffers of a size that accepted connections inherit.
+///
+/// The kernel takes up to twice the size. Without it, the buffers grow to megabytes.
+pub fn listen_bounded(
+    address: SocketAddr,
+    backlog: usize,
+    socket_buffer: usize,
+) -> io::Result<TcpListener> {
+    let options = listener_options()
+        .backlog(i32::try_from(backlog).unwrap_or(i32::MAX))
+        .recv_buf_size(socket_buffer)
+        .send_buf_size(socket_buffer);
     TcpListener::bind_with_config(address, &options)
 }
 
+fn listener_options() -> ListenerOpts {
+    ListenerOpts::new().reuse_addr(true).reuse_port(false)
+}
+
 /// Binds a UDP socket, without port sharing.
 ///
 /// Fails if the address is in use or cannot be bound.
--- a/crates/cuminbank-net/src/server.rs
+++ b/crates/cuminbank-net/src/server.rs
@@ -34,6 +34,7 @@
     http_limit::{ByteAllowance, LimitedReader},
     input_budget::{InputBudget, InputLease, PortKind},
     metered::{begin_request, release_buffer, MeteredReader},
+    paced::PacedWriter,
 };
 
 /// Maximum size of the head of a request.
@@ -284,7 +285,7 @@
     /// Declared before the halves of the connection, whose descriptor it refers to.
     lease: Rc<InputLease>,
     framed: FramedRead<ConnectionReader, RequestHeadDecoder>,
-    writer: OwnedWriteHalf<TcpStream>,
+    writer: PacedWriter<OwnedWriteHalf<TcpStream>>,
     /// File descriptor shared by both halves; valid as long as this value exists.
     socket: RawFd,
     allowance: ByteAllowance,
@@ -318,7 +319,7 @@
         Self {
             lease,
             framed: FramedRead::new(reader, RequestHeadDecoder),
-            writer: write,
+            writer: PacedWriter::new(write, socket),
             socket,
             allowance,
             limits,
--- a/crates/cuminbank-net/src/watch.rs
+++ b/crates/cuminbank-net/src/watch.rs
@@ -22,6 +22,7 @@
 use serde_json::{json, Value};
 
 use crate::{
+    connection::bound_buffers,
     etcd::{decode_value, parse_number, prefix_end, to_base64},
     http_limit::{ByteAllowance, LimitedReader},
 };
@@ -81,6 +82,7 @@
 ) -> Option<impl Body<Data = bytes::Bytes, Error = impl Sized>> {
     let mut stream = TcpStream::connect_addr(address).await.ok()?;
     let _ = stream.set_nodelay(true);
+    bound_buffers(&stream);
     let payload: Payload = Payload::Fixed(FixedPayload::new(request.to_string().into()));
     let message = Request::builder()
         .method("POST")
