Let other tasks run after each request of a connection

Callers: beside 400 clients that send requests without waiting for the answers, ordinary calls and jobs were not served within 60 to 90 s on either daemon.

Cause: reading from and writing to a socket that is ready complete at once, so that the task of a connection whose client always has the next request ready never pauses. One such client keeps all others waiting, on all ports, and the timers.

After each request, the task of a connection yields to all that are ready, and to the runtime, which polls its sockets. The loop over messages of instances does the same. Both daemons get it from the loops that all ports share.

--- a/crates/cuminbank-net/src/lib.rs
+++ b/crates/cuminbank-net/src/lib.rs
@@ -6,6 +6,7 @@
 mod connection;
 pub mod etcd;
 mod exchange_limit;
+mod fairness;
 pub mod http_limit;
 pub mod input_budget;
 pub mod logging;
--- a/crates/cuminbank-net/src/peer.rs
+++ b/crates/cuminbank-net/src/peer.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     connection::{connect, ExchangeStream, IdlePool},
+    fairness::yield_now,
     input_budget::{InputAccount, InputBudget, InputLease, PortKind, FREE_BYTES},
     paced::PacedWriter,
 };
@@ -173,6 +174,8 @@
             return;
         }
         lease.finish(0);
+        // An instance that always has the next request ready would keep all others waiting.
+        yield_now().await;
     }
 }
 
--- a/crates/cuminbank-net/src/server.rs
+++ b/crates/cuminbank-net/src/server.rs
@@ -31,6 +31,7 @@
 use crate::{
     body::{read_body, BodyError, BodyFraming},
     connection::{discard_input, wait_for_close},
+    fairness::yield_now,
     http_limit::{ByteAllowance, LimitedReader},
     input_budget::{InputBudget, InputLease, PortKind},
     metered::{begin_request, release_buffer, MeteredReader},
@@ -361,6 +362,8 @@
                 return;
             }
             begin_request(&mut self.framed);
+            // A client that always has the next request ready would keep all others waiting.
+            yield_now().await;
         }
     }
 
