Limit accepted work by the memory of its owner

Callers: the owner of a cell, which keeps every accepted job in memory until it ends, took whatever all instances had accepted for it.

Cause: an instance accepts a job if the store takes it, and nobody asks whether the owner has memory. The body does not tell: 100 bytes can stand for 20,000 tasks.

JobRecord::held_bytes is what a job takes. The owner grants memory to the instances that accept jobs for it, no more than its limit leaves beside what it holds and has granted; the limit is 1/8 of the memory of the smallest instance, since any may be the next owner. A submission without memory gets 503 with Retry-After of 2 to 5 s, is not stored and never runs; if an earlier copy was accepted, it gets 200. Jobs that were accepted are never given up. Without an owner each instance accepts its part of the limit. The question and its answer are new variants at the end, as those for the room were: a build that does not know them answers Unsupported, which stands for no limit. The test that counts the variants counts one more of each, and the fixtures have their bytes.

--- a/crates/cuminbank-jobd/src/admission.rs
+++ b/crates/cuminbank-jobd/src/admission.rs
@@ -84,12 +84,16 @@
         self.log(&DecisionRecord { code: ADMISSION_REFUSED, job: None, detail });
     }
 
-    /// Adds the place of the asking instance to the answer to a question for the room.
+    /// Answers a question to the owner of a cell. Adds what only the process knows: the place of an
+    /// instance that asks for the room, and the memory for accepted work.
     pub(crate) fn answer_as_owner(
         &self,
         cell: &CellState,
         question: &OwnerQuestion,
     ) -> OwnerAnswer {
+        if let OwnerQuestion::Work { request, .. } = question {
+            return self.grant_work(cell, request);
+        }
         match (question, cell.answer(question)) {
             (OwnerQuestion::Room { asker, .. }, OwnerAnswer::Room(report)) => {
                 let relays = self.relays.borrow();
--- a/crates/cuminbank-jobd/src/cell.rs
+++ b/crates/cuminbank-jobd/src/cell.rs
@@ -77,6 +77,12 @@
         self.scheduler.borrow().as_ref().map(JobScheduler::counts)
     }
 
+    /// Returns the memory that accepted jobs hold, in bytes, if this process owns the cell and has
+    /// loaded them.
+    pub(crate) fn held_bytes(&self) -> Option<u64> {
+        self.scheduler.borrow().as_ref().and_then(JobScheduler::held_bytes)
+    }
+
     /// Returns the peer address of the observed owner.
     pub(crate) fn owner_address(&self) -> Option<SocketAddr> {
         self.ownership.borrow().observed().map(|owner| owner.peer_address)
--- a/crates/cuminbank-jobd/src/clients.rs
+++ b/crates/cuminbank-jobd/src/clients.rs
@@ -11,6 +11,7 @@
     keys::{accepted_key, CellKeys},
     scheduler::DecisionRecord,
     store::{encode_value, StoreCall, StoreFailure, StorePut, StoreReply, StoreTxn, TxnOutcome},
+    work_limit::return_seconds,
 };
 use cuminbank_net::server::{ServerAction, ServerRequest, ServerResponse};
 use cuminbank_platform::client::{
@@ -199,6 +200,20 @@
             JobLocation::Unknown => chosen,
         },
     };
+    let bytes = record.held_bytes();
+    // The write answers as without the limit while the store is away.
+    if !state.store.is_unresponsive() && !state.admit_work(&cell, bytes).await {
+        // An earlier copy of the request may have been accepted.
+        return match state.find_job(job).await {
+            JobLocation::Cell(_) => ClientAnswer::new(200, "accepted"),
+            JobLocation::Missing => {
+                state.note_work_refusal(&cell, &record.terms.queue, bytes);
+                let cause = "not accepted, not stored and never run: the pool holds too much work";
+                ClientAnswer::new(503, cause).with_retry_after(return_seconds(job))
+            }
+            JobLocation::Unknown => ClientAnswer::new(504, "unknown: the store has not answered"),
+        };
+    }
     let txn = StoreTxn {
         // This key is shared by all cells and outlives the job record, since another instance may
         // choose another cell when the client repeats the request.
@@ -209,7 +224,11 @@
         ],
         removes: Vec::new(),
     };
-    match write(state, txn, arrived).await.step {
+    let written = write(state, txn, arrived).await;
+    if written.conflicted || written.step == AcceptStep::Refused {
+        state.refund_work(&cell, bytes);
+    }
+    match written.step {
         AcceptStep::Accepted => ClientAnswer::new(200, "accepted"),
         AcceptStep::Refused => ClientAnswer::new_unavailable("not accepted: the store is away"),
         AcceptStep::Unknown | AcceptStep::Retry => {
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     io,
     path::PathBuf,
     rc::Rc,
@@ -32,6 +32,7 @@
     scheduler::{DecisionRecord, TICK_INTERVAL},
     settings::JobSettings,
     store::{StoreCall, StoreFailure, StoreReply},
+    work_limit::{WorkAllowance, WorkLedger},
 };
 use cuminbank_net::{
     budget_watch::{BudgetChange, BudgetWatch},
@@ -61,7 +62,7 @@
     moves, operators,
     registration::{self, BUILD_NAME},
     store::StoreClient,
-    watches,
+    watches, work_limit,
 };
 
 /// Connections to an executor until a configuration has been read.
@@ -99,6 +100,14 @@
     pub(crate) admission: RefCell<AdmissionState>,
     /// Queues whose jobs are being refused.
     pub(crate) refusals: RefCell<RefusalLog>,
+    /// Parts of the memory of the process.
+    pub(crate) memory: MemoryPlan,
+    /// Memory that this instance has granted to others as the owner of cells.
+    pub(crate) work: RefCell<WorkLedger>,
+    /// Memory that the owner of each cell has granted to this instance.
+    pub(crate) allowances: RefCell<BTreeMap<CellId, WorkAllowance>>,
+    /// Queues whose jobs are being refused for lack of memory.
+    pub(crate) work_refusals: RefCell<RefusalLog>,
     /// Cache of the cells of jobs that are outside their home cell.
     pub(crate) non_home_cells: RefCell<HashMap<JobId, CellId>>,
     /// Entries of the live instances.
@@ -331,6 +340,10 @@
             loads: RefCell::default(),
             admission: RefCell::default(),
             refusals: RefCell::default(),
+            memory: plan,
+            work: RefCell::new(WorkLedger::new(plan.accepted_work as u64)),
+            allowances: RefCell::default(),
+            work_refusals: RefCell::default(),
             non_home_cells: RefCell::default(),
             registry: RefCell::new(InstanceRegistry::new(SUPPORTED_FORMATS)),
             relays: RefCell::default(),
@@ -386,6 +399,7 @@
             true => monoio::spawn(admission::follow_rooms(Rc::clone(&state))),
             false => monoio::spawn(division::follow_loads(Rc::clone(&state))),
         };
+        monoio::spawn(work_limit::follow_work(Rc::clone(&state)));
         monoio::spawn(moves::follow_cell_loads(Rc::clone(&state)));
         monoio::spawn(handover::hand_over_cells(Rc::clone(&state)));
         run_ticks(&state, &stop, &reload).await;
--- a/crates/cuminbank-jobd/src/lib.rs
+++ b/crates/cuminbank-jobd/src/lib.rs
@@ -17,3 +17,4 @@
 mod relay;
 mod store;
 mod watches;
+mod work_limit;
--- a/crates/cuminbank-jobs/src/instances.rs
+++ b/crates/cuminbank-jobs/src/instances.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Returns the number of live instances, this one included.
+    pub fn count(&self) -> usize {
+        self.entries.len().max(1)
+    }
+
     /// Replaces everything by the items under the prefix of owners, read from a revision on. Later
     /// items are ignored, since the watch delivers them in order.
     pub fn replace(&mut self, items: &[StoreItem], revision: StoreRevision) {
--- a/crates/cuminbank-jobs/src/lib.rs
+++ b/crates/cuminbank-jobs/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod settings;
 pub mod slack;
 pub mod store;
+pub mod work_limit;
--- a/crates/cuminbank-jobs/src/peer.rs
+++ b/crates/cuminbank-jobs/src/peer.rs
@@ -11,6 +11,7 @@
     ids::{CellId, ExecutorName, JobId, OwnerEpoch, QueueName},
     job::JobPhase,
     relay::{RelayedResult, StartBundle},
+    work_limit::{WorkGrant, WorkRequest},
 };
 
 /// Request to another instance.
@@ -83,6 +84,13 @@
         /// Address of the querying instance. The query shows that it is live.
         asker: SocketAddr,
     },
+    /// Request for memory of the owner for jobs that the querying instance accepts.
+    Work {
+        /// Cell of the jobs.
+        cell: CellId,
+        /// Request.
+        request: WorkRequest,
+    },
 }
 
 impl OwnerQuestion {
@@ -94,7 +102,8 @@
             | Self::Pending { cell, .. }
             | Self::Load { cell, .. }
             | Self::Yield { cell, .. }
-            | Self::Room { cell, .. } => *cell,
+            | Self::Room { cell, .. }
+            | Self::Work { cell, .. } => *cell,
         }
     }
 }
@@ -157,4 +166,6 @@
     NotOwner,
     /// Room of the cell.
     Room(RoomReport),
+    /// Memory for accepted jobs.
+    Work(WorkGrant),
 }
--- a/crates/cuminbank-jobs/src/scheduler/jobs.rs
+++ b/crates/cuminbank-jobs/src/scheduler/jobs.rs
@@ -134,6 +134,7 @@
         let images = images.collect();
         let job = JobState {
             id,
+            held_bytes: record.held_bytes(),
             layout,
             critical_paths_ms,
             images,
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -50,6 +50,7 @@
 
 pub use missed_placements::MissedPlacement;
 pub use state::{ExecutorKey, JobKey, RunKey};
+pub(crate) use state::{JOB_STATE_BYTES, TASK_STATE_BYTES};
 pub use status::ExecutorTally;
 
 use self::{
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -80,11 +80,18 @@
     }
 }
 
+/// Memory of the state of a task, with its entries in the set of ready tasks and in its lists.
+pub(crate) const TASK_STATE_BYTES: usize = size_of::<TaskState>() + 32;
+/// Memory of the state of a job without its steps and tasks, with its entries in the tables of jobs.
+pub(crate) const JOB_STATE_BYTES: usize = size_of::<JobState>() + 128;
+
 /// State of a job with its tasks.
 #[derive(Clone, Debug)]
 pub(super) struct JobState {
     pub(super) id: JobId,
     pub(super) record: JobRecord,
+    /// Memory that the job takes, in bytes.
+    pub(super) held_bytes: u64,
     pub(super) layout: TaskLayout,
     /// Estimated length of the critical path from each step to the end, in milliseconds.
     pub(super) critical_paths_ms: Vec<u64>,
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -81,6 +81,11 @@
         self.load = CellLoad { use_percent, executors, labels, services };
     }
 
+    /// Returns the memory that accepted jobs hold, in bytes. Returns `None` until they are loaded.
+    pub fn held_bytes(&self) -> Option<u64> {
+        self.loaded.then(|| self.jobs.values().map(|job| job.held_bytes).sum())
+    }
+
     /// Answers a question of another instance.
     pub fn answer(&self, question: &OwnerQuestion) -> OwnerAnswer {
         if !self.loaded {
@@ -98,8 +103,9 @@
             OwnerQuestion::Load { .. } => OwnerAnswer::Load(self.load.clone()),
             OwnerQuestion::Room { .. } => self.room_answer(),
             OwnerQuestion::Pending { queue, .. } => OwnerAnswer::Pending(self.pending(queue)),
-            // The daemon answers this question itself, since it controls the ownership.
-            OwnerQuestion::Yield { .. } => OwnerAnswer::NotOwner,
+            // The daemon answers these questions itself, since it controls the ownership and knows the
+            // memory of the process.
+            OwnerQuestion::Yield { .. } | OwnerQuestion::Work { .. } => OwnerAnswer::NotOwner,
         }
     }
 
--- a/crates/cuminbank-jobs/tests/formats.rs
+++ b/crates/cuminbank-jobs/tests/formats.rs
@@ -1,6 +1,6 @@
 //! Tests of the bytes of stored records and of messages between instances. `formats/unversioned.txt`
 //! has them as every build since d68395a writes them; `instance`, `pool_format` and `unsupported` are
-//! of later builds, and so are the questions and answers `room`.
+//! of later builds, and so are the questions and answers `room` and `work`.
 
 use std::{collections::BTreeMap, fmt::Debug, time::Duration};
 
@@ -24,6 +24,7 @@
     relay::{RelayedResult, RelayedStart, StartBundle},
     roster::{ExecutorRoster, RosterEntry},
     store::{decode_value, encode_value},
+    work_limit::{WorkGrant, WorkRequest},
 };
 use serde::{de::DeserializeOwned, Serialize};
 
@@ -279,6 +280,14 @@
     check.fixtures.retain(|name, _| name.starts_with("message."));
     let (cell, job) = (3, 0xabcd);
     let asker = "10.0.0.2:7100".parse().expect("valid socket address");
+    let request =
+        WorkRequest { asker, limit_bytes: 20_000_000, needed_bytes: 10_000, wanted_bytes: 75_536 };
+    let grant = WorkGrant {
+        granted_bytes: 75_536,
+        held_bytes: 3_000_000,
+        limit_bytes: 20_000_000,
+        instances: 36,
+    };
     let questions = [
         ("phase", OwnerQuestion::Phase { cell, job }),
         ("describe", OwnerQuestion::Describe { cell, job }),
@@ -286,6 +295,7 @@
         ("load", OwnerQuestion::Load { cell, asker }),
         ("yield", OwnerQuestion::Yield { cell, start: u64::MAX, epoch: 300 }),
         ("room", OwnerQuestion::Room { cell, asker }),
+        ("work", OwnerQuestion::Work { cell, request }),
     ];
     for (name, question) in questions {
         check.message(&format!("message.ask.{name}"), PeerRequest::Ask(question));
@@ -301,6 +311,7 @@
         ("unknown".to_owned(), OwnerAnswer::Unknown),
         ("pending".to_owned(), OwnerAnswer::Pending(300)),
         ("room".to_owned(), OwnerAnswer::Room(room_report(load.clone()))),
+        ("work".to_owned(), OwnerAnswer::Work(grant)),
         ("load".to_owned(), OwnerAnswer::Load(load)),
         ("yielded".to_owned(), OwnerAnswer::Yielded { stopped_ms: 300 }),
         ("not_owner".to_owned(), OwnerAnswer::NotOwner),
@@ -360,8 +371,9 @@
     assert_eq!(variants::<PeerReply>(), 3);
     // `Room` is asked only with `admission`. A build that does not know it answers `Unsupported`, and
     // only the question is answered with the room.
-    assert_eq!(variants::<OwnerQuestion>(), 6);
-    assert_eq!(variants::<OwnerAnswer>(), 8);
+    // The same holds for `Work`, which is always asked: `Unsupported` stands for no limit.
+    assert_eq!(variants::<OwnerQuestion>(), 7);
+    assert_eq!(variants::<OwnerAnswer>(), 9);
     assert_eq!(variants::<JobPhase>(), 3);
     assert_eq!(variants::<JobOutcome>(), 3);
     assert_eq!(variants::<WaitReason>(), 3);
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -146,6 +146,8 @@
     CELL_HANDED_OVER = (784, Info, "The owner of a cell hands it over, since its link cannot carry the traffic.");
     CLEAR_ROOM_AMPLE = (785, Info, "Executors without latency-critical tasks have room for all best-effort work.");
     CLEAR_ROOM_SHORT = (786, Info, "Executors without latency-critical tasks lack room for some best-effort work.");
+    WORK_REFUSED = (790, Warn, "Jobs of a queue are refused, as the owner of their cell has no memory for more accepted work.");
+    WORK_ACCEPTED_AGAIN = (791, Info, "Jobs of a queue are no longer refused for lack of memory.");
 }
 
 impl LogRecord {
