Make the text of the metrics at most once a second, with gauges of the memory

Callers: while clients repeat requests for the metrics, an ordinary job is not served within 60 s.

Cause: the text is made for each request, which takes as long as many requests (evidence: the flood of small answers passes since connections yield, this one did not end within 100 s). A round over all connections took longer than the time limits of calls to the store.

The text is served again for 1 s. It has gauges of each part of the memory and of its limit, from the one definition of what a process holds; the entry daemon sends the same every 5 s if it has an address for metrics.

--- a/crates/cuminbank-entry/src/daemon.rs
+++ b/crates/cuminbank-entry/src/daemon.rs
@@ -28,6 +28,7 @@
     input_budget::{BudgetLimits, InputBudget, PortKind},
     logging,
     memory_plan::MemoryPlan,
+    memory_report::memory_parts,
     peer::{self, PeerPool},
     runtime,
     server::{self, ServerBounds, ServerGate, ServerLimits},
@@ -48,6 +49,7 @@
     pub(crate) settings: EntrySettings,
     /// Memory and connections that the servers and clients of the process share.
     pub(crate) budget: InputBudget,
+    memory: MemoryPlan,
     pub(crate) executors: HttpPool,
     pub(crate) workers: HttpPool,
     pub(crate) platform: HttpPool,
@@ -139,6 +141,18 @@
         change.event.iter().for_each(|record| self.log(record));
     }
 
+    /// Sends the gauges of the memory and of its limits.
+    fn report_memory(&self) {
+        // Tasks of a group are not limited.
+        for part in memory_parts(&self.memory, &self.budget, 0) {
+            for (name, value) in [("memory", part.used), ("memory_limit", part.limit)] {
+                let (class, customer, value) =
+                    (part.name.to_owned(), String::new(), MetricValue::Gauge(value));
+                self.metrics.send(&MetricSample { name, class, customer, value });
+            }
+        }
+    }
+
     /// Starts a planned stop; has no effect if one is in progress.
     pub(crate) fn begin_drain(self: &Rc<Self>) {
         if self.draining_since.get().is_none() {
@@ -204,6 +218,7 @@
             store: StoreClient::new(settings.store_addresses.clone()).with_budget(&budget),
             peers: PeerPool::new().with_budget(&budget),
             budget,
+            memory: plan,
             socket: runtime::bind_udp(settings.peer_address)?,
             metrics: MetricSender::new(settings.metrics_address)?,
             dispatch_aborts: RefCell::default(),
@@ -296,6 +311,9 @@
             state.executors.close_idle();
             state.peers.close_idle();
             state.workers.close_idle();
+            if state.settings.metrics_address.is_some() {
+                state.report_memory();
+            }
         }
         if let Some(change) = watch.poll() {
             state.report_budget(&change);
--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use cuminbank::log::{
     DRAIN_ENDED, DRAIN_STARTED, ORDER_FOR_EARLIER_INCARNATION, PROCESS_STARTED, SETTINGS_CHECKED,
 };
@@ -39,6 +40,7 @@
     client::{ClientAnswer, ConnectionLabel, ConnectionLabels, HttpPool, LabelCheck},
     input_budget::{BudgetLimits, InputBudget, PortKind},
     memory_plan::MemoryPlan,
+    memory_report::memory_parts,
     peer::{self, PeerPool},
     runtime,
     server::{self, ServerBounds, ServerGate, ServerLimits},
@@ -76,6 +78,8 @@
 const MAX_READY_SILENCE: Duration = Duration::from_millis(2_500);
 /// Time without a reply of the store up to which a planned stop hands over the owned cells.
 const MAX_HANDOVER_SILENCE: Duration = Duration::from_millis(1_000);
+/// Time for which the text of the metrics is served again. Making it takes as long as many requests.
+const MAX_METRICS_AGE: Duration = Duration::from_secs(1);
 /// Interval at which idle connections to executors are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Tick interval of an instance that owns no cell while every cell has an owner. Vacant cells need
@@ -118,6 +122,8 @@
     pub(crate) start: u64,
     pub(crate) peers: PeerPool,
     pub(crate) metrics: JobMetrics,
+    /// Last text of the metrics, and when it was made.
+    metrics_text: RefCell<Option<(MonotonicTime, Bytes)>>,
     /// Memory and connections that the servers and clients of the process share.
     budget: InputBudget,
     executors: HttpPool,
@@ -245,6 +251,21 @@
         advice::decode_answer(self.executors.exchange(address, question, timeout).await)
     }
 
+    /// Returns all metrics, as of at most [`MAX_METRICS_AGE`] ago.
+    pub(crate) fn metrics_text(&self) -> Bytes {
+        let now = clock::now();
+        if let Some((made_at, text)) = &*self.metrics_text.borrow() {
+            if now < *made_at + MAX_METRICS_AGE {
+                return text.clone();
+            }
+        }
+        let parts = memory_parts(&self.memory, &self.budget, self.held_work());
+        parts.iter().for_each(|part| self.metrics.set_memory(part));
+        let text = Bytes::from(self.metrics.text());
+        *self.metrics_text.borrow_mut() = Some((now, text.clone()));
+        text
+    }
+
     fn report_budget(&self, change: BudgetChange) {
         let counts = [
             ("connections.cut", change.cut),
@@ -349,6 +370,7 @@
             relays: RefCell::default(),
             start,
             peers: PeerPool::new().with_budget(&budget),
+            metrics_text: RefCell::default(),
             metrics: JobMetrics::new().map_err(io::Error::other)?,
             executors: HttpPool::new()
                 .with_max_connections(INITIAL_CONNECTION_SHARE)
--- a/crates/cuminbank-jobd/src/metrics.rs
+++ b/crates/cuminbank-jobd/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cuminbank_jobs::scheduler::JobMeasure;
+use cuminbank_net::memory_report::MemoryPart;
 use prometheus::{
     exponential_buckets, Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, Opts,
     Registry, TextEncoder,
@@ -19,6 +20,8 @@
     counts: IntCounterVec,
     times: HistogramVec,
     values: GaugeVec,
+    memory: GaugeVec,
+    memory_limits: GaugeVec,
 }
 
 impl JobMetrics {
@@ -38,10 +41,18 @@
             Opts::new("cuminbank_values", "Current values by name and service."),
             &["name", "service"],
         )?;
+        let memory =
+            GaugeVec::new(Opts::new("cuminbank_memory", "Bytes held by part."), &["part"])?;
+        let memory_limits = GaugeVec::new(
+            Opts::new("cuminbank_memory_limit", "Limits on the bytes held by part."),
+            &["part"],
+        )?;
+        registry.register(Box::new(memory.clone()))?;
+        registry.register(Box::new(memory_limits.clone()))?;
         registry.register(Box::new(values.clone()))?;
         registry.register(Box::new(counts.clone()))?;
         registry.register(Box::new(times.clone()))?;
-        Ok(Self { registry, counts, times, values })
+        Ok(Self { registry, counts, times, values, memory, memory_limits })
     }
 
     /// Records a measure of the scheduler: a duration if it has one, otherwise a count.
@@ -74,6 +85,12 @@
         self.values.with_label_values(&[name, service]).add(value);
     }
 
+    /// Sets the gauges of a part of the memory.
+    pub(crate) fn set_memory(&self, part: &MemoryPart) {
+        self.memory.with_label_values(&[part.name]).set(part.used as f64);
+        self.memory_limits.with_label_values(&[part.name]).set(part.limit as f64);
+    }
+
     /// Removes all current values.
     pub(crate) fn clear_values(&self) {
         self.values.reset();
--- a/crates/cuminbank-jobd/src/operators.rs
+++ b/crates/cuminbank-jobd/src/operators.rs
@@ -27,7 +27,7 @@
         "/metrics" => ServerResponse {
             status: 200,
             headers: vec![("content-type", "text/plain; version=0.0.4".to_owned())],
-            body: state.metrics.text().into(),
+            body: state.metrics_text(),
         },
         "/v1/status" => ServerResponse::new_json(200, state.status().to_string()),
         path => match path.strip_prefix("/v1/jobs/") {
--- a/crates/cuminbank-jobs/tests/work_limit.rs
+++ b/crates/cuminbank-jobs/tests/work_limit.rs
@@ -49,7 +49,7 @@
 #[test]
 fn the_smallest_instance_sets_the_limit() {
     let mut ledger = WorkLedger::new(LIMIT);
-    let small = WorkRequest { limit_bytes: 100_000, ..request(1, 0) };
+    let small = WorkRequest { limit_bytes: 100_000, wanted_bytes: 0, ..request(1, 0) };
     ledger.grant(seconds(1), 0, &small);
     let grant = ledger.grant(seconds(2), 0, &request(2, 90_000));
     assert_eq!((grant.limit_bytes, grant.granted_bytes), (100_000, 100_000));
--- a/crates/cuminbank-net/src/lib.rs
+++ b/crates/cuminbank-net/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod input_budget;
 pub mod logging;
 pub mod memory_plan;
+pub mod memory_report;
 mod metered;
 mod paced;
 pub mod peer;
