Count the steps that a pass skips, and the tasks that it lists

Cause: a pass is cut into slices by its work units, but a step that is skipped, since a search has failed for one like it, counted nothing, and neither did listing the ready tasks of a job. So a slice went through any number of steps in one call.

A skipped step counts 20 units and four listed tasks one; a slice always has room for a task. Units of searches are as before.

Result: skipped_steps_are_counted, 20 jobs of 1,000 steps on the smallest processor share: a call stays within its slice, of which it used next to nothing before.

--- a/crates/cuminbank-jobs/src/scheduler/pass.rs
+++ b/crates/cuminbank-jobs/src/scheduler/pass.rs
@@ -37,6 +37,10 @@
 const SLICE_UNITS_PER_CORE: f64 = 32_000.0;
 /// Lower limit of the slice budget, for instances with a tiny CPU share.
 const MIN_SLICE_UNITS: u32 = 1_000;
+/// Work units of a step that is skipped, since an earlier search has failed for one like it.
+const SKIPPED_STEP_UNITS: u32 = 20;
+/// Number of ready tasks that are listed and sorted for one work unit.
+const LISTED_PER_UNIT: usize = 4;
 /// Work units of a start, which covers its order, its log entry and the state updates.
 pub(super) const START_UNITS: u32 = 100;
 /// Pause between two slices, in which replies and timers are handled.
@@ -289,12 +293,15 @@
         // The job may have ended since the pass began.
         let Some(job) = self.jobs.get(key).filter(|job| job.outcome.is_none()) else { return true };
         let mut ready: Vec<TaskIndex> = job.ready.iter().copied().collect();
+        // A slice has to place at least one task.
+        let listing_units = ((ready.len() / LISTED_PER_UNIT) as u32).min(self.slice_units / 2);
         // What a task may do grows with its wait, so the remaining tasks of a step can only be
         // skipped after one that has waited longest.
         ready.sort_by_key(|task| {
             (job.layout.position(*task), job.tasks[*task as usize].ready_since)
         });
         self.choose_zone(key);
+        self.charge_units(listing_units);
         let job = &self.jobs[key];
         let mut idle = job.tasks.iter().all(|task| task.runs.is_empty());
         let mut candidates = None;
@@ -330,6 +337,7 @@
             let holder = (key, occurrence, step);
             if known_unplaceable && !on_probation && !self.holds_reservation(holder) {
                 pass.failed_steps.insert((occurrence, step));
+                self.charge_units(SKIPPED_STEP_UNITS);
                 self.reserve_room(holder, task, &pass.placeable);
                 continue;
             }
--- a/crates/cuminbank-jobs/tests/pass.rs
+++ b/crates/cuminbank-jobs/tests/pass.rs
@@ -140,3 +140,21 @@
     let limit = JOBS * 2 + EXECUTORS as u32 * (1 + SEARCHES);
     assert!((1..=limit).contains(&pool.max_units), "{} units in a call", pool.max_units);
 }
+
+// Guards against a pass that skips thousands of steps in one call, as if they cost nothing.
+#[test]
+fn skipped_steps_are_counted() {
+    const STEPS: usize = 1_000;
+    let mut pool = SimulatedPool::new(11, 1, EXECUTORS).with_processor_share(WEAK_SHARE);
+    pool.run_until(SUBMITTED);
+    let needs = TaskNeeds { cpu_millis: 9_000, memory_mb: 500, gpus: 0 };
+    for id in 1..=20 {
+        pool.submit(id, job(vec![JobStep { needs, ..step(1, &[]) }; STEPS]));
+    }
+    pool.run_until(SUBMITTED + Duration::from_secs(1));
+    pool.max_units = 0;
+    pool.run_until(pool.now + Duration::from_secs(1));
+    // Without the skipped steps, the whole pass takes a unit for each job, and two per executor.
+    assert!(pool.max_units > WEAK_UNITS, "{} units in a call", pool.max_units);
+    assert!(pool.max_units <= WEAK_UNITS + FULL_SCAN_UNITS, "{} units in a call", pool.max_units);
+}
