--- a/crates/cuminbank-jobd/tests/soak.rs
+++ b/crates/cuminbank-jobd/tests/soak.rs
@@ -16,15 +16,19 @@
 
 use nix::sys::signal::Signal;
 use rand::{rngs::StdRng, Rng, SeedableRng};
+use serde_json::json;
 
 use support::{
     config_changes::{change_configuration, ConfigRecord},
     history::{incomplete_jobs, submit_jobs, violations, wait_for_jobs, LoadRecord, TASK_MS},
+    misbehaving::{find_excess, flood_ports},
     proxy::LinkMode,
     Deployment, PoolShape,
 };
 
 const INSTANCES: u16 = 3;
+/// Memory of an instance in MB. Clients that do not behave must not make it hold more.
+const MEMORY_MB: u64 = 48;
 /// Duration of the phase in which faults are injected.
 const FAULT_PHASE: Duration = Duration::from_secs(12);
 /// Time limit for completing all accepted jobs after the last fault has ended. A takeover that has
@@ -121,8 +125,10 @@
     }
 }
 
-/// Injects overlapping random faults for [`FAULT_PHASE`] and then ends all of them.
-fn inject_faults(deployment: &mut Deployment, random: &mut StdRng) {
+/// Injects overlapping random faults for [`FAULT_PHASE`] and then ends all of them. Returns the instances
+/// that held too much memory meanwhile.
+fn inject_faults(deployment: &mut Deployment, random: &mut StdRng) -> Vec<String> {
+    let mut excess = Vec::new();
     let started = Instant::now();
     let mut ends: Vec<(Instant, FaultEnd)> = Vec::new();
     while started.elapsed() < FAULT_PHASE {
@@ -134,8 +140,10 @@
         due.iter().for_each(|(_, end)| end_fault(deployment, end));
         let begun = begin_fault(deployment, random);
         ends.extend(begun.into_iter().map(|(span, end)| (now + span, end)));
+        excess.extend(find_excess(deployment, MEMORY_MB));
     }
     ends.iter().for_each(|(_, end)| end_fault(deployment, end));
+    excess
 }
 
 /// Sets a flag when it is dropped.
@@ -156,22 +164,25 @@
         adaptive_division: !(seed / 4).is_multiple_of(2),
         ..PoolShape::default()
     };
-    let mut deployment = Deployment::start_with_proxies(INSTANCES, TASK_MS, shape);
+    let settings = json!({ "memory_mb": MEMORY_MB });
+    let mut deployment =
+        Deployment::start_with_proxies_and_settings(INSTANCES, TASK_MS, shape, &settings);
     let (record, stop) = (LoadRecord::default(), AtomicBool::new(false));
     // Faults overlap all the time, so that no response of an instance is certain.
     (0..usize::from(INSTANCES)).for_each(|instance| record.begin_fault(instance));
     let (clients, store) = (deployment.clients.clone(), deployment.store);
     let configs = Mutex::new(ConfigRecord::default());
     let mut random = StdRng::seed_from_u64(seed);
-    thread::scope(|scope| {
+    let excess = thread::scope(|scope| {
         for client in 0..2 {
             let (clients, record, stop) = (&clients, &record, &stop);
             scope.spawn(move || submit_jobs(clients, record, seed ^ (client + 1), stop));
         }
         scope.spawn(|| change_configuration(store, &clients, &configs, &stop));
+        scope.spawn(|| flood_ports(&clients, !seed, &stop));
         // Ends the other threads also if the injection of faults panics; the test would hang.
         let _stop = StopOnDrop(&stop);
-        inject_faults(&mut deployment, &mut random);
+        inject_faults(&mut deployment, &mut random)
     });
     let faults_ended = Instant::now();
     let open = wait_for_jobs(&deployment, &record, COMPLETION_LIMIT);
@@ -184,6 +195,7 @@
         faults_ended.elapsed()
     );
     assert!(accepted > 0, "seed {seed}: no job was accepted");
+    assert!(excess.is_empty(), "seed {seed}: more than {MEMORY_MB} MB: {excess:#?}");
     assert!(open.is_empty(), "seed {seed}: accepted but not completed: {open:x?}");
     let incomplete = incomplete_jobs(&deployment, &record);
     assert!(incomplete.is_empty(), "seed {seed}: completed without results: {incomplete:x?}");
@@ -195,7 +207,7 @@
 
 // Guards against tasks that are lost, run twice, or run although their job was refused, and against
 // answers by an older configuration than the bound allows. Meanwhile, processes are killed, stopped
-// and frozen, and links are slow, reset or silent, also at the same time.
+// and frozen, links are slow, reset or silent, and clients flood the ports, also at the same time.
 #[test]
 fn guarantees_hold_under_random_faults() {
     let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -9,6 +9,7 @@
 #[path = "../../../cuminbank-entry/tests/support/flood.rs"]
 pub mod flood;
 pub mod history;
+pub mod misbehaving;
 #[path = "../../../cuminbank-entry/tests/support/ports.rs"]
 pub mod ports;
 pub mod proxy;
@@ -182,9 +183,18 @@
 
     /// Starts instances that connect to the store and the executors through proxies.
     pub fn start_with_proxies(count: u16, task_ms: u64, shape: PoolShape) -> Self {
+        Self::start_with_proxies_and_settings(count, task_ms, shape, &json!({}))
+    }
+
+    /// Starts instances like [`Self::start_with_proxies`], with `changes` to their settings.
+    pub fn start_with_proxies_and_settings(
+        count: u16,
+        task_ms: u64,
+        shape: PoolShape,
+        changes: &Value,
+    ) -> Self {
         let output = |_| Stdio::null();
-        let build = DaemonBuild::current();
-        Self::build(&build, count, task_ms, output, true, shape, &json!({}))
+        Self::build(&DaemonBuild::current(), count, task_ms, output, true, shape, changes)
     }
 
     /// Starts instances of a build that connect to the store and the executors through proxies.
