Serve the text of the metrics again for 50 ms only

Operators and scripts read counters in the same way.

The text is now at most 50 ms old, which still bounds its cost to 20 a second. Only the gauges of the memory, whose reading goes through all sockets, are kept for a second.

--- a/crates/cuminbank-jobd/src/daemon.rs
+++ b/crates/cuminbank-jobd/src/daemon.rs
@@ -79,7 +79,9 @@
 /// Time without a reply of the store up to which a planned stop hands over the owned cells.
 const MAX_HANDOVER_SILENCE: Duration = Duration::from_millis(1_000);
 /// Time for which the text of the metrics is served again. Making it takes as long as many requests.
-const MAX_METRICS_AGE: Duration = Duration::from_secs(1);
+const MAX_METRICS_AGE: Duration = Duration::from_millis(50);
+/// Time for which the gauges of the memory are kept. Reading them goes through all sockets of the machine.
+const MAX_MEMORY_AGE: Duration = Duration::from_secs(1);
 /// Interval at which idle connections to executors are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Tick interval of an instance that owns no cell while every cell has an owner. Vacant cells need
@@ -124,6 +126,8 @@
     pub(crate) metrics: JobMetrics,
     /// Last text of the metrics, and when it was made.
     metrics_text: RefCell<Option<(MonotonicTime, Bytes)>>,
+    /// When the gauges of the memory were read.
+    memory_read_at: Cell<Option<MonotonicTime>>,
     /// Memory and connections that the servers and clients of the process share.
     budget: InputBudget,
     executors: HttpPool,
@@ -259,8 +263,11 @@
                 return text.clone();
             }
         }
-        let parts = memory_parts(&self.memory, &self.budget, self.held_work());
-        parts.iter().for_each(|part| self.metrics.set_memory(part));
+        if self.memory_read_at.get().is_none_or(|read_at| now >= read_at + MAX_MEMORY_AGE) {
+            self.memory_read_at.set(Some(now));
+            let parts = memory_parts(&self.memory, &self.budget, self.held_work());
+            parts.iter().for_each(|part| self.metrics.set_memory(part));
+        }
         let text = Bytes::from(self.metrics.text());
         *self.metrics_text.borrow_mut() = Some((now, text.clone()));
         text
@@ -371,6 +378,7 @@
             start,
             peers: PeerPool::new().with_budget(&budget),
             metrics_text: RefCell::default(),
+            memory_read_at: Cell::new(None),
             metrics: JobMetrics::new().map_err(io::Error::other)?,
             executors: HttpPool::new()
                 .with_max_connections(INITIAL_CONNECTION_SHARE)
