Log the incarnation and the epochs of executors that leave and return

Change: EV0731, EV0732 and EV0737 tell the incarnation, EV0732 the epoch of the hold that was answered, EV0737 the epoch of the last order other than a request for a report, and why the executor was removed.

--- a/crates/cuminbank-jobs/src/order.rs
+++ b/crates/cuminbank-jobs/src/order.rs
@@ -88,6 +88,11 @@
 }
 
 impl OrderRequest {
+    /// Returns whether it only requests a report, and so changes nothing whenever it is carried out.
+    pub fn is_probe(&self) -> bool {
+        matches!(self, Self::Hold { lease_until: None, acknowledged: 0, .. })
+    }
+
     /// Returns the end of the lease that it grants, on the executor's clock.
     pub fn lease_until(&self) -> Option<ExecutorMillis> {
         match self {
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -85,8 +85,10 @@
             EXECUTOR_LISTED,
             None,
             format!(
-                "executor={} address={} service={} cpu={} memory_mb={} labels={} draining={}",
+                "executor={} incarnation={:?} address={} service={} cpu={} memory_mb={} labels={} \
+                 draining={}",
                 report.name,
+                report.started_at,
                 report.address,
                 report.service,
                 report.capacity.cpu_millis,
@@ -126,6 +128,7 @@
             accepted_at: MonotonicTime::ZERO,
             clock: None,
             lease_expires_at: MonotonicTime::ZERO,
+            ordered_epoch: None,
             unfenced_epoch: None,
             earlier_orders_expire_at: MonotonicTime::ZERO,
             handed_over: None,
@@ -216,7 +219,7 @@
                 || !lease_over
                 || self.unreconciled.contains(&executor.name);
             if absent && !needed && executor.hold.order.is_none() {
-                self.remove_executor(key);
+                self.remove_executor(key, "missing from the list");
                 continue;
             }
             if executor.hold.order.is_none() && now >= executor.hold.next_at {
@@ -363,7 +366,7 @@
             Ok(OrderReply::Held(report)) if report.clock <= MAX_CLOCK => self.on_held(key, report),
             Err(OrderFailure::Replaced) => {
                 self.expire_runs(key, "address belongs to another executor");
-                self.remove_executor(key);
+                self.remove_executor(key, "address belongs to another executor");
             }
             other => {
                 let executor = &mut self.executors[key];
@@ -412,7 +415,9 @@
         }
         if failures > 0 || first {
             let detail = format!(
-                "executor={name} failures={failures} running={} ended={}",
+                "executor={name} incarnation={} epoch={} failures={failures} running={} ended={}",
+                report.born,
+                self.executors[key].hold.epoch,
                 report.running.len(),
                 report.ended.len()
             );
@@ -444,7 +449,7 @@
         }
     }
 
-    fn remove_executor(&mut self, key: ExecutorKey) {
+    fn remove_executor(&mut self, key: ExecutorKey, reason: &str) {
         let Some(executor) = self.executors.remove(key) else { return };
         self.executor_names.remove(&executor.name);
         if executor.handed_over.is_some() {
@@ -455,7 +460,11 @@
         self.starts_in_flight = starts.count();
         self.mark_reconciled(&executor.name);
         self.journal.roster_dirty = true;
-        self.log(EXECUTOR_REMOVED, None, format!("executor={}", executor.name));
+        let detail = format!(
+            "executor={} incarnation={:?} epoch={} ordered_epoch={:?} reason={reason}",
+            executor.name, executor.started_at, self.epoch, executor.ordered_epoch
+        );
+        self.log(EXECUTOR_REMOVED, None, detail);
     }
 
     /// Returns whether an executor may get new work, which excludes quarantined executors.
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -78,7 +78,10 @@
     ) -> OrderId {
         self.last_order += 1;
         let id = self.last_order;
-        let executor = &self.executors[pending.executor];
+        let executor = &mut self.executors[pending.executor];
+        if !request.is_probe() {
+            executor.ordered_epoch = Some(self.epoch);
+        }
         let order = ExecutorOrder {
             id,
             executor: executor.name.clone(),
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -312,6 +312,8 @@
     pub(super) clock: Option<ClockSample>,
     /// Time on this instance's clock by which every lease granted to it has expired.
     pub(super) lease_expires_at: MonotonicTime,
+    /// Epoch of the last order to it other than a probe.
+    pub(super) ordered_epoch: Option<OwnerEpoch>,
     /// Epoch of orders for its earlier incarnation, which this one may carry out until it has replied
     /// to a hold of a higher epoch. It gets no work and no leases until then.
     pub(super) unfenced_epoch: Option<OwnerEpoch>,
