Move the fencing of executors into a module of its own

Change: cover_earlier_leases, cover_earlier_orders, fence_earlier_orders and on_epoch_raised move to scheduler/fencing.rs as they are.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -6,17 +6,17 @@
 use std::{collections::HashSet, time::Duration};
 
 use cuminbank::log::{
-    EPOCH_RAISED, EXECUTOR_DRAINING, EXECUTOR_LEASES_EXPIRED, EXECUTOR_LISTED, EXECUTOR_REACHED,
+    EXECUTOR_DRAINING, EXECUTOR_LEASES_EXPIRED, EXECUTOR_LISTED, EXECUTOR_REACHED,
     EXECUTOR_REMOVED, EXECUTOR_RESTARTED, EXECUTOR_UNREACHABLE,
 };
 
 use super::{
     orders::{OrderKind, PendingOrder},
     state::{ClockSample, ExecutorKey, ExecutorState, HoldState},
-    JobEffect, JobScheduler,
+    JobScheduler,
 };
 use crate::{
-    ids::{ExecutorMillis, ExecutorName, MonotonicTime, OwnerEpoch, ZoneName},
+    ids::{ExecutorMillis, ExecutorName, MonotonicTime, ZoneName},
     job::TaskNeeds,
     lease_bounds::slowest,
     order::{ExecutorReport, HoldReport, OrderFailure, OrderReply, OrderRequest},
@@ -35,7 +35,7 @@
 /// Time allowed for the reply to a hold in addition to its wait.
 const HOLD_MARGIN: Duration = Duration::from_millis(500);
 /// Delay before the next hold after a failed one.
-const HOLD_RETRY: Duration = Duration::from_millis(250);
+pub(super) const HOLD_RETRY: Duration = Duration::from_millis(250);
 /// Longest wait of a hold that an executor accepts.
 const MAX_HOLD_WAIT: Duration = Duration::from_millis(2_000);
 /// Time after the first of an executor's replies from which on each reply was made later than the
@@ -272,59 +272,6 @@
         Some(until)
     }
 
-    /// Accounts for the leases that earlier owners may have granted until an executor rejected their
-    /// orders.
-    fn cover_earlier_leases(&mut self, key: ExecutorKey, restarted: bool) {
-        let earlier = self.earlier_leases.remove(&self.executors[key].name);
-        if restarted || earlier.is_some() {
-            return self.cover_earlier_orders(key);
-        }
-        let lease = self.earlier_owners.longest_lease(self.bounds.max_lease);
-        let expires_at = self.now + lease + self.bounds.stop_timeout + HOLD_RETRY;
-        let executor = &mut self.executors[key];
-        executor.lease_expires_at = executor.lease_expires_at.max(expires_at);
-    }
-
-    /// Accounts for the leases in orders for an earlier incarnation that an executor has carried out
-    /// until now. It shortened them to its longest lease.
-    fn cover_earlier_orders(&mut self, key: ExecutorKey) {
-        let expires_at = self.now + slowest(self.bounds.max_lease) + self.bounds.stop_timeout;
-        let executor = &mut self.executors[key];
-        executor.earlier_orders_expire_at = expires_at + HOLD_RETRY;
-        executor.lease_expires_at =
-            executor.lease_expires_at.max(executor.earlier_orders_expire_at);
-    }
-
-    /// Rules out, after a restart, that orders for the earlier incarnation are still carried out: has
-    /// the epoch raised, and waits for a reply to a hold of the new one.
-    fn fence_earlier_orders(&mut self, key: ExecutorKey, restarted: bool) {
-        let executor = &mut self.executors[key];
-        if restarted && self.identity.is_some() && self.guards.fences_earlier_orders {
-            executor.unfenced_epoch = Some(self.epoch);
-            self.journal.epoch_raise_needed = true;
-            return self.cover_earlier_orders(key);
-        }
-        if executor.unfenced_epoch.is_some_and(|epoch| executor.hold.epoch > epoch) {
-            executor.unfenced_epoch = None;
-            self.journal.roster_dirty = true;
-            self.cover_earlier_orders(key);
-        }
-    }
-
-    /// Sends holds of the raised epoch to the executors that wait for it.
-    pub(super) fn on_epoch_raised(&mut self, epoch: OwnerEpoch) {
-        self.epoch = epoch;
-        let mut waiting = 0;
-        for executor in self.executors.values_mut() {
-            if executor.unfenced_epoch.is_some() {
-                executor.hold.next_at = self.now;
-                waiting += 1;
-            }
-        }
-        self.log(EPOCH_RAISED, None, format!("epoch={epoch} executors={waiting}"));
-        self.effects.push(JobEffect::EpochRaised(epoch));
-    }
-
     /// Sends a hold: it renews the lease, acknowledges the recorded ended runs, and asks the
     /// executor to report its runs when one of them ends, or after a wait.
     pub(super) fn send_hold(&mut self, key: ExecutorKey) {
--- /dev/null
+++ b/crates/cuminbank-jobs/src/scheduler/fencing.rs
@@ -0,0 +1,65 @@
+//! Fencing of executors that use a name again.
+//!
+//! An order without a reply may be carried out seconds later, by whichever incarnation of the executor
+//! has the name by then. An executor that has replied to an order of a higher epoch rejects all earlier
+//! ones, so the owner raises its epoch before it gives work to the next incarnation.
+
+use cuminbank::log::EPOCH_RAISED;
+
+use super::{contact::HOLD_RETRY, state::ExecutorKey, JobEffect, JobScheduler};
+use crate::{ids::OwnerEpoch, lease_bounds::slowest};
+
+impl JobScheduler {
+    /// Accounts for the leases that earlier owners may have granted until an executor rejected their
+    /// orders.
+    pub(super) fn cover_earlier_leases(&mut self, key: ExecutorKey, restarted: bool) {
+        let earlier = self.earlier_leases.remove(&self.executors[key].name);
+        if restarted || earlier.is_some() {
+            return self.cover_earlier_orders(key);
+        }
+        let lease = self.earlier_owners.longest_lease(self.bounds.max_lease);
+        let expires_at = self.now + lease + self.bounds.stop_timeout + HOLD_RETRY;
+        let executor = &mut self.executors[key];
+        executor.lease_expires_at = executor.lease_expires_at.max(expires_at);
+    }
+
+    /// Accounts for the leases in orders for an earlier incarnation that an executor has carried out
+    /// until now. It shortened them to its longest lease.
+    fn cover_earlier_orders(&mut self, key: ExecutorKey) {
+        let expires_at = self.now + slowest(self.bounds.max_lease) + self.bounds.stop_timeout;
+        let executor = &mut self.executors[key];
+        executor.earlier_orders_expire_at = expires_at + HOLD_RETRY;
+        executor.lease_expires_at =
+            executor.lease_expires_at.max(executor.earlier_orders_expire_at);
+    }
+
+    /// Rules out, after a restart, that orders for the earlier incarnation are still carried out: has
+    /// the epoch raised, and waits for a reply to a hold of the new one.
+    pub(super) fn fence_earlier_orders(&mut self, key: ExecutorKey, restarted: bool) {
+        let executor = &mut self.executors[key];
+        if restarted && self.identity.is_some() && self.guards.fences_earlier_orders {
+            executor.unfenced_epoch = Some(self.epoch);
+            self.journal.epoch_raise_needed = true;
+            return self.cover_earlier_orders(key);
+        }
+        if executor.unfenced_epoch.is_some_and(|epoch| executor.hold.epoch > epoch) {
+            executor.unfenced_epoch = None;
+            self.journal.roster_dirty = true;
+            self.cover_earlier_orders(key);
+        }
+    }
+
+    /// Sends holds of the raised epoch to the executors that wait for it.
+    pub(super) fn on_epoch_raised(&mut self, epoch: OwnerEpoch) {
+        self.epoch = epoch;
+        let mut waiting = 0;
+        for executor in self.executors.values_mut() {
+            if executor.unfenced_epoch.is_some() {
+                executor.hold.next_at = self.now;
+                waiting += 1;
+            }
+        }
+        self.log(EPOCH_RAISED, None, format!("epoch={epoch} executors={waiting}"));
+        self.effects.push(JobEffect::EpochRaised(epoch));
+    }
+}
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod contact;
 mod drains;
 mod evacuation;
+mod fencing;
 mod gathering;
 mod handover;
 mod jobs;
