Fence executors that return after their owner has removed them

What callers saw: a task ran again after its end had been acknowledged and its job was shown as completed, or twice at the same time (TWICE).

Cause: an owner raises its epoch when it notices that an executor was restarted, and noticing takes the start time of the earlier incarnation. An executor that is gone for longer than its leases and missing from the list is removed with all that is known of it. When it is listed again it is a new executor, reached in the same epoch, so it accepts the orders that its earlier incarnation had received. With shorter absences the executor is still known; with longer ones than about 12 s no order is left; after a change of owner the epoch is higher.

Change: an executor that is removed while it may still carry out orders of the current epoch is remembered by its name. If it is listed again, the write that adds it to the roster also raises the epoch, and its first hold waits for that (EV0740, EV0739). A raised epoch makes all remembered names obsolete, so that they are forgotten; at 1,024 names the epoch is raised for that alone. `departed` in the status and the gauge executors.departed tell their number.

Why it works: every order to the earlier incarnation had at most the epoch in which the owner removed it. The new one gets nothing of this owner below the raised epoch, and rejects what is older from its first reply on. No time is assumed for how late an order may be.

--- a/crates/cuminbank-jobd/src/admission.rs
+++ b/crates/cuminbank-jobd/src/admission.rs
@@ -142,6 +142,9 @@
         self.metrics.clear_values();
         let admission = self.admission.borrow();
         for cell in self.all_cells() {
+            if let Some(tally) = cell.tally() {
+                self.metrics.add_value("executors.departed", "", tally.departed as f64);
+            }
             let report = admission.report(now, cell.id);
             let (code, changed) = match report {
                 Some(_) => (ROOM_KNOWN, known.insert(cell.id)),
--- a/crates/cuminbank-jobd/src/logging.rs
+++ b/crates/cuminbank-jobd/src/logging.rs
@@ -28,7 +28,7 @@
 /// them must not hide lines about requests and executors.
 pub const MAX_RUN_LINES_PER_SECOND: u32 = 400;
 /// Event numbers about single requests, jobs, runs and executors.
-const ITEM_EVENTS: std::ops::Range<u16> = 701..740;
+const ITEM_EVENTS: std::ops::Range<u16> = 701..741;
 /// Event numbers about single runs.
 const RUN_EVENTS: std::ops::Range<u16> = 711..731;
 /// Event numbers about reservations of executors, of which there are at most as many as runs.
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -104,6 +104,7 @@
             started_at: report.started_at,
         };
         let key = self.add_executor(entry);
+        self.fence_returned_executor(key);
         self.update_executor(key, report);
         self.journal.roster_dirty = true;
     }
@@ -354,9 +355,8 @@
         }
         if first {
             self.cover_earlier_leases(key, restarted);
-        } else {
-            self.fence_earlier_orders(key, restarted);
         }
+        self.fence_earlier_orders(key, restarted && !first);
         if failures > 0 || first || restarted {
             self.executors[key].in_contact_since = now;
         }
@@ -399,6 +399,7 @@
     fn remove_executor(&mut self, key: ExecutorKey, reason: &str) {
         let Some(executor) = self.executors.remove(key) else { return };
         self.executor_names.remove(&executor.name);
+        self.remember_departed(&executor);
         if executor.handed_over.is_some() {
             self.journal.handover.invalidate();
         }
--- a/crates/cuminbank-jobs/src/scheduler/fencing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/fencing.rs
@@ -4,11 +4,23 @@
 //! has the name by then. An executor that has replied to an order of a higher epoch rejects all earlier
 //! ones, so the owner raises its epoch before it gives work to the next incarnation.
 
-use cuminbank::log::EPOCH_RAISED;
+use std::time::Duration;
 
-use super::{contact::HOLD_RETRY, state::ExecutorKey, JobEffect, JobScheduler};
+use cuminbank::log::{EPOCH_RAISED, EXECUTOR_RETURNED};
+
+use super::{
+    contact::HOLD_RETRY,
+    state::{ExecutorKey, ExecutorState},
+    JobEffect, JobScheduler,
+};
 use crate::{ids::OwnerEpoch, lease_bounds::slowest};
 
+/// Number of remembered executors at which the epoch is raised, so that none needs to be remembered.
+const MAX_DEPARTED_EXECUTORS: usize = 1_024;
+/// Time after which an executor that has returned is contacted although the epoch has not been raised,
+/// so that the runs of late starts on it are reported and stopped.
+const UNFENCED_CONTACT_DELAY: Duration = Duration::from_secs(1);
+
 impl JobScheduler {
     /// Accounts for the leases that earlier owners may have granted until an executor rejected their
     /// orders.
@@ -33,11 +45,39 @@
             executor.lease_expires_at.max(executor.earlier_orders_expire_at);
     }
 
+    fn fences_orders(&self) -> bool {
+        self.identity.is_some() && self.guards.fences_earlier_orders
+    }
+
+    /// Remembers that a removed executor may carry out orders of the current epoch if it returns.
+    pub(super) fn remember_departed(&mut self, executor: &ExecutorState) {
+        if !self.fences_orders() || !executor.may_carry_out(self.epoch) {
+            return;
+        }
+        self.departed_executors.insert(executor.name.clone());
+        self.journal.epoch_raise_needed |= self.departed_executors.len() > MAX_DEPARTED_EXECUTORS;
+    }
+
+    /// Has the epoch raised before an executor is contacted that returns under the name of a removed
+    /// one. The write that adds it to the roster also raises the epoch.
+    pub(super) fn fence_returned_executor(&mut self, key: ExecutorKey) {
+        let executor = &mut self.executors[key];
+        if !self.departed_executors.remove(&executor.name) {
+            return;
+        }
+        executor.unfenced_epoch = Some(self.epoch);
+        executor.hold.next_at = self.now + UNFENCED_CONTACT_DELAY;
+        self.journal.epoch_raise_needed = true;
+        let detail = format!("executor={} epoch={}", executor.name, self.epoch);
+        self.log(EXECUTOR_RETURNED, None, detail);
+    }
+
     /// Rules out, after a restart, that orders for the earlier incarnation are still carried out: has
     /// the epoch raised, and waits for a reply to a hold of the new one.
     pub(super) fn fence_earlier_orders(&mut self, key: ExecutorKey, restarted: bool) {
+        let fences_orders = self.fences_orders();
         let executor = &mut self.executors[key];
-        if restarted && self.identity.is_some() && self.guards.fences_earlier_orders {
+        if restarted && fences_orders {
             executor.unfenced_epoch = Some(self.epoch);
             self.journal.epoch_raise_needed = true;
             return self.cover_earlier_orders(key);
@@ -52,6 +92,8 @@
     /// Sends holds of the raised epoch to the executors that wait for it.
     pub(super) fn on_epoch_raised(&mut self, epoch: OwnerEpoch) {
         self.epoch = epoch;
+        // Their first hold will be of the raised epoch, whenever they return.
+        self.departed_executors.clear();
         let mut waiting = 0;
         for executor in self.executors.values_mut() {
             if executor.unfenced_epoch.is_some() {
--- a/crates/cuminbank-jobs/src/scheduler/handover.rs
+++ b/crates/cuminbank-jobs/src/scheduler/handover.rs
@@ -48,7 +48,9 @@
             return None;
         }
         if !self.unreconciled.contains(&executor.name) {
-            if executor.hold.failures > 0 || executor.unfenced_epoch.is_some() {
+            // Of one that was never contacted, the next owner assumes the worst.
+            let unfenced = executor.contacted && executor.unfenced_epoch.is_some();
+            if executor.hold.failures > 0 || unfenced {
                 return Some((GrantState::Paused, executor.lease_expires_at));
             }
             // The next owner counts with the leases of this one, which may be shorter.
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -292,6 +292,8 @@
     early_cancels: HashSet<JobId>,
     executors: SlotMap<ExecutorKey, ExecutorState>,
     executor_names: HashMap<ExecutorName, ExecutorKey>,
+    /// Removed executors to which orders of the current epoch were sent.
+    departed_executors: HashSet<ExecutorName>,
     /// Zones under evacuation.
     evacuated_zones: BTreeSet<ZoneName>,
     /// Zones in which jobs are gathered.
@@ -392,6 +394,7 @@
             early_cancels: HashSet::new(),
             executors: SlotMap::with_key(),
             executor_names: HashMap::new(),
+            departed_executors: HashSet::new(),
             evacuated_zones: BTreeSet::new(),
             open_zones: BTreeSet::new(),
             runs: SlotMap::with_key(),
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -160,6 +160,11 @@
         !self.grants_paused && self.unfenced_epoch.is_none()
     }
 
+    /// Returns whether a later incarnation may carry out orders of an epoch, or of a higher one.
+    pub(super) fn may_carry_out(&self, epoch: OwnerEpoch) -> bool {
+        self.ordered_epoch.max(self.unfenced_epoch) >= Some(epoch)
+    }
+
     /// Returns the highest number of an ended run that may be acknowledged once it is recorded.
     pub(super) fn recordable_end(&self) -> u64 {
         let limit = self.unreadable_end.map_or(u64::MAX, |number| number.saturating_sub(1));
@@ -314,7 +319,7 @@
     pub(super) lease_expires_at: MonotonicTime,
     /// Epoch of the last order to it other than a probe.
     pub(super) ordered_epoch: Option<OwnerEpoch>,
-    /// Epoch of orders for its earlier incarnation, which this one may carry out until it has replied
+    /// Epoch of orders for its earlier incarnations, which this one may carry out until it has replied
     /// to a hold of a higher epoch. It gets no work and no leases until then.
     pub(super) unfenced_epoch: Option<OwnerEpoch>,
     /// Time by which all leases in orders for its earlier incarnations have expired.
--- a/crates/cuminbank-jobs/src/scheduler/status.rs
+++ b/crates/cuminbank-jobs/src/scheduler/status.rs
@@ -37,6 +37,8 @@
     pub shunned: usize,
     /// Executors that may still run tasks of an earlier owner.
     pub unsettled: usize,
+    /// Removed executors that are fenced before they get work again.
+    pub departed: usize,
     /// Current runs.
     pub runs: usize,
     /// Jobs with tasks waiting for an executor.
@@ -175,6 +177,7 @@
             silent: count(&|executor| executor.hold.failures > 0),
             shunned: count(&|executor| executor.record.is_quarantined(self.now)),
             unsettled: self.unreconciled.len(),
+            departed: self.departed_executors.len(),
             runs: self.runs.len(),
             waiting_jobs: self.waiting.len(),
         }
--- /dev/null
+++ b/crates/cuminbank-jobs/tests/returned_executors.rs
@@ -0,0 +1,106 @@
+//! Tests of executors that return under their name after an absence, while orders for their earlier
+//! incarnations are carried out late.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminbank_jobs::guards::JobGuards;
+use support::{
+    jobs::step,
+    simulation::{InjectedFault, MessageLosses, SimulatedPool},
+    waiting::{submit, with_lengths},
+};
+
+/// Absences after which an owner has removed an executor, in milliseconds. After the longest one, no
+/// order of before is still carried out.
+const ABSENCES_MS: [u64; 6] = [6_500, 7_000, 8_000, 9_500, 11_000, 13_000];
+
+/// How executors crash, and whether their owner is lost meanwhile.
+#[derive(Clone, Copy, Debug)]
+struct CrashKind {
+    silent: bool,
+    owner_killed: bool,
+}
+
+const CRASH_KINDS: [CrashKind; 3] = [
+    CrashKind { silent: false, owner_killed: false },
+    CrashKind { silent: true, owner_killed: false },
+    CrashKind { silent: false, owner_killed: true },
+];
+
+/// Crashes executors in turn for `down` each, while a fifth of all orders is carried out late. Returns
+/// the violations.
+fn play_absences(seed: u64, down: Duration, kind: CrashKind, guards: JobGuards) -> Vec<String> {
+    let pool = SimulatedPool::new(seed, 2, 4).with_guards(guards);
+    let mut pool = with_lengths(pool, |_| Duration::from_secs(1));
+    pool.losses = MessageLosses { orders_late: 20, ..MessageLosses::default() };
+    (pool.late_orders_cross_restarts, pool.silent_crashes) = (true, kind.silent);
+    for id in 0..20 {
+        submit(&mut pool, id, step(4, &[]));
+        let crash_at = pool.now + Duration::from_millis(300);
+        let crash = InjectedFault::CrashExecutor { executor: id as usize % 4, down: Some(down) };
+        pool.fault_at(crash_at, crash);
+        if let Some(instance) = pool.owner().filter(|_| kind.owner_killed) {
+            let kill = InjectedFault::KillInstance { instance, down: Duration::from_secs(2) };
+            pool.fault_at(crash_at + down / 2, kill);
+        }
+        pool.run_until(pool.now + down / 2 + Duration::from_millis(700));
+    }
+    pool.run_until(pool.now + Duration::from_secs(20));
+    std::mem::take(&mut pool.checks.violations)
+}
+
+fn play_all_absences(seeds: std::ops::Range<u64>, kind: CrashKind, guards: JobGuards) -> usize {
+    let mut broken = 0;
+    for millis in ABSENCES_MS {
+        let down = Duration::from_millis(millis);
+        for seed in seeds.clone() {
+            let violations = play_absences(seed, down, kind, guards);
+            if !violations.is_empty() {
+                println!("{kind:?}, {down:?}, seed {seed}: {violations:#?}");
+                broken += 1;
+            }
+        }
+    }
+    broken
+}
+
+// Guards against a task that runs twice, or again after its end: an executor returns after its owner
+// has removed it, and carries out a start that its earlier incarnation had received.
+#[test]
+fn late_orders_are_harmless_after_a_removal() {
+    for kind in CRASH_KINDS {
+        assert_eq!(play_all_absences(0..4, kind, JobGuards::default()), 0);
+    }
+    let guards = JobGuards { fences_earlier_orders: false, ..JobGuards::default() };
+    let down = Duration::from_millis(6_500);
+    assert!((0..4).any(|seed| !play_absences(seed, down, CRASH_KINDS[0], guards).is_empty()));
+}
+
+// Guards against a returned executor that waits for work, since it is fenced, longer than a new one.
+#[test]
+fn returned_executor_gets_work_as_soon_as_a_new_one() {
+    let first_run_after = |returns: bool| {
+        let mut pool = SimulatedPool::new(1, 2, 1);
+        if !returns {
+            pool = pool.with_absent(0..1);
+        }
+        let mut pool = with_lengths(pool, |_| Duration::from_secs(1));
+        let down = Duration::from_secs(9);
+        let restarts = pool.now + down;
+        if returns {
+            let crash = InjectedFault::CrashExecutor { executor: 0, down: Some(down) };
+            pool.fault_at(pool.now, crash);
+        } else {
+            pool.fault_at(restarts, InjectedFault::JoinExecutor { executor: 0 });
+        }
+        pool.run_until(restarts);
+        submit(&mut pool, 1, step(1, &[]));
+        pool.run_until(restarts + Duration::from_secs(2));
+        pool.executors[0].history[0].started - restarts
+    };
+    let (returned, joined) = (first_run_after(true), first_run_after(false));
+    println!("first run after {returned:?}, on a new executor after {joined:?}");
+    assert!(returned <= joined + Duration::from_millis(50), "{returned:?}, {joined:?}");
+}
