Raise the epoch while an executor does not answer

What callers see: as before, a task that runs twice, or again after its end, on an executor that was restarted under its name.

Cause: the epoch was raised once the first reply of a new incarnation had shown the restart. From that reply until the one to a hold of the raised epoch, the executor accepts late orders.

Change: an owner raises its epoch when an executor has not answered two holds in a row, or one if it has not raised it for a second, as long as a start, a lease or an acknowledgement of the current epoch may still be carried out there. The first reply of a new incarnation then fences it, without a further write or wait. Only executors that were not found to be silent are fenced after their reply, as before. Stops no longer count as orders that need a fence: they name a run, and numbers are not used again. A raised epoch serves all executors that need one, so it no longer leaves a request for another.

The simulated pool carried out no late order in the first 0.5 s of an incarnation, since owners took some time to fence it. Now it does from the first reply on.

--- a/crates/cuminbank-jobs/src/order.rs
+++ b/crates/cuminbank-jobs/src/order.rs
@@ -88,9 +88,16 @@
 }
 
 impl OrderRequest {
-    /// Returns whether it only requests a report, and so changes nothing whenever it is carried out.
-    pub fn is_probe(&self) -> bool {
-        matches!(self, Self::Hold { lease_until: None, acknowledged: 0, .. })
+    /// Returns whether it may do harm if a later incarnation of the executor carries it out. A stop
+    /// does not, since it names a run and run numbers are not used again.
+    pub fn affects_later_incarnation(&self) -> bool {
+        match self {
+            Self::Start { .. } => true,
+            Self::Hold { lease_until, acknowledged, .. } => {
+                lease_until.is_some() || *acknowledged > 0
+            }
+            Self::Stop { .. } | Self::Pace { .. } => false,
+        }
     }
 
     /// Returns the end of the lease that it grants, on the executor's clock.
--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -329,6 +329,7 @@
                     );
                     self.log(EXECUTOR_UNREACHABLE, None, detail);
                 }
+                self.fence_unreachable_executor(key);
             }
         }
     }
--- a/crates/cuminbank-jobs/src/scheduler/fencing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/fencing.rs
@@ -20,6 +20,9 @@
 /// Time after which an executor that has returned is contacted although the epoch has not been raised,
 /// so that the runs of late starts on it are reported and stopped.
 const UNFENCED_CONTACT_DELAY: Duration = Duration::from_secs(1);
+/// Interval between raised epochs up to which each failed hold has the epoch raised, since the executor
+/// may be restarting. At shorter intervals, only two in a row have: many holds fail while replies are lost.
+const FENCE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl JobScheduler {
     /// Accounts for the leases that earlier owners may have granted until an executor rejected their
@@ -72,19 +75,33 @@
         self.log(EXECUTOR_RETURNED, None, detail);
     }
 
-    /// Rules out, after a restart, that orders for the earlier incarnation are still carried out: has
-    /// the epoch raised, and waits for a reply to a hold of the new one.
+    /// Has the epoch raised while an executor does not answer, so that its next incarnation rejects
+    /// earlier orders from its first reply on.
+    pub(super) fn fence_unreachable_executor(&mut self, key: ExecutorKey) {
+        let executor = &self.executors[key];
+        let due = executor.hold.failures > 1 || self.now >= self.epoch_raised_at + FENCE_INTERVAL;
+        if due && self.fences_orders() && executor.may_carry_out(self.epoch) {
+            self.journal.epoch_raise_needed = true;
+        }
+    }
+
+    /// Rules out that the orders for earlier incarnations are still carried out, after a reply from an
+    /// executor: unless the reply has a higher epoch than they, has the epoch raised, and waits for a
+    /// reply to a hold of the new one.
     pub(super) fn fence_earlier_orders(&mut self, key: ExecutorKey, restarted: bool) {
-        let fences_orders = self.fences_orders();
+        let restarted = restarted && self.fences_orders();
         let executor = &mut self.executors[key];
-        if restarted && fences_orders {
-            executor.unfenced_epoch = Some(self.epoch);
-            self.journal.epoch_raise_needed = true;
-            return self.cover_earlier_orders(key);
+        if !restarted && executor.unfenced_epoch.is_none() {
+            return;
         }
-        if executor.unfenced_epoch.is_some_and(|epoch| executor.hold.epoch > epoch) {
+        if !executor.may_carry_out(executor.hold.epoch) {
             executor.unfenced_epoch = None;
             self.journal.roster_dirty = true;
+            return self.cover_earlier_orders(key);
+        }
+        if restarted {
+            executor.unfenced_epoch = Some(self.epoch);
+            self.journal.epoch_raise_needed = true;
             self.cover_earlier_orders(key);
         }
     }
@@ -92,8 +109,11 @@
     /// Sends holds of the raised epoch to the executors that wait for it.
     pub(super) fn on_epoch_raised(&mut self, epoch: OwnerEpoch) {
         self.epoch = epoch;
+        self.epoch_raised_at = self.now;
         // Their first hold will be of the raised epoch, whenever they return.
         self.departed_executors.clear();
+        // All executors that need a raised epoch need one above that of orders sent before.
+        self.journal.epoch_raise_needed = false;
         let mut waiting = 0;
         for executor in self.executors.values_mut() {
             if executor.unfenced_epoch.is_some() {
--- a/crates/cuminbank-jobs/src/scheduler/mod.rs
+++ b/crates/cuminbank-jobs/src/scheduler/mod.rs
@@ -255,6 +255,8 @@
     room: Option<RoomState>,
     guards: JobGuards,
     epoch: OwnerEpoch,
+    /// When this owner last raised its epoch.
+    epoch_raised_at: MonotonicTime,
     /// Record of this process, without which the epoch cannot be raised.
     identity: Option<OwnerRecord>,
     /// Number above those of all runs of earlier owners.
@@ -368,6 +370,7 @@
             room: None,
             guards: JobGuards::default(),
             epoch: ownership.epoch,
+            epoch_raised_at: now,
             identity: None,
             run_base: ownership.run_base,
             start_revision: ownership.start_revision,
--- a/crates/cuminbank-jobs/src/scheduler/orders.rs
+++ b/crates/cuminbank-jobs/src/scheduler/orders.rs
@@ -79,7 +79,7 @@
         self.last_order += 1;
         let id = self.last_order;
         let executor = &mut self.executors[pending.executor];
-        if !request.is_probe() {
+        if request.affects_later_incarnation() {
             executor.ordered_epoch = Some(self.epoch);
         }
         let order = ExecutorOrder {
--- a/crates/cuminbank-jobs/src/scheduler/state.rs
+++ b/crates/cuminbank-jobs/src/scheduler/state.rs
@@ -317,7 +317,7 @@
     pub(super) clock: Option<ClockSample>,
     /// Time on this instance's clock by which every lease granted to it has expired.
     pub(super) lease_expires_at: MonotonicTime,
-    /// Epoch of the last order to it other than a probe.
+    /// Epoch of the last order to it that may affect a later incarnation.
     pub(super) ordered_epoch: Option<OwnerEpoch>,
     /// Epoch of orders for its earlier incarnations, which this one may carry out until it has replied
     /// to a hold of a higher epoch. It gets no work and no leases until then.
--- a/crates/cuminbank-jobs/tests/returned_executors.rs
+++ b/crates/cuminbank-jobs/tests/returned_executors.rs
@@ -12,9 +12,11 @@
     waiting::{submit, with_lengths},
 };
 
-/// Absences after which an owner has removed an executor, in milliseconds. After the longest one, no
-/// order of before is still carried out.
-const ABSENCES_MS: [u64; 6] = [6_500, 7_000, 8_000, 9_500, 11_000, 13_000];
+/// Absences of an executor, in milliseconds: from those that its owner hardly notices to those after
+/// which it has been removed. After the longest one, no order of before is still carried out.
+const ABSENCES_MS: [u64; 14] = [
+    200, 500, 1_000, 2_000, 3_000, 4_500, 5_500, 6_000, 6_500, 7_000, 8_000, 9_500, 11_000, 13_000,
+];
 
 /// How executors crash, and whether their owner is lost meanwhile.
 #[derive(Clone, Copy, Debug)]
@@ -67,9 +69,10 @@
 }
 
 // Guards against a task that runs twice, or again after its end: an executor returns after its owner
-// has removed it, and carries out a start that its earlier incarnation had received.
+// has removed it, or has its first reply before the epoch is raised, and then carries out a start that
+// its earlier incarnation had received.
 #[test]
-fn late_orders_are_harmless_after_a_removal() {
+fn late_orders_are_harmless_after_absences_of_any_length() {
     for kind in CRASH_KINDS {
         assert_eq!(play_all_absences(0..4, kind, JobGuards::default()), 0);
     }
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -40,8 +40,6 @@
 pub use self::fates::{FateDecider, MessageFate, MessageKind};
 use crate::support::checks::HistoryChecks;
 
-/// Time after its start by which an owner has fenced an executor, if nothing delays it.
-const FENCE_TIME: Duration = Duration::from_millis(500);
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 const ADVANCE_INTERVAL: Duration = Duration::from_millis(10);
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -555,9 +553,7 @@
             } => {
                 // Nobody can prevent what a later incarnation carries out before its first reply.
                 let executor = &self.executors[executor_index];
-                let carries_out = self.late_orders_cross_restarts
-                    && executor.token > 0
-                    && self.now >= executor.born + FENCE_TIME;
+                let carries_out = self.late_orders_cross_restarts && executor.token > 0;
                 let result = Err(OrderFailure::Replaced);
                 if executor.up && executor.born != incarnation && !carries_out {
                     if !lost {
--- a/crates/cuminbank/src/log.rs
+++ b/crates/cuminbank/src/log.rs
@@ -104,7 +104,7 @@
     EXECUTOR_DRAINING = (736, Info, "An executor is draining and gets no new work.");
     EXECUTOR_REMOVED = (737, Info, "An executor was removed from the pool.");
     ORDER_FOR_EARLIER_INCARNATION = (738, Warn, "An order was not sent, since its lease was for an earlier incarnation of the executor.");
-    EPOCH_RAISED = (739, Info, "The owner of a cell raised its epoch, as executors had restarted.");
+    EPOCH_RAISED = (739, Info, "The owner of a cell raised its epoch, as executors had restarted or did not answer.");
     EXECUTOR_RETURNED = (740, Info, "A removed executor is listed again, and is fenced before it gets work.");
     OWNERSHIP_BEGAN = (741, Info, "The instance became the owner of a cell.");
     OWNERSHIP_RESUMED = (742, Info, "A cell's ownership record was restored in the same epoch.");
