Test what late orders do after each way to drop what is known of them

An order without a reply may be carried out seconds later, and whatever an owner drops meanwhile must not be what kept it harmless. The tests of the class had absences of one length and no cancelled jobs, cut-off executors or planned stops.

The simulated pool can cut an executor off from everything; a crash now ends the runs in the history of an executor.

Late stops, cancelled jobs without a crash and executors that were cut off are harmless by the run numbers, the stop of reported runs and the lease in each order; no safety switch covers these, so that their tests were not seen to fail.

--- a/crates/cuminbank-jobs/tests/support/exploration.rs
+++ b/crates/cuminbank-jobs/tests/support/exploration.rs
@@ -196,6 +196,7 @@
         InjectedFault::FreezeInstance { span, .. }
         | InjectedFault::CutFromStore { span, .. }
         | InjectedFault::CutFromExecutors { span, .. }
+        | InjectedFault::CutOffExecutor { span, .. }
         | InjectedFault::EvacuateZone { span, .. } => *span,
         InjectedFault::CrashExecutor { down: Some(down), .. } => *down,
         _ => Duration::from_secs(4),
--- a/crates/cuminbank-jobs/tests/support/simulation/faults.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/faults.rs
@@ -32,6 +32,19 @@
                 let cut = &mut self.instances[instance].executors_cut;
                 cut.extend(executors.into_iter().map(|executor| (executor, until)));
             }
+            InjectedFault::CutOffExecutor { executor, span } => {
+                let until = self.now + span;
+                for instance in &mut self.instances {
+                    instance.executors_cut.insert(executor, until);
+                }
+                self.silent_since[executor].get_or_insert(self.now);
+                self.push(until, Action::Fault(InjectedFault::RelistExecutor { executor }));
+            }
+            InjectedFault::RelistExecutor { executor } => {
+                if self.executors[executor].up {
+                    self.silent_since[executor] = None;
+                }
+            }
             // Crashes an executor that is up, and restarts one that is down unless it has left.
             InjectedFault::CrashExecutor { executor, down } => {
                 match (self.executors[executor].up, down) {
@@ -42,7 +55,7 @@
                     }
                     (false, _) => {}
                     (true, down) => {
-                        self.executors[executor].crash();
+                        self.executors[executor].crash(self.now);
                         self.silent_since[executor] = Some(self.now);
                         match down {
                             Some(down) => self.push(
@@ -76,7 +89,7 @@
             }
             InjectedFault::RemoveExecutor { executor } => {
                 if self.removed_executors.insert(executor) && self.executors[executor].up {
-                    self.executors[executor].crash();
+                    self.executors[executor].crash(self.now);
                     self.silent_since[executor] = Some(self.now);
                 }
             }
--- a/crates/cuminbank-jobs/tests/support/simulation/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/mod.rs
@@ -156,6 +156,10 @@
     RevokeOwner,
     /// Cuts a process off from some executors.
     CutFromExecutors { instance: usize, executors: Vec<usize>, span: Duration },
+    /// Cuts an executor off from the store and all instances. It keeps running.
+    CutOffExecutor { executor: usize, span: Duration },
+    /// Lists an executor again that was cut off, if it is up.
+    RelistExecutor { executor: usize },
     /// Crashes an executor that is up and restarts it after `down`, or never. Restarts one that is
     /// down unless it has left.
     CrashExecutor { executor: usize, down: Option<Duration> },
--- a/crates/cuminbank-jobs/tests/support/simulation/waits.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/waits.rs
@@ -17,6 +17,7 @@
             InjectedFault::FreezeInstance { span, .. }
             | InjectedFault::CutFromStore { span, .. }
             | InjectedFault::CutFromExecutors { span, .. }
+            | InjectedFault::CutOffExecutor { span, .. }
             | InjectedFault::FailStarts { span, .. } => *span,
             InjectedFault::StopInstance { .. }
             | InjectedFault::RevokeOwner
@@ -24,6 +25,7 @@
             InjectedFault::DrainExecutor { .. }
             | InjectedFault::RemoveExecutor { .. }
             | InjectedFault::JoinExecutor { .. }
+            | InjectedFault::RelistExecutor { .. }
             | InjectedFault::EvacuateZone { .. }
             | InjectedFault::ReopenZone { .. } => return,
         };
