Give a restarted executor work although its holds acknowledge ends

What callers would have seen: less capacity for as long as the owner stays.

If the new incarnation has an ended run, each further hold acknowledges it, so that no hold ever had a higher epoch.

Change: what has to be fenced is the epoch of the orders sent until the restart was noticed, and no longer follows those sent since.

Result: restarted_executor_with_ended_runs_gets_work_again fails before (1 of 2 executors usable after 2 s).

--- a/crates/cuminbank-jobs/src/scheduler/fencing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/fencing.rs
@@ -85,22 +85,21 @@
         }
     }
 
-    /// Rules out that the orders for earlier incarnations are still carried out, after a reply from an
-    /// executor: unless the reply has a higher epoch than they, has the epoch raised, and waits for a
+    /// Rules out, after a reply, that orders for earlier incarnations of the executor are carried out
+    /// from now on. If the reply was to a hold of their epoch, has the epoch raised and waits for a
     /// reply to a hold of the new one.
     pub(super) fn fence_earlier_orders(&mut self, key: ExecutorKey, restarted: bool) {
-        let restarted = restarted && self.fences_orders();
+        let fences_orders = self.fences_orders();
         let executor = &mut self.executors[key];
-        if !restarted && executor.unfenced_epoch.is_none() {
-            return;
+        if restarted && fences_orders {
+            executor.unfenced_epoch = executor.unfenced_epoch.max(executor.ordered_epoch);
         }
-        if !executor.may_carry_out(executor.hold.epoch) {
+        let Some(unfenced_epoch) = executor.unfenced_epoch else { return };
+        if executor.hold.epoch > unfenced_epoch {
             executor.unfenced_epoch = None;
             self.journal.roster_dirty = true;
-            return self.cover_earlier_orders(key);
-        }
-        if restarted {
-            executor.unfenced_epoch = Some(self.epoch);
+            self.cover_earlier_orders(key);
+        } else if restarted {
             self.journal.epoch_raise_needed = true;
             self.cover_earlier_orders(key);
         }
--- a/crates/cuminbank-jobs/tests/departed_executors.rs
+++ b/crates/cuminbank-jobs/tests/departed_executors.rs
@@ -6,7 +6,8 @@
 
 use cuminbank_jobs::{
     ids::{MonotonicTime, OwnerEpoch, StoreRevision},
-    order::{ExecutorOrder, OrderFailure, OrderReply, OrderRequest},
+    job::TaskName,
+    order::{ExecutorOrder, OrderFailure, OrderReply, OrderRequest, RunEnd},
     ownership::OwnerRecord,
     scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds, TICK_INTERVAL},
     store::TxnOutcome,
@@ -22,6 +23,9 @@
     retention: Duration::from_secs(120),
 };
 
+/// Run time of tasks.
+const RUN_TIME: Duration = Duration::from_millis(10);
+
 /// Scheduler with executors that answer at once, and a store that accepts each write.
 struct OwnerDriver {
     scheduler: JobScheduler,
@@ -52,7 +56,7 @@
             holds: Vec::new(),
             now: START,
             revision: held.start_revision,
-            behavior: Box::new(|_, _| unreachable!("no job is submitted")),
+            behavior: Box::new(|_, _| (Some(RUN_TIME), RunEnd::Done)),
         };
         driver.apply(JobEvent::Loaded {
             items: Vec::new(),
@@ -163,3 +167,40 @@
     assert_eq!(driver.scheduler.counts().known, 0);
     assert!(driver.scheduler.counts().departed <= 1_024);
 }
+
+// Guards against a restarted executor that gets no work for good: it lists an end from before its first
+// reply, so that all further holds acknowledge ends.
+#[test]
+fn restarted_executor_with_ended_runs_gets_work_again() {
+    let mut driver = OwnerDriver::new(2);
+    driver.run_for(Duration::from_secs(1));
+    let epoch = *driver.hold_epochs("e1").last().expect("it was contacted");
+    let now = driver.now;
+    let executor = &mut driver.executors[1];
+    executor.crash(now);
+    executor.restart(now);
+    let task = TaskName { job: 1, occurrence: 0, step: 0, index: 0 };
+    let request = OrderRequest::Start {
+        task,
+        run: 1,
+        payload: "p".to_owned(),
+        lease_until: 5_000,
+        checkpoint: None,
+        ticket: None,
+    };
+    let late_start = ExecutorOrder {
+        id: 0,
+        executor: "e1".to_owned(),
+        address: executor.report().address,
+        epoch,
+        request,
+        timeout: Duration::ZERO,
+        valid_until: now,
+    };
+    executor.handle_order(now, &late_start, &mut driver.behavior);
+    executor.advance(now + RUN_TIME);
+    assert_eq!(executor.ended.len(), 1);
+    driver.run_for(Duration::from_secs(2));
+    assert!(driver.executors[1].ended.is_empty());
+    assert_eq!(driver.scheduler.counts().usable, 2);
+}
--- a/crates/cuminbank-jobs/tests/returned_executors.rs
+++ b/crates/cuminbank-jobs/tests/returned_executors.rs
@@ -9,7 +9,7 @@
 use support::{
     jobs::step,
     simulation::{InjectedFault, MessageLosses, SimulatedPool},
-    waiting::{submit, with_lengths},
+    waiting::{long_running, submit, with_lengths, LASTING, LASTING_JOB},
 };
 
 /// Absences of an executor, in milliseconds: from those that its owner hardly notices to those after
@@ -32,10 +32,13 @@
 ];
 
 /// Crashes executors in turn for `down` each, while a fifth of all orders is carried out late. Returns
-/// the violations.
+/// the violations, and the executors that get no work when the orders are no longer late.
 fn play_absences(seed: u64, down: Duration, kind: CrashKind, guards: JobGuards) -> Vec<String> {
     let pool = SimulatedPool::new(seed, 2, 4).with_guards(guards);
-    let mut pool = with_lengths(pool, |_| Duration::from_secs(1));
+    let mut pool = with_lengths(pool, |task| match task.job {
+        LASTING_JOB => LASTING,
+        _ => Duration::from_secs(1),
+    });
     pool.losses = MessageLosses { orders_late: 20, ..MessageLosses::default() };
     (pool.late_orders_cross_restarts, pool.silent_crashes) = (true, kind.silent);
     for id in 0..20 {
@@ -50,7 +53,13 @@
         pool.run_until(pool.now + down / 2 + Duration::from_millis(700));
     }
     pool.run_until(pool.now + Duration::from_secs(20));
-    std::mem::take(&mut pool.checks.violations)
+    pool.losses = MessageLosses::default();
+    submit(&mut pool, LASTING_JOB, long_running(32));
+    pool.run_until(pool.now + Duration::from_secs(4));
+    let mut violations = std::mem::take(&mut pool.checks.violations);
+    let idle = pool.executors.iter().filter(|executor| executor.running.is_empty());
+    violations.extend(idle.map(|executor| format!("{} gets no work", executor.name)));
+    violations
 }
 
 fn play_all_absences(seeds: std::ops::Range<u64>, kind: CrashKind, guards: JobGuards) -> usize {
