--- a/crates/cuminbank-jobd/tests/returning_executors.rs
+++ b/crates/cuminbank-jobd/tests/returning_executors.rs
@@ -25,6 +25,11 @@
 const INSTANCES: u16 = 3;
 /// Duration of the phase in which faults are injected. Longer than the longest absence.
 const FAULT_PHASE: Duration = Duration::from_secs(22);
+/// Percentage of the orders that are carried out late.
+const LATE_SHARE: u32 = 20;
+/// Time limit for completing all accepted jobs after the last fault has ended.
+const COMPLETION_LIMIT: Duration = Duration::from_secs(60);
+
 /// Faults of one seed.
 struct FaultPlan {
     /// Absences of executors, in milliseconds.
@@ -48,11 +53,6 @@
     }
 }
 
-/// Percentage of the orders that are carried out late.
-const LATE_SHARE: u32 = 20;
-/// Time limit for completing all accepted jobs after the last fault has ended.
-const COMPLETION_LIMIT: Duration = Duration::from_secs(60);
-
 /// Action that ends a fault of an instance.
 #[derive(Clone, Copy)]
 enum InstanceRepair {
--- a/crates/cuminbank-jobs/tests/late_orders.rs
+++ b/crates/cuminbank-jobs/tests/late_orders.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use support::{
     jobs::step,
+    seed_count,
     simulation::{InjectedFault, MessageFate, MessageKind, MessageLosses, SimulatedPool},
     waiting::{long_running, submit, with_lengths, LASTING, LASTING_JOB},
 };
@@ -126,8 +127,7 @@
 
     /// Checks that nothing is violated, and that the plays would show it without a safety mechanism.
     fn check(&self, mutation: Option<JobGuards>) {
-        let seeds = std::env::var("CUMINBANK_SEEDS").ok().and_then(|text| text.parse().ok());
-        let seeds = 0..seeds.unwrap_or(3);
+        let seeds = 0..seed_count(3);
         assert_eq!(self.count_broken(seeds.clone(), JobGuards::default()), 0);
         let Some(guards) = mutation else { return };
         assert!(self.count_broken(seeds, guards) > 0);
--- a/crates/cuminbank-jobs/tests/returned_executors.rs
+++ b/crates/cuminbank-jobs/tests/returned_executors.rs
@@ -8,6 +8,7 @@
 use cuminbank_jobs::guards::JobGuards;
 use support::{
     jobs::step,
+    seed_count,
     simulation::{InjectedFault, MessageLosses, SimulatedPool},
     waiting::{long_running, submit, with_lengths, LASTING, LASTING_JOB},
 };
@@ -83,7 +84,7 @@
 #[test]
 fn late_orders_are_harmless_after_absences_of_any_length() {
     for kind in CRASH_KINDS {
-        assert_eq!(play_all_absences(0..4, kind, JobGuards::default()), 0);
+        assert_eq!(play_all_absences(0..seed_count(4), kind, JobGuards::default()), 0);
     }
     let guards = JobGuards { fences_earlier_orders: false, ..JobGuards::default() };
     let down = Duration::from_millis(6_500);
--- a/crates/cuminbank-jobs/tests/support/mod.rs
+++ b/crates/cuminbank-jobs/tests/support/mod.rs
@@ -15,3 +15,8 @@
 pub mod swinging_load;
 pub mod two_cells;
 pub mod waiting;
+
+/// Returns the number of seeds to run: `CUMINBANK_SEEDS` if set, otherwise the default.
+pub fn seed_count(default: u64) -> u64 {
+    std::env::var("CUMINBANK_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
