Say when a failed hold has the epoch raised, and why a first reply has not

Cause: the comment on the interval could be read either way, and the condition at the first reply had none.

Change: comments only.

Result: no change of behaviour.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -357,6 +357,7 @@
         if first {
             self.cover_earlier_leases(key, restarted);
         }
+        // Until the first reply, this owner has sent nothing that needs a fence.
         self.fence_earlier_orders(key, restarted && !first);
         if failures > 0 || first || restarted {
             self.executors[key].in_contact_since = now;
--- a/crates/cuminbank-jobs/src/scheduler/fencing.rs
+++ b/crates/cuminbank-jobs/src/scheduler/fencing.rs
@@ -20,8 +20,8 @@
 /// Time after which an executor that has returned is contacted although the epoch has not been raised,
 /// so that the runs of late starts on it are reported and stopped.
 const UNFENCED_CONTACT_DELAY: Duration = Duration::from_secs(1);
-/// Interval between raised epochs up to which each failed hold has the epoch raised, since the executor
-/// may be restarting. At shorter intervals, only two in a row have: many holds fail while replies are lost.
+/// Time since the last raised epoch after which a single failed hold has the epoch raised, since the
+/// executor may be restarting. Within it two in a row are needed, as many fail while replies are lost.
 const FENCE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl JobScheduler {
@@ -48,6 +48,7 @@
             executor.lease_expires_at.max(executor.earlier_orders_expire_at);
     }
 
+    /// Returns whether executors are fenced. Without an identity the epoch cannot be raised.
     fn fences_orders(&self) -> bool {
         self.identity.is_some() && self.guards.fences_earlier_orders
     }
