Share the ends of faults and the choice of seeds between the soaks

Cause: returning_executors wrote again what soak.rs had: the actions that end a fault, the list of those that are due, the flag that stops the clients, and the reading of CUMINBANK_SOAK_SEED and _SEEDS.

Change: these are in tests/support/soak.rs, and both soaks call them. The random numbers are drawn in the same order, and the seeds, limits and assertions stay.

--- a/crates/cuminbank-jobd/tests/returning_executors.rs
+++ b/crates/cuminbank-jobd/tests/returning_executors.rs
@@ -8,7 +8,7 @@
 
 use std::{
     ops::Range,
-    sync::atomic::{AtomicBool, Ordering},
+    sync::atomic::AtomicBool,
     thread,
     time::{Duration, Instant},
 };
@@ -19,6 +19,7 @@
     call,
     history::{incomplete_jobs, submit_jobs, violations, wait_for_jobs, LoadRecord, TASK_MS},
     proxy::LinkMode,
+    soak::{soak_seeds, FaultEnd, OpenFaults, StopOnDrop},
     Deployment, PoolShape, EXECUTORS,
 };
 
@@ -53,14 +54,6 @@
     }
 }
 
-/// Action that ends a fault of an instance.
-#[derive(Clone, Copy)]
-enum InstanceRepair {
-    Continue(usize),
-    Restart(usize),
-    StoreLink(usize),
-}
-
 fn tell_standin(deployment: &Deployment, path: &str) {
     call(deployment.store, "GET", path, "").expect("the stand-in replies");
 }
@@ -69,7 +62,7 @@
 fn begin_instance_fault(
     deployment: &mut Deployment,
     random: &mut StdRng,
-) -> Option<(Duration, InstanceRepair)> {
+) -> Option<(Duration, FaultEnd)> {
     let owner = deployment.live_owners().first().copied();
     let any = random.random_range(0..deployment.instances.len());
     let instance = owner.filter(|_| random.random_bool(0.7)).unwrap_or(any);
@@ -81,71 +74,41 @@
     Some(match random.random_range(0..4) {
         0 => {
             process.kill();
-            (span / 4, InstanceRepair::Restart(instance))
+            (span / 4, FaultEnd::Restart(instance))
         }
         1 => {
             process.signal(Signal::SIGTERM);
-            (span, InstanceRepair::Restart(instance))
+            (span, FaultEnd::Restart(instance))
         }
         2 => {
             process.signal(Signal::SIGSTOP);
-            (span, InstanceRepair::Continue(instance))
+            (span, FaultEnd::Continue(instance))
         }
         _ => {
             deployment.store_links[instance].set(LinkMode::Silent);
-            (span, InstanceRepair::StoreLink(instance))
+            (span, FaultEnd::StoreLink(instance))
         }
     })
 }
 
-fn repair(deployment: &mut Deployment, action: InstanceRepair) {
-    match action {
-        InstanceRepair::Continue(instance) => {
-            if !deployment.instances[instance].has_exited() {
-                deployment.instances[instance].signal(Signal::SIGCONT);
-            }
-        }
-        InstanceRepair::Restart(instance) => {
-            deployment.instances[instance].kill();
-            deployment.instances[instance].restart();
-        }
-        InstanceRepair::StoreLink(instance) => {
-            deployment.store_links[instance].set(LinkMode::Pass);
-        }
-    }
-}
-
 /// Crashes executors, and disturbs instances beside it if the plan says so.
 fn inject_faults(deployment: &mut Deployment, random: &mut StdRng, plan: &FaultPlan) {
     let started = Instant::now();
-    let mut repairs: Vec<(Instant, InstanceRepair)> = Vec::new();
+    let mut faults = OpenFaults::default();
     let mut next_instance_fault = started + Duration::from_secs(3);
     while started.elapsed() < FAULT_PHASE {
         thread::sleep(Duration::from_millis(random.random_range(plan.pause_ms.clone())));
         let now = Instant::now();
-        let (due, later) = repairs.into_iter().partition(|(at, _)| *at <= now);
-        repairs = later;
-        let due: Vec<(Instant, InstanceRepair)> = due;
-        due.iter().for_each(|(_, action)| repair(deployment, *action));
+        faults.end_due(deployment, now);
         let executor = random.random_range(0..EXECUTORS);
         let absence = random.random_range(plan.absence_ms.clone());
         tell_standin(deployment, &format!("/standin/crash?executor={executor}&ms={absence}"));
         if plan.on_instances && now >= next_instance_fault {
             next_instance_fault = now + Duration::from_millis(random.random_range(2_000..9_000));
-            let begun = begin_instance_fault(deployment, random);
-            repairs.extend(begun.map(|(span, action)| (now + span, action)));
+            faults.add(now, begin_instance_fault(deployment, random));
         }
     }
-    repairs.iter().for_each(|(_, action)| repair(deployment, *action));
-}
-
-/// Sets a flag when it is dropped.
-struct StopOnDrop<'a>(&'a AtomicBool);
-
-impl Drop for StopOnDrop<'_> {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
+    faults.end_all(deployment);
 }
 
 fn run_seed(seed: u64) {
@@ -186,12 +149,5 @@
 // executor is carried out by a later one.
 #[test]
 fn guarantees_hold_while_executors_return() {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
-    if let Some(seed) = number("CUMINBANK_SOAK_SEED") {
-        return run_seed(seed);
-    }
-    match number("CUMINBANK_SOAK_SEEDS") {
-        Some(count) => (0..count).for_each(|_| run_seed(rand::random())),
-        None => [2, 18].into_iter().for_each(run_seed),
-    }
+    soak_seeds(&[], &[2, 18]).into_iter().for_each(run_seed);
 }
--- a/crates/cuminbank-jobd/tests/soak.rs
+++ b/crates/cuminbank-jobd/tests/soak.rs
@@ -6,10 +6,7 @@
 mod support;
 
 use std::{
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Mutex,
-    },
+    sync::{atomic::AtomicBool, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -23,6 +20,7 @@
     history::{incomplete_jobs, submit_jobs, violations, wait_for_jobs, LoadRecord, TASK_MS},
     misbehaving::{find_excess, flood_ports},
     proxy::LinkMode,
+    soak::{soak_seeds, FaultEnd, OpenFaults, StopOnDrop},
     Deployment, PoolShape,
 };
 
@@ -38,15 +36,6 @@
 /// system's ephemeral range, another test run took them, and the processes could not start again.
 const REGRESSION_SEEDS: [u64; 1] = [321];
 
-/// Action that ends a fault, with the number of the instance or executor.
-enum FaultEnd {
-    Continue(usize),
-    Restart(usize),
-    StoreLink(usize),
-    AllStoreLinks,
-    ExecutorLink(usize),
-}
-
 /// Starts a random fault. Returns the actions that end it, each with its delay.
 fn begin_fault(deployment: &mut Deployment, random: &mut StdRng) -> Vec<(Duration, FaultEnd)> {
     let instance = random.random_range(0..deployment.instances.len());
@@ -103,58 +92,23 @@
     }
 }
 
-fn end_fault(deployment: &mut Deployment, end: &FaultEnd) {
-    match *end {
-        FaultEnd::Continue(instance) => {
-            if !deployment.instances[instance].has_exited() {
-                deployment.instances[instance].signal(Signal::SIGCONT);
-            }
-        }
-        FaultEnd::Restart(instance) => {
-            // Like the platform, kills a process that takes long to stop.
-            deployment.instances[instance].kill();
-            deployment.instances[instance].restart();
-        }
-        FaultEnd::AllStoreLinks => {
-            deployment.store_links.iter().for_each(|link| link.set(LinkMode::Pass));
-        }
-        FaultEnd::StoreLink(instance) => deployment.store_links[instance].set(LinkMode::Pass),
-        FaultEnd::ExecutorLink(executor) => {
-            deployment.executor_links[executor].set(LinkMode::Pass);
-        }
-    }
-}
-
 /// Injects overlapping random faults for [`FAULT_PHASE`] and then ends all of them. Returns the instances
 /// that held too much memory meanwhile.
 fn inject_faults(deployment: &mut Deployment, random: &mut StdRng) -> Vec<String> {
     let mut excess = Vec::new();
     let started = Instant::now();
-    let mut ends: Vec<(Instant, FaultEnd)> = Vec::new();
+    let mut faults = OpenFaults::default();
     while started.elapsed() < FAULT_PHASE {
         thread::sleep(Duration::from_millis(random.random_range(100..900)));
         let now = Instant::now();
-        let (due, later) = ends.into_iter().partition(|(at, _)| *at <= now);
-        ends = later;
-        let due: Vec<(Instant, FaultEnd)> = due;
-        due.iter().for_each(|(_, end)| end_fault(deployment, end));
-        let begun = begin_fault(deployment, random);
-        ends.extend(begun.into_iter().map(|(span, end)| (now + span, end)));
+        faults.end_due(deployment, now);
+        faults.add(now, begin_fault(deployment, random));
         excess.extend(find_excess(deployment, MEMORY_MB));
     }
-    ends.iter().for_each(|(_, end)| end_fault(deployment, end));
+    faults.end_all(deployment);
     excess
 }
 
-/// Sets a flag when it is dropped.
-struct StopOnDrop<'a>(&'a AtomicBool);
-
-impl Drop for StopOnDrop<'_> {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 fn run_seed(seed: u64) {
     // Half of the seeds divide the pool into two cells with separate owners, half of them make the
     // owners relay their starts, and half of them let jobs move between the cells.
@@ -210,13 +164,5 @@
 // and frozen, links are slow, reset or silent, and clients flood the ports, also at the same time.
 #[test]
 fn guarantees_hold_under_random_faults() {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
-    if let Some(seed) = number("CUMINBANK_SOAK_SEED") {
-        return run_seed(seed);
-    }
-    REGRESSION_SEEDS.into_iter().for_each(run_seed);
-    match number("CUMINBANK_SOAK_SEEDS") {
-        Some(count) => (0..count).for_each(|_| run_seed(rand::random())),
-        None => [1, 2, 4].into_iter().for_each(run_seed),
-    }
+    soak_seeds(&REGRESSION_SEEDS, &[1, 2, 4]).into_iter().for_each(run_seed);
 }
--- a/crates/cuminbank-jobd/tests/support/mod.rs
+++ b/crates/cuminbank-jobd/tests/support/mod.rs
@@ -13,6 +13,7 @@
 #[path = "../../../cuminbank-entry/tests/support/ports.rs"]
 pub mod ports;
 pub mod proxy;
+pub mod soak;
 
 use std::{
     fs,
