Share the pieces that the tests of late orders wrote again

Cause: late_orders and returned_executors had the same loop over spans and seeds, departed_executors a further copy of the bounds of a lone scheduler, history its own reading of CUMINBANK_SEEDS, and the delay of late orders stood in three places. late_orders also set losses to the value that they have anyway.

The reason of a removal for another executor at the address is written once. Bounds, seeds and assertions stay.

--- a/crates/cuminbank-jobs/src/scheduler/contact.rs
+++ b/crates/cuminbank-jobs/src/scheduler/contact.rs
@@ -313,8 +313,9 @@
         match result {
             Ok(OrderReply::Held(report)) if report.clock <= MAX_CLOCK => self.on_held(key, report),
             Err(OrderFailure::Replaced) => {
-                self.expire_runs(key, "address belongs to another executor");
-                self.remove_executor(key, "address belongs to another executor");
+                let reason = "address belongs to another executor";
+                self.expire_runs(key, reason);
+                self.remove_executor(key, reason);
             }
             other => {
                 let executor = &mut self.executors[key];
--- a/crates/cuminbank-jobs/tests/departed_executors.rs
+++ b/crates/cuminbank-jobs/tests/departed_executors.rs
@@ -9,19 +9,13 @@
     job::TaskName,
     order::{ExecutorOrder, OrderFailure, OrderReply, OrderRequest, RunEnd},
     ownership::OwnerRecord,
-    scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds, TICK_INTERVAL},
+    scheduler::{JobEffect, JobEvent, JobScheduler, TICK_INTERVAL},
     store::TxnOutcome,
 };
 use cuminbank_platform_standin::executor::{FakeExecutor, StartBehavior};
-use support::ownership::held_ownership;
+use support::ownership::{held_ownership, BOUNDS};
 
 const START: MonotonicTime = Duration::from_secs(10);
-const BOUNDS: SchedulerBounds = SchedulerBounds {
-    max_lease: Duration::from_secs(6),
-    stop_timeout: Duration::from_millis(200),
-    max_violation_time: Duration::from_secs(4),
-    retention: Duration::from_secs(120),
-};
 
 /// Run time of tasks.
 const RUN_TIME: Duration = Duration::from_millis(10);
--- a/crates/cuminbank-jobs/tests/garbled.rs
+++ b/crates/cuminbank-jobs/tests/garbled.rs
@@ -16,12 +16,12 @@
     ownership::OwnerRecord,
     peer::{PeerReply, PeerRequest},
     progress::{JobProgress, TaskProgress},
-    scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
+    scheduler::{JobEffect, JobEvent, JobScheduler},
     store::{decode_value, encode_value, StoreItem, TxnOutcome},
 };
 use cuminbank_platform_standin::executor::{FakeExecutor, StartBehavior};
 use proptest::prelude::*;
-use support::ownership::held_ownership;
+use support::ownership::{held_ownership, BOUNDS};
 
 const START: Duration = Duration::from_secs(10);
 const FIXTURES: &str = include_str!("formats/unversioned.txt");
@@ -78,13 +78,7 @@
 /// numbers of the logged events.
 fn load(values: Vec<(String, Vec<u8>)>) -> BTreeSet<u16> {
     let mut logged = BTreeSet::new();
-    let bounds = SchedulerBounds {
-        max_lease: Duration::from_secs(6),
-        stop_timeout: Duration::from_millis(200),
-        max_violation_time: Duration::from_secs(4),
-        retention: Duration::from_secs(120),
-    };
-    let mut scheduler = JobScheduler::new(bounds, &held_ownership(START), START);
+    let mut scheduler = JobScheduler::new(BOUNDS, &held_ownership(START), START);
     let item = |(key, value)| StoreItem { key, value, revision: 1, created: 1 };
     let items = values.into_iter().map(item).collect();
     let mut executor = FakeExecutor::new("e", 1_000);
--- a/crates/cuminbank-jobs/tests/history.rs
+++ b/crates/cuminbank-jobs/tests/history.rs
@@ -11,16 +11,15 @@
 use rand_chacha::ChaCha8Rng;
 use support::{
     jobs::{job, step},
+    seed_count,
     simulation::{InjectedFault, MessageLosses, SimulatedPool},
 };
 
 const FAULTS_UNTIL: Duration = Duration::from_secs(32);
 const END: Duration = Duration::from_secs(75);
 
-/// Number of seeds to run. Set `CUMINBANK_SEEDS` to run more.
-fn seeds() -> u64 {
-    std::env::var("CUMINBANK_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(40)
-}
+/// Number of seeds to run by default.
+const SEEDS: u64 = 40;
 
 fn random_fault(pool: &mut SimulatedPool, instances: u64, executors: u64) -> InjectedFault {
     let instance = pool.random_number(0..instances) as usize;
@@ -112,7 +111,7 @@
 // faults.
 #[test]
 fn guarantees_are_kept_under_faults() {
-    for seed in 0..seeds() {
+    for seed in 0..seed_count(SEEDS) {
         let pool = simulate(seed, JobGuards::default(), 14);
         assert!(pool.checks.violations.is_empty(), "{}", describe_violations(seed, &pool));
     }
@@ -122,7 +121,7 @@
 // runs.
 #[test]
 fn guarantees_are_kept_for_long_runs_under_faults() {
-    for seed in 0..seeds() {
+    for seed in 0..seed_count(SEEDS) {
         let pool = simulate_long_runs(seed);
         assert!(pool.checks.violations.is_empty(), "{}", describe_violations(seed, &pool));
     }
--- a/crates/cuminbank-jobs/tests/journal.rs
+++ b/crates/cuminbank-jobs/tests/journal.rs
@@ -9,24 +9,18 @@
     job::{JobOutcome, JobPhase},
     keys::CellKeys,
     order::RunEnd,
-    scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
+    scheduler::{JobEffect, JobEvent, JobScheduler},
     store::{encode_value, StoreChange, StoreFailure, StoreItem, StorePut, StoreTxn, TxnOutcome},
 };
 use cuminbank_platform_standin::executor::FakeExecutor;
 use support::{
     jobs::{job, step},
-    ownership::held_ownership,
+    ownership::{held_ownership, BOUNDS},
     simulation::SimulatedPool,
 };
 
 const START: MonotonicTime = Duration::from_secs(10);
 const JOB: JobId = 7;
-const BOUNDS: SchedulerBounds = SchedulerBounds {
-    max_lease: Duration::from_secs(6),
-    stop_timeout: Duration::from_millis(200),
-    max_violation_time: Duration::from_secs(4),
-    retention: Duration::from_secs(120),
-};
 
 fn commits(effects: &[JobEffect]) -> Vec<WriteId> {
     let ids = effects.iter().filter_map(|effect| match effect {
--- a/crates/cuminbank-jobs/tests/late_orders.rs
+++ b/crates/cuminbank-jobs/tests/late_orders.rs
@@ -3,15 +3,17 @@
 
 mod support;
 
-use std::{ops::Range, time::Duration};
+use std::time::Duration;
 
 use cuminbank_jobs::{guards::JobGuards, job::JobStep};
+use cuminbank_platform_standin::executor::LATE_DELAY_MS;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::{
+    checks::count_broken,
     jobs::step,
     seed_count,
-    simulation::{InjectedFault, MessageFate, MessageKind, MessageLosses, SimulatedPool},
+    simulation::{InjectedFault, MessageFate, MessageKind, SimulatedPool},
     waiting::{long_running, submit, with_lengths, LASTING, LASTING_JOB},
 };
 
@@ -60,7 +62,7 @@
         let (late, mut random) = (self.late, ChaCha8Rng::seed_from_u64(!seed));
         let pool = SimulatedPool::new(seed, 3, EXECUTORS).with_guards(guards).with_decider(
             Box::new(move |_, kind| {
-                let delay = Duration::from_millis(random.random_range(2_000..12_000));
+                let delay = Duration::from_millis(random.random_range(LATE_DELAY_MS));
                 match late.contains(&kind) && random.random_range(0..100) < LATE_SHARE {
                     true => MessageFate::RequestDelayed(delay),
                     false => MessageFate::Delivered,
@@ -71,7 +73,6 @@
             LASTING_JOB => LASTING,
             _ => RUN_TIME,
         });
-        pool.losses = MessageLosses::default();
         pool.late_orders_cross_restarts = true;
         submit(&mut pool, LASTING_JOB, long_running(3));
         let mut violations = Vec::new();
@@ -111,26 +112,15 @@
         pool.run_until(end.max(pool.now));
     }
 
-    fn count_broken(&self, seeds: Range<u64>, guards: JobGuards) -> usize {
-        let mut broken = 0;
-        for span in SPANS_MS.map(Duration::from_millis) {
-            for seed in seeds.clone() {
-                let violations = self.play(seed, span, guards);
-                if !violations.is_empty() {
-                    println!("{span:?}, seed {seed}: {violations:#?}");
-                    broken += 1;
-                }
-            }
-        }
-        broken
-    }
-
     /// Checks that nothing is violated, and that the plays would show it without a safety mechanism.
     fn check(&self, mutation: Option<JobGuards>) {
         let seeds = 0..seed_count(3);
-        assert_eq!(self.count_broken(seeds.clone(), JobGuards::default()), 0);
+        let count = |guards| {
+            count_broken(&SPANS_MS, seeds.clone(), |seed, span| self.play(seed, span, guards))
+        };
+        assert_eq!(count(JobGuards::default()), 0);
         let Some(guards) = mutation else { return };
-        assert!(self.count_broken(seeds, guards) > 0);
+        assert!(count(guards) > 0);
     }
 }
 
--- a/crates/cuminbank-jobs/tests/malformed.rs
+++ b/crates/cuminbank-jobs/tests/malformed.rs
@@ -9,7 +9,7 @@
     keys::CellKeys,
     order::{EndReport, HoldReport, OrderReply, OrderRequest, RunEnd, RunReport},
     ownership::HeldOwnership,
-    scheduler::{JobEffect, JobEvent, JobScheduler, SchedulerBounds},
+    scheduler::{JobEffect, JobEvent, JobScheduler},
     store::{encode_value, StoreChange, StoreFailure, StoreItem, TxnOutcome},
 };
 use cuminbank_platform_standin::executor::FakeExecutor;
@@ -18,7 +18,7 @@
 use support::{
     extremes::extreme_value,
     jobs::{job, step},
-    ownership::held_ownership,
+    ownership::{held_ownership, BOUNDS},
 };
 
 const START: Duration = Duration::from_secs(11);
@@ -53,13 +53,7 @@
 }
 
 fn scheduler(ownership: &HeldOwnership) -> JobScheduler {
-    let bounds = SchedulerBounds {
-        max_lease: Duration::from_secs(6),
-        stop_timeout: Duration::from_millis(200),
-        max_violation_time: Duration::from_secs(4),
-        retention: Duration::from_secs(120),
-    };
-    JobScheduler::new(bounds, ownership, START)
+    JobScheduler::new(BOUNDS, ownership, START)
 }
 
 // Guards against a reply of an executor or a job of a client that crashes the owner. The job is
--- a/crates/cuminbank-jobs/tests/returned_executors.rs
+++ b/crates/cuminbank-jobs/tests/returned_executors.rs
@@ -7,6 +7,7 @@
 
 use cuminbank_jobs::guards::JobGuards;
 use support::{
+    checks::count_broken,
     jobs::step,
     seed_count,
     simulation::{InjectedFault, MessageLosses, SimulatedPool},
@@ -63,28 +64,14 @@
     violations
 }
 
-fn play_all_absences(seeds: std::ops::Range<u64>, kind: CrashKind, guards: JobGuards) -> usize {
-    let mut broken = 0;
-    for millis in ABSENCES_MS {
-        let down = Duration::from_millis(millis);
-        for seed in seeds.clone() {
-            let violations = play_absences(seed, down, kind, guards);
-            if !violations.is_empty() {
-                println!("{kind:?}, {down:?}, seed {seed}: {violations:#?}");
-                broken += 1;
-            }
-        }
-    }
-    broken
-}
-
 // Guards against a task that runs twice, or again after its end: an executor returns after its owner
 // has removed it, or has its first reply before the epoch is raised, and then carries out a start that
 // its earlier incarnation had received.
 #[test]
 fn late_orders_are_harmless_after_absences_of_any_length() {
     for kind in CRASH_KINDS {
-        assert_eq!(play_all_absences(0..seed_count(4), kind, JobGuards::default()), 0);
+        let play = |seed, down| play_absences(seed, down, kind, JobGuards::default());
+        assert_eq!(count_broken(&ABSENCES_MS, 0..seed_count(4), play), 0, "{kind:?}");
     }
     let guards = JobGuards { fences_earlier_orders: false, ..JobGuards::default() };
     let down = Duration::from_millis(6_500);
--- a/crates/cuminbank-jobs/tests/support/checks.rs
+++ b/crates/cuminbank-jobs/tests/support/checks.rs
@@ -1,6 +1,10 @@
 //! Checks the runs on executors against the guarantees that callers rely on.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Range,
+    time::Duration,
+};
 
 use cuminbank_jobs::{
     ids::{JobId, MonotonicTime},
@@ -114,3 +118,23 @@
         })
     }
 }
+
+/// Plays each span, in milliseconds, with each seed, and prints the violations that a play returns.
+/// Returns the number of plays with a violation.
+pub fn count_broken(
+    spans_ms: &[u64],
+    seeds: Range<u64>,
+    play: impl Fn(u64, Duration) -> Vec<String>,
+) -> usize {
+    let mut broken = 0;
+    for span in spans_ms.iter().copied().map(Duration::from_millis) {
+        for seed in seeds.clone() {
+            let violations = play(seed, span);
+            if !violations.is_empty() {
+                println!("{span:?}, seed {seed}: {violations:#?}");
+                broken += 1;
+            }
+        }
+    }
+    broken
+}
--- a/crates/cuminbank-jobs/tests/support/ownership.rs
+++ b/crates/cuminbank-jobs/tests/support/ownership.rs
@@ -1,14 +1,23 @@
-//! Ownership for tests of a single scheduler.
+//! Ownership and bounds for tests of a single scheduler.
 
 use std::time::Duration;
 
 use cuminbank_jobs::{
     ids::MonotonicTime,
     ownership::{HeldOwnership, OwnershipEffect, OwnershipState},
+    scheduler::SchedulerBounds,
     store::{StoreCall, StoreReply},
 };
 use cuminbank_platform_standin::store::FakeStore;
 
+/// Bounds of a scheduler.
+pub const BOUNDS: SchedulerBounds = SchedulerBounds {
+    max_lease: Duration::from_secs(6),
+    stop_timeout: Duration::from_millis(200),
+    max_violation_time: Duration::from_secs(4),
+    retention: Duration::from_secs(120),
+};
+
 /// Returns an ownership that began at `now`.
 pub fn held_ownership(now: MonotonicTime) -> HeldOwnership {
     let (mut store, address) =
--- a/crates/cuminbank-jobs/tests/support/simulation/effects.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/effects.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 
 use super::{Action, MessageFate, MessageKind, SimulatedPool, TICK_INTERVAL};
+use crate::support::ownership::BOUNDS;
 
 impl SimulatedPool {
     pub(super) fn apply(&mut self, number: usize, event: JobEvent) {
@@ -162,9 +163,8 @@
                 OwnershipEffect::Began(held, predecessor) => {
                     let bounds = SchedulerBounds {
                         max_lease: Duration::from_millis(self.max_lease_ms),
-                        stop_timeout: Duration::from_millis(200),
-                        max_violation_time: Duration::from_secs(4),
                         retention: Duration::from_secs(600),
+                        ..BOUNDS
                     };
                     let scheduler = JobScheduler::new(bounds, &held, self.now)
                         .with_guards(self.guards)
--- a/crates/cuminbank-jobs/tests/support/simulation/executors.rs
+++ b/crates/cuminbank-jobs/tests/support/simulation/executors.rs
@@ -7,6 +7,7 @@
     lease_bounds::is_lease_for,
     order::{ExecutorOrder, OrderFailure, OrderReply, OrderRequest, RejectReason},
 };
+use cuminbank_platform_standin::executor::LATE_DELAY_MS;
 use rand::Rng;
 
 use super::{
@@ -55,7 +56,7 @@
             self.push(timeout, fail(order.id, Err(OrderFailure::Lost)));
         }
         if late {
-            arrives += Duration::from_millis(self.random.random_range(2_000..12_000));
+            arrives += Duration::from_millis(self.random.random_range(LATE_DELAY_MS));
             self.note_late_message(arrives);
         }
         let incarnation = self.executors[executor_index].born;
--- a/crates/cuminbank-jobs/tests/support/two_cells.rs
+++ b/crates/cuminbank-jobs/tests/support/two_cells.rs
@@ -29,7 +29,10 @@
     store::FakeStore,
 };
 
-use super::jobs::{job, step};
+use super::{
+    jobs::{job, step},
+    ownership,
+};
 
 const TICK: Duration = Duration::from_millis(10);
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -38,12 +41,8 @@
 /// Time from the end of an owner until its record expires, and until the next one claims.
 const EXPIRY: Duration = Duration::from_millis(1_500);
 const CLAIM: Duration = Duration::from_millis(250);
-const BOUNDS: SchedulerBounds = SchedulerBounds {
-    max_lease: Duration::from_secs(6),
-    stop_timeout: Duration::from_millis(200),
-    max_violation_time: Duration::from_secs(4),
-    retention: Duration::from_secs(600),
-};
+const BOUNDS: SchedulerBounds =
+    SchedulerBounds { retention: Duration::from_secs(600), ..ownership::BOUNDS };
 
 /// What happens to an attempt to move a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
